--- /dev/null
+++ b/examples/deployments/cestaviva.go
@@ -0,0 +1,64 @@
+// Package deployments declares the deployments of the first two users, as
+// examples of package fleet and for the demo.
+package deployments
+
+import (
+	"time"
+
+	"github.com/limpetdock/limpetdock/fleet"
+)
+
+// cestaVivaSlots is how many requests each backend server of Cesta Viva runs at once.
+const cestaVivaSlots = 6
+
+// CestaViva declares the fleet of Cesta Viva Entregas: three regions with two
+// availability zones each, three services, and a target of each service in
+// every zone.
+func CestaViva(revision uint64) fleet.Fleet {
+	zones := []fleet.Zone{
+		{Name: "rs-a", Region: "rs"},
+		{Name: "rs-b", Region: "rs"},
+		{Name: "sc-a", Region: "sc"},
+		{Name: "sc-b", Region: "sc"},
+		{Name: "pr-a", Region: "pr"},
+		{Name: "pr-b", Region: "pr"},
+	}
+	return fleet.Fleet{
+		Name: "cesta-viva", Revision: revision, Zones: zones,
+		Teams: []fleet.Team{{Name: "store"}, {Name: "logistics"}},
+		Services: []fleet.Service{
+			{
+				Name: "catalogue", Team: "store", Timeout: 2 * time.Second,
+				Routes:  []fleet.Route{{Name: "browse", Methods: []string{"GET", "HEAD"}, Path: "/*", Idempotent: true}},
+				Targets: oneInEach(zones, "catalogue", cestaVivaSlots),
+			},
+			{
+				Name: "orders", Team: "store", Timeout: 5 * time.Second, KeyLifetime: 10 * time.Second,
+				Routes: []fleet.Route{
+					{Name: "read", Methods: []string{"GET", "HEAD"}, Path: "/*", Idempotent: true},
+					{Name: "stock", Methods: []string{"POST"}, Path: "/stock/check", Idempotent: true, Class: 5},
+					{Name: "confirm", Path: "/orders/*", Class: 9},
+				},
+				Targets: oneInEach(zones, "orders", cestaVivaSlots),
+			},
+			{
+				Name: "depot", Team: "logistics", Timeout: 30 * time.Second, KeyLifetime: 10 * time.Second,
+				Routes: []fleet.Route{
+					{Name: "read", Methods: []string{"GET", "HEAD"}, Path: "/*", Idempotent: true},
+					{Name: "upload", Methods: []string{"PUT"}, Path: "/uploads/*", Idempotent: true, Class: 3},
+					{Name: "payout", Path: "/payouts/*", Class: 9},
+				},
+				Targets: oneInEach(zones, "depot", cestaVivaSlots),
+			},
+		},
+	}
+}
+
+// oneInEach declares one target in every zone, on a VM named after both.
+func oneInEach(zones []fleet.Zone, service string, slots int) []fleet.Target {
+	targets := make([]fleet.Target, 0, len(zones))
+	for _, z := range zones {
+		targets = append(targets, fleet.Target{VM: service + "-" + z.Name, Zone: z.Name, Slots: slots})
+	}
+	return targets
+}
--- /dev/null
+++ b/internal/control/io.go
@@ -0,0 +1,108 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/limpetdock/limpetdock/fleet"
+	"github.com/limpetdock/limpetdock/internal/core"
+	"github.com/limpetdock/limpetdock/internal/platform"
+	"github.com/limpetdock/limpetdock/internal/wire"
+)
+
+func (l *Loop) readIndex(c core.ReadIndex) {
+	var v platform.Value
+	var err error
+	if c.Watch {
+		v, err = l.platform.Watch(l.ctx, fleet.IndexKey, c.After)
+	} else {
+		v, err = l.platform.Read(l.ctx, fleet.IndexKey)
+	}
+	l.submit(core.IndexRead{Text: v.Text, Version: v.Version, Err: err})
+}
+
+func (l *Loop) watchVMs(c core.WatchVMs) {
+	list, err := l.platform.WatchVMs(l.ctx, c.After)
+	l.submit(core.VMsRead{List: list, Err: err})
+}
+
+func (l *Loop) fetchDocument(c core.FetchDocument) {
+	if c.Peer != "" {
+		text, err := l.document(c.Peer, c.Entry.Digest)
+		l.submit(core.DocumentRead{Entry: c.Entry, Text: text, Err: err})
+		return
+	}
+	v, err := l.platform.Read(l.ctx, c.Entry.Key)
+	l.submit(core.DocumentRead{Entry: c.Entry, Text: v.Text, Err: err})
+}
+
+func (l *Loop) fetchIndex(c core.FetchIndex) {
+	text, err := l.document(c.Peer, c.Digest)
+	l.submit(core.IndexRead{Text: text, Peer: c.Peer, Err: err})
+}
+
+var (
+	errNotHeld  = eris.New("the peer doesn't hold the document")
+	errProtocol = eris.New("the peer answered with another message")
+)
+
+func (l *Loop) document(peer, digest string) ([]byte, error) {
+	reply, err := l.call(peer, documentTimeout, &wire.Fetch{Digest: digest})
+	if err != nil {
+		return nil, err
+	}
+	doc, ok := reply.(*wire.Document)
+	if !ok {
+		return nil, errProtocol
+	}
+	if len(doc.Text) == 0 {
+		return nil, errNotHeld
+	}
+	return doc.Text, nil
+}
+
+func (l *Loop) gossip(c core.SendGossip) {
+	reply, err := l.call(c.Addr, peerTimeout, c.News)
+	news, ok := reply.(*wire.Gossip)
+	if err != nil || !ok {
+		l.submit(core.GossipFailed{VM: c.VM})
+		return
+	}
+	l.submit(core.GossipHeard{News: news, Addr: c.Addr})
+}
+
+func (l *Loop) call(addr string, limit time.Duration, m wire.Message) (wire.Message, error) {
+	ctx, cancel := context.WithTimeout(l.ctx, limit)
+	defer cancel()
+	return l.peers.Call(ctx, addr, m)
+}
+
+// Welcome says whether a node that dialled belongs to the fleet.
+func (l *Loop) Welcome(h *wire.Hello) bool {
+	welcome := false
+	l.Ask(func(s *core.State) { welcome = s.Welcome(h) })
+	return welcome
+}
+
+// Answer gives the reply to a peer's message.
+func (l *Loop) Answer(_ string, m wire.Message) wire.Message {
+	switch m := m.(type) {
+	case *wire.Gossip:
+		l.submit(core.GossipHeard{News: m})
+		var news *wire.Gossip
+		l.Ask(func(s *core.State) { news = s.News() })
+		if news == nil {
+			return nil
+		}
+		return news
+	case *wire.Fetch:
+		var text []byte
+		l.Ask(func(s *core.State) { text = s.Document(m.Digest) })
+		return &wire.Document{Digest: m.Digest, Text: text}
+	case *wire.Seal:
+		return l.guard.Seal(m)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/control/loop.go
@@ -0,0 +1,196 @@
+// Package control runs the core: one goroutine owns the control state, ticks
+// it, and has its commands carried out. Results come back as events.
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/limpetdock/limpetdock/internal/core"
+	"github.com/limpetdock/limpetdock/internal/link"
+	"github.com/limpetdock/limpetdock/internal/pick"
+	"github.com/limpetdock/limpetdock/internal/platform"
+	"github.com/limpetdock/limpetdock/internal/wire"
+)
+
+const (
+	// tickEvery is the longest time between two ticks of the core.
+	tickEvery = 50 * time.Millisecond
+	// eventRoom bounds the events that wait for the next tick.
+	eventRoom = 1024
+	// peerTimeout bounds one exchange with a peer.
+	peerTimeout = time.Second
+	// documentTimeout bounds fetching one document from a peer.
+	documentTimeout = 3 * time.Second
+)
+
+// Guard is what the loop needs of the node's guard.
+type Guard interface {
+	Tick() uint64
+	SetLeaving(leaving bool)
+	SetView(v *pick.View)
+	Seal(m *wire.Seal) *wire.Sealed
+}
+
+// Entry is what the loop needs of the node's entry.
+type Entry interface{ SetView(v *pick.View) }
+
+// Loop owns the control state. Its methods are safe for concurrent use.
+type Loop struct {
+	state    *core.State
+	platform platform.Client
+	peers    *link.Dialer
+	guard    Guard
+	entry    Entry
+	log      logr.Logger
+	now      func() time.Duration
+	events   chan core.Event
+	asks     chan func(*core.State)
+	wg       sync.WaitGroup
+	ctx      context.Context
+	cancel   context.CancelFunc
+	mu       sync.Mutex
+	health   health
+}
+
+// health is what the guard's side last saw, until the next tick takes it.
+type health struct{ draining, stopping bool }
+
+// Config is what a Loop is made of.
+type Config struct {
+	State    *core.State
+	Platform platform.Client
+	Peers    *link.Dialer
+	Guard    Guard
+	Entry    Entry
+	Log      logr.Logger
+	Now      func() time.Duration
+}
+
+// New returns a Loop that does nothing until Start.
+func New(c Config) *Loop {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Loop{
+		state: c.State, platform: c.Platform, peers: c.Peers, guard: c.Guard, entry: c.Entry,
+		log: c.Log, now: c.Now, ctx: ctx, cancel: cancel,
+		events: make(chan core.Event, eventRoom), asks: make(chan func(*core.State)),
+	}
+}
+
+// Start starts the control goroutine.
+func (l *Loop) Start() { l.wg.Go(l.run) }
+
+// Stop ends the control goroutine and all it started.
+func (l *Loop) Stop() {
+	l.cancel()
+	l.wg.Wait()
+}
+
+// SetDraining tells what the backend server says of itself.
+func (l *Loop) SetDraining(draining bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.health.draining = draining
+}
+
+// SetStopping tells that the node is stopping.
+func (l *Loop) SetStopping() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.health.stopping = true
+}
+
+func (l *Loop) run() {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	var events []core.Event
+	for {
+		select {
+		case <-l.ctx.Done():
+			return
+		case e := <-l.events:
+			events = append(events, e)
+		case ask := <-l.asks:
+			ask(l.state)
+			continue
+		case <-ticker.C:
+		}
+		events = append(events, l.drain()...)
+		events = append(events, l.backendSeen())
+		for _, cmd := range l.state.Tick(core.Input{Now: l.now(), Events: events}) {
+			l.do(cmd)
+		}
+		l.guard.SetLeaving(l.state.Leaving())
+		events = events[:0]
+	}
+}
+
+// drain takes the events that wait, without waiting for more.
+func (l *Loop) drain() []core.Event {
+	var events []core.Event
+	for {
+		select {
+		case e := <-l.events:
+			events = append(events, e)
+		default:
+			return events
+		}
+	}
+}
+
+func (l *Loop) backendSeen() core.Event {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return core.BackendSeen{Tick: l.guard.Tick(), Draining: l.health.draining, Stopping: l.health.stopping}
+}
+
+// submit hands an event to the next tick.
+func (l *Loop) submit(e core.Event) {
+	select {
+	case l.events <- e:
+	case <-l.ctx.Done():
+	}
+}
+
+// Ask runs f on the control goroutine and waits for it. It returns false if
+// the loop has ended; f has then not run.
+func (l *Loop) Ask(f func(*core.State)) bool {
+	done := make(chan struct{})
+	select {
+	case l.asks <- func(s *core.State) { f(s); close(done) }:
+		<-done
+		return true
+	case <-l.ctx.Done():
+		return false
+	}
+}
+
+// Dump copies the control tables.
+func (l *Loop) Dump() (d core.Dump, ok bool) {
+	ok = l.Ask(func(s *core.State) { d = s.Dump(l.now()) })
+	return d, ok
+}
+
+// do carries out a command. What waits for others gets a goroutine of its own.
+func (l *Loop) do(cmd core.Command) {
+	switch c := cmd.(type) {
+	case core.Publish:
+		l.guard.SetView(c.View)
+		l.entry.SetView(c.View)
+	case core.Log:
+		l.log.Info(c.Message, c.Pairs...)
+	case core.ReadIndex:
+		l.wg.Go(func() { l.readIndex(c) })
+	case core.WatchVMs:
+		l.wg.Go(func() { l.watchVMs(c) })
+	case core.FetchDocument:
+		l.wg.Go(func() { l.fetchDocument(c) })
+	case core.FetchIndex:
+		l.wg.Go(func() { l.fetchIndex(c) })
+	case core.SendGossip:
+		l.wg.Go(func() { l.gossip(c) })
+	}
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,104 @@
+// Package entry takes callers' requests, chooses a target for each, retries
+// what may be retried, and tells the outcome.
+package entry
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/limpetdock/limpetdock/internal/kind"
+	"github.com/limpetdock/limpetdock/internal/pick"
+	"github.com/limpetdock/limpetdock/internal/wire"
+)
+
+// Caller asks peers' control sides what became of an attempt.
+type Caller interface {
+	// CallNew sends a message over a new connection and gives the answer.
+	CallNew(ctx context.Context, addr string, m wire.Message) (wire.Message, error)
+}
+
+// Observer is told what each request came to. Safe for concurrent use.
+type Observer interface {
+	// Answered reports a request that was answered, by the backend server
+	// (with an empty kind) or by the system.
+	Answered(service string, k kind.Kind, took time.Duration)
+	// Hopped reports a target that was given up for another one, and why.
+	Hopped(service string, k kind.Kind)
+}
+
+// Entry is the entry role of a node: an http.Handler for callers. Safe for
+// concurrent use.
+type Entry struct {
+	view     atomic.Pointer[pick.View]
+	local    http.RoundTripper
+	remote   *http.Transport
+	seal     func(*wire.Seal) *wire.Sealed
+	peers    Caller
+	observer Observer
+	now      func() time.Duration
+}
+
+// Config is what an Entry is made of.
+type Config struct {
+	// Local is the guard of the own node, and Seal asks it about attempts.
+	Local http.RoundTripper
+	Seal  func(*wire.Seal) *wire.Sealed
+	Peers Caller
+	// Observer is told of every answer.
+	Observer Observer
+	// Now gives the time since the node's start, of a monotonic clock.
+	Now func() time.Duration
+}
+
+// New returns an Entry that answers not-ready until it has a View.
+func New(c Config) *Entry {
+	return &Entry{
+		local: c.Local, remote: newTransport(), seal: c.Seal,
+		peers: c.Peers, observer: c.Observer, now: c.Now,
+	}
+}
+
+// SetView puts a new View in force.
+func (e *Entry) SetView(v *pick.View) { e.view.Store(v) }
+
+// View gives the View in force, or nil.
+func (e *Entry) View() *pick.View { return e.view.Load() }
+
+// Close drops the idle connections to guards.
+func (e *Entry) Close() { e.remote.CloseIdleConnections() }
+
+// ServeHTTP answers one request of a caller.
+func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	start := e.now()
+	service := ""
+	err := e.serve(w, r, &service)
+	k := kind.Kind("")
+	if err != nil {
+		k = err.Kind
+		kind.Write(w, err)
+	}
+	e.observer.Answered(service, k, e.now()-start)
+}
+
+func (e *Entry) serve(w http.ResponseWriter, r *http.Request, service *string) *kind.Error {
+	v := e.view.Load()
+	if v == nil {
+		return kind.New(kind.NotReady, "no configuration is in force yet")
+	}
+	x, err := parse(v, r)
+	if err != nil {
+		return err
+	}
+	*service = x.service.Name
+	ctx, cancel := context.WithTimeout(r.Context(), x.timeout)
+	defer cancel()
+	if err := x.holdBody(); err != nil {
+		return err
+	}
+	if x.once {
+		return e.serveOnce(ctx, w, v, x)
+	}
+	return e.serveIdempotent(ctx, w, v, x)
+}
--- /dev/null
+++ b/internal/entry/request.go
@@ -0,0 +1,184 @@
+package entry
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/limpetdock/limpetdock/internal/headers"
+	"github.com/limpetdock/limpetdock/internal/kind"
+	"github.com/limpetdock/limpetdock/internal/pick"
+)
+
+const (
+	// maxHeldBody is the largest request body that is held, so that the
+	// request can be offered to another target. Longer ones stream.
+	maxHeldBody = 64 << 10
+	// maxKey is the longest idempotency key, in bytes.
+	maxKey = 200
+	// maxDepth is how long a call chain may get.
+	maxDepth = 16
+)
+
+// request is a caller's request as the entry understood it.
+type request struct {
+	in      *http.Request
+	service *pick.Service
+	// once says that the request runs at most once.
+	once    bool
+	timeout time.Duration
+	key     string
+	depth   int
+	// body is the held body; nil when the request's body streams.
+	body   []byte
+	stream bool
+}
+
+// parse checks a caller's request against the configuration in force.
+func parse(v *pick.View, r *http.Request) (*request, *kind.Error) {
+	if r.Header.Get("Upgrade") != "" || r.Method == http.MethodConnect {
+		return nil, kind.New(kind.BadRequest, "protocol upgrades and CONNECT aren't supported")
+	}
+	name := r.Header.Get(headers.Service)
+	conf := v.Config.Lookup(name, r.Host)
+	if conf == nil {
+		return nil, kind.New(kind.UnknownService, "no service %q is declared", clip(orHost(name, r.Host)))
+	}
+	x := &request{in: r, service: v.Services[conf.Name], key: r.Header.Get(headers.IdempotencyKey)}
+	if len(x.key) > maxKey {
+		return nil, kind.New(kind.BadRequest, "%s is longer than %d bytes", headers.IdempotencyKey, maxKey)
+	}
+	route := conf.Match(r.Method, r.URL.Path)
+	x.once = route == nil || !route.Idempotent
+	if err := x.parseTimeout(); err != nil {
+		return nil, err
+	}
+	return x, x.parseDepth()
+}
+
+func orHost(name, host string) string {
+	if name != "" {
+		return name
+	}
+	return host
+}
+
+const clipAt = 64
+
+func clip(s string) string {
+	if len(s) > clipAt {
+		return s[:clipAt] + "..."
+	}
+	return s
+}
+
+func (x *request) parseTimeout() *kind.Error {
+	x.timeout = x.service.Timeout
+	value := x.in.Header.Get(headers.TimeoutMs)
+	if value == "" {
+		return nil
+	}
+	ms, err := strconv.ParseInt(value, 10, 64)
+	if err != nil || ms < 0 || strings.HasPrefix(value, "+") {
+		return kind.New(kind.BadRequest, "%s must be whole milliseconds", headers.TimeoutMs)
+	}
+	if ms == 0 {
+		return kind.New(kind.DeadlineNotRun, "the deadline has passed already")
+	}
+	x.timeout = x.service.MaxTimeout
+	if limit := x.service.MaxTimeout.Milliseconds(); ms < limit {
+		x.timeout = time.Duration(ms) * time.Millisecond
+	}
+	return nil
+}
+
+func (x *request) parseDepth() *kind.Error {
+	value := x.in.Header.Get(headers.Depth)
+	if value == "" {
+		return nil
+	}
+	depth, err := strconv.Atoi(value)
+	if err != nil || depth < 0 {
+		return kind.New(kind.BadRequest, "%s must be a whole number", headers.Depth)
+	}
+	if depth >= maxDepth {
+		return kind.New(kind.TooDeep, "the call chain is longer than %d", maxDepth)
+	}
+	x.depth = depth
+	return nil
+}
+
+// holdBody reads a small body whole. One without a length, or a long one, streams.
+func (x *request) holdBody() *kind.Error {
+	r := x.in
+	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
+		return nil
+	}
+	if r.ContentLength < 0 || r.ContentLength > maxHeldBody {
+		x.stream = true
+		return nil
+	}
+	x.body = make([]byte, r.ContentLength)
+	_, err := io.ReadFull(r.Body, x.body)
+	if err != nil {
+		cause := kind.New(kind.BodyCut, "the request's body ended early").Because(err)
+		cause.Outcome = kind.NotRun
+		return cause
+	}
+	return nil
+}
+
+// sentBody is a body on its way to a guard. It notices when it is first read:
+// from then on a streamed request can't be offered to another target.
+type sentBody struct {
+	io.ReadCloser
+	begun bool
+	cut   bool
+}
+
+func (b *sentBody) Read(p []byte) (int, error) {
+	b.begun = true
+	n, err := b.ReadCloser.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		b.cut = true
+	}
+	return n, err
+}
+
+// outgoing gives the request for a guard, with a body of its own.
+func (x *request) outgoing() (*http.Request, *sentBody) {
+	in := x.in
+	out := &http.Request{
+		Method: in.Method, URL: cloneURL(in), Host: in.Host, Header: in.Header.Clone(),
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, ContentLength: in.ContentLength,
+	}
+	headers.StripInternal(out.Header)
+	headers.StripHop(out.Header)
+	out.Header.Set(headers.Service, x.service.Name)
+	out.Header.Set(headers.Depth, strconv.Itoa(x.depth+1))
+	out.Header.Set(headers.Config, x.service.Tag())
+	if _, ok := out.Header["User-Agent"]; !ok {
+		out.Header["User-Agent"] = nil
+	}
+	var body *sentBody
+	switch {
+	case x.stream:
+		body = &sentBody{ReadCloser: io.NopCloser(in.Body)}
+		// The guard asks for the body only once it has taken the request, so a
+		// refusal leaves the body unread and the request can go elsewhere.
+		out.Header.Set("Expect", "100-continue")
+	case x.body != nil:
+		out.Header.Del("Expect")
+		body = &sentBody{ReadCloser: io.NopCloser(bytes.NewReader(x.body))}
+	default:
+		out.Header.Del("Expect")
+		out.Body = http.NoBody
+		return out, &sentBody{}
+	}
+	out.Body = body
+	return out, body
+}
--- /dev/null
+++ b/internal/guard/guard.go
@@ -0,0 +1,266 @@
+// Package guard owns the truth about one backend server: only it decides that
+// a request runs there. It takes requests from entries, over HTTP or from the
+// entry of its own node, and hands them to the backend server.
+package guard
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/limpetdock/limpetdock/internal/attempt"
+	"github.com/limpetdock/limpetdock/internal/gate"
+	"github.com/limpetdock/limpetdock/internal/headers"
+	"github.com/limpetdock/limpetdock/internal/kind"
+	"github.com/limpetdock/limpetdock/internal/pick"
+	"github.com/limpetdock/limpetdock/internal/wire"
+)
+
+// Guard is the guard role of a node. It is an http.RoundTripper, so that the
+// node's own entry uses it without a network hop, and an http.Handler for the
+// other entries. Safe for concurrent use.
+type Guard struct {
+	backend     *url.URL
+	transport   *http.Transport
+	incarnation uint64
+	now         func() time.Duration
+	gate        *gate.Gate
+	view        atomic.Pointer[pick.View]
+	leaving     atomic.Bool
+	mu          sync.Mutex
+	attempts    *attempt.Table
+	running     sync.WaitGroup
+}
+
+// New returns the guard of the backend server at base. now gives the time
+// since the node's start, of a monotonic clock.
+func New(base *url.URL, incarnation uint64, now func() time.Duration) *Guard {
+	return &Guard{
+		backend:     base,
+		transport:   newTransport(),
+		incarnation: incarnation,
+		now:         now,
+		gate:        gate.New(),
+		attempts:    attempt.NewTable(incarnation),
+	}
+}
+
+func newTransport() *http.Transport {
+	return &http.Transport{
+		MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute, DisableCompression: true,
+		ReadBufferSize: 16 << 10, WriteBufferSize: 16 << 10,
+	}
+}
+
+// SetView puts a new View in force and with it the declared limits.
+func (g *Guard) SetView(v *pick.View) {
+	g.view.Store(v)
+	svc, t := v.Config.Target(v.Here.VM)
+	if t == nil {
+		g.gate.SetLimits(0, 0)
+		return
+	}
+	g.gate.SetLimits(t.Slots, svc.Queue)
+}
+
+// SetLeaving makes the guard refuse new work, or take it again.
+func (g *Guard) SetLeaving(leaving bool) { g.leaving.Store(leaving) }
+
+// Tick gives the guard's coarse tick.
+func (g *Guard) Tick() uint64 { return attempt.Tick(g.now()) }
+
+// Load gives the load of the backend server as the guard counts it.
+func (g *Guard) Load() gate.Load { return g.gate.Load() }
+
+// Attempts gives the number of attempt records and the bytes of kept answers.
+func (g *Guard) Attempts() (records, stored int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.attempts.Len()
+}
+
+// Wait returns once no request runs any more.
+func (g *Guard) Wait() { g.running.Wait() }
+
+// Close drops the idle connections to the backend server.
+func (g *Guard) Close() { g.transport.CloseIdleConnections() }
+
+// Seal answers what became of an attempt.
+func (g *Guard) Seal(m *wire.Seal) *wire.Sealed {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	state := g.attempts.Seal(m.Attempt, m.Incarnation, m.AskOnly, g.now())
+	return &wire.Sealed{Incarnation: g.incarnation, Tick: g.Tick(), State: state}
+}
+
+// ServeHTTP takes a request from another node's entry.
+func (g *Guard) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	resp, err := g.RoundTrip(r)
+	if err != nil {
+		kind.Write(w, kind.From(err))
+		return
+	}
+	defer func() { _ = resp.Body.Close() }()
+	headers.Copy(w.Header(), resp.Header)
+	w.WriteHeader(resp.StatusCode)
+	if _, err := io.Copy(w, resp.Body); err != nil {
+		// A cut answer must look cut: the connection is aborted, not ended.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// RoundTrip runs a request, or refuses it with an answer made by the system.
+// The error is always nil; trouble is told by answers with a kind.
+func (g *Guard) RoundTrip(r *http.Request) (*http.Response, error) {
+	resp, e := g.run(r)
+	if e != nil {
+		resp = g.refusal(r, e)
+	}
+	return resp, nil
+}
+
+func (g *Guard) run(r *http.Request) (*http.Response, *kind.Error) {
+	if id := r.Header.Get(headers.Collect); id != "" {
+		return g.collect(r, id)
+	}
+	ctx, cancel, e := g.admissible(r)
+	if e != nil {
+		return nil, e
+	}
+	if id := r.Header.Get(headers.Attempt); id != "" {
+		return g.runOnce(ctx, cancel, r, id)
+	}
+	leave, e := g.gate.Enter(ctx)
+	if e != nil {
+		cancel()
+		return nil, e
+	}
+	g.running.Add(1)
+	end := func() {
+		leave()
+		cancel()
+		g.running.Done()
+	}
+	resp, err := g.forward(ctx, r)
+	if err != nil {
+		end()
+		return nil, backendError(ctx, err)
+	}
+	resp.Body = &endingBody{ReadCloser: resp.Body, end: sync.OnceFunc(end)}
+	return resp, nil
+}
+
+// admissible checks whether the guard may take the request at all, and gives
+// a context that ends with the request's deadline.
+func (g *Guard) admissible(r *http.Request) (context.Context, context.CancelFunc, *kind.Error) {
+	v := g.view.Load()
+	if v == nil {
+		return nil, nil, kind.New(kind.NotReady, "no configuration is in force yet")
+	}
+	if g.leaving.Load() {
+		return nil, nil, kind.New(kind.Leaving, "the backend server is leaving")
+	}
+	svc, _ := v.Config.Target(v.Here.VM)
+	if svc == nil || svc.Name != r.Header.Get(headers.Service) {
+		return nil, nil, kind.New(kind.StaleConfig, "this node doesn't serve the service")
+	}
+	route := svc.Match(r.Method, r.URL.Path)
+	once := route == nil || !route.Idempotent
+	if once && r.Header.Get(headers.Attempt) == "" {
+		return nil, nil, kind.New(kind.StaleConfig, "the route runs at most once here")
+	}
+	ms, err := strconv.ParseInt(r.Header.Get(headers.TimeoutMs), 10, 64)
+	if err != nil || ms <= 0 {
+		return nil, nil, kind.New(kind.DeadlineNotRun, "the deadline has passed")
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(ms)*time.Millisecond)
+	return ctx, cancel, nil
+}
+
+// forward hands the request to the backend server.
+func (g *Guard) forward(ctx context.Context, r *http.Request) (*http.Response, error) {
+	out := r.Clone(ctx)
+	out.URL.Scheme = g.backend.Scheme
+	out.URL.Host = g.backend.Host
+	out.RequestURI = ""
+	headers.StripInternal(out.Header)
+	headers.StripHop(out.Header)
+	if deadline, ok := ctx.Deadline(); ok {
+		out.Header.Set(headers.TimeoutMs, strconv.FormatInt(max(1, time.Until(deadline).Milliseconds()), 10))
+	}
+	out.Header.Del("Expect")
+	unreplayable(out)
+	resp, err := g.transport.RoundTrip(out)
+	if err != nil {
+		return nil, err
+	}
+	headers.StripInternal(resp.Header)
+	headers.StripHop(resp.Header)
+	return resp, nil
+}
+
+// refusal makes an answer of the system out of e, with the guard's identity,
+// so that the entry's next attempt names the right one.
+func (g *Guard) refusal(r *http.Request, e *kind.Error) *http.Response {
+	rec := newRecorder()
+	kind.Write(rec, e)
+	rec.header.Set(headers.Incarnation, strconv.FormatUint(g.incarnation, 16))
+	rec.header.Set(headers.Tick, strconv.FormatUint(g.Tick(), 10))
+	return rec.response(r)
+}
+
+// backendError tells what went wrong on the way to the backend server.
+func backendError(ctx context.Context, err error) *kind.Error {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return kind.New(kind.DeadlineUnknown, "the deadline passed while the backend server ran the request").Because(err)
+	case isDial(err):
+		return kind.New(kind.Unreachable, "the backend server can't be reached").Because(err)
+	}
+	return kind.New(kind.BackendDied, "the backend server broke off the exchange").Because(err)
+}
+
+// BackendHealth is what a backend server says of itself at its health endpoint.
+type BackendHealth struct {
+	// State is "live", "draining" or "starting".
+	State string `json:"state"`
+}
+
+// Health asks the backend server how it is.
+func (g *Guard) Health(ctx context.Context, path string) (BackendHealth, error) {
+	var h BackendHealth
+	u := *g.backend
+	u.Path = path
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), nil)
+	if err != nil {
+		return h, err
+	}
+	resp, err := g.transport.RoundTrip(req)
+	if err != nil {
+		return h, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	const healthLimit = 4096
+	text, err := io.ReadAll(io.LimitReader(resp.Body, healthLimit))
+	if err != nil {
+		return h, err
+	}
+	return h, json.Unmarshal(text, &h)
+}
+
+// answerOf reads a whole answer of at most attempt.MaxAnswer bytes. For a
+// longer one it gives what was read so far and whole is false.
+func answerOf(resp *http.Response) (a *attempt.Answer, whole bool, err error) {
+	var buf bytes.Buffer
+	_, err = io.Copy(&buf, io.LimitReader(resp.Body, attempt.MaxAnswer+1))
+	a = &attempt.Answer{Status: resp.StatusCode, Header: resp.Header, Body: buf.Bytes()}
+	return a, buf.Len() <= attempt.MaxAnswer, err
+}
--- /dev/null
+++ b/standin/backend/backend.go
@@ -0,0 +1,269 @@
+package main
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// behaviour is what a test may change while the backend server runs.
+type behaviour struct {
+	ServiceMs float64 `json:"service_ms"`
+	// JitterMs shifts the service time every ShiftEveryMs, as noisy neighbours do.
+	JitterMs     float64 `json:"jitter_ms"`
+	ShiftEveryMs int     `json:"shift_every_ms"`
+	// State is what the health endpoint says.
+	State string `json:"state"`
+	// Shed answers 503 before a run; FailFast answers 500 at once.
+	Shed     bool `json:"shed"`
+	FailFast bool `json:"fail_fast"`
+	// Lie is what the load endpoint says instead of the truth; -1 is the truth.
+	Lie int `json:"lie"`
+	// ColdMs is how long after its start the server is ten times slower.
+	ColdMs int `json:"cold_ms"`
+}
+
+type backend struct {
+	opts    options
+	start   time.Time
+	slots   chan struct{}
+	running atomic.Int64
+	mu      sync.Mutex
+	how     behaviour
+	ledger  *os.File
+	client  *http.Client
+}
+
+func newBackend(opts options) (*backend, error) {
+	b := &backend{
+		opts: opts, start: time.Now(), slots: make(chan struct{}, opts.Slots),
+		how:    behaviour{ServiceMs: opts.ServiceMs, State: "live", Lie: -1},
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
+	}
+	if opts.Ledger == "" {
+		return b, nil
+	}
+	f, err := os.OpenFile(opts.Ledger, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
+	b.ledger = f
+	return b, err
+}
+
+// line is one line of the ledger.
+type line struct {
+	At      string `json:"at"`
+	Event   string `json:"event"`
+	ID      string `json:"id"`
+	Method  string `json:"method"`
+	Path    string `json:"path"`
+	Outcome string `json:"outcome"`
+}
+
+func (b *backend) record(r *http.Request, event, outcome string) {
+	if b.ledger == nil {
+		return
+	}
+	text, _ := json.Marshal(line{
+		At: time.Now().UTC().Format(time.RFC3339Nano), Event: event, ID: r.Header.Get("X-Request-Id"),
+		Method: r.Method, Path: r.URL.Path, Outcome: outcome,
+	})
+	_, _ = b.ledger.Write(append(text, '\n'))
+}
+
+func (b *backend) behaviour() behaviour {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.how
+}
+
+func (b *backend) set(w http.ResponseWriter, r *http.Request) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if err := json.NewDecoder(r.Body).Decode(&b.how); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+	}
+}
+
+func (b *backend) health(w http.ResponseWriter, _ *http.Request) {
+	_ = json.NewEncoder(w).Encode(map[string]any{"state": b.behaviour().State, "running": b.running.Load()})
+}
+
+func (b *backend) load(w http.ResponseWriter, _ *http.Request) {
+	n := int(b.running.Load())
+	if lie := b.behaviour().Lie; lie >= 0 {
+		n = lie
+	}
+	_ = json.NewEncoder(w).Encode(map[string]any{"running": n, "slots": b.opts.Slots})
+}
+
+// serve runs one request: it takes a slot, works, and echoes the body.
+func (b *backend) serve(w http.ResponseWriter, r *http.Request) {
+	how := b.behaviour()
+	if how.Shed {
+		http.Error(w, "shed", http.StatusServiceUnavailable)
+		return
+	}
+	b.record(r, "start", "")
+	if r.Header.Get("X-Standin-Crash") != "" {
+		os.Exit(3)
+	}
+	b.running.Add(1)
+	defer b.running.Add(-1)
+	outcome := "cut"
+	defer func() { b.record(r, "end", outcome) }()
+	if how.FailFast {
+		outcome = "failed"
+		http.Error(w, "failing", http.StatusInternalServerError)
+		return
+	}
+	body, err := readBody(r)
+	if err != nil {
+		return
+	}
+	if !b.work(r, how) {
+		return
+	}
+	if !b.chain(w, r) {
+		outcome = "chain-failed"
+		return
+	}
+	b.answer(w, r, body)
+	outcome = "done"
+}
+
+// maxEcho is the largest body that is sent back whole.
+const maxEcho = 1 << 20
+
+type received struct {
+	sum  string
+	size int64
+	text []byte
+}
+
+func readBody(r *http.Request) (received, error) {
+	hash := sha256.New()
+	var head strings.Builder
+	limited := &limitedWriter{w: &head, left: maxEcho}
+	n, err := io.Copy(io.MultiWriter(hash, limited), r.Body)
+	return received{hex.EncodeToString(hash.Sum(nil)), n, []byte(head.String())}, err
+}
+
+type limitedWriter struct {
+	w    io.Writer
+	left int
+}
+
+func (l *limitedWriter) Write(p []byte) (int, error) {
+	n := min(len(p), l.left)
+	l.left -= n
+	_, err := l.w.Write(p[:n])
+	return len(p), err
+}
+
+// work holds a slot for the service time. It returns false when cancelled.
+func (b *backend) work(r *http.Request, how behaviour) bool {
+	select {
+	case b.slots <- struct{}{}:
+	case <-r.Context().Done():
+		return false
+	}
+	defer func() { <-b.slots }()
+	return sleep(r.Context(), b.serviceTime(r, how))
+}
+
+func (b *backend) serviceTime(r *http.Request, how behaviour) time.Duration {
+	ms := how.ServiceMs
+	if how.ShiftEveryMs > 0 {
+		// A cheap hash of the time slice and the name: every server shifts by itself.
+		slice := time.Now().UnixMilli() / int64(how.ShiftEveryMs)
+		sum := sha256.Sum256([]byte(b.opts.Name + strconv.FormatInt(slice, 10)))
+		ms += how.JitterMs * float64(sum[0]) / 255
+	}
+	if time.Since(b.start) < time.Duration(how.ColdMs)*time.Millisecond {
+		ms *= 10
+	}
+	if own, err := strconv.ParseFloat(r.Header.Get("X-Standin-Ms"), 64); err == nil {
+		ms = own
+	}
+	return time.Duration(ms * float64(time.Millisecond))
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return true
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// chain calls the next service of X-Standin-Chain through the node beside it.
+func (b *backend) chain(w http.ResponseWriter, r *http.Request) bool {
+	list := r.Header.Get("X-Standin-Chain")
+	if list == "" || b.opts.Entry == "" {
+		return true
+	}
+	next, rest, _ := strings.Cut(list, ",")
+	req, err := http.NewRequestWithContext(r.Context(), http.MethodGet, "http://"+b.opts.Entry+"/chain", nil)
+	if err != nil {
+		return false
+	}
+	for _, name := range []string{"X-Request-Id", "Limpetdock-Timeout-Ms", "Limpetdock-Depth", "Limpetdock-Retries-Left", "X-Standin-Ms"} {
+		if v := r.Header.Get(name); v != "" {
+			req.Header.Set(name, v)
+		}
+	}
+	req.Header.Set("Limpetdock-Service", next)
+	if rest != "" {
+		req.Header.Set("X-Standin-Chain", rest)
+	}
+	resp, err := b.client.Do(req)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadGateway)
+		return false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, err = io.Copy(io.Discard, resp.Body)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		http.Error(w, "chain: "+resp.Status, http.StatusBadGateway)
+		return false
+	}
+	return true
+}
+
+// answer echoes the body, or sends X-Standin-Size bytes; X-Standin-Cut breaks
+// the answer off after that many of them.
+func (b *backend) answer(w http.ResponseWriter, r *http.Request, body received) {
+	w.Header().Set("X-Standin-Name", b.opts.Name)
+	w.Header().Set("X-Standin-Sha256", body.sum)
+	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+	text := body.text
+	if body.size == 0 {
+		text, _ = json.Marshal(map[string]string{"vm": b.opts.Name, "path": r.URL.Path, "id": r.Header.Get("X-Request-Id")})
+	}
+	if body.size > maxEcho {
+		text, _ = json.Marshal(map[string]any{"sha256": body.sum, "size": body.size})
+	}
+	if n, err := strconv.Atoi(r.Header.Get("X-Standin-Size")); err == nil {
+		text = []byte(strings.Repeat("x", n))
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	if cut, err := strconv.Atoi(r.Header.Get("X-Standin-Cut")); err == nil && cut < len(text) {
+		_, _ = w.Write(text[:cut])
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = w.Write(text)
+}
--- /dev/null
+++ b/standin/backend/main.go
@@ -0,0 +1,42 @@
+// Command backend stands in for a backend server in tests and the demo. It
+// has slots and a service time, keeps a ledger of what it ran, and can be told
+// to misbehave under /-/set. It never ships.
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+)
+
+type options struct {
+	Listen    string  `long:"listen" required:"true"`
+	Name      string  `long:"name" default:"backend"`
+	Slots     int     `long:"slots" default:"6"`
+	ServiceMs float64 `long:"service-ms" default:"5"`
+	Ledger    string  `long:"ledger" description:"append-only NDJSON file"`
+	Entry     string  `long:"entry" description:"callers' address of the node beside it, for call chains"`
+}
+
+func main() {
+	var opts options
+	if _, err := flags.Parse(&opts); err != nil {
+		os.Exit(2)
+	}
+	b, err := newBackend(opts)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", b.health)
+	mux.HandleFunc("GET /load", b.load)
+	mux.HandleFunc("PUT /-/set", b.set)
+	mux.HandleFunc("/", b.serve)
+	if err := http.ListenAndServe(opts.Listen, mux); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/standin/demo/check.go
@@ -0,0 +1,166 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/google/uuid"
+)
+
+// call is one kind of request of the check's load.
+type call struct {
+	service, method, path string
+	body                  int
+	once                  bool
+}
+
+var calls = []call{
+	{"catalogue", "GET", "/catalogue/week", 0, false},
+	{"orders", "POST", "/stock/check", 100, false},
+	{"orders", "POST", "/orders/confirm", 300, true},
+	{"depot", "PUT", "/uploads/plan", 200_000, false},
+	{"depot", "POST", "/payouts/run", 300, true},
+}
+
+// tally counts what was answered.
+type tally struct {
+	mu    sync.Mutex
+	rows  map[string]int
+	wrong []string
+	ids   map[string]bool
+}
+
+func (t *tally) count(c call, what string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.rows[fmt.Sprintf("%-10s %-4s %-16s %s", c.service, c.method, c.path, what)]++
+}
+
+func (t *tally) wrongf(format string, args ...any) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.wrong = append(t.wrong, fmt.Sprintf(format, args...))
+}
+
+// callersAtOnce is how many callers the check has; each waits for its answers.
+const callersAtOnce = 24
+
+// check sends a mixed load to all nodes and compares answers and ledgers.
+func (d *demo) check(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, d.opts.For)
+	defer cancel()
+	t := &tally{rows: map[string]int{}, ids: map[string]bool{}}
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: callersAtOnce}}
+	var wg sync.WaitGroup
+	for i := range callersAtOnce {
+		wg.Go(func() {
+			rnd := rand.New(rand.NewPCG(1, uint64(i)))
+			for ctx.Err() == nil {
+				d.one(client, rnd, t)
+			}
+		})
+	}
+	wg.Wait()
+	client.CloseIdleConnections()
+	d.checkLedgers(t)
+	return t.report()
+}
+
+func (d *demo) one(client *http.Client, rnd *rand.Rand, t *tally) {
+	c := calls[rnd.IntN(len(calls))]
+	p := d.places[rnd.IntN(len(d.places))]
+	body := make([]byte, c.body)
+	for i := range body {
+		body[i] = byte(rnd.Uint32())
+	}
+	id := uuid.NewString()
+	req, err := http.NewRequest(c.method, "http://"+p.callers()+c.path, bytes.NewReader(body))
+	if err != nil {
+		t.wrongf("%v", err)
+		return
+	}
+	req.Header.Set("Limpetdock-Service", c.service)
+	req.Header.Set("X-Request-Id", id)
+	resp, err := client.Do(req)
+	if err != nil {
+		t.wrongf("%s %s at %s: %v", c.service, c.path, p.vm, err)
+		return
+	}
+	defer func() { _ = resp.Body.Close() }()
+	got, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.wrongf("%s %s at %s: answer cut: %v", c.service, c.path, p.vm, err)
+		return
+	}
+	if k := resp.Header.Get("Limpetdock-Kind"); k != "" {
+		t.count(c, k)
+		t.wrongf("%s %s at %s: %s", c.service, c.path, p.vm, got)
+		return
+	}
+	t.count(c, resp.Status)
+	if c.once {
+		t.mu.Lock()
+		t.ids[id] = true
+		t.mu.Unlock()
+	}
+	if resp.Header.Get("X-Request-Id") != id || c.body > 0 && !bytes.Equal(got, body) {
+		t.wrongf("%s %s at %s: not the answer to this request", c.service, c.path, p.vm)
+	}
+}
+
+// checkLedgers looks for at-most-once requests that ran twice or not at all.
+func (d *demo) checkLedgers(t *tally) {
+	starts := map[string]int{}
+	for _, p := range d.places {
+		text, err := os.ReadFile(filepath.Join(d.opts.Out, "ledger", p.vm+".ndjson"))
+		if err != nil {
+			t.wrongf("%v", err)
+			continue
+		}
+		for line := range strings.SplitSeq(string(text), "\n") {
+			if !strings.Contains(line, `"event":"start"`) {
+				continue
+			}
+			_, rest, _ := strings.Cut(line, `"id":"`)
+			id, _, _ := strings.Cut(rest, `"`)
+			starts[id]++
+		}
+	}
+	for id := range t.ids {
+		if starts[id] != 1 {
+			t.wrongf("at-most-once request %s was answered and ran %d times", id, starts[id])
+		}
+	}
+}
+
+func (t *tally) report() error {
+	rows := make([]string, 0, len(t.rows))
+	total := 0
+	for row, n := range t.rows {
+		rows = append(rows, fmt.Sprintf("%s: %d", row, n))
+		total += n
+	}
+	slices.Sort(rows)
+	for _, row := range rows {
+		fmt.Println(row)
+	}
+	fmt.Printf("demo check: %d answered, %d wrong\n", total, len(t.wrong))
+	const shown = 10
+	for _, w := range t.wrong[:min(shown, len(t.wrong))] {
+		fmt.Println("wrong:", w)
+	}
+	if len(t.wrong) > 0 || total == 0 {
+		return errors.New("the check failed")
+	}
+	return nil
+}
--- /dev/null
+++ b/standin/demo/main.go
@@ -0,0 +1,57 @@
+// Command demo starts a small Cesta Viva on loopback addresses: 18 nodes with a
+// backend server stand-in each, the platform stand-in, and a relay per
+// availability zone, every one a process of its own. With --check it sends a
+// mixed load and exits with 0 only if every answer was right. It never ships.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+)
+
+type options struct {
+	Bin       string        `long:"bin" default:"build/bin" description:"directory of the programs"`
+	Out       string        `long:"out" default:"build/demo" description:"directory for settings, logs and ledgers"`
+	Check     bool          `long:"check" description:"send a load, report, and exit"`
+	For       time.Duration `long:"for" default:"10s" description:"length of the check's load"`
+	ServiceMs float64       `long:"service-ms" default:"5" description:"service time of the backend servers"`
+}
+
+func main() {
+	var opts options
+	if _, err := flags.Parse(&opts); err != nil {
+		os.Exit(2)
+	}
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer cancel()
+	if err := run(ctx, opts); err != nil {
+		fmt.Fprintln(os.Stderr, "demo:", err)
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context, opts options) error {
+	d, err := newDemo(opts)
+	if err != nil {
+		return err
+	}
+	defer d.stop()
+	if err := d.start(ctx); err != nil {
+		return err
+	}
+	if err := d.waitReady(ctx); err != nil {
+		return err
+	}
+	fmt.Println("ready")
+	if opts.Check {
+		return d.check(ctx)
+	}
+	<-ctx.Done()
+	return nil
+}
--- /dev/null
+++ b/standin/platform/main.go
@@ -0,0 +1,203 @@
+// Command platform stands in for the platform in tests and the demo: a
+// configuration service and a VM list that nodes read and watch. It never ships.
+//
+// Readers in a zone use /zone/NAME/v1/..., so that faults and addresses can
+// differ by zone. Publishing and faults are under /admin/ and are for tests.
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+)
+
+type entry struct {
+	version uint64
+	text    []byte
+}
+
+// vm is a row of the VM list, with the IP that each zone sees it under.
+type vm struct {
+	Name  string            `json:"name"`
+	IP    string            `json:"ip"`
+	State string            `json:"state"`
+	Seen  map[string]string `json:"seen,omitempty"`
+}
+
+// fault is what is wrong for the readers of one zone.
+type fault struct {
+	Down    bool `json:"down"`
+	DelayMs int  `json:"delay_ms"`
+	// FrozenAt shows the state of an earlier version; 0 is none.
+	FrozenAt uint64 `json:"frozen_at"`
+}
+
+type server struct {
+	mu      sync.Mutex
+	changed chan struct{}
+	version uint64
+	values  map[string][]entry
+	faults  map[string]fault
+	calls   map[string]uint64
+}
+
+const vmsKey = "/vms"
+
+func main() {
+	var opts struct {
+		Listen string `long:"listen" default:"127.0.0.1:8500"`
+	}
+	if _, err := flags.Parse(&opts); err != nil {
+		os.Exit(2)
+	}
+	s := &server{
+		changed: make(chan struct{}), values: map[string][]entry{},
+		faults: map[string]fault{}, calls: map[string]uint64{},
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("PUT /admin/values/{key...}", s.put)
+	mux.HandleFunc("PUT /admin/vms", s.put)
+	mux.HandleFunc("PUT /admin/faults/{zone}", s.setFault)
+	mux.HandleFunc("GET /admin/state", s.state)
+	mux.HandleFunc("GET /v1/{what...}", s.read)
+	mux.HandleFunc("GET /zone/{zone}/v1/{what...}", s.read)
+	if err := http.ListenAndServe(opts.Listen, mux); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+// put publishes a value, or the VM list.
+func (s *server) put(w http.ResponseWriter, r *http.Request) {
+	text, err := io.ReadAll(r.Body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	key := r.PathValue("key")
+	if key == "" {
+		key = vmsKey
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.values[key] = append(s.values[key], entry{s.version, text})
+	s.wake()
+	_, _ = fmt.Fprintln(w, s.version)
+}
+
+// wake lets every waiting watch look again. The mutex is held.
+func (s *server) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *server) setFault(w http.ResponseWriter, r *http.Request) {
+	var f fault
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults[r.PathValue("zone")] = f
+	s.wake()
+}
+
+// state tells the version and the calls counted so far, by zone.
+func (s *server) state(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(map[string]any{"version": s.version, "calls": s.calls, "faults": s.faults})
+}
+
+func (s *server) read(w http.ResponseWriter, r *http.Request) {
+	zone := r.PathValue("zone")
+	what := r.PathValue("what")
+	key, isValue := strings.CutPrefix(what, "values/")
+	if !isValue && what == "vms" {
+		key = vmsKey
+	}
+	s.mu.Lock()
+	s.calls[zone]++
+	delay := s.faults[zone].DelayMs
+	s.mu.Unlock()
+	time.Sleep(time.Duration(delay) * time.Millisecond)
+	e, code := s.wait(r, zone, key)
+	if code != http.StatusOK {
+		w.WriteHeader(code)
+		return
+	}
+	w.Header().Set("X-Version", strconv.FormatUint(e.version, 10))
+	if key == vmsKey {
+		e.text = seenFrom(zone, e)
+	}
+	_, _ = w.Write(e.text)
+}
+
+// wait gives the value a zone sees; with ?after= it waits for another version.
+func (s *server) wait(r *http.Request, zone, key string) (entry, int) {
+	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	hold, _ := time.ParseDuration(r.URL.Query().Get("wait"))
+	end := time.After(hold)
+	for {
+		s.mu.Lock()
+		f := s.faults[zone]
+		e, ok := s.visible(key, f.FrozenAt)
+		changed := s.changed
+		s.mu.Unlock()
+		if f.Down {
+			return entry{}, http.StatusServiceUnavailable
+		}
+		if !ok && hold == 0 {
+			return entry{}, http.StatusNotFound
+		}
+		if ok && (hold == 0 || e.version != after) {
+			return e, http.StatusOK
+		}
+		select {
+		case <-changed:
+		case <-end:
+			if !ok {
+				return entry{}, http.StatusNotFound
+			}
+			return e, http.StatusOK
+		case <-r.Context().Done():
+			return entry{}, http.StatusServiceUnavailable
+		}
+	}
+}
+
+func (s *server) visible(key string, frozenAt uint64) (entry, bool) {
+	list := s.values[key]
+	for i := len(list) - 1; i >= 0; i-- {
+		if frozenAt == 0 || list[i].version <= frozenAt {
+			return list[i], true
+		}
+	}
+	return entry{}, false
+}
+
+// seenFrom gives the VM list with the addresses that a zone uses.
+func seenFrom(zone string, e entry) []byte {
+	var vms []vm
+	if err := json.Unmarshal(e.text, &vms); err != nil {
+		return e.text
+	}
+	for i := range vms {
+		if ip := vms[i].Seen[zone]; ip != "" {
+			vms[i].IP = ip
+		}
+		vms[i].Seen = nil
+	}
+	text, _ := json.Marshal(map[string]any{"version": e.version, "vms": vms})
+	return text
+}
--- /dev/null
+++ b/standin/relay/main.go
@@ -0,0 +1,152 @@
+// Command relay stands in for the links between availability zones in tests
+// and the demo: it passes TCP on with a delay, and can cut a link, cut it in one
+// direction, silence the connections open now, or limit its bandwidth. It never ships.
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path"
+	"sync"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+)
+
+// route is one address that is relayed to another.
+type route struct {
+	Listen  string  `json:"listen"`
+	Target  string  `json:"target"`
+	From    string  `json:"from"`
+	To      string  `json:"to"`
+	DelayMs float64 `json:"delay_ms"`
+}
+
+// fault is what is wrong with the links that match From and To, which are zone
+// names or patterns as in path.Match. Cut refuses and breaks connections; Drop
+// swallows what is sent from From to To.
+type fault struct {
+	From         string  `json:"from"`
+	To           string  `json:"to"`
+	Cut          bool    `json:"cut"`
+	Drop         bool    `json:"drop"`
+	Silence      bool    `json:"silence"`
+	BytesPerSec  int     `json:"bytes_per_sec"`
+	ExtraDelayMs float64 `json:"extra_delay_ms"`
+}
+
+func (f fault) matches(from, to string) bool {
+	a, _ := path.Match(f.From, from)
+	b, _ := path.Match(f.To, to)
+	return a && b
+}
+
+type relay struct {
+	mu     sync.Mutex
+	faults []fault
+	pipes  map[*pipe]struct{}
+}
+
+func main() {
+	var opts struct {
+		Routes string `long:"routes" required:"true" description:"JSON file with the list of routes"`
+		Admin  string `long:"admin" required:"true" description:"address for PUT /faults"`
+	}
+	if _, err := flags.Parse(&opts); err != nil {
+		os.Exit(2)
+	}
+	if err := run(opts.Routes, opts.Admin); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run(file, admin string) error {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	var routes []route
+	if err := json.Unmarshal(text, &routes); err != nil {
+		return err
+	}
+	r := &relay{pipes: map[*pipe]struct{}{}}
+	for _, rt := range routes {
+		l, err := net.Listen("tcp", rt.Listen)
+		if err != nil {
+			return err
+		}
+		go r.accept(l, rt)
+	}
+	http.HandleFunc("PUT /faults", r.setFaults)
+	return http.ListenAndServe(admin, nil)
+}
+
+// setFaults replaces all faults by the list in the body.
+func (r *relay) setFaults(w http.ResponseWriter, req *http.Request) {
+	var list []fault
+	if err := json.NewDecoder(req.Body).Decode(&list); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.faults = list
+	for p := range r.pipes {
+		p.apply(list)
+	}
+}
+
+// now gives the faults joined that hold from one zone to another.
+func (r *relay) now(from, to string) fault {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var sum fault
+	for _, f := range r.faults {
+		if !f.matches(from, to) {
+			continue
+		}
+		sum.Cut = sum.Cut || f.Cut
+		sum.Drop = sum.Drop || f.Drop
+		sum.BytesPerSec = max(sum.BytesPerSec, f.BytesPerSec)
+		sum.ExtraDelayMs += f.ExtraDelayMs
+	}
+	return sum
+}
+
+func (r *relay) accept(l net.Listener, rt route) {
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		if r.now(rt.From, rt.To).Cut || r.now(rt.To, rt.From).Cut {
+			_ = conn.Close()
+			continue
+		}
+		go r.relay(conn, rt)
+	}
+}
+
+func (r *relay) relay(in net.Conn, rt route) {
+	out, err := net.DialTimeout("tcp", rt.Target, time.Second)
+	if err != nil {
+		_ = in.Close()
+		return
+	}
+	p := &pipe{relay: r, route: rt, in: in, out: out}
+	r.mu.Lock()
+	r.pipes[p] = struct{}{}
+	r.mu.Unlock()
+	var wg sync.WaitGroup
+	wg.Go(func() { p.pump(out, in, rt.From, rt.To) })
+	wg.Go(func() { p.pump(in, out, rt.To, rt.From) })
+	wg.Wait()
+	p.close()
+	r.mu.Lock()
+	delete(r.pipes, p)
+	r.mu.Unlock()
+}
--- /dev/null
+++ b/standin/relay/pipe.go
@@ -0,0 +1,92 @@
+package main
+
+import (
+	"net"
+	"sync/atomic"
+	"time"
+)
+
+// pipe is one relayed connection.
+type pipe struct {
+	relay   *relay
+	route   route
+	in, out net.Conn
+	silent  atomic.Bool
+}
+
+// apply takes new faults to a connection that is open.
+func (p *pipe) apply(list []fault) {
+	for _, f := range list {
+		forward := f.matches(p.route.From, p.route.To)
+		back := f.matches(p.route.To, p.route.From)
+		if f.Cut && (forward || back) {
+			p.close()
+		}
+		if f.Silence && (forward || back) {
+			p.silent.Store(true)
+		}
+	}
+}
+
+func (p *pipe) close() {
+	for _, c := range []net.Conn{p.in, p.out} {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = c.Close()
+	}
+}
+
+// chunk is bytes on their way, due at a time. A nil data is the end.
+type chunk struct {
+	due  time.Time
+	data []byte
+}
+
+const (
+	chunkSize   = 32 << 10
+	chunksAhead = 64
+)
+
+// pump passes bytes from src to dst in order, each after the link's delay.
+func (p *pipe) pump(dst, src net.Conn, from, to string) {
+	queue := make(chan chunk, chunksAhead)
+	go p.read(src, from, to, queue)
+	failed := false
+	for c := range queue {
+		time.Sleep(time.Until(c.due))
+		if failed || p.silent.Load() || p.relay.now(from, to).Drop {
+			continue
+		}
+		if c.data == nil {
+			if tcp, ok := dst.(*net.TCPConn); ok {
+				_ = tcp.CloseWrite()
+			}
+			continue
+		}
+		if _, err := dst.Write(c.data); err != nil {
+			failed = true
+			p.close()
+		}
+	}
+}
+
+func (p *pipe) read(src net.Conn, from, to string, queue chan<- chunk) {
+	defer close(queue)
+	for {
+		buf := make([]byte, chunkSize)
+		n, err := src.Read(buf)
+		f := p.relay.now(from, to)
+		delay := time.Duration((p.route.DelayMs + f.ExtraDelayMs) * float64(time.Millisecond))
+		if n > 0 {
+			if f.BytesPerSec > 0 {
+				time.Sleep(time.Duration(n) * time.Second / time.Duration(f.BytesPerSec))
+			}
+			queue <- chunk{time.Now().Add(delay), buf[:n]}
+		}
+		if err != nil {
+			queue <- chunk{time.Now().Add(delay), nil}
+			return
+		}
+	}
+}
