Deployment of real processes as a package; first tests

The demo's launcher becomes standin/deploy, so that tests and experiments can start, break and stop a whole deployment. Networks are chosen per deployment, so several fit on one machine.

--- /dev/null
+++ b/internal/kind/kind_test.go
@@ -0,0 +1,60 @@
+package kind_test
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/limpetdock/limpetdock/internal/headers"
+	"github.com/limpetdock/limpetdock/internal/kind"
+)
+
+func TestEveryKindHasAnAnswer(t *testing.T) {
+	for _, k := range kind.All() {
+		row, ok := kind.AnswerOf(k)
+		require.True(t, ok, k)
+		require.GreaterOrEqual(t, row.Status, 200, k)
+		require.Contains(t, []kind.Outcome{kind.NotRun, kind.Unknown}, row.Outcome, k)
+		if row.Elsewhere {
+			require.Equal(t, kind.NotRun, row.Outcome, "%s may go elsewhere only when it wasn't run", k)
+		}
+	}
+}
+
+func TestAnAnswerSurvivesTheHop(t *testing.T) {
+	for _, k := range kind.All() {
+		rec := httptest.NewRecorder()
+		sent := kind.New(k, "because %d", 7)
+		sent.RetryAfter = 1500 * time.Millisecond
+		kind.Write(rec, sent)
+		got := kind.Read(rec.Result())
+		require.NotNil(t, got)
+		require.Equal(t, k, got.Kind)
+		require.Equal(t, "because 7", got.Message)
+		require.Equal(t, sent.Said(), got.Said())
+		row, _ := kind.AnswerOf(k)
+		if row.Retry {
+			require.Equal(t, 2*time.Second, got.RetryAfter, "whole seconds, rounded up")
+		}
+	}
+}
+
+func TestTheBodyNamesKindAndMessage(t *testing.T) {
+	rec := httptest.NewRecorder()
+	kind.Write(rec, kind.New(kind.Overloaded, "full"))
+	var body map[string]string
+	require.NoError(t, json.Unmarshal(rec.Body.Bytes(), &body))
+	require.Equal(t, map[string]string{"kind": "overloaded", "message": "full"}, body)
+	require.Equal(t, "not-run", rec.Header().Get(headers.Outcome))
+}
+
+// A caller sees an error nobody foresaw. The request may have run, so the
+// answer must not claim that it didn't.
+func TestAnUnforeseenErrorIsUnknown(t *testing.T) {
+	e := kind.From(errors.New("anything"))
+	require.Equal(t, kind.Unknown, e.Said())
+}
--- a/standin/demo/check.go
+++ b/standin/demo/check.go
@@ -9,12 +9,14 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
-	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/google/uuid"
+
+	"github.com/limpetdock/limpetdock/standin/deploy"
 )
 
 // call is one kind of request of the check's load.
@@ -56,8 +58,8 @@
 const callersAtOnce = 24
 
 // check sends a mixed load to all nodes and compares answers and ledgers.
-func (d *demo) check(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, d.opts.For)
+func check(ctx context.Context, d *deploy.Deployment, length time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, length)
 	defer cancel()
 	t := &tally{rows: map[string]int{}, ids: map[string]bool{}}
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: callersAtOnce}}
@@ -66,25 +68,25 @@
 		wg.Go(func() {
 			rnd := rand.New(rand.NewPCG(1, uint64(i)))
 			for ctx.Err() == nil {
-				d.one(client, rnd, t)
+				one(d, client, rnd, t)
 			}
 		})
 	}
 	wg.Wait()
 	client.CloseIdleConnections()
-	d.checkLedgers(t)
+	checkLedgers(d, t)
 	return t.report()
 }
 
-func (d *demo) one(client *http.Client, rnd *rand.Rand, t *tally) {
+func one(d *deploy.Deployment, client *http.Client, rnd *rand.Rand, t *tally) {
 	c := calls[rnd.IntN(len(calls))]
-	p := d.places[rnd.IntN(len(d.places))]
+	p := d.Places[rnd.IntN(len(d.Places))]
 	body := make([]byte, c.body)
 	for i := range body {
 		body[i] = byte(rnd.Uint32())
 	}
 	id := uuid.NewString()
-	req, err := http.NewRequest(c.method, "http://"+p.callers()+c.path, bytes.NewReader(body))
+	req, err := http.NewRequest(c.method, "http://"+p.Callers()+c.path, bytes.NewReader(body))
 	if err != nil {
 		t.wrongf("%v", err)
 		return
@@ -93,18 +95,18 @@
 	req.Header.Set("X-Request-Id", id)
 	resp, err := client.Do(req)
 	if err != nil {
-		t.wrongf("%s %s at %s: %v", c.service, c.path, p.vm, err)
+		t.wrongf("%s %s at %s: %v", c.service, c.path, p.VM, err)
 		return
 	}
 	defer func() { _ = resp.Body.Close() }()
 	got, err := io.ReadAll(resp.Body)
 	if err != nil {
-		t.wrongf("%s %s at %s: answer cut: %v", c.service, c.path, p.vm, err)
+		t.wrongf("%s %s at %s: answer cut: %v", c.service, c.path, p.VM, err)
 		return
 	}
 	if k := resp.Header.Get("Limpetdock-Kind"); k != "" {
 		t.count(c, k)
-		t.wrongf("%s %s at %s: %s", c.service, c.path, p.vm, got)
+		t.wrongf("%s %s at %s: %s", c.service, c.path, p.VM, got)
 		return
 	}
 	t.count(c, resp.Status)
@@ -114,15 +116,15 @@
 		t.mu.Unlock()
 	}
 	if resp.Header.Get("X-Request-Id") != id || c.body > 0 && !bytes.Equal(got, body) {
-		t.wrongf("%s %s at %s: not the answer to this request", c.service, c.path, p.vm)
+		t.wrongf("%s %s at %s: not the answer to this request", c.service, c.path, p.VM)
 	}
 }
 
 // checkLedgers looks for at-most-once requests that ran twice or not at all.
-func (d *demo) checkLedgers(t *tally) {
+func checkLedgers(d *deploy.Deployment, t *tally) {
 	starts := map[string]int{}
-	for _, p := range d.places {
-		text, err := os.ReadFile(filepath.Join(d.opts.Out, "ledger", p.vm+".ndjson"))
+	for _, p := range d.Places {
+		text, err := os.ReadFile(d.Ledger(p.VM))
 		if err != nil {
 			t.wrongf("%v", err)
 			continue
--- a/standin/demo/main.go
+++ b/standin/demo/main.go
@@ -13,11 +13,15 @@
 	"time"
 
 	"github.com/jessevdk/go-flags"
+
+	"github.com/limpetdock/limpetdock/examples/deployments"
+	"github.com/limpetdock/limpetdock/standin/deploy"
 )
 
 type options struct {
 	Bin       string        `long:"bin" default:"build/bin" description:"directory of the programs"`
 	Out       string        `long:"out" default:"build/demo" description:"directory for settings, logs and ledgers"`
+	Net       int           `long:"net" default:"10" description:"second octet of the loopback addresses"`
 	Check     bool          `long:"check" description:"send a load, report, and exit"`
 	For       time.Duration `long:"for" default:"10s" description:"length of the check's load"`
 	ServiceMs float64       `long:"service-ms" default:"5" description:"service time of the backend servers"`
@@ -37,20 +41,22 @@
 }
 
 func run(ctx context.Context, opts options) error {
-	d, err := newDemo(opts)
+	d, err := deploy.New(deploy.Options{
+		Bin: opts.Bin, Out: opts.Out, Net: opts.Net, Fleet: deployments.CestaViva(1), ServiceMs: opts.ServiceMs,
+	})
 	if err != nil {
 		return err
 	}
-	defer d.stop()
-	if err := d.start(ctx); err != nil {
+	defer d.Stop()
+	if err := d.Start(ctx); err != nil {
 		return err
 	}
-	if err := d.waitReady(ctx); err != nil {
+	if err := d.WaitReady(ctx); err != nil {
 		return err
 	}
 	fmt.Println("ready")
 	if opts.Check {
-		return d.check(ctx)
+		return check(ctx, d, opts.For)
 	}
 	<-ctx.Done()
 	return nil
--- /dev/null
+++ b/standin/deploy/deploy.go
@@ -0,0 +1,257 @@
+// Package deploy starts a whole deployment on loopback addresses, every process
+// of it a real one: nodes, backend server stand-ins, the platform stand-in, and a
+// relay for each availability zone. The demo, the experiments and the tests that
+// need real processes use it. It never ships.
+package deploy
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/limpetdock/limpetdock/fleet"
+)
+
+// Options say what to start and where.
+type Options struct {
+	// Bin holds the built programs; Out gets settings, logs, ledgers and nodes.tsv.
+	Bin, Out string
+	// Net is the second octet of all addresses, 2 to 254; see FreeNet.
+	Net int
+	// Fleet is what is deployed; its defaults are filled in.
+	Fleet fleet.Fleet
+	// ServiceMs is the service time of the backend servers at the start.
+	ServiceMs float64
+	// NoRestart leaves processes that end by themselves down.
+	NoRestart bool
+}
+
+// Deployment is a running deployment. Its methods are safe for concurrent use
+// once Start has returned.
+type Deployment struct {
+	Places   []Place
+	opts     Options
+	net      network
+	mu       sync.Mutex
+	fleet    fleet.Fleet
+	zones    map[string]int
+	nodes    map[string]*Process
+	backends map[string]*Process
+	relays   map[string]*Process
+	platform *Process
+	vmStates map[string]string
+}
+
+// New plans a deployment and clears its output directory.
+func New(opts Options) (*Deployment, error) {
+	if err := os.RemoveAll(opts.Out); err != nil {
+		return nil, err
+	}
+	for _, dir := range []string{"settings", "logs", "ledger"} {
+		if err := os.MkdirAll(filepath.Join(opts.Out, dir), 0o755); err != nil {
+			return nil, err
+		}
+	}
+	d := &Deployment{
+		opts: opts, net: network(opts.Net), fleet: opts.Fleet.WithDefaults(),
+		nodes: map[string]*Process{}, backends: map[string]*Process{}, relays: map[string]*Process{},
+		vmStates: map[string]string{},
+	}
+	d.Places, d.zones = plan(d.net, d.fleet)
+	return d, nil
+}
+
+// Fleet is what was published last.
+func (d *Deployment) Fleet() fleet.Fleet {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.fleet
+}
+
+// Node, Backend and Relay give the processes of a VM, or of a zone's links.
+func (d *Deployment) Node(vm string) *Process { return d.nodes[vm] }
+
+// Backend gives the backend server stand-in of a VM.
+func (d *Deployment) Backend(vm string) *Process { return d.backends[vm] }
+
+// Relay gives the relay of a zone.
+func (d *Deployment) Relay(zone string) *Process { return d.relays[zone] }
+
+// Platform gives the platform stand-in.
+func (d *Deployment) Platform() *Process { return d.platform }
+
+// Ledger is the file in which a VM's backend server stand-in records its runs.
+func (d *Deployment) Ledger(vm string) string {
+	return filepath.Join(d.opts.Out, "ledger", vm+".ndjson")
+}
+
+func (d *Deployment) spawn(name, program string, args ...string) (*Process, error) {
+	logs := filepath.Join(d.opts.Out, "logs")
+	return startProcess(logs, name, filepath.Join(d.opts.Bin, program), !d.opts.NoRestart, d.writeTable, args...)
+}
+
+// Start starts every process and publishes the configuration.
+func (d *Deployment) Start(ctx context.Context) error {
+	var err error
+	if d.platform, err = d.spawn("platform", "standin-platform", "--listen", d.net.platform()); err != nil {
+		return err
+	}
+	if err := d.startRelays(); err != nil {
+		return err
+	}
+	if err := d.PublishVMs(ctx); err != nil {
+		return err
+	}
+	if err := d.Publish(ctx, d.fleet); err != nil {
+		return err
+	}
+	for _, p := range d.Places {
+		if err := d.startVM(p); err != nil {
+			return err
+		}
+	}
+	d.writeTable()
+	return nil
+}
+
+func (d *Deployment) startRelays() error {
+	for _, z := range d.fleet.Zones {
+		file := filepath.Join(d.opts.Out, "settings", "relay-"+z.Name+".json")
+		text, err := json.Marshal(routes(d.fleet, d.Places, d.zones, z.Name))
+		if err != nil {
+			return err
+		}
+		if err := os.WriteFile(file, text, 0o644); err != nil {
+			return err
+		}
+		admin := d.net.relayAdmin(d.zones[z.Name])
+		p, err := d.spawn("relay-"+z.Name, "standin-relay", "--routes", file, "--admin", admin)
+		if err != nil {
+			return err
+		}
+		d.relays[z.Name] = p
+	}
+	return nil
+}
+
+func (d *Deployment) startVM(p Place) error {
+	backend, err := d.spawn(p.VM+"-backend", "standin-backend", "--listen", p.Backend(), "--name", p.VM,
+		"--slots", strconv.Itoa(p.Slots), "--service-ms", fmt.Sprint(d.opts.ServiceMs),
+		"--ledger", d.Ledger(p.VM), "--entry", p.Callers())
+	if err != nil {
+		return err
+	}
+	file := filepath.Join(d.opts.Out, "settings", p.VM+".ini")
+	if err := os.WriteFile(file, []byte(settings(d.fleet, p, d.seeds(p))), 0o644); err != nil {
+		return err
+	}
+	node, err := d.spawn(p.VM, "limpetdockd", "--settings", file)
+	if err != nil {
+		return err
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.backends[p.VM], d.nodes[p.VM] = backend, node
+	return nil
+}
+
+// seeds are control addresses of a few other VMs, for when the VM list is down.
+func (d *Deployment) seeds(self Place) string {
+	const count, step = 3, 7
+	var list []string
+	for i := range d.Places {
+		p := d.Places[(i*step+self.no*5)%len(d.Places)]
+		if p.VM != self.VM && len(list) < count {
+			list = append(list, fmt.Sprintf("%s:%d", p.seenFrom(self.zoneNo), d.fleet.Ports.Control))
+		}
+	}
+	return strings.Join(list, ", ")
+}
+
+// writeTable writes nodes.tsv, whole or not at all.
+func (d *Deployment) writeTable() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.nodes) < len(d.Places) {
+		return
+	}
+	var b strings.Builder
+	b.WriteString("vm\tservice\tregion\tzone\tcaller address\tadmin address\tnode pid\tbackend pid\n")
+	for _, p := range d.Places {
+		fmt.Fprintf(&b, "%s\t%s\t%s\t%s\t%s\t%s\t%d\t%d\n", p.VM, p.Service, p.Region, p.Zone,
+			p.Callers(), p.Admin(), d.nodes[p.VM].Pid(), d.backends[p.VM].Pid())
+	}
+	file := filepath.Join(d.opts.Out, "nodes.tsv")
+	if os.WriteFile(file+".new", []byte(b.String()), 0o644) == nil {
+		_ = os.Rename(file+".new", file)
+	}
+}
+
+// readyLimit bounds the start of the whole deployment.
+const readyLimit = time.Minute
+
+// WaitReady waits until every node answers a request to each service.
+func (d *Deployment) WaitReady(ctx context.Context) error {
+	end := time.Now().Add(readyLimit)
+	for _, p := range d.Places {
+		for _, s := range d.fleet.Services {
+			for !answers(ctx, p, s.Name) {
+				if time.Now().After(end) || ctx.Err() != nil {
+					return errors.New(p.VM + " doesn't answer for " + s.Name)
+				}
+				time.Sleep(50 * time.Millisecond)
+			}
+		}
+	}
+	return nil
+}
+
+func answers(ctx context.Context, p Place, service string) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.Callers()+"/ready", nil)
+	if err != nil {
+		return false
+	}
+	req.Header.Set("Limpetdock-Service", service)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// Stop ends the nodes first, so that what is in flight can finish, then the rest.
+func (d *Deployment) Stop() {
+	const limit = 20 * time.Second
+	for _, p := range d.nodes {
+		p.End(syscall.SIGTERM)
+	}
+	for _, p := range d.nodes {
+		p.Wait(limit)
+	}
+	others := []*Process{}
+	if d.platform != nil {
+		others = append(others, d.platform)
+	}
+	for _, p := range d.backends {
+		others = append(others, p)
+	}
+	for _, p := range d.relays {
+		others = append(others, p)
+	}
+	for _, p := range others {
+		p.End(os.Kill)
+	}
+	for _, p := range others {
+		p.Wait(limit)
+	}
+}
