--- /dev/null
+++ b/standin/deploy/ledger.go
@@ -0,0 +1,52 @@
+package deploy
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+)
+
+// Run is one line of a backend server stand-in's ledger.
+type Run struct {
+	Event   string `json:"event"`
+	ID      string `json:"id"`
+	Method  string `json:"method"`
+	Path    string `json:"path"`
+	Outcome string `json:"outcome"`
+}
+
+// Runs reads the ledger of a VM. A last line that is half written is left out.
+func (d *Deployment) Runs(vm string) ([]Run, error) {
+	text, err := os.ReadFile(d.Ledger(vm))
+	if os.IsNotExist(err) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	var runs []Run
+	for line := range bytes.Lines(text) {
+		var r Run
+		if json.Unmarshal(line, &r) == nil {
+			runs = append(runs, r)
+		}
+	}
+	return runs, nil
+}
+
+// Starts counts in all ledgers how often each request id was started.
+func (d *Deployment) Starts() (map[string]int, error) {
+	starts := map[string]int{}
+	for _, p := range d.Places {
+		runs, err := d.Runs(p.VM)
+		if err != nil {
+			return nil, err
+		}
+		for _, r := range runs {
+			if r.Event == "start" && r.ID != "" {
+				starts[r.ID]++
+			}
+		}
+	}
+	return starts, nil
+}
