Requests that crash backend servers are isolated, then blocked

Cause: a request that kills took down target after target, and its bystanders failed with it. All requests in flight at a death become suspects, a suspect runs alone on one more target, and a death alone blocks it on every node.

And refusals by dead or leaving targets used up a request's hops although live targets were left; they no longer count.

--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -13,6 +13,7 @@
 	"github.com/limpetdock/limpetdock/internal/link"
 	"github.com/limpetdock/limpetdock/internal/pick"
 	"github.com/limpetdock/limpetdock/internal/platform"
+	"github.com/limpetdock/limpetdock/internal/suspect"
 	"github.com/limpetdock/limpetdock/internal/wire"
 )
 
@@ -128,6 +129,14 @@
 	}
 }
 
+// Died reports a request that was in flight when a backend server died.
+func (l *Loop) Died(fingerprint uint64, d suspect.Death) {
+	l.submit(core.SuspectDied{Fingerprint: fingerprint, Death: d})
+}
+
+// Cleared reports a suspect that has run to its end.
+func (l *Loop) Cleared(fingerprint uint64) { l.submit(core.SuspectCleared{Fingerprint: fingerprint}) }
+
 // drain takes the events that wait, without waiting for more.
 func (l *Loop) drain() []core.Event {
 	var events []core.Event
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -11,6 +11,7 @@
 	"github.com/limpetdock/limpetdock/internal/config"
 	"github.com/limpetdock/limpetdock/internal/pick"
 	"github.com/limpetdock/limpetdock/internal/platform"
+	"github.com/limpetdock/limpetdock/internal/suspect"
 	"github.com/limpetdock/limpetdock/internal/wire"
 )
 
@@ -32,8 +33,13 @@
 	stats   map[string]*pick.Stat
 	backend backendTable
 	joined  bool
-	dirty   bool
-	round   gossipRound
+	// now is the time of the last tick.
+	now   time.Duration
+	dirty bool
+	round gossipRound
+	// suspects are requests that may crash backend servers.
+	suspects *suspect.Table
+	accused  suspect.Set
 }
 
 // Input is what one tick gets from outside.
@@ -46,13 +52,14 @@
 // New returns the state of a node that has just started.
 func New(self Self, seed uint64) *State {
 	return &State{
-		self:    self,
-		rnd:     rand.New(rand.NewPCG(seed, self.Incarnation)),
-		config:  newConfigTable(),
-		vms:     vmTable{rows: map[string]platform.VM{}},
-		members: map[string]*member{},
-		stats:   map[string]*pick.Stat{},
-		dirty:   true,
+		self:     self,
+		rnd:      rand.New(rand.NewPCG(seed, self.Incarnation)),
+		config:   newConfigTable(),
+		vms:      vmTable{rows: map[string]platform.VM{}},
+		members:  map[string]*member{},
+		stats:    map[string]*pick.Stat{},
+		dirty:    true,
+		suspects: suspect.NewTable(),
 	}
 }
 
@@ -60,12 +67,14 @@
 // returns what is to be done.
 func (s *State) Tick(in Input) []Command {
 	out := &commands{}
+	s.now = in.Now
 	for _, e := range in.Events {
 		e.apply(s, in.Now, out)
 	}
 	s.runVMs(in.Now, out)
 	s.runConfig(in.Now, out)
 	s.runMembers(in.Now, out)
+	s.runSuspects(in.Now)
 	s.runGossip(in.Now, out)
 	s.runView(out)
 	return out.list
--- a/internal/core/dump.go
+++ b/internal/core/dump.go
@@ -10,12 +10,13 @@
 
 // Dump is a copy of every table, for people to read.
 type Dump struct {
-	Self    Self                   `json:"self"`
-	Joined  bool                   `json:"joined"`
-	Config  ConfigDump             `json:"config"`
-	VMs     map[string]platform.VM `json:"vms"`
-	Members map[string]MemberDump  `json:"members"`
-	Leaving bool                   `json:"leaving"`
+	Self     Self                   `json:"self"`
+	Joined   bool                   `json:"joined"`
+	Config   ConfigDump             `json:"config"`
+	VMs      map[string]platform.VM `json:"vms"`
+	Members  map[string]MemberDump  `json:"members"`
+	Leaving  bool                   `json:"leaving"`
+	Suspects []wire.Suspect         `json:"suspects"`
 }
 
 // ConfigDump is the configuration in force and what was refused last.
@@ -39,7 +40,7 @@
 
 // Dump copies the tables.
 func (s *State) Dump(now time.Duration) Dump {
-	d := Dump{Self: s.self, Joined: s.joined, VMs: s.vms.rows, Members: map[string]MemberDump{}, Leaving: s.Leaving()}
+	d := Dump{Self: s.self, Joined: s.joined, VMs: s.vms.rows, Members: map[string]MemberDump{}, Leaving: s.Leaving(), Suspects: s.suspects.Dump(now)}
 	t := &s.config
 	d.Config = ConfigDump{Version: t.version(), Watches: s.watches(), RefusedBecause: t.refusedReason}
 	if t.active != nil {
--- a/internal/core/member.go
+++ b/internal/core/member.go
@@ -16,6 +16,12 @@
 const (
 	// gossipEvery is the pause between two exchanges that a node starts.
 	gossipEvery = 500 * time.Millisecond
+	// News that can't wait is told to hurriedPeers peers at once, in each of
+	// hurriedRounds rounds gossipHurry apart. Each node that hears it does the
+	// same, so it spreads in a few rounds.
+	gossipHurry   = 10 * time.Millisecond
+	hurriedRounds = 2
+	hurriedPeers  = 4
 	// newsPerGossip bounds the members in one message, and so its bytes.
 	newsPerGossip = 8
 	// suspectAfter failed exchanges in a row a node suspects a peer.
@@ -42,8 +48,10 @@
 
 type gossipRound struct {
 	nextAt time.Duration
-	beat   uint64
-	turn   int
+	// hurry is how many more exchanges follow each other at gossipHurry.
+	hurry int
+	beat  uint64
+	turn  int
 }
 
 // VMsRead is the result of a WatchVMs.
@@ -88,6 +96,9 @@
 }
 
 func (e GossipHeard) apply(s *State, now time.Duration, out *commands) {
+	for _, one := range e.News.Suspects {
+		s.suspects.Merge(one, now)
+	}
 	for _, m := range e.News.Members {
 		s.hear(m, now)
 	}
@@ -147,6 +158,12 @@
 	return st
 }
 
+// hurry makes the next few exchanges follow each other quickly.
+func (s *State) hurry(now time.Duration) {
+	s.round.hurry = hurriedRounds
+	s.round.nextAt = now
+}
+
 // GossipFailed says that a peer could not be reached for an exchange.
 type GossipFailed struct{ VM string }
 
@@ -176,9 +193,21 @@
 		return
 	}
 	s.round.nextAt = now + gossipEvery
+	peers := 1
+	if s.round.hurry > 0 {
+		s.round.hurry--
+		s.round.nextAt = now + gossipHurry
+		peers = hurriedPeers
+	}
 	if !s.joined {
 		s.round.nextAt = now + gossipEvery/10
 	}
+	for range peers {
+		s.startExchange(out)
+	}
+}
+
+func (s *State) startExchange(out *commands) {
 	s.round.beat++
 	vm, addr := s.peer()
 	if addr == "" {
@@ -212,6 +241,7 @@
 		s.round.turn++
 		g.Members = append(g.Members, s.members[names[s.round.turn%len(names)]].news)
 	}
+	g.Suspects = s.suspects.News(suspectsPerGossip, s.now)
 	return g
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -10,6 +10,7 @@
 
 	"github.com/limpetdock/limpetdock/internal/kind"
 	"github.com/limpetdock/limpetdock/internal/pick"
+	"github.com/limpetdock/limpetdock/internal/suspect"
 	"github.com/limpetdock/limpetdock/internal/wire"
 )
 
@@ -19,6 +20,15 @@
 	CallNew(ctx context.Context, addr string, m wire.Message) (wire.Message, error)
 }
 
+// Accuser is told of requests that may crash backend servers. Safe for
+// concurrent use.
+type Accuser interface {
+	// Died reports a request that was in flight when a backend server died.
+	Died(fingerprint uint64, d suspect.Death)
+	// Cleared reports a suspect that has run to its end.
+	Cleared(fingerprint uint64)
+}
+
 // Observer is told what each request came to. Safe for concurrent use.
 type Observer interface {
 	// Answered reports a request that was answered, by the backend server
@@ -37,6 +47,7 @@
 	seal     func(*wire.Seal) *wire.Sealed
 	peers    Caller
 	observer Observer
+	accuser  atomic.Pointer[Accuser]
 	now      func() time.Duration
 }
 
@@ -97,6 +108,9 @@
 	if err := x.holdBody(); err != nil {
 		return err
 	}
+	if err := x.accuse(v, e.now()); err != nil {
+		return err
+	}
 	if x.once {
 		return e.serveOnce(ctx, w, v, x)
 	}
--- a/internal/entry/hop.go
+++ b/internal/entry/hop.go
@@ -20,6 +20,8 @@
 	dialTimeout = time.Second
 	// avoidFor is how long a target that couldn't be reached is passed over.
 	avoidFor = time.Second
+	// avoidDead is how long a target whose backend server is gone is passed over.
+	avoidDead = 200 * time.Millisecond
 )
 
 func newTransport() *http.Transport {
@@ -65,6 +67,11 @@
 		return resp, nil
 	}
 	learn(t, resp)
+	if refusal.Kind == kind.Unreachable {
+		// A guard beside a dead backend server refuses so fast that its target
+		// looks idle; without this it would attract every request.
+		t.Stat.Avoid(e.now() + avoidDead)
+	}
 	_ = resp.Body.Close()
 	return nil, refusal
 }
--- a/internal/entry/idempotent.go
+++ b/internal/entry/idempotent.go
@@ -8,12 +8,30 @@
 	"github.com/limpetdock/limpetdock/internal/pick"
 )
 
+// maxDeaths is how many backend servers a request may have died with before it
+// is given up: after a first death it goes on to one more target, alone there.
+const maxDeaths = 1
+
+// maxTried bounds the targets one request is offered to, whatever they say.
+const maxTried = 8
+
+// free says whether a refusal leaves the request's hops as they were: nothing
+// was asked of a backend server. A service of which half the backend servers have
+// just died would otherwise refuse requests that the other half can serve.
+func free(err *kind.Error) bool {
+	switch err.Kind {
+	case kind.Unreachable, kind.Leaving, kind.NotReady, kind.StaleConfig:
+		return true
+	}
+	return false
+}
+
 // serveIdempotent offers a request to targets until one gives a whole answer.
 func (e *Entry) serveIdempotent(ctx context.Context, w http.ResponseWriter, v *pick.View, x *request) *kind.Error {
 	var tried []*pick.Target
 	var last *kind.Error
-	ran := false
-	for len(tried) < x.service.Hops {
+	ran, deaths, hops := false, 0, 0
+	for hops < x.service.Hops && len(tried) < maxTried {
 		t := x.service.Pick(e.now(), tried)
 		if t == nil {
 			break
@@ -25,14 +43,22 @@
 			err = deliver(w, resp)
 		}
 		if err == nil {
+			e.noteRun(x)
 			return nil
 		}
 		last = err
+		if !free(err) {
+			hops++
+		}
+		if err.Death != 0 {
+			deaths++
+			e.noteDeath(x, err)
+		}
 		ran = ran || err.Said() != kind.NotRun
 		if ctx.Err() != nil || x.stream && body.begun {
 			break
 		}
-		if !again(err) {
+		if !again(err) || deaths > maxDeaths {
 			break
 		}
 		e.observer.Hopped(x.service.Name, err.Kind)
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -32,8 +32,10 @@
 		offers++
 		resp, body, err := e.attemptAt(ctx, v, x, t)
 		if err == nil {
+			e.noteRun(x)
 			return deliver(w, resp)
 		}
+		e.noteDeath(x, err)
 		last = err
 		if err.Said() != kind.NotRun {
 			return err
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -36,6 +36,9 @@
 	// body is the held body; nil when the request's body streams.
 	body   []byte
 	stream bool
+	// suspected says that the request runs alone on its target.
+	suspected   bool
+	fingerprint uint64
 }
 
 // parse checks a caller's request against the configuration in force.
@@ -161,6 +164,9 @@
 	out.Header.Set(headers.Service, x.service.Name)
 	out.Header.Set(headers.Depth, strconv.Itoa(x.depth+1))
 	out.Header.Set(headers.Config, x.service.Tag())
+	if x.suspected {
+		out.Header.Set(headers.Suspect, "1")
+	}
 	if _, ok := out.Header["User-Agent"]; !ok {
 		out.Header["User-Agent"] = nil
 	}
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -38,6 +38,8 @@
 	mu          sync.Mutex
 	attempts    *attempt.Table
 	running     sync.WaitGroup
+	isolation   isolation
+	deaths      deaths
 }
 
 // New returns the guard of the backend server at base. now gives the time
@@ -138,7 +140,7 @@
 	if id := r.Header.Get(headers.Attempt); id != "" {
 		return g.runOnce(ctx, cancel, r, id)
 	}
-	leave, e := g.gate.Enter(ctx)
+	leave, e := g.enter(ctx, r)
 	if e != nil {
 		cancel()
 		return nil, e
@@ -152,7 +154,7 @@
 	resp, err := g.forward(ctx, r)
 	if err != nil {
 		end()
-		return nil, backendError(ctx, err)
+		return nil, g.backendError(ctx, err)
 	}
 	resp.Body = &endingBody{ReadCloser: resp.Body, end: sync.OnceFunc(end)}
 	return resp, nil
@@ -202,6 +204,7 @@
 	if err != nil {
 		return nil, err
 	}
+	g.deaths.live()
 	headers.StripInternal(resp.Header)
 	headers.StripHop(resp.Header)
 	return resp, nil
@@ -214,18 +217,19 @@
 	kind.Write(rec, e)
 	rec.header.Set(headers.Incarnation, strconv.FormatUint(g.incarnation, 16))
 	rec.header.Set(headers.Tick, strconv.FormatUint(g.Tick(), 10))
+	tellDeath(rec.header, r, e)
 	return rec.response(r)
 }
 
 // backendError tells what went wrong on the way to the backend server.
-func backendError(ctx context.Context, err error) *kind.Error {
+func (g *Guard) backendError(ctx context.Context, err error) *kind.Error {
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return kind.New(kind.DeadlineUnknown, "the deadline passed while the backend server ran the request").Because(err)
 	case isDial(err):
 		return kind.New(kind.Unreachable, "the backend server can't be reached").Because(err)
 	}
-	return kind.New(kind.BackendDied, "the backend server broke off the exchange").Because(err)
+	return g.brokenOff(err)
 }
 
 // BackendHealth is what a backend server says of itself at its health endpoint.
--- /dev/null
+++ b/internal/guard/isolate.go
@@ -0,0 +1,154 @@
+package guard
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/limpetdock/limpetdock/internal/headers"
+	"github.com/limpetdock/limpetdock/internal/kind"
+)
+
+// aloneFor bounds how long a suspect keeps others off the backend server. A
+// suspect that runs longer goes on in company.
+const aloneFor = 2 * time.Second
+
+// isolation lets suspects run alone. If one of several requests in flight
+// crashes the backend server, nobody can tell which; with a suspect alone there,
+// its guilt or innocence is certain. Safe for concurrent use.
+type isolation struct {
+	mu      sync.Mutex
+	running int
+	// alone is set while a suspect runs alone or waits to; it is closed when
+	// others may go on.
+	alone chan struct{}
+	// empty is closed when the last of the others has left.
+	empty chan struct{}
+}
+
+// join waits while a suspect runs alone. It returns false if ctx ends first.
+func (i *isolation) join(ctx context.Context) bool {
+	for {
+		i.mu.Lock()
+		alone := i.alone
+		if alone == nil {
+			i.running++
+			i.mu.Unlock()
+			return true
+		}
+		i.mu.Unlock()
+		select {
+		case <-alone:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+func (i *isolation) leave() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.running--
+	if i.running == 0 && i.empty != nil {
+		close(i.empty)
+		i.empty = nil
+	}
+}
+
+// joinAlone waits until nothing else runs and keeps others off until end is
+// called or aloneFor has passed.
+func (i *isolation) joinAlone(ctx context.Context) (end func(), ok bool) {
+	alone, ok := i.claim(ctx)
+	if !ok {
+		return nil, false
+	}
+	release := sync.OnceFunc(func() { i.release(alone) })
+	if !i.waitEmpty(ctx) {
+		release()
+		return nil, false
+	}
+	timer := time.AfterFunc(aloneFor, release)
+	return func() {
+		timer.Stop()
+		release()
+	}, true
+}
+
+// claim waits for other suspects and then keeps everyone else off.
+func (i *isolation) claim(ctx context.Context) (chan struct{}, bool) {
+	for {
+		i.mu.Lock()
+		before := i.alone
+		if before == nil {
+			i.alone = make(chan struct{})
+			mine := i.alone
+			i.mu.Unlock()
+			return mine, true
+		}
+		i.mu.Unlock()
+		select {
+		case <-before:
+		case <-ctx.Done():
+			return nil, false
+		}
+	}
+}
+
+func (i *isolation) release(alone chan struct{}) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.alone = nil
+	close(alone)
+}
+
+func (i *isolation) waitEmpty(ctx context.Context) bool {
+	i.mu.Lock()
+	if i.running == 0 {
+		i.mu.Unlock()
+		return true
+	}
+	if i.empty == nil {
+		i.empty = make(chan struct{})
+	}
+	empty := i.empty
+	i.mu.Unlock()
+	select {
+	case <-empty:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// enter waits for a slot and, for a suspect, until it is alone. The returned
+// function gives both back.
+func (g *Guard) enter(ctx context.Context, r *http.Request) (leave func(), refusal *kind.Error) {
+	leaveGate, refusal := g.gate.Enter(ctx)
+	if refusal != nil {
+		return nil, refusal
+	}
+	if r.Header.Get(headers.Suspect) == "" {
+		if !g.isolation.join(ctx) {
+			leaveGate()
+			return nil, errLateInQueue()
+		}
+		return func() {
+			g.isolation.leave()
+			leaveGate()
+		}, nil
+	}
+	end, ok := g.isolation.joinAlone(ctx)
+	if !ok {
+		leaveGate()
+		return nil, errLateInQueue()
+	}
+	return func() {
+		end()
+		leaveGate()
+	}, nil
+}
+
+func errLateInQueue() *kind.Error {
+	return kind.New(kind.DeadlineNotRun, "the deadline passed in the backend server's queue")
+}
--- /dev/null
+++ b/internal/guard/isolate_test.go
@@ -0,0 +1,70 @@
+package guard
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A suspect waits until the requests in flight have ended, and later ones wait
+// for it. Otherwise a crash would again leave several requests to blame.
+func TestASuspectRunsAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var i isolation
+		ctx := t.Context()
+		require.True(t, i.join(ctx))
+		var order []string
+		go func() {
+			end, ok := i.joinAlone(ctx)
+			require.True(t, ok)
+			order = append(order, "suspect in")
+			time.Sleep(time.Second)
+			order = append(order, "suspect out")
+			end()
+		}()
+		synctest.Wait()
+		require.Empty(t, order, "the suspect waits for the request in flight")
+		go func() {
+			require.True(t, i.join(ctx))
+			order = append(order, "other in")
+			i.leave()
+		}()
+		synctest.Wait()
+		i.leave()
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		require.Equal(t, []string{"suspect in", "suspect out", "other in"}, order)
+	})
+}
+
+// A suspect that never ends must not keep its target from everyone else.
+func TestASuspectIsAloneForABoundedTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var i isolation
+		end, ok := i.joinAlone(t.Context())
+		require.True(t, ok)
+		ctx, cancel := context.WithTimeout(t.Context(), aloneFor/2)
+		defer cancel()
+		require.False(t, i.join(ctx), "others wait while the suspect is alone")
+		require.True(t, i.join(t.Context()), "but not for good")
+		i.leave()
+		end()
+		require.True(t, i.join(t.Context()))
+	})
+}
+
+// A suspect whose deadline passes while it waits must let the others in again.
+func TestASuspectThatGivesUpLetsOthersIn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var i isolation
+		require.True(t, i.join(t.Context()))
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, ok := i.joinAlone(ctx)
+		require.False(t, ok)
+		require.True(t, i.join(t.Context()))
+	})
+}
--- a/internal/guard/once.go
+++ b/internal/guard/once.go
@@ -98,7 +98,7 @@
 // runRecorded runs an attempt that has been recorded, and records its end.
 // end is called once nothing of it runs any more.
 func (g *Guard) runRecorded(ctx context.Context, r *http.Request, id string, end func()) (*http.Response, *kind.Error) {
-	leave, e := g.gate.Enter(ctx)
+	leave, e := g.enter(ctx, r)
 	if e != nil {
 		g.abort(id)
 		end()
@@ -117,7 +117,7 @@
 	}
 	resp, err := g.forward(ctx, r)
 	if err != nil {
-		e := backendError(ctx, err)
+		e := g.backendError(ctx, err)
 		if e.Said() == kind.NotRun {
 			g.abort(id)
 		} else {
--- a/internal/headers/headers.go
+++ b/internal/headers/headers.go
@@ -46,13 +46,17 @@
 	Collect = "Limpetdock-Collect"
 	// Suspect marks a request whose like was in flight when a backend server died.
 	Suspect = "Limpetdock-Suspect"
+	// Death names the death of the backend server that a request was in flight at.
+	Death = "Limpetdock-Death"
+	// DeathAlone says that nothing else ran at that death.
+	DeathAlone = "Limpetdock-Death-Alone"
 	// Load carries a guard's load on a reply, under the measuring budget.
 	Load = "Limpetdock-Load"
 )
 
 // internalNames are removed from what callers and backend servers send.
 var internalNames = []string{
-	Attempt, Incarnation, Tick, Key, Config, Collect, Suspect, Load, Kind, Outcome, Ticket,
+	Attempt, Incarnation, Tick, Key, Config, Collect, Suspect, Death, DeathAlone, Load, Kind, Outcome, Ticket,
 }
 
 // hopByHop are the headers of one connection only (RFC 9110, section 7.6.1).
--- a/internal/kind/answer.go
+++ b/internal/kind/answer.go
@@ -63,6 +63,8 @@
 		return New(OutcomeUnknown, "a node answered with a kind this version doesn't know")
 	}
 	e := &Error{Kind: k, Outcome: Outcome(resp.Header.Get(headers.Outcome))}
+	e.Death, _ = strconv.ParseUint(resp.Header.Get(headers.Death), 16, 64)
+	e.Alone = resp.Header.Get(headers.DeathAlone) != ""
 	var b body
 	// A message that can't be read changes nothing about the kind.
 	if json.NewDecoder(http.MaxBytesReader(nil, resp.Body, 4096)).Decode(&b) == nil {
--- a/internal/kind/kind.go
+++ b/internal/kind/kind.go
@@ -135,6 +135,10 @@
 	Outcome Outcome
 	// RetryAfter is the hint for the caller; zero means the default.
 	RetryAfter time.Duration
+	// Death names the death of a backend server that this tells of; 0 is none.
+	Death uint64
+	// Alone says that the request was the only one in flight at that death.
+	Alone bool
 	// Cause is for logs only and never shown to callers.
 	Cause error
 }
--- a/internal/pick/view.go
+++ b/internal/pick/view.go
@@ -9,6 +9,7 @@
 
 	"github.com/limpetdock/limpetdock/fleet"
 	"github.com/limpetdock/limpetdock/internal/config"
+	"github.com/limpetdock/limpetdock/internal/suspect"
 )
 
 // View is what traffic goroutines know of the fleet. It is immutable.
@@ -17,6 +18,8 @@
 	Services map[string]*Service
 	// Here is the node's own place.
 	Here Place
+	// Suspects are requests that may crash backend servers, by fingerprint.
+	Suspects suspect.Set
 }
 
 // Place says where a VM stands.
--- /dev/null
+++ b/internal/suspect/fingerprint.go
@@ -0,0 +1,36 @@
+package suspect
+
+import (
+	"net/http"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// volatile are the headers that differ between two sendings of one request.
+var volatile = map[string]bool{
+	"X-Request-Id": true, "Idempotency-Key": true, "Traceparent": true, "Tracestate": true,
+	"Date": true, "Content-Length": true, "Connection": true, "User-Agent": true, "Expect": true,
+}
+
+const ownPrefix = "Limpetdock-"
+
+// Fingerprint tells requests apart by what a backend server gets to see of
+// them: service, method, path, query, held body, and the headers that don't
+// change from one sending to the next. Headers count in any order.
+func Fingerprint(service string, r *http.Request, body []byte) uint64 {
+	sum := xxhash.Sum64String(service + "\x00" + r.Method + "\x00" + r.URL.RequestURI())
+	var d xxhash.Digest
+	for name, values := range r.Header {
+		if volatile[name] || strings.HasPrefix(name, ownPrefix) {
+			continue
+		}
+		d.Reset()
+		_, _ = d.WriteString(name)
+		for _, v := range values {
+			_, _ = d.WriteString("\x00" + v)
+		}
+		sum += d.Sum64()
+	}
+	return sum ^ xxhash.Sum64(body)
+}
--- /dev/null
+++ b/internal/suspect/suspect_test.go
@@ -0,0 +1,134 @@
+package suspect_test
+
+import (
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/limpetdock/limpetdock/internal/suspect"
+)
+
+func level(t *suspect.Table, f uint64) suspect.Level {
+	// Changed tells only changes; a row of its own makes sure there is one.
+	t.Died(1<<63, suspect.Death{ID: uint64(time.Now().UnixNano())}, 0)
+	set, _ := t.Changed()
+	return set[f].Level
+}
+
+// A request crashes the backend server it runs on, is tried alone on a second
+// one, and crashes that too. Whoever sends it a third time gets an answer
+// without a run; the bystanders of the first crash are served.
+func TestAKillerIsBlockedAndABystanderIsCleared(t *testing.T) {
+	table := suspect.NewTable()
+	const killer, bystander = 1, 2
+	table.Died(killer, suspect.Death{ID: 10}, 0)
+	table.Died(bystander, suspect.Death{ID: 10}, 0)
+	require.Equal(t, suspect.Suspected, level(table, killer))
+	require.Equal(t, suspect.Suspected, level(table, bystander))
+	table.Clear(bystander)
+	table.Died(killer, suspect.Death{ID: 11, Alone: true}, 0)
+	require.Equal(t, suspect.Blocked, level(table, killer))
+	require.Equal(t, suspect.Innocent, level(table, bystander))
+	table.Expire(suspect.BlockFor)
+	require.Equal(t, suspect.Innocent, level(table, killer))
+}
+
+// Two backend servers are killed by hand at the same moment with the same
+// popular read in flight on both. It never ran alone, so it must not be blocked.
+func TestTwoDeathsInCompanyDoNotBlock(t *testing.T) {
+	table := suspect.NewTable()
+	table.Died(1, suspect.Death{ID: 10}, 0)
+	table.Died(1, suspect.Death{ID: 11}, 0)
+	require.Equal(t, suspect.Suspected, level(table, 1))
+}
+
+// News of an old death arrives after the request was cleared of it. It must
+// not become a suspect again.
+func TestLateNewsOfAClearedDeath(t *testing.T) {
+	a, b := suspect.NewTable(), suspect.NewTable()
+	a.Died(1, suspect.Death{ID: 10}, 0)
+	late := a.News(1, 0)[0]
+	b.Merge(late, 0)
+	b.Clear(1)
+	b.Merge(late, time.Second)
+	require.Equal(t, suspect.Innocent, level(b, 1))
+	b.Died(1, suspect.Death{ID: 12}, time.Second)
+	require.Equal(t, suspect.Suspected, level(b, 1))
+}
+
+// A row told around between nodes must end, whoever tells it last.
+func TestGossipDoesNotKeepRowsAlive(t *testing.T) {
+	a, b := suspect.NewTable(), suspect.NewTable()
+	a.Died(1, suspect.Death{ID: 10}, 0)
+	now := time.Duration(0)
+	const delay = 10 * time.Millisecond
+	for now < 2*suspect.BlockFor {
+		for _, pair := range [][2]*suspect.Table{{a, b}, {b, a}} {
+			pair[0].Expire(now)
+			news := pair[0].News(1, now)
+			now += delay
+			for _, n := range news {
+				pair[1].Merge(n, now)
+			}
+		}
+		now += time.Second
+	}
+	a.Expire(now)
+	b.Expire(now)
+	require.Empty(t, a.Dump(now))
+	require.Empty(t, b.Dump(now))
+}
+
+// Nodes hear the same news in different orders and more than once. They must
+// come to the same verdict.
+func TestMergeIgnoresOrderAndRepeats(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b, c := suspect.NewTable(), suspect.NewTable(), suspect.NewTable()
+		tables := []*suspect.Table{a, b}
+		for range rapid.IntRange(1, 12).Draw(t, "steps") {
+			table := tables[rapid.IntRange(0, 1).Draw(t, "at")]
+			if rapid.IntRange(0, 3).Draw(t, "what") == 0 {
+				table.Clear(1)
+				continue
+			}
+			id := rapid.Uint64Range(1, 4).Draw(t, "death")
+			table.Died(1, suspect.Death{ID: id, Alone: rapid.Bool().Draw(t, "alone")}, 0)
+		}
+		merge := func(to, from *suspect.Table) {
+			for _, n := range from.News(10, 0) {
+				to.Merge(n, 0)
+			}
+		}
+		merge(c, b)
+		merge(c, a)
+		merge(c, b)
+		merge(a, b)
+		require.Equal(t, level(a, 1), level(c, 1))
+	})
+}
+
+func TestTheTableIsBounded(t *testing.T) {
+	table := suspect.NewTable()
+	for f := range uint64(10_000) {
+		table.Died(f, suspect.Death{ID: f}, time.Duration(f))
+	}
+	require.LessOrEqual(t, len(table.Dump(0)), 256)
+}
+
+func TestFingerprint(t *testing.T) {
+	print := func(change func(set func(name, value string))) uint64 {
+		r := httptest.NewRequest("GET", "/a?b=c", nil)
+		if change != nil {
+			change(r.Header.Set)
+		}
+		return suspect.Fingerprint("s", r, nil)
+	}
+	plain := print(nil)
+	require.Equal(t, plain, print(func(set func(n, v string)) { set("X-Request-Id", "7") }), "ids differ between sendings")
+	require.NotEqual(t, plain, print(func(set func(n, v string)) { set("X-Crash", "1") }))
+	require.NotEqual(t, plain, suspect.Fingerprint("other", httptest.NewRequest("GET", "/a?b=c", nil), nil))
+	require.NotEqual(t, plain, suspect.Fingerprint("s", httptest.NewRequest("GET", "/a?b=c", nil), []byte("body")))
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -84,14 +84,17 @@
 	Beat uint64 `msgpack:"b"`
 }
 
-// Suspect is news of a request like those in flight when a backend server died.
+// Suspect is news of a request like those in flight when backend servers died.
 type Suspect struct {
-	Fingerprint uint64 `msgpack:"f"`
-	Deaths      uint8  `msgpack:"d"`
-	// Cleared says that such a request has since run to its end.
-	Cleared bool `msgpack:"c,omitempty"`
-	// ExpiresMs is what is left until the entry is forgotten, in milliseconds.
-	ExpiresMs uint32 `msgpack:"e"`
+	Fingerprint uint64 `msgpack:"f" json:"fingerprint"`
+	// Deaths names the deaths it was in flight at; Alone says, in the same
+	// order, at which of them nothing else ran.
+	Deaths []uint64 `msgpack:"d" json:"deaths"`
+	Alone  []bool   `msgpack:"a" json:"alone"`
+	// Cleared names the deaths that a completed run has cleared it of.
+	Cleared []uint64 `msgpack:"c,omitempty" json:"cleared,omitempty"`
+	// ExpiresMs is what is left until it is forgotten, in milliseconds.
+	ExpiresMs uint32 `msgpack:"e" json:"expires_ms"`
 }
 
 // Fetch asks for a configuration document by the digest of its text.
