Operators' library: every fault at once, drain times, retries per route, both deployments

Route.Retries and Service.Drain are new keys (retries, drain); documents without them parse as before. Route.Retries bounds the entry's hops.

--- a/examples/deployments/cestaviva.go
+++ b/examples/deployments/cestaviva.go
@@ -24,7 +24,7 @@
 		{Name: "pr-b", Region: "pr"},
 	}
 	return fleet.Fleet{
-		Name: "cesta-viva", Revision: revision, Zones: zones,
+		Name: "cesta-viva", Revision: revision, Regions: []string{"rs", "sc", "pr"}, Zones: zones,
 		Teams: []fleet.Team{{Name: "store"}, {Name: "logistics"}},
 		Services: []fleet.Service{
 			{
--- a/fleet/check.go
+++ b/fleet/check.go
@@ -12,9 +12,17 @@
 const (
 	// MaxDocument is the largest document the platform holds, in bytes.
 	MaxDocument = 1 << 20
-	maxHops     = 8
-	maxClass    = 9
-	maxQueue    = 10_000
+
+	maxHops        = 8
+	maxClass       = 9
+	maxQueue       = 10_000
+	maxInFlight    = 1_000_000
+	maxSlots       = 10_000
+	maxConnections = 100_000
+	maxPort        = 65_535
+	maxTimeout     = 24 * time.Hour
+	maxDrain       = time.Hour
+	maxKeyLifetime = 7 * 24 * time.Hour
 )
 
 var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$`)
@@ -29,9 +37,19 @@
 	*fs = append(*fs, fmt.Sprintf(format, args...))
 }
 
+// err gives the faults as an error, or nil when there are none.
+func (fs Faults) err() error {
+	if len(fs) == 0 {
+		return nil
+	}
+	return fs
+}
+
 // Check returns Faults with every fault of the declaration, or nil.
 // Defaults should be filled in first.
-func (f Fleet) Check() error {
+func (f Fleet) Check() error { return f.faults().err() }
+
+func (f Fleet) faults() Faults {
 	var fs Faults
 	fs.name("fleet", f.Name)
 	if f.Revision == 0 {
@@ -42,10 +60,7 @@
 	f.checkZones(&fs)
 	f.checkTeams(&fs)
 	f.checkServices(&fs)
-	if len(fs) > 0 {
-		return fs
-	}
-	return nil
+	return fs
 }
 
 func (fs *Faults) name(what, name string) {
@@ -69,8 +84,8 @@
 
 func (f Fleet) checkPorts(fs *Faults) {
 	for _, p := range []int{f.Ports.Guard, f.Ports.Control} {
-		if p < 1 || p > 65535 {
-			fs.addf("ports: %d is out of range (allowed: 1 to 65535)", p)
+		if p < 1 || p > maxPort {
+			fs.addf("ports: %d is out of range (allowed: 1 to %d)", p, maxPort)
 		}
 	}
 	if f.Ports.Guard == f.Ports.Control {
@@ -80,8 +95,14 @@
 
 func (f Fleet) checkBudget(fs *Faults) {
 	b := f.Budget
-	if b.Requests <= 0 || b.Bytes <= 0 || b.CrossRegionBytes <= 0 {
-		fs.addf("budget: requests, bytes and cross-region bytes must be above 0 per second")
+	parts := []struct {
+		name  string
+		value int
+	}{{"requests", b.Requests}, {"bytes", b.Bytes}, {"cross-region-bytes", b.CrossRegionBytes}}
+	for _, p := range parts {
+		if p.value <= 0 {
+			fs.addf("budget: %s %d is out of range (allowed: 1 or more per second)", p.name, p.value)
+		}
 	}
 	if b.CrossRegionBytes > b.Bytes {
 		fs.addf("budget: cross-region bytes (%d) are more than all bytes (%d)", b.CrossRegionBytes, b.Bytes)
@@ -97,17 +118,39 @@
 		fs.name("zone", z.Name)
 		fs.name("region", z.Region)
 		names = append(names, z.Name)
+		if len(f.Regions) > 0 && !slices.Contains(f.Regions, z.Region) {
+			fs.addf("zone %s: region %q is not declared", z.Name, z.Region)
+		}
 	}
 	fs.unique("zone", names)
+	fs.unique("region", f.Regions)
+	for _, r := range f.Regions {
+		if !slices.ContainsFunc(f.Zones, func(z Zone) bool { return z.Region == r }) {
+			fs.addf("region %s: no availability zone is declared in it", r)
+		}
+	}
+	f.checkRegionCase(fs)
+}
+
+// checkRegionCase finds zones whose regions differ only in case: a typing error
+// that would split a region in two.
+func (f Fleet) checkRegionCase(fs *Faults) {
+	spelt := map[string]string{}
+	for _, z := range f.Zones {
+		low := strings.ToLower(z.Region)
+		if first, ok := spelt[low]; ok && first != z.Region {
+			fs.addf("zone %s: region %q differs only in case from %q", z.Name, z.Region, first)
+			continue
+		}
+		spelt[low] = z.Region
+	}
 }
 
 func (f Fleet) checkTeams(fs *Faults) {
 	names := make([]string, 0, len(f.Teams))
 	for _, t := range f.Teams {
 		fs.name("team", t.Name)
-		if t.InFlight < 0 {
-			fs.addf("team %s: in-flight limit %d is negative", t.Name, t.InFlight)
-		}
+		within(fs, "team "+t.Name, "in-flight", t.InFlight, 0, maxInFlight)
 		names = append(names, t.Name)
 	}
 	fs.unique("team", names)
@@ -120,107 +163,35 @@
 		hosts = append(hosts, s.Hosts...)
 		for _, t := range s.Targets {
 			vms = append(vms, t.VM)
-			if !slices.ContainsFunc(f.Zones, func(z Zone) bool { return z.Name == t.Zone }) {
-				fs.addf("service %s: target %s: zone %q is not declared", s.Name, t.VM, t.Zone)
-			}
-		}
-		if !slices.ContainsFunc(f.Teams, func(t Team) bool { return t.Name == s.Team }) {
-			fs.addf("service %s: team %q is not declared", s.Name, s.Team)
-		}
-		if err := s.Check(); err != nil {
-			*fs = append(*fs, err.(Faults)...)
 		}
+		f.checkService(fs, s)
 	}
 	fs.unique("service", names)
 	fs.unique("host", hosts)
 	fs.unique("target", vms)
-}
-
-// Check returns Faults with what is wrong in the service by itself, or nil.
-func (s Service) Check() error {
-	var fs Faults
-	fs.name("service", s.Name)
-	s.checkNumbers(&fs)
-	s.checkRoutes(&fs)
-	s.checkTargets(&fs)
-	if len(fs) > 0 {
-		return fs
-	}
-	return nil
-}
-
-func (s Service) checkNumbers(fs *Faults) {
-	policies := []string{
-		PolicyRandom, PolicyRoundRobin, PolicyTwoChoices, PolicyTwoLoad, PolicyIdleHints, PolicyProbe,
-	}
-	if !slices.Contains(policies, s.Policy) {
-		fs.addf("service %s: policy %q (allowed: %s)", s.Name, s.Policy, strings.Join(policies, ", "))
-	}
-	within(fs, s.Name, "timeout", s.Timeout, time.Millisecond, s.MaxTimeout)
-	within(fs, s.Name, "max-timeout", s.MaxTimeout, time.Millisecond, 24*time.Hour)
-	within(fs, s.Name, "key-lifetime", s.KeyLifetime, time.Second, 7*24*time.Hour)
-	within(fs, s.Name, "hops", s.Hops, 1, maxHops)
-	within(fs, s.Name, "retry-percent", s.RetryPercent, 0, 100)
-	within(fs, s.Name, "queue", s.Queue, 0, maxQueue)
-	within(fs, s.Name, "in-flight", s.InFlight, 0, 1_000_000)
-}
-
-func within[T int | time.Duration](fs *Faults, service, key string, v, low, high T) {
-	if v < low || v > high {
-		fs.addf("service %s: %s %v is out of range (allowed: %v to %v)", service, key, v, low, high)
-	}
-}
-
-func (s Service) checkRoutes(fs *Faults) {
-	names := make([]string, 0, len(s.Routes))
-	for _, r := range s.Routes {
-		fs.name("route", r.Name)
-		names = append(names, r.Name)
-		if !strings.HasPrefix(r.Path, "/") || strings.Contains(strings.TrimSuffix(r.Path, "*"), "*") {
-			fs.addf("service %s: route %s: path %q (allowed: /exact or /prefix*)", s.Name, r.Name, r.Path)
-		}
-		for _, m := range r.Methods {
-			if m == "" || strings.ToUpper(m) != m {
-				fs.addf("service %s: route %s: method %q (allowed: upper-case methods)", s.Name, r.Name, m)
+	for _, s := range f.Services {
+		for _, h := range s.Hosts {
+			if h != s.Name && slices.Contains(names, h) {
+				fs.addf("service %s: host %q is the name of another service", s.Name, h)
 			}
 		}
-		within(fs, s.Name, "route "+r.Name+": class", r.Class, 0, maxClass)
-		within(fs, s.Name, "route "+r.Name+": in-flight", r.InFlight, 0, 1_000_000)
 	}
-	fs.unique("service "+s.Name+": route", names)
 }
 
-func (s Service) checkTargets(fs *Faults) {
-	if len(s.Targets) == 0 {
-		fs.addf("service %s: no target is declared", s.Name)
-	}
+func (f Fleet) checkService(fs *Faults, s Service) {
 	for _, t := range s.Targets {
-		fs.name("target", t.VM)
-		if t.Slots < 1 {
-			fs.addf("service %s: target %s: slots %d (allowed: 1 or more)", s.Name, t.VM, t.Slots)
-		}
-		if t.Connections < t.Slots {
-			fs.addf("service %s: target %s: %d connections for %d slots", s.Name, t.VM, t.Connections, t.Slots)
+		if !slices.ContainsFunc(f.Zones, func(z Zone) bool { return z.Name == t.Zone }) {
+			fs.addf("service %s: target %s: zone %q is not declared", s.Name, t.VM, t.Zone)
 		}
 	}
-}
-
-// Match returns the first route that holds for a request, or nil.
-func (s *Service) Match(method, path string) *Route {
-	for i := range s.Routes {
-		if s.Routes[i].matches(method, path) {
-			return &s.Routes[i]
-		}
+	if !slices.ContainsFunc(f.Teams, func(t Team) bool { return t.Name == s.Team }) {
+		fs.addf("service %s: team %q is not declared", s.Name, s.Team)
 	}
-	return nil
+	*fs = append(*fs, s.faults()...)
 }
 
-func (r *Route) matches(method, path string) bool {
-	if len(r.Methods) > 0 && !slices.Contains(r.Methods, method) {
-		return false
-	}
-	if prefix, ok := strings.CutSuffix(r.Path, "*"); ok {
-		return strings.HasPrefix(path, prefix)
+func within[T int | time.Duration](fs *Faults, where, key string, v, low, high T) {
+	if v < low || v > high {
+		fs.addf("%s: %s %v is out of range (allowed: %v to %v)", where, key, v, low, high)
 	}
-	return path == r.Path
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -19,8 +19,11 @@
 	Ports Ports
 	// Budget bounds what measuring load may cost, for each node.
 	Budget Budget
-	Zones  []Zone
-	Teams  []Team
+	// Regions names the regions, so that one without zones is found; empty
+	// means those that the zones name.
+	Regions []string
+	Zones   []Zone
+	Teams   []Team
 	// Services are the services with their routes and targets.
 	Services []Service
 }
@@ -30,7 +33,8 @@
 	Guard, Control int
 }
 
-// Budget bounds the cost of measuring load, for each node and second.
+// Budget bounds the cost of measuring load, for each node and second. The zero
+// value means the defaults; a budget with only a part at zero is refused.
 type Budget struct {
 	// Requests is measuring requests per second.
 	Requests int
@@ -52,7 +56,8 @@
 	InFlight int
 }
 
-// Service is a set of targets that answer the same requests.
+// Service is a set of targets that answer the same requests. Zero means the
+// default for policy, timeouts, hops, retry share, queue, drain and key lifetime.
 type Service struct {
 	Name string
 	// Hosts are Host names that select the service besides its own name.
@@ -72,6 +77,9 @@
 	Queue int
 	// InFlight bounds the service's requests in flight at each node; 0 means no limit.
 	InFlight int
+	// Drain bounds how long a node of the service that stops lets requests in
+	// flight finish. The node's own stop limit holds when it is shorter.
+	Drain time.Duration
 	// KeyLifetime is how long a caller may send an idempotency key of its own again.
 	KeyLifetime time.Duration
 	Routes      []Route
@@ -88,6 +96,10 @@
 	Path string
 	// Idempotent says that requests may be repeated. Otherwise they run at most once.
 	Idempotent bool
+	// Retries is how many other targets an idempotent request may be offered to;
+	// 0 means one less than the service's Hops. A route that runs at most once
+	// has none: it goes on only on proof that it was not run.
+	Retries int
 	// Class orders requests under overload: a higher class is refused later. 0 to 9.
 	Class int
 	// InFlight bounds the route's requests in flight at each node; 0 means no limit.
@@ -123,6 +135,7 @@
 	DefaultHops         = 3
 	DefaultRetryPercent = 10
 	DefaultQueue        = 16
+	DefaultDrain        = 60 * time.Second
 	DefaultKeyLifetime  = 10 * time.Minute
 	DefaultConnections  = 200
 	DefaultGuardPort    = 7200
@@ -155,6 +168,7 @@
 	s.Hops = or(s.Hops, DefaultHops)
 	s.RetryPercent = or(s.RetryPercent, DefaultRetryPercent)
 	s.Queue = or(s.Queue, DefaultQueue)
+	s.Drain = or(s.Drain, DefaultDrain)
 	s.KeyLifetime = or(s.KeyLifetime, DefaultKeyLifetime)
 	targets := make([]Target, len(s.Targets))
 	for i, t := range s.Targets {
--- /dev/null
+++ b/fleet/publication_test.go
@@ -0,0 +1,156 @@
+package fleet_test
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/limpetdock/limpetdock/examples/deployments"
+	"github.com/limpetdock/limpetdock/fleet"
+	"github.com/limpetdock/limpetdock/internal/config"
+)
+
+// The letter's target size.
+const (
+	largeTargets  = 890
+	largeServices = 59
+	largeZones    = 11
+)
+
+// large declares a fleet of the target size.
+func large() fleet.Fleet {
+	f := fleet.Fleet{Name: "large", Revision: 1, Regions: []string{"r0", "r1", "r2"}}
+	for i := range largeZones {
+		f.Zones = append(f.Zones, fleet.Zone{Name: fmt.Sprint("z", i), Region: fmt.Sprint("r", i%3)})
+	}
+	for i := range largeServices {
+		team := fmt.Sprint("team", i%12)
+		if i < 12 {
+			f.Teams = append(f.Teams, fleet.Team{Name: team, InFlight: 500})
+		}
+		f.Services = append(f.Services, fleet.Service{
+			Name: fmt.Sprint("service", i), Team: team, Hosts: []string{fmt.Sprintf("s%d.example", i), fmt.Sprintf("t%d.example", i)},
+			Routes: []fleet.Route{
+				{Name: "read", Methods: []string{"GET", "HEAD"}, Path: "/*", Idempotent: true},
+				{Name: "book", Path: "/bookings/*", Class: 9},
+			},
+		})
+	}
+	for i := range largeTargets {
+		s := &f.Services[i%largeServices]
+		s.Targets = append(s.Targets, fleet.Target{VM: fmt.Sprint("vm", i), Zone: fmt.Sprint("z", i%largeZones), Slots: 8})
+	}
+	return f
+}
+
+func TestTheTargetSizeIsPrinted(t *testing.T) {
+	pub, err := large().Print()
+	require.NoError(t, err)
+	require.Len(t, pub.Services, largeServices)
+	all, longest := len(pub.Index.Text), 0
+	for _, doc := range pub.Services {
+		all += len(doc.Text)
+		longest = max(longest, len(doc.Text))
+	}
+	page, err := os.ReadFile("../docs/operators/declaring.md")
+	require.NoError(t, err)
+	row := fmt.Sprintf("| %d targets, %d services, %d zones | %d | %d | %d |",
+		largeTargets, largeServices, largeZones, len(pub.Index.Text), longest, all)
+	require.Contains(t, string(page), row, "the page states the sizes in bytes")
+}
+
+// Goldens are what the examples print. A change of them is a change of every
+// operator's documents: it must be meant. UPDATE=1 writes them anew.
+func TestExamplesPrintTheirGoldens(t *testing.T) {
+	for name, declare := range map[string]func(uint64) fleet.Fleet{
+		"cestaviva": deployments.CestaViva, "eisbruecke": deployments.Eisbruecke, "shop": func(uint64) fleet.Fleet { return shop() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			got := printed(t, declare(1))
+			file := filepath.Join("testdata", name+".golden")
+			if os.Getenv("UPDATE") != "" {
+				require.NoError(t, os.WriteFile(file, []byte(got), 0o644))
+			}
+			want, err := os.ReadFile(file)
+			require.NoError(t, err)
+			require.Equal(t, string(want), got)
+		})
+	}
+}
+
+// What is printed, written into a directory or a stream, and parsed as a node
+// does must be the declaration again, or a rule would be lost on the way.
+func TestADeclarationSurvivesPrintingAndParsing(t *testing.T) {
+	for _, f := range []fleet.Fleet{shop(), deployments.CestaViva(3), deployments.Eisbruecke(4)} {
+		pub, err := f.Print()
+		require.NoError(t, err)
+		dir := t.TempDir()
+		require.NoError(t, pub.WriteDir(dir))
+		fromDir, err := fleet.ReadDir(dir)
+		require.NoError(t, err)
+		fromStream, err := fleet.Split([]byte(printed(t, f)))
+		require.NoError(t, err)
+		require.Equal(t, fromDir, fromStream)
+
+		idx, err := config.ParseIndex(fromDir[fleet.IndexKey])
+		require.NoError(t, err)
+		want := f.WithDefaults()
+		require.ElementsMatch(t, want.Zones, idx.Fleet.Zones)
+		require.Equal(t, want.Budget, idx.Fleet.Budget)
+		for _, e := range idx.Entries {
+			s, err := config.ParseService(e, fromDir[e.Key])
+			require.NoError(t, err)
+			require.Contains(t, serviceNames(want), s.Name)
+			for _, declared := range want.Services {
+				if declared.Name == s.Name {
+					require.Equal(t, declared.Routes, s.Routes)
+					require.ElementsMatch(t, declared.Targets, s.Targets)
+					require.Equal(t, declared.Drain, s.Drain)
+				}
+			}
+		}
+	}
+}
+
+func serviceNames(f fleet.Fleet) []string {
+	var names []string
+	for _, s := range f.Services {
+		names = append(names, s.Name)
+	}
+	return names
+}
+
+func TestSplitRefuses(t *testing.T) {
+	for text, want := range map[string]string{
+		"revision = 1\n":                     "before the first document",
+		"; key: a\nx = 1\n; key: a\nx = 2\n": "document a stands there twice",
+	} {
+		_, err := fleet.Split([]byte(text))
+		require.ErrorContains(t, err, want)
+	}
+}
+
+func TestAnExampleRunsAsAProgram(t *testing.T) {
+	run := func(args ...string) (int, string, string) {
+		var out, errOut strings.Builder
+		code := deployments.Main("eisbruecke", deployments.Eisbruecke, args, &out, &errOut)
+		return code, out.String(), errOut.String()
+	}
+	code, out, _ := run("--revision", "9")
+	require.Zero(t, code)
+	require.Contains(t, out, "revision = 9\n")
+	dir := t.TempDir()
+	code, out, _ = run("--out", dir)
+	require.Zero(t, code)
+	require.Empty(t, out)
+	require.FileExists(t, filepath.Join(dir, fleet.IndexKey))
+	for _, wrong := range [][]string{{"--revision", "x"}, {"more"}, {"--revision", "0"}} {
+		code, _, errOut := run(wrong...)
+		require.NotZero(t, code, wrong)
+		require.Equal(t, 1, strings.Count(errOut, "\n"), errOut)
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -164,7 +164,7 @@
 	switch what {
 	case "service":
 		r.allow(s, "name", "hosts", "team", "policy", "timeout", "max-timeout", "hops",
-			"retry-percent", "queue", "in-flight", "key-lifetime")
+			"retry-percent", "queue", "in-flight", "drain", "key-lifetime")
 		out.Name = s.Key("name").String()
 		out.Hosts = split(s.Key("hosts").String())
 		out.Team = s.Key("team").String()
@@ -175,17 +175,12 @@
 		out.RetryPercent = r.int(s, "retry-percent")
 		out.Queue = r.int(s, "queue")
 		out.InFlight = r.int(s, "in-flight")
+		if s.HasKey("drain") {
+			out.Drain = r.duration(s, "drain")
+		}
 		out.KeyLifetime = r.duration(s, "key-lifetime")
 	case "route":
-		r.allow(s, "methods", "path", "runs", "class", "in-flight")
-		runs := s.Key("runs").String()
-		if runs != "idempotent" && runs != "at-most-once" {
-			r.fail("[%s] runs: %q (allowed: idempotent, at-most-once)", s.Name(), runs)
-		}
-		out.Routes = append(out.Routes, fleet.Route{
-			Name: name, Methods: split(s.Key("methods").String()), Path: s.Key("path").String(),
-			Idempotent: runs == "idempotent", Class: r.int(s, "class"), InFlight: r.int(s, "in-flight"),
-		})
+		out.Routes = append(out.Routes, r.route(s, name))
 	case "target":
 		r.allow(s, "zone", "slots", "connections")
 		out.Targets = append(out.Targets, fleet.Target{
@@ -196,6 +191,22 @@
 	}
 }
 
+func (r *reader) route(s *ini.Section, name string) fleet.Route {
+	r.allow(s, "methods", "path", "runs", "retries", "class", "in-flight")
+	runs := s.Key("runs").String()
+	if runs != fleet.RunsIdempotent && runs != fleet.RunsAtMostOnce {
+		r.fail("[%s] runs: %q (allowed: %s, %s)", s.Name(), runs, fleet.RunsIdempotent, fleet.RunsAtMostOnce)
+	}
+	route := fleet.Route{
+		Name: name, Methods: split(s.Key("methods").String()), Path: s.Key("path").String(),
+		Idempotent: runs == fleet.RunsIdempotent, Class: r.int(s, "class"), InFlight: r.int(s, "in-flight"),
+	}
+	if s.HasKey("retries") {
+		route.Retries = r.int(s, "retries")
+	}
+	return route
+}
+
 // Assemble joins an index with all of its documents, in any order, and checks the whole.
 func Assemble(idx *Index, services []*Service) (*Config, error) {
 	c := &Config{
--- a/internal/entry/idempotent.go
+++ b/internal/entry/idempotent.go
@@ -13,7 +13,7 @@
 	var tried []*pick.Target
 	var last *kind.Error
 	ran := false
-	for len(tried) < x.service.Hops {
+	for len(tried) < x.hops {
 		t := x.service.Pick(e.now(), tried)
 		if t == nil {
 			break
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -29,7 +29,9 @@
 	in      *http.Request
 	service *pick.Service
 	// once says that the request runs at most once.
-	once    bool
+	once bool
+	// hops is how many targets an idempotent request may be offered to.
+	hops    int
 	timeout time.Duration
 	key     string
 	depth   int
@@ -54,6 +56,7 @@
 	}
 	route := conf.Match(r.Method, r.URL.Path)
 	x.once = route == nil || !route.Idempotent
+	x.hops = conf.HopsFor(route)
 	if err := x.parseTimeout(); err != nil {
 		return nil, err
 	}
