--- a/internal/entry/idempotent.go
+++ b/internal/entry/idempotent.go
@@ -31,7 +31,7 @@
 	var tried []*pick.Target
 	var last *kind.Error
 	ran, deaths, hops := false, 0, 0
-	for hops < x.service.Hops && len(tried) < maxTried {
+	for hops < x.hops && len(tried) < maxTried {
 		t := x.service.Pick(e.now(), tried)
 		if t == nil {
 			break
