--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -63,7 +63,7 @@
 }
 
 // Tag names the document in requests between nodes.
-func (s *Service) Tag() string { return s.Entry.Digest[:16] }
+func (s *Service) Tag() string { return s.Entry.Digest[:tagSize] }
 
 // Config is a whole configuration. It is immutable.
 type Config struct {
@@ -73,6 +73,14 @@
 	ByHost map[string]*Service
 	// Regions finds the region of an availability zone.
 	Regions map[string]string
+	// targets finds the target that stands on a VM.
+	targets map[string]placed
+}
+
+// placed is a target with the service it is of.
+type placed struct {
+	service *Service
+	target  *fleet.Target
 }
 
 // Digest gives the SHA-256 of a text in hexadecimal.
@@ -200,6 +208,7 @@
 func Assemble(idx *Index, services []*Service) (*Config, error) {
 	c := &Config{
 		Index: idx, Services: map[string]*Service{}, ByHost: map[string]*Service{}, Regions: map[string]string{},
+		targets: map[string]placed{},
 	}
 	whole := idx.Fleet
 	for _, e := range idx.Entries {
@@ -213,6 +222,9 @@
 		for _, h := range s.Hosts {
 			c.ByHost[h] = s
 		}
+		for i := range s.Targets {
+			c.targets[s.Targets[i].VM] = placed{s, &s.Targets[i]}
+		}
 	}
 	if err := whole.Check(); err != nil {
 		return nil, eris.Wrap(err, "configuration")
@@ -239,14 +251,8 @@
 
 // Target finds the target that stands on a VM, with its service.
 func (c *Config) Target(vm string) (*Service, *fleet.Target) {
-	for _, s := range c.Services {
-		for i := range s.Targets {
-			if s.Targets[i].VM == vm {
-				return s, &s.Targets[i]
-			}
-		}
-	}
-	return nil, nil
+	p := c.targets[vm]
+	return p.service, p.target
 }
 
 func load(text []byte) (*ini.File, error) {
--- a/internal/control/io.go
+++ b/internal/control/io.go
@@ -28,10 +28,43 @@
 	l.submit(core.VMsRead{List: list, Err: err})
 }
 
+func (l *Loop) fetchVMs(c core.FetchVMs) {
+	reply, err := l.call(c.Peer, documentTimeout, &wire.FetchVMs{})
+	list, ok := reply.(*wire.VMs)
+	if err == nil && !ok {
+		err = errProtocol
+	}
+	if err != nil {
+		l.submit(core.VMsRead{Peer: c.Peer, Err: err})
+		return
+	}
+	l.submit(core.VMsRead{Peer: c.Peer, List: fromWire(list)})
+}
+
+func fromWire(m *wire.VMs) platform.VMList {
+	list := platform.VMList{Version: m.Version}
+	for _, row := range m.Rows {
+		vm := platform.VM{Name: row.Name, IP: row.IP, State: platform.VMLive}
+		if row.Leaving {
+			vm.State = platform.VMLeaving
+		}
+		list.VMs = append(list.VMs, vm)
+	}
+	return list
+}
+
+func toWire(list platform.VMList) *wire.VMs {
+	m := &wire.VMs{Version: list.Version}
+	for _, vm := range list.VMs {
+		m.Rows = append(m.Rows, wire.VM{Name: vm.Name, IP: vm.IP, Leaving: vm.State == platform.VMLeaving})
+	}
+	return m
+}
+
 func (l *Loop) fetchDocument(c core.FetchDocument) {
 	if c.Peer != "" {
 		text, err := l.document(c.Peer, c.Entry.Digest)
-		l.submit(core.DocumentRead{Entry: c.Entry, Text: text, Err: err})
+		l.submit(core.DocumentRead{Entry: c.Entry, Peer: c.Peer, Text: text, Err: err})
 		return
 	}
 	v, err := l.platform.Read(l.ctx, c.Entry.Key)
@@ -40,7 +73,7 @@
 
 func (l *Loop) fetchIndex(c core.FetchIndex) {
 	text, err := l.document(c.Peer, c.Digest)
-	l.submit(core.IndexRead{Text: text, Peer: c.Peer, Err: err})
+	l.submit(core.IndexRead{Text: text, Peer: c.Peer, Want: c.Digest, Err: err})
 }
 
 var (
@@ -87,12 +120,12 @@
 }
 
 // Answer gives the reply to a peer's message.
-func (l *Loop) Answer(_ string, m wire.Message) wire.Message {
+func (l *Loop) Answer(from string, m wire.Message) wire.Message {
 	switch m := m.(type) {
 	case *wire.Gossip:
 		l.submit(core.GossipHeard{News: m})
 		var news *wire.Gossip
-		l.Ask(func(s *core.State) { news = s.News() })
+		l.Ask(func(s *core.State) { news = s.News(from) })
 		if news == nil {
 			return nil
 		}
@@ -101,6 +134,10 @@
 		var text []byte
 		l.Ask(func(s *core.State) { text = s.Document(m.Digest) })
 		return &wire.Document{Digest: m.Digest, Text: text}
+	case *wire.FetchVMs:
+		var list platform.VMList
+		l.Ask(func(s *core.State) { list = s.VMs() })
+		return toWire(list)
 	case *wire.Seal:
 		return l.guard.Seal(m)
 	}
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -54,10 +55,14 @@
 	cancel   context.CancelFunc
 	mu       sync.Mutex
 	health   health
+	counters atomic.Pointer[core.Counters]
 }
 
 // health is what the guard's side last saw, until the next tick takes it.
-type health struct{ draining, stopping bool }
+type health struct {
+	backend  core.BackendState
+	stopping bool
+}
 
 // Config is what a Loop is made of.
 type Config struct {
@@ -89,11 +94,11 @@
 	l.wg.Wait()
 }
 
-// SetDraining tells what the backend server says of itself.
-func (l *Loop) SetDraining(draining bool) {
+// SetBackend tells how the backend server is.
+func (l *Loop) SetBackend(state core.BackendState) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.health.draining = draining
+	l.health.backend = state
 }
 
 // SetStopping tells that the node is stopping.
@@ -103,6 +108,31 @@
 	l.health.stopping = true
 }
 
+// isStopping covers a stop that began while a tick was under way: the guard
+// must not take new work again for the length of one tick.
+func (l *Loop) isStopping() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.health.stopping
+}
+
+// Behind tells that the node on a VM has another configuration in force. It
+// never waits: when there is no room the next request tells it again.
+func (l *Loop) Behind(vm string) {
+	select {
+	case l.events <- core.Behind{VM: vm}:
+	default:
+	}
+}
+
+// Counters gives the core's counters as of the last tick.
+func (l *Loop) Counters() core.Counters {
+	if c := l.counters.Load(); c != nil {
+		return *c
+	}
+	return core.Counters{}
+}
+
 func (l *Loop) run() {
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
@@ -123,7 +153,9 @@
 		for _, cmd := range l.state.Tick(core.Input{Now: l.now(), Events: events}) {
 			l.do(cmd)
 		}
-		l.guard.SetLeaving(l.state.Leaving())
+		l.guard.SetLeaving(l.state.Leaving() || l.isStopping())
+		counters := l.state.Counters()
+		l.counters.Store(&counters)
 		events = events[:0]
 	}
 }
@@ -144,7 +176,7 @@
 func (l *Loop) backendSeen() core.Event {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return core.BackendSeen{Tick: l.guard.Tick(), Draining: l.health.draining, Stopping: l.health.stopping}
+	return core.BackendSeen{Tick: l.guard.Tick(), State: l.health.backend, Stopping: l.health.stopping}
 }
 
 // submit hands an event to the next tick.
@@ -174,7 +206,8 @@
 	return d, ok
 }
 
-// do carries out a command. What waits for others gets a goroutine of its own.
+// do carries out a command. What waits for others gets a goroutine of its own;
+// the core bounds how many of each are under way.
 func (l *Loop) do(cmd core.Command) {
 	switch c := cmd.(type) {
 	case core.Publish:
@@ -186,6 +219,8 @@
 		l.wg.Go(func() { l.readIndex(c) })
 	case core.WatchVMs:
 		l.wg.Go(func() { l.watchVMs(c) })
+	case core.FetchVMs:
+		l.wg.Go(func() { l.fetchVMs(c) })
 	case core.FetchDocument:
 		l.wg.Go(func() { l.fetchDocument(c) })
 	case core.FetchIndex:
--- a/internal/core/config.go
+++ b/internal/core/config.go
@@ -1,55 +1,55 @@
 package core
 
 import (
+	"slices"
 	"time"
 
 	"github.com/limpetdock/limpetdock/internal/config"
 )
 
 const (
-	// watchersPerZone nodes of each zone watch the platform; the rest hear from peers.
-	watchersPerZone = 2
-	// readEvery is how long a node that isn't a watcher goes without reading the
-	// index itself, before jitter of as much again.
-	readEvery = 30 * time.Second
-	// retryPause follows a failed read, before jitter of as much again.
-	retryPause = 500 * time.Millisecond
-	// joinPatience is how long a new node waits for peers before it serves with
-	// what the platform alone told it.
-	joinPatience = 2 * time.Second
-	// joinPeers is how many peers a new node wants to hear before it serves.
-	joinPeers = 3
+	// maxCandidates bounds the versions whose documents are gathered at a time.
+	maxCandidates = 4
+	// maxRefused bounds the refused versions that are remembered.
+	maxRefused = 8
 )
 
-// configTable holds the configuration in force and the one being gathered.
+// configTable holds the configuration in force and those being gathered.
 type configTable struct {
 	// active is whole and checked; it is only ever replaced by a newer one.
 	active *config.Config
 	since  time.Duration
-	// next is the newest index seen that isn't in force yet.
-	next *gathering
-	// refused is the newest version that was refused, with the reason.
-	refused       config.Version
-	refusedReason string
-	// asked says that the platform has answered, well or not, since the start.
-	asked    bool
-	reading  bool
-	readAt   time.Duration
-	platform uint64
-	docs     map[string]*config.Service
-	peers    int
-}
-
-// gathering is an index whose documents are still being fetched.
-type gathering struct {
-	index   *config.Index
-	peer    string
-	waiting map[string]bool
-	retryAt time.Duration
+	// candidates are versions newer than active, newest first. The first that
+	// is whole goes in force, so one half-published version can't block another.
+	candidates []*candidate
+	refused    []refusal
+	// docs are the parsed documents of active and of the candidates.
+	docs     map[config.Entry]*config.Service
+	fetching map[config.Entry]bool
+	// asked are the indexes, or peers, that aren't asked for again until a time,
+	// and asking is how many indexes are being fetched from peers.
+	asked  map[string]time.Duration
+	asking int
+	// held is the newest version that a peer said is in force there.
+	held  config.Version
+	reads platformReads
+	// voices are the peers that told their version since the start.
+	voices map[string]bool
+}
+
+// refusal is a version that was refused, and why.
+type refusal struct {
+	version config.Version
+	reason  string
 }
 
 func newConfigTable() configTable {
-	return configTable{docs: map[string]*config.Service{}}
+	return configTable{
+		docs:     map[config.Entry]*config.Service{},
+		fetching: map[config.Entry]bool{},
+		asked:    map[string]time.Duration{},
+		voices:   map[string]bool{},
+	}
 }
 
 // version is that of the configuration in force; zero when there is none.
@@ -60,57 +60,29 @@
 	return t.active.Index.Version
 }
 
-// newest is the newest version seen and not refused, in force or not.
-func (t *configTable) newest() config.Version {
-	if t.next != nil {
-		return t.next.index.Version
-	}
-	return t.version()
-}
-
-// IndexRead is an index that was read from the platform or, with Peer set,
-// fetched from a peer.
-type IndexRead struct {
-	Text    []byte
-	Version uint64
-	Peer    string
-	Err     error
-}
-
-func (e IndexRead) apply(s *State, now time.Duration, out *commands) {
-	t := &s.config
-	if e.Peer == "" {
-		t.asked, t.reading = true, false
-		t.readAt = s.nextRead(now, e.Err)
-		if e.Err == nil {
-			t.platform = e.Version
+func (t *configTable) candidate(v config.Version) *candidate {
+	for _, c := range t.candidates {
+		if c.index.Version == v {
+			return c
 		}
 	}
-	if e.Err != nil {
-		return
-	}
-	s.offer(e.Text, e.Peer, now, out)
+	return nil
 }
 
-// nextRead says when the index is read again: watchers at once, others rarely.
-func (s *State) nextRead(now time.Duration, err error) time.Duration {
-	if err != nil {
-		return now + s.jitter(retryPause)
-	}
-	if s.watches() {
-		return now
-	}
-	return now + s.jitter(readEvery)
+func (t *configTable) isRefused(v config.Version) bool {
+	return slices.ContainsFunc(t.refused, func(r refusal) bool { return r.version == v })
 }
 
-func (s *State) jitter(d time.Duration) time.Duration {
-	return d + time.Duration(s.rnd.Int64N(int64(d)))
+// wants says whether a version is worth fetching. One that was refused isn't:
+// the checks are the same everywhere and would refuse it again.
+func (t *configTable) wants(v config.Version) bool {
+	return v.Newer(t.version()) && !t.isRefused(v)
 }
 
-// offer takes an index text if it is newer than all seen before. An older one
-// is what a stale platform serves; it is dropped, and so the configuration in
-// force never goes back.
-func (s *State) offer(text []byte, peer string, now time.Duration, out *commands) {
+// offer takes an index text; holder is the peer that has it in force, empty
+// for the platform. An older version is what a stale platform serves. It is
+// dropped, so the configuration in force never goes back.
+func (s *State) offer(text []byte, holder string, now time.Duration, out *commands) {
 	t := &s.config
 	idx, err := config.ParseIndex(text)
 	if err != nil {
@@ -121,140 +93,76 @@
 		s.refuse(idx.Version, errOtherFleet, out)
 		return
 	}
-	if !idx.Version.Newer(t.newest()) || idx.Version == t.refused {
+	if holder == "" && t.version().Newer(idx.Version) {
+		s.counters.OlderIndexes++
+	}
+	if !t.wants(idx.Version) {
 		return
 	}
-	t.next = &gathering{index: idx, peer: peer, waiting: map[string]bool{}}
-	s.gather(now, out)
-}
-
-// gather asks for the documents that aren't held yet; with all of them held
-// the configuration is put in force.
-func (s *State) gather(now time.Duration, out *commands) {
-	t := &s.config
-	g := t.next
-	missing := 0
-	for _, e := range g.index.Entries {
-		if t.docs[e.Digest] != nil {
-			continue
-		}
-		missing++
-		if !g.waiting[e.Digest] {
-			g.waiting[e.Digest] = true
-			out.add(FetchDocument{Entry: e, Peer: g.peer})
-		}
+	c := t.candidate(idx.Version)
+	if c == nil {
+		c = &candidate{index: idx}
+		t.admit(c)
 	}
-	if missing == 0 {
-		s.enforce(now, out)
+	if holder == "" && !s.watches() && len(c.holders) == 0 && c.failures == 0 {
+		c.retryAt = now + s.jitter(holderWait)
 	}
+	c.held(holder)
+	s.gather(c, now, out)
 }
 
-func (s *State) enforce(now time.Duration, out *commands) {
+// enforce puts a candidate in force whose documents are all held.
+func (s *State) enforce(c *candidate, now time.Duration, out *commands) {
 	t := &s.config
-	g := t.next
-	t.next = nil
-	services := make([]*config.Service, 0, len(g.index.Entries))
-	keep := map[string]*config.Service{}
-	for _, e := range g.index.Entries {
-		services = append(services, t.docs[e.Digest])
-		keep[e.Digest] = t.docs[e.Digest]
+	services := make([]*config.Service, 0, len(c.index.Entries))
+	for _, e := range c.index.Entries {
+		services = append(services, t.docs[e])
 	}
-	next, err := config.Assemble(g.index, services)
+	next, err := config.Assemble(c.index, services)
 	if err != nil {
-		s.refuse(g.index.Version, err, out)
+		s.refuse(c.index.Version, err, out)
 		return
 	}
-	t.active, t.since, t.docs = next, now, keep
+	t.active, t.since = next, now
+	t.candidates = slices.DeleteFunc(t.candidates, func(c *candidate) bool {
+		return !c.index.Version.Newer(t.version())
+	})
+	t.dropUnused()
 	s.dirty = true
+	s.counters.Applied++
 	out.log("configuration in force", "revision", next.Index.Version.Revision, "digest", next.Index.Version.Digest)
+	s.push(out)
 }
 
-// refuse keeps the last good configuration and says why once.
-func (s *State) refuse(v config.Version, err error, out *commands) {
-	t := &s.config
-	if t.next != nil && t.next.index.Version == v {
-		t.next = nil
-	}
-	if t.refused == v {
-		return
+// dropUnused forgets documents that neither active nor a candidate names.
+func (t *configTable) dropUnused() {
+	used := map[config.Entry]bool{}
+	for _, e := range t.active.Index.Entries {
+		used[e] = true
 	}
-	t.refused, t.refusedReason = v, err.Error()
-	out.log("configuration refused", "revision", v.Revision, "digest", v.Digest, "reason", err.Error())
-}
-
-// DocumentRead is the result of a FetchDocument.
-type DocumentRead struct {
-	Entry config.Entry
-	Text  []byte
-	Err   error
-}
-
-func (e DocumentRead) apply(s *State, now time.Duration, out *commands) {
-	g := s.config.next
-	if g == nil || !g.waiting[e.Entry.Digest] {
-		return
-	}
-	delete(g.waiting, e.Entry.Digest)
-	if e.Err != nil || config.Digest(e.Text) != e.Entry.Digest {
-		// A missing or half-published document: asked for again, at the platform.
-		g.peer = ""
-		g.retryAt = now + s.jitter(retryPause)
-		return
-	}
-	doc, err := config.ParseService(e.Entry, e.Text)
-	if err != nil {
-		s.refuse(g.index.Version, err, out)
-		return
-	}
-	s.config.docs[e.Entry.Digest] = doc
-	s.gather(now, out)
-}
-
-// runConfig reads the index when it is due, and asks again for documents.
-func (s *State) runConfig(now time.Duration, out *commands) {
-	t := &s.config
-	if !t.reading && now >= t.readAt {
-		t.reading = true
-		out.add(ReadIndex{Watch: t.platform != 0 && s.watches(), After: t.platform})
+	for _, c := range t.candidates {
+		for _, e := range c.index.Entries {
+			used[e] = true
+		}
 	}
-	if g := t.next; g != nil && g.retryAt != 0 && now >= g.retryAt && len(g.waiting) == 0 {
-		g.retryAt = 0
-		s.gather(now, out)
+	for e := range t.docs {
+		if !used[e] {
+			delete(t.docs, e)
+		}
 	}
-	s.join(now, out)
 }
 
-// join decides when a node that has just started may serve. It has no memory
-// and the platform may be stale, so it first hears several peers: one that holds
-// a newer revision makes it gather that before anything is served.
-func (s *State) join(now time.Duration, out *commands) {
+// refuse keeps the last good configuration and says why, once for each version.
+func (s *State) refuse(v config.Version, err error, out *commands) {
 	t := &s.config
-	if s.joined || t.active == nil || t.next != nil {
-		return
-	}
-	enough := t.peers >= min(joinPeers, s.knownPeers())
-	if !enough && now < joinPatience {
-		return
-	}
-	if !t.asked && t.peers == 0 {
+	t.candidates = slices.DeleteFunc(t.candidates, func(c *candidate) bool { return c.index.Version == v })
+	if t.isRefused(v) {
 		return
 	}
-	s.joined, s.dirty = true, true
-	out.log("serving", "revision", t.version().Revision, "peers", t.peers)
-}
-
-// watches says whether this node watches the platform for its zone. Each node
-// decides from its own view: a wrong view costs reads, never safety.
-func (s *State) watches() bool {
-	mine := rendezvous(s.self.Zone, s.self.VM)
-	better := 0
-	for name := range s.vms.rows {
-		if name == s.self.VM || s.zoneOf(name) != s.self.Zone || s.suspected(name) {
-			continue
-		}
-		if rendezvous(s.self.Zone, name) > mine {
-			better++
-		}
+	if len(t.refused) == maxRefused {
+		t.refused = slices.Delete(t.refused, 0, 1)
 	}
-	return better < watchersPerZone
+	t.refused = append(t.refused, refusal{v, err.Error()})
+	s.counters.Refused++
+	out.log("configuration refused", "revision", v.Revision, "digest", v.Digest, "reason", err.Error())
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -28,12 +28,41 @@
 	rnd     *rand.Rand
 	config  configTable
 	vms     vmTable
-	members map[string]*member
+	members memberTable
 	stats   map[string]*pick.Stat
 	backend backendTable
 	joined  bool
+	// leaving is whether the own backend server leaves, as of the last tick.
+	leaving bool
 	dirty   bool
 	round   gossipRound
+	// order is what this node's news are ordered by among those of its VM's name.
+	order    uint64
+	counters Counters
+}
+
+// Counters count what happened to the control state since the start.
+type Counters struct {
+	// Revision is the one in force.
+	Revision uint64 `json:"revision"`
+	// Applied and Refused count configurations put in force and refused.
+	Applied uint64 `json:"applied"`
+	Refused uint64 `json:"refused"`
+	// OlderIndexes counts reads of the platform that gave an older revision.
+	OlderIndexes uint64 `json:"older_indexes"`
+	// Behind counts requests that showed a peer under another configuration.
+	Behind uint64 `json:"behind"`
+	// Suspicions counts peers that this node came to suspect.
+	Suspicions uint64 `json:"suspicions"`
+	// NameClashes counts news of another process under this VM's name.
+	NameClashes uint64 `json:"name_clashes"`
+}
+
+// Counters gives a copy of the counters.
+func (s *State) Counters() Counters {
+	c := s.counters
+	c.Revision = s.config.version().Revision
+	return c
 }
 
 // Input is what one tick gets from outside.
@@ -50,7 +79,8 @@
 		rnd:     rand.New(rand.NewPCG(seed, self.Incarnation)),
 		config:  newConfigTable(),
 		vms:     vmTable{rows: map[string]platform.VM{}},
-		members: map[string]*member{},
+		order:   self.Incarnation,
+		members: memberTable{rows: map[string]*member{}},
 		stats:   map[string]*pick.Stat{},
 		dirty:   true,
 	}
@@ -65,8 +95,9 @@
 	}
 	s.runVMs(in.Now, out)
 	s.runConfig(in.Now, out)
-	s.runMembers(in.Now, out)
+	s.runMembers(in.Now)
 	s.runGossip(in.Now, out)
+	s.runBackend(in.Now, out)
 	s.runView(out)
 	return out.list
 }
@@ -91,17 +122,22 @@
 		Watch bool
 		After uint64
 	}
-	// WatchVMs waits for a VM list version other than After. Answered by VMsRead.
+	// WatchVMs waits for a VM list version other than After; with an After of
+	// zero it reads the list at once. Answered by VMsRead.
 	WatchVMs struct{ After uint64 }
+	// FetchVMs gets the VM list from the peer at Peer. Answered by VMsRead.
+	FetchVMs struct{ Peer string }
 	// FetchDocument gets a document from the platform, or from the peer at Peer
 	// if that isn't empty. Answered by DocumentRead.
 	FetchDocument struct {
 		Entry config.Entry
 		Peer  string
 	}
-	// FetchIndex gets an index from the peer at Peer. Answered by IndexRead.
+	// FetchIndex gets an index from the peer at Peer; an empty Digest is the one
+	// in force there. Answered by IndexRead.
 	FetchIndex struct{ Digest, Peer string }
-	// SendGossip sends news to a peer. Answered by GossipDone.
+	// SendGossip sends news to a peer. Answered by GossipHeard
+	// or GossipFailed.
 	SendGossip struct {
 		VM, Addr string
 		News     *wire.Gossip
@@ -117,6 +153,7 @@
 
 func (ReadIndex) command()     {}
 func (WatchVMs) command()      {}
+func (FetchVMs) command()      {}
 func (FetchDocument) command() {}
 func (FetchIndex) command()    {}
 func (SendGossip) command()    {}
--- a/internal/core/dump.go
+++ b/internal/core/dump.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"maps"
 	"time"
 
 	"github.com/limpetdock/limpetdock/internal/config"
@@ -10,22 +11,46 @@
 
 // Dump is a copy of every table, for people to read.
 type Dump struct {
-	Self    Self                   `json:"self"`
-	Joined  bool                   `json:"joined"`
-	Config  ConfigDump             `json:"config"`
-	VMs     map[string]platform.VM `json:"vms"`
-	Members map[string]MemberDump  `json:"members"`
-	Leaving bool                   `json:"leaving"`
+	Self     Self                  `json:"self"`
+	Joined   bool                  `json:"joined"`
+	Leaving  bool                  `json:"leaving"`
+	Config   ConfigDump            `json:"config"`
+	VMs      VMsDump               `json:"vms"`
+	Members  map[string]MemberDump `json:"members"`
+	Counters Counters              `json:"counters"`
 }
 
-// ConfigDump is the configuration in force and what was refused last.
+// ConfigDump is the configuration in force, those being gathered, and those
+// refused last.
 type ConfigDump struct {
-	Version        config.Version  `json:"version"`
-	InForceFor     time.Duration   `json:"in_force_for_ns"`
-	Gathering      *config.Version `json:"gathering,omitempty"`
-	Refused        *config.Version `json:"refused,omitempty"`
-	RefusedBecause string          `json:"refused_because,omitempty"`
-	Watches        bool            `json:"watches"`
+	Version    config.Version  `json:"version"`
+	InForceFor time.Duration   `json:"in_force_for_ns"`
+	Gathering  []CandidateDump `json:"gathering,omitempty"`
+	Refused    []RefusalDump   `json:"refused,omitempty"`
+	Watches    bool            `json:"watches"`
+	// ReadFailures counts failed reads of the platform's index in a row.
+	ReadFailures int `json:"read_failures"`
+	// ReadAgo is the time since the last read that succeeded.
+	ReadAgo time.Duration `json:"read_ago_ns"`
+}
+
+// CandidateDump is a version that isn't whole yet.
+type CandidateDump struct {
+	Version  config.Version `json:"version"`
+	Missing  []string       `json:"missing"`
+	Failures int            `json:"failures"`
+}
+
+// RefusalDump is a version that was refused.
+type RefusalDump struct {
+	Version config.Version `json:"version"`
+	Reason  string         `json:"reason"`
+}
+
+// VMsDump is the VM list as this node has it.
+type VMsDump struct {
+	Version uint64                 `json:"version"`
+	Rows    map[string]platform.VM `json:"rows"`
 }
 
 // MemberDump is a row of the members table.
@@ -35,39 +60,62 @@
 	Tick        uint64           `json:"tick"`
 	HeardAgo    time.Duration    `json:"heard_ago_ns"`
 	Failures    int              `json:"failures"`
+	Suspected   bool             `json:"suspected"`
 }
 
 // Dump copies the tables.
 func (s *State) Dump(now time.Duration) Dump {
-	d := Dump{Self: s.self, Joined: s.joined, VMs: s.vms.rows, Members: map[string]MemberDump{}, Leaving: s.Leaving()}
+	d := Dump{
+		Self: s.self, Joined: s.joined, Leaving: s.Leaving(), Config: s.dumpConfig(now),
+		VMs:     VMsDump{s.vms.version, maps.Clone(s.vms.rows)},
+		Members: map[string]MemberDump{}, Counters: s.counters,
+	}
+	for name, m := range s.members.rows {
+		d.Members[name] = MemberDump{
+			m.news.Incarnation, m.news.State, m.news.Tick, now - m.heard, m.failures, s.suspected(name),
+		}
+	}
+	return d
+}
+
+func (s *State) dumpConfig(now time.Duration) ConfigDump {
 	t := &s.config
-	d.Config = ConfigDump{Version: t.version(), Watches: s.watches(), RefusedBecause: t.refusedReason}
-	if t.active != nil {
-		d.Config.InForceFor = now - t.since
+	d := ConfigDump{
+		Version: t.version(), Watches: s.watches(),
+		ReadFailures: t.reads.failures, ReadAgo: now - t.reads.heard,
 	}
-	if t.next != nil {
-		d.Config.Gathering = &t.next.index.Version
+	if t.active != nil {
+		d.InForceFor = now - t.since
 	}
-	if t.refused != (config.Version{}) {
-		refused := t.refused
-		d.Config.Refused = &refused
+	for _, c := range t.candidates {
+		row := CandidateDump{Version: c.index.Version, Failures: c.failures}
+		for _, e := range c.index.Entries {
+			if t.docs[e] == nil {
+				row.Missing = append(row.Missing, e.Key)
+			}
+		}
+		d.Gathering = append(d.Gathering, row)
 	}
-	for name, m := range s.members {
-		d.Members[name] = MemberDump{m.news.Incarnation, m.news.State, m.news.Tick, now - m.heard, m.failures}
+	for _, r := range t.refused {
+		d.Refused = append(d.Refused, RefusalDump{r.version, r.reason})
 	}
 	return d
 }
 
-// Document gives the text of a document or index in force, by digest, for peers.
+// Document gives the text of a document or index in force, by digest, for
+// peers. An empty digest gives the index.
 func (s *State) Document(digest string) []byte {
-	if s.config.active == nil {
+	active := s.config.active
+	if active == nil {
 		return nil
 	}
-	if s.config.active.Index.Version.Digest == digest {
-		return s.config.active.Index.Text
+	if digest == "" || active.Index.Version.Digest == digest {
+		return active.Index.Text
 	}
-	if doc := s.config.docs[digest]; doc != nil {
-		return doc.Text
+	for e, doc := range s.config.docs {
+		if e.Digest == digest {
+			return doc.Text
+		}
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/core/gossip.go
@@ -0,0 +1,224 @@
+package core
+
+import (
+	"slices"
+	"time"
+
+	"github.com/limpetdock/limpetdock/internal/config"
+	"github.com/limpetdock/limpetdock/internal/wire"
+)
+
+const (
+	// gossipEvery is the pause between two exchanges that a node starts. With
+	// newsPerGossip it bounds the control bytes, whatever the fleet's size.
+	gossipEvery = time.Second
+	// joiningEvery is the same for a node that doesn't serve yet.
+	joiningEvery = 100 * time.Millisecond
+	// newsPerGossip bounds the members in one message, the sender among them.
+	newsPerGossip = 8
+	// pushTo is how many peers are told at once of a change that is in force here.
+	pushTo = 3
+	// exchangesAtOnce bounds the exchanges under way that this node started.
+	exchangesAtOnce = 8
+)
+
+// gossipRound paces the exchanges that this node starts.
+type gossipRound struct {
+	nextAt time.Duration
+	beat   uint64
+	// turn is the place in the members' names up to which news were sent.
+	turn     int
+	underWay int
+	// again is a peer that failed and is asked once more before others.
+	again string
+	// heard is when a peer was last heard.
+	heard time.Duration
+}
+
+// GossipHeard is news that a peer sent, in a message or an answer.
+type GossipHeard struct {
+	News *wire.Gossip
+	// Addr is the peer's control address if this node dialled it.
+	Addr string
+}
+
+func (e GossipHeard) apply(s *State, now time.Duration, out *commands) {
+	from, addr := e.News.From, e.Addr
+	if addr != "" {
+		s.round.underWay--
+		s.config.voices[from] = true
+	} else {
+		addr = s.controlAddr(from)
+	}
+	s.round.heard = now
+	for _, m := range e.News.Members {
+		if m.VM == s.self.VM {
+			s.hearSelf(m, e.News.VMs, now, out)
+			continue
+		}
+		s.hear(m, now)
+	}
+	if m := s.members.rows[from]; m != nil {
+		m.heard = now
+		if e.Addr != "" {
+			m.failures, m.vouched = 0, false
+		}
+	}
+	s.heardVersion(config.Version{Revision: e.News.Revision, Digest: e.News.Digest}, addr, now, out)
+	s.heardVMs(e.News.VMs, from, addr, now, out)
+}
+
+// GossipFailed says that a peer could not be reached for an exchange.
+type GossipFailed struct{ VM string }
+
+func (e GossipFailed) apply(s *State, _ time.Duration, _ *commands) {
+	s.round.underWay--
+	s.failed(e.VM)
+	if m := s.members.rows[e.VM]; m != nil && m.failures < suspectAfter {
+		s.round.again = e.VM
+	}
+}
+
+// runGossip starts an exchange with one peer when it is due.
+func (s *State) runGossip(now time.Duration, out *commands) {
+	if now < s.round.nextAt {
+		return
+	}
+	every := gossipEvery
+	if !s.joined {
+		every = joiningEvery
+	}
+	// A random part keeps nodes that started together from going in step.
+	s.round.nextAt = now + every*3/4 + time.Duration(s.rnd.Int64N(int64(every)/2))
+	s.round.beat++
+	vm, addr := s.peer()
+	s.send(vm, addr, out)
+}
+
+// send starts an exchange, unless too many are under way.
+func (s *State) send(vm, addr string, out *commands) {
+	if addr == "" || s.round.underWay >= exchangesAtOnce {
+		return
+	}
+	s.round.underWay++
+	out.add(SendGossip{VM: vm, Addr: addr, News: s.newsFor(vm)})
+}
+
+// peer chooses whom to ask: one that just failed, else a random peer, every
+// other time of the own zone. While the VM list is unknown, a seed.
+func (s *State) peer() (vm, addr string) {
+	if vm = s.round.again; vm != "" {
+		s.round.again = ""
+		if addr = s.controlAddr(vm); addr != "" {
+			return vm, addr
+		}
+	}
+	if s.round.beat%2 == 0 {
+		if vm = s.randomPeer(s.inZone); vm != "" {
+			return vm, s.controlAddr(vm)
+		}
+	}
+	if vm = s.randomPeer(s.anyPeer); vm != "" {
+		return vm, s.controlAddr(vm)
+	}
+	if len(s.self.Seeds) == 0 {
+		return "", ""
+	}
+	return "", s.self.Seeds[s.rnd.IntN(len(s.self.Seeds))]
+}
+
+func (s *State) anyPeer(vm string) bool { return vm != s.self.VM }
+
+func (s *State) inZone(vm string) bool { return vm != s.self.VM && s.zoneOf(vm) == s.self.Zone }
+
+// randomPeer chooses a listed VM that fits, or "".
+func (s *State) randomPeer(fits func(string) bool) string {
+	names := s.vms.names
+	if len(names) == 0 {
+		return ""
+	}
+	start := s.rnd.IntN(len(names))
+	for i := range names {
+		if name := names[(start+i)%len(names)]; fits(name) {
+			return name
+		}
+	}
+	return ""
+}
+
+// push tells a few random peers at once that something new is in force here.
+// Each that didn't know it does the same, so all hear of it within a few
+// exchanges rather than a few rounds.
+func (s *State) push(out *commands) { s.pushWhere(s.anyPeer, out) }
+
+// pushZone does the same within the zone, for the VM list.
+func (s *State) pushZone(out *commands) { s.pushWhere(s.inZone, out) }
+
+func (s *State) pushWhere(fits func(string) bool, out *commands) {
+	for range pushTo {
+		if vm := s.randomPeer(fits); vm != "" {
+			s.send(vm, s.controlAddr(vm), out)
+		}
+	}
+}
+
+// knownPeers counts the listed VMs but the own one.
+func (s *State) knownPeers() int {
+	n := len(s.vms.names)
+	if _, listed := s.vms.rows[s.self.VM]; listed {
+		n--
+	}
+	return n
+}
+
+// newsFor is what this node tells in one exchange: itself, what the peer
+// should know of itself, news that are to spread, and the others in turn.
+func (s *State) newsFor(vm string) *wire.Gossip {
+	v := s.config.version()
+	g := &wire.Gossip{From: s.self.VM, Revision: v.Revision, Digest: v.Digest, VMs: s.vms.version}
+	g.Members = append(g.Members, s.selfNews())
+	if s.members.rows[vm] != nil && s.listedLeaving(vm) {
+		g.Members = append(g.Members, s.reported(vm))
+	}
+	names := s.members.names
+	for _, name := range names {
+		if m := s.members.rows[name]; m.spread > 0 && len(g.Members) < newsPerGossip {
+			m.spread--
+			g.Members = append(g.Members, s.reported(name))
+		}
+	}
+	for range names {
+		if len(g.Members) >= newsPerGossip {
+			break
+		}
+		s.round.turn = (s.round.turn + 1) % len(names)
+		name := names[s.round.turn]
+		if !slices.ContainsFunc(g.Members, func(m wire.Member) bool { return m.VM == name }) {
+			g.Members = append(g.Members, s.reported(name))
+		}
+	}
+	return g
+}
+
+// reported is the news of a member; one that the VM list shows leaving is told so.
+func (s *State) reported(vm string) wire.Member {
+	news := s.members.rows[vm].news
+	if s.listedLeaving(vm) {
+		news.State = wire.MemberListed
+	}
+	return news
+}
+
+func (s *State) selfNews() wire.Member {
+	state := wire.MemberAlive
+	if s.backend.leaving() {
+		state = wire.MemberLeaving
+	}
+	return wire.Member{
+		VM: s.self.VM, Incarnation: s.self.Incarnation, State: state,
+		Tick: s.backend.tick, Order: s.order, Beat: s.round.beat,
+	}
+}
+
+// News gives what to answer to a peer's gossip.
+func (s *State) News(peer string) *wire.Gossip { return s.newsFor(peer) }
--- /dev/null
+++ b/internal/core/join.go
@@ -0,0 +1,43 @@
+package core
+
+import "time"
+
+const (
+	// joinPatience is how long a new node waits for enough peers once one has answered.
+	joinPatience = 2 * time.Second
+	// lonelyPatience is how long it waits when peers are listed and none answers.
+	lonelyPatience = 10 * time.Second
+	// joinPeers is how many peers a new node wants to hear before it serves.
+	joinPeers = 3
+)
+
+// join decides when a node that has just started may serve. It has no memory
+// and the platform may be stale: an older configuration would be in force here.
+// So it hears the platform and several peers first, and whatever a peer has in
+// force must be in force here before anything is served.
+func (s *State) join(now time.Duration, out *commands) {
+	t := &s.config
+	if s.joined || t.active == nil || !t.reads.done || t.heldElsewhere() || !s.heardEnough(now) {
+		return
+	}
+	s.joined, s.dirty = true, true
+	out.log("serving", "revision", t.version().Revision, "peers", len(t.voices))
+}
+
+// heldElsewhere says that a peer has a newer version in force that isn't here
+// yet. What was only seen on the platform doesn't count: it may be
+// half-published and never become whole.
+func (t *configTable) heldElsewhere() bool {
+	return t.wants(t.held)
+}
+
+func (s *State) heardEnough(now time.Duration) bool {
+	voices := len(s.config.voices)
+	if voices >= min(joinPeers, s.knownPeers()) && s.vms.known {
+		return true
+	}
+	if voices > 0 {
+		return now >= joinPatience
+	}
+	return now >= lonelyPatience
+}
--- a/internal/core/member.go
+++ b/internal/core/member.go
@@ -1,141 +1,132 @@
 package core
 
 import (
+	"math/bits"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 
 	"github.com/limpetdock/limpetdock/internal/pick"
-	"github.com/limpetdock/limpetdock/internal/platform"
 	"github.com/limpetdock/limpetdock/internal/wire"
 )
 
 var errOtherFleet = eris.New("the index is of another fleet")
 
 const (
-	// gossipEvery is the pause between two exchanges that a node starts.
-	gossipEvery = 500 * time.Millisecond
-	// newsPerGossip bounds the members in one message, and so its bytes.
-	newsPerGossip = 8
 	// suspectAfter failed exchanges in a row a node suspects a peer.
 	suspectAfter = 3
 	// forgetAfter drops members that are neither listed nor heard of.
 	forgetAfter = 10 * time.Minute
+	// sweepEvery is the pause between two looks for such members.
+	sweepEvery = time.Second
+	// clashPause bounds how often a node goes above another of its name.
+	clashPause = 10 * time.Second
 )
 
-// vmTable is the platform's list of VMs as last read.
-type vmTable struct {
-	rows     map[string]platform.VM
-	version  uint64
-	watching bool
-	retryAt  time.Duration
-	known    bool
-}
-
 // member is what peers say of a node, and what this node saw itself.
 type member struct {
 	news     wire.Member
 	heard    time.Duration
 	failures int
+	// vouched says that others heard the node after this one failed to reach it,
+	// as with a link cut in one direction: it isn't suspected again from here
+	// until this node has reached it.
+	vouched bool
+	// spread is how often the news is still sent ahead of its turn.
+	spread int
 }
 
-type gossipRound struct {
-	nextAt time.Duration
-	beat   uint64
-	turn   int
-}
-
-// VMsRead is the result of a WatchVMs.
-type VMsRead struct {
-	List platform.VMList
-	Err  error
+// memberTable holds the nodes heard of.
+type memberTable struct {
+	rows    map[string]*member
+	names   []string
+	sweepAt time.Duration
+	clashAt time.Duration
 }
 
-func (e VMsRead) apply(s *State, now time.Duration, _ *commands) {
-	t := &s.vms
-	t.watching = false
-	if e.Err != nil {
-		t.retryAt = now + s.jitter(retryPause)
-		return
-	}
-	t.known = true
-	if e.List.Version == t.version {
+// hear merges news of one node: a higher order wins, then a higher beat, then
+// the graver state.
+func (s *State) hear(news wire.Member, now time.Duration) {
+	m := s.members.rows[news.VM]
+	first := m == nil
+	if first {
+		if !s.expected(news.VM) {
+			return
+		}
+		m = &member{}
+		s.members.rows[news.VM] = m
+		s.members.names = append(s.members.names, news.VM)
+	} else if !newer(news, m.news) {
 		return
 	}
-	t.version = e.List.Version
-	t.rows = make(map[string]platform.VM, len(e.List.VMs))
-	for _, vm := range e.List.VMs {
-		t.rows[vm.Name] = vm
+	old := m.news
+	m.news, m.heard = news, now
+	s.stat(news.VM).Learn(pick.Identity{Incarnation: news.Incarnation, Tick: news.Tick})
+	switch {
+	case old.Incarnation != news.Incarnation:
+		m.failures, m.vouched = 0, false
+	case news.State != wire.MemberSuspect && news.Beat > old.Beat && m.failures >= suspectAfter:
+		m.failures, m.vouched = 0, true
 	}
-	s.dirty = true
-}
-
-func (s *State) runVMs(now time.Duration, out *commands) {
-	t := &s.vms
-	if t.watching || now < t.retryAt {
+	if old.State == news.State && (first || old.Incarnation == news.Incarnation) {
 		return
 	}
-	t.watching = true
-	out.add(WatchVMs{After: t.version})
+	s.spread(news.VM)
+	s.dirty = s.dirty || leaves(old.State) != leaves(news.State)
 }
 
-// GossipHeard is news that a peer sent, in a message or an answer.
-type GossipHeard struct {
-	News *wire.Gossip
-	// Addr is the peer's control address if this node dialled it.
-	Addr string
+// leaves says whether a node in a state takes no new work.
+func leaves(state wire.MemberState) bool {
+	return state == wire.MemberLeaving || state == wire.MemberListed
 }
 
-func (e GossipHeard) apply(s *State, now time.Duration, out *commands) {
-	for _, m := range e.News.Members {
-		s.hear(m, now)
+func newer(a, b wire.Member) bool {
+	if a.Order != b.Order {
+		return a.Order > b.Order
 	}
-	if m := s.members[e.News.From]; m != nil {
-		m.failures = 0
-		m.heard = now
-	}
-	if e.Addr == "" {
-		return
-	}
-	s.config.peers++
-	if e.News.Revision > s.config.newest().Revision ||
-		e.News.Revision == s.config.newest().Revision && e.News.Digest > s.config.newest().Digest {
-		out.add(FetchIndex{Digest: e.News.Digest, Peer: e.Addr})
+	if a.Beat != b.Beat {
+		return a.Beat > b.Beat
 	}
+	return a.State > b.State
 }
 
-// hear merges news of one node: a higher incarnation wins, then a higher beat.
-func (s *State) hear(news wire.Member, now time.Duration) {
-	if news.VM == s.self.VM {
-		return
+// hearSelf takes what others say of this VM. News of it under a higher order
+// come from a predecessor whose clock was ahead, or from a zombie VM beside its
+// replacement. Peers would go on believing them, so the node goes above them,
+// rarely enough that two living processes of one name don't race. list is the
+// version of the sender's VM list.
+func (s *State) hearSelf(news wire.Member, list uint64, now time.Duration, out *commands) {
+	if news.State == wire.MemberListed && list > s.vms.version {
+		s.backend.toldUntil = now + toldFor
 	}
-	m := s.members[news.VM]
-	if m == nil {
-		m = &member{}
-		s.members[news.VM] = m
-		m.news = news
-		m.heard = now
-		s.learn(news)
-		s.dirty = true
+	if news.Incarnation == s.self.Incarnation || news.Order < s.order || now < s.members.clashAt {
 		return
 	}
-	old := m.news
-	newer := news.Incarnation > old.Incarnation ||
-		news.Incarnation == old.Incarnation && (news.Beat > old.Beat || news.Beat == old.Beat && news.State > old.State)
-	if !newer {
-		return
-	}
-	m.news = news
-	m.heard = now
-	s.learn(news)
-	if old.State != news.State {
-		s.dirty = true
+	s.members.clashAt = now + clashPause
+	s.order = news.Order + 1
+	s.counters.NameClashes++
+	out.log("another process under this VM's name", "incarnation", news.Incarnation, "own", s.self.Incarnation)
+}
+
+// expected says whether a VM is listed or declared. Others aren't remembered,
+// so that wrong news can't fill the table. Before anything is known, all are.
+func (s *State) expected(vm string) bool {
+	if _, listed := s.vms.rows[vm]; listed || s.config.active == nil {
+		return true
 	}
+	return s.zoneOf(vm) != ""
 }
 
-func (s *State) learn(news wire.Member) {
-	s.stat(news.VM).Learn(pick.Identity{Incarnation: news.Incarnation, Tick: news.Tick})
+// spread has news of a VM sent ahead of their turn, often enough to reach
+// every node with high probability: a few times the logarithm of the fleet's size
+// (Demers et al., "Epidemic Algorithms for Replicated Database Maintenance", 1987).
+func (s *State) spread(vm string) {
+	const times = 2
+	if m := s.members.rows[vm]; m != nil {
+		m.spread = times * bits.Len(uint(len(s.vms.names)))
+	}
 }
 
 func (s *State) stat(vm string) *pick.Stat {
@@ -147,88 +138,44 @@
 	return st
 }
 
-// GossipFailed says that a peer could not be reached for an exchange.
-type GossipFailed struct{ VM string }
-
-func (e GossipFailed) apply(s *State, _ time.Duration, _ *commands) {
-	if m := s.members[e.VM]; m != nil {
-		m.failures++
+// failed counts an exchange that failed. After a few in a row the peer is
+// suspected and others are told; its next beat, heard by any way, refutes it.
+func (s *State) failed(vm string) {
+	m := s.members.rows[vm]
+	if m == nil || m.vouched {
+		return
+	}
+	m.failures++
+	if m.failures != suspectAfter || m.news.State != wire.MemberAlive {
+		return
 	}
+	s.counters.Suspicions++
+	m.news.State = wire.MemberSuspect
+	s.spread(vm)
 }
 
 func (s *State) suspected(vm string) bool {
-	m := s.members[vm]
+	m := s.members.rows[vm]
 	return m != nil && (m.failures >= suspectAfter || m.news.State == wire.MemberSuspect)
 }
 
 // runMembers drops what is neither listed nor heard of.
-func (s *State) runMembers(now time.Duration, _ *commands) {
-	for name, m := range s.members {
-		if _, listed := s.vms.rows[name]; !listed && now-m.heard > forgetAfter {
-			delete(s.members, name)
-		}
-	}
-}
-
-// runGossip starts an exchange with one random peer when it is due.
-func (s *State) runGossip(now time.Duration, out *commands) {
-	if now < s.round.nextAt {
-		return
-	}
-	s.round.nextAt = now + gossipEvery
-	if !s.joined {
-		s.round.nextAt = now + gossipEvery/10
-	}
-	s.round.beat++
-	vm, addr := s.peer()
-	if addr == "" {
+func (s *State) runMembers(now time.Duration) {
+	t := &s.members
+	if now < t.sweepAt {
 		return
 	}
-	out.add(SendGossip{VM: vm, Addr: addr, News: s.news()})
-}
-
-// peer chooses a random peer; while the VM list is unknown, a seed.
-func (s *State) peer() (vm, addr string) {
-	names := s.peerNames()
-	if len(names) == 0 {
-		if len(s.self.Seeds) == 0 {
-			return "", ""
+	t.sweepAt = now + sweepEvery
+	t.names = slices.DeleteFunc(t.names, func(name string) bool {
+		_, listed := s.vms.rows[name]
+		gone := !listed && now-t.rows[name].heard > forgetAfter
+		if gone {
+			delete(t.rows, name)
 		}
-		return "", s.self.Seeds[s.rnd.IntN(len(s.self.Seeds))]
-	}
-	vm = names[s.rnd.IntN(len(names))]
-	return vm, s.controlAddr(vm)
+		return gone
+	})
 }
 
-func (s *State) knownPeers() int { return len(s.peerNames()) }
-
-// news is what this node tells in one exchange: itself, and a few others in turn.
-func (s *State) news() *wire.Gossip {
-	v := s.config.version()
-	g := &wire.Gossip{From: s.self.VM, Revision: v.Revision, Digest: v.Digest}
-	g.Members = append(g.Members, s.selfNews())
-	names := s.memberNames()
-	for range min(newsPerGossip-1, len(names)) {
-		s.round.turn++
-		g.Members = append(g.Members, s.members[names[s.round.turn%len(names)]].news)
-	}
-	return g
-}
-
-func (s *State) selfNews() wire.Member {
-	state := wire.MemberAlive
-	if s.backend.leaving() {
-		state = wire.MemberLeaving
-	}
-	return wire.Member{
-		VM: s.self.VM, Incarnation: s.self.Incarnation, State: state,
-		Tick: s.backend.tick, Beat: s.round.beat,
-	}
-}
-
-// News gives what to answer to a peer's gossip.
-func (s *State) News() *wire.Gossip { return s.news() }
-
 func rendezvous(key, name string) uint64 {
 	return xxhash.Sum64String(key + "\x00" + name)
 }
@@ -236,15 +183,5 @@
 // Welcome says whether a node that dialled may send control messages: it must
 // be of this fleet and, once anything is known of its VMs, declared or listed.
 func (s *State) Welcome(h *wire.Hello) bool {
-	if h.Fleet != s.self.Fleet {
-		return false
-	}
-	if s.config.active == nil {
-		return true
-	}
-	if _, listed := s.vms.rows[h.VM]; listed {
-		return true
-	}
-	_, t := s.config.active.Target(h.VM)
-	return t != nil
+	return h.Fleet == s.self.Fleet && s.expected(h.VM)
 }
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -10,39 +10,75 @@
 	"github.com/limpetdock/limpetdock/internal/config"
 	"github.com/limpetdock/limpetdock/internal/pick"
 	"github.com/limpetdock/limpetdock/internal/platform"
-	"github.com/limpetdock/limpetdock/internal/wire"
 )
 
+// BackendState is how the own backend server is, as far as it tells.
+type BackendState uint8
+
+// The states of a backend server.
+const (
+	BackendLive BackendState = iota
+	// BackendDraining takes no new work, by its own word.
+	BackendDraining
+	// BackendStarting doesn't take work yet, by its own word.
+	BackendStarting
+	// BackendDown refuses connections.
+	BackendDown
+)
+
+var backendStates = [...]string{"live", "draining", "starting", "down"}
+
+// String gives the state's name.
+func (b BackendState) String() string { return backendStates[b] }
+
 // backendTable is what the guard says of the own backend server and of itself.
 type backendTable struct {
 	tick     uint64
-	draining bool
+	state    BackendState
 	stopping bool
 	listed   bool
+	// toldUntil is until when a peer's word holds that the VM list shows this
+	// VM leaving; the own copy of the list may lag behind the peer's.
+	toldUntil time.Duration
+	told      bool
 }
 
-func (t *backendTable) leaving() bool { return t.draining || t.stopping || t.listed }
+func (t *backendTable) leaving() bool {
+	return t.state != BackendLive || t.stopping || t.listed || t.told
+}
 
 // BackendSeen is the guard's state as it stands at this tick.
 type BackendSeen struct {
 	// Tick is the guard's coarse tick.
 	Tick uint64
-	// Draining is the backend server's own word, Stopping that of the node.
-	Draining, Stopping bool
+	// State is that of the backend server, Stopping that of the node.
+	State    BackendState
+	Stopping bool
+}
+
+func (e BackendSeen) apply(s *State, _ time.Duration, _ *commands) {
+	s.backend.tick, s.backend.state, s.backend.stopping = e.Tick, e.State, e.Stopping
 }
 
-func (e BackendSeen) apply(s *State, _ time.Duration, out *commands) {
-	was := s.backend.leaving()
-	s.backend.tick, s.backend.draining, s.backend.stopping = e.Tick, e.Draining, e.Stopping
-	s.backend.listed = s.vms.rows[s.self.VM].State == platform.VMLeaving
-	if now := s.backend.leaving(); now != was {
-		s.dirty = true
-		out.log("leaving changed", "leaving", now, "draining", e.Draining, "stopping", e.Stopping, "listed", s.backend.listed)
+// runBackend decides whether the own backend server takes new work, by whichever
+// sign comes first, and tells peers at once of a change.
+func (s *State) runBackend(now time.Duration, out *commands) {
+	t := &s.backend
+	was := s.leaving
+	t.listed = s.listedLeaving(s.self.VM)
+	t.told = now < t.toldUntil
+	s.leaving = t.leaving()
+	if s.leaving == was {
+		return
 	}
+	s.dirty = true
+	s.round.beat++
+	out.log("leaving changed", "leaving", s.leaving, "backend", t.state.String(), "stopping", t.stopping, "listed", t.listed || t.told)
+	s.push(out)
 }
 
 // Leaving says whether the own backend server is leaving, for the guard.
-func (s *State) Leaving() bool { return s.backend.leaving() }
+func (s *State) Leaving() bool { return s.leaving }
 
 // runView builds a new View when something in it has changed.
 func (s *State) runView(out *commands) {
@@ -76,7 +112,9 @@
 	slices.SortStableFunc(near, func(a, b *pick.Target) int {
 		return s.distance(a) - s.distance(b)
 	})
-	return pick.NewService(svc, append(near, far...), homes, len(near))
+	out := pick.NewService(svc, append(near, far...), homes, len(near))
+	out.Stamp = active.Stamp(svc, s.self.VM).String()
+	return out
 }
 
 func (s *State) distance(t *pick.Target) int {
@@ -97,38 +135,17 @@
 		t.Control = join(vm.IP, active.Index.Fleet.Ports.Control)
 		t.Leaving = vm.State == platform.VMLeaving
 	}
-	if m := s.members[declared.VM]; m != nil && m.news.State == wire.MemberLeaving {
+	if m := s.members.rows[declared.VM]; m != nil && leaves(m.news.State) {
 		t.Leaving = true
 	}
 	if declared.VM == s.self.VM {
-		t.Leaving = s.backend.leaving()
+		t.Leaving = s.leaving
 	}
 	return t
 }
 
 func join(ip string, port int) string { return net.JoinHostPort(ip, strconv.Itoa(port)) }
 
-// peerNames are the listed VMs but the own one, in order.
-func (s *State) peerNames() []string {
-	names := make([]string, 0, len(s.vms.rows))
-	for name := range s.vms.rows {
-		if name != s.self.VM && s.controlAddr(name) != "" {
-			names = append(names, name)
-		}
-	}
-	slices.Sort(names)
-	return names
-}
-
-func (s *State) memberNames() []string {
-	names := make([]string, 0, len(s.members))
-	for name := range s.members {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
-}
-
 // controlAddr gives a peer's control address. Before any configuration is
 // known, the default port is assumed.
 func (s *State) controlAddr(vm string) string {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -31,12 +31,13 @@
 // Entry is the entry role of a node: an http.Handler for callers. Safe for
 // concurrent use.
 type Entry struct {
-	view     atomic.Pointer[pick.View]
+	view     pick.Current
 	local    http.RoundTripper
 	remote   *http.Transport
 	seal     func(*wire.Seal) *wire.Sealed
 	peers    Caller
 	observer Observer
+	behind   atomic.Pointer[func(vm string)]
 	now      func() time.Duration
 }
 
@@ -63,6 +64,10 @@
 // SetView puts a new View in force.
 func (e *Entry) SetView(v *pick.View) { e.view.Store(v) }
 
+// OnBehind sets what is called, without waiting, when the guard on a VM refuses
+// a request because its configuration is another.
+func (e *Entry) OnBehind(f func(vm string)) { e.behind.Store(&f) }
+
 // View gives the View in force, or nil.
 func (e *Entry) View() *pick.View { return e.view.Load() }
 
@@ -98,7 +103,12 @@
 		return err
 	}
 	if x.once {
-		return e.serveOnce(ctx, w, v, x)
+		err = e.serveOnce(ctx, w, v, x)
+	} else {
+		err = e.serveIdempotent(ctx, w, v, x)
+	}
+	if err != nil {
+		err = e.reroute(ctx, w, v, x, err)
 	}
-	return e.serveIdempotent(ctx, w, v, x)
+	return err
 }
--- a/internal/entry/hop.go
+++ b/internal/entry/hop.go
@@ -65,6 +65,9 @@
 		return resp, nil
 	}
 	learn(t, resp)
+	if f := e.behind.Load(); f != nil && refusal.Kind == kind.StaleConfig {
+		(*f)(t.Place.VM)
+	}
 	_ = resp.Body.Close()
 	return nil, refusal
 }
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/limpetdock/limpetdock/internal/headers"
@@ -36,6 +37,8 @@
 	// body is the held body; nil when the request's body streams.
 	body   []byte
 	stream bool
+	// begun says that some of a streamed body has been read.
+	begun atomic.Bool
 }
 
 // parse checks a caller's request against the configuration in force.
@@ -138,10 +141,14 @@
 	io.ReadCloser
 	begun bool
 	cut   bool
+	owner *request
 }
 
 func (b *sentBody) Read(p []byte) (int, error) {
 	b.begun = true
+	if b.owner != nil {
+		b.owner.begun.Store(true)
+	}
 	n, err := b.ReadCloser.Read(p)
 	if err != nil && !errors.Is(err, io.EOF) {
 		b.cut = true
@@ -160,14 +167,14 @@
 	headers.StripHop(out.Header)
 	out.Header.Set(headers.Service, x.service.Name)
 	out.Header.Set(headers.Depth, strconv.Itoa(x.depth+1))
-	out.Header.Set(headers.Config, x.service.Tag())
+	out.Header.Set(headers.Config, x.service.Stamp)
 	if _, ok := out.Header["User-Agent"]; !ok {
 		out.Header["User-Agent"] = nil
 	}
 	var body *sentBody
 	switch {
 	case x.stream:
-		body = &sentBody{ReadCloser: io.NopCloser(in.Body)}
+		body = &sentBody{ReadCloser: io.NopCloser(in.Body), owner: x}
 		// The guard asks for the body only once it has taken the request, so a
 		// refusal leaves the body unread and the request can go elsewhere.
 		out.Header.Set("Expect", "100-continue")
--- /dev/null
+++ b/internal/entry/stale.go
@@ -0,0 +1,41 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/limpetdock/limpetdock/internal/kind"
+	"github.com/limpetdock/limpetdock/internal/pick"
+)
+
+// staleWait is how long a request waits for this node to catch up with the
+// guard that refused it. Fetching a configuration takes two round trips.
+const staleWait = 300 * time.Millisecond
+
+// reroute serves a request again that guards refused because this node's
+// configuration is older than theirs: it is parsed anew under the one that the
+// guards have. Nothing of the request has run, so this is no retry; it is tried once.
+func (e *Entry) reroute(ctx context.Context, w http.ResponseWriter, v *pick.View, x *request, err *kind.Error) *kind.Error {
+	if err.Kind != kind.StaleConfig || err.Said() != kind.NotRun || x.begun.Load() {
+		return err
+	}
+	wait, cancel := context.WithTimeout(ctx, staleWait)
+	defer cancel()
+	next := e.view.Wait(wait, func(now *pick.View) bool { return now.Config != v.Config })
+	if next == nil {
+		return err
+	}
+	again, err := parse(next, x.in)
+	if err != nil {
+		return err
+	}
+	again.body, again.stream = x.body, x.stream
+	if deadline, ok := ctx.Deadline(); ok {
+		again.timeout = min(again.timeout, time.Until(deadline))
+	}
+	if again.once {
+		return e.serveOnce(ctx, w, next, again)
+	}
+	return e.serveIdempotent(ctx, w, next, again)
+}
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -33,7 +33,8 @@
 	incarnation uint64
 	now         func() time.Duration
 	gate        *gate.Gate
-	view        atomic.Pointer[pick.View]
+	view        pick.Current
+	fence       fence
 	leaving     atomic.Bool
 	mu          sync.Mutex
 	attempts    *attempt.Table
@@ -168,6 +169,10 @@
 	if g.leaving.Load() {
 		return nil, nil, kind.New(kind.Leaving, "the backend server is leaving")
 	}
+	v, e := g.fenced(r, v)
+	if e != nil {
+		return nil, nil, e
+	}
 	svc, _ := v.Config.Target(v.Here.VM)
 	if svc == nil || svc.Name != r.Header.Get(headers.Service) {
 		return nil, nil, kind.New(kind.StaleConfig, "this node doesn't serve the service")
--- a/internal/headers/headers.go
+++ b/internal/headers/headers.go
@@ -40,7 +40,7 @@
 	Tick = "Limpetdock-Tick"
 	// Key is the caller's own idempotency key at its home.
 	Key = "Limpetdock-Key"
-	// Config is the revision and digest of the service document that routed the request.
+	// Config is the config.Stamp of the configuration that routed the request.
 	Config = "Limpetdock-Config"
 	// Collect asks for the answer of an attempt instead of running anything.
 	Collect = "Limpetdock-Collect"
--- a/internal/node/main.go
+++ b/internal/node/main.go
@@ -59,7 +59,7 @@
 	log := newLogger(set.LogLevel)
 	app := fx.New(Module, fx.NopLogger, fx.Supply(set),
 		fx.Provide(func() logr.Logger { return log }),
-		fx.StopTimeout(set.StopLimit+stopSlack))
+		fx.StopTimeout(set.StopGrace+set.StopLimit+stopSlack))
 	start, cancel := context.WithTimeout(context.Background(), app.StartTimeout())
 	defer cancel()
 	if err := app.Start(start); err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -75,7 +75,19 @@
 	})
 }
 
-func registerGauges(m *metrics.Metrics, c *link.Counters, p *platform.HTTP) {
+func registerGauges(m *metrics.Metrics, c *link.Counters, p *platform.HTTP, l *control.Loop) {
+	count := func(name, help string, read func(core.Counters) uint64) {
+		m.Counter(name, help, func() float64 { return float64(read(l.Counters())) })
+	}
+	count("limpetdock_config_applied_total", "Configurations put in force.", func(c core.Counters) uint64 { return c.Applied })
+	count("limpetdock_config_refused_total", "Configurations refused; the dump says why.", func(c core.Counters) uint64 { return c.Refused })
+	count("limpetdock_config_older_total", "Reads of the platform that gave an older revision than the one in force.", func(c core.Counters) uint64 { return c.OlderIndexes })
+	count("limpetdock_config_behind_total", "Requests that showed a peer under another configuration.", func(c core.Counters) uint64 { return c.Behind })
+	count("limpetdock_suspicions_total", "Peers that this node came to suspect.", func(c core.Counters) uint64 { return c.Suspicions })
+	count("limpetdock_name_clashes_total", "News of another process under this VM's name.", func(c core.Counters) uint64 { return c.NameClashes })
+	m.Gauge("limpetdock_config_revision", "Revision in force; 0 is none.", func() float64 { return float64(l.Counters().Revision) })
+	m.Counter("limpetdock_control_full_total", "Control connections refused because there were too many.", func() float64 { return float64(c.Full.Load()) })
+	m.Counter("limpetdock_control_dials_total", "Control connections opened to peers.", func() float64 { return float64(c.Dials.Load()) })
 	m.Counter("limpetdock_control_sent_bytes_total", "Bytes of control frames sent.", func() float64 { return float64(c.Sent.Load()) })
 	m.Counter("limpetdock_control_received_bytes_total", "Bytes of control frames received.", func() float64 { return float64(c.Received.Load()) })
 	m.Counter("limpetdock_control_strangers_total", "Control connections refused because of who dialled.", func() float64 { return float64(c.Strangers.Load()) })
@@ -96,31 +108,18 @@
 // servers are the HTTP servers of a node and their listeners.
 type servers struct {
 	callers, guard, admin *http.Server
-	listeners             []net.Listener
-	control               *link.Server
-}
-
-const (
-	// headerTimeout bounds how long a caller may take to send its headers.
-	headerTimeout = 10 * time.Second
-	idleTimeout   = 2 * time.Minute
-	// maxHeader bounds a request's headers, in bytes; more is answered 431.
-	maxHeader = 32 << 10
-)
-
-func newServer(h http.Handler) *http.Server {
-	return &http.Server{
-		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
-		ErrorLog: nil,
-	}
+	// callersDrain and guardDrain tell clients of the two to close.
+	callersDrain, guardDrain *drainer
+	listeners                []net.Listener
+	control                  *link.Server
 }
 
 func newServers(e *entry.Entry, g *guard.Guard, l *control.Loop, m *metrics.Metrics, c *link.Server) *servers {
-	return &servers{
-		callers: newServer(e), guard: newServer(g),
-		admin:   newServer(admin.New(face{l, e, g}, m.Registry)),
-		control: c,
-	}
+	s := &servers{control: c}
+	s.callers, s.callersDrain = newServer(e)
+	s.guard, s.guardDrain = newServer(g)
+	s.admin, _ = newServer(admin.New(face{l, e, g}, m.Registry))
+	return s
 }
 
 func (s *servers) listen(set *settings.Settings) error {
@@ -169,6 +168,8 @@
 			if err := p.Servers.listen(p.Settings); err != nil {
 				return err
 			}
+			p.Guard.OnBehind(p.Loop.Behind)
+			p.Entry.OnBehind(p.Loop.Behind)
 			p.Loop.Start()
 			p.Servers.serve(func(err error) {
 				p.Log.Error(err, "server ended")
@@ -185,63 +186,3 @@
 		},
 	})
 }
-
-const (
-	// healthEvery is how often the own backend server is asked how it is.
-	healthEvery   = 100 * time.Millisecond
-	healthTimeout = time.Second
-)
-
-// watchBackend asks the backend server beside the node how it is. It never
-// leaves the VM, so it costs nothing of the measuring budget.
-func (p parts) watchBackend(ctx context.Context) {
-	ticker := time.NewTicker(healthEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		ask, cancel := context.WithTimeout(ctx, healthTimeout)
-		h, err := p.Guard.Health(ask, "/healthz")
-		cancel()
-		if err == nil {
-			p.Loop.SetDraining(h.State == "draining")
-		}
-	}
-}
-
-// leaveFirst is how long a stopping node refuses new work at its guard while
-// its entry still takes callers, so that peers hear of it.
-const leaveFirst = 300 * time.Millisecond
-
-// stop ends the node without cutting what is in flight: the guard refuses new
-// work, callers' servers close idle connections and finish the rest, and the
-// control side answers about attempts until the end.
-func (p parts) stop() {
-	p.Log.Info("stopping")
-	p.Loop.SetStopping()
-	p.Guard.SetLeaving(true)
-	time.Sleep(leaveFirst)
-	limit, cancel := context.WithTimeout(context.Background(), p.Settings.StopLimit)
-	defer cancel()
-	if err := p.Servers.callers.Shutdown(limit); err != nil {
-		p.Log.Error(err, "callers cut off at the stop limit")
-	}
-	if err := p.Servers.guard.Shutdown(limit); err != nil {
-		p.Log.Error(err, "entries cut off at the stop limit")
-	}
-	p.Loop.Stop()
-	_ = p.Servers.listeners[3].Close()
-	p.Servers.control.Close()
-	_ = p.Servers.admin.Close()
-	p.Entry.Close()
-	p.Guard.Close()
-	p.Dialer.Close()
-	p.Platform.Close()
-	p.Log.Info("stopped")
-}
-
-// stopSlack is what a stop may take beyond the limit for requests in flight.
-const stopSlack = 5 * time.Second
--- a/internal/pick/view.go
+++ b/internal/pick/view.go
@@ -27,6 +27,8 @@
 // Service is one service with its usable targets, nearest first.
 type Service struct {
 	*config.Service
+	// Stamp goes with requests to guards, and says how they were routed.
+	Stamp string
 	// Targets are ordered by distance: own zone, own region, other regions.
 	Targets []*Target
 	// InRegion counts the targets of the own region, which come first.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -29,11 +29,15 @@
 	Callers, Guard, Control, Admin string
 	// Backend is the base URL of the backend server beside the node.
 	Backend *url.URL
+	// Health is the path of the backend server's health endpoint.
+	Health string
 	// Platform is the base URL of the platform's configuration service and VM list.
 	Platform *url.URL
 	// Seeds are control addresses of a few peers, used while the VM list is unknown.
 	Seeds []string
-	// StopLimit bounds a graceful stop.
+	// StopGrace is how long a stopping node lets callers close idle connections.
+	StopGrace time.Duration
+	// StopLimit bounds how long requests in flight may take to end after it.
 	StopLimit time.Duration
 	// LogLevel is the most detailed level that is logged: 0 is information, 1 debug.
 	LogLevel int
@@ -80,6 +84,7 @@
 	allowedName = "lower-case letters, digits, '-' and '.', at most 63"
 	allowedAddr = "IP:PORT"
 	allowedURL  = "http://IP:PORT[/path]"
+	allowedPath = "a path that starts with '/', without query"
 )
 
 var fields = []field{
@@ -92,9 +97,11 @@
 	{"listen", "control", "", true, allowedAddr, address(func(s *Settings) *string { return &s.Control })},
 	{"listen", "admin", "127.0.0.1:7400", false, allowedAddr, address(func(s *Settings) *string { return &s.Admin })},
 	{"backend", "url", "", true, allowedURL, base(func(s *Settings) **url.URL { return &s.Backend })},
+	{"backend", "health", "/healthz", false, allowedPath, healthPath},
 	{"platform", "url", "", true, allowedURL, base(func(s *Settings) **url.URL { return &s.Platform })},
 	{"platform", "seeds", "", false, "up to 8 of IP:PORT, separated by commas", seeds},
-	{"stop", "limit", "60s", false, "a duration from 1s to 1h", stopLimit},
+	{"stop", "grace", "3s", false, "a duration from 0s to 1m", duration(0, time.Minute, func(s *Settings) *time.Duration { return &s.StopGrace })},
+	{"stop", "limit", "60s", false, "a duration from 1s to 1h", duration(time.Second, time.Hour, func(s *Settings) *time.Duration { return &s.StopLimit })},
 	{"log", "level", "0", false, "0 or 1", logLevel},
 }
 
@@ -260,15 +267,25 @@
 	return nil
 }
 
-func stopLimit(s *Settings, v string) error {
-	d, err := time.ParseDuration(v)
-	if err != nil || d < time.Second || d > time.Hour {
-		return eris.Errorf("%q is out of range", v)
+func healthPath(s *Settings, v string) error {
+	if u, err := url.Parse(v); err != nil || !strings.HasPrefix(v, "/") || u.Path != v {
+		return eris.Errorf("%q is no path", v)
 	}
-	s.StopLimit = d
+	s.Health = v
 	return nil
 }
 
+func duration(low, high time.Duration, at func(*Settings) *time.Duration) func(*Settings, string) error {
+	return func(s *Settings, v string) error {
+		d, err := time.ParseDuration(v)
+		if err != nil || d < low || d > high {
+			return eris.Errorf("%q is out of range", v)
+		}
+		*at(s) = d
+		return nil
+	}
+}
+
 func logLevel(s *Settings, v string) error {
 	n, err := strconv.Atoi(v)
 	if err != nil || n < 0 || n > 1 {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -25,11 +25,13 @@
 	TypeDocument
 	TypeSeal
 	TypeSealed
+	TypeFetchVMs
+	TypeVMs
 )
 
 const (
 	headerSize = 6
-	// smallFrame bounds every message but documents.
+	// smallFrame bounds every message but documents and VM lists.
 	smallFrame = 64 << 10
 	// documentFrame bounds a document with its msgpack overhead.
 	documentFrame = 1<<20 + 4096
@@ -55,9 +57,11 @@
 
 // Gossip carries a few pieces of news; the answer to it is a Gossip too.
 type Gossip struct {
-	From     string    `msgpack:"f"`
-	Revision uint64    `msgpack:"r"`
-	Digest   string    `msgpack:"d"`
+	From     string `msgpack:"f"`
+	Revision uint64 `msgpack:"r"`
+	Digest   string `msgpack:"d"`
+	// VMs is the platform's version of the VM list that the sender has.
+	VMs      uint64    `msgpack:"l"`
 	Members  []Member  `msgpack:"m"`
 	Suspects []Suspect `msgpack:"s,omitempty"`
 }
@@ -71,17 +75,25 @@
 	MemberAlive MemberState = iota
 	MemberSuspect
 	MemberLeaving
+	// MemberListed is a node that the sender's VM list shows leaving.
+	MemberListed
 )
 
-// Member is news of one node. A higher incarnation overrides a lower one.
+// Member is news of one node. Its fields are sent without their names, because
+// most of the control bytes are these rows; a field once added stays in place.
 type Member struct {
-	VM          string      `msgpack:"v"`
-	Incarnation uint64      `msgpack:"i"`
-	State       MemberState `msgpack:"s"`
+	//lint:ignore U1000 msgpack reads its tag
+	_msgpack struct{} `msgpack:",as_array"`
+	VM       string
+	// Incarnation is the identity that at-most-once attempts must name.
+	Incarnation uint64
+	State       MemberState
 	// Tick is the guard's own coarse tick when the news left it.
-	Tick uint64 `msgpack:"t"`
-	// Beat orders news of one incarnation: the node itself raises it.
-	Beat uint64 `msgpack:"b"`
+	Tick uint64
+	// Order ranks news of one VM name, then Beat does: only the node itself
+	// raises them. Order starts as the incarnation; a node that finds a higher one
+	// under its name, as after its clock was set back, goes above it.
+	Order, Beat uint64
 }
 
 // Suspect is news of a request like those in flight when a backend server died.
@@ -94,7 +106,25 @@
 	ExpiresMs uint32 `msgpack:"e"`
 }
 
-// Fetch asks for a configuration document by the digest of its text.
+// FetchVMs asks for the VM list as the peer has it.
+type FetchVMs struct{}
+
+// VMs answers a FetchVMs.
+type VMs struct {
+	Version uint64 `msgpack:"v"`
+	Rows    []VM   `msgpack:"r"`
+}
+
+// VM is a row of the VM list.
+type VM struct {
+	//lint:ignore U1000 msgpack reads its tag
+	_msgpack struct{} `msgpack:",as_array"`
+	Name, IP string
+	Leaving  bool
+}
+
+// Fetch asks for a configuration document by the digest of its text; an empty
+// digest asks for the index in force.
 type Fetch struct {
 	Digest string `msgpack:"d"`
 }
@@ -158,6 +188,12 @@
 // Type tells the message's type.
 func (*Sealed) Type() Type { return TypeSealed }
 
+// Type tells the message's type.
+func (*FetchVMs) Type() Type { return TypeFetchVMs }
+
+// Type tells the message's type.
+func (*VMs) Type() Type { return TypeVMs }
+
 func blank(t Type) (Message, int) {
 	switch t {
 	case TypeHello:
@@ -172,6 +208,10 @@
 		return &Seal{}, smallFrame
 	case TypeSealed:
 		return &Sealed{}, smallFrame
+	case TypeFetchVMs:
+		return &FetchVMs{}, smallFrame
+	case TypeVMs:
+		return &VMs{}, documentFrame
 	}
 	return nil, 0
 }
