--- a/internal/core/suspect.go
+++ b/internal/core/suspect.go
@@ -29,10 +29,10 @@
 // runSuspects forgets old rows and puts what changed before the traffic side.
 // A killing request is sent again at once, often to another node, so its news
 // can't wait for the next round of gossip.
-func (s *State) runSuspects(now time.Duration) {
+func (s *State) runSuspects(now time.Duration, out *commands) {
 	s.suspects.Expire(now)
 	if set, changed := s.suspects.Changed(); changed {
 		s.accused, s.dirty = set, true
-		s.hurry(now)
+		s.push(out)
 	}
 }
--- a/internal/entry/hop.go
+++ b/internal/entry/hop.go
@@ -72,6 +72,9 @@
 		// looks idle; without this it would attract every request.
 		t.Stat.Avoid(e.now() + avoidDead)
 	}
+	if f := e.behind.Load(); f != nil && refusal.Kind == kind.StaleConfig {
+		(*f)(t.Place.VM)
+	}
 	_ = resp.Body.Close()
 	return nil, refusal
 }
