At-most-once requests: tickets, own keys at one home, silent connections given up

Cause: the thin path could run a request twice and could say 'not run' wrongly. net/http's transport repeats a GET on a kept connection that breaks; the guard answered the repeat with 'sealed, not run' although the first copy had run, and the entry went elsewhere. A copy met its record only by luck of timing (frozen process between record and send); an entry whose target had died asked until the deadline; a refused attempt took a record, so overload filled the table.

Change: transports can't repeat requests; a copy that meets a record joins it; the permit of the first byte reads the deadline again in the write itself and proves whether anything went out; records are made after the slot is had; fate is asked over new connections for a bounded time; exchanges in which nothing moves are checked over the control port; tickets; keys of callers at the home by rendezvous hash, with the lifetime, target-list and confirmation rules. The control loop tells the guard what the platform and peers say of its own VM, and beats the entry's pulse.

Ruled out: recording before the queue (fills the table under overload, and a waiting attempt could not be sealed).

--- a/internal/control/io.go
+++ b/internal/control/io.go
@@ -25,6 +25,11 @@
 
 func (l *Loop) watchVMs(c core.WatchVMs) {
 	list, err := l.platform.WatchVMs(l.ctx, c.After)
+	for _, vm := range list.VMs {
+		if vm.Name == l.vm && err == nil {
+			l.guard.Listed(vm.IP)
+		}
+	}
 	l.submit(core.VMsRead{List: list, Err: err})
 }
 
@@ -70,6 +75,7 @@
 		l.submit(core.GossipFailed{VM: c.VM})
 		return
 	}
+	l.guard.Heard(news.Members)
 	l.submit(core.GossipHeard{News: news, Addr: c.Addr})
 }
 
@@ -90,6 +96,7 @@
 func (l *Loop) Answer(_ string, m wire.Message) wire.Message {
 	switch m := m.(type) {
 	case *wire.Gossip:
+		l.guard.Heard(m.Members)
 		l.submit(core.GossipHeard{News: m})
 		var news *wire.Gossip
 		l.Ask(func(s *core.State) { news = s.News() })
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -33,13 +33,20 @@
 	SetLeaving(leaving bool)
 	SetView(v *pick.View)
 	Seal(m *wire.Seal) *wire.Sealed
+	// Listed and Heard tell what the platform and peers say of the own VM.
+	Listed(addr string)
+	Heard(news []wire.Member)
 }
 
 // Entry is what the loop needs of the node's entry.
-type Entry interface{ SetView(v *pick.View) }
+type Entry interface {
+	SetView(v *pick.View)
+	Beat()
+}
 
 // Loop owns the control state. Its methods are safe for concurrent use.
 type Loop struct {
+	vm       string
 	state    *core.State
 	platform platform.Client
 	peers    *link.Dialer
@@ -61,6 +68,8 @@
 
 // Config is what a Loop is made of.
 type Config struct {
+	// VM is the node's own.
+	VM       string
 	State    *core.State
 	Platform platform.Client
 	Peers    *link.Dialer
@@ -74,7 +83,7 @@
 func New(c Config) *Loop {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Loop{
-		state: c.State, platform: c.Platform, peers: c.Peers, guard: c.Guard, entry: c.Entry,
+		vm: c.VM, state: c.State, platform: c.Platform, peers: c.Peers, guard: c.Guard, entry: c.Entry,
 		log: c.Log, now: c.Now, ctx: ctx, cancel: cancel,
 		events: make(chan core.Event, eventRoom), asks: make(chan func(*core.State)),
 	}
@@ -124,6 +133,7 @@
 			l.do(cmd)
 		}
 		l.guard.SetLeaving(l.state.Leaving())
+		l.entry.Beat()
 		events = events[:0]
 	}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -8,6 +8,9 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/google/uuid"
+
+	"github.com/limpetdock/limpetdock/internal/headers"
 	"github.com/limpetdock/limpetdock/internal/kind"
 	"github.com/limpetdock/limpetdock/internal/pick"
 	"github.com/limpetdock/limpetdock/internal/wire"
@@ -33,11 +36,27 @@
 type Entry struct {
 	view     atomic.Pointer[pick.View]
 	local    http.RoundTripper
-	remote   *http.Transport
+	remote   *transports
 	seal     func(*wire.Seal) *wire.Sealed
 	peers    Caller
 	observer Observer
 	now      func() time.Duration
+	pulse    pulse
+	counters Counters
+	// name is unique to this process; exchanges counts the ids made with it.
+	name      string
+	exchanges atomic.Uint64
+}
+
+// Counters count what an entry does about exchanges that went wrong. Safe for
+// concurrent use.
+type Counters struct {
+	// Checks counts questions about exchanges in which nothing moved.
+	Checks atomic.Uint64
+	// Silent counts connections given up because they had gone silent.
+	Silent atomic.Uint64
+	// Resolved counts attempts whose fate had to be asked for.
+	Resolved atomic.Uint64
 }
 
 // Config is what an Entry is made of.
@@ -55,13 +74,28 @@
 // New returns an Entry that answers not-ready until it has a View.
 func New(c Config) *Entry {
 	return &Entry{
-		local: c.Local, remote: newTransport(), seal: c.Seal,
-		peers: c.Peers, observer: c.Observer, now: c.Now,
+		local: c.Local, remote: newTransports(), seal: c.Seal,
+		peers: c.Peers, observer: c.Observer, now: c.Now, name: uuid.NewString(),
 	}
 }
 
 // SetView puts a new View in force.
-func (e *Entry) SetView(v *pick.View) { e.view.Store(v) }
+func (e *Entry) SetView(v *pick.View) {
+	e.view.Store(v)
+	inUse := map[string]bool{}
+	for _, s := range v.Services {
+		for _, t := range s.Targets {
+			inUse[t.Guard] = true
+		}
+	}
+	e.remote.Keep(inUse)
+}
+
+// Beat must be called often; a late call shows that the process was paused.
+func (e *Entry) Beat() { e.pulse.Beat(time.Now()) }
+
+// Counters gives what has been counted so far.
+func (e *Entry) Counters() *Counters { return &e.counters }
 
 // View gives the View in force, or nil.
 func (e *Entry) View() *pick.View { return e.view.Load() }
@@ -94,9 +128,13 @@
 	*service = x.service.Name
 	ctx, cancel := context.WithTimeout(r.Context(), x.timeout)
 	defer cancel()
+	if r.Header.Get(headers.Ticket) != "" {
+		return e.issue(ctx, w, x)
+	}
 	if err := x.holdBody(); err != nil {
 		return err
 	}
+	x.arrived = time.Now()
 	if x.once {
 		return e.serveOnce(ctx, w, v, x)
 	}
--- a/internal/entry/hop.go
+++ b/internal/entry/hop.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"net/url"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/limpetdock/limpetdock/internal/headers"
@@ -15,26 +14,8 @@
 	"github.com/limpetdock/limpetdock/internal/pick"
 )
 
-const (
-	// dialTimeout bounds opening a connection to a guard.
-	dialTimeout = time.Second
-	// avoidFor is how long a target that couldn't be reached is passed over.
-	avoidFor = time.Second
-)
-
-func newTransport() *http.Transport {
-	dialer := &net.Dialer{
-		Timeout: dialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: time.Second, Interval: time.Second, Count: 3,
-		},
-	}
-	return &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 32, IdleConnTimeout: time.Minute,
-		DisableCompression: true, ExpectContinueTimeout: time.Hour,
-		ReadBufferSize: 16 << 10, WriteBufferSize: 16 << 10,
-	}
-}
+// avoidFor is how long a target that couldn't be reached is passed over.
+const avoidFor = time.Second
 
 func cloneURL(r *http.Request) *url.URL {
 	u := *r.URL
@@ -45,7 +26,6 @@
 // send offers a request to a target and gives the backend server's answer, or
 // the kind of trouble. A nil error comes with an answer whose body must be closed.
 func (e *Entry) send(ctx context.Context, v *pick.View, t *pick.Target, out *http.Request) (*http.Response, *kind.Error) {
-	out = out.WithContext(ctx)
 	if deadline, ok := ctx.Deadline(); ok {
 		left := time.Until(deadline).Milliseconds()
 		if left <= 0 {
@@ -56,9 +36,9 @@
 	out.URL.Host = t.Guard
 	t.Stat.InFlight.Add(1)
 	defer t.Stat.InFlight.Add(-1)
-	resp, err := e.hop(v, t).RoundTrip(out)
-	if err != nil {
-		return nil, e.transportError(ctx, t, err)
+	resp, failed := e.exchange(ctx, v, t, out)
+	if failed != nil {
+		return nil, failed
 	}
 	refusal := kind.Read(resp)
 	if refusal == nil {
@@ -69,20 +49,43 @@
 	return nil, refusal
 }
 
-func (e *Entry) hop(v *pick.View, t *pick.Target) http.RoundTripper {
+// exchange sends the request and gives whatever answer comes.
+func (e *Entry) exchange(ctx context.Context, v *pick.View, t *pick.Target, out *http.Request) (*http.Response, *kind.Error) {
 	if v.Local(t) {
-		return e.local
+		resp, err := e.local.RoundTrip(out.WithContext(ctx))
+		if err != nil {
+			return nil, kind.From(err)
+		}
+		return resp, nil
+	}
+	w := e.watch(ctx, t, out)
+	out = out.WithContext(w.ctx)
+	out.Body = w.request(out.Body)
+	headers.Unreplayable(out)
+	resp, err := e.remote.RoundTrip(out)
+	if err != nil {
+		defer w.stop()
+		return nil, e.transportError(w, err)
+	}
+	resp.Body = w.answer(resp.Body)
+	if got := resp.Header.Get(headers.Exchange); got != w.ask.Attempt {
+		// Another request's answer. The connection is closed with its rest unread.
+		_ = resp.Body.Close()
+		e.remote.Drop(t.Guard)
+		return nil, kind.New(kind.OutcomeUnknown, "the target answered another request")
 	}
-	return e.remote
+	return resp, nil
 }
 
-func (e *Entry) transportError(ctx context.Context, t *pick.Target, err error) *kind.Error {
+func (e *Entry) transportError(w *watch, err error) *kind.Error {
 	var op *net.OpError
 	switch {
 	case errors.As(err, &op) && op.Op == "dial":
-		t.Stat.Avoid(e.now() + avoidFor)
+		w.target.Stat.Avoid(e.now() + avoidFor)
 		return kind.New(kind.Unreachable, "the target can't be reached").Because(err)
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case w.silent():
+		return kind.New(kind.OutcomeUnknown, "the connection to the target went silent").Because(errSilent)
+	case errors.Is(w.ctx.Err(), context.DeadlineExceeded):
 		return kind.New(kind.DeadlineUnknown, "the deadline passed before an answer came").Because(err)
 	}
 	return kind.New(kind.OutcomeUnknown, "the exchange with the target broke off").Because(err)
@@ -100,12 +103,3 @@
 	}
 	t.Stat.Learn(pick.Identity{Incarnation: incarnation, Tick: tick})
 }
-
-// lowerKey spells the idempotency key so that net/http's transport doesn't
-// take it for leave to send the request again by itself.
-func lowerKey(h http.Header) {
-	if values, ok := h[headers.IdempotencyKey]; ok {
-		delete(h, headers.IdempotencyKey)
-		h[strings.ToLower(headers.IdempotencyKey)] = values
-	}
-}
--- a/internal/entry/idempotent.go
+++ b/internal/entry/idempotent.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 
+	"github.com/limpetdock/limpetdock/internal/headers"
 	"github.com/limpetdock/limpetdock/internal/kind"
 	"github.com/limpetdock/limpetdock/internal/pick"
 )
@@ -20,6 +21,7 @@
 		}
 		tried = append(tried, t)
 		out, body := x.outgoing()
+		out.Header.Set(headers.Exchange, e.exchangeID())
 		resp, err := e.send(ctx, v, t, out)
 		if err == nil {
 			err = deliver(w, resp)
@@ -29,7 +31,7 @@
 		}
 		last = err
 		ran = ran || err.Said() != kind.NotRun
-		if ctx.Err() != nil || x.stream && body.begun {
+		if ctx.Err() != nil || x.stream && body.begun.Load() {
 			break
 		}
 		if !again(err) {
--- /dev/null
+++ b/internal/entry/key.go
@@ -0,0 +1,88 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/limpetdock/limpetdock/internal/attempt"
+	"github.com/limpetdock/limpetdock/internal/kind"
+	"github.com/limpetdock/limpetdock/internal/pick"
+)
+
+const (
+	// keyOffers bounds the offers to a home; one after the first is for a home
+	// that tells its new identity.
+	keyOffers = 3
+	// keyDelay is how long after its arrival a keyed request may be offered.
+	// Homes keep records a Window longer than the key's lifetime for it.
+	keyDelay = attempt.Window / 2
+)
+
+// serveKey offers a request with a key of the caller's own to the key's home,
+// and to no other target: another one can't know whether a copy has run.
+func (e *Entry) serveKey(ctx context.Context, w http.ResponseWriter, v *pick.View, x *request) *kind.Error {
+	if e.pulse.Doubts(openedAt(x.in), time.Now()) {
+		w.Header().Set("Connection", "close")
+		return kind.New(kind.KeyUnknown, "this node was paused and can't tell how old the request is; send it on a new connection")
+	}
+	home := homeOf(x)
+	var err *kind.Error
+	for range keyOffers {
+		var body *sentBody
+		body, err = e.offerKey(ctx, w, v, x, home)
+		if err == nil {
+			return nil
+		}
+		if err.Kind != kind.StaleAttempt || x.stream && body.begun.Load() {
+			break
+		}
+	}
+	return ofEveryCopy(err)
+}
+
+func homeOf(x *request) *pick.Target {
+	names := make([]string, len(x.service.Homes))
+	for i, t := range x.service.Homes {
+		names[i] = t.Place.VM
+	}
+	return targetOn(x, attempt.Home(x.service.Name, x.key, names))
+}
+
+func targetOn(x *request, vm string) *pick.Target {
+	for _, t := range x.service.Homes {
+		if t.Place.VM == vm {
+			return t
+		}
+	}
+	return nil
+}
+
+// offerKey reads the home's identity before it checks the request's age: if the
+// process is frozen anywhere in between, either the check or the home's window
+// for ticks refuses, and the copy can't run after its record was forgotten.
+func (e *Entry) offerKey(ctx context.Context, w http.ResponseWriter, v *pick.View, x *request, home *pick.Target) (*sentBody, *kind.Error) {
+	if home == nil || home.Guard == "" {
+		return &sentBody{}, kind.New(kind.Unreachable, "the key's home isn't listed by the platform")
+	}
+	id := identityOf(home)
+	if older(x.arrived, keyDelay) {
+		return &sentBody{}, kind.New(kind.KeyUnknown, "the request was held up for too long at this node")
+	}
+	return e.offer(ctx, w, v, x, sent{target: home, id: attempt.KeyID(x.key)}, id)
+}
+
+// older compares by both clocks, as the monotonic one stands still while a VM is suspended.
+func older(t time.Time, than time.Duration) bool {
+	now := time.Now()
+	return now.Sub(t) > than || now.Round(0).Sub(t.Round(0)) > than
+}
+
+// ofEveryCopy weakens what an entry concluded by itself: "not run" about a
+// ticket or key speaks of every copy, and only its guard can know that.
+func ofEveryCopy(err *kind.Error) *kind.Error {
+	if err.Said() == kind.NotRun && !err.FromGuard {
+		err.Outcome = kind.Unknown
+	}
+	return err
+}
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -4,45 +4,51 @@
 	"context"
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/google/uuid"
 
 	"github.com/limpetdock/limpetdock/internal/headers"
 	"github.com/limpetdock/limpetdock/internal/kind"
 	"github.com/limpetdock/limpetdock/internal/pick"
-	"github.com/limpetdock/limpetdock/internal/wire"
 )
 
-// serveOnce offers an at-most-once request to targets. It goes on to another
-// one only on proof that the one before did not and will not run it.
+// serveOnce runs an at-most-once request. A ticket or a key of the caller's own
+// names the one target that may run it; otherwise any may.
 func (e *Entry) serveOnce(ctx context.Context, w http.ResponseWriter, v *pick.View, x *request) *kind.Error {
 	// The run isn't tied to the caller's connection: a caller that goes away
 	// may come back for the answer.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), x.timeout)
 	defer cancel()
+	switch {
+	case x.ticket != nil:
+		return e.serveTicket(ctx, w, v, x)
+	case x.key != "":
+		return e.serveKey(ctx, w, v, x)
+	}
+	return e.serveAnywhere(ctx, w, v, x)
+}
+
+// serveAnywhere offers a request to targets. It goes on to another one only on
+// proof that the one before did not and will not run it.
+func (e *Entry) serveAnywhere(ctx context.Context, w http.ResponseWriter, v *pick.View, x *request) *kind.Error {
 	var tried []*pick.Target
 	var last *kind.Error
-	offers := 0
-	for offers < 2*x.service.Hops {
+	for range 2 * x.service.Hops {
 		t := x.service.Pick(e.now(), tried)
 		if t == nil {
 			break
 		}
-		offers++
-		resp, body, err := e.attemptAt(ctx, v, x, t)
-		if err == nil {
-			return deliver(w, resp)
-		}
-		last = err
-		if err.Said() != kind.NotRun {
+		// Each offer has an id of its own, so the proof about one says nothing
+		// of, and can't be spoilt by, another.
+		body, err := e.offer(ctx, w, v, x, sent{target: t, id: uuid.NewString()}, identityOf(t))
+		if err == nil || err.Said() != kind.NotRun {
 			return err
 		}
-		if ctx.Err() != nil || x.stream && body.begun {
+		last = err
+		if ctx.Err() != nil || x.stream && body.begun.Load() {
 			break
 		}
-		row, _ := kind.AnswerOf(err.Kind)
-		if !row.Elsewhere {
+		if row, _ := kind.AnswerOf(err.Kind); !row.Elsewhere {
 			break
 		}
 		if err.Kind != kind.StaleAttempt {
@@ -53,81 +59,41 @@
 	return conclude(last, false)
 }
 
-// attemptAt makes one attempt at one target, and finds out its fate.
-func (e *Entry) attemptAt(ctx context.Context, v *pick.View, x *request, t *pick.Target) (*http.Response, *sentBody, *kind.Error) {
-	id := uuid.NewString()
-	identity := t.Stat.Identity()
-	if identity == nil {
-		identity = &pick.Identity{}
-	}
-	out, body := x.outgoing()
-	lowerKey(out.Header)
-	out.Header.Set(headers.Attempt, id)
-	out.Header.Set(headers.Incarnation, strconv.FormatUint(identity.Incarnation, 16))
-	out.Header.Set(headers.Tick, strconv.FormatUint(identity.Tick, 10))
-	resp, err := e.send(ctx, v, t, out)
-	if err == nil || err.Said() == kind.NotRun {
-		return resp, body, err
+// identityOf gives what is known of the guard; a zero one is refused, and the
+// refusal tells the right one.
+func identityOf(t *pick.Target) pick.Identity {
+	if id := t.Stat.Identity(); id != nil {
+		return *id
 	}
-	if err.Kind == kind.OutcomeUnknown {
-		resp, err = e.resolve(ctx, v, t, id, identity.Incarnation)
-	}
-	return resp, body, err
+	return pick.Identity{}
 }
 
-// resolvePause is the pause between two tries to ask a guard.
-const resolvePause = 50 * time.Millisecond
-
-// resolve asks the attempt's own incarnation, over new connections, what became
-// of it, until it is answered or the deadline passes.
-func (e *Entry) resolve(ctx context.Context, v *pick.View, t *pick.Target, id string, incarnation uint64) (*http.Response, *kind.Error) {
-	ask := &wire.Seal{Incarnation: incarnation, Attempt: id}
-	for {
-		reply, err := e.ask(ctx, v, t, ask)
-		if err == nil {
-			switch reply.State {
-			case wire.AttemptSealed:
-				return nil, kind.New(kind.Sealed, "the attempt was sealed before it ran")
-			case wire.AttemptDone, wire.AttemptRunning:
-				resp, err := e.collect(ctx, v, t, id)
-				if err == nil || err.Kind != kind.OutcomeUnknown {
-					return resp, err
-				}
-			default:
-				return nil, kind.New(kind.OutcomeUnknown, "the target can't tell what became of the request")
-			}
-		}
-		select {
-		case <-ctx.Done():
-			return nil, kind.New(kind.OutcomeUnknown, "the target that may have run the request can't be asked")
-		case <-time.After(resolvePause):
-		}
-	}
-}
-
-func (e *Entry) ask(ctx context.Context, v *pick.View, t *pick.Target, ask *wire.Seal) (*wire.Sealed, error) {
-	if v.Local(t) {
-		return e.seal(ask), nil
+// offer makes one attempt at one target and sees it through: its answer is
+// delivered, or its fate is known, or it is known that nobody can tell.
+func (e *Entry) offer(ctx context.Context, w http.ResponseWriter, v *pick.View, x *request, s sent, id pick.Identity) (*sentBody, *kind.Error) {
+	s.incarnation = id.Incarnation
+	out, body := x.outgoing()
+	out.Header.Set(headers.Attempt, s.id)
+	out.Header.Set(headers.Incarnation, formatHex(id.Incarnation))
+	out.Header.Set(headers.Tick, formatUint(id.Tick))
+	resp, err := e.send(ctx, v, s.target, out)
+	if err == nil {
+		err = deliver(w, resp)
 	}
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	m, err := e.peers.CallNew(ctx, t.Control, ask)
-	if err != nil {
-		return nil, err
+	if err == nil || !open(err) {
+		return body, err
 	}
-	reply, ok := m.(*wire.Sealed)
-	if !ok {
-		return nil, kind.New(kind.OutcomeUnknown, "the target answered something else")
+	if x.cut(body) {
+		return body, kind.New(kind.BodyCut, "the request's body ended early; a part of it was sent").Because(err)
 	}
-	return reply, nil
+	return body, e.resolve(ctx, w, s)
 }
 
-// collect gets the kept answer of an attempt.
-func (e *Entry) collect(ctx context.Context, v *pick.View, t *pick.Target, id string) (*http.Response, *kind.Error) {
-	out, err := http.NewRequest(http.MethodGet, "http://"+t.Guard+"/", nil)
-	if err != nil {
-		return nil, kind.From(err)
-	}
-	out.Header.Set(headers.Collect, id)
-	return e.send(ctx, v, t, out)
+func formatHex(n uint64) string  { return strconv.FormatUint(n, 16) }
+func formatUint(n uint64) string { return strconv.FormatUint(n, 10) }
+
+func incarnationOf(h http.Header) uint64 {
+	// What can't be parsed stays 0, which is no incarnation.
+	n, _ := strconv.ParseUint(h.Get(headers.Incarnation), 16, 64)
+	return n
 }
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/limpetdock/limpetdock/internal/headers"
@@ -31,7 +32,11 @@
 	// once says that the request runs at most once.
 	once    bool
 	timeout time.Duration
-	key     string
+	// key is the caller's own idempotency key, and ticket one of ours.
+	key    string
+	ticket *ticket
+	// arrived is when the request was read, with its body if that is held.
+	arrived time.Time
 	depth   int
 	// body is the held body; nil when the request's body streams.
 	body   []byte
@@ -48,9 +53,9 @@
 	if conf == nil {
 		return nil, kind.New(kind.UnknownService, "no service %q is declared", clip(orHost(name, r.Host)))
 	}
-	x := &request{in: r, service: v.Services[conf.Name], key: r.Header.Get(headers.IdempotencyKey)}
-	if len(x.key) > maxKey {
-		return nil, kind.New(kind.BadRequest, "%s is longer than %d bytes", headers.IdempotencyKey, maxKey)
+	x := &request{in: r, service: v.Services[conf.Name]}
+	if err := x.parseKey(); err != nil {
+		return nil, err
 	}
 	route := conf.Match(r.Method, r.URL.Path)
 	x.once = route == nil || !route.Idempotent
@@ -60,6 +65,24 @@
 	return x, x.parseDepth()
 }
 
+// parseKey tells a ticket from a key of the caller's own.
+func (x *request) parseKey() *kind.Error {
+	key := x.in.Header.Get(headers.IdempotencyKey)
+	if strings.HasPrefix(key, ticketMark) {
+		t, err := decodeTicket(x.service.Name, key)
+		if err != nil {
+			return kind.New(kind.BadRequest, "%s: %s", headers.IdempotencyKey, err)
+		}
+		x.ticket = t
+		return nil
+	}
+	if len(key) > maxKey {
+		return kind.New(kind.BadRequest, "%s is longer than %d bytes", headers.IdempotencyKey, maxKey)
+	}
+	x.key = key
+	return nil
+}
+
 func orHost(name, host string) string {
 	if name != "" {
 		return name
@@ -136,19 +159,22 @@
 // from then on a streamed request can't be offered to another target.
 type sentBody struct {
 	io.ReadCloser
-	begun bool
-	cut   bool
+	begun atomic.Bool
+	cut   atomic.Bool
 }
 
 func (b *sentBody) Read(p []byte) (int, error) {
-	b.begun = true
+	b.begun.Store(true)
 	n, err := b.ReadCloser.Read(p)
 	if err != nil && !errors.Is(err, io.EOF) {
-		b.cut = true
+		b.cut.Store(true)
 	}
 	return n, err
 }
 
+// cut says whether a streamed body broke off on the caller's side.
+func (x *request) cut(body *sentBody) bool { return x.stream && body.cut.Load() }
+
 // outgoing gives the request for a guard, with a body of its own.
 func (x *request) outgoing() (*http.Request, *sentBody) {
 	in := x.in
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -21,7 +21,6 @@
 	"github.com/limpetdock/limpetdock/internal/headers"
 	"github.com/limpetdock/limpetdock/internal/kind"
 	"github.com/limpetdock/limpetdock/internal/pick"
-	"github.com/limpetdock/limpetdock/internal/wire"
 )
 
 // Guard is the guard role of a node. It is an http.RoundTripper, so that the
@@ -38,6 +37,8 @@
 	mu          sync.Mutex
 	attempts    *attempt.Table
 	running     sync.WaitGroup
+	// Counters count what was decided about attempts.
+	Counters Counters
 }
 
 // New returns the guard of the backend server at base. now gives the time
@@ -55,7 +56,7 @@
 
 func newTransport() *http.Transport {
 	return &http.Transport{
-		MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute, DisableCompression: true,
+		DialContext: dialBackend, MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute, DisableCompression: true,
 		ReadBufferSize: 16 << 10, WriteBufferSize: 16 << 10,
 	}
 }
@@ -69,6 +70,7 @@
 		return
 	}
 	g.gate.SetLimits(t.Slots, svc.Queue)
+	g.setKeys(svc, v.Here.VM)
 }
 
 // SetLeaving makes the guard refuse new work, or take it again.
@@ -80,27 +82,12 @@
 // Load gives the load of the backend server as the guard counts it.
 func (g *Guard) Load() gate.Load { return g.gate.Load() }
 
-// Attempts gives the number of attempt records and the bytes of kept answers.
-func (g *Guard) Attempts() (records, stored int) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.attempts.Len()
-}
-
 // Wait returns once no request runs any more.
 func (g *Guard) Wait() { g.running.Wait() }
 
 // Close drops the idle connections to the backend server.
 func (g *Guard) Close() { g.transport.CloseIdleConnections() }
 
-// Seal answers what became of an attempt.
-func (g *Guard) Seal(m *wire.Seal) *wire.Sealed {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	state := g.attempts.Seal(m.Attempt, m.Incarnation, m.AskOnly, g.now())
-	return &wire.Sealed{Incarnation: g.incarnation, Tick: g.Tick(), State: state}
-}
-
 // ServeHTTP takes a request from another node's entry.
 func (g *Guard) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	resp, err := g.RoundTrip(r)
@@ -110,6 +97,8 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	headers.Copy(w.Header(), resp.Header)
+	// The entry checks that this is the answer to what it sent on the connection.
+	w.Header().Set(headers.Exchange, exchangeOf(r))
 	w.WriteHeader(resp.StatusCode)
 	if _, err := io.Copy(w, resp.Body); err != nil {
 		// A cut answer must look cut: the connection is aborted, not ended.
@@ -131,27 +120,50 @@
 	if id := r.Header.Get(headers.Collect); id != "" {
 		return g.collect(r, id)
 	}
+	if id := r.Header.Get(headers.Attempt); id != "" {
+		return g.runOnce(r, id)
+	}
+	return g.runIdempotent(r)
+}
+
+// exchangeOf gives the name under which an entry sent a request.
+func exchangeOf(r *http.Request) string {
+	for _, name := range []string{headers.Collect, headers.Attempt, headers.Exchange} {
+		if id := r.Header.Get(name); id != "" {
+			return id
+		}
+	}
+	return ""
+}
+
+func (g *Guard) runIdempotent(r *http.Request) (*http.Response, *kind.Error) {
 	ctx, cancel, e := g.admissible(r)
 	if e != nil {
 		return nil, e
 	}
-	if id := r.Header.Get(headers.Attempt); id != "" {
-		return g.runOnce(ctx, cancel, r, id)
-	}
+	id := r.Header.Get(headers.Exchange)
+	g.arrive(id)
 	leave, e := g.gate.Enter(ctx)
 	if e != nil {
+		g.depart(id)
 		cancel()
 		return nil, e
 	}
 	g.running.Add(1)
 	end := func() {
 		leave()
+		g.depart(id)
 		cancel()
 		g.running.Done()
 	}
-	resp, err := g.forward(ctx, r)
+	deadline, _ := ctx.Deadline()
+	p := &permit{deadline: deadline}
+	resp, err := g.forward(withPermit(ctx, p), r)
 	if err != nil {
 		end()
+		if p.revoke() {
+			return nil, notSent(deadline, err)
+		}
 		return nil, backendError(ctx, err)
 	}
 	resp.Body = &endingBody{ReadCloser: resp.Body, end: sync.OnceFunc(end)}
@@ -197,7 +209,7 @@
 		out.Header.Set(headers.TimeoutMs, strconv.FormatInt(max(1, time.Until(deadline).Milliseconds()), 10))
 	}
 	out.Header.Del("Expect")
-	unreplayable(out)
+	headers.Unreplayable(out)
 	resp, err := g.transport.RoundTrip(out)
 	if err != nil {
 		return nil, err
@@ -222,8 +234,6 @@
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return kind.New(kind.DeadlineUnknown, "the deadline passed while the backend server ran the request").Because(err)
-	case isDial(err):
-		return kind.New(kind.Unreachable, "the backend server can't be reached").Because(err)
 	}
 	return kind.New(kind.BackendDied, "the backend server broke off the exchange").Because(err)
 }
--- a/internal/guard/http.go
+++ b/internal/guard/http.go
@@ -4,9 +4,8 @@
 	"bytes"
 	"errors"
 	"io"
-	"net"
 	"net/http"
-	"strings"
+	"sync/atomic"
 )
 
 // endingBody calls end once the answer has been read to its end or closed.
@@ -29,31 +28,18 @@
 	return err
 }
 
-// unreplayable keeps net/http's transport from sending a request again by
-// itself: when a reused connection breaks before the answer, it repeats
-// requests that have no body and a safe method or an Idempotency-Key header. The
-// backend server may have run the first copy, so the request gets a body that
-// can't be had twice, and its key a spelling that the transport doesn't look up.
-func unreplayable(r *http.Request) {
-	for _, name := range []string{"Idempotency-Key", "X-Idempotency-Key"} {
-		if values, ok := r.Header[name]; ok {
-			delete(r.Header, name)
-			r.Header[strings.ToLower(name)] = values
-		}
-	}
-	switch r.Method {
-	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
-		if r.Body == nil || r.Body == http.NoBody {
-			r.Body = io.NopCloser(bytes.NewReader(nil))
-			r.ContentLength = 0
-		}
-	}
+// watchedBody notices when a request's body breaks off. Safe for concurrent use.
+type watchedBody struct {
+	io.ReadCloser
+	failed atomic.Bool
 }
 
-// isDial says that no connection could be opened, so nothing was sent.
-func isDial(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial"
+func (b *watchedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		b.failed.Store(true)
+	}
+	return n, err
 }
 
 // recorder is a ResponseWriter that keeps a small answer of the system.
--- a/internal/guard/once.go
+++ b/internal/guard/once.go
@@ -3,12 +3,15 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/limpetdock/limpetdock/internal/attempt"
 	"github.com/limpetdock/limpetdock/internal/headers"
 	"github.com/limpetdock/limpetdock/internal/kind"
@@ -19,46 +22,37 @@
 // reaches the backend server, so that a cut upload is known not to have run.
 const maxHeldBody = 64 << 10
 
-// runOnce runs an at-most-once attempt. Its run outlives the exchange that
-// brought it: the entry may come back for the answer over another connection.
-func (g *Guard) runOnce(_ context.Context, cancel context.CancelFunc, r *http.Request, id string) (*http.Response, *kind.Error) {
-	deadline := time.Now().Add(timeLeft(r))
-	cancel()
-	incarnation, _ := strconv.ParseUint(r.Header.Get(headers.Incarnation), 16, 64)
-	tick, _ := strconv.ParseUint(r.Header.Get(headers.Tick), 10, 64)
-	if e := g.holdBody(r); e != nil {
+// runOnce runs an at-most-once attempt, or joins the run that its id has had.
+func (g *Guard) runOnce(r *http.Request, id string) (*http.Response, *kind.Error) {
+	c := claimOf(r, id)
+	body, e := holdBody(r)
+	if e != nil {
 		return nil, e
 	}
-	if e := g.begin(id, incarnation, tick); e != nil {
-		return nil, e
+	c.Fingerprint = fingerprint(r, body)
+	if v, wait := g.check(c); v != attempt.Start {
+		return g.settle(r, c, v, wait)
 	}
-	ctx, cancel := context.WithDeadline(context.WithoutCancel(r.Context()), deadline)
-	g.running.Add(1)
-	type result struct {
-		resp *http.Response
-		e    *kind.Error
+	deadline := time.Now().Add(timeLeft(r))
+	leave, e := g.enter(r, c)
+	if e != nil {
+		return g.refuse(r, c, e)
 	}
-	ended := make(chan result, 1)
-	go func() {
-		resp, e := g.runRecorded(ctx, r, id, sync.OnceFunc(func() {
-			cancel()
-			g.running.Done()
-		}))
-		ended <- result{resp, e}
-	}()
-	select {
-	case res := <-ended:
-		return res.resp, res.e
-	case <-r.Context().Done():
-		// The entry is gone; the run goes on and its answer is kept.
-		go func() {
-			if res := <-ended; res.resp != nil {
-				_, _ = io.Copy(io.Discard, res.resp.Body)
-				_ = res.resp.Body.Close()
-			}
-		}()
-		return nil, kind.New(kind.OutcomeUnknown, "the entry has gone")
+	// Recorded only now that it has a slot: what is refused or still waits
+	// takes no room in the table and can be sealed.
+	if v, wait := g.begin(c); v != attempt.Start {
+		leave()
+		return g.settle(r, c, v, wait)
 	}
+	return g.detach(r, c, deadline, leave)
+}
+
+func claimOf(r *http.Request, id string) attempt.Claim {
+	c := attempt.Claim{ID: id}
+	// What can't be parsed stays 0, which is no incarnation.
+	c.Incarnation, _ = strconv.ParseUint(r.Header.Get(headers.Incarnation), 16, 64)
+	c.Tick, _ = strconv.ParseUint(r.Header.Get(headers.Tick), 10, 64)
+	return c
 }
 
 func timeLeft(r *http.Request) time.Duration {
@@ -66,84 +60,133 @@
 	return time.Duration(ms) * time.Millisecond
 }
 
-func (g *Guard) begin(id string, incarnation, tick uint64) *kind.Error {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	switch g.attempts.Begin(id, incarnation, tick, g.now()) {
-	case attempt.Stale:
-		return kind.New(kind.StaleAttempt, "the attempt is for another incarnation or too old")
-	case attempt.Known:
-		return kind.New(kind.Sealed, "the attempt has a record already")
-	case attempt.Full:
-		return kind.New(kind.Overloaded, "no room for a record of the attempt")
-	}
-	return nil
-}
-
-// holdBody reads a small body whole. A long one is left to stream.
-func (g *Guard) holdBody(r *http.Request) *kind.Error {
-	if r.Body == nil || r.Body == http.NoBody || r.ContentLength < 0 || r.ContentLength > maxHeldBody {
-		return nil
+// holdBody reads a small body whole. A long one, or one without a length, is
+// left to stream, and nil is returned for it.
+func holdBody(r *http.Request) ([]byte, *kind.Error) {
+	if r.Body == nil || r.Body == http.NoBody {
+		return []byte{}, nil
+	}
+	if r.ContentLength < 0 || r.ContentLength > maxHeldBody {
+		return nil, nil
 	}
 	text, err := io.ReadAll(r.Body)
 	if err != nil {
 		e := kind.New(kind.BodyCut, "the request's body ended early").Because(err)
-		e.Outcome = kind.NotRun
-		return e
+		e.Outcome = notRunUnless(attempt.ClassOf(r.Header.Get(headers.Attempt)))
+		return nil, e
 	}
 	r.Body = io.NopCloser(bytes.NewReader(text))
-	return nil
+	return text, nil
+}
+
+// fingerprint tells requests apart by method, target and, where it was held, body.
+func fingerprint(r *http.Request, body []byte) uint64 {
+	h := xxhash.New()
+	for _, part := range []string{r.Method, r.URL.RequestURI(), strconv.FormatInt(r.ContentLength, 10)} {
+		_, _ = h.WriteString(part)
+		_, _ = h.Write([]byte{0})
+	}
+	_, _ = h.Write(body)
+	return h.Sum64()
 }
 
-// runRecorded runs an attempt that has been recorded, and records its end.
-// end is called once nothing of it runs any more.
-func (g *Guard) runRecorded(ctx context.Context, r *http.Request, id string, end func()) (*http.Response, *kind.Error) {
-	leave, e := g.gate.Enter(ctx)
+// enter checks whether the guard takes work and waits for a slot. While it
+// waits, the attempt can be sealed.
+func (g *Guard) enter(r *http.Request, c attempt.Claim) (leave func(), e *kind.Error) {
+	ctx, cancel, e := g.admissible(r)
 	if e != nil {
-		g.abort(id)
-		end()
 		return nil, e
 	}
-	// A process that was frozen between the record and here must not run stale work.
-	if ctx.Err() != nil {
-		g.abort(id)
+	defer cancel()
+	g.arrive(c.ID)
+	defer g.depart(c.ID)
+	return g.gate.Enter(ctx)
+}
+
+type result struct {
+	resp *http.Response
+	e    *kind.Error
+}
+
+// detach runs a recorded attempt. The run outlives the exchange that brought
+// it: the entry may come back for the answer over another connection.
+func (g *Guard) detach(r *http.Request, c attempt.Claim, deadline time.Time, leave func()) (*http.Response, *kind.Error) {
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(r.Context()), deadline)
+	g.running.Add(1)
+	end := sync.OnceFunc(func() {
+		cancel()
 		leave()
-		end()
-		return nil, kind.New(kind.DeadlineNotRun, "the deadline passed before the request could run")
+		g.running.Done()
+	})
+	body := &watchedBody{ReadCloser: r.Body}
+	if r.Body != nil && r.Body != http.NoBody {
+		r.Body = body
 	}
-	done := func() {
-		leave()
-		end()
+	ended := make(chan result, 1)
+	go func() {
+		resp, e := g.runRecorded(ctx, r, c.ID, &permit{deadline: deadline}, body, end)
+		ended <- result{resp, e}
+	}()
+	select {
+	case res := <-ended:
+		return res.resp, res.e
+	case <-r.Context().Done():
+		go discard(ended)
+		return nil, kind.New(kind.OutcomeUnknown, "the entry has gone")
 	}
-	resp, err := g.forward(ctx, r)
-	if err != nil {
-		e := backendError(ctx, err)
-		if e.Said() == kind.NotRun {
-			g.abort(id)
-		} else {
-			g.finish(id, nil)
-		}
-		done()
-		return nil, e
+}
+
+// discard reads an answer that nobody waits for any more to its end.
+func discard(ended <-chan result) {
+	res := <-ended
+	if res.resp == nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, res.resp.Body)
+	_ = res.resp.Body.Close()
+}
+
+// runRecorded hands a recorded attempt to the backend server and records its
+// end. end is called once nothing of it runs any more.
+func (g *Guard) runRecorded(ctx context.Context, r *http.Request, id string, p *permit, body *watchedBody, end func()) (*http.Response, *kind.Error) {
+	resp, err := g.forward(withPermit(ctx, p), r)
+	if err == nil {
+		return g.keepAnswer(resp, id, end)
+	}
+	defer end()
+	if p.revoke() {
+		g.abort(id)
+		return nil, notSent(p.deadline, err)
+	}
+	g.finish(id, nil)
+	if body.failed.Load() && ctx.Err() == nil {
+		return nil, kind.New(kind.BodyCut, "the request's body ended early, after the backend server had its start").Because(err)
+	}
+	return nil, backendError(ctx, err)
+}
+
+// notSent tells why no byte went to the backend server.
+func notSent(deadline time.Time, err error) *kind.Error {
+	if passed(deadline, time.Now()) || errors.Is(err, errRevoked) {
+		return kind.New(kind.DeadlineNotRun, "the deadline passed before the request could run").Because(err)
 	}
-	return g.keepAnswer(resp, id, done)
+	return kind.New(kind.Unreachable, "the backend server can't be reached").Because(err)
 }
 
 // keepAnswer keeps a small answer whole, so that it can be collected again.
-func (g *Guard) keepAnswer(resp *http.Response, id string, done func()) (*http.Response, *kind.Error) {
+func (g *Guard) keepAnswer(resp *http.Response, id string, end func()) (*http.Response, *kind.Error) {
 	a, whole, err := answerOf(resp)
 	if err != nil {
 		_ = resp.Body.Close()
 		g.finish(id, nil)
-		done()
+		end()
 		return nil, kind.New(kind.BackendBroken, "the backend server broke off its answer").Because(err)
 	}
 	if whole {
 		_ = resp.Body.Close()
 		g.finish(id, a)
-		done()
-		resp.Body = io.NopCloser(bytes.NewReader(a.Body))
-		return resp, nil
+		end()
+		return answerFrom(a), nil
 	}
 	rest := resp.Body
 	resp.Body = &endingBody{
@@ -153,26 +196,34 @@
 		}{io.MultiReader(bytes.NewReader(a.Body), rest), rest},
 		end: sync.OnceFunc(func() {
 			g.finish(id, nil)
-			done()
+			end()
 		}),
 	}
 	return resp, nil
 }
 
-func (g *Guard) abort(id string) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.attempts.Abort(id, g.now())
+// answerFrom makes an answer out of a kept one. Its length is the one that was
+// counted, so a cut between nodes is seen.
+func answerFrom(a *attempt.Answer) *http.Response {
+	header := a.Header.Clone()
+	header.Set("Content-Length", strconv.Itoa(len(a.Body)))
+	return &http.Response{
+		StatusCode: a.Status, Header: header, ContentLength: int64(len(a.Body)),
+		Body:  io.NopCloser(bytes.NewReader(a.Body)),
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+	}
 }
 
-func (g *Guard) finish(id string, a *attempt.Answer) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.attempts.Finish(id, a, g.now())
+// collect gives the kept answer of an attempt of this incarnation.
+func (g *Guard) collect(r *http.Request, id string) (*http.Response, *kind.Error) {
+	if claimOf(r, id).Incarnation != g.incarnation {
+		return nil, kind.New(kind.OutcomeUnknown, "the attempt belongs to another incarnation")
+	}
+	return g.join(r, id)
 }
 
-// collect waits for an attempt's end and gives its kept answer.
-func (g *Guard) collect(r *http.Request, id string) (*http.Response, *kind.Error) {
+// join waits for an attempt's end and gives its kept answer.
+func (g *Guard) join(r *http.Request, id string) (*http.Response, *kind.Error) {
 	state, answer, ended := g.look(id)
 	if state == wire.AttemptRunning {
 		ctx, cancel := context.WithTimeout(r.Context(), timeLeft(r))
@@ -186,21 +237,12 @@
 	}
 	switch state {
 	case wire.AttemptDone:
-		return &http.Response{
-			StatusCode: answer.Status, Header: answer.Header.Clone(), ContentLength: int64(len(answer.Body)),
-			Body: io.NopCloser(bytes.NewReader(answer.Body)), Request: r,
-			Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		}, nil
+		g.Counters.Redelivered.Add(1)
+		return answerFrom(answer), nil
 	case wire.AttemptSealed:
-		return nil, kind.New(kind.Sealed, "the attempt was sealed and will never run")
+		return nil, sealedError(id)
 	case wire.AttemptLost:
 		return nil, kind.New(kind.AnswerLost, "the request ran or may have; its answer isn't kept")
 	}
 	return nil, kind.New(kind.OutcomeUnknown, "no record of the attempt")
 }
-
-func (g *Guard) look(id string) (wire.AttemptState, *attempt.Answer, <-chan struct{}) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.attempts.Look(id)
-}
--- a/internal/headers/headers.go
+++ b/internal/headers/headers.go
@@ -38,8 +38,8 @@
 	Incarnation = "Limpetdock-Incarnation"
 	// Tick is the guard's own coarse tick as the entry learnt it.
 	Tick = "Limpetdock-Tick"
-	// Key is the caller's own idempotency key at its home.
-	Key = "Limpetdock-Key"
+	// Exchange is the id of an idempotent request on its way, for progress checks.
+	Exchange = "Limpetdock-Exchange"
 	// Config is the revision and digest of the service document that routed the request.
 	Config = "Limpetdock-Config"
 	// Collect asks for the answer of an attempt instead of running anything.
@@ -52,7 +52,7 @@
 
 // internalNames are removed from what callers and backend servers send.
 var internalNames = []string{
-	Attempt, Incarnation, Tick, Key, Config, Collect, Suspect, Load, Kind, Outcome, Ticket,
+	Attempt, Incarnation, Tick, Exchange, Config, Collect, Suspect, Load, Kind, Outcome, Ticket,
 }
 
 // hopByHop are the headers of one connection only (RFC 9110, section 7.6.1).
--- /dev/null
+++ b/internal/headers/replay.go
@@ -0,0 +1,31 @@
+package headers
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"strings"
+)
+
+// Unreplayable keeps net/http's transport from sending a request again by
+// itself: when a kept connection breaks before the answer, it repeats requests
+// that have no body and a safe method or an Idempotency-Key header. The first
+// copy may have run, and an error of the second one (a refused connection) would
+// be taken for proof that nothing was sent. So the request gets a body that
+// can't be had twice, and its key a spelling that the transport doesn't look up.
+func Unreplayable(r *http.Request) {
+	for _, name := range []string{IdempotencyKey, "X-Idempotency-Key"} {
+		if values, ok := r.Header[name]; ok {
+			delete(r.Header, name)
+			r.Header[strings.ToLower(name)] = values
+		}
+	}
+	r.GetBody = nil
+	switch r.Method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		if r.Body == nil || r.Body == http.NoBody {
+			r.Body = io.NopCloser(bytes.NewReader(nil))
+			r.ContentLength = 0
+		}
+	}
+}
--- a/internal/kind/answer.go
+++ b/internal/kind/answer.go
@@ -62,7 +62,7 @@
 	if _, ok := table[k]; !ok {
 		return New(OutcomeUnknown, "a node answered with a kind this version doesn't know")
 	}
-	e := &Error{Kind: k, Outcome: Outcome(resp.Header.Get(headers.Outcome))}
+	e := &Error{Kind: k, Outcome: Outcome(resp.Header.Get(headers.Outcome)), FromGuard: true}
 	var b body
 	// A message that can't be read changes nothing about the kind.
 	if json.NewDecoder(http.MaxBytesReader(nil, resp.Body, 4096)).Decode(&b) == nil {
--- a/internal/kind/kind.go
+++ b/internal/kind/kind.go
@@ -135,6 +135,8 @@
 	Outcome Outcome
 	// RetryAfter is the hint for the caller; zero means the default.
 	RetryAfter time.Duration
+	// FromGuard says that the target's guard told it, and not the entry itself.
+	FromGuard bool
 	// Cause is for logs only and never shown to callers.
 	Cause error
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -71,11 +72,12 @@
 
 func newLoop(self core.Self, p *platform.HTTP, d *link.Dialer, g *guard.Guard, e *entry.Entry, log logr.Logger, now Clock) *control.Loop {
 	return control.New(control.Config{
-		State: core.New(self, rand.Uint64()), Platform: p, Peers: d, Guard: g, Entry: e, Log: log, Now: now,
+		VM: self.VM, State: core.New(self, rand.Uint64()), Platform: p, Peers: d, Guard: g, Entry: e, Log: log, Now: now,
 	})
 }
 
-func registerGauges(m *metrics.Metrics, c *link.Counters, p *platform.HTTP) {
+func registerGauges(m *metrics.Metrics, c *link.Counters, p *platform.HTTP, e *entry.Entry, g *guard.Guard) {
+	registerAttempts(m, e, g)
 	m.Counter("limpetdock_control_sent_bytes_total", "Bytes of control frames sent.", func() float64 { return float64(c.Sent.Load()) })
 	m.Counter("limpetdock_control_received_bytes_total", "Bytes of control frames received.", func() float64 { return float64(c.Received.Load()) })
 	m.Counter("limpetdock_control_strangers_total", "Control connections refused because of who dialled.", func() float64 { return float64(c.Strangers.Load()) })
@@ -83,6 +85,25 @@
 	m.Counter("limpetdock_platform_calls_total", "Calls to the platform, a waiting watch as one.", func() float64 { return float64(p.Calls.Load()) })
 }
 
+func registerAttempts(m *metrics.Metrics, e *entry.Entry, g *guard.Guard) {
+	counters := []struct {
+		name, help string
+		value      *atomic.Uint64
+	}{
+		{"limpetdock_progress_checks_total", "Questions to targets about exchanges in which nothing moved.", &e.Counters().Checks},
+		{"limpetdock_silent_connections_total", "Exchanges given up because their connection had gone silent.", &e.Counters().Silent},
+		{"limpetdock_attempts_resolved_total", "At-most-once attempts whose fate had to be asked for.", &e.Counters().Resolved},
+		{"limpetdock_attempts_refused_total", "Copies of attempts that the guard didn't run: stale, conflicting, or of a key not taken.", &g.Counters.Refused},
+		{"limpetdock_attempts_sealed_total", "Answers of the guard that an attempt is sealed and will never run.", &g.Counters.Sealed},
+		{"limpetdock_answers_redelivered_total", "Kept answers of attempts that were given again.", &g.Counters.Redelivered},
+	}
+	for _, c := range counters {
+		m.Counter(c.name, c.help, func() float64 { return float64(c.value.Load()) })
+	}
+	m.Gauge("limpetdock_attempt_records", "Records of at-most-once attempts.", func() float64 { n, _ := g.Attempts(); return float64(n) })
+	m.Gauge("limpetdock_attempt_answer_bytes", "Bytes of kept answers.", func() float64 { _, n := g.Attempts(); return float64(n) })
+}
+
 // face is the node as the admin API shows it.
 type face struct {
 	*control.Loop
@@ -116,8 +137,10 @@
 }
 
 func newServers(e *entry.Entry, g *guard.Guard, l *control.Loop, m *metrics.Metrics, c *link.Server) *servers {
+	callers := newServer(e)
+	callers.ConnContext = entry.ConnContext
 	return &servers{
-		callers: newServer(e), guard: newServer(g),
+		callers: callers, guard: newServer(g),
 		admin:   newServer(admin.New(face{l, e, g}, m.Registry)),
 		control: c,
 	}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -109,7 +109,6 @@
 type Seal struct {
 	Incarnation uint64 `msgpack:"i"`
 	Attempt     string `msgpack:"a"`
-	Key         string `msgpack:"k,omitempty"`
 	// AskOnly leaves an attempt that hasn't arrived unsealed.
 	AskOnly bool `msgpack:"o,omitempty"`
 }
@@ -131,6 +130,8 @@
 	AttemptLost
 	// AttemptElsewhere belongs to another incarnation than the one asked.
 	AttemptElsewhere
+	// AttemptWaiting is at the guard and has not been recorded: it may still be sealed.
+	AttemptWaiting
 )
 
 // Sealed answers a Seal.
