--- a/internal/kind/kind.go
+++ b/internal/kind/kind.go
@@ -139,6 +139,8 @@
 	Death uint64
 	// Alone says that the request was the only one in flight at that death.
 	Alone bool
+	// FromGuard says that the target's guard told it, and not the entry itself.
+	FromGuard bool
 	// Cause is for logs only and never shown to callers.
 	Cause error
 }
