Choose targets by cost, health and distance; bound measuring and retries

Cause: the thin policies looked at requests in flight alone. A server that fails fast has none and so drew all traffic, and other regions were used only when no target at home was left.

New keys of a service: queue-order, refusal.

--- a/fleet/check.go
+++ b/fleet/check.go
@@ -156,6 +156,10 @@
 	if !slices.Contains(policies, s.Policy) {
 		fs.addf("service %s: policy %q (allowed: %s)", s.Name, s.Policy, strings.Join(policies, ", "))
 	}
+	orders := []string{OrderFIFO, OrderLIFO, OrderDeadline}
+	if !slices.Contains(orders, s.QueueOrder) {
+		fs.addf("service %s: queue-order %q (allowed: %s)", s.Name, s.QueueOrder, strings.Join(orders, ", "))
+	}
 	within(fs, s.Name, "timeout", s.Timeout, time.Millisecond, s.MaxTimeout)
 	within(fs, s.Name, "max-timeout", s.MaxTimeout, time.Millisecond, 24*time.Hour)
 	within(fs, s.Name, "key-lifetime", s.KeyLifetime, time.Second, 7*24*time.Hour)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -70,6 +70,12 @@
 	RetryPercent int
 	// Queue bounds the requests that wait at each target.
 	Queue int
+	// QueueOrder is who of those that wait runs next; empty means DefaultQueueOrder.
+	QueueOrder string
+	// NoRefusal makes targets queue what they would refuse. It exists to measure
+	// what refusal is worth; without refusal nothing bounds a request's wait but
+	// its deadline.
+	NoRefusal bool
 	// InFlight bounds the service's requests in flight at each node; 0 means no limit.
 	InFlight int
 	// KeyLifetime is how long a caller may send an idempotency key of its own again.
@@ -116,6 +122,18 @@
 	DefaultPolicy = PolicyTwoChoices
 )
 
+// The orders in which requests that wait at a target run.
+const (
+	OrderFIFO = "fifo"
+	// OrderLIFO is first in first out until the queue has stood for a while,
+	// then last in first out.
+	OrderLIFO     = "lifo"
+	OrderDeadline = "deadline"
+
+	// DefaultQueueOrder is used where a service names none.
+	DefaultQueueOrder = OrderFIFO
+)
+
 // Defaults for what a declaration leaves at zero.
 const (
 	DefaultTimeout      = 5 * time.Second
@@ -155,6 +173,7 @@
 	s.Hops = or(s.Hops, DefaultHops)
 	s.RetryPercent = or(s.RetryPercent, DefaultRetryPercent)
 	s.Queue = or(s.Queue, DefaultQueue)
+	s.QueueOrder = or(s.QueueOrder, DefaultQueueOrder)
 	s.KeyLifetime = or(s.KeyLifetime, DefaultKeyLifetime)
 	targets := make([]Target, len(s.Targets))
 	for i, t := range s.Targets {
--- a/fleet/print.go
+++ b/fleet/print.go
@@ -103,6 +103,7 @@
 		pair{"name", s.Name}, pair{"hosts", strings.Join(s.Hosts, ",")}, pair{"team", s.Team},
 		pair{"policy", s.Policy}, dur("timeout", s.Timeout), dur("max-timeout", s.MaxTimeout),
 		num("hops", s.Hops), num("retry-percent", s.RetryPercent), num("queue", s.Queue),
+		pair{"queue-order", s.QueueOrder}, pair{"refusal", onOff(!s.NoRefusal)},
 		num("in-flight", s.InFlight), dur("key-lifetime", s.KeyLifetime))
 	for _, r := range s.Routes {
 		runs := "at-most-once"
@@ -124,5 +125,12 @@
 	return Document{Key: "service/" + s.Name + "@" + hex.EncodeToString(sum[:8]), Text: text}, nil
 }
 
+func onOff(on bool) string {
+	if on {
+		return "on"
+	}
+	return "off"
+}
+
 func num(key string, v int) pair           { return pair{key, strconv.Itoa(v)} }
 func dur(key string, v time.Duration) pair { return pair{key, v.String()} }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -164,7 +164,7 @@
 	switch what {
 	case "service":
 		r.allow(s, "name", "hosts", "team", "policy", "timeout", "max-timeout", "hops",
-			"retry-percent", "queue", "in-flight", "key-lifetime")
+			"retry-percent", "queue", "queue-order", "refusal", "in-flight", "key-lifetime")
 		out.Name = s.Key("name").String()
 		out.Hosts = split(s.Key("hosts").String())
 		out.Team = s.Key("team").String()
@@ -174,6 +174,8 @@
 		out.Hops = r.int(s, "hops")
 		out.RetryPercent = r.int(s, "retry-percent")
 		out.Queue = r.int(s, "queue")
+		out.QueueOrder = s.Key("queue-order").MustString(fleet.DefaultQueueOrder)
+		out.NoRefusal = !r.onOff(s, "refusal")
 		out.InFlight = r.int(s, "in-flight")
 		out.KeyLifetime = r.duration(s, "key-lifetime")
 	case "route":
@@ -292,6 +294,19 @@
 	return v
 }
 
+// onOff reads a switch that is on where it is left out.
+func (r *reader) onOff(s *ini.Section, key string) bool {
+	switch v := s.Key(key).String(); v {
+	case "", "on":
+		return true
+	case "off":
+		return false
+	default:
+		r.fail("[%s] %s: %q (allowed: on, off)", s.Name(), key, v)
+		return true
+	}
+}
+
 func (r *reader) uint(s *ini.Section, key string) uint64 {
 	v, err := strconv.ParseUint(s.Key(key).String(), 10, 64)
 	if err != nil || v == 0 {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -30,6 +30,7 @@
 	vms     vmTable
 	members map[string]*member
 	stats   map[string]*pick.Stat
+	shared  map[string]*pick.Shared
 	backend backendTable
 	joined  bool
 	dirty   bool
@@ -52,6 +53,7 @@
 		vms:     vmTable{rows: map[string]platform.VM{}},
 		members: map[string]*member{},
 		stats:   map[string]*pick.Stat{},
+		shared:  map[string]*pick.Shared{},
 		dirty:   true,
 	}
 }
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -63,35 +63,31 @@
 }
 
 func (s *State) viewService(active *config.Config, svc *config.Service) *pick.Service {
-	var near, far, homes []*pick.Target
+	homes := make([]*pick.Target, 0, len(svc.Targets))
 	for _, declared := range svc.Targets {
-		t := s.viewTarget(active, declared)
-		homes = append(homes, t)
-		if t.Region == s.self.Region {
-			near = append(near, t)
-		} else {
-			far = append(far, t)
-		}
+		homes = append(homes, s.viewTarget(active, declared))
 	}
-	slices.SortStableFunc(near, func(a, b *pick.Target) int {
-		return s.distance(a) - s.distance(b)
-	})
-	return pick.NewService(svc, append(near, far...), homes, len(near))
+	targets, inRegion := pick.Subset(s.self.Place, homes, len(s.vms.rows))
+	return pick.NewService(svc, targets, homes, inRegion, s.serviceState(svc.Name))
 }
 
-func (s *State) distance(t *pick.Target) int {
-	if t.Place.Zone == s.self.Zone {
-		return 0
+// serviceState is what traffic goroutines keep of a service from View to View.
+func (s *State) serviceState(name string) *pick.Shared {
+	state := s.shared[name]
+	if state == nil {
+		state = &pick.Shared{}
+		s.shared[name] = state
 	}
-	return 1
+	return state
 }
 
 func (s *State) viewTarget(active *config.Config, declared fleet.Target) *pick.Target {
 	t := &pick.Target{
-		Place:  pick.Place{VM: declared.VM, Zone: declared.Zone, Region: active.Regions[declared.Zone]},
-		Target: declared,
-		Stat:   s.stat(declared.VM),
+		Place: pick.Place{VM: declared.VM, Zone: declared.Zone, Region: active.Regions[declared.Zone]},
+		Slots: declared.Slots, Connections: declared.Connections,
+		Stat: s.stat(declared.VM),
 	}
+	t.Distance = s.self.DistanceTo(t.Place)
 	if vm, ok := s.vms.rows[declared.VM]; ok {
 		t.Guard = join(vm.IP, active.Index.Fleet.Ports.Guard)
 		t.Control = join(vm.IP, active.Index.Fleet.Ports.Control)
--- /dev/null
+++ b/internal/pick/cost.go
@@ -0,0 +1,85 @@
+package pick
+
+import "time"
+
+const (
+	// loadHalf is the age at which a load report counts half.
+	loadHalf = 100 * time.Millisecond
+	// forgetAfter is when a latency without newer samples counts no more, so
+	// that a target which was slow is tried again.
+	forgetAfter = 5 * time.Second
+	// failureCost is what a request that surely fails is taken to cost: more
+	// than any wait, so that failing fast never looks cheap.
+	failureCost = float64(10 * time.Second)
+	// failurePenalty is the same in requests in flight, for policies that count these.
+	failurePenalty = 64
+	// minServerTime keeps costs apart before anything was measured.
+	minServerTime = float64(100 * time.Microsecond)
+)
+
+// Report is a target's load as its guard counted it.
+type Report struct {
+	Running, Waiting, Slots int
+	// Service is the guard's moving average of the time a slot is held.
+	Service time.Duration
+	// At is when the report came, and own how many requests of the node itself
+	// were in flight then, so that they aren't counted twice.
+	At  time.Duration
+	own int
+}
+
+// Report keeps a target's load. A free slot becomes one hint of idleness.
+func (t *Target) Report(r Report) {
+	r.own = int(t.Stat.InFlight.Load())
+	t.Stat.report.Store(&r)
+	if r.Waiting == 0 && r.Running < r.Slots {
+		t.Stat.hints.Store(1)
+		return
+	}
+	t.Stat.hints.Store(0)
+}
+
+// Reported gives the last report, or nil.
+func (t *Target) Reported() *Report { return t.Stat.report.Load() }
+
+// others estimates the requests of other nodes at the target: what its guard
+// last counted beyond the node's own, less the older the report is.
+func (t *Target) others(now time.Duration) float64 {
+	r := t.Stat.report.Load()
+	if r == nil {
+		return 0
+	}
+	age := max(now-r.At, 0)
+	return float64(max(r.Running+r.Waiting-r.own, 0)) * float64(loadHalf) / float64(loadHalf+age)
+}
+
+// inFlight is the node's own requests at the target, as if failures were still running.
+func (t *Target) inFlight() int32 {
+	return t.Stat.InFlight.Load() + t.Stat.failing.Load()*failurePenalty/failScale
+}
+
+// serverTime is the average time to an answer, without the round trip; it
+// returns to what is typical of the service as it grows old.
+func (t *Target) serverTime(now time.Duration) time.Duration {
+	typical := t.shared.typical.Load()
+	latency := t.Stat.latency.Load()
+	age := int64(now) - t.Stat.sampled.Load()
+	if latency == 0 || age >= int64(forgetAfter) {
+		return time.Duration(typical)
+	}
+	left := float64(int64(forgetAfter)-max(age, 0)) / float64(forgetAfter)
+	return time.Duration(typical + int64(float64(latency-typical)*left))
+}
+
+// Cost estimates the time to an answer from the target, in nanoseconds: the
+// round trip, and the time at the server stretched by how full it is. A request
+// that is in flight for longer than the average is evidence before it ends: a
+// server that stops answering is seen within one usual answer time.
+func (t *Target) Cost(now time.Duration) float64 {
+	rtt := float64(t.RTT())
+	server := max(float64(t.serverTime(now)), minServerTime)
+	server = max(server, float64(t.Stat.oldest(now))-rtt)
+	busy := float64(t.Stat.InFlight.Load()) + t.others(now)
+	failing := float64(t.Stat.failing.Load()) / failScale
+	return rtt + server*(1+busy/float64(max(t.Slots, 1))) + failing*failureCost
+}
--- /dev/null
+++ b/internal/pick/health.go
@@ -0,0 +1,152 @@
+package pick
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// ejectAfter is the share of failures, in 1/failScale, that ejects a target.
+	ejectAfter = failScale / 2
+	// failScale is the scale of the moving average of failures.
+	failScale = 1024
+	// failWeight is the inverse weight of one outcome in it: five failures in a
+	// row take a healthy target over ejectAfter.
+	failWeight = 8
+	// firstEject and maxEject bound how long a target is left alone; each
+	// ejection that follows another doubles it.
+	firstEject = time.Second
+	maxEject   = 30 * time.Second
+	// rampFor is how long a target that comes back, or starts, takes to its
+	// whole share, and rampFloor is the share that it starts with.
+	rampFor   = 5 * time.Second
+	rampFloor = 0.1
+	// avoidRefused is how long a target that refused is passed over.
+	avoidRefused = 20 * time.Millisecond
+)
+
+// phase is the state of a target that isn't simply healthy.
+type phase uint8
+
+const (
+	// ejected: it answers, but too many of its answers are failures.
+	ejected phase = iota
+	// unreachable: no connection could be opened.
+	unreachable
+	// ramping: it is new or has come back, and gets a growing share.
+	ramping
+)
+
+// unset marks a ramp that starts when it is first looked at.
+const unset time.Duration = -1
+
+// health is the state of a target with trouble; nil is healthy. Immutable.
+type health struct {
+	phase phase
+	// until is the end of an ejection; after it, one request at a time goes
+	// there until one succeeds.
+	until time.Duration
+	// since is the start of a ramp.
+	since time.Duration
+	// strikes counts ejections in a row.
+	strikes int
+}
+
+// judge moves the target's state by what became of a request.
+func (s *Stat) judge(now time.Duration, o Outcome, rnd *rand.Rand) {
+	h := s.health.Load()
+	switch o {
+	case Neutral:
+	case Good:
+		s.count(0)
+		s.recover(h, now)
+	case Refused:
+		// A refusal comes back fast and leaves nothing in flight: without a pause
+		// the busiest target would look the least busy.
+		s.Avoid(now + avoidRefused)
+	case Unreachable:
+		s.eject(h, now, unreachable, rnd)
+	case Failed:
+		s.count(failScale)
+		if s.failing.Load() > ejectAfter || h != nil && h.phase != ramping {
+			s.eject(h, now, ejected, rnd)
+		}
+	}
+}
+
+func (s *Stat) count(sample int32) {
+	old := s.failing.Load()
+	s.failing.Store(old + (sample-old)/failWeight)
+}
+
+// eject leaves the target alone for a time that doubles and is spread, so that
+// entries don't come back at the same moment. Requests that were in flight
+// when it was ejected change nothing.
+func (s *Stat) eject(h *health, now time.Duration, p phase, rnd *rand.Rand) {
+	strikes := 0
+	if h != nil {
+		if h.phase != ramping && now < h.until {
+			return
+		}
+		strikes = h.strikes + 1
+	}
+	pause := min(firstEject<<min(strikes, 10), maxEject)
+	pause += time.Duration(rnd.Int64N(int64(pause) / 4))
+	s.health.CompareAndSwap(h, &health{phase: p, until: now + pause, strikes: strikes})
+}
+
+// recover takes a success: a target on probation ramps, a ramp that is over ends.
+func (s *Stat) recover(h *health, now time.Duration) {
+	switch {
+	case h == nil:
+	case h.phase == ramping:
+		if h.since != unset && now-h.since >= rampFor {
+			s.health.CompareAndSwap(h, nil)
+		}
+	case now >= h.until:
+		s.failing.Store(0)
+		s.health.CompareAndSwap(h, &health{phase: ramping, since: now, strikes: h.strikes})
+	}
+}
+
+// standing is whether a target may be chosen now.
+type standing uint8
+
+const (
+	usable standing = iota
+	// passed over, but usable if nothing else is.
+	avoided
+	// outlier: ejected for failures; usable when too many are.
+	outlier
+	// gone: unreachable; usable only if nothing else is.
+	gone
+)
+
+func (s *Stat) standing(now time.Duration, rnd *rand.Rand) standing {
+	if s.Avoided(now) {
+		return avoided
+	}
+	h := s.health.Load()
+	if h == nil {
+		return usable
+	}
+	return s.troubled(h, now, rnd)
+}
+
+func (s *Stat) troubled(h *health, now time.Duration, rnd *rand.Rand) standing {
+	switch {
+	case h.phase == ramping && h.since == unset:
+		s.health.CompareAndSwap(h, &health{phase: ramping, since: now, strikes: h.strikes})
+		return avoided
+	case h.phase == ramping:
+		if rnd.Float64() >= max(rampFloor, float64(now-h.since)/float64(rampFor)) {
+			return avoided
+		}
+		return usable
+	case now >= h.until && s.InFlight.Load() == 0:
+		return usable
+	case h.phase == ejected:
+		return outlier
+	}
+	return gone
+}
--- /dev/null
+++ b/internal/pick/idle.go
@@ -0,0 +1,19 @@
+package pick
+
+// idleHints takes a target whose guard reported a free slot, each hint once,
+// and a random target when there is no hint (Lu et al., "Join-Idle-Queue: A
+// Novel Load Balancing Algorithm for Dynamically Scalable Web Services",
+// Performance Evaluation 2011). There idle servers enlist by themselves; here
+// the hint rides on replies, under the measuring budget.
+type idleHints struct{}
+
+func (idleHints) Choose(d Draw, among []*Target) *Target {
+	first := d.Rand.IntN(len(among))
+	for i := range among {
+		t := among[(first+i)%len(among)]
+		if t.Stat.hints.CompareAndSwap(1, 0) {
+			return t
+		}
+	}
+	return among[first]
+}
--- /dev/null
+++ b/internal/pick/probe.go
@@ -0,0 +1,54 @@
+package pick
+
+import "time"
+
+const (
+	// probeFresh is how long the answer to a probe may be used.
+	probeFresh = time.Second
+	// hotShare is the share of slots in use from which a target counts as hot.
+	hotShare = 0.8
+)
+
+// probe chooses by the answers to probes, with the rule "hot-cold
+// lexicographic": the fastest of the targets that aren't hot, else the one with
+// the fewest requests (Wydrowski et al., "Load is not what you should balance:
+// Introducing Prequal", NSDI 2024). That paper sends some probes for each
+// request; here the measuring budget decides how many there are, and where
+// fewer than two answers are fresh two random targets are compared instead.
+type probe struct{}
+
+func (probe) Choose(d Draw, among []*Target) *Target {
+	var cold, calm *Target
+	var fastest, fewest float64
+	fresh := 0
+	for _, t := range among {
+		r := t.Reported()
+		if r == nil || d.Now-r.At > probeFresh {
+			continue
+		}
+		fresh++
+		load := t.reportedLoad(r)
+		if calm == nil || load < fewest {
+			calm, fewest = t, load
+		}
+		if took := float64(t.RTT() + r.Service); load < hotShare && (cold == nil || took < fastest) {
+			cold, fastest = t, took
+		}
+	}
+	switch {
+	case fresh < 2:
+		return twoChoices{}.Choose(d, among)
+	case cold != nil:
+		return cold
+	}
+	return calm
+}
+
+// reportedLoad is the share of slots in use by a report, with what the node
+// itself has sent since added: an answer that is used again must not draw
+// every request to one target.
+func (t *Target) reportedLoad(r *Report) float64 {
+	since := max(int(t.Stat.InFlight.Load())-r.own, 0)
+	failing := float64(t.Stat.failing.Load()) / failScale
+	return float64(r.Running+r.Waiting+since)/float64(max(r.Slots, 1)) + failing
+}
--- /dev/null
+++ b/internal/pick/roundrobin.go
@@ -0,0 +1,10 @@
+package pick
+
+import "sync/atomic"
+
+// roundRobin takes one target after the other. A baseline.
+type roundRobin struct{ turn atomic.Uint32 }
+
+func (p *roundRobin) Choose(_ Draw, among []*Target) *Target {
+	return among[int(p.turn.Add(1)%uint32(len(among)))]
+}
--- a/internal/pick/view.go
+++ b/internal/pick/view.go
@@ -4,10 +4,8 @@
 package pick
 
 import (
-	"sync/atomic"
 	"time"
 
-	"github.com/limpetdock/limpetdock/fleet"
 	"github.com/limpetdock/limpetdock/internal/config"
 )
 
@@ -24,69 +22,62 @@
 	VM, Zone, Region string
 }
 
-// Service is one service with its usable targets, nearest first.
-type Service struct {
-	*config.Service
-	// Targets are ordered by distance: own zone, own region, other regions.
-	Targets []*Target
-	// InRegion counts the targets of the own region, which come first.
-	InRegion int
-	// Homes are all targets as declared, by which a key's home is found.
-	Homes  []*Target
-	policy policy
-	turn   *atomic.Uint32
+// Distance is how far a target stands from the node.
+type Distance uint8
+
+// The distances, nearest first.
+const (
+	SameVM Distance = iota
+	SameZone
+	SameRegion
+	OtherRegion
+)
+
+// The round trips assumed until one has been measured.
+const (
+	zoneRTT   = 3 * time.Millisecond
+	regionRTT = 16 * time.Millisecond
+	nearRTT   = 200 * time.Microsecond
+)
+
+// defaultRTT is the round trip assumed for each Distance.
+var defaultRTT = [...]time.Duration{SameVM: 0, SameZone: nearRTT, SameRegion: zoneRTT, OtherRegion: regionRTT}
+
+// DistanceTo tells how far other stands from p.
+func (p Place) DistanceTo(other Place) Distance {
+	switch {
+	case p.VM == other.VM:
+		return SameVM
+	case p.Zone == other.Zone:
+		return SameZone
+	case p.Region == other.Region:
+		return SameRegion
+	}
+	return OtherRegion
 }
 
 // Target is one target as a View shows it.
 type Target struct {
 	Place
-	fleet.Target
+	// Slots and Connections are the capacity as declared.
+	Slots, Connections int
 	// Guard and Control are its node's addresses, IP:PORT; empty while unknown.
 	Guard, Control string
 	// Leaving says that the VM list or its node says that it leaves.
 	Leaving bool
-	Stat    *Stat
+	// Distance is how far the target stands from the node.
+	Distance Distance
+	Stat     *Stat
+	// shared is the state of the target's service.
+	shared *Shared
 }
 
 // Local says whether the target stands on the same VM as the node.
 func (v *View) Local(t *Target) bool { return t.Place.VM == v.Here.VM }
 
-// Stat is what a node itself has seen of a target. It outlives Views.
-// All fields are safe for concurrent use.
-type Stat struct {
-	// InFlight counts the node's own requests at the target.
-	InFlight atomic.Int32
-	// avoidUntil is the time since start, in nanoseconds, until which the
-	// target is passed over because it could not be reached or refused.
-	avoidUntil atomic.Int64
-	identity   atomic.Pointer[Identity]
-}
-
 // Identity is what an at-most-once attempt must name to run at a target.
 type Identity struct {
 	Incarnation uint64
 	// Tick is the guard's own coarse tick, learnt earlier.
 	Tick uint64
 }
-
-// Identity gives what was last learnt, or nil.
-func (s *Stat) Identity() *Identity { return s.identity.Load() }
-
-// Learn keeps an identity that the guard itself told.
-func (s *Stat) Learn(id Identity) {
-	for {
-		old := s.identity.Load()
-		if old != nil && old.Incarnation == id.Incarnation && old.Tick >= id.Tick {
-			return
-		}
-		if s.identity.CompareAndSwap(old, &id) {
-			return
-		}
-	}
-}
-
-// Avoid passes the target over until a time since start.
-func (s *Stat) Avoid(until time.Duration) { s.avoidUntil.Store(int64(until)) }
-
-// Avoided says whether the target is passed over at now.
-func (s *Stat) Avoided(now time.Duration) bool { return int64(now) < s.avoidUntil.Load() }
