Ramp a region that comes back; try a lost target one request at a time

Cause: targets that come back were passed over by their ramp, but the choice took them all the same when nothing else was usable at home, so a region that returned got everything at once.

Shown red, one mutant each: failures ignored (fail fast, panic threshold); share of a spill in one step (oscillation); age of requests in flight ignored (own evidence); ramp ignored (return of a region, new incarnation); panic threshold off; more than one trial request; unreachable targets not left alone; deadline ignored when the region is left.

--- a/internal/pick/gather.go
+++ b/internal/pick/gather.go
@@ -8,13 +8,18 @@
 // gathering holds the candidates of one choice. Its slices are used again, so
 // that a choice doesn't allocate.
 type gathering struct {
-	zone, region, far []*Target
-	stands            []standing
+	// home are the candidates of the own region, inZone of them in the own zone, first.
+	home   []*Target
+	inZone int
+	far    []*Target
+	stands []standing
+	// worst is the standing up to which targets are candidates.
+	worst standing
 }
 
-// gather sorts the targets that may be chosen by where they stand. When none is
-// usable, the best of the others are taken: one more try beats a certain refusal.
-func (g *gathering) gather(s *Service, a Ask) {
+// judge notes how every target stands, and which standing is bad enough to be
+// left out.
+func (g *gathering) judge(s *Service, a Ask) {
 	g.stands = g.stands[:0]
 	outliers := 0
 	for _, t := range s.Targets {
@@ -24,26 +29,35 @@
 		}
 		g.stands = append(g.stands, stands)
 	}
-	worst := usable
+	g.worst = usable
 	if outliers*maxEjected > len(s.Targets) {
-		worst = outlier
+		g.worst = outlier
 	}
-	for ; worst <= gone; worst++ {
-		g.take(s, a, worst)
-		if len(g.zone)+len(g.region) == 0 && worst == usable {
+}
+
+// gather sorts the targets that may be chosen by where they stand. When none is
+// usable, the best of the others are taken: one more try beats a certain refusal.
+func (g *gathering) gather(s *Service, a Ask) {
+	g.judge(s, a)
+	for worst := g.worst; worst <= gone; worst++ {
+		g.takeHome(s, a, worst)
+		if len(g.home) == 0 && worst == usable {
 			// A refusal a moment ago is no reason to leave the region: that is
 			// decided by cost, in small steps.
 			g.takeHome(s, a, avoided)
 		}
-		if len(g.zone)+len(g.region)+len(g.far) > 0 {
+		g.far = g.far[:0]
+		if len(g.home) > 0 {
+			return
+		}
+		if g.takeFar(s, a, worst); len(g.far) > 0 {
 			return
 		}
 	}
 }
 
-// take gathers the targets up to a standing.
-func (g *gathering) take(s *Service, a Ask, worst standing) {
-	g.takeHome(s, a, worst)
+// takeFar gathers the other regions' targets up to a standing.
+func (g *gathering) takeFar(s *Service, a Ask, worst standing) {
 	g.far = g.far[:0]
 	for i := s.InRegion; i < len(s.Targets); i++ {
 		if g.stands[i] <= worst && s.Targets[i].offered(a.Tried) {
@@ -54,15 +68,14 @@
 
 // takeHome gathers the own region's targets up to a standing.
 func (g *gathering) takeHome(s *Service, a Ask, worst standing) {
-	g.zone, g.region = g.zone[:0], g.region[:0]
+	g.home, g.inZone = g.home[:0], 0
 	for i, t := range s.Targets[:s.InRegion] {
 		if g.stands[i] > worst || !t.offered(a.Tried) {
 			continue
 		}
+		g.home = append(g.home, t)
 		if i < s.inZone {
-			g.zone = append(g.zone, t)
-		} else {
-			g.region = append(g.region, t)
+			g.inZone++
 		}
 	}
 }
--- a/internal/pick/health.go
+++ b/internal/pick/health.go
@@ -114,8 +114,10 @@
 
 const (
 	usable standing = iota
-	// passed over, but usable if nothing else is.
+	// avoided: it refused a moment ago.
 	avoided
+	// warming: its ramp leaves this request to others.
+	warming
 	// outlier: ejected for failures; usable when too many are.
 	outlier
 	// gone: unreachable; usable only if nothing else is.
@@ -137,10 +139,10 @@
 	switch {
 	case h.phase == ramping && h.since == unset:
 		s.health.CompareAndSwap(h, &health{phase: ramping, since: now, strikes: h.strikes})
-		return avoided
+		return warming
 	case h.phase == ramping:
 		if rnd.Float64() >= max(rampFloor, float64(now-h.since)/float64(rampFor)) {
-			return avoided
+			return warming
 		}
 		return usable
 	case now >= h.until && s.InFlight.Load() == 0:
--- /dev/null
+++ b/internal/pick/policy_test.go
@@ -0,0 +1,151 @@
+package pick
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/limpetdock/limpetdock/fleet"
+)
+
+// policies are all there are.
+var policies = []string{
+	fleet.PolicyRandom, fleet.PolicyRoundRobin, fleet.PolicyTwoChoices,
+	fleet.PolicyTwoLoad, fleet.PolicyIdleHints, fleet.PolicyProbe,
+}
+
+// share runs one region's entries over six servers, with a fault from two
+// seconds on, and gives the share of requests that the first server got
+// between two moments after the fault.
+func share(policy string, fault func(*server), from, to time.Duration) float64 {
+	const faultAt = 2 * time.Second
+	at := places(1, 1, 6)
+	s := newSim(policy, at, at[1:4])
+	all, first := 0, 0
+	s.observed = func(t *Target) {
+		if s.now < faultAt+from || s.now > faultAt+to {
+			return
+		}
+		all++
+		if t.VM == at[0].VM {
+			first++
+		}
+	}
+	for _, e := range s.entries {
+		// 5 ms and 36 slots: 7200 requests a second is all they can do.
+		s.load(e, 7200*0.6/3, faultAt+to)
+	}
+	s.run(faultAt)
+	fault(s.servers[at[0].VM])
+	s.run(faultAt + to)
+	return float64(first) / float64(all)
+}
+
+// A backend server loses its database and answers 500 within a millisecond.
+// It never has requests in flight, so a choice by these sends it nearly
+// everything, and most users see errors though five of six servers are well.
+func TestServerThatFailsFastAttractsNothing(t *testing.T) {
+	for _, p := range policies {
+		t.Run(p, func(t *testing.T) {
+			got := share(p, func(s *server) { s.failsAfter = time.Millisecond }, 100*time.Millisecond, 2*time.Second)
+			t.Logf("share of the failing server: %.4f", got)
+			require.Less(t, got, 0.02)
+		})
+	}
+}
+
+// The node beside a backend server is gone: connections are refused at once.
+func TestUnreachableServerIsTriedRarely(t *testing.T) {
+	for _, p := range policies {
+		t.Run(p, func(t *testing.T) {
+			got := share(p, func(s *server) { s.down = true }, 100*time.Millisecond, 2*time.Second)
+			require.Less(t, got, 0.01)
+		})
+	}
+}
+
+// A neighbour takes the processor: a server needs ten times as long from one
+// moment to the next, while its last report and its health endpoint say that all is well.
+func TestSlowServerIsUsedLessWithin100Milliseconds(t *testing.T) {
+	slow := func(s *server) { s.service = 50 * time.Millisecond }
+	fair := share(fleet.PolicyTwoLoad, func(*server) {}, 100*time.Millisecond, time.Second)
+	require.InDelta(t, 1.0/6, fair, 0.03)
+	for policy, limit := range map[string]float64{fleet.PolicyTwoLoad: 0.04, fleet.PolicyTwoChoices: 0.08} {
+		got := share(policy, slow, 100*time.Millisecond, time.Second)
+		t.Logf("%s: share of the slow server: %.4f", policy, got)
+		require.Less(t, got, limit, policy)
+	}
+}
+
+// A report says that a server is idle, and keeps saying so; the node's own
+// requests there don't come back.
+func TestOwnEvidenceOutvotesAReport(t *testing.T) {
+	s := newService(fleet.PolicyTwoLoad, Place{"x", "r0z0", "r0"}, places(1, 1, 2), simSlots, 2)
+	liar, honest := s.Targets[0], s.Targets[1]
+	for _, target := range s.Targets {
+		target.Headers(target.Begin(0, true), 5*time.Millisecond, Good, rand.New(rand.NewPCG(1, 1)))
+		target.End()
+	}
+	liar.Begin(10*time.Millisecond, true)
+	now := 60 * time.Millisecond
+	liar.Report(Report{Slots: simSlots, At: now, Service: time.Microsecond})
+	honest.Report(Report{Running: 3, Slots: simSlots, At: now, Service: 5 * time.Millisecond})
+	require.Less(t, honest.Cost(now), liar.Cost(now))
+}
+
+// fullSize gives the Services of a node of 890 over 59 services.
+func fullSize(policy string) []*Service {
+	all := places(3, 4, 75)[:890]
+	services := make([]*Service, 0, 59)
+	for i := range 59 {
+		var mine []Place
+		for j := i; j < len(all); j += 59 {
+			mine = append(mine, all[j])
+		}
+		services = append(services, newService(policy, Place{"here", "r0z0", "r0"}, mine, 9, len(all)))
+	}
+	return services
+}
+
+func TestPickDoesNotAllocate(t *testing.T) {
+	for _, p := range policies {
+		services := fullSize(p)
+		i := 0
+		allocs := testing.AllocsPerRun(2000, func() {
+			i++
+			services[i%len(services)].Pick(time.Duration(i)*time.Millisecond, nil)
+		})
+		require.Zero(t, allocs, p)
+	}
+}
+
+func BenchmarkPick(b *testing.B) {
+	for _, p := range policies {
+		b.Run(p, func(b *testing.B) {
+			services := fullSize(p)
+			b.ReportAllocs()
+			i := 0
+			for b.Loop() {
+				i++
+				services[i%len(services)].Pick(time.Duration(i)*time.Microsecond, nil)
+			}
+		})
+	}
+}
+
+func TestEveryPolicyUsesEveryTarget(t *testing.T) {
+	for _, p := range policies {
+		s := newService(p, Place{"x", "r0z0", "r0"}, places(1, 1, 5), simSlots, 5)
+		var seen []string
+		for i := range 200 {
+			target := s.Pick(time.Duration(i), nil)
+			if !slices.Contains(seen, target.VM) {
+				seen = append(seen, target.VM)
+			}
+		}
+		require.Len(t, seen, 5, p)
+	}
+}
--- /dev/null
+++ b/internal/pick/region_test.go
@@ -0,0 +1,191 @@
+package pick
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/limpetdock/limpetdock/fleet"
+)
+
+// homeShares runs two regions of two servers each, with all callers in the
+// first, and gives the share of requests that stayed there, for each quarter of a
+// second. change is called with the simulation at the times it names.
+func homeShares(policy string, perSecond float64, until time.Duration, change map[time.Duration]func(home []*server)) []float64 {
+	at := places(2, 2, 1)
+	s := newSim(policy, at, at[:2])
+	const bin = 250 * time.Millisecond
+	all, stayed := make([]float64, until/bin), make([]float64, until/bin)
+	s.observed = func(t *Target) {
+		i := min(int(s.now/bin), len(all)-1)
+		all[i]++
+		if t.Distance < OtherRegion {
+			stayed[i]++
+		}
+	}
+	for _, e := range s.entries {
+		s.load(e, perSecond/float64(len(s.entries)), until)
+	}
+	home := []*server{s.servers[at[0].VM], s.servers[at[1].VM]}
+	for when, f := range change {
+		s.after(when, func() { f(home) })
+	}
+	s.run(until)
+	for i := range stayed {
+		stayed[i] /= all[i]
+	}
+	return stayed
+}
+
+// homeCapacity is what the two servers at home can do: 12 slots of 5 ms.
+const homeCapacity = 2400.0
+
+func TestRegionIsNotLeftWithoutNeed(t *testing.T) {
+	for _, p := range policies {
+		shares := homeShares(p, homeCapacity*0.6, 3*time.Second, nil)
+		require.Greater(t, slices.Min(shares), 0.99, "%s: %v", p, shares)
+	}
+}
+
+// The own region has 1.3 times the load it can carry, the other one is idle.
+// Every entry sees this at the same time. If each moved everything at once, the
+// load would swing between the regions, and users would see waves of slow answers.
+func TestSpillOverDoesNotOscillate(t *testing.T) {
+	shares := homeShares(fleet.PolicyTwoLoad, homeCapacity*1.3, 10*time.Second, nil)
+	settled := shares[len(shares)/2:]
+	t.Logf("share at home, by quarter second: %.2f", shares)
+	require.Greater(t, slices.Min(settled), 0.45, "home stays in use")
+	require.Less(t, slices.Max(settled), 0.95, "what home can't carry leaves")
+	require.Less(t, slices.Max(settled)-slices.Min(settled), 0.35)
+}
+
+// A region is cut off for three seconds: its targets can't be reached. Requests
+// go to the other region at once. When it is back, its servers are cold and its
+// links are empty; if every entry came back in the same moment, they would
+// fall over again.
+func TestLostRegionIsLeftAtOnceAndRampedWhenBack(t *testing.T) {
+	for _, p := range policies {
+		down := func(to bool) func([]*server) {
+			return func(home []*server) {
+				for _, s := range home {
+					s.down = to
+				}
+			}
+		}
+		shares := homeShares(p, homeCapacity*0.5, 14*time.Second, map[time.Duration]func([]*server){
+			2 * time.Second: down(true), 5 * time.Second: down(false),
+		})
+		lost, back, end := shares[9:20], shares[20:24], shares[len(shares)-4:]
+		require.Less(t, slices.Max(lost), 0.02, "%s: while it is lost: %v", p, shares)
+		require.Less(t, slices.Max(back), 0.9, "%s: no herd when it is back: %v", p, shares)
+		require.Greater(t, slices.Min(end), 0.95, "%s: home again in the end: %v", p, shares)
+	}
+}
+
+// A request that must be answered in 10 ms can't be helped by a region 16 ms away.
+func TestRegionIsLeftOnlyIfTheDeadlineAllows(t *testing.T) {
+	s := newService(fleet.PolicyTwoLoad, Place{"x", "r0z0", "r0"}, places(2, 1, 1), simSlots, 2)
+	home := s.Targets[0]
+	home.Begin(0, true)
+	s.shared.spill.share.Store(spillUnit)
+	now := 500 * time.Millisecond
+	ask := Ask{Draw: Draw{now, SharedRand}, Left: 10 * time.Millisecond}
+	require.Same(t, home, s.Choose(ask))
+	ask.Left = time.Second
+	require.NotSame(t, home, s.Choose(ask))
+}
+
+// A database that all servers use is down and every server answers 500. Were
+// all of them ejected, the few that are let back in would get everything.
+func TestTooManyOutliersAreNotEjected(t *testing.T) {
+	for failing, all := range map[int]bool{2: false, 3: false, 4: true, 6: true} {
+		s := newService(fleet.PolicyRandom, Place{"x", "r0z0", "r0"}, places(1, 1, 6), simSlots, 6)
+		for _, target := range s.Targets[:failing] {
+			for range 10 {
+				target.Headers(target.Begin(0, true), time.Millisecond, Failed, SharedRand)
+				target.End()
+			}
+		}
+		var seen []string
+		for range 500 {
+			seen = append(seen, s.Pick(2*time.Millisecond, nil).VM)
+		}
+		slices.Sort(seen)
+		want := 6 - failing
+		if all {
+			want = 6
+		}
+		require.Len(t, slices.Compact(seen), want, "%d of 6 fail", failing)
+	}
+}
+
+// A backend server was replaced; its caches are empty. The node beside it is
+// new too, which its incarnation tells.
+func TestNewIncarnationIsRamped(t *testing.T) {
+	s := newService(fleet.PolicyRandom, Place{"x", "r0z0", "r0"}, places(1, 1, 2), simSlots, 2)
+	fresh := s.Targets[0]
+	fresh.Stat.Learn(Identity{Incarnation: 1})
+	fresh.Stat.Learn(Identity{Incarnation: 2})
+	count := func(now time.Duration) (n int) {
+		for range 1000 {
+			if s.Pick(now, nil) == fresh {
+				n++
+			}
+		}
+		return n
+	}
+	require.Zero(t, count(0)/100, "at first nearly nothing")
+	require.InDelta(t, 50, count(time.Millisecond), 50)
+	require.InDelta(t, 250, count(rampFor/2), 80)
+	require.InDelta(t, 500, count(rampFor), 80)
+}
+
+// At full size a target must not hear from more entries than it accepts
+// connections from, about 200, and no entry may be without a choice.
+func TestSubsetsBoundConnectionsAtFullSize(t *testing.T) {
+	nodes := places(3, 4, 75)[:890]
+	var mine []Place
+	for j := 0; j < len(nodes); j += 59 {
+		mine = append(mine, nodes[j])
+	}
+	near, all := map[string]int{}, map[string]int{}
+	for _, here := range nodes {
+		s := newService(fleet.PolicyTwoLoad, here, mine, 9, len(nodes))
+		require.GreaterOrEqual(t, s.InRegion, minNear)
+		require.LessOrEqual(t, len(s.Targets), minNear+minFar)
+		for i, target := range s.Targets {
+			all[target.VM]++
+			if i < s.InRegion {
+				near[target.VM]++
+			}
+		}
+	}
+	for vm, n := range near {
+		require.Less(t, n, 230, "%s: entries of the own region", vm)
+		require.Less(t, all[vm], 400, "%s: entries of all regions, were all of them to spill over", vm)
+	}
+	t.Logf("entries of the own region for each target: %v", near)
+}
+
+func TestSubsetIsStable(t *testing.T) {
+	at := places(1, 2, 40)
+	here := Place{"x", "r0z1", "r0"}
+	names := func(at []Place) (list []string) {
+		for _, target := range newService(fleet.PolicyRandom, here, at, 9, 1600).Targets {
+			list = append(list, target.VM)
+		}
+		return list
+	}
+	before, after := names(at), names(slices.Delete(slices.Clone(at), 3, 4))
+	require.Equal(t, before, names(at), "the same for the same view")
+	changed := 0
+	for _, vm := range after {
+		if !slices.Contains(before, vm) {
+			changed++
+		}
+	}
+	require.LessOrEqual(t, changed, 1, "one target less changes at most one")
+	require.Equal(t, "r0z1", newService(fleet.PolicyRandom, here, at, 9, 1600).Targets[0].Zone)
+}
--- a/internal/pick/service.go
+++ b/internal/pick/service.go
@@ -70,45 +70,43 @@
 	g := gatherings.Get().(*gathering)
 	defer gatherings.Put(g)
 	g.gather(s, a)
-	home := s.chooseHome(a, g)
-	if len(g.far) == 0 {
-		return home
-	}
-	if home == nil {
-		return s.policy.Choose(a.Draw, g.far)
+	if len(g.home) > 0 {
+		home := s.policy.Choose(a.Draw, g.nearest(a.Now))
+		if !s.leaves(a, g, home) {
+			return home
+		}
 	}
-	if s.InRegion == 0 || !s.shared.spill.leaves(a, home.Cost(a.Now), s.cheapest(a.Now, g.far)) {
-		return home
+	if len(g.far) == 0 {
+		return nil
 	}
 	return s.policy.Choose(a.Draw, g.far)
 }
 
-// chooseHome chooses in the own region.
-func (s *Service) chooseHome(a Ask, g *gathering) *Target {
-	var zone, region *Target
-	if len(g.zone) > 0 {
-		zone = s.policy.Choose(a.Draw, g.zone)
-	}
-	if len(g.region) > 0 {
-		region = s.policy.Choose(a.Draw, g.region)
+// nearest gives the own zone's candidates as long as one of them costs no more
+// than the best of the rest of the region, the way there included; else all
+// of the region's.
+func (g *gathering) nearest(now time.Duration) []*Target {
+	zone, rest := g.home[:g.inZone], g.home[g.inZone:]
+	if len(zone) > 0 && (len(rest) == 0 || cheapest(now, zone) <= cheapest(now, rest)) {
+		return zone
 	}
-	if zone == nil || region == nil {
-		return or(zone, region)
-	}
-	if region.Cost(a.Now) < zone.Cost(a.Now) {
-		return region
-	}
-	return zone
+	return g.home
 }
 
-func or(a, b *Target) *Target {
-	if a != nil {
-		return a
+// leaves says whether the request leaves the region although home would take
+// it; the candidates outside are then gathered.
+func (s *Service) leaves(a Ask, g *gathering, home *Target) bool {
+	if !s.shared.spill.due(a.Now) && s.shared.spill.share.Load() == 0 {
+		return false
+	}
+	g.takeFar(s, a, usable)
+	if len(g.far) == 0 {
+		return false
 	}
-	return b
+	return s.shared.spill.leaves(a, home.Cost(a.Now), cheapest(a.Now, g.far))
 }
 
-func (s *Service) cheapest(now time.Duration, among []*Target) float64 {
+func cheapest(now time.Duration, among []*Target) float64 {
 	least := among[0].Cost(now)
 	for _, t := range among[1:] {
 		least = min(least, t.Cost(now))
--- /dev/null
+++ b/internal/pick/sim_test.go
@@ -0,0 +1,166 @@
+package pick
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/limpetdock/limpetdock/fleet"
+	"github.com/limpetdock/limpetdock/internal/config"
+)
+
+// server is a backend server of the simulation: slots, a queue, a service time.
+type server struct {
+	slots, running int
+	queue          []func()
+	service        time.Duration
+	failsAfter     time.Duration // answers 500 after that long; 0 is never
+	down           bool
+	served         int
+}
+
+type event struct {
+	at  time.Duration
+	run func()
+}
+
+type agenda []event
+
+func (a agenda) Len() int           { return len(a) }
+func (a agenda) Less(i, j int) bool { return a[i].at < a[j].at }
+func (a agenda) Swap(i, j int)      { a[i], a[j] = a[j], a[i] }
+func (a *agenda) Push(x any)        { *a = append(*a, x.(event)) }
+func (a *agenda) Pop() any {
+	old := *a
+	last := old[len(old)-1]
+	*a = old[:len(old)-1]
+	return last
+}
+
+// sim runs entries against servers on a clock of its own: same seed, same run.
+type sim struct {
+	now      time.Duration
+	rnd      *rand.Rand
+	agenda   agenda
+	servers  map[string]*server
+	entries  []*Service
+	took     []time.Duration
+	observed func(t *Target)
+}
+
+func (s *sim) after(d time.Duration, f func()) { heap.Push(&s.agenda, event{s.now + d, f}) }
+
+func (s *sim) run(until time.Duration) {
+	for len(s.agenda) > 0 && s.agenda[0].at <= until {
+		e := heap.Pop(&s.agenda).(event)
+		s.now = e.at
+		e.run()
+	}
+	s.now = until
+}
+
+// places are VMs of a fleet: regions x zones x targets for each zone.
+func places(regions, zones, each int) []Place {
+	var list []Place
+	for r := range regions {
+		for z := range zones {
+			for i := range each {
+				region := "r" + strconv.Itoa(r)
+				zone := region + "z" + strconv.Itoa(z)
+				list = append(list, Place{zone + "-" + strconv.Itoa(i), zone, region})
+			}
+		}
+	}
+	return list
+}
+
+// newService builds one entry's Service at here, with Stats of its own.
+func newService(policy string, here Place, at []Place, slots, entries int) *Service {
+	targets := make([]*Target, 0, len(at))
+	for _, p := range at {
+		targets = append(targets, &Target{
+			Place: p, Slots: slots, Connections: 200, Guard: p.VM, Distance: here.DistanceTo(p), Stat: &Stat{},
+		})
+	}
+	c := &config.Service{Service: fleet.Service{Name: "s", Policy: policy}}
+	subset, inRegion := Subset(here, targets, entries)
+	return NewService(c, subset, targets, inRegion, &Shared{})
+}
+
+const simSlots = 6
+
+// newSim has an entry at each of the places named by here, over servers at all.
+func newSim(policy string, at, here []Place) *sim {
+	s := &sim{rnd: rand.New(rand.NewPCG(1, 2)), servers: map[string]*server{}, observed: func(*Target) {}}
+	for _, p := range at {
+		s.servers[p.VM] = &server{slots: simSlots, service: 5 * time.Millisecond}
+	}
+	for _, p := range here {
+		s.entries = append(s.entries, newService(policy, p, at, simSlots, len(at)))
+	}
+	return s
+}
+
+// load makes requests at an entry at random moments, so many a second.
+func (s *sim) load(entry *Service, perSecond float64, until time.Duration) {
+	pause := time.Duration(s.rnd.ExpFloat64() / perSecond * float64(time.Second))
+	if s.now+pause > until {
+		return
+	}
+	s.after(pause, func() {
+		s.request(entry)
+		s.load(entry, perSecond, until)
+	})
+}
+
+func (s *sim) request(entry *Service) {
+	t := entry.Choose(Ask{Draw: Draw{s.now, s.rnd}})
+	if t == nil {
+		return
+	}
+	s.observed(t)
+	m := t.Begin(s.now, true)
+	rtt := defaultRTT[t.Distance]
+	s.after(rtt/2, func() { s.arrive(t, m, rtt/2) })
+}
+
+func (s *sim) arrive(t *Target, m Mark, back time.Duration) {
+	srv := s.servers[t.VM]
+	end := func(o Outcome) {
+		s.after(back, func() {
+			t.Headers(m, s.now, o, s.rnd)
+			t.End()
+			s.took = append(s.took, s.now-m.start)
+		})
+	}
+	switch {
+	case srv.down:
+		end(Unreachable)
+		return
+	case srv.failsAfter > 0:
+		s.after(srv.failsAfter, func() { end(Failed) })
+		return
+	}
+	start := func() {
+		srv.running++
+		// Between a half and one and a half of the mean.
+		d := time.Duration((0.5 + s.rnd.Float64()) * float64(srv.service))
+		s.after(d, func() {
+			srv.served++
+			t.Report(Report{Running: srv.running, Waiting: len(srv.queue), Slots: srv.slots, Service: srv.service, At: s.now})
+			end(Good)
+			srv.running--
+			if len(srv.queue) > 0 {
+				next := srv.queue[0]
+				srv.queue = srv.queue[1:]
+				next()
+			}
+		})
+	}
+	if srv.running < srv.slots {
+		start()
+		return
+	}
+	srv.queue = append(srv.queue, start)
+}
--- a/internal/pick/spill.go
+++ b/internal/pick/spill.go
@@ -40,9 +40,14 @@
 	return a.Rand.Int32N(spillUnit) < share
 }
 
+// due says whether a step is due.
+func (s *spill) due(now time.Duration) bool {
+	return int64(now)-s.stepped.Load() >= int64(spillEvery)
+}
+
 func (s *spill) step(now time.Duration, home, far float64) {
 	last := s.stepped.Load()
-	if int64(now)-last < int64(spillEvery) || !s.stepped.CompareAndSwap(last, int64(now)) {
+	if !s.due(now) || !s.stepped.CompareAndSwap(last, int64(now)) {
 		return
 	}
 	share := s.share.Load()
--- a/internal/pick/stat.go
+++ b/internal/pick/stat.go
@@ -14,25 +14,27 @@
 // It is safe for concurrent use. Averages are updated without a lock: of two
 // samples at the same moment one may be lost, which changes nothing that matters.
 type Stat struct {
+	// What every choice reads comes first, so that it shares a cache line.
+
 	// InFlight counts the node's own requests at the target.
 	InFlight atomic.Int32
-	// starts holds when requests in flight began, in nanoseconds; 0 is free.
-	starts [tracked]atomic.Int64
+	// failing is a moving average of failures, in 1/failScale.
+	failing atomic.Int32
 	// avoidUntil is the time since start, in nanoseconds, until which the
 	// target is passed over because it refused.
 	avoidUntil atomic.Int64
-	identity   atomic.Pointer[Identity]
 	health     atomic.Pointer[health]
 	report     atomic.Pointer[Report]
-	// hints are idle slots that were reported and not used yet.
-	hints atomic.Int32
 	// latency is a moving average of the time to an answer without the round
 	// trip, and sampled is when its last sample came, both in nanoseconds.
 	latency, sampled atomic.Int64
 	// rtt is the measured round trip in nanoseconds; 0 is not measured.
 	rtt atomic.Int64
-	// failing is a moving average of failures, in 1/failScale.
-	failing atomic.Int32
+	// hints are idle slots that were reported and not used yet.
+	hints atomic.Int32
+	// starts holds when requests in flight began, in nanoseconds; 0 is free.
+	starts   [tracked]atomic.Int64
+	identity atomic.Pointer[Identity]
 }
 
 // Identity gives what was last learnt, or nil.
@@ -165,6 +167,9 @@
 
 // oldest is the age of the oldest timed request in flight, zero if there is none.
 func (s *Stat) oldest(now time.Duration) time.Duration {
+	if s.InFlight.Load() == 0 {
+		return 0
+	}
 	first := int64(now)
 	for i := range s.starts {
 		if at := s.starts[i].Load(); at != 0 && at < first {
--- a/internal/pick/subset.go
+++ b/internal/pick/subset.go
@@ -13,11 +13,13 @@
 	minNear = 3
 	// maxNear bounds the targets that one choice looks at.
 	maxNear = 24
-	// far is how many targets an entry keeps in all other regions together.
-	farTargets = 4
-	// connectionShare is the part of a target's connections, in percent, that
-	// subsets fill; the rest is for retries and changes under way.
-	connectionShare = 80
+	// minFar and maxFar are the same for all other regions together.
+	minFar = 2
+	maxFar = 8
+	// nearShare and farShare are the parts of all connections, in percent, that
+	// entries of the own region and of the others may fill.
+	nearShare = 80
+	farShare  = 20
 )
 
 // Subset gives the targets that the node at here sends to, nearest first, and
@@ -37,22 +39,19 @@
 			away = append(away, t)
 		}
 	}
-	near = draw(here, near, nearSize(connections, entries))
+	near = draw(here, near, clamp(connections*nearShare/100, entries, minNear, maxNear))
 	slices.SortStableFunc(near, func(a, b *Target) int { return cmp.Compare(a.Distance, b.Distance) })
-	away = draw(here, away, farTargets)
+	away = draw(here, away, clamp(connections*farShare/100, entries, minFar, maxFar))
 	return append(near, away...), len(near)
 }
 
-// nearSize is how many targets each of the entries may keep a connection to.
-func nearSize(connections, entries int) int {
-	if entries == 0 {
-		return minNear
-	}
-	return min(max(connections*connectionShare/100/entries, minNear), maxNear)
+// clamp gives how many targets each of the entries may keep a connection to.
+func clamp(connections, entries, low, high int) int {
+	return min(max(connections/max(entries, 1), low), high)
 }
 
-// draw takes the n targets with the highest hashes, those in the own zone
-// and outside of it in turn, so that each kind is there if it can be.
+// draw takes the n targets with the highest hashes, one of the own zone among
+// them if there is any.
 func draw(here Place, targets []*Target, n int) []*Target {
 	if len(targets) <= n {
 		return targets
