--- a/internal/pick/gather.go
+++ b/internal/pick/gather.go
@@ -5,8 +5,7 @@
 // would only crowd the rest (the panic threshold of the field).
 const maxEjected = 2
 
-// gathering holds the candidates of one choice. Its slices are used again, so
-// that a choice doesn't allocate.
+// gathering holds the candidates of one choice, in room of its own.
 type gathering struct {
 	// home are the candidates of the own region, inZone of them in the own zone, first.
 	home   []*Target
@@ -15,12 +14,21 @@
 	stands []standing
 	// worst is the standing up to which targets are candidates.
 	worst standing
+
+	homeRoom   [maxNear]*Target
+	farRoom    [maxFar]*Target
+	standsRoom [maxNear + maxFar]standing
+}
+
+// reset empties the gathering.
+func (g *gathering) reset() {
+	g.home, g.inZone, g.far, g.stands = g.homeRoom[:0], 0, g.farRoom[:0], g.standsRoom[:0]
 }
 
 // judge notes how every target stands, and which standing is bad enough to be
 // left out.
-func (g *gathering) judge(s *Service, a Ask) {
-	g.stands = g.stands[:0]
+func (g *gathering) judge(s *Service, a *Ask) {
+	g.reset()
 	outliers := 0
 	for _, t := range s.Targets {
 		stands := t.Stat.standing(a.Now, a.Rand)
@@ -37,7 +45,7 @@
 
 // gather sorts the targets that may be chosen by where they stand. When none is
 // usable, the best of the others are taken: one more try beats a certain refusal.
-func (g *gathering) gather(s *Service, a Ask) {
+func (g *gathering) gather(s *Service, a *Ask) {
 	g.judge(s, a)
 	for worst := g.worst; worst <= gone; worst++ {
 		g.takeHome(s, a, worst)
@@ -57,7 +65,7 @@
 }
 
 // takeFar gathers the other regions' targets up to a standing.
-func (g *gathering) takeFar(s *Service, a Ask, worst standing) {
+func (g *gathering) takeFar(s *Service, a *Ask, worst standing) {
 	g.far = g.far[:0]
 	for i := s.InRegion; i < len(s.Targets); i++ {
 		if g.stands[i] <= worst && s.Targets[i].offered(a.Tried) {
@@ -67,7 +75,7 @@
 }
 
 // takeHome gathers the own region's targets up to a standing.
-func (g *gathering) takeHome(s *Service, a Ask, worst standing) {
+func (g *gathering) takeHome(s *Service, a *Ask, worst standing) {
 	g.home, g.inZone = g.home[:0], 0
 	for i, t := range s.Targets[:s.InRegion] {
 		if g.stands[i] > worst || !t.offered(a.Tried) {
--- a/internal/pick/policy_test.go
+++ b/internal/pick/policy_test.go
@@ -113,10 +113,11 @@
 func TestPickDoesNotAllocate(t *testing.T) {
 	for _, p := range policies {
 		services := fullSize(p)
-		i := 0
+		i, ask := 0, &Ask{Draw: Draw{Rand: SharedRand}}
 		allocs := testing.AllocsPerRun(2000, func() {
 			i++
-			services[i%len(services)].Pick(time.Duration(i)*time.Millisecond, nil)
+			ask.Now = time.Duration(i) * time.Millisecond
+			services[i%len(services)].Choose(ask)
 		})
 		require.Zero(t, allocs, p)
 	}
@@ -127,21 +128,26 @@
 		b.Run(p, func(b *testing.B) {
 			services := fullSize(p)
 			b.ReportAllocs()
-			i := 0
+			i, ask := 0, &Ask{Draw: Draw{Rand: SharedRand}}
 			for b.Loop() {
 				i++
-				services[i%len(services)].Pick(time.Duration(i)*time.Microsecond, nil)
+				ask.Now = time.Duration(i) * time.Microsecond
+				services[i%len(services)].Choose(ask)
 			}
 		})
 	}
 }
 
+func pickAt(s *Service, now time.Duration) *Target {
+	return s.Choose(&Ask{Draw: Draw{now, SharedRand}})
+}
+
 func TestEveryPolicyUsesEveryTarget(t *testing.T) {
 	for _, p := range policies {
 		s := newService(p, Place{"x", "r0z0", "r0"}, places(1, 1, 5), simSlots, 5)
 		var seen []string
 		for i := range 200 {
-			target := s.Pick(time.Duration(i), nil)
+			target := pickAt(s, time.Duration(i))
 			if !slices.Contains(seen, target.VM) {
 				seen = append(seen, target.VM)
 			}
--- a/internal/pick/region_test.go
+++ b/internal/pick/region_test.go
@@ -91,7 +91,7 @@
 	home.Begin(0, true)
 	s.shared.spill.share.Store(spillUnit)
 	now := 500 * time.Millisecond
-	ask := Ask{Draw: Draw{now, SharedRand}, Left: 10 * time.Millisecond}
+	ask := &Ask{Draw: Draw{now, SharedRand}, Left: 10 * time.Millisecond}
 	require.Same(t, home, s.Choose(ask))
 	ask.Left = time.Second
 	require.NotSame(t, home, s.Choose(ask))
@@ -110,7 +110,7 @@
 		}
 		var seen []string
 		for range 500 {
-			seen = append(seen, s.Pick(2*time.Millisecond, nil).VM)
+			seen = append(seen, pickAt(s, 2*time.Millisecond).VM)
 		}
 		slices.Sort(seen)
 		want := 6 - failing
@@ -130,7 +130,7 @@
 	fresh.Stat.Learn(Identity{Incarnation: 2})
 	count := func(now time.Duration) (n int) {
 		for range 1000 {
-			if s.Pick(now, nil) == fresh {
+			if pickAt(s, now) == fresh {
 				n++
 			}
 		}
--- a/internal/pick/service.go
+++ b/internal/pick/service.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -49,26 +48,23 @@
 	return s
 }
 
-// Ask is one request's question for a target.
+// Ask is one request's question for a target. It is used again for every
+// choice of the request, by one goroutine at a time.
 type Ask struct {
 	Draw
 	// Left is what is left of the request's deadline; zero is not known.
 	Left time.Duration
 	// Tried are the targets that the request was offered to already.
 	Tried []*Target
-}
-
-// Pick chooses a target that isn't in tried, or nil.
-func (s *Service) Pick(now time.Duration, tried []*Target) *Target {
-	return s.Choose(Ask{Draw: Draw{Now: now, Rand: SharedRand}, Tried: tried})
+	// candidates are here so that a choice doesn't allocate.
+	candidates gathering
 }
 
 // Choose chooses a target that wasn't tried, or nil. The own zone goes first,
 // then the own region; either is left when it costs more than the way to
 // the other. Targets that can't be reached are chosen only when there are no others.
-func (s *Service) Choose(a Ask) *Target {
-	g := gatherings.Get().(*gathering)
-	defer gatherings.Put(g)
+func (s *Service) Choose(a *Ask) *Target {
+	g := &a.candidates
 	g.gather(s, a)
 	if len(g.home) > 0 {
 		home := s.policy.Choose(a.Draw, g.nearest(a.Now))
@@ -95,7 +91,7 @@
 
 // leaves says whether the request leaves the region although home would take
 // it; the candidates outside are then gathered.
-func (s *Service) leaves(a Ask, g *gathering, home *Target) bool {
+func (s *Service) leaves(a *Ask, g *gathering, home *Target) bool {
 	if !s.shared.spill.due(a.Now) && s.shared.spill.share.Load() == 0 {
 		return false
 	}
@@ -113,5 +109,3 @@
 	}
 	return least
 }
-
-var gatherings = sync.Pool{New: func() any { return &gathering{} }}
--- a/internal/pick/sim_test.go
+++ b/internal/pick/sim_test.go
@@ -115,7 +115,7 @@
 }
 
 func (s *sim) request(entry *Service) {
-	t := entry.Choose(Ask{Draw: Draw{s.now, s.rnd}})
+	t := entry.Choose(&Ask{Draw: Draw{s.now, s.rnd}})
 	if t == nil {
 		return
 	}
