--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -63,7 +63,7 @@
 }
 
 // Tag names the document in requests between nodes.
-func (s *Service) Tag() string { return s.Entry.Digest[:16] }
+func (s *Service) Tag() string { return s.Entry.Digest[:tagSize] }
 
 // Config is a whole configuration. It is immutable.
 type Config struct {
@@ -73,6 +73,14 @@
 	ByHost map[string]*Service
 	// Regions finds the region of an availability zone.
 	Regions map[string]string
+	// targets finds the target that stands on a VM.
+	targets map[string]placed
+}
+
+// placed is a target with the service it is of.
+type placed struct {
+	service *Service
+	target  *fleet.Target
 }
 
 // Digest gives the SHA-256 of a text in hexadecimal.
@@ -164,7 +172,7 @@
 	switch what {
 	case "service":
 		r.allow(s, "name", "hosts", "team", "policy", "timeout", "max-timeout", "hops",
-			"retry-percent", "queue", "queue-order", "refusal", "in-flight", "key-lifetime")
+			"retry-percent", "queue", "queue-order", "refusal", "in-flight", "drain", "key-lifetime")
 		out.Name = s.Key("name").String()
 		out.Hosts = split(s.Key("hosts").String())
 		out.Team = s.Key("team").String()
@@ -177,17 +185,12 @@
 		out.QueueOrder = s.Key("queue-order").MustString(fleet.DefaultQueueOrder)
 		out.NoRefusal = !r.onOff(s, "refusal")
 		out.InFlight = r.int(s, "in-flight")
+		if s.HasKey("drain") {
+			out.Drain = r.duration(s, "drain")
+		}
 		out.KeyLifetime = r.duration(s, "key-lifetime")
 	case "route":
-		r.allow(s, "methods", "path", "runs", "class", "in-flight")
-		runs := s.Key("runs").String()
-		if runs != "idempotent" && runs != "at-most-once" {
-			r.fail("[%s] runs: %q (allowed: idempotent, at-most-once)", s.Name(), runs)
-		}
-		out.Routes = append(out.Routes, fleet.Route{
-			Name: name, Methods: split(s.Key("methods").String()), Path: s.Key("path").String(),
-			Idempotent: runs == "idempotent", Class: r.int(s, "class"), InFlight: r.int(s, "in-flight"),
-		})
+		out.Routes = append(out.Routes, r.route(s, name))
 	case "target":
 		r.allow(s, "zone", "slots", "connections")
 		out.Targets = append(out.Targets, fleet.Target{
@@ -198,10 +201,27 @@
 	}
 }
 
+func (r *reader) route(s *ini.Section, name string) fleet.Route {
+	r.allow(s, "methods", "path", "runs", "retries", "class", "in-flight")
+	runs := s.Key("runs").String()
+	if runs != fleet.RunsIdempotent && runs != fleet.RunsAtMostOnce {
+		r.fail("[%s] runs: %q (allowed: %s, %s)", s.Name(), runs, fleet.RunsIdempotent, fleet.RunsAtMostOnce)
+	}
+	route := fleet.Route{
+		Name: name, Methods: split(s.Key("methods").String()), Path: s.Key("path").String(),
+		Idempotent: runs == fleet.RunsIdempotent, Class: r.int(s, "class"), InFlight: r.int(s, "in-flight"),
+	}
+	if s.HasKey("retries") {
+		route.Retries = r.int(s, "retries")
+	}
+	return route
+}
+
 // Assemble joins an index with all of its documents, in any order, and checks the whole.
 func Assemble(idx *Index, services []*Service) (*Config, error) {
 	c := &Config{
 		Index: idx, Services: map[string]*Service{}, ByHost: map[string]*Service{}, Regions: map[string]string{},
+		targets: map[string]placed{},
 	}
 	whole := idx.Fleet
 	for _, e := range idx.Entries {
@@ -215,6 +235,9 @@
 		for _, h := range s.Hosts {
 			c.ByHost[h] = s
 		}
+		for i := range s.Targets {
+			c.targets[s.Targets[i].VM] = placed{s, &s.Targets[i]}
+		}
 	}
 	if err := whole.Check(); err != nil {
 		return nil, eris.Wrap(err, "configuration")
@@ -241,14 +264,8 @@
 
 // Target finds the target that stands on a VM, with its service.
 func (c *Config) Target(vm string) (*Service, *fleet.Target) {
-	for _, s := range c.Services {
-		for i := range s.Targets {
-			if s.Targets[i].VM == vm {
-				return s, &s.Targets[i]
-			}
-		}
-	}
-	return nil, nil
+	p := c.targets[vm]
+	return p.service, p.target
 }
 
 func load(text []byte) (*ini.File, error) {
--- a/internal/entry/hop.go
+++ b/internal/entry/hop.go
@@ -20,6 +20,8 @@
 	dialTimeout = time.Second
 	// avoidFor is how long a target that couldn't be reached is passed over.
 	avoidFor = time.Second
+	// avoidDead is how long a target whose backend server is gone is passed over.
+	avoidDead = 200 * time.Millisecond
 )
 
 func newTransport() *http.Transport {
@@ -42,6 +44,16 @@
 	return &u
 }
 
+// choose chooses a target that wasn't tried, or nil.
+func (e *Entry) choose(ctx context.Context, x *request, tried []*pick.Target) *pick.Target {
+	x.ask.Draw = pick.Draw{Now: e.now(), Rand: pick.SharedRand}
+	x.ask.Tried = tried
+	if deadline, ok := ctx.Deadline(); ok {
+		x.ask.Left = time.Until(deadline)
+	}
+	return x.service.Choose(&x.ask)
+}
+
 // send offers a request to a target and gives the backend server's answer, or
 // the kind of trouble. A nil error comes with an answer whose body must be closed.
 func (e *Entry) send(ctx context.Context, v *pick.View, t *pick.Target, out *http.Request) (*http.Response, *kind.Error) {
@@ -65,6 +77,14 @@
 		return resp, nil
 	}
 	learn(t, resp)
+	if refusal.Kind == kind.Unreachable {
+		// A guard beside a dead backend server refuses so fast that its target
+		// looks idle; without this it would attract every request.
+		t.Stat.Avoid(e.now() + avoidDead)
+	}
+	if f := e.behind.Load(); f != nil && refusal.Kind == kind.StaleConfig {
+		(*f)(t.Place.VM)
+	}
 	_ = resp.Body.Close()
 	return nil, refusal
 }
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -25,15 +25,17 @@
 	var last *kind.Error
 	offers := 0
 	for offers < 2*x.service.Hops {
-		t := x.service.Pick(e.now(), tried)
+		t := e.choose(ctx, x, tried)
 		if t == nil {
 			break
 		}
 		offers++
 		resp, body, err := e.attemptAt(ctx, v, x, t)
 		if err == nil {
+			e.noteRun(x)
 			return deliver(w, resp)
 		}
+		e.noteDeath(x, err)
 		last = err
 		if err.Said() != kind.NotRun {
 			return err
