--- a/fleet/service.go
+++ b/fleet/service.go
@@ -20,6 +20,9 @@
 	PolicyRandom, PolicyRoundRobin, PolicyTwoChoices, PolicyTwoLoad, PolicyIdleHints, PolicyProbe,
 }
 
+// queueOrders are the names a service's queue order may have.
+var queueOrders = []string{OrderFIFO, OrderLIFO, OrderDeadline}
+
 // Check returns Faults with what is wrong in the service by itself, or nil.
 func (s Service) Check() error { return s.faults().err() }
 
@@ -40,6 +43,9 @@
 	if !slices.Contains(policies, s.Policy) {
 		fs.addf("%s: policy %q (allowed: %s)", where, s.Policy, strings.Join(policies, ", "))
 	}
+	if !slices.Contains(queueOrders, s.QueueOrder) {
+		fs.addf("%s: queue-order %q (allowed: %s)", where, s.QueueOrder, strings.Join(queueOrders, ", "))
+	}
 	within(fs, where, "max-timeout", s.MaxTimeout, time.Millisecond, maxTimeout)
 	within(fs, where, "timeout", s.Timeout, time.Millisecond, max(s.MaxTimeout, time.Millisecond))
 	within(fs, where, "key-lifetime", s.KeyLifetime, time.Second, maxKeyLifetime)
--- a/internal/entry/hop.go
+++ b/internal/entry/hop.go
@@ -27,6 +27,16 @@
 	return &u
 }
 
+// choose chooses a target that wasn't tried, or nil.
+func (e *Entry) choose(ctx context.Context, x *request, tried []*pick.Target) *pick.Target {
+	x.ask.Draw = pick.Draw{Now: e.now(), Rand: pick.SharedRand}
+	x.ask.Tried = tried
+	if deadline, ok := ctx.Deadline(); ok {
+		x.ask.Left = time.Until(deadline)
+	}
+	return x.service.Choose(&x.ask)
+}
+
 // send offers a request to a target and gives the backend server's answer, or
 // the kind of trouble. A nil error comes with an answer whose body must be closed.
 func (e *Entry) send(ctx context.Context, v *pick.View, t *pick.Target, out *http.Request) (*http.Response, *kind.Error) {
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -34,7 +34,7 @@
 	var tried []*pick.Target
 	var last *kind.Error
 	for range 2 * x.service.Hops {
-		t := x.service.Pick(e.now(), tried)
+		t := e.choose(ctx, x, tried)
 		if t == nil {
 			break
 		}
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -29,6 +29,8 @@
 type request struct {
 	in      *http.Request
 	service *pick.Service
+	// ask is used again for each choice of a target.
+	ask pick.Ask
 	// once says that the request runs at most once.
 	once bool
 	// hops is how many targets an idempotent request may be offered to.
