--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -2,64 +2,142 @@
 package admin
 
 import (
+	"io"
+	"net"
 	"net/http"
+	"strings"
+	"time"
 
 	"github.com/gin-gonic/gin"
-	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/limpetdock/limpetdock/internal/core"
 	"github.com/limpetdock/limpetdock/internal/gate"
+	"github.com/limpetdock/limpetdock/internal/metrics"
 	"github.com/limpetdock/limpetdock/internal/pick"
 )
 
+// Paths of the API.
+const (
+	PathMetrics   = "/metrics"
+	PathHealth    = "/v1/health"
+	PathReady     = "/v1/ready"
+	PathStatus    = "/v1/status"
+	PathDump      = "/v1/dump"
+	PathConfig    = "/v1/config"
+	PathDocuments = "/v1/config/documents"
+	PathTeams     = "/v1/teams"
+	PathRefusals  = "/v1/refusals"
+	PathExplain   = "/v1/explain"
+)
+
 // Node is what the API shows of a node. Its methods are safe for concurrent use.
 type Node interface {
-	Dump() (core.Dump, bool)
+	// Dump copies the control tables; ok is false while the node stops.
+	Dump() (d core.Dump, ok bool)
+	// View is what traffic knows of the fleet, or nil.
 	View() *pick.View
 	Load() gate.Load
 	Attempts() (records, stored int)
+	// Now is the time since the node's start.
+	Now() time.Duration
 }
 
-// Dump is a node's whole state.
-type Dump struct {
-	Control  core.Dump    `json:"control"`
-	Load     gate.Load    `json:"load"`
-	Attempts AttemptsDump `json:"attempts"`
-}
-
-// AttemptsDump sums up the table of at-most-once attempts.
-type AttemptsDump struct {
-	Records     int `json:"records"`
-	StoredBytes int `json:"stored_bytes"`
+type api struct {
+	node    Node
+	metrics *metrics.Metrics
 }
 
 // New returns the API's handler.
-func New(n Node, metrics *prometheus.Registry) http.Handler {
+func New(n Node, m *metrics.Metrics) http.Handler {
 	gin.SetMode(gin.ReleaseMode)
+	a := &api{node: n, metrics: m}
 	r := gin.New()
-	r.Use(gin.Recovery())
-	r.GET("/metrics", gin.WrapH(promhttp.HandlerFor(metrics, promhttp.HandlerOpts{})))
-	r.GET("/v1/dump", func(c *gin.Context) { dump(c, n) })
-	r.GET("/v1/health", func(c *gin.Context) { c.JSON(http.StatusOK, gin.H{"state": "live"}) })
-	r.GET("/v1/ready", func(c *gin.Context) { ready(c, n) })
+	r.HandleMethodNotAllowed = true
+	// gin would print each panic to stderr; the answer and the counter of the
+	// HTTP client tell enough, and no one who asks may write lines at will.
+	r.Use(gin.RecoveryWithWriter(io.Discard), onlyByAddress)
+	r.GET(PathMetrics, gin.WrapH(promhttp.HandlerFor(m.Registry, promhttp.HandlerOpts{})))
+	r.GET(PathHealth, func(c *gin.Context) { c.JSON(http.StatusOK, Health{State: "live"}) })
+	r.GET(PathReady, a.ready)
+	r.GET(PathStatus, a.status)
+	r.GET(PathDump, a.dump)
+	r.GET(PathConfig, a.config)
+	r.GET(PathDocuments, a.documents)
+	r.GET(PathTeams, a.teams)
+	r.GET(PathRefusals, a.refusals)
+	r.GET(PathExplain, a.explain)
 	return r
 }
 
-func dump(c *gin.Context, n Node) {
-	control, ok := n.Dump()
-	if !ok {
-		c.JSON(http.StatusServiceUnavailable, gin.H{"message": "the node is stopping"})
-		return
+// Failure is the answer to a question that can't be answered.
+type Failure struct {
+	Message string `json:"message"`
+}
+
+func fail(c *gin.Context, status int, message string) {
+	c.AbortWithStatusJSON(status, Failure{Message: message})
+}
+
+// onlyByAddress refuses requests whose Host is a name. A page in an operator's
+// browser could otherwise have a name of its own resolved to 127.0.0.1 and read
+// the loopback API through it (DNS rebinding).
+func onlyByAddress(c *gin.Context) {
+	host := c.Request.Host
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
 	}
-	records, stored := n.Attempts()
-	c.JSON(http.StatusOK, Dump{Control: control, Load: n.Load(), Attempts: AttemptsDump{records, stored}})
+	host = strings.Trim(host, "[]")
+	if host != "localhost" && net.ParseIP(host) == nil {
+		fail(c, http.StatusForbidden, "the API answers only to an address, not to a name")
+	}
+}
+
+// Health says that the process answers.
+type Health struct {
+	State string `json:"state"`
 }
 
-func ready(c *gin.Context, n Node) {
-	if n.View() == nil {
-		c.JSON(http.StatusServiceUnavailable, gin.H{"ready": false})
+// Readiness says whether the node takes callers' requests.
+type Readiness struct {
+	Ready bool   `json:"ready"`
+	Why   string `json:"why,omitempty"`
+}
+
+func (a *api) ready(c *gin.Context) {
+	why := ""
+	switch {
+	case a.node.View() == nil:
+		why = "no configuration is in force yet"
+	case !a.running():
+		why = "the node is stopping"
+	}
+	if why != "" {
+		c.JSON(http.StatusServiceUnavailable, Readiness{Why: why})
 		return
 	}
-	c.JSON(http.StatusOK, gin.H{"ready": true})
+	c.JSON(http.StatusOK, Readiness{Ready: true})
+}
+
+func (a *api) running() bool {
+	_, ok := a.node.Dump()
+	return ok
+}
+
+// tables gives the control tables, or answers that the node is stopping.
+func (a *api) tables(c *gin.Context) (core.Dump, bool) {
+	d, ok := a.node.Dump()
+	if !ok {
+		fail(c, http.StatusServiceUnavailable, "the node is stopping")
+	}
+	return d, ok
+}
+
+// view gives the View in force, or answers that there is none.
+func (a *api) view(c *gin.Context) *pick.View {
+	v := a.node.View()
+	if v == nil {
+		fail(c, http.StatusServiceUnavailable, "no configuration is in force yet")
+	}
+	return v
 }
--- /dev/null
+++ b/internal/admin/explain.go
@@ -0,0 +1,117 @@
+package admin
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/gin-gonic/gin"
+
+	"github.com/limpetdock/limpetdock/fleet"
+	"github.com/limpetdock/limpetdock/internal/pick"
+)
+
+// Explanation says what the node would do with a request now, and why.
+type Explanation struct {
+	Service string `json:"service"`
+	Team    string `json:"team"`
+	// Route is the route that holds; empty when none matches.
+	Route string `json:"route"`
+	Runs  string `json:"runs"`
+	Class int    `json:"class"`
+	// Timeout is the deadline of a request that brings none, MaxTimeout the
+	// longest that it may bring; both as durations.
+	Timeout    string        `json:"timeout"`
+	MaxTimeout string        `json:"max_timeout"`
+	Hops       int           `json:"hops"`
+	Policy     string        `json:"policy"`
+	Limits     []Limit       `json:"limits"`
+	Targets    []TargetState `json:"targets"`
+	// Chosen is the target that a request would go to first; empty for none.
+	Chosen string `json:"chosen"`
+	Why    string `json:"why"`
+}
+
+// Limit is a limit that applies to the request.
+type Limit struct {
+	What  string `json:"what"`
+	Value int    `json:"value"`
+}
+
+// explain answers what would become of a request: ?service= or ?host=,
+// ?method= and ?path=.
+func (a *api) explain(c *gin.Context) {
+	v := a.view(c)
+	if v == nil {
+		return
+	}
+	name, host := c.Query("service"), c.Query("host")
+	method, path := strings.ToUpper(c.DefaultQuery("method", http.MethodGet)), c.DefaultQuery("path", "/")
+	if name == "" && host == "" {
+		fail(c, http.StatusBadRequest, "service or host is needed")
+		return
+	}
+	if !strings.HasPrefix(path, "/") {
+		fail(c, http.StatusBadRequest, fmt.Sprintf("path %q doesn't start with /", path))
+		return
+	}
+	declared := v.Config.Lookup(name, host)
+	if declared == nil {
+		fail(c, http.StatusNotFound, fmt.Sprintf("no service %q is declared", name+host))
+		return
+	}
+	c.JSON(http.StatusOK, explanation(v, v.Services[declared.Name], method, path, a.node.Now()))
+}
+
+func explanation(v *pick.View, s *pick.Service, method, path string, now time.Duration) Explanation {
+	e := Explanation{
+		Service: s.Name, Team: s.Team, Runs: fleet.RunsAtMostOnce, Hops: s.Hops, Policy: s.Policy,
+		Timeout: s.Timeout.String(), MaxTimeout: s.MaxTimeout.String(), Targets: []TargetState{},
+	}
+	route := s.Match(method, path)
+	if route != nil {
+		e.Route, e.Runs, e.Class, e.Hops = route.Name, route.Runs(), route.Class, s.HopsFor(route)
+	}
+	e.Limits = limits(v, s, route)
+	for _, t := range s.Targets {
+		e.Targets = append(e.Targets, stateOf(v, t, now))
+	}
+	e.Why = "every target is leaving or unknown: the answer would be no-target"
+	if chosen := s.Pick(now, nil); chosen != nil {
+		e.Chosen = chosen.Place.VM
+		e.Why = why(v, s, chosen, now)
+	}
+	return e
+}
+
+func why(v *pick.View, s *pick.Service, chosen *pick.Target, now time.Duration) string {
+	among := "among the targets of the own region"
+	if chosen.Region != v.Here.Region {
+		among = "in another region, because the own region has no usable target"
+	}
+	if chosen.Stat.Avoided(now) {
+		among += ", though it is passed over for now, because nothing better is left"
+	}
+	return fmt.Sprintf("chosen by policy %s %s; another request may go to another target", s.Policy, among)
+}
+
+// limits lists the limits that hold for a request; those of none are left out.
+func limits(v *pick.View, s *pick.Service, route *fleet.Route) []Limit {
+	list := []Limit{
+		{"queue at each target", s.Queue},
+		{"retries in percent of requests", s.RetryPercent},
+	}
+	if route != nil && route.InFlight > 0 {
+		list = append(list, Limit{"route " + route.Name + ": requests at once here", route.InFlight})
+	}
+	if s.InFlight > 0 {
+		list = append(list, Limit{"service " + s.Name + ": requests at once here", s.InFlight})
+	}
+	for _, t := range v.Config.Index.Fleet.Teams {
+		if t.Name == s.Team && t.InFlight > 0 {
+			list = append(list, Limit{"team " + t.Name + ": requests at once here", t.InFlight})
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/internal/admin/state.go
@@ -0,0 +1,208 @@
+package admin
+
+import (
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/gin-gonic/gin"
+
+	"github.com/limpetdock/limpetdock/internal/config"
+	"github.com/limpetdock/limpetdock/internal/core"
+	"github.com/limpetdock/limpetdock/internal/gate"
+	"github.com/limpetdock/limpetdock/internal/pick"
+	"github.com/limpetdock/limpetdock/internal/version"
+	"github.com/limpetdock/limpetdock/internal/wire"
+)
+
+// Dump is a node's whole state.
+type Dump struct {
+	Control  core.Dump              `json:"control"`
+	Load     gate.Load              `json:"load"`
+	Attempts AttemptsDump           `json:"attempts"`
+	Targets  map[string]TargetState `json:"targets"`
+}
+
+// AttemptsDump sums up the table of at-most-once attempts.
+type AttemptsDump struct {
+	Records     int `json:"records"`
+	StoredBytes int `json:"stored_bytes"`
+}
+
+func (a *api) dump(c *gin.Context) {
+	control, ok := a.tables(c)
+	if !ok {
+		return
+	}
+	records, stored := a.node.Attempts()
+	d := Dump{
+		Control: control, Load: a.node.Load(), Attempts: AttemptsDump{records, stored},
+		Targets: map[string]TargetState{},
+	}
+	if v := a.node.View(); v != nil {
+		for _, s := range v.Services {
+			for _, t := range s.Targets {
+				d.Targets[t.Place.VM] = stateOf(v, t, a.node.Now())
+			}
+		}
+	}
+	c.JSON(http.StatusOK, d)
+}
+
+// Status sums a node up, for a look at many nodes at once.
+type Status struct {
+	VM          string        `json:"vm"`
+	Zone        string        `json:"zone"`
+	Region      string        `json:"region"`
+	Incarnation uint64        `json:"incarnation"`
+	Build       version.Build `json:"build"`
+	// Config is the configuration in force; revision 0 is none.
+	Config config.Version `json:"config"`
+	// InForceFor is how long it has been in force, in nanoseconds.
+	InForceFor time.Duration `json:"in_force_for_ns"`
+	// Refused says why a configuration was refused last; empty if none was.
+	Refused string    `json:"refused,omitempty"`
+	Serving bool      `json:"serving"`
+	Leaving bool      `json:"leaving"`
+	Load    gate.Load `json:"load"`
+	// Leavers and Suspects are the other nodes that this one takes for leaving
+	// or out of reach.
+	Leavers  []string `json:"leavers"`
+	Suspects []string `json:"suspects"`
+}
+
+// suspectAfter failed exchanges in a row a peer counts as out of reach.
+const suspectAfter = 3
+
+func (a *api) status(c *gin.Context) {
+	d, ok := a.tables(c)
+	if !ok {
+		return
+	}
+	s := Status{
+		VM: d.Self.VM, Zone: d.Self.Zone, Region: d.Self.Region, Incarnation: d.Self.Incarnation,
+		Build: version.Current(), Config: d.Config.Version, InForceFor: d.Config.InForceFor,
+		Refused: d.Config.RefusedBecause, Serving: a.node.View() != nil, Leaving: d.Leaving,
+		Load: a.node.Load(), Leavers: []string{}, Suspects: []string{},
+	}
+	for name, m := range d.Members {
+		switch {
+		case m.State == wire.MemberLeaving:
+			s.Leavers = append(s.Leavers, name)
+		case m.State == wire.MemberSuspect || m.Failures >= suspectAfter:
+			s.Suspects = append(s.Suspects, name)
+		}
+	}
+	slices.Sort(s.Leavers)
+	slices.Sort(s.Suspects)
+	c.JSON(http.StatusOK, s)
+}
+
+// Config is the configuration in force.
+type Config struct {
+	Version config.Version `json:"version"`
+	// Since is when it came into force, by the node's own clock.
+	Since      time.Time     `json:"since"`
+	InForceFor time.Duration `json:"in_force_for_ns"`
+	Fleet      string        `json:"fleet"`
+	Services   []string      `json:"services"`
+	// Refused is the newest version that was refused, and why.
+	Refused        *config.Version `json:"refused,omitempty"`
+	RefusedBecause string          `json:"refused_because,omitempty"`
+}
+
+func (a *api) config(c *gin.Context) {
+	v := a.view(c)
+	if v == nil {
+		return
+	}
+	d, ok := a.tables(c)
+	if !ok {
+		return
+	}
+	out := Config{
+		Version: d.Config.Version, InForceFor: d.Config.InForceFor, Since: time.Now().Add(-d.Config.InForceFor).UTC(),
+		Fleet: v.Config.Index.Fleet.Name, Refused: d.Config.Refused, RefusedBecause: d.Config.RefusedBecause,
+	}
+	for name := range v.Config.Services {
+		out.Services = append(out.Services, name)
+	}
+	slices.Sort(out.Services)
+	c.JSON(http.StatusOK, out)
+}
+
+// documents gives the documents in force as the stream that package fleet writes.
+func (a *api) documents(c *gin.Context) {
+	v := a.view(c)
+	if v == nil {
+		return
+	}
+	c.Status(http.StatusOK)
+	c.Header("Content-Type", "text/plain; charset=utf-8")
+	pub := v.Config.Publication()
+	// Whoever asked is gone when this fails.
+	_, _ = pub.WriteTo(c.Writer)
+}
+
+// Reasons why a target is or isn't a candidate.
+const (
+	StateCandidate   = "candidate"
+	StateFar         = "other region, used when the own region has none"
+	StateLeaving     = "leaving"
+	StateNoAddress   = "not in the VM list"
+	StateAvoided     = "passed over after a refusal or a failure"
+	distanceHere     = "this VM"
+	distanceZone     = "own zone"
+	distanceRegion   = "own region"
+	distanceOtherReg = "other region"
+)
+
+// TargetState is a target as the node sees it now.
+type TargetState struct {
+	VM       string `json:"vm"`
+	Zone     string `json:"zone"`
+	Region   string `json:"region"`
+	Distance string `json:"distance"`
+	Guard    string `json:"guard"`
+	State    string `json:"state"`
+	// InFlight counts the node's own requests at the target.
+	InFlight int32 `json:"in_flight"`
+	Slots    int   `json:"slots"`
+	// Incarnation is the target's as last learnt, 0 when unknown.
+	Incarnation uint64 `json:"incarnation"`
+}
+
+func stateOf(v *pick.View, t *pick.Target, now time.Duration) TargetState {
+	s := TargetState{
+		VM: t.Place.VM, Zone: t.Place.Zone, Region: t.Region, Distance: distance(v, t), Guard: t.Guard,
+		InFlight: t.Stat.InFlight.Load(), Slots: t.Slots,
+	}
+	if id := t.Stat.Identity(); id != nil {
+		s.Incarnation = id.Incarnation
+	}
+	switch {
+	case t.Leaving:
+		s.State = StateLeaving
+	case t.Guard == "":
+		s.State = StateNoAddress
+	case t.Stat.Avoided(now):
+		s.State = StateAvoided
+	case t.Region != v.Here.Region:
+		s.State = StateFar
+	default:
+		s.State = StateCandidate
+	}
+	return s
+}
+
+func distance(v *pick.View, t *pick.Target) string {
+	switch {
+	case v.Local(t):
+		return distanceHere
+	case t.Place.Zone == v.Here.Zone:
+		return distanceZone
+	case t.Region == v.Here.Region:
+		return distanceRegion
+	}
+	return distanceOtherReg
+}
--- a/internal/entry/hop.go
+++ b/internal/entry/hop.go
@@ -54,6 +54,7 @@
 		out.Header.Set(headers.TimeoutMs, strconv.FormatInt(left, 10))
 	}
 	out.URL.Host = t.Guard
+	out.Header.Set(headers.Fleet, v.Config.Fleet())
 	t.Stat.InFlight.Add(1)
 	defer t.Stat.InFlight.Add(-1)
 	resp, err := e.hop(v, t).RoundTrip(out)
--- a/internal/headers/headers.go
+++ b/internal/headers/headers.go
@@ -40,6 +40,8 @@
 	Tick = "Limpetdock-Tick"
 	// Key is the caller's own idempotency key at its home.
 	Key = "Limpetdock-Key"
+	// Fleet is the name of the deployment; a guard refuses others.
+	Fleet = "Limpetdock-Fleet"
 	// Config is the revision and digest of the service document that routed the request.
 	Config = "Limpetdock-Config"
 	// Collect asks for the answer of an attempt instead of running anything.
@@ -52,7 +54,7 @@
 
 // internalNames are removed from what callers and backend servers send.
 var internalNames = []string{
-	Attempt, Incarnation, Tick, Key, Config, Collect, Suspect, Load, Kind, Outcome, Ticket,
+	Attempt, Incarnation, Tick, Key, Config, Fleet, Collect, Suspect, Load, Kind, Outcome, Ticket,
 }
 
 // hopByHop are the headers of one connection only (RFC 9110, section 7.6.1).
--- a/internal/kind/kind.go
+++ b/internal/kind/kind.go
@@ -58,6 +58,8 @@
 	Blocked Kind = "blocked"
 	// TooDeep is a call chain longer than the declared depth.
 	TooDeep Kind = "too-deep"
+	// WrongFleet is a request at a guard's port that no node of the fleet sent.
+	WrongFleet Kind = "wrong-fleet"
 	// BodyCut is an upload whose sender stopped before its end.
 	BodyCut Kind = "body-cut"
 )
@@ -108,6 +110,7 @@
 	OutcomeUnknown:  {http.StatusBadGateway, Unknown, true, false},
 	Blocked:         {http.StatusServiceUnavailable, Unknown, true, false},
 	TooDeep:         {http.StatusLoopDetected, NotRun, false, false},
+	WrongFleet:      {http.StatusMisdirectedRequest, NotRun, true, true},
 	BodyCut:         {http.StatusBadRequest, Unknown, false, false},
 }
 
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -3,25 +3,45 @@
 package metrics
 
 import (
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
 	"github.com/limpetdock/limpetdock/internal/kind"
+	"github.com/limpetdock/limpetdock/internal/version"
 )
 
+// Labels that can't be names of services, which have no '_'.
+const (
+	// unknownService counts requests for no declared service: what callers send
+	// must not become a label.
+	unknownService = "_unknown"
+	// otherServices counts for services beyond maxServices.
+	otherServices = "_other"
+)
+
+// maxServices bounds the label set over years of renamed services.
+const maxServices = 1024
+
+// outcomeOK labels answers made by a backend server.
+const outcomeOK = "backend"
+
 // Metrics holds a node's counters. Safe for concurrent use.
 type Metrics struct {
 	Registry *prometheus.Registry
 	requests *prometheus.CounterVec
 	hops     *prometheus.CounterVec
 	latency  *prometheus.HistogramVec
+	now      func() time.Time
+	// services is replaced, never changed, when a service is first counted, so
+	// that requests find their counters without a lock.
+	services atomic.Pointer[map[string]*service]
+	mu       sync.Mutex
 }
 
-// outcomeOK labels answers made by a backend server.
-const outcomeOK = "backend"
-
 // New returns counters in a registry of their own.
 func New() *Metrics {
 	m := &Metrics{
@@ -33,28 +53,67 @@
 			Name: "limpetdock_hops_total", Help: "Targets given up for another one, by error kind.",
 		}, []string{"service", "kind"}),
 		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
-			Name: "limpetdock_request_seconds", Help: "Time from a caller's request to the end of its answer.",
+			Name: "limpetdock_request_duration_seconds", Help: "Time from a caller's request to the end of its answer.",
 			Buckets: []float64{.001, .002, .005, .01, .02, .05, .1, .2, .5, 1, 5, 30},
 		}, []string{"service"}),
+		now: time.Now,
 	}
+	m.services.Store(&map[string]*service{})
 	m.Registry.MustRegister(m.requests, m.hops, m.latency,
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector())
+	build := version.Current()
+	m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "limpetdock_build_info", Help: "The build of the program; always 1.",
+		ConstLabels: prometheus.Labels{"version": build.Version, "commit": build.Commit},
+	}, func() float64 { return 1 }))
 	return m
 }
 
-// Answered counts a request that was answered.
-func (m *Metrics) Answered(service string, k kind.Kind, took time.Duration) {
-	label := string(k)
-	if k == "" {
-		label = outcomeOK
+// Answered counts a request that was answered, by the backend server when k is
+// empty. An empty service is one that isn't declared.
+func (m *Metrics) Answered(name string, k kind.Kind, took time.Duration) {
+	s := m.service(name)
+	s.answered.inc(k)
+	s.latency.Observe(took.Seconds())
+	if k != "" {
+		s.recent.add(k, m.now())
 	}
-	m.requests.WithLabelValues(service, label).Inc()
-	m.latency.WithLabelValues(service).Observe(took.Seconds())
 }
 
 // Hopped counts a target that was given up for another one.
-func (m *Metrics) Hopped(service string, k kind.Kind) {
-	m.hops.WithLabelValues(service, string(k)).Inc()
+func (m *Metrics) Hopped(name string, k kind.Kind) {
+	m.service(name).hopped.inc(k)
+}
+
+// service finds the counters of a service.
+func (m *Metrics) service(name string) *service {
+	if name == "" {
+		name = unknownService
+	}
+	if s := (*m.services.Load())[name]; s != nil {
+		return s
+	}
+	return m.addService(name)
+}
+
+func (m *Metrics) addService(name string) *service {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	old := *m.services.Load()
+	if len(old) >= maxServices && old[name] == nil {
+		name = otherServices
+	}
+	if s := old[name]; s != nil {
+		return s
+	}
+	next := make(map[string]*service, len(old)+1)
+	for n, s := range old {
+		next[n] = s
+	}
+	s := newService(m, name)
+	next[name] = s
+	m.services.Store(&next)
+	return s
 }
 
 // Gauge registers a value that is read whenever the metrics are.
@@ -66,3 +125,10 @@
 func (m *Metrics) Counter(name, help string, read func() float64) {
 	m.Registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help}, read))
 }
+
+// LabelledFunc registers a counter with constant labels that is read whenever
+// the metrics are.
+func (m *Metrics) LabelledFunc(name, help string, labels map[string]string, read func() uint64) {
+	m.Registry.MustRegister(prometheus.NewCounterFunc(
+		prometheus.CounterOpts{Name: name, Help: help, ConstLabels: labels}, func() float64 { return float64(read()) }))
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -75,7 +75,13 @@
 	})
 }
 
-func registerGauges(m *metrics.Metrics, c *link.Counters, p *platform.HTTP) {
+func registerGauges(m *metrics.Metrics, c *link.Counters, p *platform.HTTP, g *guard.Guard, e *entry.Entry) {
+	m.Gauge("limpetdock_backend_slots", "Requests that the backend server runs at once, as declared.", func() float64 { return float64(g.Load().Slots) })
+	m.Gauge("limpetdock_backend_slots_in_use", "Requests that the backend server runs now.", func() float64 { return float64(g.Load().InUse) })
+	m.Gauge("limpetdock_backend_queue_length", "Requests that wait for a slot.", func() float64 { return float64(g.Load().Waiting) })
+	m.Gauge("limpetdock_attempt_records", "Records of at-most-once attempts.", func() float64 { n, _ := g.Attempts(); return float64(n) })
+	m.Gauge("limpetdock_attempt_stored_bytes", "Bytes of answers kept for at-most-once attempts.", func() float64 { _, n := g.Attempts(); return float64(n) })
+	m.Gauge("limpetdock_config_revision", "Revision of the configuration in force, 0 for none.", func() float64 { return revision(e) })
 	m.Counter("limpetdock_control_sent_bytes_total", "Bytes of control frames sent.", func() float64 { return float64(c.Sent.Load()) })
 	m.Counter("limpetdock_control_received_bytes_total", "Bytes of control frames received.", func() float64 { return float64(c.Received.Load()) })
 	m.Counter("limpetdock_control_strangers_total", "Control connections refused because of who dialled.", func() float64 { return float64(c.Strangers.Load()) })
@@ -83,44 +89,53 @@
 	m.Counter("limpetdock_platform_calls_total", "Calls to the platform, a waiting watch as one.", func() float64 { return float64(p.Calls.Load()) })
 }
 
+func revision(e *entry.Entry) float64 {
+	if v := e.View(); v != nil {
+		return float64(v.Config.Index.Version.Revision)
+	}
+	return 0
+}
+
 // face is the node as the admin API shows it.
 type face struct {
 	*control.Loop
 	*entry.Entry
 	*guard.Guard
+	clock Clock
 }
 
+// Now is the time since the node's start.
+func (f face) Now() time.Duration { return f.clock() }
+
 // Dump copies the control tables.
 func (f face) Dump() (core.Dump, bool) { return f.Loop.Dump() }
 
 // servers are the HTTP servers of a node and their listeners.
 type servers struct {
 	callers, guard, admin *http.Server
+	counters              countersByServer
+	connsPerIP            int
 	listeners             []net.Listener
 	control               *link.Server
 }
 
-const (
-	// headerTimeout bounds how long a caller may take to send its headers.
-	headerTimeout = 10 * time.Second
-	idleTimeout   = 2 * time.Minute
-	// maxHeader bounds a request's headers, in bytes; more is answered 431.
-	maxHeader = 32 << 10
-)
+// countersByServer are in the order of the HTTP servers' listeners.
+type countersByServer []*serverCounters
 
-func newServer(h http.Handler) *http.Server {
-	return &http.Server{
-		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
-		ErrorLog: nil,
-	}
+// of adds the counters of a server.
+func (list *countersByServer) of(m *metrics.Metrics, log logr.Logger, name string) *serverCounters {
+	c := &serverCounters{log: log.WithValues("server", name)}
+	c.register(m, name)
+	*list = append(*list, c)
+	return c
 }
 
-func newServers(e *entry.Entry, g *guard.Guard, l *control.Loop, m *metrics.Metrics, c *link.Server) *servers {
-	return &servers{
-		callers: newServer(e), guard: newServer(g),
-		admin:   newServer(admin.New(face{l, e, g}, m.Registry)),
-		control: c,
-	}
+func newServers(set *settings.Settings, e *entry.Entry, g *guard.Guard, l *control.Loop, m *metrics.Metrics, c *link.Server, now Clock, log logr.Logger) *servers {
+	s := &servers{control: c, connsPerIP: set.ConnsPerIP}
+	s.callers = newServer(e, s.counters.of(m, log, "callers"))
+	s.guard = newServer(onlyFleet(set.Fleet, g), s.counters.of(m, log, "guard"))
+	s.admin = newServer(admin.New(face{l, e, g, now}, m), s.counters.of(m, log, "admin"))
+	return s
 }
 
 func (s *servers) listen(set *settings.Settings) error {
@@ -137,7 +152,8 @@
 func (s *servers) serve(fail func(error)) {
 	for i, srv := range []*http.Server{s.callers, s.guard, s.admin} {
 		go func() {
-			if err := srv.Serve(s.listeners[i]); err != http.ErrServerClosed {
+			l := newPerIPListener(s.listeners[i], s.connsPerIP, s.counters[i])
+			if err := srv.Serve(l); err != http.ErrServerClosed {
 				fail(err)
 			}
 		}()
@@ -224,7 +240,7 @@
 	p.Loop.SetStopping()
 	p.Guard.SetLeaving(true)
 	time.Sleep(leaveFirst)
-	limit, cancel := context.WithTimeout(context.Background(), p.Settings.StopLimit)
+	limit, cancel := context.WithTimeout(context.Background(), stopLimit(p.Settings.StopLimit, p.Entry.View()))
 	defer cancel()
 	if err := p.Servers.callers.Shutdown(limit); err != nil {
 		p.Log.Error(err, "callers cut off at the stop limit")
@@ -243,5 +259,18 @@
 	p.Log.Info("stopped")
 }
 
+// stopLimit is how long a stop may wait for requests in flight: the service's
+// declared drain time, but no longer than the node's settings allow.
+func stopLimit(allowed time.Duration, v *pick.View) time.Duration {
+	if v == nil {
+		return allowed
+	}
+	svc, _ := v.Config.Target(v.Here.VM)
+	if svc == nil || svc.Drain == 0 {
+		return allowed
+	}
+	return min(allowed, svc.Drain)
+}
+
 // stopSlack is what a stop may take beyond the limit for requests in flight.
 const stopSlack = 5 * time.Second
--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,183 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/fx"
+
+	"github.com/limpetdock/limpetdock/fleet"
+	"github.com/limpetdock/limpetdock/internal/entry"
+	"github.com/limpetdock/limpetdock/internal/platform"
+	"github.com/limpetdock/limpetdock/internal/settings"
+)
+
+// seen is a request as the backend server got it.
+type seen struct {
+	Method, Path, Body string
+	Header             http.Header
+	Chunked            bool
+}
+
+// backend is a backend server that remembers its requests.
+type backend struct {
+	*httptest.Server
+	mu     sync.Mutex
+	got    []seen
+	answer http.HandlerFunc
+}
+
+func newBackend(t *testing.T) *backend {
+	b := &backend{}
+	b.Server = httptest.NewServer(http.HandlerFunc(b.serve))
+	t.Cleanup(b.Close)
+	return b
+}
+
+func (b *backend) serve(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/healthz" {
+		_, _ = w.Write([]byte(`{"state":"live"}`))
+		return
+	}
+	var body strings.Builder
+	buf := make([]byte, 4096)
+	for {
+		n, err := r.Body.Read(buf)
+		body.Write(buf[:n])
+		if err != nil {
+			break
+		}
+	}
+	b.mu.Lock()
+	b.got = append(b.got, seen{r.Method, r.URL.Path, body.String(), r.Header.Clone(), len(r.TransferEncoding) > 0})
+	answer := b.answer
+	b.mu.Unlock()
+	if answer != nil {
+		answer(w, r)
+	}
+}
+
+// taken gives the requests since it was last called.
+func (b *backend) taken() []seen {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	got := b.got
+	b.got = nil
+	return got
+}
+
+// newPlatform serves a configuration and a list of VMs that never change.
+func newPlatform(t *testing.T, f fleet.Fleet, vms ...platform.VM) *httptest.Server {
+	pub, err := f.Print()
+	require.NoError(t, err)
+	values := map[string][]byte{fleet.IndexKey: pub.Index.Text}
+	for _, doc := range pub.Services {
+		values[doc.Key] = doc.Text
+	}
+	list, err := json.Marshal(platform.VMList{Version: 1, VMs: vms})
+	require.NoError(t, err)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Get("after") != "" {
+			<-r.Context().Done() // a watch on what doesn't change
+			return
+		}
+		w.Header().Set("X-Version", "1")
+		if r.URL.Path == "/v1/vms" {
+			_, _ = w.Write(list)
+			return
+		}
+		text, ok := values[strings.TrimPrefix(r.URL.Path, "/v1/values/")]
+		if !ok {
+			w.WriteHeader(http.StatusNotFound)
+		}
+		_, _ = w.Write(text)
+	}))
+	t.Cleanup(srv.CloseClientConnections)
+	return srv
+}
+
+// running is a whole node in this process.
+type running struct {
+	set     *settings.Settings
+	servers *servers
+	entry   *entry.Entry
+	lines   atomic.Int64
+}
+
+// testFleet declares one service on one VM.
+func testFleet() fleet.Fleet {
+	return fleet.Fleet{
+		Name: "shop", Revision: 7,
+		Zones: []fleet.Zone{{Name: "rs-a", Region: "rs"}},
+		Teams: []fleet.Team{{Name: "store", InFlight: 500}},
+		Services: []fleet.Service{{
+			Name: "orders", Team: "store", Timeout: 2 * time.Second, Drain: 40 * time.Second,
+			Routes: []fleet.Route{
+				{Name: "read", Methods: []string{"GET", "HEAD"}, Path: "/*", Idempotent: true},
+				{Name: "upload", Methods: []string{"PUT"}, Path: "/uploads/*", Idempotent: true},
+			},
+			Targets: []fleet.Target{{VM: "orders-1", Zone: "rs-a", Slots: 64}},
+		}},
+	}
+}
+
+// start runs a node beside b, waits until it serves, and stops it at the end.
+func start(t *testing.T, b *backend, log logr.Logger) *running {
+	t.Helper()
+	// An address of its own, so that the fixed ports are free: deployments of
+	// other tests use lower third octets.
+	ip := fmt.Sprintf("127.%d.%d.%d", 2+rand.IntN(250), 230+rand.IntN(20), 1+rand.IntN(250))
+	p := newPlatform(t, testFleet(), platform.VM{Name: "orders-1", IP: ip, State: platform.VMLive})
+	n := &running{set: &settings.Settings{
+		VM: "orders-1", Region: "rs", Zone: "rs-a", Fleet: "shop",
+		Callers: ip + ":7100", Guard: ip + ":7200", Control: ip + ":7300", Admin: ip + ":7400",
+		Backend: parsed(t, b.URL), Platform: parsed(t, p.URL), StopLimit: 10 * time.Second, ConnsPerIP: 64,
+	}}
+	if log.GetSink() == nil {
+		log = funcr.New(func(_, _ string) { n.lines.Add(1) }, funcr.Options{})
+	}
+	app := fx.New(Module, fx.NopLogger, fx.Supply(n.set), fx.Populate(&n.servers, &n.entry),
+		fx.Provide(func() logr.Logger { return log }))
+	require.NoError(t, app.Start(context.Background()))
+	t.Cleanup(func() {
+		p.CloseClientConnections()
+		require.NoError(t, app.Stop(context.Background()))
+	})
+	require.Eventually(t, func() bool {
+		rec := httptest.NewRecorder()
+		req := httptest.NewRequest(http.MethodGet, "/ready", nil)
+		req.Header.Set("Limpetdock-Service", "orders")
+		n.servers.callers.Handler.ServeHTTP(rec, req)
+		return rec.Code == http.StatusOK
+	}, 20*time.Second, 10*time.Millisecond)
+	b.taken()
+	return n
+}
+
+func parsed(t *testing.T, text string) *url.URL {
+	u, err := url.Parse(text)
+	require.NoError(t, err)
+	return u
+}
+
+func TestStopLimit(t *testing.T) {
+	b := newBackend(t)
+	n := start(t, b, logr.Logger{})
+	view := n.entry.View()
+	require.Equal(t, 10*time.Second, stopLimit(10*time.Second, nil), "before any configuration")
+	require.Equal(t, 10*time.Second, stopLimit(10*time.Second, view), "the settings' is shorter")
+	require.Equal(t, 40*time.Second, stopLimit(time.Minute, view), "the declared drain time is shorter")
+}
--- /dev/null
+++ b/internal/node/ports_test.go
@@ -0,0 +1,260 @@
+package node
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/require"
+
+	"github.com/limpetdock/limpetdock/internal/headers"
+)
+
+// raw sends bytes to an address and gives all answers until the connection is
+// closed, for which the last request must ask.
+func raw(t *testing.T, addr, text string) (statuses []int, rest []*http.Response) {
+	t.Helper()
+	conn, err := net.Dial("tcp", addr)
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, text)
+	require.NoError(t, err)
+	r := bufio.NewReader(conn)
+	for {
+		require.NoError(t, conn.SetReadDeadline(time.Now().Add(20*time.Second)))
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil {
+			return statuses, rest
+		}
+		body, err := io.ReadAll(resp.Body)
+		require.NoError(t, err)
+		resp.Body = io.NopCloser(strings.NewReader(string(body)))
+		statuses = append(statuses, resp.StatusCode)
+		rest = append(rest, resp)
+	}
+}
+
+// sentinel follows on the same connection: it is answered only when the node
+// took the end of the request before it for what it was.
+const sentinel = "GET /sentinel HTTP/1.1\r\nHost: orders\r\nConnection: close\r\n\r\n"
+
+const smuggled = "GET /smuggled HTTP/1.1\r\nHost: orders\r\n\r\n"
+
+// A caller hides a second request in what it says is the body of the first. A
+// node and a backend server that disagree over where the first ends run the
+// second one, past every rule of its route, or answer it to another caller.
+// Each shape must be refused, or reach the backend server with one meaning.
+func TestSmugglingShapes(t *testing.T) {
+	const put = "PUT /uploads/x HTTP/1.1\r\nHost: orders\r\n"
+	type passed struct{ body string }
+	// midway is a fault found while the body streams: the answer is a refusal
+	// or an unknown outcome, never a success.
+	const midway = -1
+	tests := map[string]struct {
+		text string
+		// refused is the status of a refusal; the backend server must have seen
+		// no whole request. 0 is for one that is passed on.
+		refused int
+		// passed is the one request that the backend server must have seen.
+		passed *passed
+	}{
+		"both lengths, chunks win": {put + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", 0, &passed{"hello"}},
+		"both lengths, a request after the end of chunks": {
+			put + "Content-Length: 47\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n0\r\n\r\n" + smuggled, 0, &passed{""},
+		},
+		"two different lengths":   {put + "Content-Length: 0\r\nContent-Length: 40\r\n\r\n" + smuggled, 400, nil},
+		"a list of lengths":       {put + "Content-Length: 0, 40\r\n\r\n" + smuggled, 400, nil},
+		"the same length twice":   {put + "Content-Length: 5\r\nContent-Length: 5\r\n\r\nhello", 0, &passed{"hello"}},
+		"a signed length":         {put + "Content-Length: +5\r\n\r\nhello", 400, nil},
+		"a negative length":       {put + "Content-Length: -5\r\n\r\nhello", 400, nil},
+		"a hexadecimal length":    {put + "Content-Length: 0x5\r\n\r\nhello", 400, nil},
+		"an empty length":         {put + "Content-Length: \r\n\r\n" + smuggled, 400, nil},
+		"a coding in odd case":    {put + "Transfer-Encoding: ChUnKeD\r\n\r\n5\r\nhello\r\n0\r\n\r\n", 0, &passed{"hello"}},
+		"an unknown coding":       {put + "Transfer-Encoding: xchunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", 501, nil},
+		"identity":                {put + "Transfer-Encoding: identity\r\nContent-Length: 5\r\n\r\nhello", 501, nil},
+		"two codings":             {put + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", 501, nil},
+		"chunked twice":           {put + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 501, nil},
+		"a tab before the coding": {put + "Transfer-Encoding:\x0bchunked\r\n\r\n0\r\n\r\n", 400, nil},
+		"a space before the colon": {
+			put + "Transfer-Encoding : chunked\r\nContent-Length: 45\r\n\r\n0\r\n\r\n" + smuggled, 400, nil,
+		},
+		"a folded coding":               {put + "Transfer-Encoding:\r\n chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", 0, &passed{"hello"}},
+		"a folded header":               {put + "X-A: b\r\n c\r\nContent-Length: 5\r\n\r\nhello", 0, &passed{"hello"}},
+		"a first header that is folded": {"PUT /uploads/x HTTP/1.1\r\n Host: orders\r\n\r\n", 400, nil},
+		"NUL in a header":               {put + "X-A: b\x00c\r\n\r\n", 400, nil},
+		"NUL in a name":                 {put + "X-\x00A: b\r\n\r\n", 400, nil},
+		"CR alone in a header":          {put + "X-A: b\rX-B: c\r\n\r\n", 400, nil},
+		"a header without a colon":      {put + "X-A\r\n\r\n", 400, nil},
+		"a high byte in a name":         {put + "X-\xffA: b\r\n\r\n", 400, nil},
+		"a bad chunk length":            {put + "Transfer-Encoding: chunked\r\n\r\nzz\r\nhello\r\n0\r\n\r\n", midway, nil},
+		"a signed chunk length":         {put + "Transfer-Encoding: chunked\r\n\r\n+5\r\nhello\r\n0\r\n\r\n", midway, nil},
+		"a chunk longer than said":      {put + "Transfer-Encoding: chunked\r\n\r\n3\r\nhello\r\n0\r\n\r\n", midway, nil},
+		"a chunk length beyond all":     {put + "Transfer-Encoding: chunked\r\n\r\nffffffffffffffffff\r\nhello\r\n0\r\n\r\n", midway, nil},
+		"a chunk line that ends in LF":  {put + "Transfer-Encoding: chunked\r\n\r\n5\nhello\r\n0\r\n\r\n", midway, nil},
+		"chunks of HTTP/1.0":            {"PUT /uploads/x HTTP/1.0\r\nHost: orders\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + smuggled, 0, &passed{""}},
+		"two hosts":                     {put + "Host: depot\r\n\r\n", 400, nil},
+		"no host":                       {"PUT /uploads/x HTTP/1.1\r\nContent-Length: 0\r\n\r\n", 400, nil},
+		"an unknown version":            {"PUT /uploads/x HTTP/1.9x\r\nHost: orders\r\n\r\n", 400, nil},
+		"HTTP/2 without an upgrade":     {"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n", 404, nil},
+		"lines that end in LF":          {"PUT /uploads/x HTTP/1.1\nHost: orders\nContent-Length: 5\n\nhello", 0, &passed{"hello"}},
+	}
+	b := newBackend(t)
+	n := start(t, b, logr.Logger{})
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			b.taken()
+			statuses, _ := raw(t, n.set.Callers, test.text+sentinel)
+			got := b.taken()
+			for _, r := range got {
+				require.NotEqual(t, "/smuggled", r.Path)
+			}
+			require.NotEmpty(t, statuses)
+			if test.passed == nil {
+				require.Len(t, statuses, 1, "nothing after a bad request is read")
+				if test.refused == midway {
+					require.Contains(t, []int{http.StatusBadRequest, http.StatusBadGateway}, statuses[0])
+				} else {
+					require.Equal(t, test.refused, statuses[0])
+					require.Empty(t, got)
+				}
+				return
+			}
+			require.Equal(t, http.StatusOK, statuses[0])
+			require.Equal(t, test.passed.body, got[0].Body)
+			if len(statuses) == 1 {
+				require.Len(t, got, 1)
+				return
+			}
+			require.Equal(t, []int{http.StatusOK, http.StatusOK}, statuses)
+			require.Len(t, got, 2)
+			require.Equal(t, "/sentinel", got[1].Path)
+		})
+	}
+}
+
+// A caller sets the headers by which nodes speak with each other, or a backend
+// server answers with those by which the system tells an outcome. Either would
+// be believed by the next node, or by the caller.
+func TestInternalHeadersAreStripped(t *testing.T) {
+	b := newBackend(t)
+	n := start(t, b, logr.Logger{})
+	b.mu.Lock()
+	b.answer = func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(headers.Kind, "overloaded")
+		w.Header().Set(headers.Outcome, "not-run")
+		w.Header().Set(headers.Incarnation, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	b.mu.Unlock()
+	text := "GET /x HTTP/1.1\r\nHost: orders\r\nConnection: close\r\n"
+	internal := []string{
+		headers.Attempt, headers.Incarnation, headers.Tick, headers.Key, headers.Config, headers.Fleet,
+		headers.Collect, headers.Suspect, headers.Load, headers.Kind, headers.Outcome, headers.Ticket,
+	}
+	for i, name := range internal {
+		if i%2 == 0 {
+			name = strings.ToLower(name)
+		}
+		text += name + ": forged\r\n"
+	}
+	statuses, answers := raw(t, n.set.Callers, text+"\r\n")
+	require.Equal(t, []int{http.StatusServiceUnavailable}, statuses)
+	for _, name := range internal {
+		require.Empty(t, answers[0].Header.Values(name), name)
+	}
+	got := b.taken()
+	require.Len(t, got, 1, "an answer of the backend server's own isn't tried elsewhere")
+	for _, name := range internal {
+		require.Empty(t, got[0].Header.Values(name), name)
+	}
+}
+
+func TestHeadersAreBounded(t *testing.T) {
+	b := newBackend(t)
+	n := start(t, b, logr.Logger{})
+	for name, text := range map[string]string{
+		"one long header": "X-A: " + strings.Repeat("a", 48<<10) + "\r\n",
+		"many headers":    strings.Repeat("X-A: aaaaaaaaaaaaaaaaaaaaaaaaaa\r\n", 1500),
+	} {
+		// Exactly what the server reads before it gives up: bytes left unread
+		// would have the kernel reset the connection, perhaps before the answer.
+		const libraryAdds = 4096
+		text = ("GET /x HTTP/1.1\r\nHost: orders\r\n" + text)[:maxHeader+libraryAdds]
+		statuses, _ := raw(t, n.set.Callers, text)
+		require.Equal(t, []int{http.StatusRequestHeaderFieldsTooLarge}, statuses, name)
+	}
+	require.Empty(t, b.taken())
+}
+
+// A stranger, or an entry of another fleet with an old list of VMs, sends a
+// request straight to a guard's port. Without a check the backend server would
+// run what was meant for another fleet's.
+func TestTheGuardsPortTakesOnlyItsFleet(t *testing.T) {
+	b := newBackend(t)
+	n := start(t, b, logr.Logger{})
+	const request = "GET /x HTTP/1.1\r\nHost: x\r\nLimpetdock-Service: orders\r\nLimpetdock-Timeout-Ms: 1000\r\nConnection: close\r\n"
+	for _, wrong := range []string{"", headers.Fleet + ": depot\r\n", headers.Fleet + ":\r\n"} {
+		statuses, answers := raw(t, n.set.Guard, request+wrong+"\r\n")
+		require.Equal(t, []int{http.StatusMisdirectedRequest}, statuses)
+		require.Equal(t, "not-run", answers[0].Header.Get(headers.Outcome))
+	}
+	require.Empty(t, b.taken())
+	statuses, _ := raw(t, n.set.Guard, request+headers.Fleet+": shop\r\n\r\n")
+	require.Equal(t, []int{http.StatusOK}, statuses)
+	require.Len(t, b.taken(), 1)
+}
+
+func TestConnectionsPerAddressAreBounded(t *testing.T) {
+	b := newBackend(t)
+	n := start(t, b, logr.Logger{})
+	var open []net.Conn
+	defer func() {
+		for _, c := range open {
+			_ = c.Close()
+		}
+	}()
+	for range n.set.ConnsPerIP {
+		conn, err := net.Dial("tcp", n.set.Callers)
+		require.NoError(t, err)
+		open = append(open, conn)
+	}
+	refused := n.servers.counters[0]
+	require.Eventually(t, func() bool {
+		conn, err := net.Dial("tcp", n.set.Callers)
+		if err == nil {
+			_ = conn.Close()
+		}
+		return refused.refused.Load() > 0
+	}, 20*time.Second, 10*time.Millisecond)
+	for _, c := range open {
+		_ = c.Close()
+	}
+	require.Eventually(t, func() bool {
+		statuses, _ := rawAny(n.set.Callers, "GET /x HTTP/1.1\r\nHost: orders\r\nConnection: close\r\n\r\n")
+		return len(statuses) == 1 && statuses[0] == http.StatusOK
+	}, 20*time.Second, 10*time.Millisecond, "closed connections make room")
+}
+
+// rawAny is raw for a connection that may be closed at once.
+func rawAny(addr, text string) ([]int, error) {
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = conn.Close() }()
+	if _, err := fmt.Fprint(conn, text); err != nil {
+		return nil, err
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return nil, err
+	}
+	_ = resp.Body.Close()
+	return []int{resp.StatusCode}, nil
+}
--- /dev/null
+++ b/internal/node/quiet_test.go
@@ -0,0 +1,185 @@
+package node
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
+	"github.com/stretchr/testify/require"
+
+	"github.com/limpetdock/limpetdock/internal/headers"
+)
+
+// lineCounter counts what is written to it.
+type lineCounter struct{ lines atomic.Int64 }
+
+func (c *lineCounter) Write(p []byte) (int, error) {
+	c.lines.Add(int64(bytes.Count(p, []byte("\n"))))
+	return len(p), nil
+}
+
+// An operator pays for every line of a log, and a caller who can have lines
+// written at will can fill it. Requests of every kind, served and refused, must
+// be counted and write nothing, whichever of the libraries would like to.
+func TestAMillionRequestsWriteNoLine(t *testing.T) {
+	const requests, workers, everyNthServed = 1_000_000, 8, 100
+	library := &lineCounter{}
+	log.SetOutput(library)
+	defer log.SetOutput(os.Stderr)
+	b := newBackend(t)
+	n := start(t, b, logr.Logger{})
+	before := n.lines.Load()
+	shapes := []func(*http.Request){
+		func(r *http.Request) { r.Header.Set(headers.Service, "nobody") },
+		func(r *http.Request) { r.Header.Set(headers.TimeoutMs, "soon") },
+		func(r *http.Request) { r.Header.Set(headers.TimeoutMs, "0") },
+		func(r *http.Request) { r.Header.Set(headers.Depth, "99") },
+		func(r *http.Request) { r.Header.Set("Upgrade", "x") },
+		func(r *http.Request) { r.Header.Set(headers.IdempotencyKey, strings.Repeat("k", 999)) },
+	}
+	var wg sync.WaitGroup
+	var served atomic.Int64
+	for range workers {
+		wg.Go(func() {
+			for i := range requests / workers {
+				r := &http.Request{
+					Method: http.MethodGet, URL: &url.URL{Path: "/x"}, Host: "orders", Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+					Header: http.Header{}, Body: http.NoBody,
+				}
+				if i%everyNthServed != 0 {
+					shapes[i%len(shapes)](r)
+				}
+				w := httptest.NewRecorder()
+				n.servers.callers.Handler.ServeHTTP(w, r)
+				if w.Code == http.StatusOK {
+					served.Add(1)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	require.Equal(t, int64(requests/everyNthServed), served.Load())
+	require.Equal(t, before, n.lines.Load(), "the node's own log")
+	require.Zero(t, library.lines.Load(), "the libraries' log")
+}
+
+// A caller sends broken requests at will. net/http would write a line to
+// stderr for many of them; they are counted. Only the first panic is logged, since
+// its stack is needed to mend the fault.
+func TestTheLibrarysLinesAreCounted(t *testing.T) {
+	var lines []string
+	c := &serverCounters{log: funcr.New(func(_, args string) { lines = append(lines, args) }, funcr.Options{})}
+	srv := newServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/panic" {
+			panic("a fault")
+		}
+		w.WriteHeader(http.StatusOK)
+		w.WriteHeader(http.StatusOK) // the library complains
+	}), c)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() { _ = srv.Serve(l) }()
+	defer func() { _ = srv.Close() }()
+	for range 3 {
+		_, _ = rawAny(l.Addr().String(), "GET /panic HTTP/1.1\r\nHost: x\r\n\r\n")
+		_, err := rawAny(l.Addr().String(), "GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+		require.NoError(t, err)
+	}
+	require.EqualValues(t, 3, c.panics.Load())
+	require.EqualValues(t, 3, c.errors.Load())
+	require.Len(t, lines, 1)
+	require.Contains(t, lines[0], "a fault")
+}
+
+// oneConn is a listener that gives one connection.
+type oneConn struct {
+	conns chan net.Conn
+	done  chan struct{}
+}
+
+func (l *oneConn) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+func (l *oneConn) Close() error   { return nil }
+func (l *oneConn) Addr() net.Addr { return &net.TCPAddr{} }
+
+// A caller sends a part of its body and then nothing more, or a byte every now
+// and then. Its connection, and the slot of whoever reads the body, would be
+// held for good. An upload that moves on may take as long as it likes.
+func TestSlowBodies(t *testing.T) {
+	tests := map[string]struct {
+		chunk   int
+		every   time.Duration
+		chunks  int
+		stalled bool
+	}{
+		"stalls":                {100, 2 * stallLimit, 2, true},
+		"a byte now and then":   {1, stallLimit / 3, 1000, true},
+		"a slow, steady sender": {minRate * 20, 10 * time.Second, 100, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := &serverCounters{}
+				ended := make(chan error, 1)
+				srv := newServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+					_, err := io.Copy(io.Discard, r.Body)
+					ended <- err
+				}), c)
+				near, far := net.Pipe()
+				l := &oneConn{conns: make(chan net.Conn, 1), done: make(chan struct{})}
+				l.conns <- far
+				go func() { _ = srv.Serve(l) }()
+				go func() { _, _ = io.Copy(io.Discard, near) }()
+				var sender sync.WaitGroup
+				sender.Go(func() { send(near, test.chunk, test.chunks, test.every) })
+				err := <-ended
+				if test.stalled {
+					var timeout net.Error
+					require.True(t, errors.As(err, &timeout) && timeout.Timeout(), "%v", err)
+					require.EqualValues(t, 1, c.stalled.Load())
+				} else {
+					require.NoError(t, err)
+					require.Zero(t, c.stalled.Load())
+				}
+				close(l.done)
+				_ = near.Close()
+				_ = srv.Close()
+				sender.Wait()
+			})
+		})
+	}
+}
+
+func send(conn net.Conn, chunk, chunks int, every time.Duration) {
+	head := "PUT / HTTP/1.1\r\nHost: x\r\nContent-Length: " + strconv.Itoa(chunk*chunks) + "\r\n\r\n"
+	if _, err := io.WriteString(conn, head); err != nil {
+		return
+	}
+	for range chunks {
+		if _, err := conn.Write(bytes.Repeat([]byte("x"), chunk)); err != nil {
+			return
+		}
+		time.Sleep(every)
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -9,6 +9,7 @@
 	"net/url"
 	"os"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -35,6 +36,8 @@
 	Seeds []string
 	// StopLimit bounds a graceful stop.
 	StopLimit time.Duration
+	// ConnsPerIP bounds the connections of one address to each HTTP port.
+	ConnsPerIP int
 	// LogLevel is the most detailed level that is logged: 0 is information, 1 debug.
 	LogLevel int
 }
@@ -94,6 +97,7 @@
 	{"backend", "url", "", true, allowedURL, base(func(s *Settings) **url.URL { return &s.Backend })},
 	{"platform", "url", "", true, allowedURL, base(func(s *Settings) **url.URL { return &s.Platform })},
 	{"platform", "seeds", "", false, "up to 8 of IP:PORT, separated by commas", seeds},
+	{"limits", "connections-per-ip", "1024", false, "a whole number from 16 to 100000", connsPerIP},
 	{"stop", "limit", "60s", false, "a duration from 1s to 1h", stopLimit},
 	{"log", "level", "0", false, "0 or 1", logLevel},
 }
@@ -155,12 +159,12 @@
 		for _, key := range section.Keys() {
 			id := section.Name() + "." + key.Name()
 			allowed, ok := known[section.Name()]
-			if ok && contains(allowed, key.Name()) {
+			if ok && slices.Contains(allowed, key.Name()) {
 				continue
 			}
 			what := strings.Join(allowed, ", ")
 			if !ok {
-				what = "sections node, listen, backend, platform, stop, log"
+				what = "sections node, listen, backend, platform, limits, stop, log"
 			}
 			faults = append(faults, Fault{file, max(where[id], 1), id, "unknown key", what})
 		}
@@ -168,15 +172,6 @@
 	return faults
 }
 
-func contains(list []string, want string) bool {
-	for _, v := range list {
-		if v == want {
-			return true
-		}
-	}
-	return false
-}
-
 // lineIndex maps "section.key" to the line it stands on, because the INI
 // library doesn't keep line numbers.
 func lineIndex(text []byte) map[string]int {
@@ -269,6 +264,20 @@
 	return nil
 }
 
+const (
+	minConnsPerIP = 16
+	maxConnsPerIP = 100_000
+)
+
+func connsPerIP(s *Settings, v string) error {
+	n, err := strconv.Atoi(v)
+	if err != nil || n < minConnsPerIP || n > maxConnsPerIP {
+		return eris.Errorf("%q is out of range", v)
+	}
+	s.ConnsPerIP = n
+	return nil
+}
+
 func logLevel(s *Settings, v string) error {
 	n, err := strconv.Atoi(v)
 	if err != nil || n < 0 || n > 1 {
