--- a/internal/admin/state.go
+++ b/internal/admin/state.go
@@ -1,6 +1,7 @@
 package admin
 
 import (
+	"fmt"
 	"net/http"
 	"slices"
 	"time"
@@ -65,6 +66,8 @@
 	Serving bool      `json:"serving"`
 	Leaving bool      `json:"leaving"`
 	Load    gate.Load `json:"load"`
+	// SuspectRequests counts requests like those that crashed backend servers.
+	SuspectRequests int `json:"suspect_requests"`
 	// Leavers and Suspects are the other nodes that this one takes for leaving
 	// or out of reach.
 	Leavers  []string `json:"leavers"`
@@ -82,8 +85,8 @@
 	s := Status{
 		VM: d.Self.VM, Zone: d.Self.Zone, Region: d.Self.Region, Incarnation: d.Self.Incarnation,
 		Build: version.Current(), Config: d.Config.Version, InForceFor: d.Config.InForceFor,
-		Refused: d.Config.RefusedBecause, Serving: a.node.View() != nil, Leaving: d.Leaving,
-		Load: a.node.Load(), Leavers: []string{}, Suspects: []string{},
+		Refused: lastRefusal(d), Serving: a.node.View() != nil, Leaving: d.Leaving,
+		Load: a.node.Load(), SuspectRequests: len(d.Suspects), Leavers: []string{}, Suspects: []string{},
 	}
 	for name, m := range d.Members {
 		switch {
@@ -98,6 +101,15 @@
 	c.JSON(http.StatusOK, s)
 }
 
+// lastRefusal says which version was refused last, and why.
+func lastRefusal(d core.Dump) string {
+	if len(d.Config.Refused) == 0 {
+		return ""
+	}
+	r := d.Config.Refused[len(d.Config.Refused)-1]
+	return fmt.Sprintf("revision %d: %s", r.Version.Revision, r.Reason)
+}
+
 // Config is the configuration in force.
 type Config struct {
 	Version config.Version `json:"version"`
@@ -106,9 +118,8 @@
 	InForceFor time.Duration `json:"in_force_for_ns"`
 	Fleet      string        `json:"fleet"`
 	Services   []string      `json:"services"`
-	// Refused is the newest version that was refused, and why.
-	Refused        *config.Version `json:"refused,omitempty"`
-	RefusedBecause string          `json:"refused_because,omitempty"`
+	// Refused are the versions that were refused last, and why.
+	Refused []core.RefusalDump `json:"refused"`
 }
 
 func (a *api) config(c *gin.Context) {
@@ -122,7 +133,7 @@
 	}
 	out := Config{
 		Version: d.Config.Version, InForceFor: d.Config.InForceFor, Since: time.Now().Add(-d.Config.InForceFor).UTC(),
-		Fleet: v.Config.Index.Fleet.Name, Refused: d.Config.Refused, RefusedBecause: d.Config.RefusedBecause,
+		Fleet: v.Config.Fleet(), Refused: d.Config.Refused,
 	}
 	for name := range v.Config.Services {
 		out.Services = append(out.Services, name)
--- a/internal/headers/headers.go
+++ b/internal/headers/headers.go
@@ -42,19 +42,23 @@
 	Key = "Limpetdock-Key"
 	// Fleet is the name of the deployment; a guard refuses others.
 	Fleet = "Limpetdock-Fleet"
-	// Config is the revision and digest of the service document that routed the request.
+	// Config is the config.Stamp of the configuration that routed the request.
 	Config = "Limpetdock-Config"
 	// Collect asks for the answer of an attempt instead of running anything.
 	Collect = "Limpetdock-Collect"
 	// Suspect marks a request whose like was in flight when a backend server died.
 	Suspect = "Limpetdock-Suspect"
+	// Death names the death of the backend server that a request was in flight at.
+	Death = "Limpetdock-Death"
+	// DeathAlone says that nothing else ran at that death.
+	DeathAlone = "Limpetdock-Death-Alone"
 	// Load carries a guard's load on a reply, under the measuring budget.
 	Load = "Limpetdock-Load"
 )
 
 // internalNames are removed from what callers and backend servers send.
 var internalNames = []string{
-	Attempt, Incarnation, Tick, Key, Config, Fleet, Collect, Suspect, Load, Kind, Outcome, Ticket,
+	Attempt, Incarnation, Tick, Key, Config, Fleet, Collect, Suspect, Death, DeathAlone, Load, Kind, Outcome, Ticket,
 }
 
 // hopByHop are the headers of one connection only (RFC 9110, section 7.6.1).
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -42,7 +42,7 @@
 		func(s *settings.Settings) *platform.HTTP { return platform.NewHTTP(s.Platform) },
 		func(l *control.Loop, c *link.Counters) *link.Server { return link.NewServer(l, c) },
 	),
-	fx.Invoke(registerGauges, run),
+	fx.Invoke(registerGauges, run, func(e *entry.Entry, l *control.Loop) { e.SetAccuser(l) }),
 )
 
 // newSelf draws the node's incarnation: milliseconds since 1970 with random low
@@ -75,27 +75,6 @@
 	})
 }
 
-func registerGauges(m *metrics.Metrics, c *link.Counters, p *platform.HTTP, g *guard.Guard, e *entry.Entry) {
-	m.Gauge("limpetdock_backend_slots", "Requests that the backend server runs at once, as declared.", func() float64 { return float64(g.Load().Slots) })
-	m.Gauge("limpetdock_backend_slots_in_use", "Requests that the backend server runs now.", func() float64 { return float64(g.Load().InUse) })
-	m.Gauge("limpetdock_backend_queue_length", "Requests that wait for a slot.", func() float64 { return float64(g.Load().Waiting) })
-	m.Gauge("limpetdock_attempt_records", "Records of at-most-once attempts.", func() float64 { n, _ := g.Attempts(); return float64(n) })
-	m.Gauge("limpetdock_attempt_stored_bytes", "Bytes of answers kept for at-most-once attempts.", func() float64 { _, n := g.Attempts(); return float64(n) })
-	m.Gauge("limpetdock_config_revision", "Revision of the configuration in force, 0 for none.", func() float64 { return revision(e) })
-	m.Counter("limpetdock_control_sent_bytes_total", "Bytes of control frames sent.", func() float64 { return float64(c.Sent.Load()) })
-	m.Counter("limpetdock_control_received_bytes_total", "Bytes of control frames received.", func() float64 { return float64(c.Received.Load()) })
-	m.Counter("limpetdock_control_strangers_total", "Control connections refused because of who dialled.", func() float64 { return float64(c.Strangers.Load()) })
-	m.Counter("limpetdock_control_bad_frames_total", "Control connections closed because of a bad frame.", func() float64 { return float64(c.BadFrames.Load()) })
-	m.Counter("limpetdock_platform_calls_total", "Calls to the platform, a waiting watch as one.", func() float64 { return float64(p.Calls.Load()) })
-}
-
-func revision(e *entry.Entry) float64 {
-	if v := e.View(); v != nil {
-		return float64(v.Config.Index.Version.Revision)
-	}
-	return 0
-}
-
 // face is the node as the admin API shows it.
 type face struct {
 	*control.Loop
@@ -115,8 +94,10 @@
 	callers, guard, admin *http.Server
 	counters              countersByServer
 	connsPerIP            int
-	listeners             []net.Listener
-	control               *link.Server
+	// callersDrain and guardDrain tell clients of the two to close.
+	callersDrain, guardDrain *drainer
+	listeners                []net.Listener
+	control                  *link.Server
 }
 
 // countersByServer are in the order of the HTTP servers' listeners.
@@ -132,9 +113,9 @@
 
 func newServers(set *settings.Settings, e *entry.Entry, g *guard.Guard, l *control.Loop, m *metrics.Metrics, c *link.Server, now Clock, log logr.Logger) *servers {
 	s := &servers{control: c, connsPerIP: set.ConnsPerIP}
-	s.callers = newServer(e, s.counters.of(m, log, "callers"))
-	s.guard = newServer(onlyFleet(set.Fleet, g), s.counters.of(m, log, "guard"))
-	s.admin = newServer(admin.New(face{l, e, g, now}, m), s.counters.of(m, log, "admin"))
+	s.callers, s.callersDrain = newServer(e, s.counters.of(m, log, "callers"))
+	s.guard, s.guardDrain = newServer(onlyFleet(set.Fleet, g), s.counters.of(m, log, "guard"))
+	s.admin, _ = newServer(admin.New(face{l, e, g, now}, m), s.counters.of(m, log, "admin"))
 	return s
 }
 
@@ -185,6 +166,8 @@
 			if err := p.Servers.listen(p.Settings); err != nil {
 				return err
 			}
+			p.Guard.OnBehind(p.Loop.Behind)
+			p.Entry.OnBehind(p.Loop.Behind)
 			p.Loop.Start()
 			p.Servers.serve(func(err error) {
 				p.Log.Error(err, "server ended")
@@ -201,76 +184,3 @@
 		},
 	})
 }
-
-const (
-	// healthEvery is how often the own backend server is asked how it is.
-	healthEvery   = 100 * time.Millisecond
-	healthTimeout = time.Second
-)
-
-// watchBackend asks the backend server beside the node how it is. It never
-// leaves the VM, so it costs nothing of the measuring budget.
-func (p parts) watchBackend(ctx context.Context) {
-	ticker := time.NewTicker(healthEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		ask, cancel := context.WithTimeout(ctx, healthTimeout)
-		h, err := p.Guard.Health(ask, "/healthz")
-		cancel()
-		if err == nil {
-			p.Loop.SetDraining(h.State == "draining")
-		}
-	}
-}
-
-// leaveFirst is how long a stopping node refuses new work at its guard while
-// its entry still takes callers, so that peers hear of it.
-const leaveFirst = 300 * time.Millisecond
-
-// stop ends the node without cutting what is in flight: the guard refuses new
-// work, callers' servers close idle connections and finish the rest, and the
-// control side answers about attempts until the end.
-func (p parts) stop() {
-	p.Log.Info("stopping")
-	p.Loop.SetStopping()
-	p.Guard.SetLeaving(true)
-	time.Sleep(leaveFirst)
-	limit, cancel := context.WithTimeout(context.Background(), stopLimit(p.Settings.StopLimit, p.Entry.View()))
-	defer cancel()
-	if err := p.Servers.callers.Shutdown(limit); err != nil {
-		p.Log.Error(err, "callers cut off at the stop limit")
-	}
-	if err := p.Servers.guard.Shutdown(limit); err != nil {
-		p.Log.Error(err, "entries cut off at the stop limit")
-	}
-	p.Loop.Stop()
-	_ = p.Servers.listeners[3].Close()
-	p.Servers.control.Close()
-	_ = p.Servers.admin.Close()
-	p.Entry.Close()
-	p.Guard.Close()
-	p.Dialer.Close()
-	p.Platform.Close()
-	p.Log.Info("stopped")
-}
-
-// stopLimit is how long a stop may wait for requests in flight: the service's
-// declared drain time, but no longer than the node's settings allow.
-func stopLimit(allowed time.Duration, v *pick.View) time.Duration {
-	if v == nil {
-		return allowed
-	}
-	svc, _ := v.Config.Target(v.Here.VM)
-	if svc == nil || svc.Drain == 0 {
-		return allowed
-	}
-	return min(allowed, svc.Drain)
-}
-
-// stopSlack is what a stop may take beyond the limit for requests in flight.
-const stopSlack = 5 * time.Second
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -144,7 +144,7 @@
 	n := &running{set: &settings.Settings{
 		VM: "orders-1", Region: "rs", Zone: "rs-a", Fleet: "shop",
 		Callers: ip + ":7100", Guard: ip + ":7200", Control: ip + ":7300", Admin: ip + ":7400",
-		Backend: parsed(t, b.URL), Platform: parsed(t, p.URL), StopLimit: 10 * time.Second, ConnsPerIP: 64,
+		Backend: parsed(t, b.URL), Platform: parsed(t, p.URL), StopLimit: 10 * time.Second, ConnsPerIP: 64, Health: "/healthz",
 	}}
 	if log.GetSink() == nil {
 		log = funcr.New(func(_, _ string) { n.lines.Add(1) }, funcr.Options{})
--- a/internal/node/quiet_test.go
+++ b/internal/node/quiet_test.go
@@ -84,7 +84,7 @@
 func TestTheLibrarysLinesAreCounted(t *testing.T) {
 	var lines []string
 	c := &serverCounters{log: funcr.New(func(_, args string) { lines = append(lines, args) }, funcr.Options{})}
-	srv := newServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	srv, _ := newServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/panic" {
 			panic("a fault")
 		}
@@ -142,7 +142,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				c := &serverCounters{}
 				ended := make(chan error, 1)
-				srv := newServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+				srv, _ := newServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 					_, err := io.Copy(io.Discard, r.Body)
 					ended <- err
 				}), c)
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -71,12 +71,14 @@
 	return len(line), nil
 }
 
-// newServer returns a server with the limits that hold towards strangers.
-func newServer(h http.Handler, c *serverCounters) *http.Server {
+// newServer returns a server with the limits that hold towards strangers, and
+// what tells its clients to close.
+func newServer(h http.Handler, c *serverCounters) (*http.Server, *drainer) {
+	d := newDrainer(watchProgress(h, c))
 	return &http.Server{
-		Handler: watchProgress(h, c), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		Handler: d, ConnState: d.connState, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeader, ErrorLog: log.New(c, "", 0),
-	}
+	}, d
 }
 
 // onlyFleet refuses requests that don't carry the fleet's name. An address is
--- a/internal/pick/view.go
+++ b/internal/pick/view.go
@@ -9,6 +9,7 @@
 
 	"github.com/limpetdock/limpetdock/fleet"
 	"github.com/limpetdock/limpetdock/internal/config"
+	"github.com/limpetdock/limpetdock/internal/suspect"
 )
 
 // View is what traffic goroutines know of the fleet. It is immutable.
@@ -17,6 +18,8 @@
 	Services map[string]*Service
 	// Here is the node's own place.
 	Here Place
+	// Suspects are requests that may crash backend servers, by fingerprint.
+	Suspects suspect.Set
 }
 
 // Place says where a VM stands.
@@ -27,6 +30,8 @@
 // Service is one service with its usable targets, nearest first.
 type Service struct {
 	*config.Service
+	// Stamp goes with requests to guards, and says how they were routed.
+	Stamp string
 	// Targets are ordered by distance: own zone, own region, other regions.
 	Targets []*Target
 	// InRegion counts the targets of the own region, which come first.
