--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -71,7 +71,7 @@
 
 func newLoop(self core.Self, p *platform.HTTP, d *link.Dialer, g *guard.Guard, e *entry.Entry, log logr.Logger, now Clock) *control.Loop {
 	return control.New(control.Config{
-		State: core.New(self, rand.Uint64()), Platform: p, Peers: d, Guard: g, Entry: e, Log: log, Now: now,
+		VM: self.VM, State: core.New(self, rand.Uint64()), Platform: p, Peers: d, Guard: g, Entry: e, Log: log, Now: now,
 	})
 }
 
@@ -100,20 +100,10 @@
 	control                  *link.Server
 }
 
-// countersByServer are in the order of the HTTP servers' listeners.
-type countersByServer []*serverCounters
-
-// of adds the counters of a server.
-func (list *countersByServer) of(m *metrics.Metrics, log logr.Logger, name string) *serverCounters {
-	c := &serverCounters{log: log.WithValues("server", name)}
-	c.register(m, name)
-	*list = append(*list, c)
-	return c
-}
-
 func newServers(set *settings.Settings, e *entry.Entry, g *guard.Guard, l *control.Loop, m *metrics.Metrics, c *link.Server, now Clock, log logr.Logger) *servers {
 	s := &servers{control: c, connsPerIP: set.ConnsPerIP}
 	s.callers, s.callersDrain = newServer(e, s.counters.of(m, log, "callers"))
+	s.callers.ConnContext = entry.ConnContext
 	s.guard, s.guardDrain = newServer(onlyFleet(set.Fleet, g), s.counters.of(m, log, "guard"))
 	s.admin, _ = newServer(admin.New(face{l, e, g, now}, m), s.counters.of(m, log, "admin"))
 	return s
--- a/internal/node/ports_test.go
+++ b/internal/node/ports_test.go
@@ -149,13 +149,14 @@
 		w.Header().Set(headers.Kind, "overloaded")
 		w.Header().Set(headers.Outcome, "not-run")
 		w.Header().Set(headers.Incarnation, "1")
+		w.Header().Set(headers.Ticket, "forged")
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 	b.mu.Unlock()
 	text := "GET /x HTTP/1.1\r\nHost: orders\r\nConnection: close\r\n"
 	internal := []string{
-		headers.Attempt, headers.Incarnation, headers.Tick, headers.Key, headers.Config, headers.Fleet,
-		headers.Collect, headers.Suspect, headers.Load, headers.Kind, headers.Outcome, headers.Ticket,
+		headers.Attempt, headers.Incarnation, headers.Tick, headers.Exchange, headers.Config, headers.Fleet,
+		headers.Collect, headers.Suspect, headers.Load, headers.Kind, headers.Outcome,
 	}
 	for i, name := range internal {
 		if i%2 == 0 {
@@ -165,7 +166,7 @@
 	}
 	statuses, answers := raw(t, n.set.Callers, text+"\r\n")
 	require.Equal(t, []int{http.StatusServiceUnavailable}, statuses)
-	for _, name := range internal {
+	for _, name := range append(internal, headers.Ticket) {
 		require.Empty(t, answers[0].Header.Values(name), name)
 	}
 	got := b.taken()
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -53,6 +53,17 @@
 		"Exchanges cut because the other end stopped sending or reading.", labels, c.stalled.Load)
 }
 
+// countersByServer are in the order of the HTTP servers' listeners.
+type countersByServer []*serverCounters
+
+// of adds the counters of a server.
+func (list *countersByServer) of(m *metrics.Metrics, log logr.Logger, name string) *serverCounters {
+	c := &serverCounters{log: log.WithValues("server", name)}
+	c.register(m, name)
+	*list = append(*list, c)
+	return c
+}
+
 // panicPrefix begins the line that net/http logs for a handler that panicked.
 const panicPrefix = "http: panic serving"
 
