--- a/internal/headers/headers.go
+++ b/internal/headers/headers.go
@@ -40,6 +40,8 @@
 	Tick = "Limpetdock-Tick"
 	// Exchange is the id of an idempotent request on its way, for progress checks.
 	Exchange = "Limpetdock-Exchange"
+	// Fleet is the name of the deployment; a guard refuses others.
+	Fleet = "Limpetdock-Fleet"
 	// Config is the config.Stamp of the configuration that routed the request.
 	Config = "Limpetdock-Config"
 	// Collect asks for the answer of an attempt instead of running anything.
@@ -56,7 +58,7 @@
 
 // internalNames are removed from what callers and backend servers send.
 var internalNames = []string{
-	Attempt, Incarnation, Tick, Exchange, Config, Collect, Suspect, Death, DeathAlone, Load, Kind, Outcome, Ticket,
+	Attempt, Incarnation, Tick, Exchange, Config, Fleet, Collect, Suspect, Death, DeathAlone, Load, Kind, Outcome, Ticket,
 }
 
 // hopByHop are the headers of one connection only (RFC 9110, section 7.6.1).
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
-	"time"
 )
 
 // drainer is an http.Handler that can tell its clients to close their
@@ -65,19 +64,3 @@
 	case <-ctx.Done():
 	}
 }
-
-const (
-	// headerTimeout bounds how long a caller may take to send its headers.
-	headerTimeout = 10 * time.Second
-	idleTimeout   = 2 * time.Minute
-	// maxHeader bounds a request's headers, in bytes; more is answered 431.
-	maxHeader = 32 << 10
-)
-
-func newServer(h http.Handler) (*http.Server, *drainer) {
-	d := newDrainer(h)
-	return &http.Server{
-		Handler: d, ConnState: d.connState,
-		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
-	}, d
-}
