--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -66,9 +66,11 @@
 	var near, far []*pick.Target
 	for _, declared := range svc.Targets {
 		target := &pick.Target{
-			Place:  pick.Place{VM: declared.VM, Zone: declared.Zone, Region: c.Regions[declared.Zone]},
-			Target: declared, Guard: "127.0.0.1:1", Stat: &pick.Stat{},
+			Place: pick.Place{VM: declared.VM, Zone: declared.Zone, Region: c.Regions[declared.Zone]},
+			Slots: declared.Slots, Connections: declared.Connections,
+			Guard: "127.0.0.1:1", Stat: &pick.Stat{},
 		}
+		target.Distance = pick.Place{VM: "vm-a", Zone: "a", Region: "r"}.DistanceTo(target.Place)
 		if target.Region == "r" {
 			near = append(near, target)
 		} else {
@@ -82,7 +84,7 @@
 	all := append(near, far...)
 	return &fakeNode{view: &pick.View{
 		Config: c, Here: pick.Place{VM: "vm-a", Zone: "a", Region: "r"},
-		Services: map[string]*pick.Service{"orders": pick.NewService(svc, all, all, len(near))},
+		Services: map[string]*pick.Service{"orders": pick.NewService(svc, all, all, len(near), &pick.Shared{})},
 	}}
 }
 
--- a/internal/admin/explain.go
+++ b/internal/admin/explain.go
@@ -78,7 +78,8 @@
 		e.Targets = append(e.Targets, stateOf(v, t, now))
 	}
 	e.Why = "every target is leaving or unknown: the answer would be no-target"
-	if chosen := s.Pick(now, nil); chosen != nil {
+	ask := &pick.Ask{Draw: pick.Draw{Now: now, Rand: pick.SharedRand}}
+	if chosen := s.Choose(ask); chosen != nil {
 		e.Chosen = chosen.Place.VM
 		e.Why = why(v, s, chosen, now)
 	}
