--- /dev/null
+++ b/test/process/configuration_test.go
@@ -0,0 +1,81 @@
+package process_test
+
+import (
+	"encoding/json"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/limpetdock/limpetdock/examples/deployments"
+	"github.com/limpetdock/limpetdock/internal/admin"
+	"github.com/limpetdock/limpetdock/standin/deploy"
+)
+
+const (
+	waitLimit = time.Minute
+	pollEvery = 20 * time.Millisecond
+)
+
+// revision asks a node which configuration is in force; 0 while it can't tell.
+func revision(p deploy.Place) uint64 {
+	resp, err := http.Get("http://" + p.Admin() + "/v1/dump")
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var d admin.Dump
+	if json.NewDecoder(resp.Body).Decode(&d) != nil {
+		return 0
+	}
+	return d.Control.Config.Version.Revision
+}
+
+// Operators publish revision after revision while one region's platform shows
+// an old state and nodes are restarted. Every node must come to the newest, and
+// none may ever report an older one than before, restarts included.
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	ctx, d := start(t)
+	state, err := d.PlatformState(ctx)
+	require.NoError(t, err)
+	for _, zone := range []string{"pr-a", "pr-b"} {
+		require.NoError(t, d.SetPlatform(ctx, zone, deploy.PlatformFault{FrozenAt: state.Version}))
+	}
+	stop := make(chan struct{})
+	var watchers sync.WaitGroup
+	for _, p := range d.Places {
+		watchers.Go(func() {
+			newest := uint64(0)
+			for {
+				select {
+				case <-stop:
+					return
+				case <-time.After(pollEvery):
+				}
+				now := revision(p)
+				if now != 0 && now < newest {
+					t.Errorf("%s went back from revision %d to %d", p.VM, newest, now)
+				}
+				newest = max(newest, now)
+			}
+		})
+	}
+	const revisions = 6
+	for rev := uint64(2); rev <= revisions; rev++ {
+		published := time.Now()
+		require.NoError(t, d.Publish(ctx, deployments.CestaViva(rev)))
+		for _, p := range d.Places {
+			require.Eventually(t, func() bool { return revision(p) == rev }, waitLimit, pollEvery, p.VM)
+		}
+		t.Logf("revision %d in force on all nodes after %s", rev, time.Since(published).Round(time.Millisecond))
+		require.NoError(t, d.Node(d.Places[int(rev)%len(d.Places)].VM).Kill())
+		require.NoError(t, d.Node("catalogue-pr-a").Kill())
+	}
+	for _, p := range d.Places {
+		require.Eventually(t, func() bool { return revision(p) == revisions }, waitLimit, pollEvery, p.VM)
+	}
+	close(stop)
+	watchers.Wait()
+}
--- a/test/process/process_test.go
+++ b/test/process/process_test.go
@@ -4,13 +4,20 @@
 import (
 	"context"
 	"flag"
+	"io"
+	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
+	"time"
 
+	"github.com/google/uuid"
 	"github.com/stretchr/testify/require"
 
 	"github.com/limpetdock/limpetdock/examples/deployments"
+	"github.com/limpetdock/limpetdock/internal/headers"
+	"github.com/limpetdock/limpetdock/internal/kind"
 	"github.com/limpetdock/limpetdock/standin/chaos"
 	"github.com/limpetdock/limpetdock/standin/deploy"
 )
@@ -39,6 +46,7 @@
 // start starts a deployment of Cesta Viva that ends with the test.
 func start(t *testing.T) (context.Context, *deploy.Deployment) {
 	t.Helper()
+	t.Parallel()
 	octet, release, err := deploy.FreeNet()
 	require.NoError(t, err)
 	t.Cleanup(release)
@@ -60,6 +68,7 @@
 // nobody who is told "not run" may find that it ran.
 func TestAtMostOnceUnderRandomFaults(t *testing.T) {
 	ctx, d := start(t)
+	waitForKeys(t, d)
 	r, err := chaos.Run(ctx, d, chaos.Options{
 		Requests: *chaosRequests, Callers: 48, Seed: *chaosSeed, Log: t.Logf,
 	})
@@ -70,3 +79,35 @@
 		require.Positive(t, c.Run, "%s: nothing ran at all", style)
 	}
 }
+
+// waitForKeys waits until every home takes callers' own keys: a new process
+// refuses them until no key that its predecessor may have run can come again.
+func waitForKeys(t *testing.T, d *deploy.Deployment) {
+	t.Helper()
+	const inARow = 40
+	ok := 0
+	require.Eventually(t, func() bool {
+		for _, service := range []string{"orders", "depot"} {
+			if status, _ := post(t, d.Places[ok%len(d.Places)], service, uuid.NewString()); status != http.StatusOK {
+				ok = 0
+				return false
+			}
+		}
+		ok++
+		return ok >= inARow
+	}, 3*time.Minute, 10*time.Millisecond)
+}
+
+// post sends an at-most-once request under a key of the caller's own.
+func post(t *testing.T, p deploy.Place, service, key string) (int, kind.Kind) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+p.Callers()+"/payouts/run", strings.NewReader("x"))
+	require.NoError(t, err)
+	req.Header.Set(headers.Service, service)
+	req.Header.Set(headers.IdempotencyKey, key)
+	resp, err := http.DefaultClient.Do(req)
+	require.NoError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	_, _ = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode, kind.Kind(resp.Header.Get(headers.Kind))
+}
