limpetdock load: an open-loop load with latency from the scheduled time

Text and JSON reports by kind, HTML plot of p50/p99/p99.9 by second.

Seen failing first: the schedule summed in float seconds drifted by a nanosecond, so a constant schedule had one call too many.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -60,6 +60,9 @@
 func (command) Execute([]string) error { return nil }
 
 func addCommands(p *flags.Parser) error {
+	if err := addLoad(p); err != nil {
+		return err
+	}
 	_, err := p.AddCommand("dump", "show a node's state",
 		"Shows every table of a node's state as JSON.\nExample: limpetdock dump 127.10.1.1:7400", &dumpCommand{})
 	return err
--- a/internal/deps/deps.go
+++ b/internal/deps/deps.go
@@ -3,8 +3,6 @@
 package deps
 
 import (
-	_ "github.com/HdrHistogram/hdrhistogram-go"
-	_ "github.com/go-echarts/go-echarts/v2/charts"
 	_ "github.com/stretchr/testify/require"
 	_ "go.uber.org/goleak"
 	_ "golang.org/x/sys/unix"
