--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/limpetdock/limpetdock/internal/headers"
@@ -28,14 +29,27 @@
 type request struct {
 	in      *http.Request
 	service *pick.Service
+	// ask is used again for each choice of a target.
+	ask pick.Ask
 	// once says that the request runs at most once.
-	once    bool
+	once bool
+	// hops is how many targets an idempotent request may be offered to.
+	hops    int
 	timeout time.Duration
-	key     string
+	// key is the caller's own idempotency key, and ticket one of ours.
+	key    string
+	ticket *ticket
+	// arrived is when the request was read, with its body if that is held.
+	arrived time.Time
 	depth   int
 	// body is the held body; nil when the request's body streams.
 	body   []byte
 	stream bool
+	// suspected says that the request runs alone on its target.
+	suspected   bool
+	fingerprint uint64
+	// begun says that some of a streamed body has been read.
+	begun atomic.Bool
 }
 
 // parse checks a caller's request against the configuration in force.
@@ -48,18 +62,37 @@
 	if conf == nil {
 		return nil, kind.New(kind.UnknownService, "no service %q is declared", clip(orHost(name, r.Host)))
 	}
-	x := &request{in: r, service: v.Services[conf.Name], key: r.Header.Get(headers.IdempotencyKey)}
-	if len(x.key) > maxKey {
-		return nil, kind.New(kind.BadRequest, "%s is longer than %d bytes", headers.IdempotencyKey, maxKey)
+	x := &request{in: r, service: v.Services[conf.Name]}
+	if err := x.parseKey(); err != nil {
+		return nil, err
 	}
 	route := conf.Match(r.Method, r.URL.Path)
 	x.once = route == nil || !route.Idempotent
+	x.hops = conf.HopsFor(route)
 	if err := x.parseTimeout(); err != nil {
 		return nil, err
 	}
 	return x, x.parseDepth()
 }
 
+// parseKey tells a ticket from a key of the caller's own.
+func (x *request) parseKey() *kind.Error {
+	key := x.in.Header.Get(headers.IdempotencyKey)
+	if strings.HasPrefix(key, ticketMark) {
+		t, err := decodeTicket(x.service.Name, key)
+		if err != nil {
+			return kind.New(kind.BadRequest, "%s: %s", headers.IdempotencyKey, err)
+		}
+		x.ticket = t
+		return nil
+	}
+	if len(key) > maxKey {
+		return kind.New(kind.BadRequest, "%s is longer than %d bytes", headers.IdempotencyKey, maxKey)
+	}
+	x.key = key
+	return nil
+}
+
 func orHost(name, host string) string {
 	if name != "" {
 		return name
@@ -136,19 +169,26 @@
 // from then on a streamed request can't be offered to another target.
 type sentBody struct {
 	io.ReadCloser
-	begun bool
-	cut   bool
+	begun atomic.Bool
+	cut   atomic.Bool
+	owner *request
 }
 
 func (b *sentBody) Read(p []byte) (int, error) {
-	b.begun = true
+	b.begun.Store(true)
+	if b.owner != nil {
+		b.owner.begun.Store(true)
+	}
 	n, err := b.ReadCloser.Read(p)
 	if err != nil && !errors.Is(err, io.EOF) {
-		b.cut = true
+		b.cut.Store(true)
 	}
 	return n, err
 }
 
+// cut says whether a streamed body broke off on the caller's side.
+func (x *request) cut(body *sentBody) bool { return x.stream && body.cut.Load() }
+
 // outgoing gives the request for a guard, with a body of its own.
 func (x *request) outgoing() (*http.Request, *sentBody) {
 	in := x.in
@@ -160,14 +200,17 @@
 	headers.StripHop(out.Header)
 	out.Header.Set(headers.Service, x.service.Name)
 	out.Header.Set(headers.Depth, strconv.Itoa(x.depth+1))
-	out.Header.Set(headers.Config, x.service.Tag())
+	out.Header.Set(headers.Config, x.service.Stamp)
+	if x.suspected {
+		out.Header.Set(headers.Suspect, "1")
+	}
 	if _, ok := out.Header["User-Agent"]; !ok {
 		out.Header["User-Agent"] = nil
 	}
 	var body *sentBody
 	switch {
 	case x.stream:
-		body = &sentBody{ReadCloser: io.NopCloser(in.Body)}
+		body = &sentBody{ReadCloser: io.NopCloser(in.Body), owner: x}
 		// The guard asks for the body only once it has taken the request, so a
 		// refusal leaves the body unread and the request can go elsewhere.
 		out.Header.Set("Expect", "100-continue")
--- a/internal/headers/headers.go
+++ b/internal/headers/headers.go
@@ -38,21 +38,27 @@
 	Incarnation = "Limpetdock-Incarnation"
 	// Tick is the guard's own coarse tick as the entry learnt it.
 	Tick = "Limpetdock-Tick"
-	// Key is the caller's own idempotency key at its home.
-	Key = "Limpetdock-Key"
-	// Config is the revision and digest of the service document that routed the request.
+	// Exchange is the id of an idempotent request on its way, for progress checks.
+	Exchange = "Limpetdock-Exchange"
+	// Fleet is the name of the deployment; a guard refuses others.
+	Fleet = "Limpetdock-Fleet"
+	// Config is the config.Stamp of the configuration that routed the request.
 	Config = "Limpetdock-Config"
 	// Collect asks for the answer of an attempt instead of running anything.
 	Collect = "Limpetdock-Collect"
 	// Suspect marks a request whose like was in flight when a backend server died.
 	Suspect = "Limpetdock-Suspect"
+	// Death names the death of the backend server that a request was in flight at.
+	Death = "Limpetdock-Death"
+	// DeathAlone says that nothing else ran at that death.
+	DeathAlone = "Limpetdock-Death-Alone"
 	// Load carries a guard's load on a reply, under the measuring budget.
 	Load = "Limpetdock-Load"
 )
 
 // internalNames are removed from what callers and backend servers send.
 var internalNames = []string{
-	Attempt, Incarnation, Tick, Key, Config, Collect, Suspect, Load, Kind, Outcome, Ticket,
+	Attempt, Incarnation, Tick, Exchange, Config, Fleet, Collect, Suspect, Death, DeathAlone, Load, Kind, Outcome, Ticket,
 }
 
 // hopByHop are the headers of one connection only (RFC 9110, section 7.6.1).
--- a/internal/kind/kind.go
+++ b/internal/kind/kind.go
@@ -58,6 +58,8 @@
 	Blocked Kind = "blocked"
 	// TooDeep is a call chain longer than the declared depth.
 	TooDeep Kind = "too-deep"
+	// WrongFleet is a request at a guard's port that no node of the fleet sent.
+	WrongFleet Kind = "wrong-fleet"
 	// BodyCut is an upload whose sender stopped before its end.
 	BodyCut Kind = "body-cut"
 )
@@ -108,6 +110,7 @@
 	OutcomeUnknown:  {http.StatusBadGateway, Unknown, true, false},
 	Blocked:         {http.StatusServiceUnavailable, Unknown, true, false},
 	TooDeep:         {http.StatusLoopDetected, NotRun, false, false},
+	WrongFleet:      {http.StatusMisdirectedRequest, NotRun, true, true},
 	BodyCut:         {http.StatusBadRequest, Unknown, false, false},
 }
 
@@ -135,6 +138,12 @@
 	Outcome Outcome
 	// RetryAfter is the hint for the caller; zero means the default.
 	RetryAfter time.Duration
+	// Death names the death of a backend server that this tells of; 0 is none.
+	Death uint64
+	// Alone says that the request was the only one in flight at that death.
+	Alone bool
+	// FromGuard says that the target's guard told it, and not the entry itself.
+	FromGuard bool
 	// Cause is for logs only and never shown to callers.
 	Cause error
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -9,6 +9,7 @@
 	"net/url"
 	"os"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -29,12 +30,18 @@
 	Callers, Guard, Control, Admin string
 	// Backend is the base URL of the backend server beside the node.
 	Backend *url.URL
+	// Health is the path of the backend server's health endpoint.
+	Health string
 	// Platform is the base URL of the platform's configuration service and VM list.
 	Platform *url.URL
 	// Seeds are control addresses of a few peers, used while the VM list is unknown.
 	Seeds []string
-	// StopLimit bounds a graceful stop.
+	// StopGrace is how long a stopping node lets callers close idle connections.
+	StopGrace time.Duration
+	// StopLimit bounds how long requests in flight may take to end after it.
 	StopLimit time.Duration
+	// ConnsPerIP bounds the connections of one address to each HTTP port.
+	ConnsPerIP int
 	// LogLevel is the most detailed level that is logged: 0 is information, 1 debug.
 	LogLevel int
 }
@@ -80,6 +87,7 @@
 	allowedName = "lower-case letters, digits, '-' and '.', at most 63"
 	allowedAddr = "IP:PORT"
 	allowedURL  = "http://IP:PORT[/path]"
+	allowedPath = "a path that starts with '/', without query"
 )
 
 var fields = []field{
@@ -92,9 +100,12 @@
 	{"listen", "control", "", true, allowedAddr, address(func(s *Settings) *string { return &s.Control })},
 	{"listen", "admin", "127.0.0.1:7400", false, allowedAddr, address(func(s *Settings) *string { return &s.Admin })},
 	{"backend", "url", "", true, allowedURL, base(func(s *Settings) **url.URL { return &s.Backend })},
+	{"backend", "health", "/healthz", false, allowedPath, healthPath},
 	{"platform", "url", "", true, allowedURL, base(func(s *Settings) **url.URL { return &s.Platform })},
 	{"platform", "seeds", "", false, "up to 8 of IP:PORT, separated by commas", seeds},
-	{"stop", "limit", "60s", false, "a duration from 1s to 1h", stopLimit},
+	{"limits", "connections-per-ip", "1024", false, "a whole number from 16 to 100000", connsPerIP},
+	{"stop", "grace", "3s", false, "a duration from 0s to 1m", duration(0, time.Minute, func(s *Settings) *time.Duration { return &s.StopGrace })},
+	{"stop", "limit", "60s", false, "a duration from 1s to 1h", duration(time.Second, time.Hour, func(s *Settings) *time.Duration { return &s.StopLimit })},
 	{"log", "level", "0", false, "0 or 1", logLevel},
 }
 
@@ -155,12 +166,12 @@
 		for _, key := range section.Keys() {
 			id := section.Name() + "." + key.Name()
 			allowed, ok := known[section.Name()]
-			if ok && contains(allowed, key.Name()) {
+			if ok && slices.Contains(allowed, key.Name()) {
 				continue
 			}
 			what := strings.Join(allowed, ", ")
 			if !ok {
-				what = "sections node, listen, backend, platform, stop, log"
+				what = "sections node, listen, backend, platform, limits, stop, log"
 			}
 			faults = append(faults, Fault{file, max(where[id], 1), id, "unknown key", what})
 		}
@@ -168,15 +179,6 @@
 	return faults
 }
 
-func contains(list []string, want string) bool {
-	for _, v := range list {
-		if v == want {
-			return true
-		}
-	}
-	return false
-}
-
 // lineIndex maps "section.key" to the line it stands on, because the INI
 // library doesn't keep line numbers.
 func lineIndex(text []byte) map[string]int {
@@ -260,12 +262,36 @@
 	return nil
 }
 
-func stopLimit(s *Settings, v string) error {
-	d, err := time.ParseDuration(v)
-	if err != nil || d < time.Second || d > time.Hour {
+func healthPath(s *Settings, v string) error {
+	if u, err := url.Parse(v); err != nil || !strings.HasPrefix(v, "/") || u.Path != v {
+		return eris.Errorf("%q is no path", v)
+	}
+	s.Health = v
+	return nil
+}
+
+func duration(low, high time.Duration, at func(*Settings) *time.Duration) func(*Settings, string) error {
+	return func(s *Settings, v string) error {
+		d, err := time.ParseDuration(v)
+		if err != nil || d < low || d > high {
+			return eris.Errorf("%q is out of range", v)
+		}
+		*at(s) = d
+		return nil
+	}
+}
+
+const (
+	minConnsPerIP = 16
+	maxConnsPerIP = 100_000
+)
+
+func connsPerIP(s *Settings, v string) error {
+	n, err := strconv.Atoi(v)
+	if err != nil || n < minConnsPerIP || n > maxConnsPerIP {
 		return eris.Errorf("%q is out of range", v)
 	}
-	s.StopLimit = d
+	s.ConnsPerIP = n
 	return nil
 }
 
