make added-latency: entry and guard against the same load sent straight to the backend server

Both loads leave one process at the same time, so that both meet the same noise; the target stands on the entry's VM or on another one of its zone.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 TOOLS := build/tools
 DEMO_ARGS := $(if $(CHECK),--check)
 
-.PHONY: build tools test lint demo clean
+.PHONY: build tools test lint demo clean experiments added-latency capacity
 
 build:
 	go build -o $(BIN)/ ./cmd/...
@@ -11,6 +11,7 @@
 	go build -o $(BIN)/standin-backend ./standin/backend
 	go build -o $(BIN)/standin-relay ./standin/relay
 	go build -o $(BIN)/standin-demo ./standin/demo
+	go build -o $(BIN)/standin-experiment ./standin/experiment
 
 tools:
 	cd tools && go build -o ../$(TOOLS)/ mvdan.cc/gofumpt honnef.co/go/tools/cmd/staticcheck
@@ -27,5 +28,16 @@
 demo: build
 	$(BIN)/standin-demo --bin $(BIN) $(DEMO_ARGS)
 
+# What is measured goes to build/experiments as Markdown, JSON and plots.
+# EXPERIMENT_ARGS selects, for example: --scenario slow --policy probe --short
+experiments: build
+	$(BIN)/standin-experiment policies --bin $(BIN) $(EXPERIMENT_ARGS)
+
+added-latency: build
+	$(BIN)/standin-experiment added-latency --bin $(BIN) $(EXPERIMENT_ARGS)
+
+capacity: build
+	$(BIN)/standin-experiment capacity --bin $(BIN) $(EXPERIMENT_ARGS)
+
 clean:
 	rm -rf build
--- /dev/null
+++ b/standin/experiment/added.go
@@ -0,0 +1,94 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/limpetdock/limpetdock/fleet"
+	"github.com/limpetdock/limpetdock/internal/load"
+	"github.com/limpetdock/limpetdock/standin/deploy"
+)
+
+// addedLatency measures what entry and guard add to a call. Each run sends two
+// loads from one process at the same time: through the node and straight to the
+// same backend server, so that both meet the same noise.
+type addedLatency struct {
+	common
+	Rates     []float64     `long:"rate" description:"calls per second of each of the two loads; may be repeated" default:"500" default:"2000"`
+	For       time.Duration `long:"for" default:"10s" description:"length of each run"`
+	ServiceMs float64       `long:"service-ms" default:"0" description:"service time of the backend servers"`
+}
+
+// The names of the two loads of a run.
+const (
+	direct  = "direct"
+	through = "through"
+)
+
+// addedSlots are so many that the backend server is never what is measured.
+const addedSlots = 128
+
+func addedFleet() fleet.Fleet {
+	service := func(name string) fleet.Service {
+		return fleet.Service{
+			Name: name, Team: "measuring",
+			Routes:  []fleet.Route{{Name: "read", Methods: []string{"GET"}, Path: "/*", Idempotent: true}},
+			Targets: []fleet.Target{{VM: name, Zone: "one-a", Slots: addedSlots}},
+		}
+	}
+	return fleet.Fleet{
+		Name: "added-latency", Revision: 1, Zones: []fleet.Zone{{Name: "one-a", Region: "one"}},
+		Teams:    []fleet.Team{{Name: "measuring"}},
+		Services: []fleet.Service{service("here"), service("there")},
+	}
+}
+
+func (a *addedLatency) run(ctx context.Context) error {
+	t := &table{
+		Title: "Added latency",
+		Note: fmt.Sprintf("`make added-latency`: one calling process, two loads at once of the given rate each, %v a run, "+
+			"service time %g ms, Poisson arrivals, latency in ms from sending. The target is 0.32 ms at p99.", a.For, a.ServiceMs),
+		Columns: []string{"target stands", "calls/s", "direct p50", "through p50", "added p50", "direct p99", "through p99", "added p99", "not ok", "schedule"},
+	}
+	err := a.with(ctx, "added-latency", addedFleet(), a.ServiceMs, func(d *deploy.Deployment) error {
+		here, there := d.Places[0], d.Places[1]
+		for _, rate := range a.Rates {
+			a.measure(ctx, t, "on the entry's VM", rate, here, here)
+			a.measure(ctx, t, "on another VM of the zone", rate, here, there)
+		}
+		return ctx.Err()
+	})
+	if err != nil {
+		return err
+	}
+	return publish(a.Out, "added-latency", t)
+}
+
+func (a *addedLatency) measure(ctx context.Context, t *table, where string, rate float64, entry, target deploy.Place) {
+	const warmUp = 2 * time.Second
+	plan := load.Plan{
+		Rate: 2 * rate, Duration: warmUp, Seed: 1,
+		Kinds: []load.Kind{
+			{Name: direct, Service: target.Service, To: []string{target.Backend()}},
+			{Name: through, Service: target.Service, To: []string{entry.Callers()}},
+		},
+	}.WithDefaults()
+	client := load.NewClient(plan)
+	defer client.Close()
+	load.Run(ctx, plan, load.Options{Sender: client})
+	plan.Duration = a.For
+	r := load.Run(ctx, plan, load.Options{Sender: client})
+	one, two := r.Kinds[0].FromSending, r.Kinds[1].FromSending
+	notOK := r.All.Calls - r.All.Outcomes[load.OK]
+	t.add(where, count(rate), ms(one.P50), ms(two.P50), ms(two.P50-one.P50),
+		ms(one.P99), ms(two.P99), ms(two.P99-one.P99), count(float64(notOK)), kept(r))
+}
+
+// kept says whether the sender kept its schedule.
+func kept(r *load.Report) string {
+	if r.Kept() {
+		return "kept"
+	}
+	return fmt.Sprintf("not kept: %d late", r.Late)
+}
--- /dev/null
+++ b/standin/experiment/capacity.go
@@ -0,0 +1,7 @@
+package main
+
+import "context"
+
+type capacity struct{ common }
+
+func (*capacity) run(context.Context) error { return nil }
--- /dev/null
+++ b/standin/experiment/main.go
@@ -0,0 +1,82 @@
+// Command experiment starts deployments of real processes, sends them loads
+// and writes what it measured as Markdown, JSON and plots: the routing policies
+// side by side under faults, the latency that entry and guard add, and the cost
+// of the control side at several sizes. It never ships.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/limpetdock/limpetdock/fleet"
+	"github.com/limpetdock/limpetdock/standin/deploy"
+)
+
+// common are the options of every command.
+type common struct {
+	Bin string `long:"bin" default:"build/bin" description:"directory of the programs"`
+	Out string `long:"out" default:"build/experiments" description:"directory for tables, plots and logs"`
+}
+
+func main() {
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer cancel()
+	parser := flags.NewParser(nil, flags.Default)
+	commands := []struct {
+		name, about string
+		command     interface{ run(context.Context) error }
+	}{
+		{"policies", "compare routing policies under faults", &policies{}},
+		{"added-latency", "measure what entry and guard add to a call", &addedLatency{}},
+		{"capacity", "measure how the control side's cost grows", &capacity{}},
+	}
+	for _, c := range commands {
+		if _, err := parser.AddCommand(c.name, c.about, c.about, c.command); err != nil {
+			fail(err)
+		}
+	}
+	if _, err := parser.Parse(); err != nil {
+		os.Exit(2)
+	}
+	for _, c := range commands {
+		if parser.Active.Name != c.name {
+			continue
+		}
+		if err := c.command.run(ctx); err != nil {
+			fail(err)
+		}
+	}
+}
+
+func fail(err error) {
+	fmt.Fprintln(os.Stderr, "experiment:", err)
+	os.Exit(1)
+}
+
+// with starts a deployment on a network of its own, runs f, and stops it.
+func (c common) with(ctx context.Context, name string, f fleet.Fleet, serviceMs float64, run func(*deploy.Deployment) error) error {
+	octet, release, err := deploy.FreeNet()
+	if err != nil {
+		return err
+	}
+	defer release()
+	d, err := deploy.New(deploy.Options{
+		Bin: c.Bin, Out: c.Out + "/" + name, Net: octet, Fleet: f, ServiceMs: serviceMs,
+	})
+	if err != nil {
+		return err
+	}
+	defer d.Stop()
+	if err := d.Start(ctx); err != nil {
+		return err
+	}
+	if err := d.WaitReady(ctx); err != nil {
+		return err
+	}
+	return run(d)
+}
--- /dev/null
+++ b/standin/experiment/policies.go
@@ -0,0 +1,7 @@
+package main
+
+import "context"
+
+type policies struct{ common }
+
+func (*policies) run(context.Context) error { return nil }
