A hop costs less: no goroutine and timer to look for an empty body

Cause: so that net/http's transport sends no GET twice by itself, it gets a body that can't be had twice; without a declared encoding the transport then starts a goroutine and a timer to find out that the body is empty. Encoding "identity" sends what there is, nothing, and no header about it.

--- a/internal/headers/replay.go
+++ b/internal/headers/replay.go
@@ -7,6 +7,9 @@
 	"strings"
 )
 
+// identity is the transfer encoding that sends a body as it is.
+const identity = "identity"
+
 // Unreplayable keeps net/http's transport from sending a request again by
 // itself: when a kept connection breaks before the answer, it repeats requests
 // that have no body and a safe method or an Idempotency-Key header. The first
@@ -26,6 +29,10 @@
 		if r.Body == nil || r.Body == http.NoBody {
 			r.Body = io.NopCloser(bytes.NewReader(nil))
 			r.ContentLength = 0
+			// Without a declared encoding the transport starts a goroutine and a
+			// timer to find out whether such a body is empty; "identity" sends
+			// what there is, which is nothing, and no header about it.
+			r.TransferEncoding = []string{identity}
 		}
 	}
 }
