make experiments: the routing policies side by side under eight kinds of trouble

One deployment of 18 nodes behind delaying relays; each scenario runs with every policy in turn and the same schedule. The relays count the bytes of each link, so bytes between regions are counted on the wire.

--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -58,6 +58,20 @@
 	}
 }
 
+func TestSurgeChangesTheRateForItsTime(t *testing.T) {
+	p := testPlan()
+	p.Arrivals = Constant
+	p.Surges = []Surge{{From: 2 * time.Second, To: 4 * time.Second, Factor: 3}}
+	require.NoError(t, p.Check())
+	perSecond := make([]int, 10)
+	for _, c := range all(p) {
+		perSecond[c.At/time.Second]++
+	}
+	require.InDelta(t, 300, perSecond[2], 2)
+	require.InDelta(t, 300, perSecond[3], 2)
+	require.InDelta(t, 100, perSecond[5], 2)
+}
+
 // stalling answers in a millisecond but stands still from one time to another.
 type stalling struct {
 	start    time.Time
--- a/internal/load/plan.go
+++ b/internal/load/plan.go
@@ -39,7 +39,15 @@
 	Seed uint64
 	// Workers bounds the calls in flight; 0 means DefaultWorkers.
 	Workers int
-	Kinds   []Kind
+	// Surges change the rate for a time; where two overlap the first holds.
+	Surges []Surge
+	Kinds  []Kind
+}
+
+// Surge multiplies the rate from one time of the run to another.
+type Surge struct {
+	From, To time.Duration
+	Factor   float64
 }
 
 // Kind is one kind of call in the mix.
@@ -115,6 +123,8 @@
 		return eris.New("duration must be above 0, for example 30s")
 	case p.Arrivals != Poisson && p.Arrivals != Constant:
 		return eris.Errorf("arrivals must be %s or %s, not %q", Poisson, Constant, p.Arrivals)
+	case slices.ContainsFunc(p.Surges, func(s Surge) bool { return !(s.Factor > 0) || s.From >= s.To }):
+		return eris.New("a surge needs a factor above 0 and must end after it begins")
 	case p.Workers < 1 || p.Workers > maxWorkers:
 		return eris.Errorf("workers must be 1 to %d", maxWorkers)
 	case len(p.Kinds) == 0:
--- a/internal/load/schedule.go
+++ b/internal/load/schedule.go
@@ -37,7 +37,7 @@
 
 // next gives the next call, or false when the plan's duration is over.
 func (s *schedule) next() (Call, bool) {
-	gap := float64(time.Second) / s.plan.Rate
+	gap := float64(time.Second) / s.rate()
 	if s.plan.Arrivals == Poisson {
 		gap *= s.rnd.ExpFloat64()
 	}
@@ -52,6 +52,16 @@
 	return c, true
 }
 
+// rate gives the rate now.
+func (s *schedule) rate() float64 {
+	for _, surge := range s.plan.Surges {
+		if s.at >= surge.From && s.at < surge.To {
+			return s.plan.Rate * surge.Factor
+		}
+	}
+	return s.plan.Rate
+}
+
 func (s *schedule) kind() int {
 	n := s.rnd.IntN(s.weights)
 	for i, k := range s.plan.Kinds {
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -15,37 +15,21 @@
 	"time"
 )
 
-// behaviour is what a test may change while the backend server runs.
-type behaviour struct {
-	ServiceMs float64 `json:"service_ms"`
-	// JitterMs shifts the service time every ShiftEveryMs, as noisy neighbours do.
-	JitterMs     float64 `json:"jitter_ms"`
-	ShiftEveryMs int     `json:"shift_every_ms"`
-	// State is what the health endpoint says.
-	State string `json:"state"`
-	// Shed answers 503 before a run; FailFast answers 500 at once.
-	Shed     bool `json:"shed"`
-	FailFast bool `json:"fail_fast"`
-	// Lie is what the load endpoint says instead of the truth; -1 is the truth.
-	Lie int `json:"lie"`
-	// ColdMs is how long after its start the server is ten times slower.
-	ColdMs int `json:"cold_ms"`
-}
-
 type backend struct {
 	opts    options
-	start   time.Time
 	slots   chan struct{}
 	running atomic.Int64
 	mu      sync.Mutex
 	how     behaviour
-	ledger  *os.File
-	client  *http.Client
+	// coldFrom is when the last cold start began.
+	coldFrom time.Time
+	ledger   *os.File
+	client   *http.Client
 }
 
 func newBackend(opts options) (*backend, error) {
 	b := &backend{
-		opts: opts, start: time.Now(), slots: make(chan struct{}, opts.Slots),
+		opts: opts, coldFrom: time.Now(), slots: make(chan struct{}, opts.Slots),
 		how:    behaviour{ServiceMs: opts.ServiceMs, State: "live", Lie: -1},
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
 	}
@@ -78,32 +62,6 @@
 	_, _ = b.ledger.Write(append(text, '\n'))
 }
 
-func (b *backend) behaviour() behaviour {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.how
-}
-
-func (b *backend) set(w http.ResponseWriter, r *http.Request) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if err := json.NewDecoder(r.Body).Decode(&b.how); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-	}
-}
-
-func (b *backend) health(w http.ResponseWriter, _ *http.Request) {
-	_ = json.NewEncoder(w).Encode(map[string]any{"state": b.behaviour().State, "running": b.running.Load()})
-}
-
-func (b *backend) load(w http.ResponseWriter, _ *http.Request) {
-	n := int(b.running.Load())
-	if lie := b.behaviour().Lie; lie >= 0 {
-		n = lie
-	}
-	_ = json.NewEncoder(w).Encode(map[string]any{"running": n, "slots": b.opts.Slots})
-}
-
 // serve runs one request: it takes a slot, works, and echoes the body.
 func (b *backend) serve(w http.ResponseWriter, r *http.Request) {
 	how := b.behaviour()
@@ -126,12 +84,14 @@
 	}
 	body, err := readBody(r)
 	if err != nil {
-		return
+		panic(http.ErrAbortHandler)
 	}
-	if !b.work(r, how) {
-		return
+	ctx, cancel := withDeadline(r)
+	defer cancel()
+	if !b.work(ctx, r, how) {
+		leave(r.Context())
 	}
-	if !b.chain(w, r) {
+	if !b.chain(ctx, w, r) {
 		outcome = "chain-failed"
 		return
 	}
@@ -168,34 +128,6 @@
 	return len(p), err
 }
 
-// work holds a slot for the service time. It returns false when cancelled.
-func (b *backend) work(r *http.Request, how behaviour) bool {
-	select {
-	case b.slots <- struct{}{}:
-	case <-r.Context().Done():
-		return false
-	}
-	defer func() { <-b.slots }()
-	return sleep(r.Context(), b.serviceTime(r, how))
-}
-
-func (b *backend) serviceTime(r *http.Request, how behaviour) time.Duration {
-	ms := how.ServiceMs
-	if how.ShiftEveryMs > 0 {
-		// A cheap hash of the time slice and the name: every server shifts by itself.
-		slice := time.Now().UnixMilli() / int64(how.ShiftEveryMs)
-		sum := sha256.Sum256([]byte(b.opts.Name + strconv.FormatInt(slice, 10)))
-		ms += how.JitterMs * float64(sum[0]) / 255
-	}
-	if time.Since(b.start) < time.Duration(how.ColdMs)*time.Millisecond {
-		ms *= 10
-	}
-	if own, err := strconv.ParseFloat(r.Header.Get("X-Standin-Ms"), 64); err == nil {
-		ms = own
-	}
-	return time.Duration(ms * float64(time.Millisecond))
-}
-
 func sleep(ctx context.Context, d time.Duration) bool {
 	if d <= 0 {
 		return true
@@ -211,21 +143,25 @@
 }
 
 // chain calls the next service of X-Standin-Chain through the node beside it.
-func (b *backend) chain(w http.ResponseWriter, r *http.Request) bool {
+func (b *backend) chain(ctx context.Context, w http.ResponseWriter, r *http.Request) bool {
 	list := r.Header.Get("X-Standin-Chain")
 	if list == "" || b.opts.Entry == "" {
 		return true
 	}
 	next, rest, _ := strings.Cut(list, ",")
-	req, err := http.NewRequestWithContext(r.Context(), http.MethodGet, "http://"+b.opts.Entry+"/chain", nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+b.opts.Entry+"/chain", nil)
 	if err != nil {
 		return false
 	}
-	for _, name := range []string{"X-Request-Id", "Limpetdock-Timeout-Ms", "Limpetdock-Depth", "Limpetdock-Retries-Left", "X-Standin-Ms"} {
+	for _, name := range []string{"X-Request-Id", "Limpetdock-Depth", "Limpetdock-Retries-Left", "X-Standin-Ms"} {
 		if v := r.Header.Get(name); v != "" {
 			req.Header.Set(name, v)
 		}
 	}
+	if deadline, ok := ctx.Deadline(); ok {
+		left := max(1, time.Until(deadline).Milliseconds())
+		req.Header.Set(timeoutHeader, strconv.FormatInt(left, 10))
+	}
 	req.Header.Set("Limpetdock-Service", next)
 	if rest != "" {
 		req.Header.Set("X-Standin-Chain", rest)
--- a/standin/backend/main.go
+++ b/standin/backend/main.go
@@ -31,10 +31,10 @@
 		os.Exit(1)
 	}
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /healthz", b.health)
-	mux.HandleFunc("GET /load", b.load)
+	mux.HandleFunc("GET /healthz", b.thaw(b.health))
+	mux.HandleFunc("GET /load", b.thaw(b.load))
 	mux.HandleFunc("PUT /-/set", b.set)
-	mux.HandleFunc("/", b.serve)
+	mux.HandleFunc("/", b.thaw(b.serve))
 	if err := http.ListenAndServe(opts.Listen, mux); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
--- a/standin/deploy/faults.go
+++ b/standin/deploy/faults.go
@@ -61,16 +61,42 @@
 // PlatformState reads the platform's version and its counted calls, by zone.
 func (d *Deployment) PlatformState(ctx context.Context) (PlatformState, error) {
 	var s PlatformState
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, d.platformURL("/admin/state"), nil)
+	return s, get(ctx, d.platformURL("/admin/state"), &s)
+}
+
+// LinkBytes is what went from one zone to another through the relays.
+type LinkBytes struct {
+	From  string `json:"from"`
+	To    string `json:"to"`
+	Bytes uint64 `json:"bytes"`
+}
+
+// Bytes reads what went through all relays so far. A link has a row for each of
+// the two relays that carry it, by who opened the connection.
+func (d *Deployment) Bytes(ctx context.Context) ([]LinkBytes, error) {
+	var all []LinkBytes
+	for _, no := range d.zones {
+		var rows []LinkBytes
+		if err := get(ctx, "http://"+d.net.relayAdmin(no)+"/bytes", &rows); err != nil {
+			return nil, err
+		}
+		all = append(all, rows...)
+	}
+	return all, nil
+}
+
+// get reads a value as JSON from a stand-in.
+func get(ctx context.Context, url string, value any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return s, err
+		return err
 	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return s, err
+		return err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	return s, json.NewDecoder(resp.Body).Decode(&s)
+	return json.NewDecoder(resp.Body).Decode(value)
 }
 
 // SetBackend changes the behaviour of a VM's backend server stand-in; keys are
--- /dev/null
+++ b/standin/experiment/scenario.go
@@ -0,0 +1,139 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/limpetdock/limpetdock/fleet"
+	"github.com/limpetdock/limpetdock/internal/load"
+	"github.com/limpetdock/limpetdock/standin/deploy"
+)
+
+// The experiments' fleet: one service with three targets in each of the six
+// zones, so that an entry has six to choose from in its region, where one
+// service of the users' has two.
+const (
+	service       = "work"
+	targetsInZone = 3
+	slots         = 6
+	// meanMs is the mean service time. Half of it is drawn for each request.
+	meanMs = 40.0
+	spread = 0.5
+	// timeout is the deadline of each call.
+	timeout = time.Second
+	// utilization is the load of a steady run, as a share of all slots.
+	utilization = 0.7
+)
+
+func experimentFleet(policy string, revision uint64) fleet.Fleet {
+	f := fleet.Fleet{Name: "experiment", Revision: revision, Teams: []fleet.Team{{Name: "measuring"}}}
+	svc := fleet.Service{
+		Name: service, Team: "measuring", Policy: policy, Timeout: timeout,
+		Routes: []fleet.Route{{Name: "read", Methods: []string{"GET"}, Path: "/*", Idempotent: true}},
+	}
+	for _, region := range []string{"rs", "sc", "pr"} {
+		for _, letter := range []string{"a", "b"} {
+			zone := region + "-" + letter
+			f.Zones = append(f.Zones, fleet.Zone{Name: zone, Region: region})
+			for i := range targetsInZone {
+				vm := fmt.Sprintf("%s-%s-%d", service, zone, i+1)
+				svc.Targets = append(svc.Targets, fleet.Target{VM: vm, Zone: zone, Slots: slots})
+			}
+		}
+	}
+	f.Services = []fleet.Service{svc}
+	return f
+}
+
+// step is something that happens in a scenario at a time of the load.
+type step struct {
+	at time.Duration
+	do func(context.Context, *deploy.Deployment) error
+}
+
+// scenario is one experiment.
+type scenario struct {
+	name, about string
+	length      time.Duration
+	surges      []load.Surge
+	steps       []step
+}
+
+// set changes the behaviour of every stride-th backend server from the first
+// on, or of the first one only if stride is 0.
+func set(stride int, behaviour map[string]any) func(context.Context, *deploy.Deployment) error {
+	return func(ctx context.Context, d *deploy.Deployment) error {
+		for i, p := range d.Places {
+			if i > 0 && (stride == 0 || i%stride != 0) {
+				continue
+			}
+			if err := d.SetBackend(ctx, p.VM, behaviour); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+}
+
+// reset makes every backend server and link well.
+func reset(ctx context.Context, d *deploy.Deployment) error {
+	if err := d.SetLinks(ctx); err != nil {
+		return err
+	}
+	return set(1, map[string]any{
+		"service_ms": meanMs, "spread": spread, "jitter_ms": 0, "shift_every_ms": 0,
+		"state": "live", "fail_fast": false, "lie": -1, "cold_ms": 0,
+	})(ctx, d)
+}
+
+// cutRegion cuts the links between sc and the other regions.
+func cutRegion(ctx context.Context, d *deploy.Deployment) error {
+	return d.SetLinks(
+		ctx, deploy.LinkFault{From: "sc-*", To: "rs-*", Cut: true}, deploy.LinkFault{From: "rs-*", To: "sc-*", Cut: true},
+		deploy.LinkFault{From: "sc-*", To: "pr-*", Cut: true}, deploy.LinkFault{From: "pr-*", To: "sc-*", Cut: true},
+	)
+}
+
+// drainTwo drains two of the six targets of sc: the four left don't carry its load.
+func drainTwo(ctx context.Context, d *deploy.Deployment) error {
+	for _, vm := range []string{"work-sc-a-1", "work-sc-b-1"} {
+		if err := d.SetBackend(ctx, vm, map[string]any{"state": "draining"}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+const s = time.Second
+
+var scenarios = []scenario{
+	{name: "steady", about: "all servers well", length: 5 * s},
+	{name: "slow", about: "one server takes 10 times as long from second 2 to 5", length: 7 * s, steps: []step{
+		{2 * s, set(0, map[string]any{"service_ms": 10 * meanMs})},
+		{5 * s, set(0, map[string]any{"service_ms": meanMs})},
+	}},
+	{name: "fail-fast", about: "one server answers 500 at once from second 2 to 5", length: 7 * s, steps: []step{
+		{2 * s, set(0, map[string]any{"fail_fast": true})},
+		{5 * s, set(0, map[string]any{"fail_fast": false})},
+	}},
+	{name: "neighbours", about: "service time shifts by 0 to 60 ms every 8 ms, at each server by itself, the mean as before", length: 5 * s, steps: []step{
+		{0, set(1, map[string]any{"service_ms": 10, "jitter_ms": 60, "shift_every_ms": 8})},
+	}},
+	{name: "lying", about: "a third of the load endpoints say idle always, and one of these servers is 5 times slower from second 2", length: 5 * s, steps: []step{
+		{0, set(3, map[string]any{"lie": 0})},
+		{2 * s, set(0, map[string]any{"service_ms": 5 * meanMs})},
+	}},
+	{name: "cold", about: "a third of the servers starts cold at second 2: 10 times slower for 3 s", length: 7 * s, steps: []step{
+		{2 * s, set(3, map[string]any{"cold_ms": 3000})},
+	}},
+	{
+		name: "overload", about: "1.3 times what all slots can do from second 2 to 12", length: 14 * s,
+		surges: []load.Surge{{From: 2 * s, To: 12 * s, Factor: 1.3 / utilization}},
+	},
+	{name: "region-cut", about: "two of six servers of a region drain, and it is cut off the others from second 1 to 21", length: 23 * s, steps: []step{
+		{0, drainTwo},
+		{1 * s, cutRegion},
+		{21 * s, func(ctx context.Context, d *deploy.Deployment) error { return d.SetLinks(ctx) }},
+	}},
+}
--- /dev/null
+++ b/standin/experiment/scrape.go
@@ -0,0 +1,134 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"maps"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/limpetdock/limpetdock/standin/deploy"
+)
+
+// Metrics of nodes that are compared.
+const (
+	metricHops            = "limpetdock_hops_total"
+	metricRevision        = "limpetdock_config_revision"
+	metricMeasureRequests = "limpetdock_measuring_requests_total"
+	metricMeasureBytes    = "limpetdock_measuring_bytes_total"
+	metricMeasureCross    = "limpetdock_measuring_cross_region_bytes_total"
+	metricControlSent     = "limpetdock_control_sent_bytes_total"
+	metricPlatformCalls   = "limpetdock_platform_calls_total"
+	metricCPU             = "process_cpu_seconds_total"
+	metricRSS             = "process_resident_memory_bytes"
+)
+
+// sample is metrics of a node or the sum over nodes, by name, labels summed up.
+type sample map[string]float64
+
+// scrape reads a node's metrics.
+func scrape(ctx context.Context, p deploy.Place) (sample, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.Admin()+"/metrics", nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	s := sample{}
+	lines := bufio.NewScanner(resp.Body)
+	for lines.Scan() {
+		name, value, ok := parseMetric(lines.Text())
+		if ok {
+			s[name] += value
+		}
+	}
+	return s, lines.Err()
+}
+
+// parseMetric reads a line of the Prometheus text format and drops its labels.
+func parseMetric(line string) (name string, value float64, ok bool) {
+	if strings.HasPrefix(line, "#") {
+		return "", 0, false
+	}
+	at := strings.LastIndexByte(line, ' ')
+	if at < 0 {
+		return "", 0, false
+	}
+	name, _, _ = strings.Cut(line[:at], "{")
+	value, err := strconv.ParseFloat(line[at+1:], 64)
+	return strings.TrimSpace(name), value, err == nil
+}
+
+// scrapeAll sums the metrics of all nodes up.
+func scrapeAll(ctx context.Context, d *deploy.Deployment) (sample, error) {
+	sum := sample{}
+	for _, p := range d.Places {
+		s, err := scrape(ctx, p)
+		if err != nil {
+			return nil, err
+		}
+		for name, v := range s {
+			sum[name] += v
+		}
+	}
+	return sum, nil
+}
+
+// minus gives what changed since an earlier sample.
+func (s sample) minus(earlier sample) sample {
+	diff := maps.Clone(s)
+	for name, v := range earlier {
+		diff[name] -= v
+	}
+	return diff
+}
+
+// perSecond writes a metric's rate for a node, or a dash if nodes don't have it.
+func (s sample) perSecond(name string, took time.Duration, nodes int) string {
+	v, ok := s[name]
+	if !ok {
+		return "-"
+	}
+	return fmt.Sprintf("%.1f", v/took.Seconds()/float64(nodes))
+}
+
+// awaitRevision waits until a revision is in force at every node.
+func awaitRevision(ctx context.Context, d *deploy.Deployment, revision uint64) error {
+	const limit, pause = 20 * time.Second, 50 * time.Millisecond
+	end := time.Now().Add(limit)
+	for _, p := range d.Places {
+		for {
+			s, err := scrape(ctx, p)
+			if err == nil && s[metricRevision] == float64(revision) {
+				break
+			}
+			if time.Now().After(end) || ctx.Err() != nil {
+				return fmt.Errorf("%s doesn't have revision %d in force", p.VM, revision)
+			}
+			time.Sleep(pause)
+		}
+	}
+	return nil
+}
+
+// crossRegion sums the bytes that crossed regions so far.
+func crossRegion(ctx context.Context, d *deploy.Deployment) (float64, error) {
+	region := map[string]string{}
+	for _, z := range d.Fleet().Zones {
+		region[z.Name] = z.Region
+	}
+	links, err := d.Bytes(ctx)
+	sum := 0.0
+	for _, l := range links {
+		if region[l.From] != region[l.To] {
+			sum += float64(l.Bytes)
+		}
+	}
+	return sum, err
+}
--- a/standin/relay/main.go
+++ b/standin/relay/main.go
@@ -1,6 +1,7 @@
 // Command relay stands in for the links between availability zones in tests
 // and the demo: it passes TCP on with a delay, and can cut a link, cut it in one
-// direction, silence the connections open now, or limit its bandwidth. It never ships.
+// direction, silence the connections open now, or limit its bandwidth. It counts the
+// bytes of each link. It never ships.
 package main
 
 import (
@@ -11,6 +12,7 @@
 	"os"
 	"path"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jessevdk/go-flags"
@@ -48,8 +50,13 @@
 	mu     sync.Mutex
 	faults []fault
 	pipes  map[*pipe]struct{}
+	// passed counts the bytes passed on, by link.
+	passed map[link]*atomic.Uint64
 }
 
+// link is one direction between two zones.
+type link struct{ from, to string }
+
 func main() {
 	var opts struct {
 		Routes string `long:"routes" required:"true" description:"JSON file with the list of routes"`
@@ -73,7 +80,11 @@
 	if err := json.Unmarshal(text, &routes); err != nil {
 		return err
 	}
-	r := &relay{pipes: map[*pipe]struct{}{}}
+	r := &relay{pipes: map[*pipe]struct{}{}, passed: map[link]*atomic.Uint64{}}
+	for _, rt := range routes {
+		r.passed[link{rt.From, rt.To}] = &atomic.Uint64{}
+		r.passed[link{rt.To, rt.From}] = &atomic.Uint64{}
+	}
 	for _, rt := range routes {
 		l, err := net.Listen("tcp", rt.Listen)
 		if err != nil {
@@ -82,9 +93,24 @@
 		go r.accept(l, rt)
 	}
 	http.HandleFunc("PUT /faults", r.setFaults)
+	http.HandleFunc("GET /bytes", r.bytes)
 	return http.ListenAndServe(admin, nil)
 }
 
+// bytes tells how many bytes went each way on each link.
+func (r *relay) bytes(w http.ResponseWriter, _ *http.Request) {
+	type row struct {
+		From  string `json:"from"`
+		To    string `json:"to"`
+		Bytes uint64 `json:"bytes"`
+	}
+	rows := []row{}
+	for l, n := range r.passed {
+		rows = append(rows, row{l.from, l.to, n.Load()})
+	}
+	_ = json.NewEncoder(w).Encode(rows)
+}
+
 // setFaults replaces all faults by the list in the body.
 func (r *relay) setFaults(w http.ResponseWriter, req *http.Request) {
 	var list []fault
--- a/standin/relay/pipe.go
+++ b/standin/relay/pipe.go
@@ -51,6 +51,7 @@
 // pump passes bytes from src to dst in order, each after the link's delay.
 func (p *pipe) pump(dst, src net.Conn, from, to string) {
 	queue := make(chan chunk, chunksAhead)
+	passed := p.relay.passed[link{from, to}]
 	go p.read(src, from, to, queue)
 	failed := false
 	for c := range queue {
@@ -68,6 +69,7 @@
 			failed = true
 			p.close()
 		}
+		passed.Add(uint64(len(c.data)))
 	}
 }
 
