--- a/internal/core/config.go
+++ b/internal/core/config.go
@@ -69,8 +69,10 @@
 	return nil
 }
 
+// isRefused goes by the digest alone: an index that can't be read was refused
+// without its revision being known.
 func (t *configTable) isRefused(v config.Version) bool {
-	return slices.ContainsFunc(t.refused, func(r refusal) bool { return r.version == v })
+	return slices.ContainsFunc(t.refused, func(r refusal) bool { return r.version.Digest == v.Digest })
 }
 
 // wants says whether a version is worth fetching. One that was refused isn't:
--- /dev/null
+++ b/internal/core/config_test.go
@@ -0,0 +1,453 @@
+package core_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/limpetdock/limpetdock/fleet"
+	"github.com/limpetdock/limpetdock/internal/config"
+	"github.com/limpetdock/limpetdock/internal/core"
+	"github.com/limpetdock/limpetdock/internal/wire"
+)
+
+// TestMain gives rapid one seed, so that every run tries the same cases.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "20"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+// eighteen is a world of today's size: six zones in three regions.
+func eighteen(t testing.TB, seed uint64) (*world, fleet.Fleet) {
+	f := aFleet(1, 6, 3, 18)
+	w := newWorld(t, f, seed)
+	w.until(10*time.Second, "started", w.inForce(1))
+	return w, f
+}
+
+// An operator publishes a change while something is wrong; every node must have
+// it in force soon, and no node may ever go back.
+func TestAChangeIsInForceEverywhere(t *testing.T) {
+	only := func(zone string) func(string) bool { return func(z string) bool { return z != zone } }
+	cases := []struct {
+		name  string
+		fault func(w *world)
+		limit time.Duration
+	}{
+		{"nothing wrong", func(*world) {}, time.Second},
+		// The reader of a stale replica sees the old index for long.
+		{"one region's platform stale", func(w *world) {
+			now := w.now
+			w.asOf = func(zone string) time.Duration {
+				if zone == "z0" || zone == "z3" {
+					return now
+				}
+				return 1 << 62
+			}
+		}, 5 * time.Second},
+		{"platform down but for one zone", func(w *world) { w.down = only("z4") }, 1500 * time.Millisecond},
+		{"a zone's nodes frozen", func(w *world) {
+			for _, h := range w.hosts {
+				if h.Zone == "z0" {
+					h.frozen = true
+					w.later(h, 0, func() {})
+				}
+			}
+		}, 5 * time.Second},
+		{"a third of the nodes dead", func(w *world) {
+			for i, h := range w.hosts {
+				h.dead = i%3 == 0
+			}
+		}, 5 * time.Second},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w, f := eighteen(t, 3)
+			c.fault(w)
+			w.publish(changed(f, 2, 7))
+			took := w.until(c.limit, "in force", func() bool {
+				for _, h := range w.hosts {
+					if !h.dead && !h.frozen && h.view.Config.Index.Version.Revision != 2 {
+						return false
+					}
+				}
+				return true
+			})
+			t.Logf("in force after %v", took)
+			for _, h := range w.hosts {
+				h.frozen = false
+			}
+			w.until(5*time.Second, "in force on those that were frozen", w.inForce(2))
+		})
+	}
+}
+
+// A larger fleet hears of a change by peers alone, but for two nodes in each
+// zone. BenchmarkChangeAtTheTargetSize does the same with 885 nodes.
+func TestAChangeIsInForceInALargerFleet(t *testing.T) {
+	t.Logf("in force on 132 nodes after %v", changeInForce(t, aFleet(1, 11, 11, 132)))
+}
+
+func changeInForce(t testing.TB, f fleet.Fleet) time.Duration {
+	w := newWorld(t, f, 1)
+	w.until(20*time.Second, "started", w.inForce(1))
+	w.publish(changed(f, 2, 7))
+	return w.until(11*time.Second, "in force", w.inForce(2))
+}
+
+// BenchmarkChangeAtTheTargetSize reports the time of the world, not the machine's.
+func BenchmarkChangeAtTheTargetSize(b *testing.B) {
+	for b.Loop() {
+		b.ReportMetric(changeInForce(b, aFleet(1, 11, 59, 59*15)).Seconds(), "s-in-force")
+	}
+}
+
+// Two operators publish revision 2 at the same time, while the fleet is parted:
+// one half sees one of them, the other half the other, and the platform keeps
+// whichever came last. Once the halves meet, all nodes must have the same one,
+// or a key would have two homes for good.
+func TestTwoOperatorsRace(t *testing.T) {
+	for _, order := range [][2]int{{7, 8}, {8, 7}} {
+		w, f := eighteen(t, 4)
+		west := func(zone string) bool { return zone < "z3" }
+		start := w.now
+		w.asOf = func(zone string) time.Duration {
+			if west(zone) {
+				return start + time.Second
+			}
+			return start
+		}
+		w.cut = func(a, b *host) bool { return west(a.Zone) != west(b.Zone) }
+		w.run(tick)
+		w.publish(changed(f, 2, order[0]))
+		w.run(5 * time.Second)
+		w.publish(changed(f, 2, order[1]))
+		w.asOf = func(zone string) time.Duration {
+			if west(zone) {
+				return start + time.Second
+			}
+			return 1 << 62
+		}
+		w.until(10*time.Second, "in force", w.inForce(2))
+		require.NotEqual(t, w.hosts[0].best, w.hosts[3].best, "the halves differ")
+		w.cut = func(_, _ *host) bool { return false }
+		w.asOf = func(string) time.Duration { return 1 << 62 }
+		w.until(10*time.Second, "the same everywhere", func() bool {
+			for _, h := range w.hosts {
+				if h.best != w.hosts[0].best {
+					return false
+				}
+			}
+			return true
+		})
+	}
+}
+
+// A node hears of a version that it refuses, from a peer whose program is
+// newer, at every exchange. It must fetch it once, not each time.
+func TestARefusedVersionIsFetchedOnce(t *testing.T) {
+	w, _ := eighteen(t, 11)
+	h, peer := w.hosts[0], w.hosts[1]
+	bad := []byte("[index]\nrevision = 9\nfleet = test\n[new-section]\n")
+	fetched := h.sent["core.FetchIndex"]
+	answered := fetched
+	for range 200 {
+		h.events = append(h.events, core.GossipHeard{News: &wire.Gossip{From: peer.VM, Revision: 9, Digest: digest(bad)}})
+		w.step()
+		if h.sent["core.FetchIndex"] > answered {
+			answered = h.sent["core.FetchIndex"]
+			h.events = append(h.events, core.IndexRead{Text: bad, Peer: peer.addr, Want: digest(bad)})
+		}
+	}
+	require.LessOrEqual(t, h.sent["core.FetchIndex"]-fetched, 2)
+	require.EqualValues(t, 1, h.state.Counters().Refused)
+}
+
+// A change is published wrongly: nodes must keep the last good configuration,
+// say why, ask for nothing in a hot loop, and take the next good one.
+func TestABadChange(t *testing.T) {
+	index := func(f fleet.Fleet) fleet.Document {
+		pub, err := f.Print()
+		require.NoError(t, err)
+		return pub.Index
+	}
+	cases := []struct {
+		name    string
+		publish func(w *world, f fleet.Fleet)
+		refused bool
+	}{
+		{"half published: the index without its new document", func(w *world, f fleet.Fleet) {
+			w.put(fleet.IndexKey, index(changed(f, 2, 7)).Text)
+		}, false},
+		{"a document that doesn't match its digest", func(w *world, f fleet.Fleet) {
+			pub, err := changed(f, 2, 7).Print()
+			require.NoError(t, err)
+			w.put(pub.Services[0].Key, []byte("[service]\nname = s0\n"))
+			w.put(fleet.IndexKey, pub.Index.Text)
+		}, false},
+		{"not INI", func(w *world, _ fleet.Fleet) { w.put(fleet.IndexKey, []byte("{")) }, true},
+		{"empty", func(w *world, _ fleet.Fleet) { w.put(fleet.IndexKey, nil) }, true},
+		{"another fleet's", func(w *world, f fleet.Fleet) {
+			f.Name, f.Revision = "other", 2
+			w.put(fleet.IndexKey, index(f).Text)
+		}, true},
+		{"an unknown key in a document", func(w *world, f fleet.Fleet) {
+			pub, err := changed(f, 2, 7).Print()
+			require.NoError(t, err)
+			old := pub.Services[0].Text
+			bad := []byte(strings.Replace(string(old), "\nhops", "\nhoops", 1))
+			at := strings.Replace(string(pub.Index.Text), digest(old), digest(bad), 1)
+			at = strings.Replace(at, fmt.Sprintf("%d", len(old)), fmt.Sprintf("%d", len(bad)), 1)
+			w.put(pub.Services[0].Key, bad)
+			w.put(fleet.IndexKey, []byte(at))
+		}, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w, f := eighteen(t, 5)
+			before := w.calls
+			c.publish(w, f)
+			w.run(time.Minute)
+			require.True(t, w.inForce(1)(), "the last good one stays")
+			// Two watchers in each of six zones; each watch 20 s; a missing
+			// document is asked for again after up to 16 s.
+			require.Less(t, w.calls-before, 12*2*4+12*10, "no hot loop")
+			if c.refused {
+				refusals := 0
+				for _, h := range w.hosts {
+					refusals += int(h.state.Counters().Refused)
+				}
+				require.Positive(t, refusals)
+			}
+			// The same revision published again as it should have been, whatever
+			// the order of the digests.
+			w.publish(changed(f, 2, 9))
+			w.until(10*time.Second, "the good one in force", w.inForce(2))
+		})
+	}
+}
+
+// A half-published index comes whole later, its document first missing or cut
+// short: the change must be in force then, without being published again.
+func TestAHalfPublishedChangeIsCompleted(t *testing.T) {
+	for _, first := range []string{"", "[service]\nname = s0\n"} {
+		w, f := eighteen(t, 6)
+		pub, err := changed(f, 2, 7).Print()
+		require.NoError(t, err)
+		if first != "" {
+			w.put(pub.Services[0].Key, []byte(first))
+		}
+		w.put(fleet.IndexKey, pub.Index.Text)
+		w.run(10 * time.Second)
+		require.True(t, w.inForce(1)())
+		w.put(pub.Services[0].Key, pub.Services[0].Text)
+		w.until(20*time.Second, "in force", w.inForce(2))
+	}
+}
+
+// A region is cut off for long, its platform too. It keeps what it has,
+// doesn't hammer the platform, and follows within seconds once it is back.
+func TestARegionCutOffForLong(t *testing.T) {
+	w, f := eighteen(t, 7)
+	inside := func(h *host) bool { return h.Region == "r0" }
+	w.cut = func(a, b *host) bool { return inside(a) != inside(b) }
+	w.down = func(zone string) bool { return zone == "z0" || zone == "z3" }
+	// An hour of the world takes long to work out; the pauses reach their
+	// longest within a minute, so twenty minutes show the same.
+	for revision := uint64(2); revision < 5; revision++ {
+		w.publish(changed(f, revision, int(revision)+5))
+		w.run(2 * time.Minute)
+	}
+	before := w.calls
+	w.run(14 * time.Minute)
+	perMinute := float64(w.calls-before) / 14
+	t.Logf("%.1f platform calls a minute", perMinute)
+	require.Less(t, perMinute, 130.0, "four watchers fail, eight watch")
+	for _, h := range w.hosts {
+		want := uint64(4)
+		if inside(h) {
+			want = 1
+		}
+		require.Equal(t, want, h.best.Revision, h.VM)
+	}
+	w.cut = func(_, _ *host) bool { return false }
+	w.down = func(string) bool { return false }
+	t.Logf("in force %v after the link is back", w.until(5*time.Second, "in force", w.inForce(4)))
+}
+
+// A node restarts. It has no memory, and the platform serves it an older
+// revision: it must not serve under that one while peers have a newer.
+func TestARestartedNodeIsNeverOlder(t *testing.T) {
+	cases := []struct {
+		name    string
+		fault   func(w *world, h *host)
+		waits   time.Duration
+		expects uint64
+	}{
+		{"platform stale", func(w *world, h *host) {
+			w.asOf = func(zone string) time.Duration { return 0 }
+		}, 5 * time.Second, 2},
+		{"platform down", func(w *world, h *host) {
+			w.down = func(string) bool { return true }
+		}, 15 * time.Second, 2},
+		{"platform stale, and the first peer that tells it vanishes", func(w *world, h *host) {
+			w.asOf = func(zone string) time.Duration { return 0 }
+			cutAt := w.now + 200*time.Millisecond
+			w.cut = func(a, b *host) bool {
+				return (a == h || b == h) && w.now > cutAt && w.now < cutAt+5*time.Second
+			}
+		}, 20 * time.Second, 2},
+		{"platform stale, no peer reachable for three seconds", func(w *world, h *host) {
+			w.asOf = func(zone string) time.Duration { return 0 }
+			end := w.now + 3*time.Second
+			w.cut = func(a, b *host) bool { return (a == h || b == h) && w.now < end }
+		}, 20 * time.Second, 2},
+		{"platform well, the only reachable peer vanishes once it is asked", func(w *world, h *host) {
+			asked := h.sent["core.FetchDocument"]
+			w.down = func(string) bool { return h.sent["core.FetchDocument"] == asked }
+			w.cut = func(a, b *host) bool {
+				if a != h && b != h {
+					return false
+				}
+				return a != w.hosts[0] && b != w.hosts[0] || h.sent["core.FetchDocument"] > asked
+			}
+		}, 30 * time.Second, 2},
+		{"platform well, no peer reachable", func(w *world, h *host) {
+			w.cut = func(a, b *host) bool { return a == h || b == h }
+		}, 20 * time.Second, 2},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w, f := eighteen(t, 8)
+			w.publish(changed(f, 2, 7))
+			w.until(5*time.Second, "in force", w.inForce(2))
+			h := w.hosts[4]
+			h.Seeds = []string{w.hosts[0].addr, w.hosts[9].addr, w.hosts[13].addr}
+			c.fault(w, h)
+			w.start(h)
+			took := w.until(c.waits, "serving", func() bool { return h.view != nil })
+			require.Equal(t, c.expects, h.view.Config.Index.Version.Revision)
+			t.Logf("serves after %v", took)
+		})
+	}
+}
+
+// The platform's replicas disagree: each watch returns at once, with the other
+// state. Without a pause a watcher would read as fast as the platform answers.
+func TestWatchesArePaced(t *testing.T) {
+	w, f := eighteen(t, 9)
+	w.publish(changed(f, 2, 7))
+	w.until(5*time.Second, "in force", w.inForce(2))
+	w.asOf = func(string) time.Duration { return time.Duration(w.now/tick%2) * w.now }
+	before := w.calls
+	w.run(time.Minute)
+	require.Less(t, w.calls-before, 12*60*4+200, "twelve watchers, four calls a second at most")
+	require.True(t, w.inForce(2)())
+	older := uint64(0)
+	for _, h := range w.hosts {
+		older += h.state.Counters().OlderIndexes
+	}
+	require.Positive(t, older)
+}
+
+// The platform allows two thousand calls a second to all readers, a waiting
+// watch as one. The calls must grow with zones, not with nodes.
+func TestPlatformCallsGrowWithZones(t *testing.T) {
+	perMinute := func(zones, services, nodes int) float64 {
+		f := aFleet(1, zones, services, nodes)
+		w := newWorld(t, f, 1)
+		w.until(20*time.Second, "started", w.inForce(1))
+		w.run(10 * time.Second)
+		before := w.calls
+		const minutes = 5
+		w.run(minutes * time.Minute)
+		return float64(w.calls-before) / minutes
+	}
+	var last float64
+	for _, nodes := range []int{6, 12, 18, 36} {
+		last = perMinute(6, 3, nodes)
+		t.Logf("%d nodes in 6 zones: %.1f calls a minute", nodes, last)
+	}
+	require.Less(t, last, 6*2*2*3*1.5, "two watchers in each zone, two keys, three watches a minute")
+}
+
+// Many faults come and go at random while revisions are published. Nodes never
+// go back (the world checks each View), and all follow once the faults end.
+func TestRandomFaults(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		f := aFleet(1, 6, 3, 18)
+		w := newWorld(t, f, rapid.Uint64Range(1, 1000).Draw(rt, "seed"))
+		w.until(10*time.Second, "started", w.inForce(1))
+		revision := uint64(1)
+		for range rapid.IntRange(3, 8).Draw(rt, "steps") {
+			h := w.hosts[rapid.IntRange(0, 17).Draw(rt, "host")]
+			zone := h.Zone
+			switch rapid.IntRange(0, 7).Draw(rt, "fault") {
+			case 0:
+				revision++
+				w.publish(changed(f, revision, int(revision)))
+			case 1:
+				now := w.now
+				w.asOf = func(z string) time.Duration {
+					if z == zone {
+						return now
+					}
+					return 1 << 62
+				}
+			case 2:
+				w.down = func(z string) bool { return z <= zone }
+			case 3:
+				w.cut = func(a, b *host) bool { return a.Zone == zone && b.Zone != zone }
+			case 4:
+				w.cut = func(a, b *host) bool { return (a.Region == h.Region) != (b.Region == h.Region) }
+			case 5:
+				w.start(h)
+			case 6:
+				h.frozen = !h.frozen
+			case 7:
+				h.dead = true
+			}
+			w.run(time.Duration(rapid.IntRange(1, 8000).Draw(rt, "ms")) * time.Millisecond)
+		}
+		w.cut = func(_, _ *host) bool { return false }
+		w.down = func(string) bool { return false }
+		w.asOf = func(string) time.Duration { return 1 << 62 }
+		for _, h := range w.hosts {
+			h.frozen = false
+			if h.dead {
+				w.start(h)
+			}
+		}
+		w.until(40*time.Second, "in force after the faults", w.inForce(revision))
+	})
+}
+
+// Requests show that a peer has a newer configuration: it is fetched at once,
+// and a burst of such requests fetches it once.
+func TestARequestShowsThatThisNodeIsBehind(t *testing.T) {
+	w, f := eighteen(t, 10)
+	ahead, behind := w.hosts[0], w.hosts[5]
+	w.cut = func(a, b *host) bool { return a == behind || b == behind }
+	w.down = func(zone string) bool { return zone == behind.Zone }
+	w.publish(changed(f, 2, 7))
+	w.until(5*time.Second, "in force at the other", func() bool { return ahead.best.Revision == 2 })
+	w.cut = func(_, _ *host) bool { return false }
+	before := behind.sent["core.FetchIndex"]
+	for range 100 {
+		behind.events = append(behind.events, core.Behind{VM: ahead.VM})
+	}
+	took := w.until(300*time.Millisecond, "in force", func() bool { return behind.best.Revision == 2 })
+	t.Logf("in force after %v", took)
+	require.LessOrEqual(t, behind.sent["core.FetchIndex"]-before, 3)
+}
+
+func digest(text []byte) string { return config.Digest(text) }
--- a/internal/core/gossip.go
+++ b/internal/core/gossip.go
@@ -114,11 +114,11 @@
 		}
 	}
 	if s.round.beat%2 == 0 {
-		if vm = s.randomPeer(s.inZone); vm != "" {
+		if vm = s.randomPeer(s.zonePeers()); vm != "" {
 			return vm, s.controlAddr(vm)
 		}
 	}
-	if vm = s.randomPeer(s.anyPeer); vm != "" {
+	if vm = s.randomPeer(s.vms.names); vm != "" {
 		return vm, s.controlAddr(vm)
 	}
 	if len(s.self.Seeds) == 0 {
@@ -127,36 +127,32 @@
 	return "", s.self.Seeds[s.rnd.IntN(len(s.self.Seeds))]
 }
 
-func (s *State) anyPeer(vm string) bool { return vm != s.self.VM }
-
-func (s *State) inZone(vm string) bool { return vm != s.self.VM && s.zoneOf(vm) == s.self.Zone }
-
-// randomPeer chooses a listed VM that fits, or "".
-func (s *State) randomPeer(fits func(string) bool) string {
-	names := s.vms.names
+// randomPeer chooses one of the names that isn't the own VM, or "".
+func (s *State) randomPeer(names []string) string {
 	if len(names) == 0 {
 		return ""
 	}
-	start := s.rnd.IntN(len(names))
-	for i := range names {
-		if name := names[(start+i)%len(names)]; fits(name) {
-			return name
-		}
+	at := s.rnd.IntN(len(names))
+	if names[at] == s.self.VM {
+		at = (at + 1) % len(names)
+	}
+	if names[at] == s.self.VM {
+		return ""
 	}
-	return ""
+	return names[at]
 }
 
 // push tells a few random peers at once that something new is in force here.
 // Each that didn't know it does the same, so all hear of it within a few
 // exchanges rather than a few rounds.
-func (s *State) push(out *commands) { s.pushWhere(s.anyPeer, out) }
+func (s *State) push(out *commands) { s.pushAmong(s.vms.names, out) }
 
 // pushZone does the same within the zone, for the VM list.
-func (s *State) pushZone(out *commands) { s.pushWhere(s.inZone, out) }
+func (s *State) pushZone(out *commands) { s.pushAmong(s.zonePeers(), out) }
 
-func (s *State) pushWhere(fits func(string) bool, out *commands) {
+func (s *State) pushAmong(names []string, out *commands) {
 	for range pushTo {
-		if vm := s.randomPeer(fits); vm != "" {
+		if vm := s.randomPeer(names); vm != "" {
 			s.send(vm, s.controlAddr(vm), out)
 		}
 	}
--- a/internal/core/read.go
+++ b/internal/core/read.go
@@ -173,11 +173,8 @@
 	}
 	mine := rendezvous(s.self.Zone, s.self.VM)
 	better := 0
-	for _, name := range s.vms.names {
-		if name == s.self.VM || s.zoneOf(name) != s.self.Zone || s.suspected(name) {
-			continue
-		}
-		if rendezvous(s.self.Zone, name) > mine {
+	for _, name := range s.zonePeers() {
+		if !s.suspected(name) && rendezvous(s.self.Zone, name) > mine {
 			better++
 		}
 	}
--- a/internal/core/vms.go
+++ b/internal/core/vms.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/limpetdock/limpetdock/internal/config"
 	"github.com/limpetdock/limpetdock/internal/platform"
 )
 
@@ -22,7 +23,10 @@
 type vmTable struct {
 	rows map[string]platform.VM
 	// names are the keys of rows in order.
-	names   []string
+	names []string
+	// zone are those of the own zone, as the configuration zoneAs declares them.
+	zone    []string
+	zoneAs  *config.Config
 	version uint64
 	known   bool
 	reads   platformReads
@@ -64,7 +68,7 @@
 	for _, vm := range list.VMs {
 		t.rows[vm.Name] = vm
 	}
-	t.names = slices.Sorted(maps.Keys(t.rows))
+	t.names, t.zoneAs = slices.Sorted(maps.Keys(t.rows)), nil
 	s.backend.toldUntil = 0
 	s.dirty = true
 	told := 0
@@ -109,6 +113,23 @@
 	out.add(FetchVMs{Peer: addr})
 }
 
+// zonePeers are the listed VMs of the own zone but the own one, in order. They
+// are found again only when the list or the configuration has changed.
+func (s *State) zonePeers() []string {
+	t := &s.vms
+	if t.zoneAs != nil && t.zoneAs == s.config.active {
+		return t.zone
+	}
+	t.zone = nil
+	for _, name := range t.names {
+		if name != s.self.VM && s.zoneOf(name) == s.self.Zone {
+			t.zone = append(t.zone, name)
+		}
+	}
+	t.zoneAs = s.config.active
+	return t.zone
+}
+
 // listedLeaving says whether the VM list shows a VM as leaving.
 func (s *State) listedLeaving(vm string) bool {
 	return s.vms.rows[vm].State == platform.VMLeaving
