--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -172,7 +172,7 @@
 	switch what {
 	case "service":
 		r.allow(s, "name", "hosts", "team", "policy", "timeout", "max-timeout", "hops",
-			"retry-percent", "queue", "in-flight", "key-lifetime")
+			"retry-percent", "queue", "queue-order", "refusal", "in-flight", "drain", "key-lifetime")
 		out.Name = s.Key("name").String()
 		out.Hosts = split(s.Key("hosts").String())
 		out.Team = s.Key("team").String()
@@ -182,18 +182,15 @@
 		out.Hops = r.int(s, "hops")
 		out.RetryPercent = r.int(s, "retry-percent")
 		out.Queue = r.int(s, "queue")
+		out.QueueOrder = s.Key("queue-order").MustString(fleet.DefaultQueueOrder)
+		out.NoRefusal = !r.onOff(s, "refusal")
 		out.InFlight = r.int(s, "in-flight")
+		if s.HasKey("drain") {
+			out.Drain = r.duration(s, "drain")
+		}
 		out.KeyLifetime = r.duration(s, "key-lifetime")
 	case "route":
-		r.allow(s, "methods", "path", "runs", "class", "in-flight")
-		runs := s.Key("runs").String()
-		if runs != "idempotent" && runs != "at-most-once" {
-			r.fail("[%s] runs: %q (allowed: idempotent, at-most-once)", s.Name(), runs)
-		}
-		out.Routes = append(out.Routes, fleet.Route{
-			Name: name, Methods: split(s.Key("methods").String()), Path: s.Key("path").String(),
-			Idempotent: runs == "idempotent", Class: r.int(s, "class"), InFlight: r.int(s, "in-flight"),
-		})
+		out.Routes = append(out.Routes, r.route(s, name))
 	case "target":
 		r.allow(s, "zone", "slots", "connections")
 		out.Targets = append(out.Targets, fleet.Target{
@@ -204,6 +201,22 @@
 	}
 }
 
+func (r *reader) route(s *ini.Section, name string) fleet.Route {
+	r.allow(s, "methods", "path", "runs", "retries", "class", "in-flight")
+	runs := s.Key("runs").String()
+	if runs != fleet.RunsIdempotent && runs != fleet.RunsAtMostOnce {
+		r.fail("[%s] runs: %q (allowed: %s, %s)", s.Name(), runs, fleet.RunsIdempotent, fleet.RunsAtMostOnce)
+	}
+	route := fleet.Route{
+		Name: name, Methods: split(s.Key("methods").String()), Path: s.Key("path").String(),
+		Idempotent: runs == fleet.RunsIdempotent, Class: r.int(s, "class"), InFlight: r.int(s, "in-flight"),
+	}
+	if s.HasKey("retries") {
+		route.Retries = r.int(s, "retries")
+	}
+	return route
+}
+
 // Assemble joins an index with all of its documents, in any order, and checks the whole.
 func Assemble(idx *Index, services []*Service) (*Config, error) {
 	c := &Config{
@@ -298,6 +311,19 @@
 	return v
 }
 
+// onOff reads a switch that is on where it is left out.
+func (r *reader) onOff(s *ini.Section, key string) bool {
+	switch v := s.Key(key).String(); v {
+	case "", "on":
+		return true
+	case "off":
+		return false
+	default:
+		r.fail("[%s] %s: %q (allowed: on, off)", s.Name(), key, v)
+		return true
+	}
+}
+
 func (r *reader) uint(s *ini.Section, key string) uint64 {
 	v, err := strconv.ParseUint(s.Key(key).String(), 10, 64)
 	if err != nil || v == 0 {
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -14,6 +14,7 @@
 	"github.com/limpetdock/limpetdock/internal/link"
 	"github.com/limpetdock/limpetdock/internal/pick"
 	"github.com/limpetdock/limpetdock/internal/platform"
+	"github.com/limpetdock/limpetdock/internal/suspect"
 	"github.com/limpetdock/limpetdock/internal/wire"
 )
 
@@ -34,13 +35,20 @@
 	SetLeaving(leaving bool)
 	SetView(v *pick.View)
 	Seal(m *wire.Seal) *wire.Sealed
+	// Listed and Heard tell what the platform and peers say of the own VM.
+	Listed(addr string)
+	Heard(news []wire.Member)
 }
 
 // Entry is what the loop needs of the node's entry.
-type Entry interface{ SetView(v *pick.View) }
+type Entry interface {
+	SetView(v *pick.View)
+	Beat()
+}
 
 // Loop owns the control state. Its methods are safe for concurrent use.
 type Loop struct {
+	vm       string
 	state    *core.State
 	platform platform.Client
 	peers    *link.Dialer
@@ -66,6 +74,8 @@
 
 // Config is what a Loop is made of.
 type Config struct {
+	// VM is the node's own.
+	VM       string
 	State    *core.State
 	Platform platform.Client
 	Peers    *link.Dialer
@@ -79,7 +89,7 @@
 func New(c Config) *Loop {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Loop{
-		state: c.State, platform: c.Platform, peers: c.Peers, guard: c.Guard, entry: c.Entry,
+		vm: c.VM, state: c.State, platform: c.Platform, peers: c.Peers, guard: c.Guard, entry: c.Entry,
 		log: c.Log, now: c.Now, ctx: ctx, cancel: cancel,
 		events: make(chan core.Event, eventRoom), asks: make(chan func(*core.State)),
 	}
@@ -156,10 +166,19 @@
 		l.guard.SetLeaving(l.state.Leaving() || l.isStopping())
 		counters := l.state.Counters()
 		l.counters.Store(&counters)
+		l.entry.Beat()
 		events = events[:0]
 	}
 }
 
+// Died reports a request that was in flight when a backend server died.
+func (l *Loop) Died(fingerprint uint64, d suspect.Death) {
+	l.submit(core.SuspectDied{Fingerprint: fingerprint, Death: d})
+}
+
+// Cleared reports a suspect that has run to its end.
+func (l *Loop) Cleared(fingerprint uint64) { l.submit(core.SuspectCleared{Fingerprint: fingerprint}) }
+
 // drain takes the events that wait, without waiting for more.
 func (l *Loop) drain() []core.Event {
 	var events []core.Event
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -11,6 +11,7 @@
 	"github.com/limpetdock/limpetdock/internal/config"
 	"github.com/limpetdock/limpetdock/internal/pick"
 	"github.com/limpetdock/limpetdock/internal/platform"
+	"github.com/limpetdock/limpetdock/internal/suspect"
 	"github.com/limpetdock/limpetdock/internal/wire"
 )
 
@@ -30,6 +31,7 @@
 	vms     vmTable
 	members memberTable
 	stats   map[string]*pick.Stat
+	shared  map[string]*pick.Shared
 	backend backendTable
 	joined  bool
 	// leaving is whether the own backend server leaves, as of the last tick.
@@ -39,6 +41,11 @@
 	// order is what this node's news are ordered by among those of its VM's name.
 	order    uint64
 	counters Counters
+	// suspects are requests that may crash backend servers.
+	suspects *suspect.Table
+	accused  suspect.Set
+	// now is the time of the last tick.
+	now time.Duration
 }
 
 // Counters count what happened to the control state since the start.
@@ -75,14 +82,16 @@
 // New returns the state of a node that has just started.
 func New(self Self, seed uint64) *State {
 	return &State{
-		self:    self,
-		rnd:     rand.New(rand.NewPCG(seed, self.Incarnation)),
-		config:  newConfigTable(),
-		vms:     vmTable{rows: map[string]platform.VM{}},
-		order:   self.Incarnation,
-		members: memberTable{rows: map[string]*member{}},
-		stats:   map[string]*pick.Stat{},
-		dirty:   true,
+		self:     self,
+		rnd:      rand.New(rand.NewPCG(seed, self.Incarnation)),
+		config:   newConfigTable(),
+		vms:      vmTable{rows: map[string]platform.VM{}},
+		order:    self.Incarnation,
+		members:  memberTable{rows: map[string]*member{}},
+		stats:    map[string]*pick.Stat{},
+		shared:   map[string]*pick.Shared{},
+		dirty:    true,
+		suspects: suspect.NewTable(),
 	}
 }
 
@@ -90,12 +99,14 @@
 // returns what is to be done.
 func (s *State) Tick(in Input) []Command {
 	out := &commands{}
+	s.now = in.Now
 	for _, e := range in.Events {
 		e.apply(s, in.Now, out)
 	}
 	s.runVMs(in.Now, out)
 	s.runConfig(in.Now, out)
 	s.runMembers(in.Now)
+	s.runSuspects(in.Now, out)
 	s.runGossip(in.Now, out)
 	s.runBackend(in.Now, out)
 	s.runView(out)
--- a/internal/core/dump.go
+++ b/internal/core/dump.go
@@ -18,6 +18,7 @@
 	VMs      VMsDump               `json:"vms"`
 	Members  map[string]MemberDump `json:"members"`
 	Counters Counters              `json:"counters"`
+	Suspects []wire.Suspect        `json:"suspects"`
 }
 
 // ConfigDump is the configuration in force, those being gathered, and those
@@ -69,6 +70,7 @@
 		Self: s.self, Joined: s.joined, Leaving: s.Leaving(), Config: s.dumpConfig(now),
 		VMs:     VMsDump{s.vms.version, maps.Clone(s.vms.rows)},
 		Members: map[string]MemberDump{}, Counters: s.counters,
+		Suspects: s.suspects.Dump(now),
 	}
 	for name, m := range s.members.rows {
 		d.Members[name] = MemberDump{
--- a/internal/core/gossip.go
+++ b/internal/core/gossip.go
@@ -51,6 +51,9 @@
 		addr = s.controlAddr(from)
 	}
 	s.round.heard = now
+	for _, one := range e.News.Suspects {
+		s.suspects.Merge(one, now)
+	}
 	for _, m := range e.News.Members {
 		if m.VM == s.self.VM {
 			s.hearSelf(m, e.News.VMs, now, out)
@@ -176,6 +179,7 @@
 	if s.members.rows[vm] != nil && s.listedLeaving(vm) {
 		g.Members = append(g.Members, s.reported(vm))
 	}
+	g.Suspects = s.suspects.News(suspectsPerGossip, s.now)
 	names := s.members.names
 	for _, name := range names {
 		if m := s.members.rows[name]; m.spread > 0 && len(g.Members) < newsPerGossip {
--- a/internal/entry/hop.go
+++ b/internal/entry/hop.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"net/url"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/limpetdock/limpetdock/internal/headers"
@@ -16,36 +15,31 @@
 )
 
 const (
-	// dialTimeout bounds opening a connection to a guard.
-	dialTimeout = time.Second
 	// avoidFor is how long a target that couldn't be reached is passed over.
 	avoidFor = time.Second
+	// avoidDead is how long a target whose backend server is gone is passed over.
+	avoidDead = 200 * time.Millisecond
 )
 
-func newTransport() *http.Transport {
-	dialer := &net.Dialer{
-		Timeout: dialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: time.Second, Interval: time.Second, Count: 3,
-		},
-	}
-	return &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 32, IdleConnTimeout: time.Minute,
-		DisableCompression: true, ExpectContinueTimeout: time.Hour,
-		ReadBufferSize: 16 << 10, WriteBufferSize: 16 << 10,
-	}
-}
-
 func cloneURL(r *http.Request) *url.URL {
 	u := *r.URL
 	u.Scheme = "http"
 	return &u
 }
 
+// choose chooses a target that wasn't tried, or nil.
+func (e *Entry) choose(ctx context.Context, x *request, tried []*pick.Target) *pick.Target {
+	x.ask.Draw = pick.Draw{Now: e.now(), Rand: pick.SharedRand}
+	x.ask.Tried = tried
+	if deadline, ok := ctx.Deadline(); ok {
+		x.ask.Left = time.Until(deadline)
+	}
+	return x.service.Choose(&x.ask)
+}
+
 // send offers a request to a target and gives the backend server's answer, or
 // the kind of trouble. A nil error comes with an answer whose body must be closed.
 func (e *Entry) send(ctx context.Context, v *pick.View, t *pick.Target, out *http.Request) (*http.Response, *kind.Error) {
-	out = out.WithContext(ctx)
 	if deadline, ok := ctx.Deadline(); ok {
 		left := time.Until(deadline).Milliseconds()
 		if left <= 0 {
@@ -54,17 +48,23 @@
 		out.Header.Set(headers.TimeoutMs, strconv.FormatInt(left, 10))
 	}
 	out.URL.Host = t.Guard
+	out.Header.Set(headers.Fleet, v.Config.Fleet())
 	t.Stat.InFlight.Add(1)
 	defer t.Stat.InFlight.Add(-1)
-	resp, err := e.hop(v, t).RoundTrip(out)
-	if err != nil {
-		return nil, e.transportError(ctx, t, err)
+	resp, failed := e.exchange(ctx, v, t, out)
+	if failed != nil {
+		return nil, failed
 	}
 	refusal := kind.Read(resp)
 	if refusal == nil {
 		return resp, nil
 	}
 	learn(t, resp)
+	if refusal.Kind == kind.Unreachable {
+		// A guard beside a dead backend server refuses so fast that its target
+		// looks idle; without this it would attract every request.
+		t.Stat.Avoid(e.now() + avoidDead)
+	}
 	if f := e.behind.Load(); f != nil && refusal.Kind == kind.StaleConfig {
 		(*f)(t.Place.VM)
 	}
@@ -72,20 +72,43 @@
 	return nil, refusal
 }
 
-func (e *Entry) hop(v *pick.View, t *pick.Target) http.RoundTripper {
+// exchange sends the request and gives whatever answer comes.
+func (e *Entry) exchange(ctx context.Context, v *pick.View, t *pick.Target, out *http.Request) (*http.Response, *kind.Error) {
 	if v.Local(t) {
-		return e.local
+		resp, err := e.local.RoundTrip(out.WithContext(ctx))
+		if err != nil {
+			return nil, kind.From(err)
+		}
+		return resp, nil
+	}
+	w := e.watch(ctx, t, out)
+	out = out.WithContext(w.ctx)
+	out.Body = w.request(out.Body)
+	headers.Unreplayable(out)
+	resp, err := e.remote.RoundTrip(out)
+	if err != nil {
+		defer w.stop()
+		return nil, e.transportError(w, err)
 	}
-	return e.remote
+	resp.Body = w.answer(resp.Body)
+	if got := resp.Header.Get(headers.Exchange); got != w.ask.Attempt {
+		// Another request's answer. The connection is closed with its rest unread.
+		_ = resp.Body.Close()
+		e.remote.Drop(t.Guard)
+		return nil, kind.New(kind.OutcomeUnknown, "the target answered another request")
+	}
+	return resp, nil
 }
 
-func (e *Entry) transportError(ctx context.Context, t *pick.Target, err error) *kind.Error {
+func (e *Entry) transportError(w *watch, err error) *kind.Error {
 	var op *net.OpError
 	switch {
 	case errors.As(err, &op) && op.Op == "dial":
-		t.Stat.Avoid(e.now() + avoidFor)
+		w.target.Stat.Avoid(e.now() + avoidFor)
 		return kind.New(kind.Unreachable, "the target can't be reached").Because(err)
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case w.silent():
+		return kind.New(kind.OutcomeUnknown, "the connection to the target went silent").Because(errSilent)
+	case errors.Is(w.ctx.Err(), context.DeadlineExceeded):
 		return kind.New(kind.DeadlineUnknown, "the deadline passed before an answer came").Because(err)
 	}
 	return kind.New(kind.OutcomeUnknown, "the exchange with the target broke off").Because(err)
@@ -103,12 +126,3 @@
 	}
 	t.Stat.Learn(pick.Identity{Incarnation: incarnation, Tick: tick})
 }
-
-// lowerKey spells the idempotency key so that net/http's transport doesn't
-// take it for leave to send the request again by itself.
-func lowerKey(h http.Header) {
-	if values, ok := h[headers.IdempotencyKey]; ok {
-		delete(h, headers.IdempotencyKey)
-		h[strings.ToLower(headers.IdempotencyKey)] = values
-	}
-}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -42,7 +42,7 @@
 		func(s *settings.Settings) *platform.HTTP { return platform.NewHTTP(s.Platform) },
 		func(l *control.Loop, c *link.Counters) *link.Server { return link.NewServer(l, c) },
 	),
-	fx.Invoke(registerGauges, run),
+	fx.Invoke(registerGauges, run, func(e *entry.Entry, l *control.Loop) { e.SetAccuser(l) }),
 )
 
 // newSelf draws the node's incarnation: milliseconds since 1970 with random low
@@ -71,54 +71,41 @@
 
 func newLoop(self core.Self, p *platform.HTTP, d *link.Dialer, g *guard.Guard, e *entry.Entry, log logr.Logger, now Clock) *control.Loop {
 	return control.New(control.Config{
-		State: core.New(self, rand.Uint64()), Platform: p, Peers: d, Guard: g, Entry: e, Log: log, Now: now,
+		VM: self.VM, State: core.New(self, rand.Uint64()), Platform: p, Peers: d, Guard: g, Entry: e, Log: log, Now: now,
 	})
 }
 
-func registerGauges(m *metrics.Metrics, c *link.Counters, p *platform.HTTP, l *control.Loop) {
-	count := func(name, help string, read func(core.Counters) uint64) {
-		m.Counter(name, help, func() float64 { return float64(read(l.Counters())) })
-	}
-	count("limpetdock_config_applied_total", "Configurations put in force.", func(c core.Counters) uint64 { return c.Applied })
-	count("limpetdock_config_refused_total", "Configurations refused; the dump says why.", func(c core.Counters) uint64 { return c.Refused })
-	count("limpetdock_config_older_total", "Reads of the platform that gave an older revision than the one in force.", func(c core.Counters) uint64 { return c.OlderIndexes })
-	count("limpetdock_config_behind_total", "Requests that showed a peer under another configuration.", func(c core.Counters) uint64 { return c.Behind })
-	count("limpetdock_suspicions_total", "Peers that this node came to suspect.", func(c core.Counters) uint64 { return c.Suspicions })
-	count("limpetdock_name_clashes_total", "News of another process under this VM's name.", func(c core.Counters) uint64 { return c.NameClashes })
-	m.Gauge("limpetdock_config_revision", "Revision in force; 0 is none.", func() float64 { return float64(l.Counters().Revision) })
-	m.Counter("limpetdock_control_full_total", "Control connections refused because there were too many.", func() float64 { return float64(c.Full.Load()) })
-	m.Counter("limpetdock_control_dials_total", "Control connections opened to peers.", func() float64 { return float64(c.Dials.Load()) })
-	m.Counter("limpetdock_control_sent_bytes_total", "Bytes of control frames sent.", func() float64 { return float64(c.Sent.Load()) })
-	m.Counter("limpetdock_control_received_bytes_total", "Bytes of control frames received.", func() float64 { return float64(c.Received.Load()) })
-	m.Counter("limpetdock_control_strangers_total", "Control connections refused because of who dialled.", func() float64 { return float64(c.Strangers.Load()) })
-	m.Counter("limpetdock_control_bad_frames_total", "Control connections closed because of a bad frame.", func() float64 { return float64(c.BadFrames.Load()) })
-	m.Counter("limpetdock_platform_calls_total", "Calls to the platform, a waiting watch as one.", func() float64 { return float64(p.Calls.Load()) })
-}
-
 // face is the node as the admin API shows it.
 type face struct {
 	*control.Loop
 	*entry.Entry
 	*guard.Guard
+	clock Clock
 }
 
+// Now is the time since the node's start.
+func (f face) Now() time.Duration { return f.clock() }
+
 // Dump copies the control tables.
 func (f face) Dump() (core.Dump, bool) { return f.Loop.Dump() }
 
 // servers are the HTTP servers of a node and their listeners.
 type servers struct {
 	callers, guard, admin *http.Server
+	counters              countersByServer
+	connsPerIP            int
 	// callersDrain and guardDrain tell clients of the two to close.
 	callersDrain, guardDrain *drainer
 	listeners                []net.Listener
 	control                  *link.Server
 }
 
-func newServers(e *entry.Entry, g *guard.Guard, l *control.Loop, m *metrics.Metrics, c *link.Server) *servers {
-	s := &servers{control: c}
-	s.callers, s.callersDrain = newServer(e)
-	s.guard, s.guardDrain = newServer(g)
-	s.admin, _ = newServer(admin.New(face{l, e, g}, m.Registry))
+func newServers(set *settings.Settings, e *entry.Entry, g *guard.Guard, l *control.Loop, m *metrics.Metrics, c *link.Server, now Clock, log logr.Logger) *servers {
+	s := &servers{control: c, connsPerIP: set.ConnsPerIP}
+	s.callers, s.callersDrain = newServer(e, s.counters.of(m, log, "callers"))
+	s.callers.ConnContext = entry.ConnContext
+	s.guard, s.guardDrain = newServer(onlyFleet(set.Fleet, g), s.counters.of(m, log, "guard"))
+	s.admin, _ = newServer(admin.New(face{l, e, g, now}, m), s.counters.of(m, log, "admin"))
 	return s
 }
 
@@ -136,7 +123,8 @@
 func (s *servers) serve(fail func(error)) {
 	for i, srv := range []*http.Server{s.callers, s.guard, s.admin} {
 		go func() {
-			if err := srv.Serve(s.listeners[i]); err != http.ErrServerClosed {
+			l := newPerIPListener(s.listeners[i], s.connsPerIP, s.counters[i])
+			if err := srv.Serve(l); err != http.ErrServerClosed {
 				fail(err)
 			}
 		}()
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/limpetdock/limpetdock/internal/pick"
 )
 
 const (
@@ -25,7 +27,7 @@
 	p.Guard.SetLeaving(true)
 	time.Sleep(tellPeers)
 	p.askToClose()
-	limit, cancel := context.WithTimeout(context.Background(), p.Settings.StopLimit)
+	limit, cancel := context.WithTimeout(context.Background(), stopLimit(p.Settings.StopLimit, p.Entry.View()))
 	defer cancel()
 	if err := p.Servers.callers.Shutdown(limit); err != nil {
 		p.Log.Error(err, "callers cut off at the stop limit")
@@ -45,6 +47,19 @@
 	p.Log.Info("stopped")
 }
 
+// stopLimit is how long a stop may wait for requests in flight: the service's
+// declared drain time, but no longer than the node's settings allow.
+func stopLimit(allowed time.Duration, v *pick.View) time.Duration {
+	if v == nil {
+		return allowed
+	}
+	svc, _ := v.Config.Target(v.Here.VM)
+	if svc == nil || svc.Drain == 0 {
+		return allowed
+	}
+	return min(allowed, svc.Drain)
+}
+
 // askToClose lets callers and entries close their connections themselves, by a
 // word in their next answer. Those that stay idle for the whole grace are closed later.
 func (p parts) askToClose() {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -96,14 +96,17 @@
 	Order, Beat uint64
 }
 
-// Suspect is news of a request like those in flight when a backend server died.
+// Suspect is news of a request like those in flight when backend servers died.
 type Suspect struct {
-	Fingerprint uint64 `msgpack:"f"`
-	Deaths      uint8  `msgpack:"d"`
-	// Cleared says that such a request has since run to its end.
-	Cleared bool `msgpack:"c,omitempty"`
-	// ExpiresMs is what is left until the entry is forgotten, in milliseconds.
-	ExpiresMs uint32 `msgpack:"e"`
+	Fingerprint uint64 `msgpack:"f" json:"fingerprint"`
+	// Deaths names the deaths it was in flight at; Alone says, in the same
+	// order, at which of them nothing else ran.
+	Deaths []uint64 `msgpack:"d" json:"deaths"`
+	Alone  []bool   `msgpack:"a" json:"alone"`
+	// Cleared names the deaths that a completed run has cleared it of.
+	Cleared []uint64 `msgpack:"c,omitempty" json:"cleared,omitempty"`
+	// ExpiresMs is what is left until it is forgotten, in milliseconds.
+	ExpiresMs uint32 `msgpack:"e" json:"expires_ms"`
 }
 
 // FetchVMs asks for the VM list as the peer has it.
@@ -139,7 +142,6 @@
 type Seal struct {
 	Incarnation uint64 `msgpack:"i"`
 	Attempt     string `msgpack:"a"`
-	Key         string `msgpack:"k,omitempty"`
 	// AskOnly leaves an attempt that hasn't arrived unsealed.
 	AskOnly bool `msgpack:"o,omitempty"`
 }
@@ -161,6 +163,8 @@
 	AttemptLost
 	// AttemptElsewhere belongs to another incarnation than the one asked.
 	AttemptElsewhere
+	// AttemptWaiting is at the guard and has not been recorded: it may still be sealed.
+	AttemptWaiting
 )
 
 // Sealed answers a Seal.
