--- a/internal/control/io.go
+++ b/internal/control/io.go
@@ -126,13 +126,13 @@
 }
 
 // Answer gives the reply to a peer's message.
-func (l *Loop) Answer(from string, m wire.Message) wire.Message {
+func (l *Loop) Answer(_ string, m wire.Message) wire.Message {
 	switch m := m.(type) {
 	case *wire.Gossip:
 		l.guard.Heard(m.Members)
 		l.submit(core.GossipHeard{News: m})
 		var news *wire.Gossip
-		l.Ask(func(s *core.State) { news = s.News(from) })
+		l.Ask(func(s *core.State) { news = s.News() })
 		if news == nil {
 			return nil
 		}
--- a/internal/core/gossip.go
+++ b/internal/core/gossip.go
@@ -14,6 +14,9 @@
 	gossipEvery = time.Second
 	// joiningEvery is the same for a node that doesn't serve yet.
 	joiningEvery = 100 * time.Millisecond
+	// urgentEvery is the same for urgentRounds after news that change who is chosen.
+	urgentEvery  = 200 * time.Millisecond
+	urgentRounds = 4
 	// newsPerGossip bounds the members in one message, the sender among them.
 	newsPerGossip = 8
 	// pushTo is how many peers are told at once of a change that is in force here.
@@ -27,7 +30,9 @@
 	nextAt time.Duration
 	beat   uint64
 	// turn is the place in the members' names up to which news were sent.
-	turn     int
+	turn int
+	// urgent is how many exchanges are still due at the shorter pause.
+	urgent   int
 	underWay int
 	// again is a peer that failed and is asked once more before others.
 	again string
@@ -88,8 +93,12 @@
 		return
 	}
 	every := gossipEvery
-	if !s.joined {
+	switch {
+	case !s.joined:
 		every = joiningEvery
+	case s.round.urgent > 0:
+		s.round.urgent--
+		every = urgentEvery
 	}
 	// A random part keeps nodes that started together from going in step.
 	s.round.nextAt = now + every*3/4 + time.Duration(s.rnd.Int64N(int64(every)/2))
@@ -98,13 +107,19 @@
 	s.send(vm, addr, out)
 }
 
+// hurry has the next exchanges follow sooner.
+func (s *State) hurry(now time.Duration) {
+	s.round.urgent = urgentRounds
+	s.round.nextAt = min(s.round.nextAt, now+urgentEvery)
+}
+
 // send starts an exchange, unless too many are under way.
 func (s *State) send(vm, addr string, out *commands) {
 	if addr == "" || s.round.underWay >= exchangesAtOnce {
 		return
 	}
 	s.round.underWay++
-	out.add(SendGossip{VM: vm, Addr: addr, News: s.newsFor(vm)})
+	out.add(SendGossip{VM: vm, Addr: addr, News: s.news()})
 }
 
 // peer chooses whom to ask: one that just failed, else a random peer, every
@@ -170,15 +185,12 @@
 	return n
 }
 
-// newsFor is what this node tells in one exchange: itself, what the peer
-// should know of itself, news that are to spread, and the others in turn.
-func (s *State) newsFor(vm string) *wire.Gossip {
+// news is what this node tells in one exchange: itself, news that are to
+// spread, and the others in turn.
+func (s *State) news() *wire.Gossip {
 	v := s.config.version()
 	g := &wire.Gossip{From: s.self.VM, Revision: v.Revision, Digest: v.Digest, VMs: s.vms.version}
 	g.Members = append(g.Members, s.selfNews())
-	if s.members.rows[vm] != nil && s.listedLeaving(vm) {
-		g.Members = append(g.Members, s.reported(vm))
-	}
 	g.Suspects = s.suspects.News(suspectsPerGossip, s.now)
 	names := s.members.names
 	for _, name := range names {
@@ -221,4 +233,4 @@
 }
 
 // News gives what to answer to a peer's gossip.
-func (s *State) News(peer string) *wire.Gossip { return s.newsFor(peer) }
+func (s *State) News() *wire.Gossip { return s.news() }
--- a/internal/core/member.go
+++ b/internal/core/member.go
@@ -74,7 +74,10 @@
 		return
 	}
 	s.spread(news.VM)
-	s.dirty = s.dirty || leaves(old.State) != leaves(news.State)
+	if leaves(old.State) != leaves(news.State) {
+		s.dirty = true
+		s.hurry(now)
+	}
 }
 
 // leaves says whether a node in a state takes no new work.
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -73,6 +73,7 @@
 	s.dirty = true
 	s.round.beat++
 	out.log("leaving changed", "leaving", s.leaving, "backend", t.state.String(), "stopping", t.stopping, "listed", t.listed || t.told)
+	s.hurry(now)
 	s.push(out)
 }
 
