A question that comes late is no proof; a replaced process takes no keys

Change: a Seal carries the attempt's tick, and absence is proof only while the record would still be kept; the guard compares the platform's list with its own address out of the settings.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -201,31 +201,40 @@
 
 // Seal tells what became of an attempt. One that hasn't started is sealed,
 // unless askOnly is set: from then on "not run" is true of every copy.
-func (t *Table) Seal(id string, incarnation uint64, askOnly bool, now time.Duration) wire.AttemptState {
+func (t *Table) Seal(c Claim, askOnly bool, now time.Duration) wire.AttemptState {
 	t.sweep(now)
-	class := ClassOf(id)
-	if incarnation != t.incarnation && class != Exchange {
+	class := ClassOf(c.ID)
+	if c.Incarnation != t.incarnation && class != Exchange {
 		return wire.AttemptElsewhere
 	}
-	if r := t.records[id]; r != nil {
+	if r := t.records[c.ID]; r != nil {
 		return r.state
 	}
-	if t.present[id] > 0 && (askOnly || class == Exchange) {
+	if t.present[c.ID] > 0 && (askOnly || class == Exchange) {
 		return wire.AttemptWaiting
 	}
-	if askOnly || class == Exchange || len(t.records) >= maxRecords {
-		return wire.AttemptAbsent
-	}
-	// A key that isn't taken here may have run where this table has no memory of.
-	if class == Key && !t.keys.takes(id, now) {
+	if askOnly || class == Exchange || !t.proves(c, now) || len(t.records) >= maxRecords {
 		return wire.AttemptAbsent
 	}
 	r := &record{state: wire.AttemptSealed, changed: now, done: make(chan struct{})}
 	close(r.done)
-	t.records[id] = r
+	t.records[c.ID] = r
 	return wire.AttemptSealed
 }
 
+// proves says whether the absence of a record proves that no copy has run. An
+// entry that was frozen may ask so late that the record has come and gone.
+func (t *Table) proves(c Claim, now time.Duration) bool {
+	age := now - time.Duration(c.Tick)*TickEvery
+	switch ClassOf(c.ID) {
+	case Key:
+		return age <= Window && t.keys.takes(c.ID, now)
+	case Ticket:
+		return age <= TicketWindow+keep
+	}
+	return age <= keep
+}
+
 // Arrive notes that a request is at the guard without a record.
 func (t *Table) Arrive(id string) { t.present[id]++ }
 
--- /dev/null
+++ b/internal/attempt/attempt_test.go
@@ -0,0 +1,139 @@
+package attempt_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/limpetdock/limpetdock/internal/attempt"
+	"github.com/limpetdock/limpetdock/internal/wire"
+)
+
+func claim(id string, at time.Duration) attempt.Claim {
+	return attempt.Claim{ID: id, Incarnation: 1, Tick: attempt.Tick(at)}
+}
+
+func TestWhatBecomesOfAClaim(t *testing.T) {
+	const now = time.Hour
+	ticket := attempt.TicketID("1")
+	cases := []struct {
+		name  string
+		claim attempt.Claim
+		want  attempt.Verdict
+	}{
+		{"fresh", claim("x", now), attempt.Start},
+		{"as old as the window", claim("x", now-attempt.Window), attempt.Start},
+		{"older than the window", claim("x", now-attempt.Window-time.Second), attempt.Stale},
+		{"a tick of the future is another's", claim("x", now+time.Second), attempt.Stale},
+		{"another incarnation", attempt.Claim{ID: "x", Incarnation: 2, Tick: attempt.Tick(now)}, attempt.Stale},
+		{"no identity learnt yet", attempt.Claim{ID: "x"}, attempt.Stale},
+		{"a ticket in its window", claim(ticket, now-attempt.TicketWindow), attempt.Start},
+		{"a ticket past it, which would have left a record", claim(ticket, now-attempt.TicketWindow-time.Second), attempt.Expired},
+		{"a ticket whose record would be gone", claim(ticket, now-attempt.TicketWindow-2*attempt.Window-time.Second), attempt.Forgotten},
+		{"a copy", claim("known", now), attempt.Known},
+		{"a copy that comes late", claim("known", 0), attempt.Known},
+		{"another request under the id", attempt.Claim{ID: "known", Incarnation: 1, Fingerprint: 7}, attempt.Conflict},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			table := attempt.NewTable(1)
+			v, _ := table.Begin(claim("known", now), now)
+			require.Equal(t, attempt.Start, v)
+			got, _ := table.Begin(c.claim, now)
+			require.Equal(t, c.want, got)
+		})
+	}
+}
+
+// A booking ran, and its entry was frozen before the answer came. It wakes
+// minutes later, its connection is dead, and it asks what became of the booking.
+// The record has been forgotten by then. If the guard sealed what it doesn't
+// know, the entry would book a second time elsewhere.
+func TestALateQuestionIsNoProof(t *testing.T) {
+	for _, id := range []string{"try", attempt.TicketID("1")} {
+		table := attempt.NewTable(1)
+		v, _ := table.Begin(claim(id, 0), 0)
+		require.Equal(t, attempt.Start, v)
+		table.Finish(id, nil, 0)
+		late := attempt.TicketWindow + 3*attempt.Window
+		require.Equal(t, wire.AttemptAbsent, table.Seal(claim(id, 0), false, late), id)
+	}
+}
+
+func TestASealHolds(t *testing.T) {
+	table := attempt.NewTable(1)
+	table.Arrive("x")
+	require.Equal(t, wire.AttemptWaiting, table.Seal(claim("x", 0), true, 0), "a question leaves it in the queue")
+	require.Equal(t, wire.AttemptSealed, table.Seal(claim("x", 0), false, 0))
+	table.Depart("x")
+	v, _ := table.Begin(claim("x", 0), 0)
+	require.Equal(t, attempt.Known, v, "it doesn't run when its turn comes")
+	require.Equal(t, wire.AttemptAbsent, table.Seal(claim("y", 0), true, 0))
+	require.Equal(t, wire.AttemptElsewhere, table.Seal(attempt.Claim{ID: "x", Incarnation: 2}, false, 0))
+}
+
+func TestAnExchangeIsAskedForAndNeverSealed(t *testing.T) {
+	table := attempt.NewTable(1)
+	id := attempt.ExchangeID("1")
+	table.Arrive(id)
+	require.Equal(t, wire.AttemptWaiting, table.Seal(attempt.Claim{ID: id}, false, 0))
+	table.Depart(id)
+	require.Equal(t, wire.AttemptAbsent, table.Seal(attempt.Claim{ID: id}, false, 0))
+}
+
+func TestAnswersAreKeptWithinBounds(t *testing.T) {
+	table := attempt.NewTable(1)
+	body := make([]byte, attempt.MaxAnswer)
+	finish := func(id string, a *attempt.Answer) wire.AttemptState {
+		_, _ = table.Begin(claim(id, 0), 0)
+		table.Finish(id, a, 0)
+		state, _, ended := table.Look(id)
+		<-ended
+		return state
+	}
+	require.Equal(t, wire.AttemptDone, finish("fits", &attempt.Answer{Status: http.StatusOK, Body: body}))
+	require.Equal(t, wire.AttemptLost, finish("long", &attempt.Answer{Body: append(body, 0)}))
+	require.Equal(t, wire.AttemptLost, finish("none", nil))
+	lost := 0
+	for n := range 1000 {
+		if finish(fmt.Sprint(n), &attempt.Answer{Body: body}) == wire.AttemptLost {
+			lost++
+		}
+	}
+	require.Positive(t, lost)
+	_, stored := table.Len()
+	require.LessOrEqual(t, stored, 32<<20)
+	_, _ = table.Begin(claim("later", time.Hour), time.Hour)
+	records, stored := table.Len()
+	require.Equal(t, 1, records, "records go after their time")
+	require.Zero(t, stored)
+}
+
+func TestAFullTableRefuses(t *testing.T) {
+	table := attempt.NewTable(1)
+	started := 0
+	var v attempt.Verdict
+	for v == attempt.Start {
+		if v, _ = table.Begin(claim(fmt.Sprint(started), 0), 0); v == attempt.Start {
+			started++
+		}
+	}
+	require.Equal(t, attempt.Full, v)
+	require.Equal(t, wire.AttemptAbsent, table.Seal(claim("other", 0), false, 0), "no room for a seal, so no proof")
+	known, _ := table.Begin(claim("0", 0), 0)
+	require.Equal(t, attempt.Known, known)
+}
+
+func TestOnlyTheIncarnationsOwnSealIsProof(t *testing.T) {
+	for state, want := range map[wire.AttemptState]attempt.Step{
+		wire.AttemptSealed: attempt.Elsewhere, wire.AttemptRunning: attempt.Collect, wire.AttemptDone: attempt.Collect,
+		wire.AttemptLost: attempt.Collect, wire.AttemptWaiting: attempt.Wait, wire.AttemptAbsent: attempt.Unknown,
+		wire.AttemptElsewhere: attempt.Unknown,
+	} {
+		require.Equal(t, want, attempt.Next(&wire.Sealed{Incarnation: 1, State: state}, 1), state)
+		require.Equal(t, attempt.Unknown, attempt.Next(&wire.Sealed{Incarnation: 2, State: state}, 1), state)
+	}
+}
--- a/internal/attempt/keys.go
+++ b/internal/attempt/keys.go
@@ -16,6 +16,8 @@
 	Targets []string
 	// Lifetime is how long a caller may send a key again.
 	Lifetime time.Duration
+	// Addr is the VM's own address; when empty, the one first listed is taken for it.
+	Addr string
 }
 
 // Home finds the home of a key: the target with the highest hash of service,
@@ -42,9 +44,9 @@
 	horizon time.Duration
 	// past are the targets declared before, and until when.
 	past []epoch
-	// confirmed is when the platform last showed this VM under addr.
+	// confirmed is when the platform last showed this VM under its address.
 	confirmed  time.Duration
-	addr       string
+	firstAddr  string
 	superseded bool
 }
 
@@ -85,18 +87,30 @@
 }
 
 // Confirm notes that the platform has just shown this VM under an address.
-// Another address than the one this process began to take keys under means
-// that the VM was replaced, and confirms nothing.
+// Another address than this process's own means that the VM was replaced while
+// this process lives on, and confirms nothing. What the platform showed first
+// is the second best: it may be old news, and then no keys are taken.
 func (t *Table) Confirm(addr string, now time.Duration) {
 	k := &t.keys
-	if now < k.horizon+k.keep() {
-		k.addr = addr
+	if k.firstAddr == "" {
+		k.firstAddr = addr
 	}
-	if addr == k.addr {
+	own := k.now.Addr
+	if own == "" {
+		own = k.firstAddr
+	}
+	if addr == own {
 		k.confirmed = max(k.confirmed, now)
 	}
 }
 
+// Doubt takes the last Confirm back: time has passed that this table's clock
+// didn't count.
+func (t *Table) Doubt() { t.keys.confirmed = -t.keys.keep() }
+
+// ConfirmWithin is how long one Confirm lasts.
+func (t *Table) ConfirmWithin() time.Duration { return t.keys.keep() / 2 }
+
 // Supersede notes that another incarnation of this VM has been seen that is
 // newer: two homes must not take keys side by side.
 func (t *Table) Supersede() { t.keys.superseded = true }
--- a/internal/entry/fate.go
+++ b/internal/entry/fate.go
@@ -27,9 +27,9 @@
 
 // sent is an attempt on its way: what it is called, and where.
 type sent struct {
-	target      *pick.Target
-	id          string
-	incarnation uint64
+	target   *pick.Target
+	id       string
+	identity pick.Identity
 }
 
 // resolve finds out, over new connections, what became of an attempt whose
@@ -68,11 +68,11 @@
 }
 
 func (e *Entry) resolveOnce(ctx context.Context, w http.ResponseWriter, s sent) *kind.Error {
-	reply, err := e.ask(ctx, s.target, &wire.Seal{Incarnation: s.incarnation, Attempt: s.id})
+	reply, err := e.ask(ctx, s.target, &wire.Seal{Incarnation: s.identity.Incarnation, Attempt: s.id, Tick: s.identity.Tick})
 	if err != nil {
 		return kind.New(kind.OutcomeUnknown, "the target can't be asked").Because(err)
 	}
-	switch attempt.Next(reply, s.incarnation) {
+	switch attempt.Next(reply, s.identity.Incarnation) {
 	case attempt.Elsewhere:
 		sealed := kind.New(kind.Sealed, "the request was sealed before it ran")
 		sealed.FromGuard = true
@@ -92,7 +92,7 @@
 		return kind.From(err)
 	}
 	out.Header.Set(headers.Collect, s.id)
-	out.Header.Set(headers.Incarnation, formatHex(s.incarnation))
+	out.Header.Set(headers.Incarnation, formatHex(s.identity.Incarnation))
 	resp, failed := e.send(ctx, e.View(), s.target, out)
 	if failed != nil {
 		// That the guard can't be reached now says nothing about the attempt.
--- a/internal/entry/key.go
+++ b/internal/entry/key.go
@@ -69,7 +69,7 @@
 	if older(x.arrived, keyDelay) {
 		return &sentBody{}, kind.New(kind.KeyUnknown, "the request was held up for too long at this node")
 	}
-	return e.offer(ctx, w, v, x, sent{target: home, id: attempt.KeyID(x.key)}, id)
+	return e.offer(ctx, w, v, x, sent{home, attempt.KeyID(x.key), id})
 }
 
 // older compares by both clocks, as the monotonic one stands still while a VM is suspended.
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -40,7 +40,7 @@
 		}
 		// Each offer has an id of its own, so the proof about one says nothing
 		// of, and can't be spoilt by, another.
-		body, err := e.offer(ctx, w, v, x, sent{target: t, id: uuid.NewString()}, identityOf(t))
+		body, err := e.offer(ctx, w, v, x, sent{t, uuid.NewString(), identityOf(t)})
 		if err == nil || err.Said() != kind.NotRun {
 			return err
 		}
@@ -70,12 +70,11 @@
 
 // offer makes one attempt at one target and sees it through: its answer is
 // delivered, or its fate is known, or it is known that nobody can tell.
-func (e *Entry) offer(ctx context.Context, w http.ResponseWriter, v *pick.View, x *request, s sent, id pick.Identity) (*sentBody, *kind.Error) {
-	s.incarnation = id.Incarnation
+func (e *Entry) offer(ctx context.Context, w http.ResponseWriter, v *pick.View, x *request, s sent) (*sentBody, *kind.Error) {
 	out, body := x.outgoing()
 	out.Header.Set(headers.Attempt, s.id)
-	out.Header.Set(headers.Incarnation, formatHex(id.Incarnation))
-	out.Header.Set(headers.Tick, formatUint(id.Tick))
+	out.Header.Set(headers.Incarnation, formatHex(s.identity.Incarnation))
+	out.Header.Set(headers.Tick, formatUint(s.identity.Tick))
 	resp, err := e.send(ctx, v, s.target, out)
 	if err == nil {
 		err = deliver(w, resp)
--- a/internal/entry/ticket.go
+++ b/internal/entry/ticket.go
@@ -136,8 +136,8 @@
 	if t == nil || t.Guard == "" {
 		return kind.New(kind.KeyUnknown, "the server that the ticket names isn't declared or listed any more")
 	}
-	s := sent{target: t, id: attempt.TicketID(x.ticket.ID)}
-	_, err := e.offer(ctx, w, v, x, s, pick.Identity{Incarnation: x.ticket.Incarnation, Tick: x.ticket.Tick})
+	identity := pick.Identity{Incarnation: x.ticket.Incarnation, Tick: x.ticket.Tick}
+	_, err := e.offer(ctx, w, v, x, sent{t, attempt.TicketID(x.ticket.ID), identity})
 	if err == nil {
 		return nil
 	}
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -36,7 +36,11 @@
 	leaving     atomic.Bool
 	mu          sync.Mutex
 	attempts    *attempt.Table
-	running     sync.WaitGroup
+	// addr is the VM's own address, or empty.
+	addr string
+	// listedAt is when the platform last showed this VM, by the wall clock.
+	listedAt time.Time
+	running  sync.WaitGroup
 	// Counters count what was decided about attempts.
 	Counters Counters
 }
@@ -61,6 +65,10 @@
 	}
 }
 
+// SetAddr tells the VM's own address, as the platform should list it. It must
+// be called before the first View.
+func (g *Guard) SetAddr(ip string) { g.addr = ip }
+
 // SetView puts a new View in force and with it the declared limits.
 func (g *Guard) SetView(v *pick.View) {
 	g.view.Store(v)
--- a/internal/guard/records.go
+++ b/internal/guard/records.go
@@ -31,7 +31,8 @@
 func (g *Guard) Seal(m *wire.Seal) *wire.Sealed {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	state := g.attempts.Seal(m.Attempt, m.Incarnation, m.AskOnly, g.now())
+	g.doubt()
+	state := g.attempts.Seal(attempt.Claim{ID: m.Attempt, Incarnation: m.Incarnation, Tick: m.Tick}, m.AskOnly, g.now())
 	if state == wire.AttemptSealed {
 		g.Counters.Sealed.Add(1)
 	}
@@ -40,13 +41,16 @@
 
 // setKeys puts the rules for callers' own keys in force.
 func (g *Guard) setKeys(svc *config.Service, vm string) {
-	rules := attempt.Keys{Service: svc.Name, Self: vm, Lifetime: svc.KeyLifetime}
+	rules := attempt.Keys{Service: svc.Name, Self: vm, Lifetime: svc.KeyLifetime, Addr: g.addr}
 	for _, t := range svc.Targets {
 		rules.Targets = append(rules.Targets, t.VM)
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.attempts.SetKeys(rules, g.now())
+	if g.listedAt.IsZero() {
+		g.listedAt = time.Now().Round(0)
+	}
 }
 
 // Listed notes that the platform has just shown this VM, under an address.
@@ -54,6 +58,16 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.attempts.Confirm(addr, g.now())
+	g.listedAt = time.Now().Round(0)
+}
+
+// doubt takes the platform's word back when the wall clock says that it is old,
+// whatever the guard's own clock says: a hypervisor may have stopped that one.
+// The mutex is held.
+func (g *Guard) doubt() {
+	if time.Now().Round(0).Sub(g.listedAt) > g.attempts.ConfirmWithin() {
+		g.attempts.Doubt()
+	}
 }
 
 // Heard takes news of nodes: a newer incarnation of the own VM means that this
@@ -76,12 +90,14 @@
 func (g *Guard) check(c attempt.Claim) (attempt.Verdict, time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.doubt()
 	return g.counted(g.attempts.Check(c, g.now()))
 }
 
 func (g *Guard) begin(c attempt.Claim) (attempt.Verdict, time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.doubt()
 	return g.counted(g.attempts.Begin(c, g.now()))
 }
 
@@ -93,7 +109,7 @@
 }
 
 func (g *Guard) seal(c attempt.Claim) wire.AttemptState {
-	return g.Seal(&wire.Seal{Attempt: c.ID, Incarnation: c.Incarnation}).State
+	return g.Seal(&wire.Seal{Attempt: c.ID, Incarnation: c.Incarnation, Tick: c.Tick}).State
 }
 
 func (g *Guard) arrive(id string) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -25,14 +25,6 @@
 	"github.com/limpetdock/limpetdock/internal/wire"
 )
 
-// Clock gives the time since the node's start, of the monotonic clock.
-type Clock func() time.Duration
-
-func newClock() Clock {
-	start := time.Now()
-	return func() time.Duration { return time.Since(start) }
-}
-
 // Module provides every part of a node. It needs *settings.Settings and
 // logr.Logger from outside.
 var Module = fx.Options(
@@ -59,7 +51,13 @@
 }
 
 func newGuard(s *settings.Settings, self core.Self, now Clock) *guard.Guard {
-	return guard.New(s.Backend, self.Incarnation, now)
+	g := guard.New(s.Backend, self.Incarnation, now)
+	if host, _, err := net.SplitHostPort(s.Guard); err == nil {
+		if ip := net.ParseIP(host); ip != nil && !ip.IsUnspecified() {
+			g.SetAddr(host)
+		}
+	}
+	return g
 }
 
 func newEntry(g *guard.Guard, d *link.Dialer, m *metrics.Metrics, now Clock) *entry.Entry {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -109,6 +109,8 @@
 type Seal struct {
 	Incarnation uint64 `msgpack:"i"`
 	Attempt     string `msgpack:"a"`
+	// Tick is the one that the attempt named.
+	Tick uint64 `msgpack:"t"`
 	// AskOnly leaves an attempt that hasn't arrived unsealed.
 	AskOnly bool `msgpack:"o,omitempty"`
 }
