--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -13,6 +13,7 @@
 	"github.com/limpetdock/limpetdock/internal/headers"
 	"github.com/limpetdock/limpetdock/internal/kind"
 	"github.com/limpetdock/limpetdock/internal/pick"
+	"github.com/limpetdock/limpetdock/internal/suspect"
 	"github.com/limpetdock/limpetdock/internal/wire"
 )
 
@@ -22,6 +23,15 @@
 	CallNew(ctx context.Context, addr string, m wire.Message) (wire.Message, error)
 }
 
+// Accuser is told of requests that may crash backend servers. Safe for
+// concurrent use.
+type Accuser interface {
+	// Died reports a request that was in flight when a backend server died.
+	Died(fingerprint uint64, d suspect.Death)
+	// Cleared reports a suspect that has run to its end.
+	Cleared(fingerprint uint64)
+}
+
 // Observer is told what each request came to. Safe for concurrent use.
 type Observer interface {
 	// Answered reports a request that was answered, by the backend server
@@ -34,12 +44,14 @@
 // Entry is the entry role of a node: an http.Handler for callers. Safe for
 // concurrent use.
 type Entry struct {
-	view     atomic.Pointer[pick.View]
+	view     pick.Current
 	local    http.RoundTripper
 	remote   *transports
 	seal     func(*wire.Seal) *wire.Sealed
 	peers    Caller
 	observer Observer
+	accuser  atomic.Pointer[Accuser]
+	behind   atomic.Pointer[func(vm string)]
 	now      func() time.Duration
 	pulse    pulse
 	counters Counters
@@ -97,6 +109,10 @@
 // Counters gives what has been counted so far.
 func (e *Entry) Counters() *Counters { return &e.counters }
 
+// OnBehind sets what is called, without waiting, when the guard on a VM refuses
+// a request because its configuration is another.
+func (e *Entry) OnBehind(f func(vm string)) { e.behind.Store(&f) }
+
 // View gives the View in force, or nil.
 func (e *Entry) View() *pick.View { return e.view.Load() }
 
@@ -135,8 +151,16 @@
 		return err
 	}
 	x.arrived = time.Now()
+	if err := x.accuse(v, e.now()); err != nil {
+		return err
+	}
 	if x.once {
-		return e.serveOnce(ctx, w, v, x)
+		err = e.serveOnce(ctx, w, v, x)
+	} else {
+		err = e.serveIdempotent(ctx, w, v, x)
+	}
+	if err != nil {
+		err = e.reroute(ctx, w, v, x, err)
 	}
-	return e.serveIdempotent(ctx, w, v, x)
+	return err
 }
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -34,7 +34,7 @@
 	var tried []*pick.Target
 	var last *kind.Error
 	for range 2 * x.service.Hops {
-		t := x.service.Pick(e.now(), tried)
+		t := e.choose(ctx, x, tried)
 		if t == nil {
 			break
 		}
@@ -79,7 +79,12 @@
 	if err == nil {
 		err = deliver(w, resp)
 	}
-	if err == nil || !open(err) {
+	if err == nil {
+		e.noteRun(x)
+		return body, nil
+	}
+	e.noteDeath(x, err)
+	if !open(err) {
 		return body, err
 	}
 	if x.cut(body) {
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -29,8 +29,12 @@
 type request struct {
 	in      *http.Request
 	service *pick.Service
+	// ask is used again for each choice of a target.
+	ask pick.Ask
 	// once says that the request runs at most once.
-	once    bool
+	once bool
+	// hops is how many targets an idempotent request may be offered to.
+	hops    int
 	timeout time.Duration
 	// key is the caller's own idempotency key, and ticket one of ours.
 	key    string
@@ -41,6 +45,11 @@
 	// body is the held body; nil when the request's body streams.
 	body   []byte
 	stream bool
+	// suspected says that the request runs alone on its target.
+	suspected   bool
+	fingerprint uint64
+	// begun says that some of a streamed body has been read.
+	begun atomic.Bool
 }
 
 // parse checks a caller's request against the configuration in force.
@@ -59,6 +68,7 @@
 	}
 	route := conf.Match(r.Method, r.URL.Path)
 	x.once = route == nil || !route.Idempotent
+	x.hops = conf.HopsFor(route)
 	if err := x.parseTimeout(); err != nil {
 		return nil, err
 	}
@@ -161,10 +171,14 @@
 	io.ReadCloser
 	begun atomic.Bool
 	cut   atomic.Bool
+	owner *request
 }
 
 func (b *sentBody) Read(p []byte) (int, error) {
 	b.begun.Store(true)
+	if b.owner != nil {
+		b.owner.begun.Store(true)
+	}
 	n, err := b.ReadCloser.Read(p)
 	if err != nil && !errors.Is(err, io.EOF) {
 		b.cut.Store(true)
@@ -186,14 +200,17 @@
 	headers.StripHop(out.Header)
 	out.Header.Set(headers.Service, x.service.Name)
 	out.Header.Set(headers.Depth, strconv.Itoa(x.depth+1))
-	out.Header.Set(headers.Config, x.service.Tag())
+	out.Header.Set(headers.Config, x.service.Stamp)
+	if x.suspected {
+		out.Header.Set(headers.Suspect, "1")
+	}
 	if _, ok := out.Header["User-Agent"]; !ok {
 		out.Header["User-Agent"] = nil
 	}
 	var body *sentBody
 	switch {
 	case x.stream:
-		body = &sentBody{ReadCloser: io.NopCloser(in.Body)}
+		body = &sentBody{ReadCloser: io.NopCloser(in.Body), owner: x}
 		// The guard asks for the body only once it has taken the request, so a
 		// refusal leaves the body unread and the request can go elsewhere.
 		out.Header.Set("Expect", "100-continue")
--- a/internal/entry/ticket.go
+++ b/internal/entry/ticket.go
@@ -88,7 +88,7 @@
 	}
 	var tried []*pick.Target
 	for range x.service.Hops {
-		t := x.service.Pick(e.now(), tried)
+		t := e.choose(ctx, x, tried)
 		if t == nil {
 			break
 		}
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -32,15 +32,18 @@
 	incarnation uint64
 	now         func() time.Duration
 	gate        *gate.Gate
-	view        atomic.Pointer[pick.View]
+	view        pick.Current
+	fence       fence
 	leaving     atomic.Bool
 	mu          sync.Mutex
 	attempts    *attempt.Table
 	// addr is the VM's own address, or empty.
 	addr string
 	// listedAt is when the platform last showed this VM, by the wall clock.
-	listedAt time.Time
-	running  sync.WaitGroup
+	listedAt  time.Time
+	running   sync.WaitGroup
+	isolation isolation
+	deaths    deaths
 	// Counters count what was decided about attempts.
 	Counters Counters
 }
@@ -151,7 +154,7 @@
 	}
 	id := r.Header.Get(headers.Exchange)
 	g.arrive(id)
-	leave, e := g.gate.Enter(ctx)
+	leave, e := g.enter(ctx, r)
 	if e != nil {
 		g.depart(id)
 		cancel()
@@ -172,7 +175,7 @@
 		if p.revoke() {
 			return nil, notSent(deadline, err)
 		}
-		return nil, backendError(ctx, err)
+		return nil, g.backendError(ctx, err)
 	}
 	resp.Body = &endingBody{ReadCloser: resp.Body, end: sync.OnceFunc(end)}
 	return resp, nil
@@ -188,6 +191,10 @@
 	if g.leaving.Load() {
 		return nil, nil, kind.New(kind.Leaving, "the backend server is leaving")
 	}
+	v, e := g.fenced(r, v)
+	if e != nil {
+		return nil, nil, e
+	}
 	svc, _ := v.Config.Target(v.Here.VM)
 	if svc == nil || svc.Name != r.Header.Get(headers.Service) {
 		return nil, nil, kind.New(kind.StaleConfig, "this node doesn't serve the service")
@@ -222,6 +229,7 @@
 	if err != nil {
 		return nil, err
 	}
+	g.deaths.live()
 	headers.StripInternal(resp.Header)
 	headers.StripHop(resp.Header)
 	return resp, nil
@@ -234,16 +242,17 @@
 	kind.Write(rec, e)
 	rec.header.Set(headers.Incarnation, strconv.FormatUint(g.incarnation, 16))
 	rec.header.Set(headers.Tick, strconv.FormatUint(g.Tick(), 10))
+	tellDeath(rec.header, r, e)
 	return rec.response(r)
 }
 
 // backendError tells what went wrong on the way to the backend server.
-func backendError(ctx context.Context, err error) *kind.Error {
+func (g *Guard) backendError(ctx context.Context, err error) *kind.Error {
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return kind.New(kind.DeadlineUnknown, "the deadline passed while the backend server ran the request").Because(err)
 	}
-	return kind.New(kind.BackendDied, "the backend server broke off the exchange").Because(err)
+	return g.brokenOff(err)
 }
 
 // BackendHealth is what a backend server says of itself at its health endpoint.
--- a/internal/guard/once.go
+++ b/internal/guard/once.go
@@ -34,7 +34,7 @@
 		return g.settle(r, c, v, wait)
 	}
 	deadline := time.Now().Add(timeLeft(r))
-	leave, e := g.enter(r, c)
+	leave, e := g.enterRecorded(r, c)
 	if e != nil {
 		return g.refuse(r, c, e)
 	}
@@ -90,9 +90,9 @@
 	return h.Sum64()
 }
 
-// enter checks whether the guard takes work and waits for a slot. While it
+// enterRecorded checks whether the guard takes work and waits for a slot. While it
 // waits, the attempt can be sealed.
-func (g *Guard) enter(r *http.Request, c attempt.Claim) (leave func(), e *kind.Error) {
+func (g *Guard) enterRecorded(r *http.Request, c attempt.Claim) (leave func(), e *kind.Error) {
 	ctx, cancel, e := g.admissible(r)
 	if e != nil {
 		return nil, e
@@ -100,7 +100,7 @@
 	defer cancel()
 	g.arrive(c.ID)
 	defer g.depart(c.ID)
-	return g.gate.Enter(ctx)
+	return g.enter(ctx, r)
 }
 
 type result struct {
@@ -162,7 +162,7 @@
 	if body.failed.Load() && ctx.Err() == nil {
 		return nil, kind.New(kind.BodyCut, "the request's body ended early, after the backend server had its start").Because(err)
 	}
-	return nil, backendError(ctx, err)
+	return nil, g.backendError(ctx, err)
 }
 
 // notSent tells why no byte went to the backend server.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -35,7 +34,7 @@
 		func(s *settings.Settings) *platform.HTTP { return platform.NewHTTP(s.Platform) },
 		func(l *control.Loop, c *link.Counters) *link.Server { return link.NewServer(l, c) },
 	),
-	fx.Invoke(registerGauges, run),
+	fx.Invoke(registerGauges, run, func(e *entry.Entry, l *control.Loop) { e.SetAccuser(l) }),
 )
 
 // newSelf draws the node's incarnation: milliseconds since 1970 with random low
@@ -74,74 +73,38 @@
 	})
 }
 
-func registerGauges(m *metrics.Metrics, c *link.Counters, p *platform.HTTP, e *entry.Entry, g *guard.Guard) {
-	registerAttempts(m, e, g)
-	m.Counter("limpetdock_control_sent_bytes_total", "Bytes of control frames sent.", func() float64 { return float64(c.Sent.Load()) })
-	m.Counter("limpetdock_control_received_bytes_total", "Bytes of control frames received.", func() float64 { return float64(c.Received.Load()) })
-	m.Counter("limpetdock_control_strangers_total", "Control connections refused because of who dialled.", func() float64 { return float64(c.Strangers.Load()) })
-	m.Counter("limpetdock_control_bad_frames_total", "Control connections closed because of a bad frame.", func() float64 { return float64(c.BadFrames.Load()) })
-	m.Counter("limpetdock_platform_calls_total", "Calls to the platform, a waiting watch as one.", func() float64 { return float64(p.Calls.Load()) })
-}
-
-func registerAttempts(m *metrics.Metrics, e *entry.Entry, g *guard.Guard) {
-	counters := []struct {
-		name, help string
-		value      *atomic.Uint64
-	}{
-		{"limpetdock_progress_checks_total", "Questions to targets about exchanges in which nothing moved.", &e.Counters().Checks},
-		{"limpetdock_silent_connections_total", "Exchanges given up because their connection had gone silent.", &e.Counters().Silent},
-		{"limpetdock_attempts_resolved_total", "At-most-once attempts whose fate had to be asked for.", &e.Counters().Resolved},
-		{"limpetdock_attempts_refused_total", "Copies of attempts that the guard didn't run: stale, conflicting, or of a key not taken.", &g.Counters.Refused},
-		{"limpetdock_attempts_sealed_total", "Answers of the guard that an attempt is sealed and will never run.", &g.Counters.Sealed},
-		{"limpetdock_answers_redelivered_total", "Kept answers of attempts that were given again.", &g.Counters.Redelivered},
-	}
-	for _, c := range counters {
-		m.Counter(c.name, c.help, func() float64 { return float64(c.value.Load()) })
-	}
-	m.Gauge("limpetdock_attempt_records", "Records of at-most-once attempts.", func() float64 { n, _ := g.Attempts(); return float64(n) })
-	m.Gauge("limpetdock_attempt_answer_bytes", "Bytes of kept answers.", func() float64 { _, n := g.Attempts(); return float64(n) })
-}
-
 // face is the node as the admin API shows it.
 type face struct {
 	*control.Loop
 	*entry.Entry
 	*guard.Guard
+	clock Clock
 }
 
+// Now is the time since the node's start.
+func (f face) Now() time.Duration { return f.clock() }
+
 // Dump copies the control tables.
 func (f face) Dump() (core.Dump, bool) { return f.Loop.Dump() }
 
 // servers are the HTTP servers of a node and their listeners.
 type servers struct {
 	callers, guard, admin *http.Server
-	listeners             []net.Listener
-	control               *link.Server
+	counters              countersByServer
+	connsPerIP            int
+	// callersDrain and guardDrain tell clients of the two to close.
+	callersDrain, guardDrain *drainer
+	listeners                []net.Listener
+	control                  *link.Server
 }
 
-const (
-	// headerTimeout bounds how long a caller may take to send its headers.
-	headerTimeout = 10 * time.Second
-	idleTimeout   = 2 * time.Minute
-	// maxHeader bounds a request's headers, in bytes; more is answered 431.
-	maxHeader = 32 << 10
-)
-
-func newServer(h http.Handler) *http.Server {
-	return &http.Server{
-		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
-		ErrorLog: nil,
-	}
-}
-
-func newServers(e *entry.Entry, g *guard.Guard, l *control.Loop, m *metrics.Metrics, c *link.Server) *servers {
-	callers := newServer(e)
-	callers.ConnContext = entry.ConnContext
-	return &servers{
-		callers: callers, guard: newServer(g),
-		admin:   newServer(admin.New(face{l, e, g}, m.Registry)),
-		control: c,
-	}
+func newServers(set *settings.Settings, e *entry.Entry, g *guard.Guard, l *control.Loop, m *metrics.Metrics, c *link.Server, now Clock, log logr.Logger) *servers {
+	s := &servers{control: c, connsPerIP: set.ConnsPerIP}
+	s.callers, s.callersDrain = newServer(e, s.counters.of(m, log, "callers"))
+	s.callers.ConnContext = entry.ConnContext
+	s.guard, s.guardDrain = newServer(onlyFleet(set.Fleet, g), s.counters.of(m, log, "guard"))
+	s.admin, _ = newServer(admin.New(face{l, e, g, now}, m), s.counters.of(m, log, "admin"))
+	return s
 }
 
 func (s *servers) listen(set *settings.Settings) error {
@@ -158,7 +121,8 @@
 func (s *servers) serve(fail func(error)) {
 	for i, srv := range []*http.Server{s.callers, s.guard, s.admin} {
 		go func() {
-			if err := srv.Serve(s.listeners[i]); err != http.ErrServerClosed {
+			l := newPerIPListener(s.listeners[i], s.connsPerIP, s.counters[i])
+			if err := srv.Serve(l); err != http.ErrServerClosed {
 				fail(err)
 			}
 		}()
@@ -190,6 +154,8 @@
 			if err := p.Servers.listen(p.Settings); err != nil {
 				return err
 			}
+			p.Guard.OnBehind(p.Loop.Behind)
+			p.Entry.OnBehind(p.Loop.Behind)
 			p.Loop.Start()
 			p.Servers.serve(func(err error) {
 				p.Log.Error(err, "server ended")
@@ -206,63 +172,3 @@
 		},
 	})
 }
-
-const (
-	// healthEvery is how often the own backend server is asked how it is.
-	healthEvery   = 100 * time.Millisecond
-	healthTimeout = time.Second
-)
-
-// watchBackend asks the backend server beside the node how it is. It never
-// leaves the VM, so it costs nothing of the measuring budget.
-func (p parts) watchBackend(ctx context.Context) {
-	ticker := time.NewTicker(healthEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		ask, cancel := context.WithTimeout(ctx, healthTimeout)
-		h, err := p.Guard.Health(ask, "/healthz")
-		cancel()
-		if err == nil {
-			p.Loop.SetDraining(h.State == "draining")
-		}
-	}
-}
-
-// leaveFirst is how long a stopping node refuses new work at its guard while
-// its entry still takes callers, so that peers hear of it.
-const leaveFirst = 300 * time.Millisecond
-
-// stop ends the node without cutting what is in flight: the guard refuses new
-// work, callers' servers close idle connections and finish the rest, and the
-// control side answers about attempts until the end.
-func (p parts) stop() {
-	p.Log.Info("stopping")
-	p.Loop.SetStopping()
-	p.Guard.SetLeaving(true)
-	time.Sleep(leaveFirst)
-	limit, cancel := context.WithTimeout(context.Background(), p.Settings.StopLimit)
-	defer cancel()
-	if err := p.Servers.callers.Shutdown(limit); err != nil {
-		p.Log.Error(err, "callers cut off at the stop limit")
-	}
-	if err := p.Servers.guard.Shutdown(limit); err != nil {
-		p.Log.Error(err, "entries cut off at the stop limit")
-	}
-	p.Loop.Stop()
-	_ = p.Servers.listeners[3].Close()
-	p.Servers.control.Close()
-	_ = p.Servers.admin.Close()
-	p.Entry.Close()
-	p.Guard.Close()
-	p.Dialer.Close()
-	p.Platform.Close()
-	p.Log.Info("stopped")
-}
-
-// stopSlack is what a stop may take beyond the limit for requests in flight.
-const stopSlack = 5 * time.Second
