Homes of keys know themselves confirmed while few nodes read the platform

Cause: since only a few nodes of a zone watch the VM list, the others would have seen their own row every ten minutes at best, and turned own keys away in between. And a refusal because of another configuration sealed the key, so the request that the entry sent again a moment later was turned away.

Change: gossip carries how long ago the platform showed the sender's version of the list (a few bytes); only prompt answers to own questions count. A rival incarnation keeps keys away for the length of a record, not for good. A refused configuration seals nothing, and requests with a ticket or key are rerouted.

Ruled out: reading the platform when a key comes (reads would grow with the fleet).

--- a/internal/attempt/keys.go
+++ b/internal/attempt/keys.go
@@ -45,9 +45,11 @@
 	// past are the targets declared before, and until when.
 	past []epoch
 	// confirmed is when the platform last showed this VM under its address.
-	confirmed  time.Duration
-	firstAddr  string
-	superseded bool
+	confirmed time.Duration
+	firstAddr string
+	// rival is when a newer incarnation of this VM was last heard of, if hasRival.
+	rival    time.Duration
+	hasRival bool
 }
 
 type epoch struct {
@@ -111,9 +113,9 @@
 // ConfirmWithin is how long one Confirm lasts.
 func (t *Table) ConfirmWithin() time.Duration { return t.keys.keep() / 2 }
 
-// Supersede notes that another incarnation of this VM has been seen that is
-// newer: two homes must not take keys side by side.
-func (t *Table) Supersede() { t.keys.superseded = true }
+// Supersede notes that another, newer incarnation of this VM has been heard of:
+// two homes must not take keys side by side.
+func (t *Table) Supersede(now time.Duration) { t.keys.rival, t.keys.hasRival = now, true }
 
 func (k *keyRules) takes(id string, now time.Duration) bool {
 	v, _ := k.check(id, now)
@@ -136,7 +138,7 @@
 	}
 	// A process that was replaced without noticing stops taking keys before its
 	// replacement, which waits for the whole of keep, begins to.
-	if k.superseded || now-k.confirmed > k.keep()/2 {
+	if k.hasRival && now-k.rival <= k.keep() || now-k.confirmed > k.keep()/2 {
 		return Unconfirmed, 0
 	}
 	return Start, 0
--- a/internal/control/io.go
+++ b/internal/control/io.go
@@ -25,11 +25,6 @@
 
 func (l *Loop) watchVMs(c core.WatchVMs) {
 	list, err := l.platform.WatchVMs(l.ctx, c.After)
-	for _, vm := range list.VMs {
-		if vm.Name == l.vm && err == nil {
-			l.guard.Listed(vm.IP)
-		}
-	}
 	l.submit(core.VMsRead{List: list, Err: err})
 }
 
@@ -102,6 +97,7 @@
 }
 
 func (l *Loop) gossip(c core.SendGossip) {
+	asked := l.now()
 	reply, err := l.call(c.Addr, peerTimeout, c.News)
 	news, ok := reply.(*wire.Gossip)
 	if err != nil || !ok {
@@ -109,7 +105,7 @@
 		return
 	}
 	l.guard.Heard(news.Members)
-	l.submit(core.GossipHeard{News: news, Addr: c.Addr})
+	l.submit(core.GossipHeard{News: news, Addr: c.Addr, Prompt: l.now()-asked <= 2*peerTimeout})
 }
 
 func (l *Loop) call(addr string, limit time.Duration, m wire.Message) (wire.Message, error) {
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -36,7 +36,7 @@
 	SetView(v *pick.View)
 	Seal(m *wire.Seal) *wire.Sealed
 	// Listed and Heard tell what the platform and peers say of the own VM.
-	Listed(addr string)
+	Listed(addr string, at time.Duration)
 	Heard(news []wire.Member)
 }
 
@@ -48,7 +48,6 @@
 
 // Loop owns the control state. Its methods are safe for concurrent use.
 type Loop struct {
-	vm       string
 	state    *core.State
 	platform platform.Client
 	peers    *link.Dialer
@@ -74,8 +73,6 @@
 
 // Config is what a Loop is made of.
 type Config struct {
-	// VM is the node's own.
-	VM       string
 	State    *core.State
 	Platform platform.Client
 	Peers    *link.Dialer
@@ -89,7 +86,7 @@
 func New(c Config) *Loop {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Loop{
-		vm: c.VM, state: c.State, platform: c.Platform, peers: c.Peers, guard: c.Guard, entry: c.Entry,
+		state: c.State, platform: c.Platform, peers: c.Peers, guard: c.Guard, entry: c.Entry,
 		log: c.Log, now: c.Now, ctx: ctx, cancel: cancel,
 		events: make(chan core.Event, eventRoom), asks: make(chan func(*core.State)),
 	}
@@ -167,6 +164,9 @@
 		counters := l.state.Counters()
 		l.counters.Store(&counters)
 		l.entry.Beat()
+		if addr, at, ok := l.state.Listed(); ok {
+			l.guard.Listed(addr, at)
+		}
 		events = events[:0]
 	}
 }
--- a/internal/core/gossip.go
+++ b/internal/core/gossip.go
@@ -40,6 +40,9 @@
 	News *wire.Gossip
 	// Addr is the peer's control address if this node dialled it.
 	Addr string
+	// Prompt says that the answer came within moments of the question, so that
+	// what it says of ages is true now.
+	Prompt bool
 }
 
 func (e GossipHeard) apply(s *State, now time.Duration, out *commands) {
@@ -68,6 +71,9 @@
 		}
 	}
 	s.heardVersion(config.Version{Revision: e.News.Revision, Digest: e.News.Digest}, addr, now, out)
+	if e.Prompt {
+		s.vms.heardAge(e.News.VMs, e.News.VMsAge, now)
+	}
 	s.heardVMs(e.News.VMs, from, addr, now, out)
 }
 
@@ -178,7 +184,7 @@
 // should know of itself, news that are to spread, and the others in turn.
 func (s *State) newsFor(vm string) *wire.Gossip {
 	v := s.config.version()
-	g := &wire.Gossip{From: s.self.VM, Revision: v.Revision, Digest: v.Digest, VMs: s.vms.version}
+	g := &wire.Gossip{From: s.self.VM, Revision: v.Revision, Digest: v.Digest, VMs: s.vms.version, VMsAge: s.vms.age(s.now)}
 	g.Members = append(g.Members, s.selfNews())
 	if s.members.rows[vm] != nil && s.listedLeaving(vm) {
 		g.Members = append(g.Members, s.reported(vm))
--- a/internal/core/vms.go
+++ b/internal/core/vms.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -28,6 +29,10 @@
 	reads   platformReads
 	pulling bool
 	pullAt  time.Duration
+	// shown is when the platform is known to have shown this version, to this
+	// node or to a peer that told it; it counts only if dated is set.
+	shown time.Duration
+	dated bool
 }
 
 // VMsRead is the result of a WatchVMs or, with Peer set, of a FetchVMs.
@@ -44,6 +49,9 @@
 		t.pullAt = now + time.Duration(len(t.names)+1)*pullPausePerVM
 	} else {
 		t.reads.ended(s, now, e.List.Version, e.Err)
+		if e.Err == nil {
+			defer t.date(now)
+		}
 	}
 	if e.Err != nil || t.known && e.List.Version == t.version {
 		return
@@ -59,7 +67,7 @@
 func (s *State) replaceVMs(list platform.VMList, out *commands) {
 	t := &s.vms
 	old := t.rows
-	t.known, t.version = true, list.Version
+	t.known, t.version, t.dated = true, list.Version, false
 	t.rows = make(map[string]platform.VM, len(list.VMs))
 	for _, vm := range list.VMs {
 		t.rows[vm.Name] = vm
@@ -122,3 +130,36 @@
 	}
 	return list
 }
+
+// date notes that the platform showed the list as it stands.
+func (t *vmTable) date(at time.Duration) {
+	t.shown = max(at, t.shown)
+	if !t.dated {
+		t.shown, t.dated = at, true
+	}
+}
+
+// age gives how long ago the platform showed the list, in milliseconds, at
+// least 1; 0 is unknown.
+func (t *vmTable) age(now time.Duration) uint32 {
+	if !t.dated {
+		return 0
+	}
+	return uint32(min((now-t.shown).Milliseconds()+1, math.MaxUint32))
+}
+
+// heardAge takes a peer's word for when the platform showed the list that this
+// node has as well. So all homes of keys know themselves confirmed while only a
+// few nodes read the platform.
+func (t *vmTable) heardAge(version uint64, ms uint32, now time.Duration) {
+	if ms > 0 && t.known && version == t.version {
+		t.date(now - time.Duration(ms)*time.Millisecond)
+	}
+}
+
+// Listed gives the own VM's address in the list, and when the platform last
+// showed it there.
+func (s *State) Listed() (addr string, at time.Duration, ok bool) {
+	row, ok := s.vms.rows[s.self.VM]
+	return row.IP, s.vms.shown, ok && s.vms.dated
+}
--- a/internal/entry/stale.go
+++ b/internal/entry/stale.go
@@ -17,7 +17,9 @@
 // configuration is older than theirs: it is parsed anew under the one that the
 // guards have. Nothing of the request has run, so this is no retry; it is tried once.
 func (e *Entry) reroute(ctx context.Context, w http.ResponseWriter, v *pick.View, x *request, err *kind.Error) *kind.Error {
-	if err.Kind != kind.StaleConfig || err.Said() != kind.NotRun || x.begun.Load() {
+	// A copy under a ticket or key may always be sent again.
+	again := err.Said() == kind.NotRun || x.once && (x.ticket != nil || x.key != "")
+	if err.Kind != kind.StaleConfig || !again || x.begun.Load() {
 		return err
 	}
 	wait, cancel := context.WithTimeout(ctx, staleWait)
@@ -26,16 +28,16 @@
 	if next == nil {
 		return err
 	}
-	again, err := parse(next, x.in)
+	anew, err := parse(next, x.in)
 	if err != nil {
 		return err
 	}
-	again.body, again.stream = x.body, x.stream
+	anew.body, anew.stream, anew.arrived = x.body, x.stream, x.arrived
 	if deadline, ok := ctx.Deadline(); ok {
-		again.timeout = min(again.timeout, time.Until(deadline))
+		anew.timeout = min(anew.timeout, time.Until(deadline))
 	}
-	if again.once {
-		return e.serveOnce(ctx, w, next, again)
+	if anew.once {
+		return e.serveOnce(ctx, w, next, anew)
 	}
-	return e.serveIdempotent(ctx, w, next, again)
+	return e.serveIdempotent(ctx, w, next, anew)
 }
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -39,7 +39,9 @@
 	attempts    *attempt.Table
 	// addr is the VM's own address, or empty.
 	addr string
-	// listedAt is when the platform last showed this VM, by the wall clock.
+	// listed is when the platform last showed this VM, since the node's start,
+	// and listedAt the same by the wall clock.
+	listed    time.Duration
 	listedAt  time.Time
 	running   sync.WaitGroup
 	isolation isolation
--- a/internal/guard/records.go
+++ b/internal/guard/records.go
@@ -53,12 +53,17 @@
 	}
 }
 
-// Listed notes that the platform has just shown this VM, under an address.
-func (g *Guard) Listed(addr string) {
+// Listed notes that the platform showed this VM under an address at a time
+// since the node's start.
+func (g *Guard) Listed(addr string, at time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.attempts.Confirm(addr, g.now())
-	g.listedAt = time.Now().Round(0)
+	if at == g.listed {
+		return
+	}
+	g.listed = at
+	g.attempts.Confirm(addr, at)
+	g.listedAt = time.Now().Round(0).Add(at - g.now())
 }
 
 // doubt takes the platform's word back when the wall clock says that it is old,
@@ -82,7 +87,7 @@
 			continue
 		}
 		g.mu.Lock()
-		g.attempts.Supersede()
+		g.attempts.Supersede(g.now())
 		g.mu.Unlock()
 	}
 }
--- a/internal/guard/verdict.go
+++ b/internal/guard/verdict.go
@@ -16,6 +16,11 @@
 	if attempt.ClassOf(c.ID) == attempt.Try || e.Said() != kind.NotRun {
 		return nil, e
 	}
+	if e.Kind == kind.StaleConfig {
+		// The entry is to send this copy again once the two agree.
+		e.Outcome = kind.Unknown
+		return nil, e
+	}
 	switch g.seal(c) {
 	case wire.AttemptSealed:
 		e.Message += useAnother
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -69,7 +69,7 @@
 
 func newLoop(self core.Self, p *platform.HTTP, d *link.Dialer, g *guard.Guard, e *entry.Entry, log logr.Logger, now Clock) *control.Loop {
 	return control.New(control.Config{
-		VM: self.VM, State: core.New(self, rand.Uint64()), Platform: p, Peers: d, Guard: g, Entry: e, Log: log, Now: now,
+		State: core.New(self, rand.Uint64()), Platform: p, Peers: d, Guard: g, Entry: e, Log: log, Now: now,
 	})
 }
 
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -61,7 +61,10 @@
 	Revision uint64 `msgpack:"r"`
 	Digest   string `msgpack:"d"`
 	// VMs is the platform's version of the VM list that the sender has.
-	VMs      uint64    `msgpack:"l"`
+	VMs uint64 `msgpack:"l"`
+	// VMsAge is how long ago, in milliseconds and at most, the platform showed
+	// that version; 0 is unknown.
+	VMsAge   uint32    `msgpack:"a,omitempty"`
 	Members  []Member  `msgpack:"m"`
 	Suspects []Suspect `msgpack:"s,omitempty"`
 }
