--- /dev/null
+++ b/internal/entry/pulse_test.go
@@ -0,0 +1,35 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A node is frozen for an hour. Confirmations that were sent to it before wait
+// in its sockets, and look new when it wakes, though their keys are long forgotten.
+func TestAPauseCastsDoubtOnOlderConnections(t *testing.T) {
+	start := time.Now()
+	cases := []struct {
+		name          string
+		pause, opened time.Duration
+		want          bool
+	}{
+		{"a short pause is within the slack of records", maxPause, 0, false},
+		{"a connection from before a long pause", time.Hour, 0, true},
+		{"one that waited to be accepted", time.Hour, time.Hour + backlog/2, true},
+		{"one opened after it", time.Hour, time.Hour + 2*backlog, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var p pulse
+			p.Beat(start)
+			now := start.Add(max(c.pause, c.opened))
+			if c.opened > c.pause {
+				p.Beat(start.Add(c.pause))
+			}
+			require.Equal(t, c.want, p.Doubts(start.Add(c.opened), now))
+		})
+	}
+}
