A new home takes own keys after the lifetime and 15 s, not a minute

Cause: with the general window of 30 s for keys too, a home refused them for a minute beyond their lifetime, however short that was declared. A key's copy now has bounds of its own (5 s in a paused node, 5 s in an entry, 5 s of ticks); a tick older than that costs one round trip more. The confirmation by the platform lasts half of the wait, 30 s at least, which is longer than a watch.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -153,8 +153,11 @@
 }
 
 func window(c Class) time.Duration {
-	if c == Ticket {
+	switch c {
+	case Ticket:
 		return TicketWindow
+	case Key:
+		return keyWindow
 	}
 	return Window
 }
@@ -228,7 +231,7 @@
 	age := now - time.Duration(c.Tick)*TickEvery
 	switch ClassOf(c.ID) {
 	case Key:
-		return age <= Window && t.keys.takes(c.ID, now)
+		return age <= keyWindow && t.keys.takes(c.ID, now)
 	case Ticket:
 		return age <= TicketWindow+keep
 	}
--- a/internal/attempt/keys.go
+++ b/internal/attempt/keys.go
@@ -8,6 +8,22 @@
 	"github.com/cespare/xxhash/v2"
 )
 
+// A copy of a key may come later than its caller sent it. Each part of its way
+// is bounded, and homes keep records and wait after a start that much longer.
+const (
+	// KeyPause is how long a node may have been paused with the copy in its
+	// socket's buffer; after a longer pause it refuses such copies.
+	KeyPause = 5 * time.Second
+	// KeyDelay is how long after its arrival a node may offer it to the home.
+	KeyDelay = 5 * time.Second
+	// keyWindow is how old the home's tick may be in it.
+	keyWindow = 5 * time.Second
+	keySlack  = KeyPause + KeyDelay + keyWindow
+	// minLifetime is the least lifetime that is counted with: a confirmation by
+	// the platform must last longer than it takes to come round.
+	minLifetime = 30 * time.Second
+)
+
 // Keys are the rules for callers' own keys, out of the configuration in force.
 type Keys struct {
 	// Service and Self are the guard's service and VM.
@@ -60,9 +76,12 @@
 // maxEpochs bounds the earlier target lists; with more, every key waits.
 const maxEpochs = 128
 
-// keep is how long a key's record outlives its last change. Beyond the
-// lifetime, a copy may be held up by an entry and on its way, a Window each.
-func (k *keyRules) keep() time.Duration { return k.now.Lifetime + keep }
+// keep is how long a key's record outlives its last change.
+func (k *keyRules) keep() time.Duration { return max(k.now.Lifetime, minLifetime) + keySlack }
+
+// confirmedFor is how long one word of the platform lasts. A replacement waits
+// for the whole of keep, and the rest is for the platform's own lag.
+func (k *keyRules) confirmedFor() time.Duration { return max(k.keep()/2, minLifetime) }
 
 // SetKeys puts rules in force.
 func (t *Table) SetKeys(rules Keys, now time.Duration) {
@@ -111,7 +130,7 @@
 func (t *Table) Doubt() { t.keys.confirmed = -t.keys.keep() }
 
 // ConfirmWithin is how long one Confirm lasts.
-func (t *Table) ConfirmWithin() time.Duration { return t.keys.keep() / 2 }
+func (t *Table) ConfirmWithin() time.Duration { return t.keys.confirmedFor() }
 
 // Supersede notes that another, newer incarnation of this VM has been heard of:
 // two homes must not take keys side by side.
@@ -138,7 +157,7 @@
 	}
 	// A process that was replaced without noticing stops taking keys before its
 	// replacement, which waits for the whole of keep, begins to.
-	if k.hasRival && now-k.rival <= k.keep() || now-k.confirmed > k.keep()/2 {
+	if k.hasRival && now-k.rival <= k.keep() || now-k.confirmed > k.confirmedFor() {
 		return Unconfirmed, 0
 	}
 	return Start, 0
--- a/internal/entry/key.go
+++ b/internal/entry/key.go
@@ -10,14 +10,9 @@
 	"github.com/limpetdock/limpetdock/internal/pick"
 )
 
-const (
-	// keyOffers bounds the offers to a home; one after the first is for a home
-	// that tells its new identity.
-	keyOffers = 3
-	// keyDelay is how long after its arrival a keyed request may be offered.
-	// Homes keep records a Window longer than the key's lifetime for it.
-	keyDelay = attempt.Window / 2
-)
+// keyOffers bounds the offers to a home; one after the first is for a home
+// that tells its new identity.
+const keyOffers = 3
 
 // serveKey offers a request with a key of the caller's own to the key's home,
 // and to no other target: another one can't know whether a copy has run.
@@ -66,7 +61,7 @@
 		return &sentBody{}, kind.New(kind.Unreachable, "the key's home isn't listed by the platform")
 	}
 	id := identityOf(home)
-	if older(x.arrived, keyDelay) {
+	if older(x.arrived, attempt.KeyDelay) {
 		return &sentBody{}, kind.New(kind.KeyUnknown, "the request was held up for too long at this node")
 	}
 	return e.offer(ctx, w, v, x, sent{home, attempt.KeyID(x.key), id})
--- a/internal/entry/pulse.go
+++ b/internal/entry/pulse.go
@@ -10,10 +10,6 @@
 	"github.com/limpetdock/limpetdock/internal/attempt"
 )
 
-// maxPause is the longest pause of the process after which requests that were
-// sent to it before are still young enough for a key's record to be there.
-const maxPause = attempt.Window / 2
-
 // backlog is how long after a pause connections are still taken for ones that
 // were opened during it and waited to be accepted.
 const backlog = time.Second
@@ -38,7 +34,7 @@
 }
 
 func (p *pulse) beat(now time.Time) {
-	late := now.Sub(p.last) > maxPause || now.Round(0).Sub(p.last.Round(0)) > maxPause
+	late := now.Sub(p.last) > attempt.KeyPause || now.Round(0).Sub(p.last.Round(0)) > attempt.KeyPause
 	if late && !p.last.IsZero() {
 		p.woke = now
 	}
