--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -37,9 +37,15 @@
 	leaving     atomic.Bool
 	mu          sync.Mutex
 	attempts    *attempt.Table
-	running     sync.WaitGroup
-	isolation   isolation
-	deaths      deaths
+	// addr is the VM's own address, or empty.
+	addr string
+	// listed is when the platform last showed this VM, since the node's start,
+	// and listedAt the same by the wall clock.
+	listed    time.Duration
+	listedAt  time.Time
+	running   sync.WaitGroup
+	isolation isolation
+	deaths    deaths
 	// Counters count what was decided about attempts.
 	Counters Counters
 }
@@ -64,6 +70,10 @@
 	}
 }
 
+// SetAddr tells the VM's own address, as the platform should list it. It must
+// be called before the first View.
+func (g *Guard) SetAddr(ip string) { g.addr = ip }
+
 // SetView puts a new View in force and with it the declared limits.
 func (g *Guard) SetView(v *pick.View) {
 	g.view.Store(v)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,14 +24,6 @@
 	"github.com/limpetdock/limpetdock/internal/wire"
 )
 
-// Clock gives the time since the node's start, of the monotonic clock.
-type Clock func() time.Duration
-
-func newClock() Clock {
-	start := time.Now()
-	return func() time.Duration { return time.Since(start) }
-}
-
 // Module provides every part of a node. It needs *settings.Settings and
 // logr.Logger from outside.
 var Module = fx.Options(
@@ -58,7 +50,13 @@
 }
 
 func newGuard(s *settings.Settings, self core.Self, now Clock) *guard.Guard {
-	return guard.New(s.Backend, self.Incarnation, now)
+	g := guard.New(s.Backend, self.Incarnation, now)
+	if host, _, err := net.SplitHostPort(s.Guard); err == nil {
+		if ip := net.ParseIP(host); ip != nil && !ip.IsUnspecified() {
+			g.SetAddr(host)
+		}
+	}
+	return g
 }
 
 func newEntry(g *guard.Guard, d *link.Dialer, m *metrics.Metrics, now Clock) *entry.Entry {
@@ -71,7 +69,7 @@
 
 func newLoop(self core.Self, p *platform.HTTP, d *link.Dialer, g *guard.Guard, e *entry.Entry, log logr.Logger, now Clock) *control.Loop {
 	return control.New(control.Config{
-		VM: self.VM, State: core.New(self, rand.Uint64()), Platform: p, Peers: d, Guard: g, Entry: e, Log: log, Now: now,
+		State: core.New(self, rand.Uint64()), Platform: p, Peers: d, Guard: g, Entry: e, Log: log, Now: now,
 	})
 }
 
