Load on replies and probes under one budget; retry budgets handed down; limits at the entry

The guard's own counts ride on replies (Limpetdock-Load) when the measuring budget has room for the header's bytes, the cross-region part by the sender's region; probes are control frames under the same budget. The entry takes the load off the answer, measures the round trip from it, and counts a request as in flight until its answer is closed.

A retry costs the service's budget and the chain's (Limpetdock-Retries-Left); a hop after a refusal costs a quarter of one; a refusal that asked no backend server costs nothing. Connections to guards are bounded by each entry's share and opened ahead of use, one after the other at random times.

In others' packages: wire gets Probe and Load, control answers a Probe, link tells what a Call costs, node wires and starts these.

--- a/internal/control/io.go
+++ b/internal/control/io.go
@@ -138,6 +138,11 @@
 		var list platform.VMList
 		l.Ask(func(s *core.State) { list = s.VMs() })
 		return toWire(list)
+	case *wire.Probe:
+		if load := l.guard.Probed(from); load != nil {
+			return load
+		}
+		return nil
 	case *wire.Seal:
 		return l.guard.Seal(m)
 	}
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -35,6 +35,8 @@
 	SetLeaving(leaving bool)
 	SetView(v *pick.View)
 	Seal(m *wire.Seal) *wire.Sealed
+	// Probed answers a probe of a peer, or gives nil if that is over budget.
+	Probed(from string) *wire.Load
 }
 
 // Entry is what the loop needs of the node's entry.
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -90,7 +90,10 @@
 
 func (s *State) view() *pick.View {
 	active := s.config.active
-	v := &pick.View{Config: active, Here: s.self.Place, Suspects: s.accused, Services: make(map[string]*pick.Service, len(active.Services))}
+	v := &pick.View{
+		Nodes:  len(s.vms.rows),
+		Config: active, Here: s.self.Place, Suspects: s.accused, Services: make(map[string]*pick.Service, len(active.Services)),
+	}
 	for name, svc := range active.Services {
 		v.Services[name] = s.viewService(active, svc)
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -8,7 +8,10 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/limpetdock/limpetdock/internal/budget"
+	"github.com/limpetdock/limpetdock/internal/gate"
 	"github.com/limpetdock/limpetdock/internal/kind"
+	"github.com/limpetdock/limpetdock/internal/limit"
 	"github.com/limpetdock/limpetdock/internal/pick"
 	"github.com/limpetdock/limpetdock/internal/suspect"
 	"github.com/limpetdock/limpetdock/internal/wire"
@@ -18,6 +21,10 @@
 type Caller interface {
 	// CallNew sends a message over a new connection and gives the answer.
 	CallNew(ctx context.Context, addr string, m wire.Message) (wire.Message, error)
+	// Call may use a kept connection.
+	Call(ctx context.Context, addr string, m wire.Message) (wire.Message, error)
+	// Cost bounds the bytes that a Call of m sends.
+	Cost(m wire.Message) int
 }
 
 // Accuser is told of requests that may crash backend servers. Safe for
@@ -41,15 +48,19 @@
 // Entry is the entry role of a node: an http.Handler for callers. Safe for
 // concurrent use.
 type Entry struct {
-	view     pick.Current
-	local    http.RoundTripper
-	remote   *http.Transport
-	seal     func(*wire.Seal) *wire.Sealed
-	peers    Caller
-	observer Observer
-	accuser  atomic.Pointer[Accuser]
-	behind   atomic.Pointer[func(vm string)]
-	now      func() time.Duration
+	view      pick.Current
+	local     http.RoundTripper
+	remote    transports
+	seal      func(*wire.Seal) *wire.Sealed
+	peers     Caller
+	observer  Observer
+	accuser   atomic.Pointer[Accuser]
+	behind    atomic.Pointer[func(vm string)]
+	now       func() time.Duration
+	load      func() gate.Load
+	limits    *limit.Table
+	measuring *budget.Measuring
+	accounts  accounts
 }
 
 // Config is what an Entry is made of.
@@ -58,6 +69,12 @@
 	Local http.RoundTripper
 	Seal  func(*wire.Seal) *wire.Sealed
 	Peers Caller
+	// Load gives the load of the own backend server; nil if it isn't known.
+	Load func() gate.Load
+	// Limits bounds what is in flight.
+	Limits *limit.Table
+	// Measuring is the budget for probes; nil means none are sent.
+	Measuring *budget.Measuring
 	// Observer is told of every answer.
 	Observer Observer
 	// Now gives the time since the node's start, of a monotonic clock.
@@ -66,14 +83,24 @@
 
 // New returns an Entry that answers not-ready until it has a View.
 func New(c Config) *Entry {
-	return &Entry{
-		local: c.Local, remote: newTransport(), seal: c.Seal,
-		peers: c.Peers, observer: c.Observer, now: c.Now,
+	e := &Entry{
+		local: c.Local, seal: c.Seal, peers: c.Peers, observer: c.Observer, now: c.Now,
+		load: c.Load, limits: c.Limits, measuring: c.Measuring,
 	}
+	if e.limits == nil {
+		e.limits = limit.New()
+	}
+	e.remote.now.Store(newTransport(connections{idle: firstIdle, open: 0}))
+	return e
 }
 
-// SetView puts a new View in force.
-func (e *Entry) SetView(v *pick.View) { e.view.Store(v) }
+// SetView puts a new View in force. Only one goroutine may call it.
+func (e *Entry) SetView(v *pick.View) {
+	e.limits.SetConfig(v.Config)
+	e.accounts.setView(v)
+	e.remote.setView(v)
+	e.view.Store(v)
+}
 
 // OnBehind sets what is called, without waiting, when the guard on a VM refuses
 // a request because its configuration is another.
@@ -83,7 +110,7 @@
 func (e *Entry) View() *pick.View { return e.view.Load() }
 
 // Close drops the idle connections to guards.
-func (e *Entry) Close() { e.remote.CloseIdleConnections() }
+func (e *Entry) Close() { e.remote.now.Load().CloseIdleConnections() }
 
 // ServeHTTP answers one request of a caller.
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -108,6 +135,15 @@
 		return err
 	}
 	*service = x.service.Name
+	hold, err := e.limits.Admit(x.service.Name, x.route)
+	if err != nil {
+		return err
+	}
+	defer hold.Release()
+	x.account = e.accounts.of(x.service.Name)
+	if x.chain.Fresh() {
+		x.account.Request()
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), x.timeout)
 	defer cancel()
 	if err := x.holdBody(); err != nil {
--- a/internal/entry/hop.go
+++ b/internal/entry/hop.go
@@ -15,29 +15,6 @@
 	"github.com/limpetdock/limpetdock/internal/pick"
 )
 
-const (
-	// dialTimeout bounds opening a connection to a guard.
-	dialTimeout = time.Second
-	// avoidFor is how long a target that couldn't be reached is passed over.
-	avoidFor = time.Second
-	// avoidDead is how long a target whose backend server is gone is passed over.
-	avoidDead = 200 * time.Millisecond
-)
-
-func newTransport() *http.Transport {
-	dialer := &net.Dialer{
-		Timeout: dialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: time.Second, Interval: time.Second, Count: 3,
-		},
-	}
-	return &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 32, IdleConnTimeout: time.Minute,
-		DisableCompression: true, ExpectContinueTimeout: time.Hour,
-		ReadBufferSize: 16 << 10, WriteBufferSize: 16 << 10,
-	}
-}
-
 func cloneURL(r *http.Request) *url.URL {
 	u := *r.URL
 	u.Scheme = "http"
@@ -66,22 +43,33 @@
 		out.Header.Set(headers.TimeoutMs, strconv.FormatInt(left, 10))
 	}
 	out.URL.Host = t.Guard
-	t.Stat.InFlight.Add(1)
-	defer t.Stat.InFlight.Add(-1)
+	m := t.Begin(e.now(), timed(out))
+	resp, refusal := e.exchange(ctx, v, t, m, out)
+	t.Headers(m, e.now(), outcomeOf(ctx, resp, refusal), pick.SharedRand)
+	if refusal != nil {
+		t.End()
+		return nil, refusal
+	}
+	resp.Body = &countedBody{ReadCloser: resp.Body, target: t}
+	return resp, nil
+}
+
+// exchange makes the hop and learns from what comes back.
+func (e *Entry) exchange(ctx context.Context, v *pick.View, t *pick.Target, m pick.Mark, out *http.Request) (*http.Response, *kind.Error) {
 	resp, err := e.hop(v, t).RoundTrip(out)
 	if err != nil {
-		return nil, e.transportError(ctx, t, err)
+		return nil, e.transportError(ctx, err)
+	}
+	if v.Local(t) {
+		e.learnLocal(t)
+	} else {
+		e.learnLoad(t, m, resp.Header)
 	}
 	refusal := kind.Read(resp)
 	if refusal == nil {
 		return resp, nil
 	}
 	learn(t, resp)
-	if refusal.Kind == kind.Unreachable {
-		// A guard beside a dead backend server refuses so fast that its target
-		// looks idle; without this it would attract every request.
-		t.Stat.Avoid(e.now() + avoidDead)
-	}
 	if f := e.behind.Load(); f != nil && refusal.Kind == kind.StaleConfig {
 		(*f)(t.Place.VM)
 	}
@@ -93,14 +81,13 @@
 	if v.Local(t) {
 		return e.local
 	}
-	return e.remote
+	return e.remote.now.Load()
 }
 
-func (e *Entry) transportError(ctx context.Context, t *pick.Target, err error) *kind.Error {
+func (e *Entry) transportError(ctx context.Context, err error) *kind.Error {
 	var op *net.OpError
 	switch {
 	case errors.As(err, &op) && op.Op == "dial":
-		t.Stat.Avoid(e.now() + avoidFor)
 		return kind.New(kind.Unreachable, "the target can't be reached").Because(err)
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return kind.New(kind.DeadlineUnknown, "the deadline passed before an answer came").Because(err)
--- a/internal/entry/idempotent.go
+++ b/internal/entry/idempotent.go
@@ -58,7 +58,7 @@
 		if ctx.Err() != nil || x.stream && body.begun {
 			break
 		}
-		if !again(err) || deaths > maxDeaths {
+		if !again(err) || deaths > maxDeaths || !e.mayGoOn(x, err) {
 			break
 		}
 		e.observer.Hopped(x.service.Name, err.Kind)
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -44,7 +44,7 @@
 			break
 		}
 		row, _ := kind.AnswerOf(err.Kind)
-		if !row.Elsewhere {
+		if !row.Elsewhere || !e.mayGoOn(x, err) {
 			break
 		}
 		if err.Kind != kind.StaleAttempt {
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/limpetdock/limpetdock/fleet"
+	"github.com/limpetdock/limpetdock/internal/budget"
 	"github.com/limpetdock/limpetdock/internal/headers"
 	"github.com/limpetdock/limpetdock/internal/kind"
 	"github.com/limpetdock/limpetdock/internal/pick"
@@ -31,6 +33,11 @@
 	service *pick.Service
 	// ask is used again for each choice of a target.
 	ask pick.Ask
+	// route is the rule that matched, or nil.
+	route *fleet.Route
+	// account is the service's retry budget, and chain what is left of the call chain's.
+	account *budget.Retry
+	chain   budget.Chain
 	// once says that the request runs at most once.
 	once bool
 	// hops is how many targets an idempotent request may be offered to.
@@ -65,6 +72,8 @@
 	route := conf.Match(r.Method, r.URL.Path)
 	x.once = route == nil || !route.Idempotent
 	x.hops = conf.HopsFor(route)
+	x.route = route
+	x.chain = budget.ParseChain(r.Header.Get(headers.RetriesLeft))
 	if err := x.parseTimeout(); err != nil {
 		return nil, err
 	}
@@ -174,6 +183,7 @@
 	headers.StripInternal(out.Header)
 	headers.StripHop(out.Header)
 	out.Header.Set(headers.Service, x.service.Name)
+	out.Header.Set(headers.RetriesLeft, x.chain.String())
 	out.Header.Set(headers.Depth, strconv.Itoa(x.depth+1))
 	out.Header.Set(headers.Config, x.service.Stamp)
 	if x.suspected {
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -41,6 +41,7 @@
 	running     sync.WaitGroup
 	isolation   isolation
 	deaths      deaths
+	reporter    reporter
 }
 
 // New returns the guard of the backend server at base. now gives the time
@@ -66,6 +67,7 @@
 // SetView puts a new View in force and with it the declared limits.
 func (g *Guard) SetView(v *pick.View) {
 	g.view.Store(v)
+	g.reporter.setView(v)
 	svc, t := v.Config.Target(v.Here.VM)
 	if t == nil {
 		g.gate.SetLimits(0, 0)
@@ -106,6 +108,7 @@
 
 // ServeHTTP takes a request from another node's entry.
 func (g *Guard) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	arrived := g.now()
 	resp, err := g.RoundTrip(r)
 	if err != nil {
 		kind.Write(w, kind.From(err))
@@ -113,6 +116,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	headers.Copy(w.Header(), resp.Header)
+	g.addLoad(w.Header(), r, arrived)
 	w.WriteHeader(resp.StatusCode)
 	if _, err := io.Copy(w, resp.Body); err != nil {
 		// A cut answer must look cut: the connection is aborted, not ended.
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -208,6 +208,12 @@
 	return d.CallNew(ctx, addr, m)
 }
 
+// Cost bounds the bytes that a Call of m sends: on a kept connection that turns
+// out to be closed it is sent twice.
+func (d *Dialer) Cost(m wire.Message) int {
+	return wire.Size(&d.hello) + 2*wire.Size(m)
+}
+
 // CallNew sends m over a new connection.
 func (d *Dialer) CallNew(ctx context.Context, addr string, m wire.Message) (wire.Message, error) {
 	var dialer net.Dialer
--- /dev/null
+++ b/internal/node/measure.go
@@ -0,0 +1,47 @@
+package node
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/limpetdock/limpetdock/internal/budget"
+	"github.com/limpetdock/limpetdock/internal/entry"
+	"github.com/limpetdock/limpetdock/internal/metrics"
+)
+
+// registerMeasuring shows what measuring and retrying cost.
+func registerMeasuring(m *metrics.Metrics, b *budget.Measuring, e *entry.Entry) {
+	spent := b.Spent()
+	m.Counter("limpetdock_measuring_requests_total", "Probes sent.",
+		func() float64 { return float64(spent.Requests.Load()) })
+	m.Counter("limpetdock_measuring_bytes_total", "Bytes about load sent, as on the wire.",
+		func() float64 { return float64(spent.Bytes.Load()) })
+	m.Counter("limpetdock_measuring_cross_region_bytes_total", "The part of these bytes that left the region.",
+		func() float64 { return float64(spent.CrossBytes.Load()) })
+	m.Counter("limpetdock_measuring_denied_total", "Probes and reports left out because they were over budget.",
+		func() float64 { return float64(spent.Denied.Load()) })
+	m.Registry.MustRegister(retries{e})
+}
+
+var (
+	retriesDesc = prometheus.NewDesc("limpetdock_retries_total",
+		"Retries, and hops after refusals, that the retry budget granted.", []string{"service"}, nil)
+	retriesDeniedDesc = prometheus.NewDesc("limpetdock_retries_denied_total",
+		"Retries and hops that the retry budget denied.", []string{"service"}, nil)
+)
+
+// retries collects the use of the retry budgets.
+type retries struct{ entry *entry.Entry }
+
+// Describe implements prometheus.Collector.
+func (retries) Describe(out chan<- *prometheus.Desc) {
+	out <- retriesDesc
+	out <- retriesDeniedDesc
+}
+
+// Collect implements prometheus.Collector.
+func (r retries) Collect(out chan<- prometheus.Metric) {
+	for _, u := range r.entry.RetryUses() {
+		out <- prometheus.MustNewConstMetric(retriesDesc, prometheus.CounterValue, float64(u.Granted), u.Service)
+		out <- prometheus.MustNewConstMetric(retriesDeniedDesc, prometheus.CounterValue, float64(u.Denied), u.Service)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,10 +12,12 @@
 	"go.uber.org/fx"
 
 	"github.com/limpetdock/limpetdock/internal/admin"
+	"github.com/limpetdock/limpetdock/internal/budget"
 	"github.com/limpetdock/limpetdock/internal/control"
 	"github.com/limpetdock/limpetdock/internal/core"
 	"github.com/limpetdock/limpetdock/internal/entry"
 	"github.com/limpetdock/limpetdock/internal/guard"
+	"github.com/limpetdock/limpetdock/internal/limit"
 	"github.com/limpetdock/limpetdock/internal/link"
 	"github.com/limpetdock/limpetdock/internal/metrics"
 	"github.com/limpetdock/limpetdock/internal/pick"
@@ -37,12 +39,13 @@
 var Module = fx.Options(
 	fx.Provide(
 		newClock, newSelf, newGuard, newEntry, newLoop, newDialer, newServers,
-		metrics.New,
+		metrics.New, limit.New,
+		func(now Clock) *budget.Measuring { return budget.NewMeasuring(now) },
 		func() *link.Counters { return &link.Counters{} },
 		func(s *settings.Settings) *platform.HTTP { return platform.NewHTTP(s.Platform) },
 		func(l *control.Loop, c *link.Counters) *link.Server { return link.NewServer(l, c) },
 	),
-	fx.Invoke(registerGauges, run, func(e *entry.Entry, l *control.Loop) { e.SetAccuser(l) }),
+	fx.Invoke(registerGauges, registerMeasuring, run, func(e *entry.Entry, l *control.Loop) { e.SetAccuser(l) }),
 )
 
 // newSelf draws the node's incarnation: milliseconds since 1970 with random low
@@ -57,12 +60,17 @@
 	}
 }
 
-func newGuard(s *settings.Settings, self core.Self, now Clock) *guard.Guard {
-	return guard.New(s.Backend, self.Incarnation, now)
+func newGuard(s *settings.Settings, self core.Self, b *budget.Measuring, now Clock) *guard.Guard {
+	g := guard.New(s.Backend, self.Incarnation, now)
+	g.SetMeasuring(b)
+	return g
 }
 
-func newEntry(g *guard.Guard, d *link.Dialer, m *metrics.Metrics, now Clock) *entry.Entry {
-	return entry.New(entry.Config{Local: g, Seal: g.Seal, Peers: d, Observer: m, Now: now})
+func newEntry(g *guard.Guard, d *link.Dialer, m *metrics.Metrics, limits *limit.Table, b *budget.Measuring, now Clock) *entry.Entry {
+	m.Registry.MustRegister(limits)
+	return entry.New(entry.Config{
+		Local: g, Seal: g.Seal, Peers: d, Observer: m, Load: g.Load, Limits: limits, Measuring: b, Now: now,
+	})
 }
 
 func newDialer(self core.Self, c *link.Counters) *link.Dialer {
@@ -176,6 +184,7 @@
 				_ = p.Shutdown.Shutdown(fx.ExitCode(1))
 			})
 			go p.watchBackend(ctx)
+			go p.Entry.Run(ctx)
 			p.Log.Info("started", "vm", p.Settings.VM, "callers", p.Settings.Callers)
 			return nil
 		},
--- a/internal/pick/health.go
+++ b/internal/pick/health.go
@@ -56,7 +56,7 @@
 func (s *Stat) judge(now time.Duration, o Outcome, rnd *rand.Rand) {
 	h := s.health.Load()
 	switch o {
-	case Neutral:
+	case Neutral, Late:
 	case Good:
 		s.count(0)
 		s.recover(h, now)
--- a/internal/pick/probe.go
+++ b/internal/pick/probe.go
@@ -52,3 +52,26 @@
 	failing := float64(t.Stat.failing.Load()) / failScale
 	return float64(r.Running+r.Waiting+since)/float64(max(r.Slots, 1)) + failing
 }
+
+// AskedWithin says whether a target was chosen by probes not longer than d ago.
+func (s *Service) AskedWithin(now, d time.Duration) bool {
+	at := s.shared.asked.Load()
+	return at != 0 && now-time.Duration(at) <= d
+}
+
+// Stalest gives the target to probe next: of two random ones that with the
+// older report. It is nil if there are no targets.
+func (s *Service) Stalest(d Draw) *Target {
+	if len(s.Targets) == 0 {
+		return nil
+	}
+	a, b := twoOf(d.Rand, s.Targets)
+	ra, rb := a.Reported(), b.Reported()
+	if ra != nil && (rb == nil || rb.At < ra.At) {
+		a = b
+	}
+	if !a.offered(nil) {
+		return nil
+	}
+	return a
+}
--- a/internal/pick/service.go
+++ b/internal/pick/service.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/limpetdock/limpetdock/fleet"
 	"github.com/limpetdock/limpetdock/internal/config"
 )
 
@@ -31,7 +32,9 @@
 	// typical is a moving average over all targets of the time to an answer
 	// without the round trip, in nanoseconds.
 	typical atomic.Int64
-	spill   spill
+	// asked is when a target was last chosen, in nanoseconds.
+	asked atomic.Int64
+	spill spill
 }
 
 // NewService returns a Service over targets that are ordered nearest first.
@@ -66,6 +69,9 @@
 // then the own region; either is left when it costs more than the way to
 // the other. Targets that can't be reached are chosen only when there are no others.
 func (s *Service) Choose(a *Ask) *Target {
+	if s.Policy == fleet.PolicyProbe {
+		s.shared.asked.Store(int64(a.Now))
+	}
 	g := &a.candidates
 	g.gather(s, a)
 	if len(g.home) > 0 {
--- a/internal/pick/stat.go
+++ b/internal/pick/stat.go
@@ -77,6 +77,10 @@
 	Failed
 	// Unreachable is a target that no connection could be opened to.
 	Unreachable
+	// Late is a deadline that passed before an answer came. A deadline may be
+	// too short for any server, so it is a failure only if the time was many
+	// times what is typical.
+	Late
 	// Refused is a guard that turned the request away.
 	Refused
 )
@@ -89,6 +93,12 @@
 
 const untracked = -1
 
+// Took gives the time since the request began.
+func (m Mark) Took(now time.Duration) time.Duration { return max(now-m.start, 0) }
+
+// lateFactor is how many times the typical time a late answer counts as a failure.
+const lateFactor = 10
+
 // Begin counts a request in flight. A request that streams a body isn't timed:
 // how long it takes is the caller's doing and says nothing about the target.
 func (t *Target) Begin(now time.Duration, timed bool) Mark {
@@ -110,10 +120,14 @@
 // Headers takes the evidence of an answer's first byte, or of what came instead.
 func (t *Target) Headers(m Mark, now time.Duration, o Outcome, rnd *rand.Rand) {
 	s := t.Stat
+	took := m.Took(now) - t.RTT()
+	if o == Late && int64(took) > lateFactor*t.shared.typical.Load() {
+		o = Failed
+	}
 	if m.place != untracked {
 		s.starts[m.place].Store(0)
-		if o == Good || o == Failed {
-			t.sample(now, now-m.start-t.RTT())
+		if o == Good || o == Failed || o == Late {
+			t.sample(now, took)
 		}
 	}
 	s.judge(now, o, rnd)
--- a/internal/pick/view.go
+++ b/internal/pick/view.go
@@ -16,6 +16,8 @@
 	Services map[string]*Service
 	// Here is the node's own place.
 	Here Place
+	// Nodes is how many nodes there are, and so entries.
+	Nodes int
 	// Suspects are requests that may crash backend servers, by fingerprint.
 	Suspects suspect.Set
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -27,6 +27,8 @@
 	TypeSealed
 	TypeFetchVMs
 	TypeVMs
+	TypeProbe
+	TypeLoad
 )
 
 const (
@@ -173,6 +175,18 @@
 	State       AttemptState `msgpack:"s"`
 }
 
+// Probe asks a node for the load of its backend server.
+type Probe struct{}
+
+// Load answers a Probe, by the guard's own counts.
+type Load struct {
+	Running uint32 `msgpack:"r"`
+	Waiting uint32 `msgpack:"w"`
+	Slots   uint32 `msgpack:"s"`
+	// ServiceUs is how long a slot is held on average, in microseconds.
+	ServiceUs uint32 `msgpack:"t"`
+}
+
 // Type tells the message's type.
 func (*Hello) Type() Type { return TypeHello }
 
@@ -197,6 +211,12 @@
 // Type tells the message's type.
 func (*VMs) Type() Type { return TypeVMs }
 
+// Type tells the message's type.
+func (*Probe) Type() Type { return TypeProbe }
+
+// Type tells the message's type.
+func (*Load) Type() Type { return TypeLoad }
+
 func blank(t Type) (Message, int) {
 	switch t {
 	case TypeHello:
@@ -215,6 +235,10 @@
 		return &FetchVMs{}, smallFrame
 	case TypeVMs:
 		return &VMs{}, documentFrame
+	case TypeProbe:
+		return &Probe{}, smallFrame
+	case TypeLoad:
+		return &Load{}, smallFrame
 	}
 	return nil, 0
 }
@@ -235,6 +259,15 @@
 	return append(frame, body...), nil
 }
 
+// Size gives the bytes that a message takes on the wire, zero if it has no frame.
+func Size(m Message) int {
+	frame, err := Encode(m)
+	if err != nil {
+		return 0
+	}
+	return len(frame)
+}
+
 // Read reads one frame. It never allocates more than the type's limit, and
 // grows its buffer only as bytes arrive, so that a length alone costs nothing.
 func Read(r io.Reader) (Message, error) {
