--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -37,13 +37,20 @@
 	Seal(m *wire.Seal) *wire.Sealed
 	// Probed answers a probe of a peer, or gives nil if that is over budget.
 	Probed(from string) *wire.Load
+	// Listed and Heard tell what the platform and peers say of the own VM.
+	Listed(addr string)
+	Heard(news []wire.Member)
 }
 
 // Entry is what the loop needs of the node's entry.
-type Entry interface{ SetView(v *pick.View) }
+type Entry interface {
+	SetView(v *pick.View)
+	Beat()
+}
 
 // Loop owns the control state. Its methods are safe for concurrent use.
 type Loop struct {
+	vm       string
 	state    *core.State
 	platform platform.Client
 	peers    *link.Dialer
@@ -69,6 +76,8 @@
 
 // Config is what a Loop is made of.
 type Config struct {
+	// VM is the node's own.
+	VM       string
 	State    *core.State
 	Platform platform.Client
 	Peers    *link.Dialer
@@ -82,7 +91,7 @@
 func New(c Config) *Loop {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Loop{
-		state: c.State, platform: c.Platform, peers: c.Peers, guard: c.Guard, entry: c.Entry,
+		vm: c.VM, state: c.State, platform: c.Platform, peers: c.Peers, guard: c.Guard, entry: c.Entry,
 		log: c.Log, now: c.Now, ctx: ctx, cancel: cancel,
 		events: make(chan core.Event, eventRoom), asks: make(chan func(*core.State)),
 	}
@@ -159,6 +168,7 @@
 		l.guard.SetLeaving(l.state.Leaving() || l.isStopping())
 		counters := l.state.Counters()
 		l.counters.Store(&counters)
+		l.entry.Beat()
 		events = events[:0]
 	}
 }
--- a/internal/entry/background.go
+++ b/internal/entry/background.go
@@ -86,7 +86,7 @@
 	if err != nil {
 		return
 	}
-	resp, err := e.remote.now.Load().RoundTrip(req)
+	resp, err := e.remote.RoundTrip(req)
 	if err != nil {
 		return
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -8,8 +8,11 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/google/uuid"
+
 	"github.com/limpetdock/limpetdock/internal/budget"
 	"github.com/limpetdock/limpetdock/internal/gate"
+	"github.com/limpetdock/limpetdock/internal/headers"
 	"github.com/limpetdock/limpetdock/internal/kind"
 	"github.com/limpetdock/limpetdock/internal/limit"
 	"github.com/limpetdock/limpetdock/internal/pick"
@@ -50,7 +53,7 @@
 type Entry struct {
 	view      pick.Current
 	local     http.RoundTripper
-	remote    transports
+	remote    *transports
 	seal      func(*wire.Seal) *wire.Sealed
 	peers     Caller
 	observer  Observer
@@ -61,6 +64,22 @@
 	limits    *limit.Table
 	measuring *budget.Measuring
 	accounts  accounts
+	pulse     pulse
+	counters  Counters
+	// name is unique to this process; exchanges counts the ids made with it.
+	name      string
+	exchanges atomic.Uint64
+}
+
+// Counters count what an entry does about exchanges that went wrong. Safe for
+// concurrent use.
+type Counters struct {
+	// Checks counts questions about exchanges in which nothing moved.
+	Checks atomic.Uint64
+	// Silent counts connections given up because they had gone silent.
+	Silent atomic.Uint64
+	// Resolved counts attempts whose fate had to be asked for.
+	Resolved atomic.Uint64
 }
 
 // Config is what an Entry is made of.
@@ -84,13 +103,13 @@
 // New returns an Entry that answers not-ready until it has a View.
 func New(c Config) *Entry {
 	e := &Entry{
-		local: c.Local, seal: c.Seal, peers: c.Peers, observer: c.Observer, now: c.Now,
+		local: c.Local, remote: newTransports(), seal: c.Seal,
+		peers: c.Peers, observer: c.Observer, now: c.Now, name: uuid.NewString(),
 		load: c.Load, limits: c.Limits, measuring: c.Measuring,
 	}
 	if e.limits == nil {
 		e.limits = limit.New()
 	}
-	e.remote.now.Store(newTransport(connections{idle: firstIdle, open: 0}))
 	return e
 }
 
@@ -98,10 +117,23 @@
 func (e *Entry) SetView(v *pick.View) {
 	e.limits.SetConfig(v.Config)
 	e.accounts.setView(v)
-	e.remote.setView(v)
 	e.view.Store(v)
+	inUse := map[string]bool{}
+	for _, s := range v.Services {
+		for _, t := range s.Homes {
+			inUse[t.Guard] = true
+		}
+	}
+	e.remote.Keep(inUse)
+	e.remote.Bound(connectionsOf(v))
 }
 
+// Beat must be called often; a late call shows that the process was paused.
+func (e *Entry) Beat() { e.pulse.Beat(time.Now()) }
+
+// Counters gives what has been counted so far.
+func (e *Entry) Counters() *Counters { return &e.counters }
+
 // OnBehind sets what is called, without waiting, when the guard on a VM refuses
 // a request because its configuration is another.
 func (e *Entry) OnBehind(f func(vm string)) { e.behind.Store(&f) }
@@ -110,7 +142,7 @@
 func (e *Entry) View() *pick.View { return e.view.Load() }
 
 // Close drops the idle connections to guards.
-func (e *Entry) Close() { e.remote.now.Load().CloseIdleConnections() }
+func (e *Entry) Close() { e.remote.CloseIdleConnections() }
 
 // ServeHTTP answers one request of a caller.
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -146,9 +178,13 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), x.timeout)
 	defer cancel()
+	if r.Header.Get(headers.Ticket) != "" {
+		return e.issue(ctx, w, x)
+	}
 	if err := x.holdBody(); err != nil {
 		return err
 	}
+	x.arrived = time.Now()
 	if err := x.accuse(v, e.now()); err != nil {
 		return err
 	}
--- a/internal/entry/hop.go
+++ b/internal/entry/hop.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"net/url"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/limpetdock/limpetdock/internal/headers"
@@ -34,7 +33,6 @@
 // send offers a request to a target and gives the backend server's answer, or
 // the kind of trouble. A nil error comes with an answer whose body must be closed.
 func (e *Entry) send(ctx context.Context, v *pick.View, t *pick.Target, out *http.Request) (*http.Response, *kind.Error) {
-	out = out.WithContext(ctx)
 	if deadline, ok := ctx.Deadline(); ok {
 		left := time.Until(deadline).Milliseconds()
 		if left <= 0 {
@@ -44,21 +42,22 @@
 	}
 	out.URL.Host = t.Guard
 	m := t.Begin(e.now(), timed(out))
-	resp, refusal := e.exchange(ctx, v, t, m, out)
-	t.Headers(m, e.now(), outcomeOf(ctx, resp, refusal), pick.SharedRand)
-	if refusal != nil {
+	resp, failed := e.offered(ctx, v, t, m, out)
+	t.Headers(m, e.now(), outcomeOf(ctx, resp, failed), pick.SharedRand)
+	if failed != nil {
 		t.End()
-		return nil, refusal
+		return nil, failed
 	}
 	resp.Body = &countedBody{ReadCloser: resp.Body, target: t}
 	return resp, nil
 }
 
-// exchange makes the hop and learns from what comes back.
-func (e *Entry) exchange(ctx context.Context, v *pick.View, t *pick.Target, m pick.Mark, out *http.Request) (*http.Response, *kind.Error) {
-	resp, err := e.hop(v, t).RoundTrip(out)
-	if err != nil {
-		return nil, e.transportError(ctx, err)
+// offered makes the exchange and learns from what comes back. A refusal of the
+// guard is an error.
+func (e *Entry) offered(ctx context.Context, v *pick.View, t *pick.Target, m pick.Mark, out *http.Request) (*http.Response, *kind.Error) {
+	resp, failed := e.exchange(ctx, v, t, out)
+	if failed != nil {
+		return nil, failed
 	}
 	if v.Local(t) {
 		e.learnLocal(t)
@@ -77,19 +76,42 @@
 	return nil, refusal
 }
 
-func (e *Entry) hop(v *pick.View, t *pick.Target) http.RoundTripper {
+// exchange sends the request and gives whatever answer comes.
+func (e *Entry) exchange(ctx context.Context, v *pick.View, t *pick.Target, out *http.Request) (*http.Response, *kind.Error) {
 	if v.Local(t) {
-		return e.local
+		resp, err := e.local.RoundTrip(out.WithContext(ctx))
+		if err != nil {
+			return nil, kind.From(err)
+		}
+		return resp, nil
+	}
+	w := e.watch(ctx, t, out)
+	out = out.WithContext(w.ctx)
+	out.Body = w.request(out.Body)
+	headers.Unreplayable(out)
+	resp, err := e.remote.RoundTrip(out)
+	if err != nil {
+		defer w.stop()
+		return nil, e.transportError(w, err)
 	}
-	return e.remote.now.Load()
+	resp.Body = w.answer(resp.Body)
+	if got := resp.Header.Get(headers.Exchange); got != w.ask.Attempt {
+		// Another request's answer. The connection is closed with its rest unread.
+		_ = resp.Body.Close()
+		e.remote.Drop(t.Guard)
+		return nil, kind.New(kind.OutcomeUnknown, "the target answered another request")
+	}
+	return resp, nil
 }
 
-func (e *Entry) transportError(ctx context.Context, err error) *kind.Error {
+func (e *Entry) transportError(w *watch, err error) *kind.Error {
 	var op *net.OpError
 	switch {
 	case errors.As(err, &op) && op.Op == "dial":
 		return kind.New(kind.Unreachable, "the target can't be reached").Because(err)
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case w.silent():
+		return kind.New(kind.OutcomeUnknown, "the connection to the target went silent").Because(errSilent)
+	case errors.Is(w.ctx.Err(), context.DeadlineExceeded):
 		return kind.New(kind.DeadlineUnknown, "the deadline passed before an answer came").Because(err)
 	}
 	return kind.New(kind.OutcomeUnknown, "the exchange with the target broke off").Because(err)
@@ -107,12 +129,3 @@
 	}
 	t.Stat.Learn(pick.Identity{Incarnation: incarnation, Tick: tick})
 }
-
-// lowerKey spells the idempotency key so that net/http's transport doesn't
-// take it for leave to send the request again by itself.
-func lowerKey(h http.Header) {
-	if values, ok := h[headers.IdempotencyKey]; ok {
-		delete(h, headers.IdempotencyKey)
-		h[strings.ToLower(headers.IdempotencyKey)] = values
-	}
-}
--- a/internal/entry/idempotent.go
+++ b/internal/entry/idempotent.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 
+	"github.com/limpetdock/limpetdock/internal/headers"
 	"github.com/limpetdock/limpetdock/internal/kind"
 	"github.com/limpetdock/limpetdock/internal/pick"
 )
@@ -38,6 +39,7 @@
 		}
 		tried = append(tried, t)
 		out, body := x.outgoing()
+		out.Header.Set(headers.Exchange, e.exchangeID())
 		resp, err := e.send(ctx, v, t, out)
 		if err == nil {
 			err = deliver(w, resp)
@@ -55,7 +57,7 @@
 			e.noteDeath(x, err)
 		}
 		ran = ran || err.Said() != kind.NotRun
-		if ctx.Err() != nil || x.stream && body.begun {
+		if ctx.Err() != nil || x.stream && body.begun.Load() {
 			break
 		}
 		if !again(err) || deaths > maxDeaths || !e.mayGoOn(x, err) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -79,11 +80,12 @@
 
 func newLoop(self core.Self, p *platform.HTTP, d *link.Dialer, g *guard.Guard, e *entry.Entry, log logr.Logger, now Clock) *control.Loop {
 	return control.New(control.Config{
-		State: core.New(self, rand.Uint64()), Platform: p, Peers: d, Guard: g, Entry: e, Log: log, Now: now,
+		VM: self.VM, State: core.New(self, rand.Uint64()), Platform: p, Peers: d, Guard: g, Entry: e, Log: log, Now: now,
 	})
 }
 
-func registerGauges(m *metrics.Metrics, c *link.Counters, p *platform.HTTP, l *control.Loop) {
+func registerGauges(m *metrics.Metrics, c *link.Counters, p *platform.HTTP, l *control.Loop, e *entry.Entry, g *guard.Guard) {
+	registerAttempts(m, e, g)
 	count := func(name, help string, read func(core.Counters) uint64) {
 		m.Counter(name, help, func() float64 { return float64(read(l.Counters())) })
 	}
@@ -103,6 +105,25 @@
 	m.Counter("limpetdock_platform_calls_total", "Calls to the platform, a waiting watch as one.", func() float64 { return float64(p.Calls.Load()) })
 }
 
+func registerAttempts(m *metrics.Metrics, e *entry.Entry, g *guard.Guard) {
+	counters := []struct {
+		name, help string
+		value      *atomic.Uint64
+	}{
+		{"limpetdock_progress_checks_total", "Questions to targets about exchanges in which nothing moved.", &e.Counters().Checks},
+		{"limpetdock_silent_connections_total", "Exchanges given up because their connection had gone silent.", &e.Counters().Silent},
+		{"limpetdock_attempts_resolved_total", "At-most-once attempts whose fate had to be asked for.", &e.Counters().Resolved},
+		{"limpetdock_attempts_refused_total", "Copies of attempts that the guard didn't run: stale, conflicting, or of a key not taken.", &g.Counters.Refused},
+		{"limpetdock_attempts_sealed_total", "Answers of the guard that an attempt is sealed and will never run.", &g.Counters.Sealed},
+		{"limpetdock_answers_redelivered_total", "Kept answers of attempts that were given again.", &g.Counters.Redelivered},
+	}
+	for _, c := range counters {
+		m.Counter(c.name, c.help, func() float64 { return float64(c.value.Load()) })
+	}
+	m.Gauge("limpetdock_attempt_records", "Records of at-most-once attempts.", func() float64 { n, _ := g.Attempts(); return float64(n) })
+	m.Gauge("limpetdock_attempt_answer_bytes", "Bytes of kept answers.", func() float64 { _, n := g.Attempts(); return float64(n) })
+}
+
 // face is the node as the admin API shows it.
 type face struct {
 	*control.Loop
@@ -125,6 +146,7 @@
 func newServers(e *entry.Entry, g *guard.Guard, l *control.Loop, m *metrics.Metrics, c *link.Server) *servers {
 	s := &servers{control: c}
 	s.callers, s.callersDrain = newServer(e)
+	s.callers.ConnContext = entry.ConnContext
 	s.guard, s.guardDrain = newServer(g)
 	s.admin, _ = newServer(admin.New(face{l, e, g}, m.Registry))
 	return s
