--- a/internal/entry/hop.go
+++ b/internal/entry/hop.go
@@ -41,6 +41,7 @@
 		out.Header.Set(headers.TimeoutMs, strconv.FormatInt(left, 10))
 	}
 	out.URL.Host = t.Guard
+	out.Header.Set(headers.Fleet, v.Config.Fleet())
 	m := t.Begin(e.now(), timed(out))
 	resp, failed := e.offered(ctx, v, t, m, out)
 	t.Headers(m, e.now(), outcomeOf(ctx, resp, failed), pick.SharedRand)
