--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -67,7 +67,7 @@
 	for _, declared := range svc.Targets {
 		target := &pick.Target{
 			Place:  pick.Place{VM: declared.VM, Zone: declared.Zone, Region: c.Regions[declared.Zone]},
-			Target: declared, Guard: "127.0.0.1:1", Stat: &pick.Stat{},
+			Slots: declared.Slots, Connections: declared.Connections, Guard: "127.0.0.1:1", Stat: &pick.Stat{},
 		}
 		if target.Region == "r" {
 			near = append(near, target)
@@ -82,7 +82,7 @@
 	all := append(near, far...)
 	return &fakeNode{view: &pick.View{
 		Config: c, Here: pick.Place{VM: "vm-a", Zone: "a", Region: "r"},
-		Services: map[string]*pick.Service{"orders": pick.NewService(svc, all, all, len(near))},
+		Services: map[string]*pick.Service{"orders": pick.NewService(svc, all, all, len(near), &pick.Shared{})},
 	}}
 }
 
--- a/internal/admin/explain.go
+++ b/internal/admin/explain.go
@@ -90,7 +90,7 @@
 	if chosen.Region != v.Here.Region {
 		among = "in another region, because the own region has no usable target"
 	}
-	if chosen.Stat.Avoided(now) {
+	if chosen.Stat.PassedOver(now) {
 		among += ", though it is passed over for now, because nothing better is left"
 	}
 	return fmt.Sprintf("chosen by policy %s %s; another request may go to another target", s.Policy, among)
--- a/internal/admin/state.go
+++ b/internal/admin/state.go
@@ -196,7 +196,7 @@
 		s.State = StateLeaving
 	case t.Guard == "":
 		s.State = StateNoAddress
-	case t.Stat.Avoided(now):
+	case t.Stat.PassedOver(now):
 		s.State = StateAvoided
 	case t.Region != v.Here.Region:
 		s.State = StateFar
--- a/internal/pick/health.go
+++ b/internal/pick/health.go
@@ -109,6 +109,13 @@
 	}
 }
 
+// PassedOver says whether the target is passed over at now, for a refusal,
+// for failures, or because it can't be reached.
+func (s *Stat) PassedOver(now time.Duration) bool {
+	h := s.health.Load()
+	return s.Avoided(now) || h != nil && h.phase != ramping && now < h.until
+}
+
 // standing is whether a target may be chosen now.
 type standing uint8
 
--- a/internal/pick/service.go
+++ b/internal/pick/service.go
@@ -117,3 +117,9 @@
 	}
 	return least
 }
+
+// Pick chooses a target that isn't in tried, or nil, for callers that choose
+// rarely: it allocates an Ask.
+func (s *Service) Pick(now time.Duration, tried []*Target) *Target {
+	return s.Choose(&Ask{Draw: Draw{Now: now, Rand: SharedRand}, Tried: tried})
+}
