--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -66,7 +66,7 @@
 	var near, far []*pick.Target
 	for _, declared := range svc.Targets {
 		target := &pick.Target{
-			Place:  pick.Place{VM: declared.VM, Zone: declared.Zone, Region: c.Regions[declared.Zone]},
+			Place: pick.Place{VM: declared.VM, Zone: declared.Zone, Region: c.Regions[declared.Zone]},
 			Slots: declared.Slots, Connections: declared.Connections, Guard: "127.0.0.1:1", Stat: &pick.Stat{},
 		}
 		if target.Region == "r" {
