Guard's queue: classes, three orders, adaptive concurrency, slow start, spread Retry-After

Cause: the queue was first in first out only, gave bookings no advantage over reads, kept running as many requests on a server that had slowed as on a fast one, and a node restarted beside a busy server gave out all slots anew.

Ruled out: a pool of waiters for all gates (sync.Pool): channels of one synctest bubble leaked into another; each gate keeps its own.

--- a/internal/entry/evidence.go
+++ b/internal/entry/evidence.go
@@ -58,7 +58,7 @@
 		return
 	}
 	l := e.load()
-	t.Report(pick.Report{Running: l.InUse, Waiting: l.Waiting, Slots: l.Slots, Service: l.Service, At: e.now()})
+	t.Report(pick.Report{Running: l.InUse, Waiting: l.Waiting, Slots: l.Limit, Service: l.Service, At: e.now()})
 }
 
 // countedBody counts the request out of its target once the answer is closed.
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -1,126 +1,157 @@
 // Package gate admits requests to one backend server: as many at a time as it
-// has slots, a bounded number waiting, and none whose wait won't fit its deadline.
+// can take, a bounded number waiting, and none whose wait won't fit its deadline.
 package gate
 
 import (
-	"container/list"
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/limpetdock/limpetdock/internal/kind"
 )
 
+// unboundedQueue is the length of the queue where refusal is off.
+const unboundedQueue = 10_000
+
+// Limits are what is declared of a backend server and its queue.
+type Limits struct {
+	// Slots is how many requests run at once, Queue how many wait.
+	Slots, Queue int
+	// Order is the name of an order of package fleet.
+	Order string
+	// NoRefusal lets requests wait that would be refused.
+	NoRefusal bool
+}
+
 // Gate is the admission of one backend server. Safe for concurrent use.
 type Gate struct {
 	mu      sync.Mutex
-	slots   int
-	maxWait int
-	inUse   int
-	waiting *list.List // of *waiter
-	// service is a moving average of the time a slot is held.
-	service time.Duration
+	limits  Limits
+	order   order
+	running int
+	queue   []*waiter
+	spare   []*waiter
+	// standing is when the queue last came to be; it is meaningful while
+	// somebody waits.
+	standing    time.Time
+	concurrency concurrency
+	drain       drain
+	start       slowStart
+	refused     uint64
 }
 
-type waiter struct{ admitted chan struct{} }
-
-// averageWeight is the inverse weight of a new sample in the moving average.
-const averageWeight = 8
-
-// New returns a Gate that admits nothing until SetLimits is called.
-func New() *Gate { return &Gate{waiting: list.New()} }
+// New returns a Gate that admits nothing until SetLimits is called. It starts
+// slowly: what its backend server already runs it can't know.
+func New() *Gate {
+	return &Gate{order: fifo{}, start: slowStart{active: true, began: time.Now()}}
+}
 
-// SetLimits sets the slots and the length of the queue.
-func (g *Gate) SetLimits(slots, queue int) {
+// SetLimits puts limits in force. Who waits already goes on waiting.
+func (g *Gate) SetLimits(l Limits) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.slots, g.maxWait = slots, queue
-	g.admit()
+	if l == g.limits {
+		return
+	}
+	if l.Slots != g.limits.Slots {
+		g.concurrency.reset(l.Slots)
+	}
+	g.limits, g.order = l, orderOf(l.Order)
+	g.dispatch(time.Now())
 }
 
-// Enter waits for a slot. It refuses at once when the queue is full or the
-// expected wait is longer than what ctx leaves. The returned function gives the
-// slot back and must be called exactly once.
-func (g *Gate) Enter(ctx context.Context) (leave func(), refusal *kind.Error) {
+// Slot is leave to run one request. It must be left exactly once.
+type Slot struct {
+	gate  *Gate
+	since time.Time
+}
+
+// Enter waits for a slot for a request of a route class. It refuses at once
+// when the queue is full of requests of the same class or higher, or when the
+// expected wait is longer than what ctx leaves.
+func (g *Gate) Enter(ctx context.Context, class int) (Slot, *kind.Error) {
 	g.mu.Lock()
-	if g.inUse < g.slots && g.waiting.Len() == 0 {
-		g.inUse++
+	now := time.Now()
+	if g.running < g.limit(now) && len(g.queue) == 0 {
+		g.running++
 		g.mu.Unlock()
-		return g.leaver(), nil
+		return Slot{g, now}, nil
 	}
-	wait := g.expectedWait()
-	deadline, dated := ctx.Deadline()
-	if g.waiting.Len() >= g.maxWait || dated && time.Until(deadline) < wait {
-		g.mu.Unlock()
-		e := kind.New(kind.Overloaded, "the backend server's slots and queue are full")
-		e.RetryAfter = wait
-		return nil, e
-	}
-	w := &waiter{admitted: make(chan struct{})}
-	place := g.waiting.PushBack(w)
+	w, refusal := g.enqueue(ctx, class, now)
 	g.mu.Unlock()
-	select {
-	case <-w.admitted:
-		return g.leaver(), nil
-	case <-ctx.Done():
-		return nil, g.abandon(w, place)
+	if refusal != nil {
+		return Slot{}, refusal
 	}
+	return g.wait(ctx, w)
 }
 
-// abandon takes a waiter out of the queue, or gives its slot back when it was
-// admitted at the same moment.
-func (g *Gate) abandon(w *waiter, place *list.Element) *kind.Error {
+// Leave gives the slot back.
+func (s Slot) Leave() {
+	g := s.gate
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	select {
-	case <-w.admitted:
-		g.inUse--
-		g.admit()
-	default:
-		g.waiting.Remove(place)
-	}
-	return kind.New(kind.DeadlineNotRun, "the deadline passed in the backend server's queue")
+	now := time.Now()
+	took := now.Sub(s.since)
+	g.drain.left(now, took, len(g.queue) > 0 || g.running >= g.limit(now))
+	g.concurrency.sample(now, took, g.running)
+	g.running--
+	g.dispatch(now)
 }
 
-func (g *Gate) leaver() func() {
-	start := time.Now()
-	return func() {
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		g.service += (time.Since(start) - g.service) / averageWeight
-		g.inUse--
-		g.admit()
-	}
+// limit is how many may run now. The mutex is held.
+func (g *Gate) limit(now time.Time) int {
+	return g.start.bound(now, g.concurrency.now(), g.limits.Slots)
 }
 
-// admit moves waiters into free slots. The mutex is held.
-func (g *Gate) admit() {
-	for g.inUse < g.slots && g.waiting.Len() > 0 {
-		w := g.waiting.Remove(g.waiting.Front()).(*waiter)
-		g.inUse++
-		close(w.admitted)
+// dispatch lets those who wait into free slots. The mutex is held.
+func (g *Gate) dispatch(now time.Time) {
+	for len(g.queue) > 0 && g.running < g.limit(now) {
+		w := g.take(g.order.next(g.queue, g.stands(now)))
+		g.running++
+		w.verdict <- true
+	}
+	if g.running == 0 && len(g.queue) == 0 {
+		g.drain.idle()
 	}
 }
 
-// expectedWait is the time until a new waiter would be admitted. The mutex is held.
-func (g *Gate) expectedWait() time.Duration {
-	if g.slots == 0 {
-		return time.Second
-	}
-	return g.service * time.Duration(g.waiting.Len()+1) / time.Duration(g.slots)
+// BackendCount takes the backend server's own count of requests that run there.
+// It only matters while the gate starts: later its own count is the better one.
+func (g *Gate) BackendCount(n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.start.counted(n, g.running)
+	g.dispatch(time.Now())
 }
 
 // Load is how busy the backend server is.
 type Load struct {
+	// Slots are declared; Limit is how many of them are used at present.
 	Slots   int           `json:"slots"`
+	Limit   int           `json:"limit"`
 	InUse   int           `json:"in_use"`
 	Waiting int           `json:"waiting"`
 	Service time.Duration `json:"service_ns"`
+	// Refused counts refusals since the start.
+	Refused uint64 `json:"refused"`
 }
 
 // Load gives the gate's load now.
 func (g *Gate) Load() Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return Load{Slots: g.slots, InUse: g.inUse, Waiting: g.waiting.Len(), Service: g.service}
+	return Load{
+		Slots: g.limits.Slots, Limit: g.limit(time.Now()), InUse: g.running, Waiting: len(g.queue),
+		Service: g.drain.service, Refused: g.refused,
+	}
+}
+
+// overloaded makes a refusal. The hint is when the queue will have drained by
+// its measured rate, spread over as long again, so that those who are refused
+// together don't come back together. The mutex is held.
+func (g *Gate) overloaded(now time.Time, why string) *kind.Error {
+	g.refused++
+	wait := g.drain.wait(now, len(g.queue)+1, g.limit(now))
+	return &kind.Error{Kind: kind.Overloaded, Message: why, RetryAfter: wait + rand.N(max(wait, time.Second))}
 }
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -71,10 +71,10 @@
 	g.reporter.setView(v)
 	svc, t := v.Config.Target(v.Here.VM)
 	if t == nil {
-		g.gate.SetLimits(0, 0)
+		g.gate.SetLimits(gate.Limits{})
 		return
 	}
-	g.gate.SetLimits(t.Slots, svc.Queue)
+	g.gate.SetLimits(gate.Limits{Slots: t.Slots, Queue: svc.Queue, Order: svc.QueueOrder, NoRefusal: svc.NoRefusal})
 	g.setKeys(svc, v.Here.VM)
 }
 
@@ -255,6 +255,8 @@
 type BackendHealth struct {
 	// State is "live", "draining" or "starting".
 	State string `json:"state"`
+	// Running is how many requests it runs by its own count; nil is not told.
+	Running *int `json:"running"`
 }
 
 // Health asks the backend server how it is.
@@ -276,7 +278,13 @@
 	if err != nil {
 		return h, err
 	}
-	return h, json.Unmarshal(text, &h)
+	if err := json.Unmarshal(text, &h); err != nil {
+		return h, err
+	}
+	if h.Running != nil {
+		g.gate.BackendCount(*h.Running)
+	}
+	return h, nil
 }
 
 // answerOf reads a whole answer of at most attempt.MaxAnswer bytes. For a
--- a/internal/guard/isolate.go
+++ b/internal/guard/isolate.go
@@ -124,28 +124,28 @@
 // enter waits for a slot and, for a suspect, until it is alone. The returned
 // function gives both back.
 func (g *Guard) enter(ctx context.Context, r *http.Request) (leave func(), refusal *kind.Error) {
-	leaveGate, refusal := g.gate.Enter(ctx)
+	slot, refusal := g.gate.Enter(ctx, g.classOf(r))
 	if refusal != nil {
 		return nil, refusal
 	}
 	if r.Header.Get(headers.Suspect) == "" {
 		if !g.isolation.join(ctx) {
-			leaveGate()
+			slot.Leave()
 			return nil, errLateInQueue()
 		}
 		return func() {
 			g.isolation.leave()
-			leaveGate()
+			slot.Leave()
 		}, nil
 	}
 	end, ok := g.isolation.joinAlone(ctx)
 	if !ok {
-		leaveGate()
+		slot.Leave()
 		return nil, errLateInQueue()
 	}
 	return func() {
 		end()
-		leaveGate()
+		slot.Leave()
 	}, nil
 }
 
--- a/internal/guard/load.go
+++ b/internal/guard/load.go
@@ -66,7 +66,7 @@
 	}
 	load := g.gate.Load()
 	value := headers.LoadReport{
-		Running: load.InUse, Waiting: load.Waiting, Slots: load.Slots,
+		Running: load.InUse, Waiting: load.Waiting, Slots: load.Limit,
 		Service: load.Service, Held: g.now() - arrived,
 	}.String()
 	if b.Allow(headers.LineSize(headers.Load, value), a.crosses(senderOf(r))) {
@@ -80,6 +80,23 @@
 	return stamp[strings.LastIndexByte(stamp, ' ')+1:]
 }
 
+// classOf gives the class of the request's route, by which it gives way to
+// others under overload.
+func (g *Guard) classOf(r *http.Request) int {
+	v := g.view.Load()
+	if v == nil {
+		return 0
+	}
+	svc := v.Config.Services[r.Header.Get(headers.Service)]
+	if svc == nil {
+		return 0
+	}
+	if route := svc.Match(r.Method, r.URL.Path); route != nil {
+		return route.Class
+	}
+	return 0
+}
+
 // Probed answers a probe of the node on a VM, or gives nil if the budget has no
 // room for the answer: the node that asked then does without.
 func (g *Guard) Probed(from string) *wire.Load {
@@ -89,7 +106,7 @@
 	}
 	load := g.gate.Load()
 	m := &wire.Load{
-		Running: uint32(load.InUse), Waiting: uint32(load.Waiting), Slots: uint32(load.Slots),
+		Running: uint32(load.InUse), Waiting: uint32(load.Waiting), Slots: uint32(load.Limit),
 		ServiceUs: uint32(load.Service.Microseconds()),
 	}
 	if !b.Allow(wire.Size(m), a.crosses(from)) {
