--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -67,8 +67,10 @@
 	for _, declared := range svc.Targets {
 		target := &pick.Target{
 			Place: pick.Place{VM: declared.VM, Zone: declared.Zone, Region: c.Regions[declared.Zone]},
-			Slots: declared.Slots, Connections: declared.Connections, Guard: "127.0.0.1:1", Stat: &pick.Stat{},
+			Slots: declared.Slots, Connections: declared.Connections,
+			Guard: "127.0.0.1:1", Stat: &pick.Stat{},
 		}
+		target.Distance = pick.Place{VM: "vm-a", Zone: "a", Region: "r"}.DistanceTo(target.Place)
 		if target.Region == "r" {
 			near = append(near, target)
 		} else {
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -293,3 +293,31 @@
 		slot.Leave()
 	}))
 }
+
+// A slot is given at the same moment as the deadline passes. Whichever the
+// waiter sees first, the slot must be used or given back, or the server has one
+// slot less for good.
+func TestSlotGivenAtTheDeadlineIsNotLost(t *testing.T) {
+	late, used := 0, 0
+	for range 200 {
+		g := started(Limits{Slots: 1, Queue: 1})
+		first, e := g.Enter(t.Context(), 0)
+		require.Nil(t, e)
+		ctx, cancel := context.WithCancel(t.Context())
+		g.mu.Lock()
+		w, e := g.enqueue(ctx, 0, time.Now())
+		g.mu.Unlock()
+		require.Nil(t, e)
+		first.Leave()
+		cancel()
+		if slot, e := g.wait(ctx, w); e == nil {
+			used++
+			slot.Leave()
+		} else {
+			late++
+		}
+		require.Zero(t, g.Load().InUse)
+	}
+	require.Positive(t, late)
+	require.Positive(t, used)
+}
