--- a/internal/control/io.go
+++ b/internal/control/io.go
@@ -122,7 +122,7 @@
 }
 
 // Answer gives the reply to a peer's message.
-func (l *Loop) Answer(_ string, m wire.Message) wire.Message {
+func (l *Loop) Answer(from string, m wire.Message) wire.Message {
 	switch m := m.(type) {
 	case *wire.Gossip:
 		l.guard.Heard(m.Members)
@@ -141,6 +141,11 @@
 		var list platform.VMList
 		l.Ask(func(s *core.State) { list = s.VMs() })
 		return toWire(list)
+	case *wire.Probe:
+		if load := l.guard.Probed(from); load != nil {
+			return load
+		}
+		return nil
 	case *wire.Seal:
 		return l.guard.Seal(m)
 	}
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -35,6 +35,8 @@
 	SetLeaving(leaving bool)
 	SetView(v *pick.View)
 	Seal(m *wire.Seal) *wire.Sealed
+	// Probed answers a probe of a peer, or gives nil if that is over budget.
+	Probed(from string) *wire.Load
 	// Listed and Heard tell what the platform and peers say of the own VM.
 	Listed(addr string, at time.Duration)
 	Heard(news []wire.Member)
--- a/internal/entry/hop.go
+++ b/internal/entry/hop.go
@@ -14,13 +14,6 @@
 	"github.com/limpetdock/limpetdock/internal/pick"
 )
 
-const (
-	// avoidFor is how long a target that couldn't be reached is passed over.
-	avoidFor = time.Second
-	// avoidDead is how long a target whose backend server is gone is passed over.
-	avoidDead = 200 * time.Millisecond
-)
-
 func cloneURL(r *http.Request) *url.URL {
 	u := *r.URL
 	u.Scheme = "http"
@@ -49,22 +42,34 @@
 	}
 	out.URL.Host = t.Guard
 	out.Header.Set(headers.Fleet, v.Config.Fleet())
-	t.Stat.InFlight.Add(1)
-	defer t.Stat.InFlight.Add(-1)
+	m := t.Begin(e.now(), timed(out))
+	resp, failed := e.offered(ctx, v, t, m, out)
+	t.Headers(m, e.now(), outcomeOf(ctx, resp, failed), pick.SharedRand)
+	if failed != nil {
+		t.End()
+		return nil, failed
+	}
+	resp.Body = &countedBody{ReadCloser: resp.Body, target: t}
+	return resp, nil
+}
+
+// offered makes the exchange and learns from what comes back. A refusal of the
+// guard is an error.
+func (e *Entry) offered(ctx context.Context, v *pick.View, t *pick.Target, m pick.Mark, out *http.Request) (*http.Response, *kind.Error) {
 	resp, failed := e.exchange(ctx, v, t, out)
 	if failed != nil {
 		return nil, failed
 	}
+	if v.Local(t) {
+		e.learnLocal(t)
+	} else {
+		e.learnLoad(t, m, resp.Header)
+	}
 	refusal := kind.Read(resp)
 	if refusal == nil {
 		return resp, nil
 	}
 	learn(t, resp)
-	if refusal.Kind == kind.Unreachable {
-		// A guard beside a dead backend server refuses so fast that its target
-		// looks idle; without this it would attract every request.
-		t.Stat.Avoid(e.now() + avoidDead)
-	}
 	if f := e.behind.Load(); f != nil && refusal.Kind == kind.StaleConfig {
 		(*f)(t.Place.VM)
 	}
@@ -104,7 +109,6 @@
 	var op *net.OpError
 	switch {
 	case errors.As(err, &op) && op.Op == "dial":
-		w.target.Stat.Avoid(e.now() + avoidFor)
 		return kind.New(kind.Unreachable, "the target can't be reached").Because(err)
 	case w.silent():
 		return kind.New(kind.OutcomeUnknown, "the connection to the target went silent").Because(errSilent)
--- a/internal/guard/conn_test.go
+++ b/internal/guard/conn_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/limpetdock/limpetdock/internal/attempt"
+	"github.com/limpetdock/limpetdock/internal/gate"
 	"github.com/limpetdock/limpetdock/internal/headers"
 	"github.com/limpetdock/limpetdock/internal/wire"
 )
@@ -65,7 +66,7 @@
 	require.NoError(t, err)
 	start := time.Now()
 	g := New(base, 1, func() time.Duration { return time.Since(start) })
-	g.gate.SetLimits(1, 0)
+	g.gate.SetLimits(gate.Limits{Slots: 1})
 	return g
 }
 
