limpetdock: config check, print and diff, settings check, explain, status, version, completion

Cause: the tool had one command. Operators could not check or compare what they publish, nor see at a glance whether a fleet is under one configuration.

config diff tries a request of each method at each declared path on both sides rather than comparing rules, so it also warns when a rule that moves or widens takes bookings that ran at most once. Exit codes: 0, 1 failed, 2 usage, 3 found something.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -3,19 +3,38 @@
 package cli
 
 import (
+	"errors"
 	"fmt"
 	"io"
+	"os"
 
 	"github.com/jessevdk/go-flags"
+	"github.com/rotisserie/eris"
 )
 
 // Exit codes of the tool.
 const (
-	ExitOK     = 0
+	// ExitOK means that the command did what it was asked, and found nothing amiss.
+	ExitOK = 0
+	// ExitFailed means that it couldn't: a file can't be read, a node doesn't
+	// answer, a document is wrong.
 	ExitFailed = 1
-	ExitUsage  = 2
+	// ExitUsage means that the command line is wrong.
+	ExitUsage = 2
+	// ExitFound means that it worked and found something to look at.
+	ExitFound = 3
 )
 
+var errNoCommand = eris.New("a command is needed; see limpetdock --help")
+
+// errFound ends a command that has printed what it found.
+var errFound = errors.New("found something to look at")
+
+// usageError is a wrong argument that the flags library can't know of.
+type usageError struct{ error }
+
+func usagef(format string, args ...any) error { return usageError{fmt.Errorf(format, args...)} }
+
 // runner is a command that has been parsed.
 type runner interface {
 	run(out io.Writer) error
@@ -23,15 +42,18 @@
 
 // Main runs the tool with command-line arguments and gives its exit code.
 func Main(args []string, out, errOut io.Writer) int {
-	parser := flags.NewNamedParser("limpetdock", flags.HelpFlag|flags.PassDoubleDash)
 	var chosen runner
-	parser.CommandHandler = func(c flags.Commander, _ []string) error {
+	parser, err := newParser(os.Stdin)
+	if err != nil {
+		return complain(errOut, err, ExitFailed)
+	}
+	parser.CommandHandler = func(c flags.Commander, rest []string) error {
 		chosen, _ = c.(runner)
+		if len(rest) > 0 {
+			return usagef("unexpected argument %q", rest[0])
+		}
 		return nil
 	}
-	if err := addCommands(parser); err != nil {
-		return complain(errOut, err, ExitFailed)
-	}
 	if _, err := parser.ParseArgs(args); err != nil {
 		if flags.WroteHelp(err) {
 			_, _ = fmt.Fprintln(out, err)
@@ -42,10 +64,21 @@
 	if chosen == nil {
 		return complain(errOut, errNoCommand, ExitUsage)
 	}
-	if err := chosen.run(out); err != nil {
-		return complain(errOut, err, ExitFailed)
+	return exit(chosen.run(out), errOut)
+}
+
+// exit gives the exit code for a command's error.
+func exit(err error, errOut io.Writer) int {
+	var usage usageError
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.Is(err, errFound):
+		return ExitFound
+	case errors.As(err, &usage):
+		return complain(errOut, err, ExitUsage)
 	}
-	return ExitOK
+	return complain(errOut, err, ExitFailed)
 }
 
 func complain(w io.Writer, err error, code int) int {
@@ -59,8 +92,48 @@
 // Execute satisfies flags.Commander; the tool runs the command itself.
 func (command) Execute([]string) error { return nil }
 
-func addCommands(p *flags.Parser) error {
-	_, err := p.AddCommand("dump", "show a node's state",
-		"Shows every table of a node's state as JSON.\nExample: limpetdock dump 127.10.1.1:7400", &dumpCommand{})
-	return err
+// newParser returns the parser with every command. stdin is what "-" reads.
+func newParser(stdin io.Reader) (*flags.Parser, error) {
+	p := flags.NewNamedParser("limpetdock", flags.HelpFlag|flags.PassDoubleDash)
+	p.LongDescription = "The operators' tool of limpetdock.\n" + exitCodesText
+	return p, addCommands(p, stdin)
+}
+
+const exitCodesText = `Exit codes: 0 done, nothing amiss; 1 failed, with the reason on stderr; ` +
+	`2 wrong command line; 3 done, and found something to look at.`
+
+// entry is a command as it is registered.
+type entry struct {
+	name, short, long string
+	data              flags.Commander
+}
+
+// adder is a parser or a command that takes subcommands.
+type adder interface {
+	AddCommand(command, short, long string, data any) (*flags.Command, error)
+}
+
+func addAll(to adder, entries []entry) error {
+	for _, e := range entries {
+		if _, err := to.AddCommand(e.name, e.short, e.long, e.data); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func addCommands(p *flags.Parser, stdin io.Reader) error {
+	if err := addConfig(p, stdin); err != nil {
+		return err
+	}
+	if err := addSettings(p); err != nil {
+		return err
+	}
+	return addAll(p, []entry{
+		{"dump", "show a node's state", dumpLong, &dumpCommand{}},
+		{"explain", "say which target a request would go to, and why", explainLong, &explainCommand{}},
+		{"status", "compare many nodes", statusLong, &statusCommand{}},
+		{"version", "show the version of the tool", versionLong, &versionCommand{}},
+		{"completion", "print a script for shell completion", completionLong, &completionCommand{}},
+	})
 }
--- a/internal/cli/dump.go
+++ b/internal/cli/dump.go
@@ -2,60 +2,90 @@
 
 import (
 	"bytes"
-	"context"
+	"cmp"
 	"encoding/json"
+	"fmt"
 	"io"
-	"net/http"
+	"maps"
+	"slices"
+	"text/tabwriter"
 	"time"
 
 	"github.com/rotisserie/eris"
-)
 
-var errNoCommand = eris.New("a command is needed; see limpetdock --help")
+	"github.com/limpetdock/limpetdock/internal/admin"
+	"github.com/limpetdock/limpetdock/internal/wire"
+)
 
-// askTimeout bounds one question to a node.
-const askTimeout = 5 * time.Second
+const dumpLong = "Shows every table of a node's state as JSON, or the main ones as tables." +
+	"\n\nExamples:\n  limpetdock dump 127.10.1.1:7400\n  limpetdock dump --table 127.10.1.1:7400"
 
 type dumpCommand struct {
 	command
-	Args struct {
-		Node string `positional-arg-name:"NODE" description:"admin address, IP:PORT" required:"true"`
+	Table bool `long:"table" description:"print tables instead of JSON"`
+	Args  struct {
+		Node string `positional-arg-name:"NODE" description:"address of the node's administration API, IP:PORT" required:"true"`
 	} `positional-args:"true" required:"true"`
 }
 
 func (c *dumpCommand) run(out io.Writer) error {
-	text, err := ask(c.Args.Node, "/v1/dump")
+	text, err := ask(c.Args.Node, admin.PathDump)
 	if err != nil {
 		return err
 	}
+	if c.Table {
+		return dumpTables(out, c.Args.Node, text)
+	}
 	var pretty bytes.Buffer
 	if err := json.Indent(&pretty, text, "", "  "); err != nil {
-		return eris.Errorf("%s didn't answer with JSON", c.Args.Node)
+		return eris.Errorf("%s didn't answer as a node does", c.Args.Node)
 	}
 	pretty.WriteByte('\n')
 	_, err = pretty.WriteTo(out)
 	return err
 }
 
-// ask reads a path of a node's administration API.
-func ask(node, path string) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+node+path, nil)
-	if err != nil {
-		return nil, eris.Errorf("%q is no IP:PORT", node)
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return nil, eris.Errorf("%s can't be asked: %v", node, err)
+func dumpTables(out io.Writer, node string, text []byte) error {
+	var d admin.Dump
+	if err := json.Unmarshal(text, &d); err != nil {
+		return eris.Errorf("%s didn't answer as a node does", node)
 	}
-	defer func() { _ = resp.Body.Close() }()
-	text, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return nil, eris.Errorf("%s broke off its answer", node)
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	self, conf := d.Control.Self, d.Control.Config
+	_, _ = fmt.Fprintf(w, "vm\t%s\nzone\t%s (%s)\nincarnation\t%x\nleaving\t%v\n", self.VM, self.Zone, self.Region, self.Incarnation, d.Control.Leaving)
+	_, _ = fmt.Fprintf(w, "configuration\t%s, in force for %s\n", conf.Version, conf.InForceFor.Round(time.Second))
+	_, _ = fmt.Fprintf(w, "slots\t%d of %d in use, %d waiting\n", d.Load.InUse, d.Load.Slots, d.Load.Waiting)
+	_, _ = fmt.Fprintf(w, "attempts\t%d records, %d bytes of answers\n", d.Attempts.Records, d.Attempts.StoredBytes)
+	_, _ = fmt.Fprintf(w, "suspect requests\t%d\n\n", len(d.Control.Suspects))
+	printMembers(w, d)
+	_, _ = fmt.Fprintln(w)
+	targets := slices.SortedFunc(maps.Values(d.Targets), func(a, b admin.TargetState) int { return cmp.Compare(a.VM, b.VM) })
+	printTargets(w, targets)
+	return w.Flush()
+}
+
+func printMembers(w io.Writer, d admin.Dump) {
+	_, _ = fmt.Fprintln(w, "MEMBER\tLISTED\tSTATE\tINCARNATION\tHEARD\tFAILURES")
+	rows := d.Control.Members
+	for _, name := range slices.Sorted(maps.Keys(rows)) {
+		m := rows[name]
+		listed := "no"
+		if vm, ok := d.Control.VMs.Rows[name]; ok {
+			listed = string(vm.State)
+		}
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%x\t%s ago\t%d\n", name, listed, memberWord(m.State), m.Incarnation,
+			m.HeardAgo.Round(time.Millisecond), m.Failures)
 	}
-	if resp.StatusCode != http.StatusOK {
-		return nil, eris.Errorf("%s answered %s", node, resp.Status)
+}
+
+func memberWord(s wire.MemberState) string {
+	switch s {
+	case wire.MemberAlive:
+		return "alive"
+	case wire.MemberSuspect:
+		return "suspect"
+	case wire.MemberLeaving:
+		return "leaving"
 	}
-	return text, nil
+	return fmt.Sprint(s)
 }
--- /dev/null
+++ b/internal/diff/diff.go
@@ -0,0 +1,251 @@
+// Package diff says in words what changes for callers between two configurations.
+package diff
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/limpetdock/limpetdock/fleet"
+	"github.com/limpetdock/limpetdock/internal/config"
+)
+
+// Level says how much a change needs an operator's eye.
+type Level string
+
+// The levels.
+const (
+	// Warning is a change that can harm: work done twice, requests refused, or a
+	// configuration that nodes won't take.
+	Warning Level = "warning"
+	// Note is any other change.
+	Note Level = "note"
+)
+
+// Change is one thing that changes.
+type Change struct {
+	Level Level `json:"level"`
+	// Where is "fleet", or a service by name.
+	Where string `json:"where"`
+	What  string `json:"what"`
+}
+
+// String gives the change in one line.
+func (c Change) String() string {
+	return fmt.Sprintf("%s: %s: %s", c.Level, c.Where, c.What)
+}
+
+// list gathers changes of one place.
+type list struct {
+	where   string
+	changes []Change
+}
+
+func (l *list) warnf(format string, args ...any) { l.add(Warning, format, args) }
+func (l *list) notef(format string, args ...any) { l.add(Note, format, args) }
+
+func (l *list) add(level Level, format string, args []any) {
+	l.changes = append(l.changes, Change{Level: level, Where: l.where, What: fmt.Sprintf(format, args...)})
+}
+
+// value notes a value that differs.
+func value[T comparable](l *list, what string, before, after T) {
+	if before != after {
+		l.notef("%s goes from %v to %v", what, before, after)
+	}
+}
+
+// Compare lists what changes from before to after, the fleet first, then
+// services by name.
+func Compare(before, after *config.Config) []Change {
+	fleetWide := &list{where: "fleet"}
+	compareFleet(fleetWide, before, after)
+	changes := fleetWide.changes
+	names := map[string]bool{}
+	for _, c := range []*config.Config{before, after} {
+		for name := range c.Services {
+			names[name] = true
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(names)) {
+		l := &list{where: name}
+		compareService(l, before.Services[name], after.Services[name])
+		changes = append(changes, l.changes...)
+	}
+	return changes
+}
+
+func compareFleet(l *list, before, after *config.Config) {
+	b, a := before.Index.Fleet, after.Index.Fleet
+	if b.Name != a.Name {
+		l.warnf("the fleet's name goes from %s to %s: nodes refuse another fleet's configuration", b.Name, a.Name)
+	}
+	compareVersions(l, before.Index.Version, after.Index.Version)
+	if b.Ports != a.Ports {
+		l.warnf("ports go from guard %d, control %d to guard %d, control %d: nodes listen where their settings say",
+			b.Ports.Guard, b.Ports.Control, a.Ports.Guard, a.Ports.Control)
+	}
+	value(l, "budget: measuring requests per second", b.Budget.Requests, a.Budget.Requests)
+	value(l, "budget: measuring bytes per second", b.Budget.Bytes, a.Budget.Bytes)
+	value(l, "budget: measuring bytes between regions per second", b.Budget.CrossRegionBytes, a.Budget.CrossRegionBytes)
+	compareZones(l, before.Regions, after.Regions)
+	compareTeams(l, b.Teams, a.Teams)
+}
+
+func compareVersions(l *list, before, after config.Version) {
+	switch {
+	case before == after:
+	case after.Revision == before.Revision:
+		l.warnf("revision %d is published with two contents: nodes keep the one with the higher digest", after.Revision)
+	case !after.Newer(before):
+		l.warnf("revision falls from %d to %d: nodes refuse it", before.Revision, after.Revision)
+	default:
+		l.notef("revision rises from %d to %d", before.Revision, after.Revision)
+	}
+}
+
+func compareZones(l *list, before, after map[string]string) {
+	for _, zone := range slices.Sorted(maps.Keys(before)) {
+		region, still := after[zone]
+		switch {
+		case !still:
+			l.notef("availability zone %s is gone", zone)
+		case region != before[zone]:
+			l.warnf("availability zone %s moves from region %s to %s", zone, before[zone], region)
+		}
+	}
+	for _, zone := range slices.Sorted(maps.Keys(after)) {
+		if _, known := before[zone]; !known {
+			l.notef("availability zone %s is new, in region %s", zone, after[zone])
+		}
+	}
+}
+
+func compareTeams(l *list, before, after []fleet.Team) {
+	old := map[string]fleet.Team{}
+	for _, t := range before {
+		old[t.Name] = t
+	}
+	for _, t := range after {
+		b, known := old[t.Name]
+		delete(old, t.Name)
+		if !known {
+			l.notef("team %s is new", t.Name)
+			continue
+		}
+		limit(l, "team "+t.Name+": ", b.InFlight, t.InFlight)
+	}
+	for _, name := range slices.Sorted(maps.Keys(old)) {
+		l.notef("team %s is gone", name)
+	}
+}
+
+// limit notes a limit on requests at once, where 0 is no limit.
+func limit(l *list, where string, before, after int) {
+	if before == after {
+		return
+	}
+	l.notef("%srequests at once at each node go from %s to %s", where, limitWord(before), limitWord(after))
+}
+
+func limitWord(n int) string {
+	if n == 0 {
+		return "no limit"
+	}
+	return fmt.Sprint(n)
+}
+
+func compareService(l *list, before, after *config.Service) {
+	switch {
+	case after == nil:
+		l.warnf("the service is gone: its requests are answered unknown-service")
+		return
+	case before == nil:
+		l.notef("the service is new; its targets: %s", names(vms(after.Targets)))
+		return
+	}
+	compareHosts(l, before.Hosts, after.Hosts)
+	value(l, "team", before.Team, after.Team)
+	value(l, "policy", before.Policy, after.Policy)
+	value(l, "deadline of requests that bring none", before.Timeout, after.Timeout)
+	if after.MaxTimeout < before.MaxTimeout {
+		l.warnf("the longest deadline falls from %v to %v: longer ones are cut to it", before.MaxTimeout, after.MaxTimeout)
+	} else {
+		value(l, "the longest deadline", before.MaxTimeout, after.MaxTimeout)
+	}
+	value(l, "targets that one request may be offered to", before.Hops, after.Hops)
+	value(l, "retries in percent of requests", before.RetryPercent, after.RetryPercent)
+	value(l, "requests that may wait at each target", before.Queue, after.Queue)
+	limit(l, "", before.InFlight, after.InFlight)
+	value(l, "drain time", before.Drain, after.Drain)
+	if after.KeyLifetime < before.KeyLifetime {
+		l.warnf("the life of callers' keys falls from %v to %v: an older key sent again is no longer known", before.KeyLifetime, after.KeyLifetime)
+	} else {
+		value(l, "the life of callers' keys", before.KeyLifetime, after.KeyLifetime)
+	}
+	compareRoutes(l, before, after)
+	compareTargets(l, before.Targets, after.Targets)
+}
+
+func compareHosts(l *list, before, after []string) {
+	for _, h := range before {
+		if !slices.Contains(after, h) {
+			l.warnf("host %s no longer selects the service", h)
+		}
+	}
+	for _, h := range after {
+		if !slices.Contains(before, h) {
+			l.notef("host %s selects the service", h)
+		}
+	}
+}
+
+func compareTargets(l *list, before, after []fleet.Target) {
+	old := map[string]fleet.Target{}
+	for _, t := range before {
+		old[t.VM] = t
+	}
+	var added []string
+	for _, t := range after {
+		b, known := old[t.VM]
+		delete(old, t.VM)
+		if !known {
+			added = append(added, t.VM)
+			continue
+		}
+		value(l, "target "+t.VM+": availability zone", b.Zone, t.Zone)
+		value(l, "target "+t.VM+": slots", b.Slots, t.Slots)
+		value(l, "target "+t.VM+": connections", b.Connections, t.Connections)
+	}
+	gone := slices.Sorted(maps.Keys(old))
+	if len(added) > 0 {
+		l.notef("new targets: %s", names(added))
+	}
+	if len(gone) > 0 {
+		l.notef("targets that are gone: %s", names(gone))
+	}
+	if len(added)+len(gone) > 0 {
+		l.notef("callers' own keys may get another home, since homes are chosen among the declared targets")
+	}
+}
+
+// maxNames bounds the names in one line.
+const maxNames = 8
+
+func names(all []string) string {
+	slices.SortFunc(all, cmp.Compare[string])
+	if len(all) <= maxNames {
+		return strings.Join(all, ", ")
+	}
+	return strings.Join(all[:maxNames], ", ") + fmt.Sprintf(" and %d more", len(all)-maxNames)
+}
+
+func vms(targets []fleet.Target) []string {
+	list := make([]string, len(targets))
+	for i, t := range targets {
+		list[i] = t.VM
+	}
+	return list
+}
