--- a/fleet/print.go
+++ b/fleet/print.go
@@ -162,6 +162,8 @@
 		num("hops", s.Hops, "; targets that one request may be offered to"),
 		num("retry-percent", s.RetryPercent, "; retries as a share of requests, in percent"),
 		num("queue", s.Queue, "; requests that may wait at each target"),
+		{"queue-order", s.QueueOrder, "; who of them runs next: fifo, lifo (newest first once the queue stands) or deadline"},
+		{"refusal", onOff(!s.NoRefusal), "; off queues what would be refused; for comparison only"},
 		num("in-flight", s.InFlight, "; requests at once at each node, 0 is no limit"),
 		dur("drain", s.Drain, "; how long a stopping node lets requests in flight finish"),
 		dur("key-lifetime", s.KeyLifetime, "; how long a caller may send a key of its own again"),
@@ -202,6 +204,13 @@
 	return comment
 }
 
+func onOff(on bool) string {
+	if on {
+		return "on"
+	}
+	return "off"
+}
+
 func num(key string, v int, comment string) pair { return pair{key, strconv.Itoa(v), comment} }
 
 func dur(key string, v time.Duration, comment string) pair { return pair{key, v.String(), comment} }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -31,6 +31,7 @@
 	vms     vmTable
 	members memberTable
 	stats   map[string]*pick.Stat
+	shared  map[string]*pick.Shared
 	backend backendTable
 	joined  bool
 	// leaving is whether the own backend server leaves, as of the last tick.
@@ -88,6 +89,7 @@
 		order:    self.Incarnation,
 		members:  memberTable{rows: map[string]*member{}},
 		stats:    map[string]*pick.Stat{},
+		shared:   map[string]*pick.Shared{},
 		dirty:    true,
 		suspects: suspect.NewTable(),
 	}
--- a/internal/entry/idempotent.go
+++ b/internal/entry/idempotent.go
@@ -33,7 +33,7 @@
 	var last *kind.Error
 	ran, deaths, hops := false, 0, 0
 	for hops < x.hops && len(tried) < maxTried {
-		t := x.service.Pick(e.now(), tried)
+		t := e.choose(ctx, x, tried)
 		if t == nil {
 			break
 		}
