--- a/internal/entry/transports.go
+++ b/internal/entry/transports.go
@@ -21,13 +21,15 @@
 type transports struct {
 	mu   sync.RWMutex
 	pool map[string]*http.Transport
+	// size holds for the connections to each address.
+	size connections
 }
 
 func newTransports() *transports {
-	return &transports{pool: map[string]*http.Transport{}}
+	return &transports{pool: map[string]*http.Transport{}, size: unbounded}
 }
 
-func newTransport() *http.Transport {
+func newTransport(size connections) *http.Transport {
 	dialer := &net.Dialer{
 		Timeout: dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
@@ -35,7 +37,8 @@
 		},
 	}
 	return &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 32, IdleConnTimeout: remoteIdle,
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: size.idle, MaxConnsPerHost: size.open,
+		IdleConnTimeout:    remoteIdle,
 		DisableCompression: true, ExpectContinueTimeout: time.Hour,
 		ReadBufferSize: 16 << 10, WriteBufferSize: 16 << 10,
 	}
@@ -56,12 +59,24 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if one = t.pool[addr]; one == nil {
-		one = newTransport()
+		one = newTransport(t.size)
 		t.pool[addr] = one
 	}
 	return one
 }
 
+// Bound changes how many connections there may be to each address. Exchanges
+// under way go on.
+func (t *transports) Bound(size connections) {
+	t.mu.Lock()
+	same := t.size == size
+	t.size = size
+	t.mu.Unlock()
+	if !same {
+		t.CloseIdleConnections()
+	}
+}
+
 // Drop makes every later request to addr use a new connection. Exchanges under
 // way go on; their connections aren't kept.
 func (t *transports) Drop(addr string) {
