--- a/internal/core/config.go
+++ b/internal/core/config.go
@@ -132,7 +132,9 @@
 	t.dropUnused()
 	s.dirty = true
 	s.counters.Applied++
-	out.log("configuration in force", "revision", next.Index.Version.Revision, "digest", next.Index.Version.Digest)
+	if s.joined {
+		out.log("configuration in force", "revision", next.Index.Version.Revision, "digest", next.Index.Version.Digest)
+	}
 	s.push(out)
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -68,7 +68,7 @@
 // Counters gives a copy of the counters.
 func (s *State) Counters() Counters {
 	c := s.counters
-	c.Revision = s.config.version().Revision
+	c.Revision = s.inForce().Revision
 	return c
 }
 
--- a/internal/core/dump.go
+++ b/internal/core/dump.go
@@ -24,7 +24,11 @@
 // ConfigDump is the configuration in force, those being gathered, and those
 // refused last.
 type ConfigDump struct {
-	Version    config.Version  `json:"version"`
+	// Version is in force; it is zero until the node serves.
+	Version config.Version `json:"version"`
+	// Held is whole here. Before the node serves it may be an older one, from a
+	// platform that is stale, so nothing acts on it yet.
+	Held       config.Version  `json:"held"`
 	InForceFor time.Duration   `json:"in_force_for_ns"`
 	Gathering  []CandidateDump `json:"gathering,omitempty"`
 	Refused    []RefusalDump   `json:"refused,omitempty"`
@@ -83,10 +87,10 @@
 func (s *State) dumpConfig(now time.Duration) ConfigDump {
 	t := &s.config
 	d := ConfigDump{
-		Version: t.version(), Watches: s.watches(),
+		Version: s.inForce(), Held: t.version(), Watches: s.watches(),
 		ReadFailures: t.reads.failures, ReadAgo: now - t.reads.heard,
 	}
-	if t.active != nil {
+	if s.joined {
 		d.InForceFor = now - t.since
 	}
 	for _, c := range t.candidates {
--- a/internal/core/join.go
+++ b/internal/core/join.go
@@ -1,6 +1,10 @@
 package core
 
-import "time"
+import (
+	"time"
+
+	"github.com/limpetdock/limpetdock/internal/config"
+)
 
 const (
 	// joinPatience is how long a new node waits for enough peers once one has answered.
@@ -21,7 +25,18 @@
 		return
 	}
 	s.joined, s.dirty = true, true
-	out.log("serving", "revision", t.version().Revision, "peers", len(t.voices))
+	t.since = now
+	out.log("serving", "revision", t.version().Revision, "digest", t.version().Digest, "peers", len(t.voices))
+}
+
+// inForce is the version that requests are handled by; zero before the node
+// serves, because what is held until then may be older than what the node had
+// in force before its restart.
+func (s *State) inForce() config.Version {
+	if !s.joined {
+		return config.Version{}
+	}
+	return s.config.version()
 }
 
 // heldElsewhere says that a peer has a newer version in force that isn't here
--- a/standin/chaos/chaos.go
+++ b/standin/chaos/chaos.go
@@ -21,6 +21,8 @@
 	Requests int
 	// Callers is how many callers send at the same time.
 	Callers int
+	// Pace is the time from one request of a caller to its next.
+	Pace time.Duration
 	// Seed decides every random choice; the interleaving of processes stays free.
 	Seed uint64
 	// Faults are the kinds of fault to draw from; empty means all of them.
@@ -135,7 +137,9 @@
 			c := newCaller(d, rand.New(rand.NewPCG(opts.Seed, uint64(i)+1)))
 			defer c.close()
 			for n := i; n < opts.Requests && ctx.Err() == nil; n += opts.Callers {
+				next := time.Now().Add(opts.Pace)
 				perCaller[i] = append(perCaller[i], c.one(ctx))
+				wait(ctx, time.Until(next))
 			}
 		})
 	}
--- a/standin/deploy/process.go
+++ b/standin/deploy/process.go
@@ -1,6 +1,7 @@
 package deploy
 
 import (
+	"errors"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -84,11 +85,15 @@
 	return p.cmd.Process.Pid
 }
 
-// Signal sends a signal; a process that ends of it is started again.
+// Signal sends a signal; a process that ends of it is started again. One that
+// has ended already and waits to be started takes none.
 func (p *Process) Signal(sig os.Signal) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.cmd.Process.Signal(sig)
+	if err := p.cmd.Process.Signal(sig); !errors.Is(err, os.ErrProcessDone) {
+		return err
+	}
+	return nil
 }
 
 // Kill ends the process at once; it is started again after a pause.
