--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -16,6 +16,8 @@
 )
 
 type backend struct {
+	// held is closed when held requests may go on.
+	held    chan struct{}
 	opts    options
 	slots   chan struct{}
 	running atomic.Int64
@@ -29,7 +31,7 @@
 
 func newBackend(opts options) (*backend, error) {
 	b := &backend{
-		opts: opts, coldFrom: time.Now(), slots: make(chan struct{}, opts.Slots),
+		opts: opts, coldFrom: time.Now(), held: make(chan struct{}), slots: make(chan struct{}, opts.Slots),
 		how:    behaviour{ServiceMs: opts.ServiceMs, State: "live", Lie: -1},
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
 	}
@@ -88,7 +90,7 @@
 	}
 	ctx, cancel := withDeadline(r)
 	defer cancel()
-	if !b.work(ctx, r, how) {
+	if !b.work(ctx, r, how) || !b.hold(ctx, r, holdRunning) {
 		leave(r.Context())
 	}
 	if !b.chain(ctx, w, r) {
@@ -201,5 +203,11 @@
 		_, _ = w.Write(text[:cut])
 		panic(http.ErrAbortHandler)
 	}
+	if r.Header.Get(holdHeader) == holdAnswering {
+		_, _ = w.Write(text[:len(text)/2])
+		_ = http.NewResponseController(w).Flush()
+		b.hold(r.Context(), r, holdAnswering)
+		text = text[len(text)/2:]
+	}
 	_, _ = w.Write(text)
 }
--- a/standin/backend/main.go
+++ b/standin/backend/main.go
@@ -34,6 +34,7 @@
 	mux.HandleFunc("GET /healthz", b.thaw(b.health))
 	mux.HandleFunc("GET /load", b.thaw(b.load))
 	mux.HandleFunc("PUT /-/set", b.set)
+	mux.HandleFunc("PUT /-/release", b.release)
 	mux.HandleFunc("/", b.thaw(b.serve))
 	if err := http.ListenAndServe(opts.Listen, mux); err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/standin/deploy/faults.go
+++ b/standin/deploy/faults.go
@@ -24,6 +24,9 @@
 	Silence      bool    `json:"silence,omitempty"`
 	BytesPerSec  int     `json:"bytes_per_sec,omitempty"`
 	ExtraDelayMs float64 `json:"extra_delay_ms,omitempty"`
+	Hold         bool    `json:"hold,omitempty"`
+	HoldAfter    int     `json:"hold_after,omitempty"`
+	Port         string  `json:"port,omitempty"`
 }
 
 // PlatformFault is what is wrong with the platform for the readers of a zone.
@@ -52,6 +55,24 @@
 	return put(ctx, d.platformURL("/admin/faults/"+zone), f)
 }
 
+// Held lists the guard or control addresses to which the relay of a zone holds
+// bytes back now, or of which it holds the answers.
+func (d *Deployment) Held(ctx context.Context, zone string) ([]string, error) {
+	var held []string
+	err := get(ctx, "http://"+d.net.relayAdmin(d.zones[zone])+"/held", &held)
+	return held, err
+}
+
+// Release lets the requests go on that a VM's backend server stand-in holds.
+func (d *Deployment) Release(ctx context.Context, vm string) error {
+	for _, p := range d.Places {
+		if p.VM == vm {
+			return put(ctx, "http://"+p.Backend()+"/-/release", struct{}{})
+		}
+	}
+	return fmt.Errorf("no VM %s", vm)
+}
+
 // PlatformState is what the platform stand-in counts.
 type PlatformState struct {
 	Version uint64            `json:"version"`
@@ -61,7 +82,8 @@
 // PlatformState reads the platform's version and its counted calls, by zone.
 func (d *Deployment) PlatformState(ctx context.Context) (PlatformState, error) {
 	var s PlatformState
-	return s, get(ctx, d.platformURL("/admin/state"), &s)
+	err := get(ctx, d.platformURL("/admin/state"), &s)
+	return s, err
 }
 
 // LinkBytes is what went from one zone to another through the relays.
--- a/standin/relay/main.go
+++ b/standin/relay/main.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"path"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,7 +30,9 @@
 
 // fault is what is wrong with the links that match From and To, which are zone
 // names or patterns as in path.Match. Cut refuses and breaks connections; Drop
-// swallows what is sent from From to To.
+// swallows what is sent from From to To. Hold keeps back what is sent from From
+// to To on connections to Port, after the first HoldAfter bytes of each, until
+// the fault is taken away.
 type fault struct {
 	From         string  `json:"from"`
 	To           string  `json:"to"`
@@ -38,6 +41,9 @@
 	Silence      bool    `json:"silence"`
 	BytesPerSec  int     `json:"bytes_per_sec"`
 	ExtraDelayMs float64 `json:"extra_delay_ms"`
+	Hold         bool    `json:"hold"`
+	HoldAfter    int     `json:"hold_after"`
+	Port         string  `json:"port"`
 }
 
 func (f fault) matches(from, to string) bool {
@@ -94,6 +100,7 @@
 	}
 	http.HandleFunc("PUT /faults", r.setFaults)
 	http.HandleFunc("GET /bytes", r.bytes)
+	http.HandleFunc("GET /held", r.heldNow)
 	return http.ListenAndServe(admin, nil)
 }
 
@@ -120,9 +127,15 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	var fresh []fault
+	for _, f := range list {
+		if !slices.Contains(r.faults, f) {
+			fresh = append(fresh, f)
+		}
+	}
 	r.faults = list
 	for p := range r.pipes {
-		p.apply(list)
+		p.apply(fresh)
 	}
 }
 
--- a/standin/relay/pipe.go
+++ b/standin/relay/pipe.go
@@ -12,9 +12,11 @@
 	route   route
 	in, out net.Conn
 	silent  atomic.Bool
+	// holding counts the directions in which bytes are held back now.
+	holding atomic.Int32
 }
 
-// apply takes new faults to a connection that is open.
+// apply takes faults that are new to a connection that is open.
 func (p *pipe) apply(list []fault) {
 	for _, f := range list {
 		forward := f.matches(p.route.From, p.route.To)
@@ -65,7 +67,7 @@
 			}
 			continue
 		}
-		if _, err := dst.Write(c.data); err != nil {
+		if !p.write(dst, c.data, from, to) {
 			failed = true
 			p.close()
 		}
