--- /dev/null
+++ b/internal/link/dialer.go
@@ -0,0 +1,137 @@
+package link
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/limpetdock/limpetdock/internal/wire"
+)
+
+// Dialer sends messages to peers and waits for their answers. It keeps at most
+// one idle connection per peer. Safe for concurrent use.
+type Dialer struct {
+	hello    wire.Hello
+	counters *Counters
+	dial     func(ctx context.Context, network, addr string) (net.Conn, error)
+	mu       sync.Mutex
+	idle     map[string]net.Conn
+}
+
+// maxIdle bounds the idle connections a dialer keeps.
+const maxIdle = 16
+
+// NewDialer returns a Dialer that opens each connection with hello.
+func NewDialer(hello wire.Hello, c *Counters) *Dialer {
+	return &Dialer{hello: hello, counters: c, dial: new(net.Dialer).DialContext, idle: map[string]net.Conn{}}
+}
+
+// Call sends m to the peer at addr and returns its answer. A kept connection
+// may have gone silent for good while new ones work, so it gets half of the
+// time; then, or when it is broken, a new one is tried. The peer may so get m twice.
+func (d *Dialer) Call(ctx context.Context, addr string, m wire.Message) (wire.Message, error) {
+	if conn := d.take(addr); conn != nil {
+		reply, err := d.exchangeKept(ctx, conn, m)
+		if err == nil {
+			d.keep(addr, conn)
+			return reply, nil
+		}
+		_ = conn.Close()
+		if ctx.Err() != nil {
+			return nil, err
+		}
+	}
+	return d.CallNew(ctx, addr, m)
+}
+
+func (d *Dialer) exchangeKept(ctx context.Context, conn net.Conn, m wire.Message) (wire.Message, error) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return d.exchange(ctx, conn, m)
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Until(deadline)/2)
+	defer cancel()
+	return d.exchange(ctx, conn, m)
+}
+
+// CallNew sends m over a new connection.
+func (d *Dialer) CallNew(ctx context.Context, addr string, m wire.Message) (wire.Message, error) {
+	d.counters.Dials.Add(1)
+	conn, err := d.dial(ctx, "tcp", addr)
+	if err != nil {
+		return nil, eris.Wrap(err, "dial peer")
+	}
+	if err := write(conn, &d.hello, d.counters); err != nil {
+		_ = conn.Close()
+		return nil, eris.Wrap(err, "greet peer")
+	}
+	reply, err := d.exchange(ctx, conn, m)
+	if err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	d.keep(addr, conn)
+	return reply, nil
+}
+
+func (d *Dialer) exchange(ctx context.Context, conn net.Conn, m wire.Message) (wire.Message, error) {
+	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	if err := write(conn, m, d.counters); err != nil {
+		return nil, eris.Wrap(err, "send to peer")
+	}
+	r := &frameReader{conn: conn, counters: d.counters}
+	if deadline, ok := ctx.Deadline(); ok {
+		_ = conn.SetReadDeadline(deadline)
+	}
+	reply, err := wire.Read(r)
+	if err != nil {
+		return nil, eris.Wrap(err, "read from peer")
+	}
+	_ = conn.SetDeadline(time.Time{})
+	return reply, nil
+}
+
+func (d *Dialer) take(addr string) net.Conn {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	conn := d.idle[addr]
+	delete(d.idle, addr)
+	return conn
+}
+
+func (d *Dialer) keep(addr string, conn net.Conn) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.idle[addr] != nil {
+		_ = conn.Close()
+		return
+	}
+	if len(d.idle) >= maxIdle {
+		d.evict()
+	}
+	d.idle[addr] = conn
+}
+
+// evict closes any one idle connection, so that those of peers which are never
+// called again don't keep new ones out. The mutex is held.
+func (d *Dialer) evict() {
+	for addr, conn := range d.idle {
+		_ = conn.Close()
+		delete(d.idle, addr)
+		return
+	}
+}
+
+// Close closes the idle connections.
+func (d *Dialer) Close() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for addr, conn := range d.idle {
+		_ = conn.Close()
+		delete(d.idle, addr)
+	}
+}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -4,16 +4,12 @@
 package link
 
 import (
-	"context"
 	"errors"
-	"io"
 	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"github.com/limpetdock/limpetdock/internal/wire"
 )
 
@@ -23,6 +19,8 @@
 	frameTimeout = 2 * time.Second
 	// idleTimeout closes connections no one asks on.
 	idleTimeout = 2 * time.Minute
+	// acceptPause follows a failed accept.
+	acceptPause = 50 * time.Millisecond
 	// maxConns bounds the connections a node accepts.
 	maxConns = 512
 )
@@ -41,6 +39,8 @@
 	Sent, Received atomic.Uint64
 	// Strangers, BadFrames and Full count refused connections by cause.
 	Strangers, BadFrames, Full atomic.Uint64
+	// AcceptErrors counts connections that could not be accepted.
+	AcceptErrors atomic.Uint64
 	// Dials counts connections opened to peers.
 	Dials atomic.Uint64
 }
@@ -68,7 +68,11 @@
 			return nil
 		}
 		if err != nil {
-			return eris.Wrap(err, "accept control connection")
+			// As when the process is out of file descriptors for a moment: what is
+			// open goes on, and the listener is tried again.
+			s.counters.AcceptErrors.Add(1)
+			time.Sleep(acceptPause)
+			continue
 		}
 		select {
 		case s.slots <- struct{}{}:
@@ -143,10 +147,8 @@
 	r := &frameReader{conn: conn, counters: s.counters}
 	_ = conn.SetReadDeadline(time.Now().Add(wait))
 	m, err := wire.Read(r)
-	if err != nil && (r.begun || !errors.Is(err, io.EOF)) && !errors.Is(err, net.ErrClosed) {
-		if r.begun {
-			s.counters.BadFrames.Add(1)
-		}
+	if err != nil && r.begun && !errors.Is(err, net.ErrClosed) {
+		s.counters.BadFrames.Add(1)
 	}
 	return m, err
 }
@@ -173,104 +175,3 @@
 	c.Sent.Add(uint64(n))
 	return err
 }
-
-// Dialer sends messages to peers and waits for their answers. It keeps at most
-// one idle connection per peer. Safe for concurrent use.
-type Dialer struct {
-	hello    wire.Hello
-	counters *Counters
-	mu       sync.Mutex
-	idle     map[string]net.Conn
-}
-
-// maxIdle bounds the idle connections a dialer keeps.
-const maxIdle = 16
-
-// NewDialer returns a Dialer that opens each connection with hello.
-func NewDialer(hello wire.Hello, c *Counters) *Dialer {
-	return &Dialer{hello: hello, counters: c, idle: map[string]net.Conn{}}
-}
-
-// Call sends m to the peer at addr and returns its answer. A kept connection
-// may have gone silent; a caller that must not trust it uses CallNew.
-func (d *Dialer) Call(ctx context.Context, addr string, m wire.Message) (wire.Message, error) {
-	if conn := d.take(addr); conn != nil {
-		reply, err := d.exchange(ctx, conn, m)
-		if err == nil {
-			d.keep(addr, conn)
-			return reply, nil
-		}
-		_ = conn.Close()
-		if ctx.Err() != nil {
-			return nil, err
-		}
-	}
-	return d.CallNew(ctx, addr, m)
-}
-
-// CallNew sends m over a new connection.
-func (d *Dialer) CallNew(ctx context.Context, addr string, m wire.Message) (wire.Message, error) {
-	var dialer net.Dialer
-	d.counters.Dials.Add(1)
-	conn, err := dialer.DialContext(ctx, "tcp", addr)
-	if err != nil {
-		return nil, eris.Wrap(err, "dial peer")
-	}
-	if err := write(conn, &d.hello, d.counters); err != nil {
-		_ = conn.Close()
-		return nil, eris.Wrap(err, "greet peer")
-	}
-	reply, err := d.exchange(ctx, conn, m)
-	if err != nil {
-		_ = conn.Close()
-		return nil, err
-	}
-	d.keep(addr, conn)
-	return reply, nil
-}
-
-func (d *Dialer) exchange(ctx context.Context, conn net.Conn, m wire.Message) (wire.Message, error) {
-	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
-	defer stop()
-	if err := write(conn, m, d.counters); err != nil {
-		return nil, eris.Wrap(err, "send to peer")
-	}
-	r := &frameReader{conn: conn, counters: d.counters}
-	if deadline, ok := ctx.Deadline(); ok {
-		_ = conn.SetReadDeadline(deadline)
-	}
-	reply, err := wire.Read(r)
-	if err != nil {
-		return nil, eris.Wrap(err, "read from peer")
-	}
-	_ = conn.SetDeadline(time.Time{})
-	return reply, nil
-}
-
-func (d *Dialer) take(addr string) net.Conn {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	conn := d.idle[addr]
-	delete(d.idle, addr)
-	return conn
-}
-
-func (d *Dialer) keep(addr string, conn net.Conn) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.idle[addr] != nil || len(d.idle) >= maxIdle {
-		_ = conn.Close()
-		return
-	}
-	d.idle[addr] = conn
-}
-
-// Close closes the idle connections.
-func (d *Dialer) Close() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for addr, conn := range d.idle {
-		_ = conn.Close()
-		delete(d.idle, addr)
-	}
-}
--- a/internal/node/gauges.go
+++ b/internal/node/gauges.go
@@ -55,6 +55,7 @@
 		{"limpetdock_control_strangers_total", "Control connections refused because of who dialled.", &c.Strangers},
 		{"limpetdock_control_bad_frames_total", "Control connections closed because of a bad frame.", &c.BadFrames},
 		{"limpetdock_control_full_total", "Control connections refused because there were too many.", &c.Full},
+		{"limpetdock_control_accept_errors_total", "Control connections that could not be accepted.", &c.AcceptErrors},
 		{"limpetdock_control_dials_total", "Control connections opened to peers.", &c.Dials},
 	}
 	for _, r := range rows {
