--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -35,8 +35,10 @@
 	SetLeaving(leaving bool)
 	SetView(v *pick.View)
 	Seal(m *wire.Seal) *wire.Sealed
+	// Probed answers a probe of a peer, or gives nil if that is over budget.
+	Probed(from string) *wire.Load
 	// Listed and Heard tell what the platform and peers say of the own VM.
-	Listed(addr string)
+	Listed(addr string, at time.Duration)
 	Heard(news []wire.Member)
 }
 
@@ -48,7 +50,6 @@
 
 // Loop owns the control state. Its methods are safe for concurrent use.
 type Loop struct {
-	vm       string
 	state    *core.State
 	platform platform.Client
 	peers    *link.Dialer
@@ -74,8 +75,6 @@
 
 // Config is what a Loop is made of.
 type Config struct {
-	// VM is the node's own.
-	VM       string
 	State    *core.State
 	Platform platform.Client
 	Peers    *link.Dialer
@@ -89,7 +88,7 @@
 func New(c Config) *Loop {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Loop{
-		vm: c.VM, state: c.State, platform: c.Platform, peers: c.Peers, guard: c.Guard, entry: c.Entry,
+		state: c.State, platform: c.Platform, peers: c.Peers, guard: c.Guard, entry: c.Entry,
 		log: c.Log, now: c.Now, ctx: ctx, cancel: cancel,
 		events: make(chan core.Event, eventRoom), asks: make(chan func(*core.State)),
 	}
@@ -167,6 +166,9 @@
 		counters := l.state.Counters()
 		l.counters.Store(&counters)
 		l.entry.Beat()
+		if addr, at, ok := l.state.Listed(); ok {
+			l.guard.Listed(addr, at)
+		}
 		events = events[:0]
 	}
 }
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -37,9 +37,16 @@
 	leaving     atomic.Bool
 	mu          sync.Mutex
 	attempts    *attempt.Table
-	running     sync.WaitGroup
-	isolation   isolation
-	deaths      deaths
+	// addr is the VM's own address, or empty.
+	addr string
+	// listed is when the platform last showed this VM, since the node's start,
+	// and listedAt the same by the wall clock.
+	listed    time.Duration
+	listedAt  time.Time
+	running   sync.WaitGroup
+	isolation isolation
+	deaths    deaths
+	reporter  reporter
 	// Counters count what was decided about attempts.
 	Counters Counters
 }
@@ -64,15 +71,20 @@
 	}
 }
 
+// SetAddr tells the VM's own address, as the platform should list it. It must
+// be called before the first View.
+func (g *Guard) SetAddr(ip string) { g.addr = ip }
+
 // SetView puts a new View in force and with it the declared limits.
 func (g *Guard) SetView(v *pick.View) {
 	g.view.Store(v)
+	g.reporter.setView(v)
 	svc, t := v.Config.Target(v.Here.VM)
 	if t == nil {
-		g.gate.SetLimits(0, 0)
+		g.gate.SetLimits(gate.Limits{})
 		return
 	}
-	g.gate.SetLimits(t.Slots, svc.Queue)
+	g.gate.SetLimits(gate.Limits{Slots: t.Slots, Queue: svc.Queue, Order: svc.QueueOrder, NoRefusal: svc.NoRefusal})
 	g.setKeys(svc, v.Here.VM)
 }
 
@@ -93,6 +105,7 @@
 
 // ServeHTTP takes a request from another node's entry.
 func (g *Guard) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	arrived := g.now()
 	resp, err := g.RoundTrip(r)
 	if err != nil {
 		kind.Write(w, kind.From(err))
@@ -100,6 +113,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	headers.Copy(w.Header(), resp.Header)
+	g.addLoad(w.Header(), r, arrived)
 	// The entry checks that this is the answer to what it sent on the connection.
 	w.Header().Set(headers.Exchange, exchangeOf(r))
 	w.WriteHeader(resp.StatusCode)
@@ -251,6 +265,8 @@
 type BackendHealth struct {
 	// State is "live", "draining" or "starting".
 	State string `json:"state"`
+	// Running is how many requests it runs by its own count; nil is not told.
+	Running *int `json:"running"`
 }
 
 // Health asks the backend server how it is.
@@ -272,7 +288,13 @@
 	if err != nil {
 		return h, err
 	}
-	return h, json.Unmarshal(text, &h)
+	if err := json.Unmarshal(text, &h); err != nil {
+		return h, err
+	}
+	if h.Running != nil {
+		g.gate.BackendCount(*h.Running)
+	}
+	return h, nil
 }
 
 // answerOf reads a whole answer of at most attempt.MaxAnswer bytes. For a
--- a/internal/link/dialer.go
+++ b/internal/link/dialer.go
@@ -57,6 +57,12 @@
 	return d.exchange(ctx, conn, m)
 }
 
+// Cost bounds the bytes that a Call of m sends: on a kept connection that turns
+// out to be closed it is sent twice.
+func (d *Dialer) Cost(m wire.Message) int {
+	return wire.Size(&d.hello) + 2*wire.Size(m)
+}
+
 // CallNew sends m over a new connection.
 func (d *Dialer) CallNew(ctx context.Context, addr string, m wire.Message) (wire.Message, error) {
 	d.counters.Dials.Add(1)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,10 +12,12 @@
 	"go.uber.org/fx"
 
 	"github.com/limpetdock/limpetdock/internal/admin"
+	"github.com/limpetdock/limpetdock/internal/budget"
 	"github.com/limpetdock/limpetdock/internal/control"
 	"github.com/limpetdock/limpetdock/internal/core"
 	"github.com/limpetdock/limpetdock/internal/entry"
 	"github.com/limpetdock/limpetdock/internal/guard"
+	"github.com/limpetdock/limpetdock/internal/limit"
 	"github.com/limpetdock/limpetdock/internal/link"
 	"github.com/limpetdock/limpetdock/internal/metrics"
 	"github.com/limpetdock/limpetdock/internal/pick"
@@ -24,25 +26,18 @@
 	"github.com/limpetdock/limpetdock/internal/wire"
 )
 
-// Clock gives the time since the node's start, of the monotonic clock.
-type Clock func() time.Duration
-
-func newClock() Clock {
-	start := time.Now()
-	return func() time.Duration { return time.Since(start) }
-}
-
 // Module provides every part of a node. It needs *settings.Settings and
 // logr.Logger from outside.
 var Module = fx.Options(
 	fx.Provide(
 		newClock, newSelf, newGuard, newEntry, newLoop, newDialer, newServers,
-		metrics.New,
+		metrics.New, limit.New,
+		func(now Clock) *budget.Measuring { return budget.NewMeasuring(now) },
 		func() *link.Counters { return &link.Counters{} },
 		func(s *settings.Settings) *platform.HTTP { return platform.NewHTTP(s.Platform) },
 		func(l *control.Loop, c *link.Counters) *link.Server { return link.NewServer(l, c) },
 	),
-	fx.Invoke(registerGauges, run, func(e *entry.Entry, l *control.Loop) { e.SetAccuser(l) }),
+	fx.Invoke(registerGauges, registerMeasuring, run, func(e *entry.Entry, l *control.Loop) { e.SetAccuser(l) }),
 )
 
 // newSelf draws the node's incarnation: milliseconds since 1970 with random low
@@ -57,12 +52,22 @@
 	}
 }
 
-func newGuard(s *settings.Settings, self core.Self, now Clock) *guard.Guard {
-	return guard.New(s.Backend, self.Incarnation, now)
+func newGuard(s *settings.Settings, self core.Self, b *budget.Measuring, now Clock) *guard.Guard {
+	g := guard.New(s.Backend, self.Incarnation, now)
+	g.SetMeasuring(b)
+	if host, _, err := net.SplitHostPort(s.Guard); err == nil {
+		if ip := net.ParseIP(host); ip != nil && !ip.IsUnspecified() {
+			g.SetAddr(host)
+		}
+	}
+	return g
 }
 
-func newEntry(g *guard.Guard, d *link.Dialer, m *metrics.Metrics, now Clock) *entry.Entry {
-	return entry.New(entry.Config{Local: g, Seal: g.Seal, Peers: d, Observer: m, Now: now})
+func newEntry(g *guard.Guard, d *link.Dialer, m *metrics.Metrics, limits *limit.Table, b *budget.Measuring, now Clock) *entry.Entry {
+	m.Registry.MustRegister(limits)
+	return entry.New(entry.Config{
+		Local: g, Seal: g.Seal, Peers: d, Observer: m, Load: g.Load, Limits: limits, Measuring: b, Now: now,
+	})
 }
 
 func newDialer(self core.Self, c *link.Counters) *link.Dialer {
@@ -71,7 +76,7 @@
 
 func newLoop(self core.Self, p *platform.HTTP, d *link.Dialer, g *guard.Guard, e *entry.Entry, log logr.Logger, now Clock) *control.Loop {
 	return control.New(control.Config{
-		VM: self.VM, State: core.New(self, rand.Uint64()), Platform: p, Peers: d, Guard: g, Entry: e, Log: log, Now: now,
+		State: core.New(self, rand.Uint64()), Platform: p, Peers: d, Guard: g, Entry: e, Log: log, Now: now,
 	})
 }
 
@@ -164,6 +169,7 @@
 				_ = p.Shutdown.Shutdown(fx.ExitCode(1))
 			})
 			go p.watchBackend(ctx)
+			go p.Entry.Run(ctx)
 			p.Log.Info("started", "vm", p.Settings.VM, "callers", p.Settings.Callers)
 			return nil
 		},
--- a/internal/pick/health.go
+++ b/internal/pick/health.go
@@ -56,7 +56,7 @@
 func (s *Stat) judge(now time.Duration, o Outcome, rnd *rand.Rand) {
 	h := s.health.Load()
 	switch o {
-	case Neutral:
+	case Neutral, Late:
 	case Good:
 		s.count(0)
 		s.recover(h, now)
@@ -109,6 +109,13 @@
 	}
 }
 
+// PassedOver says whether the target is passed over at now, for a refusal,
+// for failures, or because it can't be reached.
+func (s *Stat) PassedOver(now time.Duration) bool {
+	h := s.health.Load()
+	return s.Avoided(now) || h != nil && h.phase != ramping && now < h.until
+}
+
 // standing is whether a target may be chosen now.
 type standing uint8
 
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -27,6 +27,8 @@
 	TypeSealed
 	TypeFetchVMs
 	TypeVMs
+	TypeProbe
+	TypeLoad
 )
 
 const (
@@ -61,7 +63,10 @@
 	Revision uint64 `msgpack:"r"`
 	Digest   string `msgpack:"d"`
 	// VMs is the platform's version of the VM list that the sender has.
-	VMs      uint64    `msgpack:"l"`
+	VMs uint64 `msgpack:"l"`
+	// VMsAge is how long ago, in milliseconds and at most, the platform showed
+	// that version; 0 is unknown.
+	VMsAge   uint32    `msgpack:"a,omitempty"`
 	Members  []Member  `msgpack:"m"`
 	Suspects []Suspect `msgpack:"s,omitempty"`
 }
@@ -142,6 +147,8 @@
 type Seal struct {
 	Incarnation uint64 `msgpack:"i"`
 	Attempt     string `msgpack:"a"`
+	// Tick is the one that the attempt named.
+	Tick uint64 `msgpack:"t"`
 	// AskOnly leaves an attempt that hasn't arrived unsealed.
 	AskOnly bool `msgpack:"o,omitempty"`
 }
@@ -174,6 +181,18 @@
 	State       AttemptState `msgpack:"s"`
 }
 
+// Probe asks a node for the load of its backend server.
+type Probe struct{}
+
+// Load answers a Probe, by the guard's own counts.
+type Load struct {
+	Running uint32 `msgpack:"r"`
+	Waiting uint32 `msgpack:"w"`
+	Slots   uint32 `msgpack:"s"`
+	// ServiceUs is how long a slot is held on average, in microseconds.
+	ServiceUs uint32 `msgpack:"t"`
+}
+
 // Type tells the message's type.
 func (*Hello) Type() Type { return TypeHello }
 
@@ -198,6 +217,12 @@
 // Type tells the message's type.
 func (*VMs) Type() Type { return TypeVMs }
 
+// Type tells the message's type.
+func (*Probe) Type() Type { return TypeProbe }
+
+// Type tells the message's type.
+func (*Load) Type() Type { return TypeLoad }
+
 func blank(t Type) (Message, int) {
 	switch t {
 	case TypeHello:
@@ -216,6 +241,10 @@
 		return &FetchVMs{}, smallFrame
 	case TypeVMs:
 		return &VMs{}, documentFrame
+	case TypeProbe:
+		return &Probe{}, smallFrame
+	case TypeLoad:
+		return &Load{}, smallFrame
 	}
 	return nil, 0
 }
@@ -236,6 +265,15 @@
 	return append(frame, body...), nil
 }
 
+// Size gives the bytes that a message takes on the wire, zero if it has no frame.
+func Size(m Message) int {
+	frame, err := Encode(m)
+	if err != nil {
+		return 0
+	}
+	return len(frame)
+}
+
 // Read reads one frame. It never allocates more than the type's limit, and
 // grows its buffer only as bytes arrive, so that a length alone costs nothing.
 func Read(r io.Reader) (Message, error) {
