--- a/internal/entry/fleet_test.go
+++ b/internal/entry/fleet_test.go
@@ -40,6 +40,8 @@
 	control *link.Server
 	address string
 	listen  net.Listener
+	// mixedUp is how many answers to come carry the id of another request.
+	mixedUp atomic.Int32
 }
 
 // world is a service "s" on a few nodes; "/read" is idempotent, the rest is at most once.
@@ -93,7 +95,7 @@
 func (w *world) node(no int, backend string) *node {
 	n := &node{world: w, no: no, backend: backend}
 	n.start(1, old)
-	server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) { n.guard.Load().ServeHTTP(rw, r) }))
+	server := httptest.NewServer(http.HandlerFunc(n.serve))
 	w.t.Cleanup(server.Close)
 	n.pipe = newPipe(w.t, strings.TrimPrefix(server.URL, "http://"))
 	n.control = link.NewServer(n, &link.Counters{})
@@ -106,6 +108,19 @@
 	return n
 }
 
+func (n *node) serve(w http.ResponseWriter, r *http.Request) {
+	if n.mixedUp.Add(-1) < 0 {
+		n.guard.Load().ServeHTTP(w, r)
+		return
+	}
+	rec := httptest.NewRecorder()
+	n.guard.Load().ServeHTTP(rec, r)
+	headers.Copy(w.Header(), rec.Header())
+	w.Header().Set(headers.Exchange, "another")
+	w.WriteHeader(rec.Code)
+	_, _ = w.Write(rec.Body.Bytes())
+}
+
 // start puts a new incarnation in the place of the one before.
 func (n *node) start(incarnation uint64, age time.Duration) {
 	base, err := url.Parse(n.backend)
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -90,6 +90,10 @@
 	if x.cut(body) {
 		return body, kind.New(kind.BodyCut, "the request's body ended early; a part of it was sent").Because(err)
 	}
+	if s.identity == (pick.Identity{}) {
+		// No process has this identity, so none has run the attempt.
+		return body, kind.New(kind.StaleAttempt, "the target's identity isn't known yet").Because(err)
+	}
 	return body, e.resolve(ctx, w, s)
 }
 
--- a/internal/entry/once_test.go
+++ b/internal/entry/once_test.go
@@ -69,14 +69,22 @@
 func TestARequestLostOnASilentConnectionIsSealed(t *testing.T) {
 	l := newLedger(t)
 	w := newWorld(t, l.URL)
-	l.finish <- struct{}{}
-	require.Equal(t, "run 1", w.ask(0, "POST", "/book", "x").body)
+	// Two requests at once leave two connections kept.
+	kept := during(w, l, func() {
+		got := make(chan answer)
+		go func() { got <- w.ask(0, "POST", "/book", "x") }()
+		<-l.started
+		l.finish <- struct{}{}
+		l.finish <- struct{}{}
+		<-got
+	})
+	require.Equal(t, http.StatusOK, kept.status)
 	w.nodes[0].pipe.silence()
 	got := w.ask(0, "POST", "/book", "x")
 	require.Equal(t, "sealed", got.kind, "there is no other target, so the seal is the end, and is proof")
 	require.Equal(t, "not-run", got.outcome)
 	l.finish <- struct{}{}
-	require.Equal(t, "run 2", w.ask(0, "POST", "/book", "x").body, "new connections work")
+	require.Equal(t, "run 3", w.ask(0, "POST", "/book", "x").body, "the other kept connection isn't used")
 }
 
 // An idempotent read on such a connection is simply sent again elsewhere.
@@ -171,3 +179,34 @@
 		})
 	}
 }
+
+// A read's connection is reset before its answer. Whether it is sent again is
+// the entry's to decide, within its budget, and not net/http's transport's: an
+// error of such a second copy would be taken for proof that nothing was sent.
+func TestTheTransportRepeatsNothing(t *testing.T) {
+	l := newLedger(t)
+	w := newWorld(t, l.URL)
+	l.finish <- struct{}{}
+	require.Equal(t, "run 1", w.ask(0, "GET", "/read", "").body)
+	w.nodes[0].pipe.loseAnswers(true)
+	l.finish <- struct{}{}
+	require.Equal(t, "unknown", w.ask(0, "GET", "/read", "").outcome)
+	require.EqualValues(t, 2, l.runs.Load())
+}
+
+// Something between two nodes mixes connections up, and a guard's answer to
+// another request arrives. It must reach nobody, and the booking's own answer
+// must be found by its id.
+func TestAnAnswerToAnotherRequestIsDropped(t *testing.T) {
+	l := newLedger(t)
+	w := newWorld(t, l.URL)
+	l.finish <- struct{}{}
+	l.finish <- struct{}{}
+	for run := range 2 {
+		w.nodes[0].mixedUp.Store(1)
+		require.Equal(t, fmt.Sprint("run ", run+1), w.ask(0, "POST", "/book", "x").body)
+		// The first one named no process yet, so there was nothing to ask about.
+		require.EqualValues(t, run, w.entries[0].Counters().Resolved.Load())
+	}
+	require.EqualValues(t, 2, l.runs.Load())
+}
