--- a/internal/control/io.go
+++ b/internal/control/io.go
@@ -128,7 +128,7 @@
 		l.guard.Heard(m.Members)
 		l.submit(core.GossipHeard{News: m})
 		var news *wire.Gossip
-		l.Ask(func(s *core.State) { news = s.News(from) })
+		l.Ask(func(s *core.State) { news = s.News() })
 		if news == nil {
 			return nil
 		}
@@ -141,6 +141,11 @@
 		var list platform.VMList
 		l.Ask(func(s *core.State) { list = s.VMs() })
 		return toWire(list)
+	case *wire.Probe:
+		if load := l.guard.Probed(from); load != nil {
+			return load
+		}
+		return nil
 	case *wire.Seal:
 		return l.guard.Seal(m)
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -10,8 +10,11 @@
 
 	"github.com/google/uuid"
 
+	"github.com/limpetdock/limpetdock/internal/budget"
+	"github.com/limpetdock/limpetdock/internal/gate"
 	"github.com/limpetdock/limpetdock/internal/headers"
 	"github.com/limpetdock/limpetdock/internal/kind"
+	"github.com/limpetdock/limpetdock/internal/limit"
 	"github.com/limpetdock/limpetdock/internal/pick"
 	"github.com/limpetdock/limpetdock/internal/suspect"
 	"github.com/limpetdock/limpetdock/internal/wire"
@@ -21,6 +24,10 @@
 type Caller interface {
 	// CallNew sends a message over a new connection and gives the answer.
 	CallNew(ctx context.Context, addr string, m wire.Message) (wire.Message, error)
+	// Call may use a kept connection.
+	Call(ctx context.Context, addr string, m wire.Message) (wire.Message, error)
+	// Cost bounds the bytes that a Call of m sends.
+	Cost(m wire.Message) int
 }
 
 // Accuser is told of requests that may crash backend servers. Safe for
@@ -44,17 +51,21 @@
 // Entry is the entry role of a node: an http.Handler for callers. Safe for
 // concurrent use.
 type Entry struct {
-	view     pick.Current
-	local    http.RoundTripper
-	remote   *transports
-	seal     func(*wire.Seal) *wire.Sealed
-	peers    Caller
-	observer Observer
-	accuser  atomic.Pointer[Accuser]
-	behind   atomic.Pointer[func(vm string)]
-	now      func() time.Duration
-	pulse    pulse
-	counters Counters
+	view      pick.Current
+	local     http.RoundTripper
+	remote    *transports
+	seal      func(*wire.Seal) *wire.Sealed
+	peers     Caller
+	observer  Observer
+	accuser   atomic.Pointer[Accuser]
+	behind    atomic.Pointer[func(vm string)]
+	now       func() time.Duration
+	load      func() gate.Load
+	limits    *limit.Table
+	measuring *budget.Measuring
+	accounts  accounts
+	pulse     pulse
+	counters  Counters
 	// name is unique to this process; exchanges counts the ids made with it.
 	name      string
 	exchanges atomic.Uint64
@@ -77,6 +88,12 @@
 	Local http.RoundTripper
 	Seal  func(*wire.Seal) *wire.Sealed
 	Peers Caller
+	// Load gives the load of the own backend server; nil if it isn't known.
+	Load func() gate.Load
+	// Limits bounds what is in flight.
+	Limits *limit.Table
+	// Measuring is the budget for probes; nil means none are sent.
+	Measuring *budget.Measuring
 	// Observer is told of every answer.
 	Observer Observer
 	// Now gives the time since the node's start, of a monotonic clock.
@@ -85,22 +102,30 @@
 
 // New returns an Entry that answers not-ready until it has a View.
 func New(c Config) *Entry {
-	return &Entry{
+	e := &Entry{
 		local: c.Local, remote: newTransports(), seal: c.Seal,
 		peers: c.Peers, observer: c.Observer, now: c.Now, name: uuid.NewString(),
+		load: c.Load, limits: c.Limits, measuring: c.Measuring,
 	}
+	if e.limits == nil {
+		e.limits = limit.New()
+	}
+	return e
 }
 
-// SetView puts a new View in force.
+// SetView puts a new View in force. Only one goroutine may call it.
 func (e *Entry) SetView(v *pick.View) {
+	e.limits.SetConfig(v.Config)
+	e.accounts.setView(v)
 	e.view.Store(v)
 	inUse := map[string]bool{}
 	for _, s := range v.Services {
-		for _, t := range s.Targets {
+		for _, t := range s.Homes {
 			inUse[t.Guard] = true
 		}
 	}
 	e.remote.Keep(inUse)
+	e.remote.Bound(connectionsOf(v))
 }
 
 // Beat must be called often; a late call shows that the process was paused.
@@ -142,6 +167,15 @@
 		return err
 	}
 	*service = x.service.Name
+	hold, err := e.limits.Admit(x.service.Name, x.route)
+	if err != nil {
+		return err
+	}
+	defer hold.Release()
+	x.account = e.accounts.of(x.service.Name)
+	if x.chain.Fresh() {
+		x.account.Request()
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), x.timeout)
 	defer cancel()
 	if r.Header.Get(headers.Ticket) != "" {
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -48,7 +48,8 @@
 		if ctx.Err() != nil || x.stream && body.begun.Load() {
 			break
 		}
-		if row, _ := kind.AnswerOf(err.Kind); !row.Elsewhere {
+		row, _ := kind.AnswerOf(err.Kind)
+		if !row.Elsewhere || !e.mayGoOn(x, err) {
 			break
 		}
 		if err.Kind != kind.StaleAttempt {
