--- a/standin/experiment/added.go
+++ b/standin/experiment/added.go
@@ -62,7 +62,7 @@
 	if err != nil {
 		return err
 	}
-	return publish(a.Out, "added-latency", t)
+	return a.publish("added-latency", t)
 }
 
 func (a *addedLatency) measure(ctx context.Context, t *table, where string, rate float64, entry, target deploy.Place) {
--- /dev/null
+++ b/standin/experiment/experiment_test.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestFitFindsTheLine(t *testing.T) {
+	a, b, ok := fit([]float64{6, 18, 36}, []float64{16, 40, 76})
+	require.True(t, ok)
+	require.InDelta(t, 4, a, 1e-9)
+	require.InDelta(t, 2, b, 1e-9)
+	require.Equal(t, []string{"4 + 2 n", "1.78e+03"}, line([]float64{6, 18}, []float64{16, 40}))
+	require.Equal(t, []string{"unmeasured", "unmeasured"}, line([]float64{6}, []float64{16}))
+}
+
+func TestParseMetric(t *testing.T) {
+	for text, want := range map[string]float64{
+		"a_total 3": 3, `a_total{kind="x y",service="s"} 2.5`: 2.5, "a_total 1.5e+06": 1.5e6,
+	} {
+		name, value, ok := parseMetric(text)
+		require.True(t, ok, text)
+		require.Equal(t, "a_total", name)
+		require.InDelta(t, want, value, 1e-9)
+	}
+	_, _, ok := parseMetric("# HELP a_total Counts 3")
+	require.False(t, ok)
+}
+
+func TestTablesGoIntoTheirSectionOfAPage(t *testing.T) {
+	const page = "# P\n<!-- begin one -->\nold\n<!-- end one -->\nkept\n"
+	next, err := replaceSection(page, "one", "new\n")
+	require.NoError(t, err)
+	require.Equal(t, strings.Replace(page, "old", "new", 1), next)
+	_, err = replaceSection(page, "two", "new\n")
+	require.Error(t, err)
+}
+
+func TestFleetsAreDeclaredRight(t *testing.T) {
+	for _, p := range allPolicies {
+		_, err := experimentFleet(p, 1).Print()
+		require.NoError(t, err, p)
+	}
+	for _, n := range []int{6, 18, 36, 72, targetNodes} {
+		_, err := capacityFleet(n, 1).Print()
+		require.NoError(t, err, n)
+	}
+	_, err := addedFleet().Print()
+	require.NoError(t, err)
+}
+
+func TestSelectionOfScenariosIsChecked(t *testing.T) {
+	chosen, err := (&policies{Scenarios: []string{"slow"}}).choose()
+	require.NoError(t, err)
+	require.Len(t, chosen, 1)
+	_, err = (&policies{Scenarios: []string{"none"}}).choose()
+	require.ErrorContains(t, err, "there are steady")
+	_, err = (&policies{Policies: []string{"none"}}).choose()
+	require.ErrorContains(t, err, "there are random")
+}
--- a/standin/experiment/main.go
+++ b/standin/experiment/main.go
@@ -19,8 +19,11 @@
 
 // common are the options of every command.
 type common struct {
-	Bin string `long:"bin" default:"build/bin" description:"directory of the programs"`
-	Out string `long:"out" default:"build/experiments" description:"directory for tables, plots and logs"`
+	Bin  string `long:"bin" default:"build/bin" description:"directory of the programs"`
+	Out  string `long:"out" default:"build/experiments" description:"directory for tables, plots and logs"`
+	Page string `long:"page" description:"Markdown page whose marked section gets the tables"`
+	// where says on what and when the run was made.
+	where string
 }
 
 func main() {
@@ -59,7 +62,10 @@
 }
 
 // with starts a deployment on a network of its own, runs f, and stops it.
-func (c common) with(ctx context.Context, name string, f fleet.Fleet, serviceMs float64, run func(*deploy.Deployment) error) error {
+func (c *common) with(ctx context.Context, name string, f fleet.Fleet, serviceMs float64, run func(*deploy.Deployment) error) error {
+	if c.where == "" {
+		c.where = describe()
+	}
 	octet, release, err := deploy.FreeNet()
 	if err != nil {
 		return err
--- a/standin/experiment/policies.go
+++ b/standin/experiment/policies.go
@@ -54,7 +54,7 @@
 			tables = append(tables, t)
 			fmt.Fprintf(os.Stderr, "%s done, %d of %d\n", one.name, len(tables), len(chosen))
 		}
-		return publish(c.Out, "policies", tables...)
+		return c.publish("policies", tables...)
 	})
 }
 
--- a/standin/experiment/table.go
+++ b/standin/experiment/table.go
@@ -6,7 +6,10 @@
 	"io"
 	"os"
 	"path/filepath"
+	"runtime"
+	"runtime/debug"
 	"strings"
+	"time"
 )
 
 // table is a table of measurements.
@@ -30,24 +33,67 @@
 	fmt.Fprintln(w)
 }
 
-// publish prints tables and writes them to <dir>/<name>.md and .json.
-func publish(dir, name string, tables ...*table) error {
-	if err := os.MkdirAll(dir, 0o755); err != nil {
-		return err
-	}
+// publish prints tables and writes them to <out>/<name>.md and .json, and into
+// the page's section of that name if there is a page.
+func (c common) publish(name string, tables ...*table) error {
 	var text strings.Builder
+	fmt.Fprintf(&text, "%s\n\n", c.where)
 	for _, t := range tables {
 		t.writeMarkdown(&text)
 	}
 	fmt.Print(text.String())
-	if err := os.WriteFile(filepath.Join(dir, name+".md"), []byte(text.String()), 0o644); err != nil {
+	if err := os.WriteFile(filepath.Join(c.Out, name+".md"), []byte(text.String()), 0o644); err != nil {
 		return err
 	}
 	encoded, err := json.MarshalIndent(tables, "", "  ")
 	if err != nil {
 		return err
 	}
-	return os.WriteFile(filepath.Join(dir, name+".json"), encoded, 0o644)
+	if err := os.WriteFile(filepath.Join(c.Out, name+".json"), encoded, 0o644); err != nil {
+		return err
+	}
+	if c.Page == "" {
+		return nil
+	}
+	page, err := os.ReadFile(c.Page)
+	if err != nil {
+		return err
+	}
+	next, err := replaceSection(string(page), name, text.String())
+	if err != nil {
+		return fmt.Errorf("%s: %w", c.Page, err)
+	}
+	return os.WriteFile(c.Page, []byte(next), 0o644)
+}
+
+// replaceSection puts text between the marks of a section of a page.
+func replaceSection(page, name, text string) (string, error) {
+	begin, end := "<!-- begin "+name+" -->\n", "<!-- end "+name+" -->"
+	before, rest, ok := strings.Cut(page, begin)
+	_, after, closed := strings.Cut(rest, end)
+	if !ok || !closed {
+		return "", fmt.Errorf("no section %q", name)
+	}
+	return before + begin + text + end + after, nil
+}
+
+// describe says on what and when a run was made, as far as it matters for
+// whether its figures can be trusted.
+func describe() string {
+	commit := "unknown"
+	if info, ok := debug.ReadBuildInfo(); ok {
+		for _, s := range info.Settings {
+			if s.Key == "vcs.revision" {
+				commit = s.Value[:min(12, len(s.Value))]
+			}
+		}
+	}
+	load := "unknown"
+	if text, err := os.ReadFile("/proc/loadavg"); err == nil {
+		load, _, _ = strings.Cut(string(text), " ")
+	}
+	return fmt.Sprintf("%s, commit %s, %d processors, load average %s before the run.",
+		time.Now().UTC().Format("2006-01-02 15:04 MST"), commit, runtime.NumCPU(), load)
 }
 
 // ms and count write figures for tables.
