--- a/internal/headers/headers.go
+++ b/internal/headers/headers.go
@@ -88,9 +88,14 @@
 	}
 }
 
-// Copy adds every header of src to dst.
+// Copy adds every header of src to dst. Where dst has none of a name yet, both
+// share the values from then on; nobody may change those of src any more.
 func Copy(dst, src http.Header) {
 	for name, values := range src {
-		dst[name] = append(dst[name], values...)
+		if had := dst[name]; len(had) > 0 {
+			values = append(had, values...)
+		}
+		// Without room behind them, a later append to dst doesn't write into src.
+		dst[name] = values[:len(values):len(values)]
 	}
 }
