--- a/standin/experiment/capacity.go
+++ b/standin/experiment/capacity.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"strings"
 	"time"
 
 	"github.com/limpetdock/limpetdock/fleet"
@@ -50,16 +49,26 @@
 // cost is what was measured at one size, for one node unless said otherwise.
 type cost struct {
 	nodes int
-	// controlBytes is bytes of control frames sent each second, cpu the share
-	// of a core, both when idle; platformCalls is calls a second of all nodes.
-	controlBytes, cpu, platformCalls float64
+	// idle, parted (a region cut off) and restarted (all nodes of a zone killed)
+	// are rates each second.
+	idle, parted, restarted rates
 	// rss is bytes of memory when idle, rssLoaded under load.
 	rss, rssLoaded float64
 	// cpuPerCall is processor seconds of all nodes for each call.
 	cpuPerCall float64
 	// changeTime is how long a change took until it was in force everywhere, in
-	// seconds; changeBytes the control bytes of a node for it.
-	changeTime, changeBytes float64
+	// seconds; changeBytes the control bytes of a node for it, changeCalls
+	// the platform calls of all nodes.
+	changeTime, changeBytes, changeCalls float64
+}
+
+// rates are bytes of control frames and the share of a core, of one node, and
+// platform calls of all nodes, each second.
+type rates struct{ bytes, cpu, calls float64 }
+
+func ratesOf(s sample, nodes int, took time.Duration) rates {
+	each := took.Seconds() * float64(nodes)
+	return rates{s[metricControlSent] / each, s[metricCPU] / each, s[metricPlatformCalls] / took.Seconds()}
 }
 
 func (c *capacity) run(ctx context.Context) error {
@@ -78,54 +87,95 @@
 	return c.publish("capacity", c.table(costs))
 }
 
+// measure measures one size. The order matters: what is restarted comes last.
 func (c *capacity) measure(ctx context.Context, d *deploy.Deployment, n int) (cost, error) {
 	one := cost{nodes: n}
-	nodes := float64(n)
 	// The first seconds have the traffic of joining, which isn't the idle cost.
 	time.Sleep(3 * settle)
-	idle, after, err := c.during(ctx, d, func() error {
-		time.Sleep(c.Idle)
-		return nil
-	})
-	if err != nil {
-		return one, err
-	}
-	seconds := c.Idle.Seconds()
-	one.controlBytes = idle[metricControlSent] / nodes / seconds
-	one.cpu = idle[metricCPU] / nodes / seconds
-	one.platformCalls = idle[metricPlatformCalls] / seconds
-	one.rss = after[metricRSS] / nodes
-	loaded, after, err := c.during(ctx, d, func() error { return c.send(ctx, d) })
-	if err != nil {
-		return one, err
+	for _, part := range []func(context.Context, *deploy.Deployment, *cost) error{
+		c.idle, c.loaded, c.change, c.parted, c.restarted,
+	} {
+		if err := part(ctx, d, &one); err != nil {
+			return one, err
+		}
 	}
-	calls := loaded["limpetdock_requests_total"]
-	one.cpuPerCall = max(0, loaded[metricCPU]-one.cpu*nodes*c.Load.Seconds()) / calls
-	one.rssLoaded = after[metricRSS] / nodes
+	return one, ctx.Err()
+}
+
+func (c *capacity) idle(ctx context.Context, d *deploy.Deployment, one *cost) error {
+	diff, after, err := during(ctx, d, func() error { return pause(ctx, c.Idle) })
+	one.idle = ratesOf(diff, one.nodes, c.Idle)
+	one.rss = after[metricRSS] / float64(one.nodes)
+	return err
+}
+
+func (c *capacity) loaded(ctx context.Context, d *deploy.Deployment, one *cost) error {
+	diff, after, err := during(ctx, d, func() error { return c.send(ctx, d) })
+	idle := one.idle.cpu * float64(one.nodes) * c.Load.Seconds()
+	one.cpuPerCall = max(0, diff[metricCPU]-idle) / diff[metricRequests]
+	one.rssLoaded = after[metricRSS] / float64(one.nodes)
+	return err
+}
+
+func (c *capacity) change(ctx context.Context, d *deploy.Deployment, one *cost) error {
 	start := time.Now()
-	changed, _, err := c.during(ctx, d, func() error {
-		if err := d.Publish(ctx, capacityFleet(n, 2)); err != nil {
+	diff, _, err := during(ctx, d, func() error {
+		if err := d.Publish(ctx, capacityFleet(one.nodes, 2)); err != nil {
 			return err
 		}
 		return awaitRevision(ctx, d, 2)
 	})
-	took := time.Since(start).Seconds()
-	one.changeTime = took
-	one.changeBytes = max(0, changed[metricControlSent]/nodes-one.controlBytes*took)
-	return one, err
+	one.changeTime = time.Since(start).Seconds()
+	one.changeBytes = max(0, diff[metricControlSent]/float64(one.nodes)-one.idle.bytes*one.changeTime)
+	one.changeCalls = diff[metricPlatformCalls]
+	return err
 }
 
-// during gives what metrics changed while f ran, and their values after.
-func (c *capacity) during(ctx context.Context, d *deploy.Deployment, f func() error) (diff, after sample, err error) {
-	before, err := scrapeAll(ctx, d)
+// badHour is how long each of the bad hours is looked at.
+const badHour = 6 * time.Second
+
+func (c *capacity) parted(ctx context.Context, d *deploy.Deployment, one *cost) error {
+	diff, _, err := during(ctx, d, func() error {
+		err := d.SetLinks(ctx,
+			deploy.LinkFault{From: "one-*", To: "t*", Cut: true}, deploy.LinkFault{From: "t*", To: "one-*", Cut: true})
+		if err != nil {
+			return err
+		}
+		return pause(ctx, badHour)
+	})
 	if err != nil {
-		return nil, nil, err
+		return err
 	}
-	if err := f(); err != nil {
-		return nil, nil, err
+	one.parted = ratesOf(diff, one.nodes, badHour)
+	if err := d.SetLinks(ctx); err != nil {
+		return err
+	}
+	return pause(ctx, 3*settle)
+}
+
+func (c *capacity) restarted(ctx context.Context, d *deploy.Deployment, one *cost) error {
+	diff, _, err := during(ctx, d, func() error {
+		for _, p := range d.Places {
+			if p.Zone != "one-a" {
+				continue
+			}
+			if err := d.Node(p.VM).Kill(); err != nil {
+				return err
+			}
+		}
+		return pause(ctx, badHour)
+	})
+	one.restarted = ratesOf(diff, one.nodes, badHour)
+	return err
+}
+
+func pause(ctx context.Context, length time.Duration) error {
+	select {
+	case <-time.After(length):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
 	}
-	after, err = scrapeAll(ctx, d)
-	return after.minus(before), after, err
 }
 
 func (c *capacity) send(ctx context.Context, d *deploy.Deployment) error {
@@ -145,76 +195,3 @@
 	}
 	return ctx.Err()
 }
-
-// row is a cost in the table.
-type row struct {
-	name, unit string
-	limit      string
-	scale      float64
-	of         func(cost) float64
-}
-
-var rows = []row{
-	{"control frames sent, idle", "B/s a node", "4 KB/s", 1, func(c cost) float64 { return c.controlBytes }},
-	{"processor, idle", "% of a core", "5 %", 100, func(c cost) float64 { return c.cpu }},
-	{"memory, idle", "MB", "128 MB", 1e-6, func(c cost) float64 { return c.rss }},
-	{"memory, loaded", "MB", "128 MB", 1e-6, func(c cost) float64 { return c.rssLoaded }},
-	{"platform calls, idle", "calls/s, all nodes", "2 000/s", 1, func(c cost) float64 { return c.platformCalls }},
-	{"processor for a call, all nodes on its way", "µs", "-", 1e6, func(c cost) float64 { return c.cpuPerCall }},
-	{"change in force everywhere", "s", "11 s", 1, func(c cost) float64 { return c.changeTime }},
-	{"control frames for a change", "B a node", "-", 1, func(c cost) float64 { return c.changeBytes }},
-}
-
-func (c *capacity) table(costs []cost) *table {
-	t := &table{
-		Title: "Cost of the control side by size",
-		Note: fmt.Sprintf("`make capacity`: %v idle, then %g calls/s for each node for %v, then one change. "+
-			"The line is fitted by least squares over n nodes.", c.Idle, c.Rate, c.Load),
-		Columns: []string{"cost", "unit"},
-	}
-	var sizes []float64
-	for _, one := range costs {
-		sizes = append(sizes, float64(one.nodes))
-		t.Columns = append(t.Columns, fmt.Sprintf("%d nodes", one.nodes))
-	}
-	t.Columns = append(t.Columns, "line", fmt.Sprintf("at %d", targetNodes), "limit")
-	for _, r := range rows {
-		cells := []string{r.name, r.unit}
-		var values []float64
-		for _, one := range costs {
-			v := r.of(one) * r.scale
-			values = append(values, v)
-			cells = append(cells, fmt.Sprintf("%.3g", v))
-		}
-		cells = append(cells, line(sizes, values)...)
-		t.add(append(cells, r.limit)...)
-	}
-	return t
-}
-
-// line fits a line and gives it with its value at the target size, or the word
-// unmeasured where there are fewer than two sizes.
-func line(x, y []float64) []string {
-	a, b, ok := fit(x, y)
-	if !ok {
-		return []string{"unmeasured", "unmeasured"}
-	}
-	text := fmt.Sprintf("%.3g + %.3g n", a, b)
-	return []string{strings.ReplaceAll(text, "+ -", "- "), fmt.Sprintf("%.3g", a+b*targetNodes)}
-}
-
-// fit gives the least squares line a + b x.
-func fit(x, y []float64) (a, b float64, ok bool) {
-	n := float64(len(x))
-	var sx, sy, sxx, sxy float64
-	for i := range x {
-		sx, sy = sx+x[i], sy+y[i]
-		sxx, sxy = sxx+x[i]*x[i], sxy+x[i]*y[i]
-	}
-	d := n*sxx - sx*sx
-	if d == 0 {
-		return 0, 0, false
-	}
-	b = (n*sxy - sx*sy) / d
-	return (sy - b*sx) / n, b, true
-}
--- a/standin/experiment/experiment_test.go
+++ b/standin/experiment/experiment_test.go
@@ -12,8 +12,8 @@
 	require.True(t, ok)
 	require.InDelta(t, 4, a, 1e-9)
 	require.InDelta(t, 2, b, 1e-9)
-	require.Equal(t, []string{"4 + 2 n", "1.78e+03"}, line([]float64{6, 18}, []float64{16, 40}))
-	require.Equal(t, []string{"unmeasured", "unmeasured"}, line([]float64{6}, []float64{16}))
+	require.Equal(t, []string{"4 + 2 n", "1.78e+03"}, line([]float64{6, 18}, []float64{16, 40}, "n", targetNodes))
+	require.Equal(t, []string{"unmeasured", "unmeasured"}, line([]float64{6}, []float64{16}, "n", targetNodes))
 }
 
 func TestParseMetric(t *testing.T) {
@@ -29,6 +29,13 @@
 	require.False(t, ok)
 }
 
+func TestCountersOfARestartedNodeBeginAnew(t *testing.T) {
+	before := []sample{{"a": 10}, {"a": 100}}
+	after := []sample{{"a": 15}, {"a": 3}}
+	require.Equal(t, sample{"a": 8}, since(before, after))
+	require.Equal(t, sample{"a": 18}, sum(after))
+}
+
 func TestTablesGoIntoTheirSectionOfAPage(t *testing.T) {
 	const page = "# P\n<!-- begin one -->\nold\n<!-- end one -->\nkept\n"
 	next, err := replaceSection(page, "one", "new\n")
--- a/standin/experiment/policies.go
+++ b/standin/experiment/policies.go
@@ -154,26 +154,20 @@
 	if err := c.prepare(ctx, d, policy); err != nil {
 		return m, err
 	}
-	before, err := scrapeAll(ctx, d)
-	if err != nil {
-		return m, err
-	}
 	crossed, err := crossRegion(ctx, d)
 	if err != nil {
 		return m, err
 	}
-	start := time.Now()
-	done := play(ctx, d, one)
-	m.report = send(ctx, d, one, c.Seed)
-	m.took = time.Since(start)
-	if err := <-done; err != nil {
-		return m, err
-	}
-	after, err := scrapeAll(ctx, d)
+	m.metrics, _, err = during(ctx, d, func() error {
+		start := time.Now()
+		done := play(ctx, d, one)
+		m.report = send(ctx, d, one, c.Seed)
+		m.took = time.Since(start)
+		return <-done
+	})
 	if err != nil {
 		return m, err
 	}
-	m.metrics = after.minus(before)
 	m.cross, err = crossRegion(ctx, d)
 	m.cross -= crossed
 	return m, err
--- a/standin/experiment/scrape.go
+++ b/standin/experiment/scrape.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"fmt"
-	"maps"
 	"net/http"
 	"strconv"
 	"strings"
@@ -15,6 +14,7 @@
 
 // Metrics of nodes that are compared.
 const (
+	metricRequests        = "limpetdock_requests_total"
 	metricHops            = "limpetdock_hops_total"
 	metricRevision        = "limpetdock_config_revision"
 	metricMeasureRequests = "limpetdock_measuring_requests_total"
@@ -65,28 +65,66 @@
 	return strings.TrimSpace(name), value, err == nil
 }
 
-// scrapeAll sums the metrics of all nodes up.
-func scrapeAll(ctx context.Context, d *deploy.Deployment) (sample, error) {
-	sum := sample{}
-	for _, p := range d.Places {
-		s, err := scrape(ctx, p)
+// scrapeAll reads the metrics of every node. One that is being started again
+// is waited for.
+func scrapeAll(ctx context.Context, d *deploy.Deployment) ([]sample, error) {
+	const tries, pause = 100, 50 * time.Millisecond
+	all := make([]sample, len(d.Places))
+	for i, p := range d.Places {
+		var err error
+		for range tries {
+			if all[i], err = scrape(ctx, p); err == nil || ctx.Err() != nil {
+				break
+			}
+			time.Sleep(pause)
+		}
 		if err != nil {
 			return nil, err
 		}
+	}
+	return all, nil
+}
+
+// sum adds the metrics of nodes up.
+func sum(all []sample) sample {
+	total := sample{}
+	for _, s := range all {
+		for name, v := range s {
+			total[name] += v
+		}
+	}
+	return total
+}
+
+// since gives what the counters of all nodes together went up by. Those of a
+// node that was started again began anew.
+func since(before, after []sample) sample {
+	total := sample{}
+	for i, s := range after {
 		for name, v := range s {
-			sum[name] += v
+			if v >= before[i][name] {
+				v -= before[i][name]
+			}
+			total[name] += v
 		}
 	}
-	return sum, nil
+	return total
 }
 
-// minus gives what changed since an earlier sample.
-func (s sample) minus(earlier sample) sample {
-	diff := maps.Clone(s)
-	for name, v := range earlier {
-		diff[name] -= v
+// during gives what the counters went up by while f ran, and all values after.
+func during(ctx context.Context, d *deploy.Deployment, f func() error) (diff, after sample, err error) {
+	before, err := scrapeAll(ctx, d)
+	if err != nil {
+		return nil, nil, err
+	}
+	if err := f(); err != nil {
+		return nil, nil, err
+	}
+	now, err := scrapeAll(ctx, d)
+	if err != nil {
+		return nil, nil, err
 	}
-	return diff
+	return since(before, now), sum(now), nil
 }
 
 // perSecond writes a metric's rate for a node, or a dash if nodes don't have it.
