--- a/internal/cli/load.go
+++ b/internal/cli/load.go
@@ -37,7 +37,7 @@
   path = /orders/confirm
   body = 300
 
-Flags go before the file. Exit codes: 0 the load was sent as scheduled and some
+Flags win over the file. Exit codes: 0 the load was sent as scheduled and some
 calls were answered; 1 it wasn't, or nothing was answered; 2 wrong usage.
 Example:
   limpetdock load --to 127.10.1.1:7100 --service catalogue --rate 200 --duration 10s`
@@ -108,19 +108,10 @@
 	}
 }
 
-// plan joins the plan file and the flags, which go first.
+// plan joins the plan file and the flags, which win.
 func (c *loadCommand) plan() (load.Plan, error) {
-	var p load.Plan
-	if c.Plan != "" {
-		text, err := os.ReadFile(c.Plan)
-		if err != nil {
-			return p, eris.Errorf("the plan can't be read: %v", err)
-		}
-		if p, err = load.ReadPlan(text); err != nil {
-			return p, eris.Errorf("%s: %v", c.Plan, err)
-		}
-	}
-	if err := c.addKind(&p); err != nil {
+	p, err := c.source()
+	if err != nil {
 		return p, err
 	}
 	c.override(&p)
@@ -128,22 +119,32 @@
 	return p, p.Check()
 }
 
-// addKind makes a plan of one kind out of the flags.
-func (c *loadCommand) addKind(p *load.Plan) error {
-	k := load.Kind{
-		Service: c.Service, Method: c.Method, Path: c.Path, Body: c.Body, Timeout: c.Timeout, Chain: c.Chain,
-	}
+// source reads the plan file, or makes a plan of one kind out of the flags.
+func (c *loadCommand) source() (load.Plan, error) {
 	given := c.Service+c.Method+c.Path != "" || c.Body != 0 || c.Timeout != 0 || len(c.Chain) > 0
-	if c.Plan != "" && given {
-		return eris.New("--service, --method, --path, --body, --timeout and --chain don't go with --plan")
-	}
-	if c.Plan == "" && c.Service == "" {
-		return eris.New("--plan or --service is needed")
+	switch {
+	case c.Plan != "" && given:
+		return load.Plan{}, eris.New("--service, --method, --path, --body, --timeout and --chain don't go with --plan")
+	case c.Plan != "":
+		return readPlan(c.Plan)
+	case c.Service == "":
+		return load.Plan{}, eris.New("--plan or --service is needed")
+	}
+	return load.Plan{Kinds: []load.Kind{{
+		Service: c.Service, Method: c.Method, Path: c.Path, Body: c.Body, Timeout: c.Timeout, Chain: c.Chain,
+	}}}, nil
+}
+
+func readPlan(file string) (load.Plan, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return load.Plan{}, eris.Errorf("the plan can't be read: %v", err)
 	}
-	if c.Plan == "" {
-		p.Kinds = []load.Kind{k}
+	p, err := load.ReadPlan(text)
+	if err != nil {
+		return p, eris.Errorf("%s: %v", file, err)
 	}
-	return nil
+	return p, nil
 }
 
 func (c *loadCommand) override(p *load.Plan) {
