--- /dev/null
+++ b/test/process/rolling_test.go
@@ -0,0 +1,158 @@
+package process_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/require"
+
+	"github.com/limpetdock/limpetdock/internal/headers"
+	"github.com/limpetdock/limpetdock/internal/kind"
+	"github.com/limpetdock/limpetdock/standin/deploy"
+)
+
+// rollingCalls are what callers send during a rolling restart.
+var rollingCalls = []struct {
+	service, method, path string
+	size                  int
+}{
+	{"catalogue", http.MethodGet, "/catalogue/week", 0},
+	{"orders", http.MethodPost, "/orders/confirm", 300},
+	{"depot", http.MethodPost, "/payouts/run", 300},
+	{"depot", http.MethodPut, "/uploads/plan", 300_000},
+}
+
+// rollingTally counts what callers met, and what they should never have.
+type rollingTally struct {
+	mu              sync.Mutex
+	done            map[string]bool
+	elsewhere, dial int
+	wrong           []string
+}
+
+func (r *rollingTally) add(f func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f()
+}
+
+// caller sends requests until ctx ends. It goes to another node only if a node
+// takes no connection or says that the request wasn't run.
+func (r *rollingTally) caller(ctx context.Context, d *deploy.Deployment, seed uint64) {
+	rnd := rand.New(rand.NewPCG(seed, 1))
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}
+	defer client.CloseIdleConnections()
+	for ctx.Err() == nil {
+		c := rollingCalls[rnd.IntN(len(rollingCalls))]
+		id := uuid.NewString()
+		body := bytes.Repeat([]byte{byte('a' + rnd.IntN(26))}, c.size)
+		for !r.send(client, d.Places[rnd.IntN(len(d.Places))], c.service, c.method, c.path, id, body) {
+		}
+	}
+}
+
+// send gives true once the request has come to an end, good or bad.
+func (r *rollingTally) send(client *http.Client, p deploy.Place, service, method, path, id string, body []byte) bool {
+	req, err := http.NewRequest(method, "http://"+p.Callers()+path, bytes.NewReader(body))
+	if err != nil {
+		panic(err)
+	}
+	req.Header.Set(headers.Service, service)
+	req.Header.Set(headers.RequestID, id)
+	req.Header.Set(headers.TimeoutMs, "20000")
+	resp, err := client.Do(req)
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		r.add(func() { r.dial++ })
+		return false
+	}
+	if err != nil {
+		r.add(func() { r.wrong = append(r.wrong, fmt.Sprintf("%s %s at %s: %v", method, path, p.VM, err)) })
+		return true
+	}
+	defer func() { _ = resp.Body.Close() }()
+	got, err := io.ReadAll(resp.Body)
+	switch {
+	case err == nil && resp.Header.Get(headers.Outcome) == string(kind.NotRun):
+		r.add(func() { r.elsewhere++ })
+		return false
+	case err != nil || resp.StatusCode != http.StatusOK || len(body) > 0 && !bytes.Equal(got, body):
+		r.add(func() {
+			r.wrong = append(r.wrong, fmt.Sprintf("%s %s at %s: %s %.200s %v", method, path, p.VM, resp.Status, got, err))
+		})
+	default:
+		r.add(func() { r.done[id] = true })
+	}
+	return true
+}
+
+// Operators replace every node, zone by zone, while callers read, upload, book
+// and pay. No request in flight may be cut, at the node that stops or at one
+// that used it as a target; nothing may end unknown, and nothing may run twice.
+func TestARollingRestartLosesNothing(t *testing.T) {
+	ctx, d := start(t)
+	load, stop := context.WithCancel(ctx)
+	r := &rollingTally{done: map[string]bool{}}
+	var callers sync.WaitGroup
+	const count = 16
+	for i := range count {
+		callers.Go(func() { r.caller(load, d, uint64(i)) })
+	}
+	for _, zone := range d.Fleet().Zones {
+		restartZone(t, d, zone.Name)
+	}
+	stop()
+	callers.Wait()
+	t.Logf("%d answered; told not run and sent elsewhere: %d; no connection: %d", len(r.done), r.elsewhere, r.dial)
+	require.Empty(t, r.wrong)
+	require.NotEmpty(t, r.done)
+	starts, err := d.Starts()
+	require.NoError(t, err)
+	for id := range r.done {
+		require.GreaterOrEqual(t, starts[id], 1, id)
+	}
+	for _, p := range d.Places {
+		runs, err := d.Runs(p.VM)
+		require.NoError(t, err)
+		for _, run := range runs {
+			if run.Method == http.MethodPost && run.Event == "start" {
+				require.Equal(t, 1, starts[run.ID], "%s ran more than once", run.ID)
+			}
+		}
+	}
+}
+
+// restartZone stops all nodes of a zone and waits until their successors serve.
+func restartZone(t *testing.T, d *deploy.Deployment, zone string) {
+	before := map[string]uint64{}
+	for _, p := range d.Places {
+		if p.Zone == zone {
+			state, err := dump(p)
+			require.NoError(t, err)
+			before[p.VM] = state.Control.Self.Incarnation
+			require.NoError(t, d.Node(p.VM).Signal(syscall.SIGTERM))
+		}
+	}
+	start := time.Now()
+	for _, p := range d.Places {
+		if p.Zone != zone {
+			continue
+		}
+		require.Eventually(t, func() bool {
+			state, err := dump(p)
+			return err == nil && state.Control.Joined && state.Control.Self.Incarnation != before[p.VM]
+		}, waitLimit, pollEvery, p.VM)
+	}
+	t.Logf("%s restarted in %v", zone, time.Since(start).Round(time.Millisecond))
+}
