--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -115,6 +115,7 @@
 	servers *servers
 	entry   *entry.Entry
 	lines   atomic.Int64
+	app     *fx.App
 }
 
 // testFleet declares one service on one VM.
@@ -151,6 +152,7 @@
 	}
 	app := fx.New(Module, fx.NopLogger, fx.Supply(n.set), fx.Populate(&n.servers, &n.entry),
 		fx.Provide(func() logr.Logger { return log }))
+	n.app = app
 	require.NoError(t, app.Start(context.Background()))
 	t.Cleanup(func() {
 		p.CloseClientConnections()
