Tests of retries, hops, limits and load on replies through entry and guards

What was found: a fixture's health endpoint answered by the handler under test blocked the gate's start and hung the test; it has a handler of its own.

--- /dev/null
+++ b/internal/entry/entry_test.go
@@ -0,0 +1,280 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"slices"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/limpetdock/limpetdock/fleet"
+	"github.com/limpetdock/limpetdock/internal/budget"
+	"github.com/limpetdock/limpetdock/internal/config"
+	"github.com/limpetdock/limpetdock/internal/guard"
+	"github.com/limpetdock/limpetdock/internal/headers"
+	"github.com/limpetdock/limpetdock/internal/kind"
+	"github.com/limpetdock/limpetdock/internal/metrics"
+	"github.com/limpetdock/limpetdock/internal/pick"
+	"github.com/limpetdock/limpetdock/internal/wire"
+)
+
+// patientPeers say that every request asked about still runs.
+type patientPeers struct{}
+
+func (patientPeers) CallNew(context.Context, string, wire.Message) (wire.Message, error) {
+	return &wire.Sealed{State: wire.AttemptRunning}, nil
+}
+
+func (p patientPeers) Call(ctx context.Context, addr string, m wire.Message) (wire.Message, error) {
+	return p.CallNew(ctx, addr, m)
+}
+func (patientPeers) Cost(wire.Message) int { return 100 }
+
+// bench is an entry, and guards with backend servers that run a handler.
+type bench struct {
+	entry  *Entry
+	view   *pick.View
+	runs   atomic.Int64
+	guards []*guard.Guard
+	// budgets are the guards' measuring budgets.
+	budgets []*budget.Measuring
+}
+
+// newBench declares one service with three targets and a team, changed by change.
+func newBench(t *testing.T, change func(*fleet.Fleet), backend http.HandlerFunc) *bench {
+	t.Helper()
+	f := fleet.Fleet{
+		Name: "shop", Revision: 1, Zones: []fleet.Zone{{Name: "a", Region: "r"}}, Teams: []fleet.Team{{Name: "store"}},
+		Services: []fleet.Service{{
+			Name: "orders", Team: "store", Policy: fleet.PolicyTwoLoad,
+			Routes: []fleet.Route{{Name: "read", Methods: []string{"GET"}, Path: "/*", Idempotent: true}},
+		}},
+	}
+	for _, vm := range []string{"vm-1", "vm-2", "vm-3"} {
+		f.Services[0].Targets = append(f.Services[0].Targets, fleet.Target{VM: vm, Zone: "a", Slots: 4})
+	}
+	change(&f)
+	c := parsed(t, f)
+	start := time.Now()
+	now := func() time.Duration { return time.Since(start) }
+	b := &bench{view: &pick.View{Config: c, Here: pick.Place{VM: "vm-0", Zone: "a", Region: "r"}, Nodes: 4}}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/healthz" {
+			// The gates start at once: nothing runs yet.
+			_, _ = io.WriteString(w, `{"state":"live","running":0}`)
+			return
+		}
+		b.runs.Add(1)
+		backend(w, r)
+	}))
+	t.Cleanup(server.Close)
+	base, err := url.Parse(server.URL)
+	require.NoError(t, err)
+	svc := c.Services["orders"]
+	var targets []*pick.Target
+	for _, declared := range svc.Targets {
+		p := pick.Place{VM: declared.VM, Zone: "a", Region: "r"}
+		g := guard.New(base, 1, now)
+		m := budget.NewMeasuring(now)
+		g.SetMeasuring(m)
+		b.guards, b.budgets = append(b.guards, g), append(b.budgets, m)
+		g.SetView(&pick.View{Config: c, Here: p})
+		_, err := g.Health(t.Context(), "/healthz")
+		require.NoError(t, err)
+		front := httptest.NewServer(g)
+		t.Cleanup(front.Close)
+		targets = append(targets, &pick.Target{
+			Place: p, Slots: declared.Slots, Connections: declared.Connections, Distance: pick.SameZone,
+			Guard: strings.TrimPrefix(front.URL, "http://"), Stat: &pick.Stat{},
+		})
+	}
+	s := pick.NewService(svc, targets, targets, len(targets), &pick.Shared{})
+	s.Stamp = c.Stamp(svc, "vm-1").String()
+	b.view.Services = map[string]*pick.Service{"orders": s}
+	b.entry = New(Config{Local: nil, Peers: patientPeers{}, Observer: metrics.New(), Now: now})
+	b.entry.SetView(b.view)
+	t.Cleanup(b.entry.Close)
+	return b
+}
+
+func parsed(t *testing.T, f fleet.Fleet) *config.Config {
+	t.Helper()
+	pub, err := f.Print()
+	require.NoError(t, err)
+	idx, err := config.ParseIndex(pub.Index.Text)
+	require.NoError(t, err)
+	svc, err := config.ParseService(idx.Entries[0], pub.Services[0].Text)
+	require.NoError(t, err)
+	c, err := config.Assemble(idx, []*config.Service{svc})
+	require.NoError(t, err)
+	return c
+}
+
+// get sends one request of a caller.
+func (b *bench) get(header ...string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(http.MethodGet, "/x", nil)
+	r.Header.Set(headers.Service, "orders")
+	for i := 0; i+1 < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	w := httptest.NewRecorder()
+	b.entry.ServeHTTP(w, r)
+	return w
+}
+
+func ok(w http.ResponseWriter, r *http.Request) {
+	// What a backend server says of load is not the guard's word.
+	w.Header().Set(headers.Load, "0,0,99,1,1")
+	w.Header().Set("X-Seen", r.Header.Get(headers.RetriesLeft))
+}
+
+func breakOff(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+// A database is gone and every backend server breaks off each request. Retries
+// would triple the load of servers that are in trouble already.
+func TestRetriesAreAShareOfTraffic(t *testing.T) {
+	b := newBench(t, func(f *fleet.Fleet) { f.Services[0].RetryPercent = 10 }, breakOff)
+	const requests = 200
+	for range requests {
+		w := b.get()
+		require.Equal(t, string(kind.Unknown), w.Header().Get(headers.Outcome))
+		require.NotEmpty(t, w.Header().Get("Retry-After"))
+	}
+	most := int64(requests*11/10 + 10)
+	require.LessOrEqual(t, b.runs.Load(), most, "a tenth, and the reserve")
+	require.Greater(t, b.runs.Load(), int64(requests))
+	uses := b.entry.RetryUses()
+	require.EqualValues(t, b.runs.Load()-requests, uses[0].Granted)
+	require.Positive(t, uses[0].Denied)
+}
+
+// A call that comes late in a chain must not be tried again by every level above it.
+func TestRetriesOfAChainAreHandedDown(t *testing.T) {
+	b := newBench(t, func(*fleet.Fleet) {}, ok)
+	for sent, want := range map[string]string{"": "2", "1": "1", "0": "0", "77": "2"} {
+		require.Equal(t, want, b.get(headers.RetriesLeft, sent).Header().Get("X-Seen"), sent)
+	}
+	b = newBench(t, func(*fleet.Fleet) {}, breakOff)
+	for left, want := range map[string]int64{"0": 1, "1": 2, "2": 3} {
+		b.runs.Store(0)
+		b.get(headers.RetriesLeft, left)
+		require.Equal(t, want, b.runs.Load(), left)
+	}
+}
+
+// All targets are full. Each request could be offered to all three, three times
+// the work for the same answer; it gets its answer, with a hint, at once.
+func TestHopsAfterRefusalsAreBoundedUnderOverload(t *testing.T) {
+	block := make(chan struct{})
+	b := newBench(t, func(f *fleet.Fleet) {
+		f.Services[0].Queue = 1
+		for i := range f.Services[0].Targets {
+			f.Services[0].Targets[i].Slots = 1
+		}
+	}, func(http.ResponseWriter, *http.Request) { <-block })
+	defer close(block)
+	for _, target := range b.view.Services["orders"].Targets {
+		for range 2 {
+			go func() { _, _ = b.entry.fill(t.Context(), b.view, target) }()
+		}
+	}
+	full := func() bool {
+		return !slices.ContainsFunc(b.guards, func(g *guard.Guard) bool { return g.Load().Waiting == 0 })
+	}
+	require.Eventually(t, full, 5*time.Second, time.Millisecond)
+	const requests = 200
+	for range requests {
+		w := b.get()
+		require.Equal(t, string(kind.Overloaded), w.Header().Get(headers.Kind))
+		require.Equal(t, string(kind.NotRun), w.Header().Get(headers.Outcome))
+		require.NotEmpty(t, w.Header().Get("Retry-After"))
+	}
+	hops := b.entry.RetryUses()[0].Granted
+	t.Logf("%d refused requests were offered to another target %d times; without a budget it would be %d", requests, hops, 2*requests)
+	require.LessOrEqual(t, hops, uint64(requests*4/10+40))
+	require.EqualValues(t, 3, b.runs.Load(), "none of the refused ran")
+}
+
+// fill occupies a slot of a target, or a place in its queue.
+func (e *Entry) fill(ctx context.Context, v *pick.View, t *pick.Target) (*http.Response, *kind.Error) {
+	ctx, cancel := context.WithTimeout(ctx, time.Minute)
+	defer cancel()
+	r := httptest.NewRequest(http.MethodGet, "/x", nil)
+	r.Header.Set(headers.Service, "orders")
+	x, err := parse(v, r)
+	if err != nil {
+		return nil, err
+	}
+	out, _ := x.outgoing()
+	out.Header.Set(headers.Exchange, e.exchangeID())
+	return e.send(ctx, v, t, out)
+}
+
+func TestOverLimitIsRefusedAtOnce(t *testing.T) {
+	inside, block := make(chan struct{}), make(chan struct{})
+	b := newBench(t, func(f *fleet.Fleet) { f.Teams[0].InFlight = 1 }, func(http.ResponseWriter, *http.Request) {
+		close(inside)
+		<-block
+	})
+	done := make(chan struct{})
+	go func() {
+		b.get()
+		close(done)
+	}()
+	<-inside
+	w := b.get()
+	close(block)
+	<-done
+	require.Equal(t, http.StatusTooManyRequests, w.Code)
+	require.Equal(t, string(kind.NotRun), w.Header().Get(headers.Outcome))
+	seconds, err := strconv.Atoi(w.Header().Get("Retry-After"))
+	require.NoError(t, err)
+	require.Positive(t, seconds)
+	require.EqualValues(t, 1, b.runs.Load())
+}
+
+// The guard's counts reach the entry, and nobody else; a backend server can't
+// make itself look idle.
+func TestLoadRidesOnReplies(t *testing.T) {
+	b := newBench(t, func(*fleet.Fleet) {}, ok)
+	// The budget starts empty, so the first replies may go without.
+	require.Eventually(t, func() bool {
+		w := b.get()
+		require.Equal(t, http.StatusOK, w.Code)
+		require.Empty(t, w.Header().Get(headers.Load), "callers don't see it")
+		return b.reported() != nil
+	}, 5*time.Second, 10*time.Millisecond)
+	require.Equal(t, 4, b.reported().Slots, "the guard's count, not the backend server's")
+	for _, target := range b.view.Services["orders"].Targets {
+		require.Zero(t, target.Stat.InFlight.Load())
+	}
+}
+
+// reported gives a report that came from any target, or nil.
+func (b *bench) reported() *pick.Report {
+	for _, target := range b.view.Services["orders"].Targets {
+		if r := target.Reported(); r != nil {
+			return r
+		}
+	}
+	return nil
+}
+
+func TestPolicyWithoutReportsCostsNothing(t *testing.T) {
+	b := newBench(t, func(f *fleet.Fleet) { f.Services[0].Policy = fleet.PolicyTwoChoices }, ok)
+	for range 50 {
+		b.get()
+	}
+	require.Nil(t, b.reported())
+	for _, m := range b.budgets {
+		require.Zero(t, m.Spent().Bytes.Load())
+	}
+}
