--- a/internal/core/gossip.go
+++ b/internal/core/gossip.go
@@ -14,6 +14,9 @@
 	gossipEvery = time.Second
 	// joiningEvery is the same for a node that doesn't serve yet.
 	joiningEvery = 100 * time.Millisecond
+	// urgentEvery is the same for urgentRounds after news that change who is chosen.
+	urgentEvery  = 200 * time.Millisecond
+	urgentRounds = 4
 	// newsPerGossip bounds the members in one message, the sender among them.
 	newsPerGossip = 8
 	// pushTo is how many peers are told at once of a change that is in force here.
@@ -27,7 +30,9 @@
 	nextAt time.Duration
 	beat   uint64
 	// turn is the place in the members' names up to which news were sent.
-	turn     int
+	turn int
+	// urgent is how many exchanges are still due at the shorter pause.
+	urgent   int
 	underWay int
 	// again is a peer that failed and is asked once more before others.
 	again string
@@ -40,6 +45,9 @@
 	News *wire.Gossip
 	// Addr is the peer's control address if this node dialled it.
 	Addr string
+	// Prompt says that the answer came within moments of the question, so that
+	// what it says of ages is true now.
+	Prompt bool
 }
 
 func (e GossipHeard) apply(s *State, now time.Duration, out *commands) {
@@ -68,6 +76,9 @@
 		}
 	}
 	s.heardVersion(config.Version{Revision: e.News.Revision, Digest: e.News.Digest}, addr, now, out)
+	if e.Prompt {
+		s.vms.heardAge(e.News.VMs, e.News.VMsAge, now)
+	}
 	s.heardVMs(e.News.VMs, from, addr, now, out)
 }
 
@@ -88,8 +99,12 @@
 		return
 	}
 	every := gossipEvery
-	if !s.joined {
+	switch {
+	case !s.joined:
 		every = joiningEvery
+	case s.round.urgent > 0:
+		s.round.urgent--
+		every = urgentEvery
 	}
 	// A random part keeps nodes that started together from going in step.
 	s.round.nextAt = now + every*3/4 + time.Duration(s.rnd.Int64N(int64(every)/2))
@@ -98,13 +113,19 @@
 	s.send(vm, addr, out)
 }
 
+// hurry has the next exchanges follow sooner.
+func (s *State) hurry(now time.Duration) {
+	s.round.urgent = urgentRounds
+	s.round.nextAt = min(s.round.nextAt, now+urgentEvery)
+}
+
 // send starts an exchange, unless too many are under way.
 func (s *State) send(vm, addr string, out *commands) {
 	if addr == "" || s.round.underWay >= exchangesAtOnce {
 		return
 	}
 	s.round.underWay++
-	out.add(SendGossip{VM: vm, Addr: addr, News: s.newsFor(vm)})
+	out.add(SendGossip{VM: vm, Addr: addr, News: s.news()})
 }
 
 // peer chooses whom to ask: one that just failed, else a random peer, every
@@ -117,11 +138,11 @@
 		}
 	}
 	if s.round.beat%2 == 0 {
-		if vm = s.randomPeer(s.inZone); vm != "" {
+		if vm = s.randomPeer(s.zonePeers()); vm != "" {
 			return vm, s.controlAddr(vm)
 		}
 	}
-	if vm = s.randomPeer(s.anyPeer); vm != "" {
+	if vm = s.randomPeer(s.vms.names); vm != "" {
 		return vm, s.controlAddr(vm)
 	}
 	if len(s.self.Seeds) == 0 {
@@ -130,36 +151,32 @@
 	return "", s.self.Seeds[s.rnd.IntN(len(s.self.Seeds))]
 }
 
-func (s *State) anyPeer(vm string) bool { return vm != s.self.VM }
-
-func (s *State) inZone(vm string) bool { return vm != s.self.VM && s.zoneOf(vm) == s.self.Zone }
-
-// randomPeer chooses a listed VM that fits, or "".
-func (s *State) randomPeer(fits func(string) bool) string {
-	names := s.vms.names
+// randomPeer chooses one of the names that isn't the own VM, or "".
+func (s *State) randomPeer(names []string) string {
 	if len(names) == 0 {
 		return ""
 	}
-	start := s.rnd.IntN(len(names))
-	for i := range names {
-		if name := names[(start+i)%len(names)]; fits(name) {
-			return name
-		}
+	at := s.rnd.IntN(len(names))
+	if names[at] == s.self.VM {
+		at = (at + 1) % len(names)
+	}
+	if names[at] == s.self.VM {
+		return ""
 	}
-	return ""
+	return names[at]
 }
 
 // push tells a few random peers at once that something new is in force here.
 // Each that didn't know it does the same, so all hear of it within a few
 // exchanges rather than a few rounds.
-func (s *State) push(out *commands) { s.pushWhere(s.anyPeer, out) }
+func (s *State) push(out *commands) { s.pushAmong(s.vms.names, out) }
 
 // pushZone does the same within the zone, for the VM list.
-func (s *State) pushZone(out *commands) { s.pushWhere(s.inZone, out) }
+func (s *State) pushZone(out *commands) { s.pushAmong(s.zonePeers(), out) }
 
-func (s *State) pushWhere(fits func(string) bool, out *commands) {
+func (s *State) pushAmong(names []string, out *commands) {
 	for range pushTo {
-		if vm := s.randomPeer(fits); vm != "" {
+		if vm := s.randomPeer(names); vm != "" {
 			s.send(vm, s.controlAddr(vm), out)
 		}
 	}
@@ -174,15 +191,12 @@
 	return n
 }
 
-// newsFor is what this node tells in one exchange: itself, what the peer
-// should know of itself, news that are to spread, and the others in turn.
-func (s *State) newsFor(vm string) *wire.Gossip {
+// news is what this node tells in one exchange: itself, news that are to
+// spread, and the others in turn.
+func (s *State) news() *wire.Gossip {
 	v := s.config.version()
-	g := &wire.Gossip{From: s.self.VM, Revision: v.Revision, Digest: v.Digest, VMs: s.vms.version}
+	g := &wire.Gossip{From: s.self.VM, Revision: v.Revision, Digest: v.Digest, VMs: s.vms.version, VMsAge: s.vms.age(s.now)}
 	g.Members = append(g.Members, s.selfNews())
-	if s.members.rows[vm] != nil && s.listedLeaving(vm) {
-		g.Members = append(g.Members, s.reported(vm))
-	}
 	g.Suspects = s.suspects.News(suspectsPerGossip, s.now)
 	names := s.members.names
 	for _, name := range names {
@@ -225,4 +239,4 @@
 }
 
 // News gives what to answer to a peer's gossip.
-func (s *State) News(peer string) *wire.Gossip { return s.newsFor(peer) }
+func (s *State) News() *wire.Gossip { return s.news() }
--- a/internal/core/vms.go
+++ b/internal/core/vms.go
@@ -2,9 +2,11 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
+	"github.com/limpetdock/limpetdock/internal/config"
 	"github.com/limpetdock/limpetdock/internal/platform"
 )
 
@@ -22,12 +24,19 @@
 type vmTable struct {
 	rows map[string]platform.VM
 	// names are the keys of rows in order.
-	names   []string
+	names []string
+	// zone are those of the own zone, as the configuration zoneAs declares them.
+	zone    []string
+	zoneAs  *config.Config
 	version uint64
 	known   bool
 	reads   platformReads
 	pulling bool
 	pullAt  time.Duration
+	// shown is when the platform is known to have shown this version, to this
+	// node or to a peer that told it; it counts only if dated is set.
+	shown time.Duration
+	dated bool
 }
 
 // VMsRead is the result of a WatchVMs or, with Peer set, of a FetchVMs.
@@ -44,6 +53,9 @@
 		t.pullAt = now + time.Duration(len(t.names)+1)*pullPausePerVM
 	} else {
 		t.reads.ended(s, now, e.List.Version, e.Err)
+		if e.Err == nil {
+			defer t.date(now)
+		}
 	}
 	if e.Err != nil || t.known && e.List.Version == t.version {
 		return
@@ -59,12 +71,12 @@
 func (s *State) replaceVMs(list platform.VMList, out *commands) {
 	t := &s.vms
 	old := t.rows
-	t.known, t.version = true, list.Version
+	t.known, t.version, t.dated = true, list.Version, false
 	t.rows = make(map[string]platform.VM, len(list.VMs))
 	for _, vm := range list.VMs {
 		t.rows[vm.Name] = vm
 	}
-	t.names = slices.Sorted(maps.Keys(t.rows))
+	t.names, t.zoneAs = slices.Sorted(maps.Keys(t.rows)), nil
 	s.backend.toldUntil = 0
 	s.dirty = true
 	told := 0
@@ -109,6 +121,23 @@
 	out.add(FetchVMs{Peer: addr})
 }
 
+// zonePeers are the listed VMs of the own zone but the own one, in order. They
+// are found again only when the list or the configuration has changed.
+func (s *State) zonePeers() []string {
+	t := &s.vms
+	if t.zoneAs != nil && t.zoneAs == s.config.active {
+		return t.zone
+	}
+	t.zone = nil
+	for _, name := range t.names {
+		if name != s.self.VM && s.zoneOf(name) == s.self.Zone {
+			t.zone = append(t.zone, name)
+		}
+	}
+	t.zoneAs = s.config.active
+	return t.zone
+}
+
 // listedLeaving says whether the VM list shows a VM as leaving.
 func (s *State) listedLeaving(vm string) bool {
 	return s.vms.rows[vm].State == platform.VMLeaving
@@ -122,3 +151,36 @@
 	}
 	return list
 }
+
+// date notes that the platform showed the list as it stands.
+func (t *vmTable) date(at time.Duration) {
+	t.shown = max(at, t.shown)
+	if !t.dated {
+		t.shown, t.dated = at, true
+	}
+}
+
+// age gives how long ago the platform showed the list, in milliseconds, at
+// least 1; 0 is unknown.
+func (t *vmTable) age(now time.Duration) uint32 {
+	if !t.dated {
+		return 0
+	}
+	return uint32(min((now-t.shown).Milliseconds()+1, math.MaxUint32))
+}
+
+// heardAge takes a peer's word for when the platform showed the list that this
+// node has as well. So all homes of keys know themselves confirmed while only a
+// few nodes read the platform.
+func (t *vmTable) heardAge(version uint64, ms uint32, now time.Duration) {
+	if ms > 0 && t.known && version == t.version {
+		t.date(now - time.Duration(ms)*time.Millisecond)
+	}
+}
+
+// Listed gives the own VM's address in the list, and when the platform last
+// showed it there.
+func (s *State) Listed() (addr string, at time.Duration, ok bool) {
+	row, ok := s.vms.rows[s.self.VM]
+	return row.IP, s.vms.shown, ok && s.vms.dated
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -63,7 +63,10 @@
 	Revision uint64 `msgpack:"r"`
 	Digest   string `msgpack:"d"`
 	// VMs is the platform's version of the VM list that the sender has.
-	VMs      uint64    `msgpack:"l"`
+	VMs uint64 `msgpack:"l"`
+	// VMsAge is how long ago, in milliseconds and at most, the platform showed
+	// that version; 0 is unknown.
+	VMsAge   uint32    `msgpack:"a,omitempty"`
 	Members  []Member  `msgpack:"m"`
 	Suspects []Suspect `msgpack:"s,omitempty"`
 }
@@ -144,6 +147,8 @@
 type Seal struct {
 	Incarnation uint64 `msgpack:"i"`
 	Attempt     string `msgpack:"a"`
+	// Tick is the one that the attempt named.
+	Tick uint64 `msgpack:"t"`
 	// AskOnly leaves an attempt that hasn't arrived unsealed.
 	AskOnly bool `msgpack:"o,omitempty"`
 }
--- /dev/null
+++ b/standin/experiment/table.go
@@ -0,0 +1,102 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"runtime"
+	"runtime/debug"
+	"strings"
+	"time"
+)
+
+// table is a table of measurements.
+type table struct {
+	Title string `json:"title"`
+	// Note says how it was measured.
+	Note    string     `json:"note"`
+	Columns []string   `json:"columns"`
+	Rows    [][]string `json:"rows"`
+}
+
+func (t *table) add(cells ...string) { t.Rows = append(t.Rows, cells) }
+
+// writeMarkdown writes the table so that a page can take it as it is.
+func (t *table) writeMarkdown(w io.Writer) {
+	fmt.Fprintf(w, "### %s\n\n%s\n\n", t.Title, t.Note)
+	fmt.Fprintf(w, "| %s |\n|%s\n", strings.Join(t.Columns, " | "), strings.Repeat("---|", len(t.Columns)))
+	for _, row := range t.Rows {
+		fmt.Fprintf(w, "| %s |\n", strings.Join(row, " | "))
+	}
+	fmt.Fprintln(w)
+}
+
+// publish prints tables and writes them to <out>/<name>.md and .json, and into
+// the page's section of that name if there is a page.
+func (c common) publish(name string, tables ...*table) error {
+	var text strings.Builder
+	fmt.Fprintf(&text, "%s\n\n", c.where)
+	for _, t := range tables {
+		t.writeMarkdown(&text)
+	}
+	fmt.Print(text.String())
+	if err := os.WriteFile(filepath.Join(c.Out, name+".md"), []byte(text.String()), 0o644); err != nil {
+		return err
+	}
+	encoded, err := json.MarshalIndent(tables, "", "  ")
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(filepath.Join(c.Out, name+".json"), encoded, 0o644); err != nil {
+		return err
+	}
+	if c.Page == "" {
+		return nil
+	}
+	page, err := os.ReadFile(c.Page)
+	if err != nil {
+		return err
+	}
+	next, err := replaceSection(string(page), name, text.String())
+	if err != nil {
+		return fmt.Errorf("%s: %w", c.Page, err)
+	}
+	return os.WriteFile(c.Page, []byte(next), 0o644)
+}
+
+// replaceSection puts text between the marks of a section of a page.
+func replaceSection(page, name, text string) (string, error) {
+	begin, end := "<!-- begin "+name+" -->\n", "<!-- end "+name+" -->"
+	before, rest, ok := strings.Cut(page, begin)
+	_, after, closed := strings.Cut(rest, end)
+	if !ok || !closed {
+		return "", fmt.Errorf("no section %q", name)
+	}
+	return before + begin + text + end + after, nil
+}
+
+// describe says on what and when a run was made, as far as it matters for
+// whether its figures can be trusted.
+func describe() string {
+	commit := "unknown"
+	if info, ok := debug.ReadBuildInfo(); ok {
+		for _, s := range info.Settings {
+			if s.Key == "vcs.revision" {
+				commit = s.Value[:min(12, len(s.Value))]
+			}
+		}
+	}
+	load := "unknown"
+	if text, err := os.ReadFile("/proc/loadavg"); err == nil {
+		load, _, _ = strings.Cut(string(text), " ")
+	}
+	return fmt.Sprintf("%s, commit %s, %d processors, load average %s before the run.",
+		time.Now().UTC().Format("2006-01-02 15:04 MST"), commit, runtime.NumCPU(), load)
+}
+
+// ms and count write figures for tables.
+func ms(v float64) string { return fmt.Sprintf("%.2f", v) }
+
+func count(v float64) string { return fmt.Sprintf("%.0f", v) }
