--- a/internal/guard/load_test.go
+++ b/internal/guard/load_test.go
@@ -18,15 +18,21 @@
 )
 
 // measured is a guard in region r with a budget that has filled up.
-func measured(policy string, b fleet.Budget) (*Guard, *budget.Measuring) {
-	svc := &config.Service{Service: fleet.Service{Name: "orders", Policy: policy, Targets: []fleet.Target{
-		{VM: "here", Zone: "a", Slots: 4}, {VM: "near", Zone: "b", Slots: 4}, {VM: "far", Zone: "z", Slots: 4},
-	}}}
-	c := &config.Config{
-		Index:    &config.Index{Fleet: fleet.Fleet{Budget: b}},
-		Services: map[string]*config.Service{"orders": svc},
-		Regions:  map[string]string{"a": "r", "b": "r", "z": "s"},
+func measured(t *testing.T, policy string, b fleet.Budget) (*Guard, *budget.Measuring) {
+	t.Helper()
+	f := fleet.Fleet{
+		Name: "shop", Revision: 1, Budget: b, Teams: []fleet.Team{{Name: "store"}},
+		Zones: []fleet.Zone{{Name: "a", Region: "r"}, {Name: "b", Region: "r"}, {Name: "z", Region: "s"}},
+		Services: []fleet.Service{{Name: "orders", Team: "store", Policy: policy, Targets: []fleet.Target{
+			{VM: "here", Zone: "a", Slots: 4}, {VM: "near", Zone: "b", Slots: 4}, {VM: "far", Zone: "z", Slots: 4},
+		}}},
 	}
+	pub, err := f.Print()
+	require.NoError(t, err)
+	c, err := config.FromDocuments(map[string][]byte{
+		pub.Index.Key: pub.Index.Text, pub.Services[0].Key: pub.Services[0].Text,
+	})
+	require.NoError(t, err)
 	now := time.Duration(0)
 	clock := func() time.Duration { return now }
 	g := New(&url.URL{Scheme: "http", Host: "127.0.0.1:1"}, 1, clock)
@@ -51,7 +57,7 @@
 // budget allows, and to other regions by the stricter part of it; what is spent is
 // what goes over the wire.
 func TestLoadIsToldUnderTheBudget(t *testing.T) {
-	g, m := measured(fleet.PolicyTwoLoad, fleet.Budget{Requests: 4, Bytes: 4000, CrossRegionBytes: 200})
+	g, m := measured(t, fleet.PolicyTwoLoad, fleet.Budget{Requests: 4, Bytes: 4000, CrossRegionBytes: 200})
 	line := len("Limpetdock-Load: 0,0,0,0,0\r\n")
 	require.Equal(t, "0,0,0,0,0", replyTo(g, "near"))
 	require.EqualValues(t, line, m.Spent().Bytes.Load())
@@ -73,7 +79,7 @@
 		fleet.PolicyRandom: false, fleet.PolicyRoundRobin: false, fleet.PolicyTwoChoices: false,
 		fleet.PolicyProbe: false, fleet.PolicyTwoLoad: true, fleet.PolicyIdleHints: true,
 	} {
-		g, _ := measured(policy, fleet.Budget{Requests: 4, Bytes: 4000, CrossRegionBytes: 200})
+		g, _ := measured(t, policy, fleet.Budget{Requests: 4, Bytes: 4000, CrossRegionBytes: 200})
 		require.Equal(t, told, replyTo(g, "near") != "", policy)
 	}
 }
