A gate that starts slowly lets waiters in as time passes

Cause: the bound of a slow start rises with time, but the queue was looked at only when somebody left or the backend server told its count. Beside a server without a health endpoint whose first request takes long, the others waited for all of it. It showed in the tests of silent connections, whose second request got 504 after 5 s.

Shown red: without the timer the new test sees one admitted of two.

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -114,6 +114,23 @@
 	if g.running == 0 && len(g.queue) == 0 {
 		g.drain.idle()
 	}
+	g.wakeLater()
+}
+
+// wakeLater looks at the queue again after a while, as long as the gate starts:
+// its bound then rises with time, and nobody may leave or be counted meanwhile.
+// The mutex is held.
+func (g *Gate) wakeLater() {
+	if !g.start.active || g.start.waking || len(g.queue) == 0 {
+		return
+	}
+	g.start.waking = true
+	time.AfterFunc(doubleEvery, func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.start.waking = false
+		g.dispatch(time.Now())
+	})
 }
 
 // BackendCount takes the backend server's own count of requests that run there.
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -52,6 +52,8 @@
 }
 
 func (j *journal) names() (list []string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
 	for _, r := range j.rows {
 		list = append(list, r.name+string(r.refused))
 	}
@@ -59,6 +61,8 @@
 }
 
 func (j *journal) of(name string) ran {
+	j.mu.Lock()
+	defer j.mu.Unlock()
 	return j.rows[slices.IndexFunc(j.rows, func(r ran) bool { return r.name == name })]
 }
 
@@ -215,6 +219,26 @@
 	})
 }
 
+// The backend server has no health endpoint, and its first request never ends.
+func TestSlowStartLetsWaitersInByTimeAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := New()
+		g.SetLimits(Limits{Slots: 4, Queue: 4})
+		var log journal
+		for range 4 {
+			log.offer(g, within(t, 0), "", 0, time.Minute)
+		}
+		require.Len(t, log.names(), 1)
+		time.Sleep(doubleEvery)
+		synctest.Wait()
+		require.Len(t, log.names(), 2)
+		time.Sleep(doubleEvery)
+		synctest.Wait()
+		require.Len(t, log.names(), 4)
+		time.Sleep(2 * time.Minute)
+	})
+}
+
 func TestSlowStartEndsWhateverTheServerSays(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		silent, liar := New(), New()
--- a/internal/gate/queue.go
+++ b/internal/gate/queue.go
@@ -49,6 +49,7 @@
 		g.standing = now
 	}
 	g.queue = append(g.queue, w)
+	g.wakeLater()
 	return w, nil
 }
 
--- a/internal/gate/start.go
+++ b/internal/gate/start.go
@@ -22,6 +22,8 @@
 	// the gate doesn't know of.
 	told    bool
 	foreign int
+	// waking says that a look at the queue is due.
+	waking bool
 }
 
 // counted takes the backend server's own count, with the gate's.
