--- a/internal/pick/health.go
+++ b/internal/pick/health.go
@@ -59,7 +59,7 @@
 	case Neutral, Late:
 	case Good:
 		s.count(0)
-		s.recover(h, now)
+		s.succeeded(h, now)
 	case Refused:
 		// A refusal comes back fast and leaves nothing in flight: without a pause
 		// the busiest target would look the least busy.
@@ -95,8 +95,8 @@
 	s.health.CompareAndSwap(h, &health{phase: p, until: now + pause, strikes: strikes})
 }
 
-// recover takes a success: a target on probation ramps, a ramp that is over ends.
-func (s *Stat) recover(h *health, now time.Duration) {
+// succeeded takes a success: a target on probation ramps, a ramp that is over ends.
+func (s *Stat) succeeded(h *health, now time.Duration) {
 	switch {
 	case h == nil:
 	case h.phase == ramping:
