--- a/internal/entry/budget_test.go
+++ b/internal/entry/budget_test.go
@@ -32,10 +32,14 @@
 	return &wire.Sealed{State: wire.AttemptRunning}, nil
 }
 
-func (p patientPeers) Call(ctx context.Context, addr string, m wire.Message) (wire.Message, error) {
-	return p.CallNew(ctx, addr, m)
+// Call answers a probe.
+func (patientPeers) Call(context.Context, string, wire.Message) (wire.Message, error) {
+	return &wire.Load{Running: 1, Slots: 4, ServiceUs: 5000}, nil
 }
-func (patientPeers) Cost(wire.Message) int { return 100 }
+
+const probeCost = 100
+
+func (patientPeers) Cost(wire.Message) int { return probeCost }
 
 // fixture is an entry, and guards with backend servers that run a handler.
 type fixture struct {
@@ -43,6 +47,8 @@
 	view   *pick.View
 	runs   atomic.Int64
 	guards []*guard.Guard
+	// measuring is the entry's own budget.
+	measuring *budget.Measuring
 	// budgets are the guards' measuring budgets.
 	budgets []*budget.Measuring
 }
@@ -98,7 +104,9 @@
 	s := pick.NewService(svc, targets, targets, len(targets), &pick.Shared{})
 	s.Stamp = c.Stamp(svc, "vm-1").String()
 	b.view.Services = map[string]*pick.Service{"orders": s}
-	b.entry = entry.New(entry.Config{Peers: patientPeers{}, Observer: nobody{}, Now: now})
+	b.measuring = budget.NewMeasuring(now)
+	b.measuring.SetBudget(c.Index.Fleet.Budget)
+	b.entry = entry.New(entry.Config{Measuring: b.measuring, Peers: patientPeers{}, Observer: nobody{}, Now: now})
 	b.entry.SetView(b.view)
 	t.Cleanup(b.entry.Close)
 	return b
@@ -257,3 +265,30 @@
 		require.Zero(t, m.Spent().Bytes.Load())
 	}
 }
+
+// Probes follow traffic: a service nobody calls costs nothing, and what is
+// probed is paid for before it is sent.
+func TestProbesArePaidForAndFollowTraffic(t *testing.T) {
+	b := newFixture(t, func(f *fleet.Fleet) { f.Services[0].Policy = fleet.PolicyProbe }, ok)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		b.entry.Run(ctx)
+		close(ended)
+	}()
+	learnt := func() bool {
+		return !slices.ContainsFunc(b.view.Services["orders"].Targets, func(t *pick.Target) bool {
+			return t.Stat.Identity() == nil
+		})
+	}
+	require.Eventually(t, learnt, 10*time.Second, 10*time.Millisecond, "each target is greeted ahead of use")
+	require.Zero(t, b.measuring.Spent().Requests.Load())
+	require.Eventually(t, func() bool {
+		b.get()
+		return b.reported() != nil
+	}, 10*time.Second, 10*time.Millisecond)
+	cancel()
+	<-ended
+	spent := b.measuring.Spent()
+	require.Equal(t, spent.Requests.Load()*probeCost, spent.Bytes.Load())
+}
--- a/internal/node/measure.go
+++ b/internal/node/measure.go
@@ -5,11 +5,12 @@
 
 	"github.com/limpetdock/limpetdock/internal/budget"
 	"github.com/limpetdock/limpetdock/internal/entry"
+	"github.com/limpetdock/limpetdock/internal/guard"
 	"github.com/limpetdock/limpetdock/internal/metrics"
 )
 
 // registerMeasuring shows what measuring and retrying cost.
-func registerMeasuring(m *metrics.Metrics, b *budget.Measuring, e *entry.Entry) {
+func registerMeasuring(m *metrics.Metrics, b *budget.Measuring, e *entry.Entry, g *guard.Guard) {
 	spent := b.Spent()
 	m.Counter("limpetdock_measuring_requests_total", "Probes sent.",
 		func() float64 { return float64(spent.Requests.Load()) })
@@ -19,6 +20,12 @@
 		func() float64 { return float64(spent.CrossBytes.Load()) })
 	m.Counter("limpetdock_measuring_denied_total", "Probes and reports left out because they were over budget.",
 		func() float64 { return float64(spent.Denied.Load()) })
+	m.Gauge("limpetdock_backend_slots_limit", "Slots that the guard gives out at present, of those declared.",
+		func() float64 { return float64(g.Load().Limit) })
+	m.Gauge("limpetdock_backend_waiting", "Requests that wait for the backend server.",
+		func() float64 { return float64(g.Load().Waiting) })
+	m.Counter("limpetdock_guard_refused_total", "Requests that the guard refused because of its queue.",
+		func() float64 { return float64(g.Load().Refused) })
 	m.Registry.MustRegister(retries{e})
 }
 
