--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,8 @@
 	$(BIN)/standin-demo --bin $(BIN) $(DEMO_ARGS)
 
 # What is measured goes to build/experiments as Markdown, JSON and plots.
-# EXPERIMENT_ARGS selects, for example: --scenario slow --policy probe --short
+# EXPERIMENT_ARGS selects, for example: --scenario slow --policy probe --short,
+# or puts the tables into a page: --page docs/MEASUREMENTS.md
 experiments: build
 	$(BIN)/standin-experiment policies --bin $(BIN) $(EXPERIMENT_ARGS)
 
@@ -38,6 +39,9 @@
 
 capacity: build
 	$(BIN)/standin-experiment capacity --bin $(BIN) $(EXPERIMENT_ARGS)
+	go test -run '^$$' -bench 'StateSize|IdleFleet|ChangeBySize' -benchtime 2x ./internal/core
+	go test -run '^$$' -bench Pick ./internal/pick
+	go test -run '^$$' -bench Hop ./internal/entry
 
 clean:
 	rm -rf build
