--- a/internal/cli/load_test.go
+++ b/internal/cli/load_test.go
@@ -59,6 +59,13 @@
 	require.Contains(t, string(text), "all p99.9")
 }
 
+func TestExamplePlanIsRight(t *testing.T) {
+	p, err := (&loadCommand{Plan: "../../examples/load/cestaviva.ini"}).plan()
+	require.NoError(t, err)
+	require.Len(t, p.Kinds, 4)
+	require.Len(t, p.Kinds[3].Chain, load.MaxChain)
+}
+
 // A run that wasn't sent as planned, or to nobody, must not pass for a
 // measurement in a script.
 func TestLoadFailsWhenItMeasuredNothing(t *testing.T) {
