--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -27,7 +27,9 @@
 	bodyFill    = 'x'
 )
 
-// Client is a Sender over HTTP/1.1.
+// Client is a Sender over HTTP/1.1. As callers' libraries commonly do, it sends
+// an idempotent call again when a kept connection turns out to be closed before
+// any answer came.
 type Client struct {
 	plan      Plan
 	bodies    [][]byte
--- a/standin/deploy/deploy.go
+++ b/standin/deploy/deploy.go
@@ -31,6 +31,8 @@
 	Fleet fleet.Fleet
 	// ServiceMs is the service time of the backend servers at the start.
 	ServiceMs float64
+	// NodeEnv is added to the environment of the nodes, as NAME=value.
+	NodeEnv []string
 	// NoRestart leaves processes that end by themselves down.
 	NoRestart bool
 }
@@ -94,9 +96,15 @@
 	return filepath.Join(d.opts.Out, "ledger", vm+".ndjson")
 }
 
+const nodeProgram = "limpetdockd"
+
 func (d *Deployment) spawn(name, program string, args ...string) (*Process, error) {
 	logs := filepath.Join(d.opts.Out, "logs")
-	return startProcess(logs, name, filepath.Join(d.opts.Bin, program), !d.opts.NoRestart, d.writeTable, args...)
+	var env []string
+	if program == nodeProgram {
+		env = d.opts.NodeEnv
+	}
+	return startProcess(logs, name, filepath.Join(d.opts.Bin, program), env, !d.opts.NoRestart, d.writeTable, args...)
 }
 
 // Start starts every process and publishes the configuration.
@@ -154,7 +162,7 @@
 	if err := os.WriteFile(file, []byte(settings(d.fleet, p, d.seeds(p))), 0o644); err != nil {
 		return err
 	}
-	node, err := d.spawn(p.VM, "limpetdockd", "--settings", file)
+	node, err := d.spawn(p.VM, nodeProgram, "--settings", file)
 	if err != nil {
 		return err
 	}
--- a/standin/deploy/process.go
+++ b/standin/deploy/process.go
@@ -15,6 +15,7 @@
 type Process struct {
 	path    string
 	args    []string
+	env     []string
 	log     *os.File
 	restart bool
 	changed func()
@@ -27,12 +28,12 @@
 // restartPause is how long the platform takes to start a process again.
 const restartPause = time.Second
 
-func startProcess(logs, name, path string, restart bool, changed func(), args ...string) (*Process, error) {
+func startProcess(logs, name, path string, env []string, restart bool, changed func(), args ...string) (*Process, error) {
 	log, err := os.Create(filepath.Join(logs, name+".log"))
 	if err != nil {
 		return nil, err
 	}
-	p := &Process{path: path, args: args, log: log, restart: restart, changed: changed, done: make(chan struct{})}
+	p := &Process{path: path, args: args, env: env, log: log, restart: restart, changed: changed, done: make(chan struct{})}
 	if err := p.spawn(); err != nil {
 		return nil, err
 	}
@@ -48,6 +49,7 @@
 	}
 	cmd := exec.Command(p.path, p.args...)
 	cmd.Stdout, cmd.Stderr = p.log, p.log
+	cmd.Env = append(os.Environ(), p.env...)
 	// A process group of its own keeps ^C for the starter, which stops in order.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
--- a/standin/experiment/main.go
+++ b/standin/experiment/main.go
@@ -19,9 +19,10 @@
 
 // common are the options of every command.
 type common struct {
-	Bin  string `long:"bin" default:"build/bin" description:"directory of the programs"`
-	Out  string `long:"out" default:"build/experiments" description:"directory for tables, plots and logs"`
-	Page string `long:"page" description:"Markdown page whose marked section gets the tables"`
+	Bin     string   `long:"bin" default:"build/bin" description:"directory of the programs"`
+	Out     string   `long:"out" default:"build/experiments" description:"directory for tables, plots and logs"`
+	NodeEnv []string `long:"node-env" description:"NAME=value for the nodes' environment, to try settings of the runtime; may be repeated"`
+	Page    string   `long:"page" description:"Markdown page whose marked section gets the tables"`
 	// where says on what and when the run was made.
 	where string
 }
@@ -72,7 +73,7 @@
 	}
 	defer release()
 	d, err := deploy.New(deploy.Options{
-		Bin: c.Bin, Out: c.Out + "/" + name, Net: octet, Fleet: f, ServiceMs: serviceMs,
+		Bin: c.Bin, Out: c.Out + "/" + name, Net: octet, Fleet: f, ServiceMs: serviceMs, NodeEnv: c.NodeEnv,
 	})
 	if err != nil {
 		return err
--- a/standin/experiment/scenario.go
+++ b/standin/experiment/scenario.go
@@ -105,35 +105,35 @@
 	return nil
 }
 
-const s = time.Second
+const sec = time.Second
 
 var scenarios = []scenario{
-	{name: "steady", about: "all servers well", length: 5 * s},
-	{name: "slow", about: "one server takes 10 times as long from second 2 to 5", length: 7 * s, steps: []step{
-		{2 * s, set(0, map[string]any{"service_ms": 10 * meanMs})},
-		{5 * s, set(0, map[string]any{"service_ms": meanMs})},
+	{name: "steady", about: "all servers well", length: 5 * sec},
+	{name: "slow", about: "one server takes 10 times as long from second 2 to 5", length: 7 * sec, steps: []step{
+		{2 * sec, set(0, map[string]any{"service_ms": 10 * meanMs})},
+		{5 * sec, set(0, map[string]any{"service_ms": meanMs})},
 	}},
-	{name: "fail-fast", about: "one server answers 500 at once from second 2 to 5", length: 7 * s, steps: []step{
-		{2 * s, set(0, map[string]any{"fail_fast": true})},
-		{5 * s, set(0, map[string]any{"fail_fast": false})},
+	{name: "fail-fast", about: "one server answers 500 at once from second 2 to 5", length: 7 * sec, steps: []step{
+		{2 * sec, set(0, map[string]any{"fail_fast": true})},
+		{5 * sec, set(0, map[string]any{"fail_fast": false})},
 	}},
-	{name: "neighbours", about: "service time shifts by 0 to 60 ms every 8 ms, at each server by itself, the mean as before", length: 5 * s, steps: []step{
+	{name: "neighbours", about: "service time shifts by 0 to 60 ms every 8 ms, at each server by itself, the mean as before", length: 5 * sec, steps: []step{
 		{0, set(1, map[string]any{"service_ms": 10, "jitter_ms": 60, "shift_every_ms": 8})},
 	}},
-	{name: "lying", about: "a third of the load endpoints say idle always, and one of these servers is 5 times slower from second 2", length: 5 * s, steps: []step{
+	{name: "lying", about: "a third of the load endpoints say idle always, and one of these servers is 5 times slower from second 2", length: 5 * sec, steps: []step{
 		{0, set(3, map[string]any{"lie": 0})},
-		{2 * s, set(0, map[string]any{"service_ms": 5 * meanMs})},
+		{2 * sec, set(0, map[string]any{"service_ms": 5 * meanMs})},
 	}},
-	{name: "cold", about: "a third of the servers starts cold at second 2: 10 times slower for 3 s", length: 7 * s, steps: []step{
-		{2 * s, set(3, map[string]any{"cold_ms": 3000})},
+	{name: "cold", about: "a third of the servers starts cold at second 2: 10 times slower for 3 s", length: 7 * sec, steps: []step{
+		{2 * sec, set(3, map[string]any{"cold_ms": 3000})},
 	}},
 	{
-		name: "overload", about: "1.3 times what all slots can do from second 2 to 12", length: 14 * s,
-		surges: []load.Surge{{From: 2 * s, To: 12 * s, Factor: 1.3 / utilization}},
+		name: "overload", about: "1.3 times what all slots can do from second 2 to 12", length: 14 * sec,
+		surges: []load.Surge{{From: 2 * sec, To: 12 * sec, Factor: 1.3 / utilization}},
 	},
-	{name: "region-cut", about: "two of six servers of a region drain, and it is cut off the others from second 1 to 21", length: 23 * s, steps: []step{
+	{name: "region-cut", about: "two of six servers of a region drain, and it is cut off the others from second 1 to 21", length: 23 * sec, steps: []step{
 		{0, drainTwo},
-		{1 * s, cutRegion},
-		{21 * s, func(ctx context.Context, d *deploy.Deployment) error { return d.SetLinks(ctx) }},
+		{1 * sec, cutRegion},
+		{21 * sec, func(ctx context.Context, d *deploy.Deployment) error { return d.SetLinks(ctx) }},
 	}},
 }
