--- a/standin/experiment/policies.go
+++ b/standin/experiment/policies.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"os"
 	"path/filepath"
 	"slices"
@@ -93,20 +94,26 @@
 		Title: one.name,
 		Note:  fmt.Sprintf("%s; %v, seed %d, %.0f calls/s to begin with", one.about, one.length, c.Seed, rate(d)),
 		Columns: []string{
-			"policy", "p50 ms", "p99 ms", "p99.9 ms", "good %", "good/s", "refused", "failed", "hops",
+			"policy", "p50 ms", "p99 ms", "p99.9 ms", "p99.9 to best", "good %", "good/s", "refused", "failed", "hops",
 			"probes/s", "measuring B/s", "of these cross-region", "all cross-region kB/s", "schedule",
 		},
 	}
-	var plots []load.Series
+	var runs []load.Series
+	var all []measurement
+	best := math.Inf(1)
 	for _, policy := range c.Policies {
 		m, err := c.measure(ctx, d, one, policy)
 		if err != nil {
 			return nil, err
 		}
-		t.add(append([]string{policy}, m.cells(len(d.Places))...)...)
-		plots = append(plots, load.Series{Name: policy, Report: m.report})
+		all = append(all, m)
+		best = min(best, m.report.All.Latency.P999)
+		runs = append(runs, load.Series{Name: policy, Report: m.report})
 	}
-	return t, c.plot(one, plots)
+	for i, m := range all {
+		t.add(append([]string{c.Policies[i]}, m.cells(len(d.Places), best)...)...)
+	}
+	return t, c.plot(one, runs)
 }
 
 func (c *policies) plot(one scenario, runs []load.Series) error {
@@ -134,12 +141,13 @@
 	took    time.Duration
 }
 
-func (m measurement) cells(nodes int) []string {
+// cells gives the row of a table; best is the lowest p99.9 of its scenario.
+func (m measurement) cells(nodes int, best float64) []string {
 	all := m.report.All
 	failed := all.Outcomes[load.BackendError] + all.Outcomes[load.Broken] + all.Outcomes[load.Cut] + all.Outcomes[load.CallerTimeout]
 	refused := all.Calls - failed - all.Outcomes[load.OK]
 	return []string{
-		ms(all.Latency.P50), ms(all.Latency.P99), ms(all.Latency.P999),
+		ms(all.Latency.P50), ms(all.Latency.P99), ms(all.Latency.P999), fmt.Sprintf("%.2f", all.Latency.P999/best),
 		fmt.Sprintf("%.2f", 100*float64(all.Good)/float64(all.Calls)), count(all.Goodput),
 		count(float64(refused)), count(float64(failed)), count(m.metrics[metricHops]),
 		m.metrics.perSecond(metricMeasureRequests, m.took, nodes),
