--- a/standin/experiment/capacity.go
+++ b/standin/experiment/capacity.go
@@ -24,8 +24,11 @@
 const (
 	targetNodes     = 890
 	targetsPerGroup = 15 // 890 targets in 59 services
+	// firstQueue is the length of the queues before any change.
+	firstQueue = 16
 )
 
+// capacityFleet declares a fleet; its first service changes with each revision.
 func capacityFleet(nodes int, revision uint64) fleet.Fleet {
 	f := fleet.Fleet{Name: "capacity", Revision: revision, Teams: []fleet.Team{{Name: "measuring"}}}
 	for _, region := range []string{"one", "two", "three"} {
@@ -34,10 +37,11 @@
 	groups := (nodes + targetsPerGroup - 1) / targetsPerGroup
 	for i := range groups {
 		f.Services = append(f.Services, fleet.Service{
-			Name: fmt.Sprintf("s%d", i), Team: "measuring", Timeout: timeout,
+			Name: fmt.Sprintf("s%d", i), Team: "measuring", Timeout: timeout, Queue: firstQueue,
 			Routes: []fleet.Route{{Name: "read", Methods: []string{"GET"}, Path: "/*", Idempotent: true}},
 		})
 	}
+	f.Services[0].Queue += int(revision)
 	for i := range nodes {
 		svc := &f.Services[i%groups]
 		zone := f.Zones[i%len(f.Zones)].Name
