--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 # Everything builds into build/. CHECK=1 makes the demo send a load and exit.
 BIN := build/bin
 TOOLS := build/tools
+COMMIT = $(shell git describe --always --dirty)
 DEMO_ARGS := $(if $(CHECK),--check)
 
 .PHONY: build tools test lint demo clean experiments added-latency capacity
@@ -32,13 +33,13 @@
 # EXPERIMENT_ARGS selects, for example: --scenario slow --policy probe --short,
 # or puts the tables into a page: --page docs/MEASUREMENTS.md
 experiments: build
-	$(BIN)/standin-experiment policies --bin $(BIN) $(EXPERIMENT_ARGS)
+	$(BIN)/standin-experiment policies --bin $(BIN) --commit $(COMMIT) $(EXPERIMENT_ARGS)
 
 added-latency: build
-	$(BIN)/standin-experiment added-latency --bin $(BIN) $(EXPERIMENT_ARGS)
+	$(BIN)/standin-experiment added-latency --bin $(BIN) --commit $(COMMIT) $(EXPERIMENT_ARGS)
 
 capacity: build
-	$(BIN)/standin-experiment capacity --bin $(BIN) $(EXPERIMENT_ARGS)
+	$(BIN)/standin-experiment capacity --bin $(BIN) --commit $(COMMIT) $(EXPERIMENT_ARGS)
 	go test -run '^$$' -bench 'StateSize|IdleFleet|ChangeBySize' -benchtime 2x ./internal/core
 	go test -run '^$$' -bench Pick ./internal/pick
 	go test -run '^$$' -bench Hop ./internal/entry
--- a/standin/experiment/main.go
+++ b/standin/experiment/main.go
@@ -22,6 +22,7 @@
 	Bin     string   `long:"bin" default:"build/bin" description:"directory of the programs"`
 	Out     string   `long:"out" default:"build/experiments" description:"directory for tables, plots and logs"`
 	NodeEnv []string `long:"node-env" description:"NAME=value for the nodes' environment, to try settings of the runtime; may be repeated"`
+	Commit  string   `long:"commit" default:"unknown" description:"what was built, for the tables"`
 	Page    string   `long:"page" description:"Markdown page whose marked section gets the tables"`
 	// where says on what and when the run was made.
 	where string
@@ -65,7 +66,7 @@
 // with starts a deployment on a network of its own, runs f, and stops it.
 func (c *common) with(ctx context.Context, name string, f fleet.Fleet, serviceMs float64, run func(*deploy.Deployment) error) error {
 	if c.where == "" {
-		c.where = describe()
+		c.where = c.describe()
 	}
 	octet, release, err := deploy.FreeNet()
 	if err != nil {
--- a/standin/experiment/table.go
+++ b/standin/experiment/table.go
@@ -7,7 +7,6 @@
 	"os"
 	"path/filepath"
 	"runtime"
-	"runtime/debug"
 	"strings"
 	"time"
 )
@@ -79,21 +78,13 @@
 
 // describe says on what and when a run was made, as far as it matters for
 // whether its figures can be trusted.
-func describe() string {
-	commit := "unknown"
-	if info, ok := debug.ReadBuildInfo(); ok {
-		for _, s := range info.Settings {
-			if s.Key == "vcs.revision" {
-				commit = s.Value[:min(12, len(s.Value))]
-			}
-		}
-	}
+func (c *common) describe() string {
 	load := "unknown"
 	if text, err := os.ReadFile("/proc/loadavg"); err == nil {
 		load, _, _ = strings.Cut(string(text), " ")
 	}
 	return fmt.Sprintf("%s, commit %s, %d processors, load average %s before the run.",
-		time.Now().UTC().Format("2006-01-02 15:04 MST"), commit, runtime.NumCPU(), load)
+		time.Now().UTC().Format("2006-01-02 15:04 MST"), c.Commit, runtime.NumCPU(), load)
 }
 
 // ms and count write figures for tables.
