make experiments: a scenario with chains of eleven calls

A trial with the demo (300 calls/s, of which 10 % chains eleven deep over three services, about a fifth of all slots) collapsed in its second second and stayed so: 1 269 of 2 969 calls refused as overloaded, 73 of 294 chains whole. Each level holds a slot while it waits for the levels below, at last for slots of its own service.

--- a/standin/experiment/experiment_test.go
+++ b/standin/experiment/experiment_test.go
@@ -58,6 +58,14 @@
 	require.NoError(t, err)
 }
 
+func TestPlansOfScenariosAreRight(t *testing.T) {
+	for _, one := range scenarios {
+		p := planOf(one, 1890, 1)
+		p.To = []string{"127.0.0.1:1"}
+		require.NoError(t, p.Check(), one.name)
+	}
+}
+
 func TestSelectionOfScenariosIsChecked(t *testing.T) {
 	chosen, err := (&policies{Scenarios: []string{"slow"}}).choose()
 	require.NoError(t, err)
--- a/standin/experiment/scenario.go
+++ b/standin/experiment/scenario.go
@@ -58,8 +58,18 @@
 	length      time.Duration
 	surges      []load.Surge
 	steps       []step
+	// chains is how many calls a second lead to ten more of the same service,
+	// one after another; the other load is then lower, see chainsUtilization.
+	chains float64
 }
 
+// Chains of calls hold a slot at each level while the levels below run: eleven
+// levels of meanMs hold 66 times meanMs of slots together.
+const (
+	chainsUtilization = 0.3
+	chainTimeout      = 5 * time.Second
+)
+
 // set changes the behaviour of every stride-th backend server from the first
 // on, or of the first one only if stride is 0.
 func set(stride int, behaviour map[string]any) func(context.Context, *deploy.Deployment) error {
@@ -117,6 +127,10 @@
 		{2 * sec, set(0, map[string]any{"fail_fast": true})},
 		{5 * sec, set(0, map[string]any{"fail_fast": false})},
 	}},
+	{
+		name: "chains", about: "30 % of all slots busy with plain calls, and 8 chains of eleven calls a second, which hold 20 % more",
+		length: 8 * sec, chains: 8,
+	},
 	{name: "neighbours", about: "service time shifts by 0 to 60 ms every 8 ms, at each server by itself, the mean as before", length: 5 * sec, steps: []step{
 		{0, set(1, map[string]any{"service_ms": 10, "jitter_ms": 60, "shift_every_ms": 8})},
 	}},
