--- a/fleet/publication.go
+++ b/fleet/publication.go
@@ -20,6 +20,15 @@
 	return append(slices.Clone(p.Services), p.Index)
 }
 
+// Values gives the texts of all documents by key, as the platform holds them.
+func (p *Publication) Values() map[string][]byte {
+	values := map[string][]byte{}
+	for _, doc := range p.documents() {
+		values[doc.Key] = doc.Text
+	}
+	return values
+}
+
 // WriteTo writes all documents as one stream, each after a line with its key,
 // in the order in which they are to be published.
 func (p *Publication) WriteTo(w io.Writer) (int64, error) {
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -59,8 +59,7 @@
 	}
 	pub, err := f.Print()
 	require.NoError(t, err)
-	docs := map[string][]byte{pub.Index.Key: pub.Index.Text, pub.Services[0].Key: pub.Services[0].Text}
-	c, err := config.FromDocuments(docs)
+	c, err := config.FromDocuments(pub.Values())
 	require.NoError(t, err)
 	svc := c.Services["orders"]
 	var near, far []*pick.Target
--- a/internal/diff/diff_test.go
+++ b/internal/diff/diff_test.go
@@ -32,11 +32,7 @@
 	t.Helper()
 	pub, err := f.Print()
 	require.NoError(t, err)
-	docs := map[string][]byte{pub.Index.Key: pub.Index.Text}
-	for _, d := range pub.Services {
-		docs[d.Key] = d.Text
-	}
-	c, err := config.FromDocuments(docs)
+	c, err := config.FromDocuments(pub.Values())
 	require.NoError(t, err)
 	return c
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -83,10 +83,7 @@
 func newPlatform(t *testing.T, f fleet.Fleet, vms ...platform.VM) *httptest.Server {
 	pub, err := f.Print()
 	require.NoError(t, err)
-	values := map[string][]byte{fleet.IndexKey: pub.Index.Text}
-	for _, doc := range pub.Services {
-		values[doc.Key] = doc.Text
-	}
+	values := pub.Values()
 	list, err := json.Marshal(platform.VMList{Version: 1, VMs: vms})
 	require.NoError(t, err)
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
