--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -129,6 +129,9 @@
 	if err := addSettings(p); err != nil {
 		return err
 	}
+	if err := addLoad(p); err != nil {
+		return err
+	}
 	return addAll(p, []entry{
 		{"dump", "show a node's state", dumpLong, &dumpCommand{}},
 		{"explain", "say which target a request would go to, and why", explainLong, &explainCommand{}},
--- a/internal/entry/ticket.go
+++ b/internal/entry/ticket.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
@@ -27,6 +28,8 @@
 	ticketMark = "ldt1."
 	// maxTicket is the longest ticket, in bytes.
 	maxTicket = 400
+	// avoidUnasked is how long a target that couldn't be asked is passed over.
+	avoidUnasked = time.Second
 	// ticketWanted is the value of headers.Ticket in a request for a ticket.
 	ticketWanted = "request"
 )
@@ -95,7 +98,7 @@
 		tried = append(tried, t)
 		reply, err := e.ask(ctx, t, &wire.Seal{AskOnly: true})
 		if err != nil {
-			t.Stat.Avoid(e.now() + avoidFor)
+			t.Stat.Avoid(e.now() + avoidUnasked)
 			continue
 		}
 		made := &ticket{VM: t.Place.VM, Incarnation: reply.Incarnation, Tick: reply.Tick, ID: uuid.NewString()}
@@ -136,8 +139,8 @@
 	if t == nil || t.Guard == "" {
 		return kind.New(kind.KeyUnknown, "the server that the ticket names isn't declared or listed any more")
 	}
-	s := sent{target: t, id: attempt.TicketID(x.ticket.ID)}
-	_, err := e.offer(ctx, w, v, x, s, pick.Identity{Incarnation: x.ticket.Incarnation, Tick: x.ticket.Tick})
+	identity := pick.Identity{Incarnation: x.ticket.Incarnation, Tick: x.ticket.Tick}
+	_, err := e.offer(ctx, w, v, x, sent{t, attempt.TicketID(x.ticket.ID), identity})
 	if err == nil {
 		return nil
 	}
