--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -13,6 +13,7 @@
 
 	"github.com/limpetdock/limpetdock/internal/core"
 	"github.com/limpetdock/limpetdock/internal/gate"
+	"github.com/limpetdock/limpetdock/internal/limit"
 	"github.com/limpetdock/limpetdock/internal/metrics"
 	"github.com/limpetdock/limpetdock/internal/pick"
 )
@@ -39,6 +40,8 @@
 	View() *pick.View
 	Load() gate.Load
 	Attempts() (records, stored int)
+	// Limits are the limits on requests in flight, with their use.
+	Limits() []limit.Use
 	// Now is the time since the node's start.
 	Now() time.Duration
 }
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -14,6 +14,7 @@
 	"github.com/limpetdock/limpetdock/internal/core"
 	"github.com/limpetdock/limpetdock/internal/gate"
 	"github.com/limpetdock/limpetdock/internal/kind"
+	"github.com/limpetdock/limpetdock/internal/limit"
 	"github.com/limpetdock/limpetdock/internal/metrics"
 	"github.com/limpetdock/limpetdock/internal/pick"
 	"github.com/limpetdock/limpetdock/internal/wire"
@@ -29,6 +30,10 @@
 func (n *fakeNode) Load() gate.Load      { return gate.Load{Slots: 6, InUse: 2} }
 func (n *fakeNode) Attempts() (int, int) { return 3, 400 }
 func (n *fakeNode) Now() time.Duration   { return time.Minute }
+func (n *fakeNode) Limits() []limit.Use {
+	return []limit.Use{{Scope: limit.Team, Name: "store", InFlight: 4}, {Scope: limit.Route, Name: "orders/read", InFlight: 3}}
+}
+
 func (n *fakeNode) Dump() (core.Dump, bool) {
 	d := core.Dump{Self: core.Self{Place: pick.Place{VM: "vm-a", Zone: "a", Region: "r"}}}
 	d.Config = core.ConfigDump{Version: config.Version{Revision: 7, Digest: "abc"}, InForceFor: time.Hour}
@@ -181,7 +186,9 @@
 	require.Len(t, teams, 2)
 	require.Equal(t, "idle", teams[0].Name)
 	require.Empty(t, teams[0].Answers)
-	require.Equal(t, 50, teams[1].InFlight)
+	require.Equal(t, 50, teams[1].Limit)
+	require.EqualValues(t, 4, teams[1].InFlight)
+	require.EqualValues(t, 3, teams[1].Services[0].Routes[0].InFlight)
 	require.Equal(t, map[string]uint64{"backend": 1, "over-limit": 1}, teams[1].Answers)
 	require.Equal(t, map[string]uint64{"over-limit": 1}, teams[1].Services[0].Recent)
 
--- a/internal/admin/teams.go
+++ b/internal/admin/teams.go
@@ -1,19 +1,26 @@
 package admin
 
 import (
+	"cmp"
 	"net/http"
 	"slices"
 
 	"github.com/gin-gonic/gin"
 
+	"github.com/limpetdock/limpetdock/fleet"
+	"github.com/limpetdock/limpetdock/internal/config"
+	"github.com/limpetdock/limpetdock/internal/limit"
 	"github.com/limpetdock/limpetdock/internal/metrics"
+	"github.com/limpetdock/limpetdock/internal/pick"
 )
 
 // Team is a team's limits and what its services' callers were answered here.
 type Team struct {
 	Name string `json:"name"`
-	// InFlight is the declared limit of requests at once at each node; 0 is none.
-	InFlight int           `json:"in_flight_limit"`
+	// Limit is the declared limit of requests at once at each node; 0 is none.
+	Limit int `json:"in_flight_limit"`
+	// InFlight are the requests at once now, at this node.
+	InFlight int64         `json:"in_flight"`
 	Services []TeamService `json:"services"`
 	metrics.Usage
 }
@@ -21,7 +28,8 @@
 // TeamService is a service's limits and usage.
 type TeamService struct {
 	Name     string       `json:"name"`
-	InFlight int          `json:"in_flight_limit"`
+	Limit    int          `json:"in_flight_limit"`
+	InFlight int64        `json:"in_flight"`
 	Queue    int          `json:"queue_limit"`
 	Routes   []RouteLimit `json:"routes"`
 	metrics.Usage
@@ -32,7 +40,8 @@
 	Name     string `json:"name"`
 	Runs     string `json:"runs"`
 	Class    int    `json:"class"`
-	InFlight int    `json:"in_flight_limit"`
+	Limit    int    `json:"in_flight_limit"`
+	InFlight int64  `json:"in_flight"`
 }
 
 func (a *api) teams(c *gin.Context) {
@@ -40,35 +49,56 @@
 	if v == nil {
 		return
 	}
-	usage := a.metrics.Usage()
+	counted := tally{usage: a.metrics.Usage(), inFlight: map[limit.Scope]map[string]int64{}}
+	for _, u := range a.node.Limits() {
+		if counted.inFlight[u.Scope] == nil {
+			counted.inFlight[u.Scope] = map[string]int64{}
+		}
+		counted.inFlight[u.Scope][u.Name] = u.InFlight
+	}
 	teams := []Team{}
 	for _, declared := range v.Config.Index.Fleet.Teams {
-		t := Team{Name: declared.Name, InFlight: declared.InFlight, Services: []TeamService{}, Usage: newUsage()}
-		for _, s := range v.Config.Services {
-			if s.Team != t.Name {
-				continue
-			}
-			row := TeamService{Name: s.Name, InFlight: s.InFlight, Queue: s.Queue, Usage: newUsage()}
-			for i := range s.Routes {
-				r := &s.Routes[i]
-				row.Routes = append(row.Routes, RouteLimit{Name: r.Name, Runs: r.Runs(), Class: r.Class, InFlight: r.InFlight})
-			}
-			add(row.Usage, usage[s.Name])
-			add(t.Usage, usage[s.Name])
-			t.Services = append(t.Services, row)
-		}
-		slices.SortFunc(t.Services, func(a, b TeamService) int { return compare(a.Name, b.Name) })
-		teams = append(teams, t)
+		teams = append(teams, counted.team(v, declared))
 	}
-	slices.SortFunc(teams, func(a, b Team) int { return compare(a.Name, b.Name) })
+	slices.SortFunc(teams, func(a, b Team) int { return cmp.Compare(a.Name, b.Name) })
 	c.JSON(http.StatusOK, teams)
 }
 
-func compare(a, b string) int {
-	if a < b {
-		return -1
+// tally is what has been counted, by name.
+type tally struct {
+	usage    map[string]metrics.Usage
+	inFlight map[limit.Scope]map[string]int64
+}
+
+func (t tally) team(v *pick.View, declared fleet.Team) Team {
+	team := Team{
+		Name: declared.Name, Limit: declared.InFlight, InFlight: t.inFlight[limit.Team][declared.Name],
+		Services: []TeamService{}, Usage: newUsage(),
+	}
+	for _, s := range v.Config.Services {
+		if s.Team != team.Name {
+			continue
+		}
+		add(team.Usage, t.usage[s.Name])
+		team.Services = append(team.Services, t.service(s))
+	}
+	slices.SortFunc(team.Services, func(a, b TeamService) int { return cmp.Compare(a.Name, b.Name) })
+	return team
+}
+
+func (t tally) service(s *config.Service) TeamService {
+	row := TeamService{
+		Name: s.Name, Limit: s.InFlight, InFlight: t.inFlight[limit.Service][s.Name], Queue: s.Queue, Usage: newUsage(),
+	}
+	add(row.Usage, t.usage[s.Name])
+	for i := range s.Routes {
+		r := &s.Routes[i]
+		row.Routes = append(row.Routes, RouteLimit{
+			Name: r.Name, Runs: r.Runs(), Class: r.Class, Limit: r.InFlight,
+			InFlight: t.inFlight[limit.Route][s.Name+"/"+r.Name],
+		})
 	}
-	return 1
+	return row
 }
 
 func newUsage() metrics.Usage {
--- a/internal/diff/diff.go
+++ b/internal/diff/diff.go
@@ -178,6 +178,13 @@
 	value(l, "targets that one request may be offered to", before.Hops, after.Hops)
 	value(l, "retries in percent of requests", before.RetryPercent, after.RetryPercent)
 	value(l, "requests that may wait at each target", before.Queue, after.Queue)
+	value(l, "the order of those that wait", before.QueueOrder, after.QueueOrder)
+	if after.NoRefusal && !before.NoRefusal {
+		l.warnf("targets no longer refuse what they can't run in time: requests wait until their deadline")
+	}
+	if before.NoRefusal && !after.NoRefusal {
+		l.notef("targets refuse again what they can't run in time")
+	}
 	limit(l, "", before.InFlight, after.InFlight)
 	value(l, "drain time", before.Drain, after.Drain)
 	if after.KeyLifetime < before.KeyLifetime {
--- a/internal/diff/diff_test.go
+++ b/internal/diff/diff_test.go
@@ -91,6 +91,10 @@
 			"note: orders: route confirm: requests at once at each node go from no limit to 5",
 			"note: orders: target orders-1: slots goes from 6 to 7",
 		}},
+		"no refusal": {func(f *fleet.Fleet, s *fleet.Service) { f.Revision, s.NoRefusal = 8, true }, []string{
+			"note: fleet: revision rises from 7 to 8",
+			"warning: orders: targets no longer refuse what they can't run in time: requests wait until their deadline",
+		}},
 		"places": {func(f *fleet.Fleet, s *fleet.Service) {
 			f.Revision, f.Name, f.Ports = 8, "store", fleet.Ports{Guard: 1, Control: 2}
 			f.Zones[1].Region = "pr"
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -85,9 +85,13 @@
 	*control.Loop
 	*entry.Entry
 	*guard.Guard
-	clock Clock
+	limits *limit.Table
+	clock  Clock
 }
 
+// Limits are the limits on requests in flight, with their use.
+func (f face) Limits() []limit.Use { return f.limits.Uses() }
+
 // Now is the time since the node's start.
 func (f face) Now() time.Duration { return f.clock() }
 
@@ -105,12 +109,12 @@
 	control                  *link.Server
 }
 
-func newServers(set *settings.Settings, e *entry.Entry, g *guard.Guard, l *control.Loop, m *metrics.Metrics, c *link.Server, now Clock, log logr.Logger) *servers {
+func newServers(set *settings.Settings, e *entry.Entry, g *guard.Guard, l *control.Loop, m *metrics.Metrics, c *link.Server, limits *limit.Table, now Clock, log logr.Logger) *servers {
 	s := &servers{control: c, connsPerIP: set.ConnsPerIP}
 	s.callers, s.callersDrain = newServer(e, s.counters.of(m, log, "callers"))
 	s.callers.ConnContext = entry.ConnContext
 	s.guard, s.guardDrain = newServer(onlyFleet(set.Fleet, g), s.counters.of(m, log, "guard"))
-	s.admin, _ = newServer(admin.New(face{l, e, g, now}, m), s.counters.of(m, log, "admin"))
+	s.admin, _ = newServer(admin.New(face{l, e, g, limits, now}, m), s.counters.of(m, log, "admin"))
 	return s
 }
 
