--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -256,6 +256,9 @@
 	if h, _, ok := strings.Cut(host, ":"); ok {
 		host = h
 	}
+	// Hosts are compared without regard to case (RFC 9110, section 4.2.3); those
+	// of documents are in lower case.
+	host = strings.ToLower(host)
 	if s, ok := c.ByHost[host]; ok {
 		return s
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -123,10 +123,15 @@
 func Parse(file string, text []byte) (*Settings, error) {
 	doc, err := ini.LoadSources(ini.LoadOptions{AllowDuplicateShadowValues: false}, text)
 	if err != nil {
-		return nil, Faults{{File: file, Line: 1, Key: "file", Wrong: err.Error(), Allowed: "INI: [section], key = value"}}
+		return nil, Faults{{File: file, Line: 1, Key: "file", Wrong: strings.TrimSpace(err.Error()), Allowed: "INI: [section], key = value"}}
 	}
-	where := lineIndex(text)
-	faults := unknownKeys(file, doc, where)
+	where, twice := lineIndex(text)
+	var faults Faults
+	for id, line := range twice {
+		faults = append(faults, Fault{file, line, id, "stands there twice", "each key once"})
+	}
+	slices.SortFunc(faults, func(a, b Fault) int { return a.Line - b.Line })
+	faults = append(faults, unknownKeys(file, doc, where)...)
 	s := &Settings{}
 	for _, f := range fields {
 		if fault, ok := f.apply(s, file, doc, where); !ok {
@@ -179,22 +184,33 @@
 	return faults
 }
 
-// lineIndex maps "section.key" to the line it stands on, because the INI
-// library doesn't keep line numbers.
-func lineIndex(text []byte) map[string]int {
-	where := map[string]int{}
+// lineIndex maps "section.key" to the line it stands on first, because the INI
+// library doesn't keep line numbers; twice holds the line of the second one
+// where there is any, of which the library would silently take the last.
+func lineIndex(text []byte) (where, twice map[string]int) {
+	where, twice = map[string]int{}, map[string]int{}
 	section := ini.DefaultSection
 	for i, line := range strings.Split(string(text), "\n") {
 		line = strings.TrimSpace(line)
+		if strings.HasPrefix(line, "#") || strings.HasPrefix(line, ";") {
+			continue
+		}
 		if strings.HasPrefix(line, "[") && strings.HasSuffix(line, "]") {
 			section = strings.TrimSpace(line[1 : len(line)-1])
 			continue
 		}
-		if key, _, ok := strings.Cut(line, "="); ok {
-			where[section+"."+strings.TrimSpace(key)] = i + 1
+		key, _, ok := strings.Cut(line, "=")
+		if !ok {
+			continue
+		}
+		id := section + "." + strings.TrimSpace(key)
+		if where[id] != 0 {
+			twice[id] = i + 1
+			continue
 		}
+		where[id] = i + 1
 	}
-	return where
+	return where, twice
 }
 
 func name(at func(*Settings) *string) func(*Settings, string) error {
