--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -18,6 +18,7 @@
 	"github.com/go-logr/logr/funcr"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/fx"
+	"go.uber.org/goleak"
 
 	"github.com/limpetdock/limpetdock/fleet"
 	"github.com/limpetdock/limpetdock/internal/entry"
@@ -25,6 +26,11 @@
 	"github.com/limpetdock/limpetdock/internal/settings"
 )
 
+// Every node that a test starts is stopped in it, and a stop must leave nothing
+// running: a goroutine that stays would hold a connection, or act on what it
+// knew before.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
 // seen is a request as the backend server got it.
 type seen struct {
 	Method, Path, Body string
@@ -102,7 +108,7 @@
 		}
 		_, _ = w.Write(text)
 	}))
-	t.Cleanup(srv.CloseClientConnections)
+	t.Cleanup(srv.Close)
 	return srv
 }
 
--- a/standin/demo/check.go
+++ b/standin/demo/check.go
@@ -16,6 +16,8 @@
 
 	"github.com/google/uuid"
 
+	"github.com/limpetdock/limpetdock/examples/deployments"
+	"github.com/limpetdock/limpetdock/fleet"
 	"github.com/limpetdock/limpetdock/standin/deploy"
 )
 
@@ -26,12 +28,28 @@
 	once                  bool
 }
 
-var calls = []call{
-	{"catalogue", "GET", "/catalogue/week", 0, false},
-	{"orders", "POST", "/stock/check", 100, false},
-	{"orders", "POST", "/orders/confirm", 300, true},
-	{"depot", "PUT", "/uploads/plan", 200_000, false},
-	{"depot", "POST", "/payouts/run", 300, true},
+// deployment is a fleet that the demo can start, with the load of its check.
+type deployment struct {
+	declare func(revision uint64) fleet.Fleet
+	calls   []call
+}
+
+var deploymentsByName = map[string]deployment{
+	"cestaviva": {deployments.CestaViva, []call{
+		{"catalogue", "GET", "/catalogue/week", 0, false},
+		{"orders", "POST", "/stock/check", 100, false},
+		{"orders", "POST", "/orders/confirm", 300, true},
+		{"depot", "PUT", "/uploads/plan", 200_000, false},
+		{"depot", "POST", "/payouts/run", 300, true},
+	}},
+	"eisbruecke": {deployments.Eisbruecke, []call{
+		{"manifest", "GET", "/board", 0, false},
+		{"cargo", "POST", "/slots/status", 100, false},
+		{"cargo", "POST", "/bookings/crate", 300, true},
+		{"ground", "PUT", "/uploads/chart", 200_000, false},
+		{"ground", "POST", "/airframes/status", 100, false},
+		{"ground", "POST", "/fuel-drops/confirm", 300, true},
+	}},
 }
 
 // tally counts what was answered.
@@ -58,7 +76,7 @@
 const callersAtOnce = 24
 
 // check sends a mixed load to all nodes and compares answers and ledgers.
-func check(ctx context.Context, d *deploy.Deployment, length time.Duration) error {
+func check(ctx context.Context, d *deploy.Deployment, calls []call, length time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, length)
 	defer cancel()
 	t := &tally{rows: map[string]int{}, ids: map[string]bool{}}
@@ -68,7 +86,7 @@
 		wg.Go(func() {
 			rnd := rand.New(rand.NewPCG(1, uint64(i)))
 			for ctx.Err() == nil {
-				one(d, client, rnd, t)
+				one(d, calls, client, rnd, t)
 			}
 		})
 	}
@@ -78,7 +96,7 @@
 	return t.report()
 }
 
-func one(d *deploy.Deployment, client *http.Client, rnd *rand.Rand, t *tally) {
+func one(d *deploy.Deployment, calls []call, client *http.Client, rnd *rand.Rand, t *tally) {
 	c := calls[rnd.IntN(len(calls))]
 	p := d.Places[rnd.IntN(len(d.Places))]
 	body := make([]byte, c.body)
--- a/standin/demo/main.go
+++ b/standin/demo/main.go
@@ -1,4 +1,4 @@
-// Command demo starts a small Cesta Viva on loopback addresses: 18 nodes with a
+// Command demo starts one of the examples on loopback addresses: 18 nodes with a
 // backend server stand-in each, the platform stand-in, and a relay per
 // availability zone, every one a process of its own. With --check it sends a
 // mixed load and exits with 0 only if every answer was right. It never ships.
@@ -14,7 +14,6 @@
 
 	"github.com/jessevdk/go-flags"
 
-	"github.com/limpetdock/limpetdock/examples/deployments"
 	"github.com/limpetdock/limpetdock/standin/deploy"
 )
 
@@ -22,6 +21,7 @@
 	Bin       string        `long:"bin" default:"build/bin" description:"directory of the programs"`
 	Out       string        `long:"out" default:"build/demo" description:"directory for settings, logs and ledgers"`
 	Net       int           `long:"net" default:"10" description:"second octet of the loopback addresses"`
+	Fleet     string        `long:"fleet" default:"cestaviva" choice:"cestaviva" choice:"eisbruecke" description:"which of the examples to start"`
 	Check     bool          `long:"check" description:"send a load, report, and exit"`
 	For       time.Duration `long:"for" default:"10s" description:"length of the check's load"`
 	ServiceMs float64       `long:"service-ms" default:"5" description:"service time of the backend servers"`
@@ -41,8 +41,9 @@
 }
 
 func run(ctx context.Context, opts options) error {
+	chosen := deploymentsByName[opts.Fleet]
 	d, err := deploy.New(deploy.Options{
-		Bin: opts.Bin, Out: opts.Out, Net: opts.Net, Fleet: deployments.CestaViva(1), ServiceMs: opts.ServiceMs,
+		Bin: opts.Bin, Out: opts.Out, Net: opts.Net, Fleet: chosen.declare(1), ServiceMs: opts.ServiceMs,
 	})
 	if err != nil {
 		return err
@@ -56,7 +57,7 @@
 	}
 	fmt.Println("ready")
 	if opts.Check {
-		return check(ctx, d, opts.For)
+		return check(ctx, d, chosen.calls, opts.For)
 	}
 	<-ctx.Done()
 	return nil
