Slow bodies and readers: deadlines end with their exchange, stalled readers are cut

The clearing of the write deadline before a request was taken out: net/http does it after each answer, and no test could tell.

--- a/internal/node/quiet_test.go
+++ b/internal/node/quiet_test.go
@@ -2,21 +2,16 @@
 
 import (
 	"bytes"
-	"errors"
-	"io"
 	"log"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/url"
 	"os"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
-	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/go-logr/logr/funcr"
@@ -105,81 +100,3 @@
 	require.Len(t, lines, 1)
 	require.Contains(t, lines[0], "a fault")
 }
-
-// oneConn is a listener that gives one connection.
-type oneConn struct {
-	conns chan net.Conn
-	done  chan struct{}
-}
-
-func (l *oneConn) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.conns:
-		return c, nil
-	case <-l.done:
-		return nil, net.ErrClosed
-	}
-}
-func (l *oneConn) Close() error   { return nil }
-func (l *oneConn) Addr() net.Addr { return &net.TCPAddr{} }
-
-// A caller sends a part of its body and then nothing more, or a byte every now
-// and then. Its connection, and the slot of whoever reads the body, would be
-// held for good. An upload that moves on may take as long as it likes.
-func TestSlowBodies(t *testing.T) {
-	tests := map[string]struct {
-		chunk   int
-		every   time.Duration
-		chunks  int
-		stalled bool
-	}{
-		"stalls":                {100, 2 * stallLimit, 2, true},
-		"a byte now and then":   {1, stallLimit / 3, 1000, true},
-		"a slow, steady sender": {minRate * 20, 10 * time.Second, 100, false},
-	}
-	for name, test := range tests {
-		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				c := &serverCounters{}
-				ended := make(chan error, 1)
-				srv, _ := newServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
-					_, err := io.Copy(io.Discard, r.Body)
-					ended <- err
-				}), c)
-				near, far := net.Pipe()
-				l := &oneConn{conns: make(chan net.Conn, 1), done: make(chan struct{})}
-				l.conns <- far
-				go func() { _ = srv.Serve(l) }()
-				go func() { _, _ = io.Copy(io.Discard, near) }()
-				var sender sync.WaitGroup
-				sender.Go(func() { send(near, test.chunk, test.chunks, test.every) })
-				err := <-ended
-				if test.stalled {
-					var timeout net.Error
-					require.True(t, errors.As(err, &timeout) && timeout.Timeout(), "%v", err)
-					require.EqualValues(t, 1, c.stalled.Load())
-				} else {
-					require.NoError(t, err)
-					require.Zero(t, c.stalled.Load())
-				}
-				close(l.done)
-				_ = near.Close()
-				_ = srv.Close()
-				sender.Wait()
-			})
-		})
-	}
-}
-
-func send(conn net.Conn, chunk, chunks int, every time.Duration) {
-	head := "PUT / HTTP/1.1\r\nHost: x\r\nContent-Length: " + strconv.Itoa(chunk*chunks) + "\r\n\r\n"
-	if _, err := io.WriteString(conn, head); err != nil {
-		return
-	}
-	for range chunks {
-		if _, err := conn.Write(bytes.Repeat([]byte("x"), chunk)); err != nil {
-			return
-		}
-		time.Sleep(every)
-	}
-}
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -107,7 +107,9 @@
 }
 
 const (
-	// stallLimit is how long a body or an answer may stand still.
+	// stallLimit is how long a read of a body or a write of an answer may take.
+	// Entry and guard write at most 64 KB at once, so a reader slower than about
+	// 2 KB/s counts as one that stands still.
 	stallLimit = 30 * time.Second
 	// minRate is the least rate of a request's body over its whole length, in
 	// bytes per second, after stallLimit of grace. A sender that gives a byte
@@ -123,10 +125,9 @@
 		if r.Body != nil && r.Body != http.NoBody {
 			r.Body = &watchedBody{ReadCloser: r.Body, control: control, counters: c, start: time.Now()}
 		}
-		// A deadline left by the last answer on this connection must not cut this one.
-		_ = control.SetWriteDeadline(time.Time{})
 		h.ServeHTTP(&watchedWriter{ResponseWriter: w, control: control, counters: c}, r)
-		// What is still buffered is written once the handler has returned.
+		// What is still buffered is written once the handler has returned, perhaps
+		// long after its last Write; the server clears the deadline after that.
 		_ = control.SetWriteDeadline(time.Now().Add(stallLimit))
 	})
 }
--- /dev/null
+++ b/internal/node/slow_test.go
@@ -0,0 +1,171 @@
+package node
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// oneConn is a listener that gives one connection.
+type oneConn struct {
+	conns chan net.Conn
+	done  chan struct{}
+}
+
+func (l *oneConn) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+func (l *oneConn) Close() error   { return nil }
+func (l *oneConn) Addr() net.Addr { return &net.TCPAddr{} }
+
+// A caller sends a part of its body and then nothing more, or a byte every now
+// and then. Its connection, and the slot of whoever reads the body, would be
+// held for good. An upload that moves on may take as long as it likes.
+func TestSlowBodies(t *testing.T) {
+	tests := map[string]struct {
+		chunk   int
+		every   time.Duration
+		chunks  int
+		stalled bool
+	}{
+		"stalls":                {100, 2 * stallLimit, 2, true},
+		"a byte now and then":   {1, stallLimit / 3, 1000, true},
+		"a slow, steady sender": {minRate * 20, 10 * time.Second, 100, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := &serverCounters{}
+				ended := make(chan error, 1)
+				srv, _ := newServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+					_, err := io.Copy(io.Discard, r.Body)
+					ended <- err
+				}), c)
+				near, far := net.Pipe()
+				l := &oneConn{conns: make(chan net.Conn, 1), done: make(chan struct{})}
+				l.conns <- far
+				go func() { _ = srv.Serve(l) }()
+				go func() { _, _ = io.Copy(io.Discard, near) }()
+				var sender sync.WaitGroup
+				sender.Go(func() { send(near, test.chunk, test.chunks, test.every) })
+				err := <-ended
+				if test.stalled {
+					var timeout net.Error
+					require.True(t, errors.As(err, &timeout) && timeout.Timeout(), "%v", err)
+					require.EqualValues(t, 1, c.stalled.Load())
+				} else {
+					require.NoError(t, err)
+					require.Zero(t, c.stalled.Load())
+				}
+				close(l.done)
+				_ = near.Close()
+				_ = srv.Close()
+				sender.Wait()
+			})
+		})
+	}
+}
+
+func send(conn net.Conn, chunk, chunks int, every time.Duration) {
+	head := "PUT / HTTP/1.1\r\nHost: x\r\nContent-Length: " + strconv.Itoa(chunk*chunks) + "\r\n\r\n"
+	if _, err := io.WriteString(conn, head); err != nil {
+		return
+	}
+	for range chunks {
+		if _, err := conn.Write(bytes.Repeat([]byte("x"), chunk)); err != nil {
+			return
+		}
+		time.Sleep(every)
+	}
+}
+
+// A booking takes longer than a body may stand still, and its caller keeps the
+// connection for another one after a pause. The deadlines that were set while
+// the body was read and the answer written must not cut either.
+func TestDeadlinesEndWithTheirExchange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &serverCounters{}
+		srv, _ := newServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, err := io.ReadAll(r.Body)
+			require.NoError(t, err)
+			// A reader that wants to see the end once more.
+			_, err = r.Body.Read(make([]byte, 1))
+			require.ErrorIs(t, err, io.EOF)
+			time.Sleep(3 * stallLimit)
+			require.NoError(t, r.Context().Err(), "the caller is still there")
+			_, err = w.Write([]byte("booked"))
+			require.NoError(t, err)
+			time.Sleep(3 * stallLimit)
+		}), c)
+		near, far := net.Pipe()
+		l := &oneConn{conns: make(chan net.Conn, 1), done: make(chan struct{})}
+		l.conns <- far
+		go func() { _ = srv.Serve(l) }()
+		answers := bufio.NewReader(near)
+		for range 3 {
+			_, err := io.WriteString(near, "PUT / HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n")
+			require.NoError(t, err)
+			require.Equal(t, http.StatusContinue, status(t, answers))
+			_, err = io.WriteString(near, "ok")
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, status(t, answers))
+			time.Sleep(2 * stallLimit)
+		}
+		require.Zero(t, c.stalled.Load()+c.errors.Load()+c.panics.Load())
+		close(l.done)
+		_ = near.Close()
+		_ = srv.Close()
+		synctest.Wait()
+	})
+}
+
+func status(t *testing.T, answers *bufio.Reader) int {
+	t.Helper()
+	resp, err := http.ReadResponse(answers, nil)
+	require.NoError(t, err)
+	_, err = io.Copy(io.Discard, resp.Body)
+	require.NoError(t, err)
+	return resp.StatusCode
+}
+
+// A caller asks for a long answer and stops reading it. The node would hold the
+// answer's goroutine, the guard its slot, and the backend server its connection.
+func TestAStalledReaderIsCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &serverCounters{}
+		ended := make(chan error, 1)
+		srv, _ := newServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, err := w.Write(make([]byte, 1<<20))
+			ended <- err
+		}), c)
+		near, far := net.Pipe()
+		l := &oneConn{conns: make(chan net.Conn, 1), done: make(chan struct{})}
+		l.conns <- far
+		go func() { _ = srv.Serve(l) }()
+		_, err := io.WriteString(near, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+		require.NoError(t, err)
+		begun := time.Now()
+		require.Error(t, <-ended)
+		require.Equal(t, stallLimit, time.Since(begun), "of the test's clock")
+		require.EqualValues(t, 1, c.stalled.Load())
+		close(l.done)
+		_ = near.Close()
+		_ = srv.Close()
+		synctest.Wait()
+	})
+}
