--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -44,6 +44,14 @@
 	mu     sync.Mutex
 	got    []seen
 	answer http.HandlerFunc
+	// uploads counts the uploads of which a part has come.
+	uploads atomic.Int32
+}
+
+func (b *backend) setAnswer(f http.HandlerFunc) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.answer = f
 }
 
 func newBackend(t *testing.T) *backend {
@@ -62,6 +70,9 @@
 	buf := make([]byte, 4096)
 	for {
 		n, err := r.Body.Read(buf)
+		if n > 0 && body.Len() == 0 && r.Method == http.MethodPut {
+			b.uploads.Add(1)
+		}
 		body.Write(buf[:n])
 		if err != nil {
 			break
@@ -117,6 +128,7 @@
 	set     *settings.Settings
 	servers *servers
 	entry   *entry.Entry
+	stop    func()
 	lines   atomic.Int64
 }
 
@@ -155,10 +167,11 @@
 	app := fx.New(Module, fx.NopLogger, fx.Supply(n.set), fx.Populate(&n.servers, &n.entry),
 		fx.Provide(func() logr.Logger { return log }))
 	require.NoError(t, app.Start(context.Background()))
-	t.Cleanup(func() {
+	n.stop = sync.OnceFunc(func() {
 		p.CloseClientConnections()
 		require.NoError(t, app.Stop(context.Background()))
 	})
+	t.Cleanup(n.stop)
 	require.Eventually(t, func() bool {
 		rec := httptest.NewRecorder()
 		req := httptest.NewRequest(http.MethodGet, "/ready", nil)
--- a/internal/node/ports_test.go
+++ b/internal/node/ports_test.go
@@ -144,15 +144,13 @@
 func TestInternalHeadersAreStripped(t *testing.T) {
 	b := newBackend(t)
 	n := start(t, b, logr.Logger{})
-	b.mu.Lock()
-	b.answer = func(w http.ResponseWriter, _ *http.Request) {
+	b.setAnswer(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set(headers.Kind, "overloaded")
 		w.Header().Set(headers.Outcome, "not-run")
 		w.Header().Set(headers.Incarnation, "1")
 		w.Header().Set(headers.Ticket, "forged")
 		w.WriteHeader(http.StatusServiceUnavailable)
-	}
-	b.mu.Unlock()
+	})
 	text := "GET /x HTTP/1.1\r\nHost: orders\r\nConnection: close\r\n"
 	internal := []string{
 		headers.Attempt, headers.Incarnation, headers.Tick, headers.Exchange, headers.Config, headers.Fleet,
--- a/internal/node/slow_test.go
+++ b/internal/node/slow_test.go
@@ -62,7 +62,7 @@
 				go func() { _ = srv.Serve(l) }()
 				go func() { _, _ = io.Copy(io.Discard, near) }()
 				var sender sync.WaitGroup
-				sender.Go(func() { send(near, test.chunk, test.chunks, test.every) })
+				sender.Go(func() { drip(near, test.chunk, test.chunks, test.every) })
 				err := <-ended
 				if test.stalled {
 					var timeout net.Error
@@ -81,7 +81,7 @@
 	}
 }
 
-func send(conn net.Conn, chunk, chunks int, every time.Duration) {
+func drip(conn net.Conn, chunk, chunks int, every time.Duration) {
 	head := "PUT / HTTP/1.1\r\nHost: x\r\nContent-Length: " + strconv.Itoa(chunk*chunks) + "\r\n\r\n"
 	if _, err := io.WriteString(conn, head); err != nil {
 		return
