--- a/internal/kind/answer.go
+++ b/internal/kind/answer.go
@@ -62,7 +62,10 @@
 	if _, ok := table[k]; !ok {
 		return New(OutcomeUnknown, "a node answered with a kind this version doesn't know")
 	}
-	e := &Error{Kind: k, Outcome: Outcome(resp.Header.Get(headers.Outcome)), FromGuard: true}
+	e := &Error{Kind: k, Outcome: Outcome(resp.Header.Get(headers.Outcome))}
+	// A node of another fleet, which has the target's old address, knows that it
+	// didn't run this copy; it knows nothing of the target's own records.
+	e.FromGuard = k != WrongFleet
 	e.Death, _ = strconv.ParseUint(resp.Header.Get(headers.Death), 16, 64)
 	e.Alone = resp.Header.Get(headers.DeathAlone) != ""
 	var b body
--- a/internal/kind/kind_test.go
+++ b/internal/kind/kind_test.go
@@ -58,3 +58,15 @@
 	e := kind.From(errors.New("anything"))
 	require.Equal(t, kind.Unknown, e.Said())
 }
+
+// An attempt ran at a target; then the target's VM is gone and another fleet's
+// has its address. The entry, which comes back for the answer, is refused there
+// as not run. Were that taken for the guard's word, the caller would be told that
+// a booking that ran did not.
+func TestAnotherFleetIsNoWordOfTheGuard(t *testing.T) {
+	for _, k := range kind.All() {
+		rec := httptest.NewRecorder()
+		kind.Write(rec, kind.New(k, ""))
+		require.Equal(t, k != kind.WrongFleet, kind.Read(rec.Result()).FromGuard, k)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,13 +5,11 @@
 	"context"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"time"
 
 	"github.com/go-logr/logr"
 	"go.uber.org/fx"
 
-	"github.com/limpetdock/limpetdock/internal/admin"
 	"github.com/limpetdock/limpetdock/internal/budget"
 	"github.com/limpetdock/limpetdock/internal/control"
 	"github.com/limpetdock/limpetdock/internal/core"
@@ -80,71 +78,6 @@
 	})
 }
 
-// face is the node as the admin API shows it.
-type face struct {
-	*control.Loop
-	*entry.Entry
-	*guard.Guard
-	limits *limit.Table
-	clock  Clock
-}
-
-// Limits are the limits on requests in flight, with their use.
-func (f face) Limits() []limit.Use { return f.limits.Uses() }
-
-// Now is the time since the node's start.
-func (f face) Now() time.Duration { return f.clock() }
-
-// Dump copies the control tables.
-func (f face) Dump() (core.Dump, bool) { return f.Loop.Dump() }
-
-// servers are the HTTP servers of a node and their listeners.
-type servers struct {
-	callers, guard, admin *http.Server
-	counters              countersByServer
-	connsPerIP            int
-	// callersDrain and guardDrain tell clients of the two to close.
-	callersDrain, guardDrain *drainer
-	listeners                []net.Listener
-	control                  *link.Server
-}
-
-func newServers(set *settings.Settings, e *entry.Entry, g *guard.Guard, l *control.Loop, m *metrics.Metrics, c *link.Server, limits *limit.Table, now Clock, log logr.Logger) *servers {
-	s := &servers{control: c, connsPerIP: set.ConnsPerIP}
-	s.callers, s.callersDrain = newServer(e, s.counters.of(m, log, "callers"))
-	s.callers.ConnContext = entry.ConnContext
-	s.guard, s.guardDrain = newServer(onlyFleet(set.Fleet, g), s.counters.of(m, log, "guard"))
-	s.admin, _ = newServer(admin.New(face{l, e, g, limits, now}, m), s.counters.of(m, log, "admin"))
-	return s
-}
-
-func (s *servers) listen(set *settings.Settings) error {
-	for _, addr := range []string{set.Callers, set.Guard, set.Admin, set.Control} {
-		l, err := net.Listen("tcp", addr)
-		if err != nil {
-			return err
-		}
-		s.listeners = append(s.listeners, l)
-	}
-	return nil
-}
-
-func (s *servers) serve(fail func(error)) {
-	for i, srv := range []*http.Server{s.callers, s.guard, s.admin} {
-		go func() {
-			l := newPerIPListener(s.listeners[i], s.connsPerIP, s.counters[i])
-			if err := srv.Serve(l); err != http.ErrServerClosed {
-				fail(err)
-			}
-		}()
-	}
-	go func() {
-		if err := s.control.Serve(s.listeners[3]); err != nil {
-			fail(err)
-		}
-	}()
-}
-
 type parts struct {
 	fx.In
 	Settings *settings.Settings
@@ -162,7 +95,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
-			if err := p.Servers.listen(p.Settings); err != nil {
+			if err := p.Servers.listen(); err != nil {
 				return err
 			}
 			p.Guard.OnBehind(p.Loop.Behind)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -176,7 +176,7 @@
 		rec := httptest.NewRecorder()
 		req := httptest.NewRequest(http.MethodGet, "/ready", nil)
 		req.Header.Set("Limpetdock-Service", "orders")
-		n.servers.callers.Handler.ServeHTTP(rec, req)
+		n.servers.callers.server.Handler.ServeHTTP(rec, req)
 		return rec.Code == http.StatusOK
 	}, 20*time.Second, 10*time.Millisecond)
 	b.taken()
--- /dev/null
+++ b/internal/node/perip.go
@@ -0,0 +1,65 @@
+package node
+
+import (
+	"net"
+	"sync"
+)
+
+// perIPListener closes connections of an address that has too many open.
+type perIPListener struct {
+	net.Listener
+	limit    int
+	counters *serverCounters
+	mu       sync.Mutex
+	open     map[string]int
+}
+
+func newPerIPListener(l net.Listener, limit int, c *serverCounters) *perIPListener {
+	return &perIPListener{Listener: l, limit: limit, counters: c, open: map[string]int{}}
+}
+
+// Accept gives the next connection whose address has room.
+func (l *perIPListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		ip, _, err := net.SplitHostPort(conn.RemoteAddr().String())
+		if err != nil || l.enter(ip) {
+			return &countedConn{Conn: conn, leave: sync.OnceFunc(func() { l.leave(ip) })}, nil
+		}
+		l.counters.refused.Add(1)
+		_ = conn.Close()
+	}
+}
+
+func (l *perIPListener) enter(ip string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.open[ip] >= l.limit {
+		return false
+	}
+	l.open[ip]++
+	return true
+}
+
+func (l *perIPListener) leave(ip string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.open[ip]--; l.open[ip] <= 0 {
+		delete(l.open, ip)
+	}
+}
+
+// countedConn leaves its listener's count once, when it is closed.
+type countedConn struct {
+	net.Conn
+	leave func()
+}
+
+func (c *countedConn) Close() error {
+	err := c.Conn.Close()
+	c.leave()
+	return err
+}
--- a/internal/node/ports_test.go
+++ b/internal/node/ports_test.go
@@ -223,7 +223,7 @@
 		require.NoError(t, err)
 		open = append(open, conn)
 	}
-	refused := n.servers.counters[0]
+	refused := n.servers.callers.counters
 	require.Eventually(t, func() bool {
 		conn, err := net.Dial("tcp", n.set.Callers)
 		if err == nil {
--- a/internal/node/quiet_test.go
+++ b/internal/node/quiet_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"log"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/url"
@@ -60,7 +59,7 @@
 					shapes[i%len(shapes)](r)
 				}
 				w := httptest.NewRecorder()
-				n.servers.callers.Handler.ServeHTTP(w, r)
+				n.servers.callers.server.Handler.ServeHTTP(w, r)
 				if w.Code == http.StatusOK {
 					served.Add(1)
 				}
@@ -79,20 +78,20 @@
 func TestTheLibrarysLinesAreCounted(t *testing.T) {
 	var lines []string
 	c := &serverCounters{log: funcr.New(func(_, args string) { lines = append(lines, args) }, funcr.Options{})}
-	srv, _ := newServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	port := newHTTPPort("127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/panic" {
 			panic("a fault")
 		}
 		w.WriteHeader(http.StatusOK)
 		w.WriteHeader(http.StatusOK) // the library complains
-	}), c)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	go func() { _ = srv.Serve(l) }()
-	defer func() { _ = srv.Close() }()
+	}), 16, c)
+	require.NoError(t, port.listen())
+	go func() { _ = port.serve() }()
+	defer func() { _ = port.server.Close() }()
+	addr := port.listener.Addr().String()
 	for range 3 {
-		raw(l.Addr().String(), "GET /panic HTTP/1.1\r\nHost: x\r\n\r\n")
-		statuses, _ := raw(l.Addr().String(), "GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+		raw(addr, "GET /panic HTTP/1.1\r\nHost: x\r\n\r\n")
+		statuses, _ := raw(addr, "GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
 		require.Equal(t, []int{http.StatusOK}, statuses)
 	}
 	require.EqualValues(t, 3, c.panics.Load())
--- a/internal/node/scrape_test.go
+++ b/internal/node/scrape_test.go
@@ -6,7 +6,6 @@
 	"testing"
 	"time"
 
-	"github.com/go-logr/logr"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/stretchr/testify/require"
 
@@ -28,11 +27,11 @@
 	c, err := config.FromDocuments(pub.Values())
 	require.NoError(t, err)
 
-	m, limits, counters := metrics.New(), limit.New(), countersByServer{}
+	m, limits := metrics.New(), limit.New()
 	limits.SetConfig(c)
 	m.Registry.MustRegister(limits)
 	for _, name := range []string{"callers", "guard", "admin"} {
-		counters.of(m, logr.Discard(), name)
+		(&serverCounters{}).register(m, name)
 	}
 	for _, s := range f.Services {
 		for _, k := range append(kind.All(), "") {
--- /dev/null
+++ b/internal/node/servers.go
@@ -0,0 +1,112 @@
+package node
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-logr/logr"
+	"go.uber.org/fx"
+
+	"github.com/limpetdock/limpetdock/internal/admin"
+	"github.com/limpetdock/limpetdock/internal/control"
+	"github.com/limpetdock/limpetdock/internal/core"
+	"github.com/limpetdock/limpetdock/internal/entry"
+	"github.com/limpetdock/limpetdock/internal/guard"
+	"github.com/limpetdock/limpetdock/internal/limit"
+	"github.com/limpetdock/limpetdock/internal/link"
+	"github.com/limpetdock/limpetdock/internal/metrics"
+	"github.com/limpetdock/limpetdock/internal/settings"
+)
+
+// servers are what listens in a node: three HTTP ports and the control port.
+type servers struct {
+	callers, guard, admin *httpPort
+	control               *link.Server
+	controlAddr           string
+	controlListener       net.Listener
+}
+
+// serving is what servers are made of.
+type serving struct {
+	fx.In
+	Settings *settings.Settings
+	Entry    *entry.Entry
+	Guard    *guard.Guard
+	Loop     *control.Loop
+	Metrics  *metrics.Metrics
+	Control  *link.Server
+	Limits   *limit.Table
+	Clock    Clock
+	Log      logr.Logger
+}
+
+func newServers(p serving) *servers {
+	set := p.Settings
+	port := func(name, addr string, h http.Handler) *httpPort {
+		c := &serverCounters{log: p.Log.WithValues("server", name)}
+		c.register(p.Metrics, name)
+		return newHTTPPort(addr, h, set.ConnsPerIP, c)
+	}
+	face := face{p.Loop, p.Entry, p.Guard, p.Limits, p.Clock}
+	s := &servers{
+		callers: port("callers", set.Callers, p.Entry),
+		guard:   port("guard", set.Guard, onlyFleet(set.Fleet, p.Guard)),
+		admin:   port("admin", set.Admin, admin.New(face, p.Metrics)),
+		control: p.Control, controlAddr: set.Control,
+	}
+	s.callers.server.ConnContext = entry.ConnContext
+	return s
+}
+
+// listen opens every port, so that a node whose address is taken doesn't start.
+func (s *servers) listen() error {
+	for _, p := range []*httpPort{s.callers, s.guard, s.admin} {
+		if err := p.listen(); err != nil {
+			return err
+		}
+	}
+	var err error
+	s.controlListener, err = net.Listen("tcp", s.controlAddr)
+	return err
+}
+
+// serve serves every port until it is closed; fail is told of any other end.
+func (s *servers) serve(fail func(error)) {
+	for _, p := range []*httpPort{s.callers, s.guard, s.admin} {
+		go func() {
+			if err := p.serve(); err != http.ErrServerClosed {
+				fail(err)
+			}
+		}()
+	}
+	go func() {
+		if err := s.control.Serve(s.controlListener); err != nil {
+			fail(err)
+		}
+	}()
+}
+
+// closeControl ends the control port with its connections.
+func (s *servers) closeControl() {
+	_ = s.controlListener.Close()
+	s.control.Close()
+}
+
+// face is the node as the administration API shows it.
+type face struct {
+	*control.Loop
+	*entry.Entry
+	*guard.Guard
+	limits *limit.Table
+	clock  Clock
+}
+
+// Limits are the limits on requests in flight, with their use.
+func (f face) Limits() []limit.Use { return f.limits.Uses() }
+
+// Now is the time since the node's start.
+func (f face) Now() time.Duration { return f.clock() }
+
+// Dump copies the control tables.
+func (f face) Dump() (core.Dump, bool) { return f.Loop.Dump() }
--- a/internal/node/slow_test.go
+++ b/internal/node/slow_test.go
@@ -35,7 +35,7 @@
 
 // serveOne serves one connection with a handler; end closes both ends of it.
 func serveOne(h http.HandlerFunc, c *serverCounters) (near net.Conn, end func()) {
-	srv, _ := newServer(h, c)
+	srv := newHTTPPort("", h, 1, c).server
 	near, far := net.Pipe()
 	l := &oneConn{conns: make(chan net.Conn, 1), done: make(chan struct{})}
 	l.conns <- far
@@ -53,14 +53,17 @@
 // held for good. An upload that moves on may take as long as it likes.
 func TestSlowBodies(t *testing.T) {
 	tests := map[string]struct {
-		chunk   int
-		every   time.Duration
-		chunks  int
+		chunk  int
+		every  time.Duration
+		chunks int
+		// pause is what the backend server takes between two reads.
+		pause   time.Duration
 		stalled bool
 	}{
-		"stalls":                {100, 2 * stallLimit, 2, true},
-		"a byte now and then":   {1, stallLimit / 3, 1000, true},
-		"a slow, steady sender": {minRate * 20, 10 * time.Second, 100, false},
+		"stalls":                {100, 2 * stallLimit, 2, 0, true},
+		"a byte now and then":   {1, stallLimit / 3, 1000, 0, true},
+		"a slow, steady sender": {minRate * 20, 10 * time.Second, 100, 0, false},
+		"a slow backend server": {100, 0, 20, 2 * stallLimit, false},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -68,8 +71,7 @@
 				c := &serverCounters{}
 				ended := make(chan error, 1)
 				near, end := serveOne(func(_ http.ResponseWriter, r *http.Request) {
-					_, err := io.Copy(io.Discard, r.Body)
-					ended <- err
+					ended <- readSlowly(r.Body, test.pause)
 				}, c)
 				go func() { _, _ = io.Copy(io.Discard, near) }()
 				var sender sync.WaitGroup
@@ -90,6 +92,20 @@
 	}
 }
 
+func readSlowly(body io.Reader, pause time.Duration) error {
+	buf := make([]byte, 512)
+	for {
+		_, err := body.Read(buf)
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		time.Sleep(pause)
+	}
+}
+
 func drip(conn net.Conn, chunk, chunks int, every time.Duration) {
 	head := "PUT / HTTP/1.1\r\nHost: x\r\nContent-Length: " + strconv.Itoa(chunk*chunks) + "\r\n\r\n"
 	if _, err := io.WriteString(conn, head); err != nil {
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -29,17 +29,16 @@
 	p.askToClose()
 	limit, cancel := context.WithTimeout(context.Background(), stopLimit(p.Settings.StopLimit, p.Entry.View()))
 	defer cancel()
-	if err := p.Servers.callers.Shutdown(limit); err != nil {
+	if err := p.Servers.callers.server.Shutdown(limit); err != nil {
 		p.Log.Error(err, "callers cut off at the stop limit")
 	}
 	p.waitForRuns(limit)
-	if err := p.Servers.guard.Shutdown(limit); err != nil {
+	if err := p.Servers.guard.server.Shutdown(limit); err != nil {
 		p.Log.Error(err, "entries cut off at the stop limit")
 	}
 	p.Loop.Stop()
-	_ = p.Servers.listeners[3].Close()
-	p.Servers.control.Close()
-	_ = p.Servers.admin.Close()
+	p.Servers.closeControl()
+	_ = p.Servers.admin.server.Close()
 	p.Entry.Close()
 	p.Guard.Close()
 	p.Dialer.Close()
@@ -66,8 +65,8 @@
 	grace, cancel := context.WithTimeout(context.Background(), p.Settings.StopGrace)
 	defer cancel()
 	var wg sync.WaitGroup
-	wg.Go(func() { p.Servers.callersDrain.drain(grace) })
-	wg.Go(func() { p.Servers.guardDrain.drain(grace) })
+	wg.Go(func() { p.Servers.callers.drainer.drain(grace) })
+	wg.Go(func() { p.Servers.guard.drainer.drain(grace) })
 	wg.Wait()
 }
 
