--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -172,6 +172,12 @@
 	require.Contains(t, e.Why, "(other region), because the own region has no usable target")
 	s.Targets[4].Leaving = true
 	e = read[Explanation](t, h, PathExplain+"?service=orders")
+	require.NotEmpty(t, e.Chosen, "a target that is said to leave is the last resort")
+	require.Contains(t, e.Why, "though it is said to leave")
+	for _, target := range s.Targets {
+		target.Guard = ""
+	}
+	e = read[Explanation](t, h, PathExplain+"?service=orders")
 	require.Empty(t, e.Chosen)
 	require.Contains(t, e.Why, "no-target")
 }
--- a/internal/admin/explain.go
+++ b/internal/admin/explain.go
@@ -78,7 +78,7 @@
 	for _, t := range s.Targets {
 		e.Targets = append(e.Targets, stateOf(v, t, now))
 	}
-	e.Why = "every target is leaving or unknown: the answer would be no-target"
+	e.Why = "no target has a known address: the answer would be no-target"
 	ask := &pick.Ask{Draw: pick.Draw{Now: now, Rand: pick.SharedRand}}
 	if chosen := s.Choose(ask); chosen != nil {
 		e.Chosen = chosen.Place.VM
@@ -90,6 +90,8 @@
 func why(v *pick.View, s *pick.Service, chosen *pick.Target, now time.Duration) string {
 	reason := fmt.Sprintf("chosen by policy %s (%s)", s.Policy, distance(v, chosen))
 	switch {
+	case chosen.Leaving:
+		reason += ", though it is said to leave, because every other does too; its node refuses if so"
 	case chosen.Stat.PassedOver(now):
 		reason += ", though it is passed over for now, because nothing better is left"
 	case chosen.Region != v.Here.Region && anyUsable(s.Targets[:s.InRegion], now):
