--- a/internal/pick/cost.go
+++ b/internal/pick/cost.go
@@ -32,6 +32,7 @@
 func (t *Target) Report(r Report) {
 	r.own = int(t.Stat.InFlight.Load())
 	t.Stat.report.Store(&r)
+	t.Stat.load.Store(loadOf(r))
 	if r.Waiting == 0 && r.Running < r.Slots {
 		t.Stat.hints.Store(1)
 		return
@@ -42,15 +43,27 @@
 // Reported gives the last report, or nil.
 func (t *Target) Reported() *Report { return t.Stat.report.Load() }
 
+// timeBits is how many bits of a load word hold the time in microseconds, which
+// is enough for eight years; the rest holds the number of requests.
+const timeBits = 48
+
+// loadOf packs what a report says of other nodes' requests, and when it came,
+// into one word, so that a choice reads them together and follows no pointer.
+func loadOf(r Report) uint64 {
+	others := min(max(r.Running+r.Waiting-r.own, 0), 1<<(64-timeBits)-1)
+	return uint64(others)<<timeBits | uint64(r.At.Microseconds())
+}
+
 // others estimates the requests of other nodes at the target: what its guard
 // last counted beyond the node's own, less the older the report is.
 func (t *Target) others(now time.Duration) float64 {
-	r := t.Stat.report.Load()
-	if r == nil {
+	load := t.Stat.load.Load()
+	others := load >> timeBits
+	if others == 0 {
 		return 0
 	}
-	age := max(now-r.At, 0)
-	return float64(max(r.Running+r.Waiting-r.own, 0)) * float64(loadHalf) / float64(loadHalf+age)
+	at := time.Duration(load&(1<<timeBits-1)) * time.Microsecond
+	return float64(others) * float64(loadHalf) / float64(loadHalf+max(now-at, 0))
 }
 
 // inFlight is the node's own requests at the target, as if failures were still running.
--- a/internal/pick/policy_test.go
+++ b/internal/pick/policy_test.go
@@ -96,7 +96,8 @@
 	require.Less(t, honest.Cost(now), liar.Cost(now))
 }
 
-// fullSize gives the Services of a node of 890 over 59 services.
+// fullSize gives the Services of a node of 890 over 59 services, with requests
+// in flight and a report at every target.
 func fullSize(policy string) []*Service {
 	all := places(3, 4, 75)[:890]
 	services := make([]*Service, 0, 59)
@@ -105,7 +106,13 @@
 		for j := i; j < len(all); j += 59 {
 			mine = append(mine, all[j])
 		}
-		services = append(services, newService(policy, Place{"here", "r0z0", "r0"}, mine, 9, len(all)))
+		s := newService(policy, Place{"here", "r0z0", "r0"}, mine, 9, len(all))
+		for _, target := range s.Targets {
+			target.Headers(target.Begin(0, true), time.Millisecond, Good, SharedRand)
+			target.Begin(time.Millisecond, true)
+			target.Report(Report{Running: 3, Slots: 9, Service: time.Millisecond, At: time.Millisecond})
+		}
+		services = append(services, s)
 	}
 	return services
 }
--- a/internal/pick/stat.go
+++ b/internal/pick/stat.go
@@ -8,7 +8,7 @@
 
 // tracked is how many of a target's requests in flight have their start kept.
 // More of them are counted, but their age is not known.
-const tracked = 8
+const tracked = 4
 
 // Stat is what a node itself has seen of a target. It outlives Views.
 // It is safe for concurrent use. Averages are updated without a lock: of two
@@ -24,7 +24,8 @@
 	// target is passed over because it refused.
 	avoidUntil atomic.Int64
 	health     atomic.Pointer[health]
-	report     atomic.Pointer[Report]
+	// load is what the last report says of other nodes' requests, see loadOf.
+	load atomic.Uint64
 	// latency is a moving average of the time to an answer without the round
 	// trip, and sampled is when its last sample came, both in nanoseconds.
 	latency, sampled atomic.Int64
@@ -35,6 +36,7 @@
 	// starts holds when requests in flight began, in nanoseconds; 0 is free.
 	starts   [tracked]atomic.Int64
 	identity atomic.Pointer[Identity]
+	report   atomic.Pointer[Report]
 }
 
 // Identity gives what was last learnt, or nil.
