--- a/internal/entry/once_test.go
+++ b/internal/entry/once_test.go
@@ -42,10 +42,14 @@
 
 // during sends a request and calls f while the backend server runs it.
 func during(w *world, l *ledger, f func(), pairs ...string) answer {
-	got := make(chan answer)
+	got := make(chan answer, 1)
 	go func() { got <- w.ask(0, "POST", "/book", "x", pairs...) }()
-	<-l.started
-	f()
+	select {
+	case <-l.started:
+		f()
+	case early := <-got:
+		require.Fail(w.t, "answered before it ran", "%+v", early)
+	}
 	return <-got
 }
 
@@ -70,15 +74,18 @@
 	l := newLedger(t)
 	w := newWorld(t, l.URL)
 	// Two requests at once leave two connections kept.
-	kept := during(w, l, func() {
-		got := make(chan answer)
-		go func() { got <- w.ask(0, "POST", "/book", "x") }()
-		<-l.started
+	second := make(chan answer, 1)
+	first := during(w, l, func() {
+		go func() { second <- w.ask(0, "POST", "/book", "x") }()
+		require.Eventually(t, func() bool {
+			// A guard that has just started may let it wait.
+			return len(l.started) > 0 || w.nodes[0].guard.Load().Load().Waiting > 0
+		}, time.Minute, time.Millisecond)
 		l.finish <- struct{}{}
 		l.finish <- struct{}{}
-		<-got
 	})
-	require.Equal(t, http.StatusOK, kept.status)
+	require.Equal(t, http.StatusOK, first.status)
+	require.Equal(t, http.StatusOK, (<-second).status)
 	w.nodes[0].pipe.silence()
 	got := w.ask(0, "POST", "/book", "x")
 	require.Equal(t, "sealed", got.kind, "there is no other target, so the seal is the end, and is proof")
