Deadlines count from the request's arrival at the guard; a guard that replies is asked on

Cause, found by reading: the guard read the body first and counted the deadline from then, so a process paused meanwhile would run late work. And an entry that had waited long for a run, and then lost its exchange once more, took the time of the run for silence and said unknown with the guard at hand.

--- a/internal/entry/fate.go
+++ b/internal/entry/fate.go
@@ -40,10 +40,13 @@
 	e.counters.Resolved.Add(1)
 	p := patience{since: e.now()}
 	for {
-		err := e.resolveOnce(ctx, w, s)
+		heard, err := e.resolveOnce(ctx, w, s)
 		if err == nil || !open(err) {
 			return err
 		}
+		if heard {
+			p.heard(e.now())
+		}
 		if p.out(e.now(), err.Cause) || ctx.Err() != nil {
 			return kind.New(kind.OutcomeUnknown, "the target that may have run the request can't be asked").Because(err.Cause)
 		}
@@ -67,22 +70,24 @@
 	return false
 }
 
-func (e *Entry) resolveOnce(ctx context.Context, w http.ResponseWriter, s sent) *kind.Error {
+// resolveOnce asks once, and collects the answer if there is to be one. heard
+// says that the guard has replied.
+func (e *Entry) resolveOnce(ctx context.Context, w http.ResponseWriter, s sent) (heard bool, failed *kind.Error) {
 	reply, err := e.ask(ctx, s.target, &wire.Seal{Incarnation: s.identity.Incarnation, Attempt: s.id, Tick: s.identity.Tick})
 	if err != nil {
-		return kind.New(kind.OutcomeUnknown, "the target can't be asked").Because(err)
+		return false, kind.New(kind.OutcomeUnknown, "the target can't be asked").Because(err)
 	}
 	switch attempt.Next(reply, s.identity.Incarnation) {
 	case attempt.Elsewhere:
 		sealed := kind.New(kind.Sealed, "the request was sealed before it ran")
 		sealed.FromGuard = true
-		return sealed
+		return true, sealed
 	case attempt.Collect:
-		return e.collect(ctx, w, s)
+		return true, e.collect(ctx, w, s)
 	}
 	gone := kind.New(kind.OutcomeUnknown, "the process that may have run the request is gone, or can't tell")
 	gone.FromGuard = true
-	return gone
+	return true, gone
 }
 
 // collect gets the kept answer of an attempt and delivers it.
@@ -126,12 +131,27 @@
 type patience struct {
 	since   time.Duration
 	refused int
+	replies int
 }
 
-// maxRefused is how many refused connections show that a process has ended.
-const maxRefused = 3
+const (
+	// maxRefused is how many refused connections show that a process has ended.
+	maxRefused = 3
+	// maxReplies is how often a guard that replies is asked, when each time the
+	// answer breaks off before it has been collected.
+	maxReplies = 5
+)
+
+// heard starts the wait anew: the guard is there, and the run may take long.
+func (p *patience) heard(now time.Duration) {
+	p.since, p.refused = now, 0
+	p.replies++
+}
 
 func (p *patience) out(now time.Duration, err error) bool {
+	if p.replies >= maxReplies {
+		return true
+	}
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		p.refused++
 	}
--- a/internal/entry/fate_test.go
+++ b/internal/entry/fate_test.go
@@ -28,6 +28,13 @@
 		{"silence for a while", []error{silent, silent, silent}, refusedLimit, false},
 		{"silence for long", []error{silent}, unheardLimit, true},
 	}
+	p := patience{}
+	p.heard(unheardLimit)
+	require.False(t, p.out(unheardLimit, silent), "a guard that replied, and whose run took long, is asked again")
+	for range maxReplies {
+		p.heard(unheardLimit)
+	}
+	require.True(t, p.out(unheardLimit, silent), "but not for ever")
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			p := patience{}
--- a/internal/guard/once.go
+++ b/internal/guard/once.go
@@ -24,6 +24,8 @@
 
 // runOnce runs an at-most-once attempt, or joins the run that its id has had.
 func (g *Guard) runOnce(r *http.Request, id string) (*http.Response, *kind.Error) {
+	// The body may take its time, or the process be paused while it comes.
+	deadline := time.Now().Add(timeLeft(r))
 	c := claimOf(r, id)
 	body, e := holdBody(r)
 	if e != nil {
@@ -33,7 +35,6 @@
 	if v, wait := g.check(c); v != attempt.Start {
 		return g.settle(r, c, v, wait)
 	}
-	deadline := time.Now().Add(timeLeft(r))
 	leave, e := g.enterRecorded(r, c)
 	if e != nil {
 		return g.refuse(r, c, e)
