--- a/internal/cli/reference.go
+++ b/internal/cli/reference.go
@@ -77,14 +77,16 @@
 
 // writeLong writes a long description: text as it is, indented lines as code.
 func writeLong(b *strings.Builder, long string) {
+	inCode := false
 	for line := range strings.SplitSeq(long, "\n") {
-		if example, ok := strings.CutPrefix(line, "  "); ok {
-			fmt.Fprintf(b, "    %s\n", example)
-			continue
-		}
-		b.WriteString(line + "\n")
-		if line == "Examples:" || line == "Example:" {
+		example, code := strings.CutPrefix(line, "  ")
+		if code != inCode && line != "" {
 			b.WriteString("\n")
+			inCode = code
 		}
+		if code {
+			line = "    " + example
+		}
+		b.WriteString(line + "\n")
 	}
 }
