--- a/internal/entry/evidence.go
+++ b/internal/entry/evidence.go
@@ -27,7 +27,8 @@
 		return pick.Unreachable
 	case kind.Overloaded:
 		return pick.Refused
-	case kind.DeadlineUnknown:
+	case kind.DeadlineUnknown, kind.DeadlineNotRun:
+		// The latter was spent in the guard's queue.
 		return pick.Late
 	case kind.BackendDied, kind.BackendBroken, kind.OutcomeUnknown:
 		return pick.Failed
