Refusals that only tell a target's new incarnation cost no retry budget

After a restart each target refuses one attempt of every entry; these were paid for.

Shown red: without the exception the new test fails.

--- a/internal/entry/account.go
+++ b/internal/entry/account.go
@@ -63,9 +63,11 @@
 // mayGoOn says whether the budgets let a request go on to another target after
 // err, and pays for it. A request that may have run costs a retry, of the service
 // and of the call chain; one that was refused costs a part of one, and one that
-// no backend server was asked about nothing: that bounds itself.
+// no backend server was asked about nothing: that bounds itself. Nor does an
+// attempt cost anything that named an older incarnation: after a restart each
+// target refuses one of every entry, and tells its new name.
 func (e *Entry) mayGoOn(x *request, err *kind.Error) bool {
-	if free(err) {
+	if free(err) || err.Kind == kind.StaleAttempt {
 		return true
 	}
 	if err.Said() == kind.NotRun {
--- a/internal/entry/evidence_test.go
+++ b/internal/entry/evidence_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/limpetdock/limpetdock/internal/budget"
 	"github.com/limpetdock/limpetdock/internal/kind"
 	"github.com/limpetdock/limpetdock/internal/pick"
 )
@@ -50,3 +51,18 @@
 		require.Equal(t, c.want, outcomeOf(c.ctx, resp, failed), name)
 	}
 }
+
+// All nodes of a zone are restarted. Each target then refuses the first
+// attempt of every entry once, to tell its new incarnation, and some that come while it
+// still leaves. Were these paid for, the budget would be spent on them and
+// bookings turned away although nothing is overloaded.
+func TestRefusalsOfARestartCostNothing(t *testing.T) {
+	e := &Entry{}
+	for k, free := range map[kind.Kind]bool{
+		kind.StaleAttempt: true, kind.StaleConfig: true, kind.Leaving: true, kind.NotReady: true, kind.Unreachable: true,
+		kind.Overloaded: false, kind.Sealed: false, kind.BackendDied: false,
+	} {
+		x := &request{account: budget.NewRetry(0), chain: budget.ChainRetries}
+		require.Equal(t, free, e.mayGoOn(x, kind.New(k, "test")), k)
+	}
+}
