The region is left for a wait, not for an emptier target elsewhere

The decision compared the cost of the target just chosen with the cheapest elsewhere, and cost counts every request as delay, though below the slots nobody waits.

Change: the shortest delays of both are compared, and only requests beyond the slots count as delay.

--- a/internal/pick/cost.go
+++ b/internal/pick/cost.go
@@ -84,15 +84,35 @@
 	return time.Duration(typical + int64(float64(latency-typical)*left))
 }
 
-// Cost estimates the time to an answer from the target, in nanoseconds: the
-// round trip, and the time at the server stretched by how full it is. A request
-// that is in flight for longer than the average is evidence before it ends: a
-// server that stops answering is seen within one usual answer time.
+// expected is the time to an answer if the target were idle, and busy the
+// requests there, by all that is known.
+func (t *Target) expected(now time.Duration) (way, server, busy float64) {
+	way = float64(t.RTT())
+	server = max(float64(t.serverTime(now)), minServerTime)
+	// A request that is in flight for longer than the average is evidence before
+	// it ends: a server that stops answering is seen within one usual answer time.
+	server = max(server, float64(t.Stat.oldest(now))-way)
+	busy = float64(t.Stat.InFlight.Load()) + t.others(now)
+	return way, server, busy
+}
+
+// Cost compares targets, in nanoseconds: the round trip, and the time at the
+// server stretched by how full it is, so that of two that are free the emptier
+// one is cheaper.
 func (t *Target) Cost(now time.Duration) float64 {
-	rtt := float64(t.RTT())
-	server := max(float64(t.serverTime(now)), minServerTime)
-	server = max(server, float64(t.Stat.oldest(now))-rtt)
-	busy := float64(t.Stat.InFlight.Load()) + t.others(now)
-	failing := float64(t.Stat.failing.Load()) / failScale
-	return rtt + server*(1+busy/float64(max(t.Slots, 1))) + failing*failureCost
+	way, server, busy := t.expected(now)
+	return way + server*(1+busy/float64(max(t.Slots, 1))) + t.failureCost()
+}
+
+// delay estimates the time to an answer, in nanoseconds: only requests beyond
+// the slots make others wait. By it the region is left or not; by Cost it would be
+// left for an emptier one though nobody waits at home.
+func (t *Target) delay(now time.Duration) float64 {
+	way, server, busy := t.expected(now)
+	slots := float64(max(t.Slots, 1))
+	return way + server*(1+max(busy+1-slots, 0)/slots) + t.failureCost()
+}
+
+func (t *Target) failureCost() float64 {
+	return float64(t.Stat.failing.Load()) / failScale * failureCost
 }
--- a/internal/pick/service.go
+++ b/internal/pick/service.go
@@ -75,9 +75,8 @@
 	g := &a.candidates
 	g.gather(s, a)
 	if len(g.home) > 0 {
-		home := s.policy.Choose(a.Draw, g.nearest(a.Now))
-		if !s.leaves(a, g, home) {
-			return home
+		if !s.leaves(a, g) {
+			return s.policy.Choose(a.Draw, g.nearest(a.Now))
 		}
 	}
 	if len(g.far) == 0 {
@@ -99,7 +98,7 @@
 
 // leaves says whether the request leaves the region although home would take
 // it; the candidates outside are then gathered.
-func (s *Service) leaves(a *Ask, g *gathering, home *Target) bool {
+func (s *Service) leaves(a *Ask, g *gathering) bool {
 	if !s.shared.spill.due(a.Now) && s.shared.spill.share.Load() == 0 {
 		return false
 	}
@@ -107,7 +106,7 @@
 	if len(g.far) == 0 {
 		return false
 	}
-	return s.shared.spill.leaves(a, home.Cost(a.Now), cheapest(a.Now, g.far))
+	return s.shared.spill.leaves(a, shortest(a.Now, g.home), shortest(a.Now, g.far))
 }
 
 func cheapest(now time.Duration, among []*Target) float64 {
@@ -118,6 +117,15 @@
 	return least
 }
 
+// shortest gives the least delay among targets.
+func shortest(now time.Duration, among []*Target) float64 {
+	least := among[0].delay(now)
+	for _, t := range among[1:] {
+		least = min(least, t.delay(now))
+	}
+	return least
+}
+
 // Pick chooses a target that isn't in tried, or nil, for callers that choose
 // rarely: it allocates an Ask.
 func (s *Service) Pick(now time.Duration, tried []*Target) *Target {
--- a/internal/pick/spill.go
+++ b/internal/pick/spill.go
@@ -27,7 +27,7 @@
 }
 
 // leaves says whether a request leaves the region, where home and far are the
-// costs, in nanoseconds, with the round trips in them.
+// shortest delays, in nanoseconds, with the round trips in them.
 func (s *spill) leaves(a *Ask, home, far float64) bool {
 	s.step(a.Now, home, far)
 	share := s.share.Load()
