Connections opened ahead of use carry the fleet's name

Cause: the guard's port has come to ask for it, and the greeting had none: the connection was opened, but refused without the target's incarnation, so the first at-most-once attempt was refused after all.

Shown red: with another name the test of greetings ahead of use fails.

--- a/internal/entry/background.go
+++ b/internal/entry/background.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/limpetdock/limpetdock/fleet"
+	"github.com/limpetdock/limpetdock/internal/headers"
 	"github.com/limpetdock/limpetdock/internal/pick"
 	"github.com/limpetdock/limpetdock/internal/wire"
 )
@@ -54,9 +55,10 @@
 func (e *Entry) warmUp(ctx context.Context) {
 	warm := map[string]bool{}
 	for sleep(ctx, warmEvery/2+rand.N(warmEvery)) {
-		if t := coldest(e.view.Load(), warm); t != nil {
+		v := e.view.Load()
+		if t := coldest(v, warm); t != nil {
 			warm[t.Guard] = true
-			e.open(ctx, t)
+			e.open(ctx, v.Config.Fleet(), t)
 		}
 	}
 }
@@ -79,13 +81,14 @@
 // open sends a request for no service, which any guard refuses at once. The
 // refusal names the guard's incarnation, so that the first at-most-once
 // attempt there isn't refused for naming none.
-func (e *Entry) open(ctx context.Context, t *pick.Target) {
+func (e *Entry) open(ctx context.Context, fleetName string, t *pick.Target) {
 	ctx, cancel := context.WithTimeout(ctx, warmTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+t.Guard+"/", nil)
 	if err != nil {
 		return
 	}
+	req.Header.Set(headers.Fleet, fleetName)
 	resp, err := e.remote.RoundTrip(req)
 	if err != nil {
 		return
--- a/internal/entry/budget_test.go
+++ b/internal/entry/budget_test.go
@@ -94,7 +94,14 @@
 		g.SetView(&pick.View{Config: c, Here: p})
 		_, err := g.Health(t.Context(), "/healthz")
 		require.NoError(t, err)
-		front := httptest.NewServer(g)
+		front := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			// As at a node's port, strangers learn nothing.
+			if r.Header.Get(headers.Fleet) != c.Fleet() {
+				w.WriteHeader(http.StatusForbidden)
+				return
+			}
+			g.ServeHTTP(w, r)
+		}))
 		t.Cleanup(front.Close)
 		targets = append(targets, &pick.Target{
 			Place: p, Slots: declared.Slots, Connections: declared.Connections, Distance: pick.SameZone,
