--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -18,6 +18,7 @@
 	"github.com/go-logr/logr/funcr"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/fx"
+	"go.uber.org/goleak"
 
 	"github.com/limpetdock/limpetdock/fleet"
 	"github.com/limpetdock/limpetdock/internal/entry"
@@ -25,6 +26,11 @@
 	"github.com/limpetdock/limpetdock/internal/settings"
 )
 
+// Every node that a test starts is stopped in it, and a stop must leave nothing
+// running: a goroutine that stays would hold a connection, or act on what it
+// knew before.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
 // seen is a request as the backend server got it.
 type seen struct {
 	Method, Path, Body string
@@ -38,6 +44,14 @@
 	mu     sync.Mutex
 	got    []seen
 	answer http.HandlerFunc
+	// uploads counts the uploads of which a part has come.
+	uploads atomic.Int32
+}
+
+func (b *backend) setAnswer(f http.HandlerFunc) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.answer = f
 }
 
 func newBackend(t *testing.T) *backend {
@@ -56,6 +70,9 @@
 	buf := make([]byte, 4096)
 	for {
 		n, err := r.Body.Read(buf)
+		if n > 0 && body.Len() == 0 && r.Method == http.MethodPut {
+			b.uploads.Add(1)
+		}
 		body.Write(buf[:n])
 		if err != nil {
 			break
@@ -83,10 +100,7 @@
 func newPlatform(t *testing.T, f fleet.Fleet, vms ...platform.VM) *httptest.Server {
 	pub, err := f.Print()
 	require.NoError(t, err)
-	values := map[string][]byte{fleet.IndexKey: pub.Index.Text}
-	for _, doc := range pub.Services {
-		values[doc.Key] = doc.Text
-	}
+	values := pub.Values()
 	list, err := json.Marshal(platform.VMList{Version: 1, VMs: vms})
 	require.NoError(t, err)
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -105,7 +119,7 @@
 		}
 		_, _ = w.Write(text)
 	}))
-	t.Cleanup(srv.CloseClientConnections)
+	t.Cleanup(srv.Close)
 	return srv
 }
 
@@ -114,6 +128,7 @@
 	set     *settings.Settings
 	servers *servers
 	entry   *entry.Entry
+	stop    func()
 	lines   atomic.Int64
 	app     *fx.App
 }
@@ -154,15 +169,16 @@
 		fx.Provide(func() logr.Logger { return log }))
 	n.app = app
 	require.NoError(t, app.Start(context.Background()))
-	t.Cleanup(func() {
+	n.stop = sync.OnceFunc(func() {
 		p.CloseClientConnections()
 		require.NoError(t, app.Stop(context.Background()))
 	})
+	t.Cleanup(n.stop)
 	require.Eventually(t, func() bool {
 		rec := httptest.NewRecorder()
 		req := httptest.NewRequest(http.MethodGet, "/ready", nil)
 		req.Header.Set("Limpetdock-Service", "orders")
-		n.servers.callers.Handler.ServeHTTP(rec, req)
+		n.servers.callers.server.Handler.ServeHTTP(rec, req)
 		return rec.Code == http.StatusOK
 	}, 20*time.Second, 10*time.Millisecond)
 	b.taken()
