--- a/internal/cli/load.go
+++ b/internal/cli/load.go
@@ -39,6 +39,7 @@
 
 Flags win over the file. Exit codes: 0 the load was sent as scheduled and some
 calls were answered; 1 it wasn't, or nothing was answered; 2 wrong usage.
+
 Example:
   limpetdock load --to 127.10.1.1:7100 --service catalogue --rate 200 --duration 10s`
 
