--- a/standin/experiment/policies.go
+++ b/standin/experiment/policies.go
@@ -36,7 +36,7 @@
 	shortLength = 4 * time.Second
 	// settle is the pause between two runs, in which queues empty and averages
 	// forget.
-	settle = time.Second
+	settle = 500 * time.Millisecond
 )
 
 func (c *policies) run(ctx context.Context) error {
