--- a/internal/cli/load.go
+++ b/internal/cli/load.go
@@ -38,7 +38,7 @@
   body = 300
 
 Flags win over the file. Exit codes: 0 the load was sent as scheduled and some
-calls were answered; 1 it wasn't, or nothing was answered; 2 wrong usage.
+calls were answered; 1 it wasn't, or nothing was answered; 2 wrong usage or a wrong plan.
 
 Example:
   limpetdock load --to 127.10.1.1:7100 --service catalogue --rate 200 --duration 10s`
@@ -75,7 +75,7 @@
 func (c *loadCommand) run(out io.Writer) error {
 	plan, err := c.plan()
 	if err != nil {
-		return err
+		return usageError{err}
 	}
 	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer cancel()
--- a/internal/cli/load_test.go
+++ b/internal/cli/load_test.go
@@ -31,7 +31,7 @@
 	} {
 		var out, errOut bytes.Buffer
 		code := Main(append([]string{"load"}, strings.Fields(args)...), &out, &errOut)
-		require.NotZero(t, code, args)
+		require.Equal(t, ExitUsage, code, args)
 		require.Contains(t, errOut.String(), reason, args)
 		require.Empty(t, out.String())
 	}
