--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -6,7 +6,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
@@ -261,42 +260,6 @@
 	return g.brokenOff(err)
 }
 
-// BackendHealth is what a backend server says of itself at its health endpoint.
-type BackendHealth struct {
-	// State is "live", "draining" or "starting".
-	State string `json:"state"`
-	// Running is how many requests it runs by its own count; nil is not told.
-	Running *int `json:"running"`
-}
-
-// Health asks the backend server how it is.
-func (g *Guard) Health(ctx context.Context, path string) (BackendHealth, error) {
-	var h BackendHealth
-	u := *g.backend
-	u.Path = path
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), nil)
-	if err != nil {
-		return h, err
-	}
-	resp, err := g.transport.RoundTrip(req)
-	if err != nil {
-		return h, err
-	}
-	defer func() { _ = resp.Body.Close() }()
-	const healthLimit = 4096
-	text, err := io.ReadAll(io.LimitReader(resp.Body, healthLimit))
-	if err != nil {
-		return h, err
-	}
-	if err := json.Unmarshal(text, &h); err != nil {
-		return h, err
-	}
-	if h.Running != nil {
-		g.gate.BackendCount(*h.Running)
-	}
-	return h, nil
-}
-
 // answerOf reads a whole answer of at most attempt.MaxAnswer bytes. For a
 // longer one it gives what was read so far and whole is false.
 func answerOf(resp *http.Response) (a *attempt.Answer, whole bool, err error) {
--- /dev/null
+++ b/internal/guard/health.go
@@ -0,0 +1,44 @@
+package guard
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+)
+
+// BackendHealth is what a backend server says of itself at its health endpoint.
+type BackendHealth struct {
+	// State is "live", "draining" or "starting".
+	State string `json:"state"`
+	// Running is how many requests it runs by its own count; nil is not told.
+	Running *int `json:"running"`
+}
+
+// Health asks the backend server how it is.
+func (g *Guard) Health(ctx context.Context, path string) (BackendHealth, error) {
+	var h BackendHealth
+	u := *g.backend
+	u.Path = path
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), nil)
+	if err != nil {
+		return h, err
+	}
+	resp, err := g.transport.RoundTrip(req)
+	if err != nil {
+		return h, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	const healthLimit = 4096
+	text, err := io.ReadAll(io.LimitReader(resp.Body, healthLimit))
+	if err != nil {
+		return h, err
+	}
+	if err := json.Unmarshal(text, &h); err != nil {
+		return h, err
+	}
+	if h.Running != nil {
+		g.gate.BackendCount(*h.Running)
+	}
+	return h, nil
+}
