A copy lost on the way is sent again under its ticket or key, not sealed

Cause, found by reading: a booking with a key whose connection broke before it arrived was sealed, so a lost connection used the key up and the caller had to take a new one. Another copy to the same incarnation can do no harm: it meets the record or makes it.

Test red without the rule (the caller got 'unknown' where it now gets its answer).

--- a/internal/entry/fate.go
+++ b/internal/entry/fate.go
@@ -30,6 +30,9 @@
 	target   *pick.Target
 	id       string
 	identity pick.Identity
+	// again says that another copy may be sent under the same id, so that one
+	// that hasn't arrived needs no seal.
+	again bool
 }
 
 // resolve finds out, over new connections, what became of an attempt whose
@@ -73,10 +76,15 @@
 // resolveOnce asks once, and collects the answer if there is to be one. heard
 // says that the guard has replied.
 func (e *Entry) resolveOnce(ctx context.Context, w http.ResponseWriter, s sent) (heard bool, failed *kind.Error) {
-	reply, err := e.ask(ctx, s.target, &wire.Seal{Incarnation: s.identity.Incarnation, Attempt: s.id, Tick: s.identity.Tick})
+	reply, err := e.ask(ctx, s.target, &wire.Seal{
+		Incarnation: s.identity.Incarnation, Attempt: s.id, Tick: s.identity.Tick, AskOnly: s.again,
+	})
 	if err != nil {
 		return false, kind.New(kind.OutcomeUnknown, "the target can't be asked").Because(err)
 	}
+	if s.again && (reply.State == wire.AttemptAbsent || reply.State == wire.AttemptWaiting) {
+		return true, kind.New(kind.StaleAttempt, "the request hasn't started at its target")
+	}
 	switch attempt.Next(reply, s.identity.Incarnation) {
 	case attempt.Elsewhere:
 		sealed := kind.New(kind.Sealed, "the request was sealed before it ran")
--- a/internal/entry/key.go
+++ b/internal/entry/key.go
@@ -10,8 +10,8 @@
 	"github.com/limpetdock/limpetdock/internal/pick"
 )
 
-// keyOffers bounds the offers to a home; one after the first is for a home
-// that tells its new identity.
+// keyOffers bounds the offers to the one target of a key or ticket. Later ones
+// are for a home that tells its new identity, and for copies lost on the way.
 const keyOffers = 3
 
 // serveKey offers a request with a key of the caller's own to the key's home,
@@ -64,7 +64,7 @@
 	if older(x.arrived, attempt.KeyDelay) {
 		return &sentBody{}, kind.New(kind.KeyUnknown, "the request was held up for too long at this node")
 	}
-	return e.offer(ctx, w, v, x, sent{home, attempt.KeyID(x.key), id})
+	return e.offer(ctx, w, v, x, sent{target: home, id: attempt.KeyID(x.key), identity: id})
 }
 
 // older compares by both clocks, as the monotonic one stands still while a VM is suspended.
--- a/internal/entry/key_test.go
+++ b/internal/entry/key_test.go
@@ -117,6 +117,28 @@
 	}
 }
 
+// The payout's connection goes silent before the request has passed. Under a key
+// or ticket another copy can do no harm, so it is sent again over a new
+// connection; sealing it would only use the key up.
+func TestALostCopyIsSentAgainUnderItsKey(t *testing.T) {
+	for _, kind := range []string{"ticket", "own key"} {
+		t.Run(kind, func(t *testing.T) {
+			l := newLedger(t)
+			w := newWorld(t, l.URL)
+			l.finish <- struct{}{}
+			require.Equal(t, "run 1", w.ask(0, "POST", "/pay", "x").body)
+			key := "payout-8"
+			if kind == "ticket" {
+				key = w.takeTicket(0)
+			}
+			w.nodes[0].pipe.silence()
+			l.finish <- struct{}{}
+			require.Equal(t, "run 2", w.ask(0, "POST", "/pay", "x", headers.IdempotencyKey, key).body)
+			require.EqualValues(t, 2, l.runs.Load())
+		})
+	}
+}
+
 // A home was replaced a minute ago. The answer says when keys are taken again,
 // so that a caller neither gives up nor knocks all the time.
 func TestAYoungHomeSaysWhenItTakesKeys(t *testing.T) {
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -7,6 +7,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/limpetdock/limpetdock/internal/attempt"
 	"github.com/limpetdock/limpetdock/internal/headers"
 	"github.com/limpetdock/limpetdock/internal/kind"
 	"github.com/limpetdock/limpetdock/internal/pick"
@@ -40,7 +41,7 @@
 		}
 		// Each offer has an id of its own, so the proof about one says nothing
 		// of, and can't be spoilt by, another.
-		body, err := e.offer(ctx, w, v, x, sent{t, uuid.NewString(), identityOf(t)})
+		body, err := e.offer(ctx, w, v, x, sent{target: t, id: uuid.NewString(), identity: identityOf(t)})
 		if err == nil || err.Said() != kind.NotRun {
 			return err
 		}
@@ -95,6 +96,7 @@
 		// No process has this identity, so none has run the attempt.
 		return body, kind.New(kind.StaleAttempt, "the target's identity isn't known yet").Because(err)
 	}
+	s.again = attempt.ClassOf(s.id) != attempt.Try && !(x.stream && body.begun.Load())
 	return body, e.resolve(ctx, w, s)
 }
 
--- a/internal/entry/ticket.go
+++ b/internal/entry/ticket.go
@@ -139,13 +139,26 @@
 	if t == nil || t.Guard == "" {
 		return kind.New(kind.KeyUnknown, "the server that the ticket names isn't declared or listed any more")
 	}
-	identity := pick.Identity{Incarnation: x.ticket.Incarnation, Tick: x.ticket.Tick}
-	_, err := e.offer(ctx, w, v, x, sent{t, attempt.TicketID(x.ticket.ID), identity})
-	if err == nil {
-		return nil
+	var err *kind.Error
+	for range keyOffers {
+		var body *sentBody
+		body, err = e.offer(ctx, w, v, x, x.ticket.sentTo(t))
+		if err == nil {
+			return nil
+		}
+		if err.Kind != kind.StaleAttempt || err.FromGuard || x.stream && body.begun.Load() {
+			break
+		}
 	}
-	if err.Kind == kind.StaleAttempt {
+	if err.Kind == kind.StaleAttempt && err.FromGuard {
 		return kind.New(kind.KeyUnknown, "the process that the ticket names is gone; whether it ran the request is not known")
 	}
 	return ofEveryCopy(err)
 }
+
+func (t *ticket) sentTo(target *pick.Target) sent {
+	return sent{
+		target: target, id: attempt.TicketID(t.ID),
+		identity: pick.Identity{Incarnation: t.Incarnation, Tick: t.Tick},
+	}
+}
