A slow reader's answer is not cut off as silent

Cause, found by reading: the progress check counted time in which the entry waited for its caller, not for the target. When the whole answer had left the guard and lay in buffers, the target rightly said that it had the request no more, and the answer was cut off. Seen failing: 6 MB read after a pause of 2 s ended in 'unexpected EOF'. Only time spent waiting for the target counts now. A check can't run ahead of its timer's assignment either, in a process that is paused just there.

--- a/internal/entry/answer_test.go
+++ b/internal/entry/answer_test.go
@@ -11,6 +11,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -117,6 +118,31 @@
 	}
 }
 
+// A crew reads a chart over a satellite link, slowly. All of it has left its
+// guard, which no longer has the request in hand, and lies in buffers. That
+// nothing moves then is the crew's doing and no reason to cut the answer off.
+func TestASlowReaderIsNoSilence(t *testing.T) {
+	const size = 6 << 20
+	chart := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, strings.Repeat("x", size))
+	}))
+	t.Cleanup(chart.Close)
+	w := newWorld(t, chart.URL)
+	conn, err := net.Dial("tcp", strings.TrimPrefix(w.callers[0], "http://"))
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	require.NoError(t, conn.(*net.TCPConn).SetReadBuffer(64<<10))
+	_, err = io.WriteString(conn, "GET /read HTTP/1.1\r\nHost: s\r\n\r\n")
+	require.NoError(t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	// Longer than it takes to give up an exchange that the target hasn't got any more.
+	time.Sleep(2 * time.Second)
+	n, err := io.Copy(io.Discard, resp.Body)
+	require.NoError(t, err)
+	require.EqualValues(t, size, n)
+}
+
 // Readers give up before their answers come, and the answers arrive late, on
 // connections that would be used again. Nobody must get one that isn't theirs.
 func TestALateAnswerReachesNobodyElse(t *testing.T) {
--- a/internal/entry/progress.go
+++ b/internal/entry/progress.go
@@ -47,7 +47,10 @@
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 	// moved is when a byte last moved, in nanoseconds since the node's start.
-	moved  atomic.Int64
+	moved atomic.Int64
+	// unread says that nobody waits for the target: what it has sent so far is
+	// still being handed to a caller who reads slowly.
+	unread atomic.Bool
 	mu     sync.Mutex
 	timer  *time.Timer
 	closed bool
@@ -61,6 +64,9 @@
 	w := &watch{entry: e, target: t, ask: asking(out), pause: quietFor}
 	w.ctx, w.cancel = context.WithCancelCause(ctx)
 	w.touch()
+	// The lock keeps a check from running ahead when the process is paused here.
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.timer = time.AfterFunc(quietFor, w.check)
 	return w
 }
@@ -79,7 +85,12 @@
 
 func (w *watch) touch() { w.moved.Store(int64(w.entry.now())) }
 
-func (w *watch) quiet() time.Duration { return w.entry.now() - time.Duration(w.moved.Load()) }
+func (w *watch) quiet() time.Duration {
+	if w.unread.Load() {
+		return 0
+	}
+	return w.entry.now() - time.Duration(w.moved.Load())
+}
 
 func (w *watch) stop() {
 	w.mu.Lock()
@@ -102,8 +113,8 @@
 
 // check runs on a goroutine of its own, one at a time.
 func (w *watch) check() {
-	if quiet := w.quiet(); quiet < quietFor && w.missed+w.unheard == 0 {
-		w.pause = quietFor
+	if quiet := w.quiet(); quiet < quietFor && (w.unread.Load() || w.missed+w.unheard == 0) {
+		w.pause, w.missed, w.unheard = quietFor, 0, 0
 		w.again(quietFor - quiet)
 		return
 	}
@@ -113,7 +124,7 @@
 	switch {
 	case w.ctx.Err() != nil:
 		return
-	case w.moved.Load() != before:
+	case w.moved.Load() != before || w.unread.Load():
 		w.missed, w.unheard = 0, 0
 		w.again(quietFor)
 	case err != nil:
@@ -149,6 +160,7 @@
 
 // answer makes the bytes of the answer count as progress, and its end stop the watch.
 func (w *watch) answer(body io.ReadCloser) io.ReadCloser {
+	w.unread.Store(true)
 	return &watchedBody{ReadCloser: body, watch: w, last: true}
 }
 
@@ -159,6 +171,11 @@
 }
 
 func (b *watchedBody) Read(p []byte) (int, error) {
+	if b.last {
+		b.watch.touch()
+		b.watch.unread.Store(false)
+		defer b.watch.unread.Store(true)
+	}
 	n, err := b.ReadCloser.Read(p)
 	b.watch.touch()
 	if err != nil && b.last {
