An entry never says 'not run' of a keyed request by itself

Cause, found by reading: limits, cut uploads, bad deadlines and an entry without configuration answered 'not run' before the key's guard was asked, while another copy may have run. The outcome is now weakened in one place, for whatever the entry concludes by itself.

Seen failing: TestARefusedCopySpeaksOfAllCopies got 'not-run' of a payout that had run.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -160,13 +160,23 @@
 func (e *Entry) serve(w http.ResponseWriter, r *http.Request, service *string) *kind.Error {
 	v := e.view.Load()
 	if v == nil {
-		return kind.New(kind.NotReady, "no configuration is in force yet")
+		e := kind.New(kind.NotReady, "no configuration is in force yet")
+		if r.Header.Get(headers.IdempotencyKey) != "" {
+			e.Outcome = kind.Unknown
+		}
+		return e
 	}
 	x, err := parse(v, r)
-	if err != nil {
-		return err
+	if err == nil {
+		*service = x.service.Name
+		err = e.admit(w, v, x)
 	}
-	*service = x.service.Name
+	return x.ofEveryCopy(err)
+}
+
+// admit checks limits and serves a request that has been understood.
+func (e *Entry) admit(w http.ResponseWriter, v *pick.View, x *request) *kind.Error {
+	r := x.in
 	hold, err := e.limits.Admit(x.service.Name, x.route)
 	if err != nil {
 		return err
--- a/internal/entry/key.go
+++ b/internal/entry/key.go
@@ -33,7 +33,7 @@
 			break
 		}
 	}
-	return ofEveryCopy(err)
+	return err
 }
 
 func homeOf(x *request) *pick.Target {
@@ -73,9 +73,16 @@
 	return now.Sub(t) > than || now.Round(0).Sub(t.Round(0)) > than
 }
 
-// ofEveryCopy weakens what an entry concluded by itself: "not run" about a
-// ticket or key speaks of every copy, and only its guard can know that.
-func ofEveryCopy(err *kind.Error) *kind.Error {
+// keyed says that other copies of the request may have been sent.
+func (x *request) keyed() bool { return x.once && (x.key != "" || x.ticket != nil) }
+
+// ofEveryCopy weakens what an entry concluded by itself, be it a limit or a cut
+// upload: "not run" about a ticket or key speaks of every copy, and only its
+// guard can know that.
+func (x *request) ofEveryCopy(err *kind.Error) *kind.Error {
+	if err == nil || x == nil || !x.keyed() {
+		return err
+	}
 	if err.Said() == kind.NotRun && !err.FromGuard {
 		err.Outcome = kind.Unknown
 	}
--- a/internal/entry/key_test.go
+++ b/internal/entry/key_test.go
@@ -152,6 +152,22 @@
 	require.LessOrEqual(t, wait, 10*time.Minute+3*attempt.KeyDelay)
 }
 
+// One copy of a payout runs while another is refused before it was offered to
+// anyone: its upload breaks off, or its deadline can't be read. "Not run" would
+// be a lie about the payout, and the driver's phone would send a new one.
+func TestARefusedCopySpeaksOfAllCopies(t *testing.T) {
+	l := newLedger(t)
+	w := newWorld(t, l.URL)
+	l.finish <- struct{}{}
+	require.Equal(t, "run 1", w.ask(0, "POST", "/pay", "x", headers.IdempotencyKey, "k").body)
+	for _, timeout := range []string{"soon", "0"} {
+		got := w.ask(1, "POST", "/pay", "x", headers.IdempotencyKey, "k", headers.TimeoutMs, timeout)
+		require.Equal(t, "unknown", got.outcome, got.kind)
+		plain := w.ask(1, "POST", "/pay", "x", headers.TimeoutMs, timeout)
+		require.Equal(t, "not-run", plain.outcome, plain.kind)
+	}
+}
+
 // Requests for tickets that are none: the caller learns how to ask.
 func TestATicketIsAskedForByPost(t *testing.T) {
 	w := newWorld(t, newLedger(t).URL)
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -59,7 +59,8 @@
 	begun atomic.Bool
 }
 
-// parse checks a caller's request against the configuration in force.
+// parse checks a caller's request against the configuration in force. With an
+// error it still gives the request if its route and key could be read.
 func parse(v *pick.View, r *http.Request) (*request, *kind.Error) {
 	if r.Header.Get("Upgrade") != "" || r.Method == http.MethodConnect {
 		return nil, kind.New(kind.BadRequest, "protocol upgrades and CONNECT aren't supported")
@@ -79,7 +80,7 @@
 	x.route = route
 	x.chain = budget.ParseChain(r.Header.Get(headers.RetriesLeft))
 	if err := x.parseTimeout(); err != nil {
-		return nil, err
+		return x, err
 	}
 	return x, x.parseDepth()
 }
--- a/internal/entry/stale.go
+++ b/internal/entry/stale.go
@@ -18,7 +18,7 @@
 // guards have. Nothing of the request has run, so this is no retry; it is tried once.
 func (e *Entry) reroute(ctx context.Context, w http.ResponseWriter, v *pick.View, x *request, err *kind.Error) *kind.Error {
 	// A copy under a ticket or key may always be sent again.
-	again := err.Said() == kind.NotRun || x.once && (x.ticket != nil || x.key != "")
+	again := err.Said() == kind.NotRun || x.keyed()
 	if err.Kind != kind.StaleConfig || !again || x.begun.Load() {
 		return err
 	}
--- a/internal/entry/ticket.go
+++ b/internal/entry/ticket.go
@@ -153,7 +153,7 @@
 	if err.Kind == kind.StaleAttempt && err.FromGuard {
 		return kind.New(kind.KeyUnknown, "the process that the ticket names is gone; whether it ran the request is not known")
 	}
-	return ofEveryCopy(err)
+	return err
 }
 
 func (t *ticket) sentTo(target *pick.Target) sent {
