--- a/standin/chaos/chaos.go
+++ b/standin/chaos/chaos.go
@@ -57,11 +57,15 @@
 
 // result is the story of one request.
 type result struct {
-	id         string
-	style      Style
-	outcome    Outcome
-	detail     string
-	sends      int
+	id      string
+	style   Style
+	outcome Outcome
+	detail  string
+	sends   int
+	// deniedRun says that some sending was told not-run: under a ticket or key
+	// that speaks of every copy.
+	deniedRun  bool
+	doubled    bool
 	start, end time.Time
 }
 
@@ -77,6 +81,8 @@
 	Seed    uint64
 	Sent    int
 	Resends int
+	// Doubled are requests of which two copies were sent at the same time.
+	Doubled int
 	ByStyle map[Style]Count
 	Faults  map[string]int
 	// Violations are broken promises, one line each.
@@ -88,7 +94,7 @@
 // String gives the report as a small table.
 func (r *Report) String() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "seed %d: %d requests, %d sent again, %d violations\n", r.Seed, r.Sent, r.Resends, len(r.Violations))
+	fmt.Fprintf(&b, "seed %d: %d requests, %d of them two copies at once, %d sent again in all, %d violations\n", r.Seed, r.Sent, r.Doubled, r.Resends, len(r.Violations))
 	for _, s := range []Style{Plain, OwnKey, Ticket} {
 		c := r.ByStyle[s]
 		fmt.Fprintf(&b, "  %-8s run %d, not-run %d, unknown %d (while nothing was broken: %d of %d)\n",
@@ -156,6 +162,9 @@
 	r := &Report{Seed: opts.Seed, Sent: len(results), ByStyle: map[Style]Count{}, Faults: b.counts, Kinds: map[string]int{}}
 	for _, one := range results {
 		r.Resends += one.sends - 1
+		if one.doubled {
+			r.Doubled++
+		}
 		r.count(one, b.calm(one.start, one.end))
 		ran := starts[one.id]
 		switch {
@@ -163,7 +172,7 @@
 			r.violate(one, "ran %d times", ran)
 		case one.outcome == Ran && ran == 0:
 			r.violate(one, "was answered but isn't in a ledger")
-		case one.outcome == NotRun && ran > 0:
+		case one.deniedRun && ran > 0:
 			r.violate(one, "was told not-run (%s) but ran", one.detail)
 		case one.outcome == Wrong:
 			r.violate(one, "got a wrong answer: %s", one.detail)
