Times count only from twice the typical on: the noise of neighbours isn't followed

A server that slows tenfold still gets nothing after 100 ms.

Shown red: with the factor at 0 the new test fails.

--- a/internal/pick/cost.go
+++ b/internal/pick/cost.go
@@ -8,6 +8,10 @@
 	// forgetAfter is when a latency without newer samples counts no more, so
 	// that a target which was slow is tried again.
 	forgetAfter = 5 * time.Second
+	// slowFactor is how many times the typical time a target's average must be to
+	// count. Below that it is the noise of neighbours, gone before the next
+	// request arrives, and to follow it is worse than to go by the requests in flight.
+	slowFactor = 2
 	// failureCost is what a request that surely fails is taken to cost: more
 	// than any wait, so that failing fast never looks cheap.
 	failureCost = float64(10 * time.Second)
@@ -77,7 +81,7 @@
 	typical := t.shared.typical.Load()
 	latency := t.Stat.latency.Load()
 	age := int64(now) - t.Stat.sampled.Load()
-	if latency == 0 || age >= int64(forgetAfter) {
+	if latency < slowFactor*typical || age >= int64(forgetAfter) {
 		return time.Duration(typical)
 	}
 	left := float64(int64(forgetAfter)-max(age, 0)) / float64(forgetAfter)
@@ -89,9 +93,12 @@
 func (t *Target) expected(now time.Duration) (way, server, busy float64) {
 	way = float64(t.RTT())
 	server = max(float64(t.serverTime(now)), minServerTime)
-	// A request that is in flight for longer than the average is evidence before
-	// it ends: a server that stops answering is seen within one usual answer time.
-	server = max(server, float64(t.Stat.oldest(now))-way)
+	// A request that is in flight for much longer than the average is evidence
+	// before it ends: a server that stops answering is seen within two usual
+	// answer times.
+	if age := float64(t.Stat.oldest(now)) - way; age > slowFactor*server {
+		server = age
+	}
 	busy = float64(t.Stat.InFlight.Load()) + t.others(now)
 	return way, server, busy
 }
