A node that starts counts only peers that serve

Story: all nodes of a zone restart at once, their platform shows an old state and the links to other zones come back a little later. They heard three peers at once, one another, and served revision 1 while 2 was in force elsewhere.

Cause: any answer counted as a voice, also of a node that had just started and remembered nothing. Now gossip says whether its sender serves, and only those count; answers of other zones shorten the wait to 2 s, as when a whole fleet starts.

Cost: a whole fleet that starts at once serves after 2 s instead of at once.

--- a/internal/core/config.go
+++ b/internal/core/config.go
@@ -33,7 +33,7 @@
 	// held is the newest version that a peer said is in force there.
 	held  config.Version
 	reads platformReads
-	// voices are the peers that told their version since the start.
+	// voices are the peers that answered since the start, and whether they serve.
 	voices map[string]bool
 }
 
--- a/internal/core/config_test.go
+++ b/internal/core/config_test.go
@@ -451,3 +451,38 @@
 }
 
 func digest(text []byte) string { return config.Digest(text) }
+
+// All nodes of a zone restart at once, and their platform is stale. They hear
+// one another first, but none of them remembers anything: only peers that serve
+// can say what is in force.
+func TestAZoneThatRestartsWithAStalePlatform(t *testing.T) {
+	f := aFleet(1, 6, 3, 108)
+	for seed := range uint64(5) {
+		w := newWorld(t, f, seed)
+		w.until(20*time.Second, "started", w.inForce(1))
+		w.publish(changed(f, 2, 7))
+		w.until(5*time.Second, "in force", w.inForce(2))
+		w.asOf = func(zone string) time.Duration {
+			if zone == "z0" {
+				return 0
+			}
+			return 1 << 62
+		}
+		for _, h := range w.hosts {
+			if h.Zone == "z0" {
+				w.start(h)
+			}
+		}
+		// The links to the other zones come back a little later.
+		end := w.now + 5*time.Second
+		w.cut = func(a, b *host) bool { return w.now < end && (a.Zone == "z0") != (b.Zone == "z0") }
+		w.until(20*time.Second, "serving", func() bool {
+			for _, h := range w.hosts {
+				if h.view != nil {
+					require.EqualValues(t, 2, h.view.Config.Index.Version.Revision, h.VM)
+				}
+			}
+			return w.inForce(2)()
+		})
+	}
+}
--- a/internal/core/gossip.go
+++ b/internal/core/gossip.go
@@ -54,7 +54,7 @@
 	from, addr := e.News.From, e.Addr
 	if addr != "" {
 		s.round.underWay--
-		s.config.voices[from] = true
+		s.config.voices[from] = e.News.Serving
 	} else {
 		addr = s.controlAddr(from)
 	}
@@ -195,7 +195,7 @@
 // spread, and the others in turn.
 func (s *State) news() *wire.Gossip {
 	v := s.config.version()
-	g := &wire.Gossip{From: s.self.VM, Revision: v.Revision, Digest: v.Digest, VMs: s.vms.version, VMsAge: s.vms.age(s.now)}
+	g := &wire.Gossip{From: s.self.VM, Revision: v.Revision, Digest: v.Digest, Serving: s.joined, VMs: s.vms.version, VMsAge: s.vms.age(s.now)}
 	g.Members = append(g.Members, s.selfNews())
 	g.Suspects = s.suspects.News(suspectsPerGossip, s.now)
 	names := s.members.names
--- a/internal/core/join.go
+++ b/internal/core/join.go
@@ -7,9 +7,10 @@
 )
 
 const (
-	// joinPatience is how long a new node waits for enough peers once one has answered.
+	// joinPatience is how long a new node waits for enough peers that serve, once
+	// one of them, or any of another zone, has answered.
 	joinPatience = 2 * time.Second
-	// lonelyPatience is how long it waits when peers are listed and none answers.
+	// lonelyPatience is how long it waits when none does.
 	lonelyPatience = 10 * time.Second
 	// joinPeers is how many peers a new node wants to hear before it serves.
 	joinPeers = 3
@@ -46,12 +47,22 @@
 	return t.wants(t.held)
 }
 
+// heardEnough says whether enough peers were heard. Those that serve count;
+// others have started just now as well, and may know no more than a stale
+// platform told them. They shorten the wait only when a whole fleet starts, which
+// shows in answers from other zones.
 func (s *State) heardEnough(now time.Duration) bool {
-	voices := len(s.config.voices)
-	if voices >= min(joinPeers, s.knownPeers()) && s.vms.known {
-		return true
+	serving, outside := 0, s.knownPeers() == len(s.zonePeers())
+	for vm, serves := range s.config.voices {
+		if serves {
+			serving++
+		}
+		outside = outside || s.zoneOf(vm) != s.self.Zone
 	}
-	if voices > 0 {
+	switch {
+	case serving >= min(joinPeers, s.knownPeers()) && s.vms.known:
+		return true
+	case serving > 0 || outside && len(s.config.voices) > 0:
 		return now >= joinPatience
 	}
 	return now >= lonelyPatience
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -62,6 +62,8 @@
 	From     string `msgpack:"f"`
 	Revision uint64 `msgpack:"r"`
 	Digest   string `msgpack:"d"`
+	// Serving says that the sender serves, and so knows what is in force.
+	Serving bool `msgpack:"j,omitempty"`
 	// VMs is the platform's version of the VM list that the sender has.
 	VMs uint64 `msgpack:"l"`
 	// VMsAge is how long ago, in milliseconds and at most, the platform showed
