--- a/internal/entry/key.go
+++ b/internal/entry/key.go
@@ -10,8 +10,8 @@
 	"github.com/limpetdock/limpetdock/internal/pick"
 )
 
-// keyOffers bounds the offers to a home; one after the first is for a home
-// that tells its new identity.
+// keyOffers bounds the offers to the one target of a key or ticket. Later ones
+// are for a home that tells its new identity, and for copies lost on the way.
 const keyOffers = 3
 
 // serveKey offers a request with a key of the caller's own to the key's home,
@@ -33,7 +33,7 @@
 			break
 		}
 	}
-	return ofEveryCopy(err)
+	return err
 }
 
 func homeOf(x *request) *pick.Target {
@@ -64,7 +64,7 @@
 	if older(x.arrived, attempt.KeyDelay) {
 		return &sentBody{}, kind.New(kind.KeyUnknown, "the request was held up for too long at this node")
 	}
-	return e.offer(ctx, w, v, x, sent{home, attempt.KeyID(x.key), id})
+	return e.offer(ctx, w, v, x, sent{target: home, id: attempt.KeyID(x.key), identity: id})
 }
 
 // older compares by both clocks, as the monotonic one stands still while a VM is suspended.
@@ -73,9 +73,16 @@
 	return now.Sub(t) > than || now.Round(0).Sub(t.Round(0)) > than
 }
 
-// ofEveryCopy weakens what an entry concluded by itself: "not run" about a
-// ticket or key speaks of every copy, and only its guard can know that.
-func ofEveryCopy(err *kind.Error) *kind.Error {
+// keyed says that other copies of the request may have been sent.
+func (x *request) keyed() bool { return x.once && (x.key != "" || x.ticket != nil) }
+
+// ofEveryCopy weakens what an entry concluded by itself, be it a limit or a cut
+// upload: "not run" about a ticket or key speaks of every copy, and only its
+// guard can know that.
+func (x *request) ofEveryCopy(err *kind.Error) *kind.Error {
+	if err == nil || x == nil || !x.keyed() {
+		return err
+	}
 	if err.Said() == kind.NotRun && !err.FromGuard {
 		err.Outcome = kind.Unknown
 	}
