--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -130,6 +130,7 @@
 	entry   *entry.Entry
 	stop    func()
 	lines   atomic.Int64
+	app     *fx.App
 }
 
 // testFleet declares one service on one VM.
@@ -166,6 +167,7 @@
 	}
 	app := fx.New(Module, fx.NopLogger, fx.Supply(n.set), fx.Populate(&n.servers, &n.entry),
 		fx.Provide(func() logr.Logger { return log }))
+	n.app = app
 	require.NoError(t, app.Start(context.Background()))
 	n.stop = sync.OnceFunc(func() {
 		p.CloseClientConnections()
