A backend server can't have lines written: the libraries' standard logger is counted

Cause: net/http's client writes a line by the standard logger for each answer that nobody asked for; seen in the entry's tests. The standard logger of a node now counts (limpetdock_library_log_lines_total). The million-requests test now holds the whole process to it.

--- a/internal/node/counters.go
+++ b/internal/node/counters.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"log"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -61,3 +62,23 @@
 		c.stalled.Add(1)
 	}
 }
+
+// libraryLog counts the lines that libraries write by the standard logger.
+// net/http's client writes one for each answer that nobody asked for, so
+// a backend server could fill a node's log.
+type libraryLog struct{ lines atomic.Uint64 }
+
+// countLibraryLog takes over the standard logger of the process.
+func countLibraryLog(m *metrics.Metrics) *libraryLog {
+	l := &libraryLog{}
+	m.Counter("limpetdock_library_log_lines_total", "Lines that libraries wanted to log.",
+		func() float64 { return float64(l.lines.Load()) })
+	log.SetOutput(l)
+	return l
+}
+
+// Write counts a line instead of writing it.
+func (l *libraryLog) Write(line []byte) (int, error) {
+	l.lines.Add(1)
+	return len(line), nil
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -29,13 +29,13 @@
 var Module = fx.Options(
 	fx.Provide(
 		newClock, newSelf, newGuard, newEntry, newLoop, newDialer, newServers,
-		metrics.New, limit.New,
+		metrics.New, limit.New, countLibraryLog,
 		func(now Clock) *budget.Measuring { return budget.NewMeasuring(now) },
 		func() *link.Counters { return &link.Counters{} },
 		func(s *settings.Settings) *platform.HTTP { return platform.NewHTTP(s.Platform) },
 		func(l *control.Loop, c *link.Counters) *link.Server { return link.NewServer(l, c) },
 	),
-	fx.Invoke(registerGauges, registerMeasuring, run, func(e *entry.Entry, l *control.Loop) { e.SetAccuser(l) }),
+	fx.Invoke(registerGauges, registerMeasuring, func(*libraryLog) {}, run, func(e *entry.Entry, l *control.Loop) { e.SetAccuser(l) }),
 )
 
 // newSelf draws the node's incarnation: milliseconds since 1970 with random low
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -128,6 +128,7 @@
 	set     *settings.Settings
 	servers *servers
 	entry   *entry.Entry
+	library *libraryLog
 	stop    func()
 	lines   atomic.Int64
 	app     *fx.App
@@ -165,7 +166,7 @@
 	if log.GetSink() == nil {
 		log = funcr.New(func(_, _ string) { n.lines.Add(1) }, funcr.Options{})
 	}
-	app := fx.New(Module, fx.NopLogger, fx.Supply(n.set), fx.Populate(&n.servers, &n.entry),
+	app := fx.New(Module, fx.NopLogger, fx.Supply(n.set), fx.Populate(&n.servers, &n.entry, &n.library),
 		fx.Provide(func() logr.Logger { return log }))
 	n.app = app
 	require.NoError(t, app.Start(context.Background()))
--- a/internal/node/quiet_test.go
+++ b/internal/node/quiet_test.go
@@ -1,12 +1,10 @@
 package node
 
 import (
-	"bytes"
 	"log"
 	"net/http"
 	"net/http/httptest"
 	"net/url"
-	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -19,22 +17,11 @@
 	"github.com/limpetdock/limpetdock/internal/headers"
 )
 
-// lineCounter counts what is written to it.
-type lineCounter struct{ lines atomic.Int64 }
-
-func (c *lineCounter) Write(p []byte) (int, error) {
-	c.lines.Add(int64(bytes.Count(p, []byte("\n"))))
-	return len(p), nil
-}
-
 // An operator pays for every line of a log, and a caller who can have lines
 // written at will can fill it. Requests of every kind, served and refused, must
 // be counted and write nothing, whichever of the libraries would like to.
 func TestAMillionRequestsWriteNoLine(t *testing.T) {
 	const requests, workers, everyNthServed = 1_000_000, 8, 100
-	library := &lineCounter{}
-	log.SetOutput(library)
-	defer log.SetOutput(os.Stderr)
 	b := newBackend(t)
 	n := start(t, b, logr.Logger{})
 	before := n.lines.Load()
@@ -69,7 +56,10 @@
 	wg.Wait()
 	require.Equal(t, int64(requests/everyNthServed), served.Load())
 	require.Equal(t, before, n.lines.Load(), "the node's own log")
-	require.Zero(t, library.lines.Load(), "the libraries' log")
+	require.Same(t, n.library, log.Writer(), "libraries can't reach stderr")
+	require.Zero(t, n.library.lines.Load(), "the libraries' log")
+	log.Print("an answer that nobody asked for")
+	require.EqualValues(t, 1, n.library.lines.Load())
 }
 
 // A caller sends broken requests at will. net/http would write a line to
