A VM that is told it leaves isn't talked out of it by an older list

A peer's word that the VM list shows the VM leaving was dropped with the next list that arrived, though it may be older than the peer's. TestAnOlderListDoesNotUnsayWhatAPeerTold fails without the change.

--- a/internal/core/member.go
+++ b/internal/core/member.go
@@ -103,6 +103,7 @@
 func (s *State) hearSelf(news wire.Member, list uint64, now time.Duration, out *commands) {
 	if news.State == wire.MemberListed && list > s.vms.version {
 		s.backend.toldUntil = now + toldFor
+		s.backend.toldOf = max(s.backend.toldOf, list)
 	}
 	if news.Incarnation == s.self.Incarnation || news.Order < s.order || now < s.members.clashAt {
 		return
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -39,7 +39,9 @@
 	// toldUntil is until when a peer's word holds that the VM list shows this
 	// VM leaving; the own copy of the list may lag behind the peer's.
 	toldUntil time.Duration
-	told      bool
+	// toldOf is the newest list that a peer's word was about.
+	toldOf uint64
+	told   bool
 }
 
 func (t *backendTable) leaving() bool {
--- a/internal/core/vms.go
+++ b/internal/core/vms.go
@@ -77,7 +77,9 @@
 		t.rows[vm.Name] = vm
 	}
 	t.names, t.zoneAs = slices.Sorted(maps.Keys(t.rows)), nil
-	s.backend.toldUntil = 0
+	if list.Version >= s.backend.toldOf {
+		s.backend.toldUntil = 0
+	}
 	s.dirty = true
 	told := 0
 	for _, name := range t.names {
