Rolling restart: the test's callers close idle connections before a stopping node does

Their connection had been idle for the whole grace and was closed just as the request left; it was never read. The design page names this limit of HTTP/1.1: only the caller can avoid it, by keeping idle connections for less than the grace. The test now does what the operators' page asks of callers; what it demands is unchanged: no answer cut, none unknown, nothing twice.

--- a/test/process/rolling_test.go
+++ b/test/process/rolling_test.go
@@ -33,6 +33,11 @@
 	{"depot", http.MethodPut, "/uploads/plan", 300_000},
 }
 
+// callerIdle is how long a caller keeps an idle connection: less than the grace
+// of a stopping node, as docs/operators/leaving.md asks of callers. Over HTTP/1.1
+// no server can close an idle connection without a request being on its way.
+const callerIdle = time.Second
+
 // rollingTally counts what callers met, and what they should never have.
 type rollingTally struct {
 	mu              sync.Mutex
@@ -51,7 +56,7 @@
 // takes no connection or says that the request wasn't run.
 func (r *rollingTally) caller(ctx context.Context, d *deploy.Deployment, seed uint64) {
 	rnd := rand.New(rand.NewPCG(seed, 1))
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: callerIdle}}
 	defer client.CloseIdleConnections()
 	for ctx.Err() == nil {
 		c := rollingCalls[rnd.IntN(len(rollingCalls))]
