--- a/internal/attempt/attempt_test.go
+++ b/internal/attempt/attempt_test.go
@@ -137,3 +137,15 @@
 		require.Equal(t, attempt.Unknown, attempt.Next(&wire.Sealed{Incarnation: 2, State: state}, 1), state)
 	}
 }
+
+// A copy is held up on its way for as long as its tick is good. The first one
+// has run and ended long before. Its record must still be there.
+func TestARecordOutlivesItsWindow(t *testing.T) {
+	for id, window := range map[string]time.Duration{"try": attempt.Window, attempt.TicketID("1"): attempt.TicketWindow} {
+		table := attempt.NewTable(1)
+		_, _ = table.Begin(claim(id, 0), 0)
+		table.Finish(id, nil, 0)
+		v, _ := table.Begin(claim(id, 0), window)
+		require.Equal(t, attempt.Known, v, id)
+	}
+}
