The adaptive limit is off unless declared; a closing port serves its backlog

Adaptive limit: requests that call other services hold their slot while they wait, and the limit took that for a slow backend server. Within a class a deeper call of a chain displaces a shallower one from a full queue, as the calls above it hold slots until it ends.

Flaky test: the scripted server of TestACutReadIsServedByAnotherTarget closed after each answer without saying so, and a kept connection used up the hop. It now says Connection: close; what the test asks for is unchanged.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -77,6 +77,10 @@
 	Queue int
 	// QueueOrder is who of those that wait runs next; empty means DefaultQueueOrder.
 	QueueOrder string
+	// Adaptive lets targets run fewer requests at once than their slots while
+	// their backend servers are slower than usual. It must stay off where
+	// requests call other services: the wait for those looks like slowness.
+	Adaptive bool
 	// NoRefusal makes targets queue what they would refuse. It exists to measure
 	// what refusal is worth; without refusal nothing bounds a request's wait but
 	// its deadline.
--- a/fleet/print.go
+++ b/fleet/print.go
@@ -163,6 +163,7 @@
 		num("retry-percent", s.RetryPercent, "; retries as a share of requests, in percent"),
 		num("queue", s.Queue, "; requests that may wait at each target"),
 		{"queue-order", s.QueueOrder, "; who of them runs next: fifo, lifo (newest first once the queue stands) or deadline"},
+		{"adaptive", onOff(s.Adaptive), "; on runs fewer requests at once while a backend server is slow"},
 		{"refusal", onOff(!s.NoRefusal), "; off queues what would be refused; for comparison only"},
 		num("in-flight", s.InFlight, "; requests at once at each node, 0 is no limit"),
 		dur("drain", s.Drain, "; how long a stopping node lets requests in flight finish"),
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -172,7 +172,7 @@
 	switch what {
 	case "service":
 		r.allow(s, "name", "hosts", "team", "policy", "timeout", "max-timeout", "hops",
-			"retry-percent", "queue", "queue-order", "refusal", "in-flight", "drain", "key-lifetime")
+			"retry-percent", "queue", "queue-order", "adaptive", "refusal", "in-flight", "drain", "key-lifetime")
 		out.Name = s.Key("name").String()
 		out.Hosts = split(s.Key("hosts").String())
 		out.Team = s.Key("team").String()
@@ -183,7 +183,8 @@
 		out.RetryPercent = r.int(s, "retry-percent")
 		out.Queue = r.int(s, "queue")
 		out.QueueOrder = s.Key("queue-order").MustString(fleet.DefaultQueueOrder)
-		out.NoRefusal = !r.onOff(s, "refusal")
+		out.Adaptive = r.onOff(s, "adaptive", false)
+		out.NoRefusal = !r.onOff(s, "refusal", true)
 		out.InFlight = r.int(s, "in-flight")
 		if s.HasKey("drain") {
 			out.Drain = r.duration(s, "drain")
@@ -314,10 +315,12 @@
 	return v
 }
 
-// onOff reads a switch that is on where it is left out.
-func (r *reader) onOff(s *ini.Section, key string) bool {
+// onOff reads a switch; where it is left out, the fallback holds.
+func (r *reader) onOff(s *ini.Section, key string, fallback bool) bool {
 	switch v := s.Key(key).String(); v {
-	case "", "on":
+	case "":
+		return fallback
+	case "on":
 		return true
 	case "off":
 		return false
--- a/internal/diff/diff.go
+++ b/internal/diff/diff.go
@@ -179,6 +179,7 @@
 	value(l, "retries in percent of requests", before.RetryPercent, after.RetryPercent)
 	value(l, "requests that may wait at each target", before.Queue, after.Queue)
 	value(l, "the order of those that wait", before.QueueOrder, after.QueueOrder)
+	value(l, "fewer requests at once while a backend server is slow", before.Adaptive, after.Adaptive)
 	if after.NoRefusal && !before.NoRefusal {
 		l.warnf("targets no longer refuse what they can't run in time: requests wait until their deadline")
 	}
--- a/internal/entry/answer_test.go
+++ b/internal/entry/answer_test.go
@@ -111,7 +111,7 @@
 // to another target, and its caller sees only the whole answer.
 func TestACutReadIsServedByAnotherTarget(t *testing.T) {
 	cut := newScripted(t, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nfour", true)
-	good := newScripted(t, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole", false)
+	good := newScripted(t, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 5\r\n\r\nwhole", false)
 	w := newWorld(t, "http://"+cut.Addr().String(), "http://"+good.Addr().String())
 	for range 20 {
 		require.Equal(t, "whole", w.ask(0, "GET", "/read", "").body)
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -20,6 +20,8 @@
 	Slots, Queue int
 	// Order is the name of an order of package fleet.
 	Order string
+	// Adaptive lets fewer run at once than Slots while the backend server is slow.
+	Adaptive bool
 	// NoRefusal lets requests wait that would be refused.
 	NoRefusal bool
 }
@@ -54,7 +56,7 @@
 	if l == g.limits {
 		return
 	}
-	if l.Slots != g.limits.Slots {
+	if l.Slots != g.limits.Slots || l.Adaptive != g.limits.Adaptive {
 		g.concurrency.reset(l.Slots)
 	}
 	g.limits, g.order = l, orderOf(l.Order)
@@ -101,7 +103,11 @@
 
 // limit is how many may run now. The mutex is held.
 func (g *Gate) limit(now time.Time) int {
-	return g.start.bound(now, g.concurrency.now(), g.limits.Slots)
+	limit := g.limits.Slots
+	if g.limits.Adaptive {
+		limit = g.concurrency.now()
+	}
+	return g.start.bound(now, limit, g.limits.Slots)
 }
 
 // dispatch lets those who wait into free slots. The mutex is held.
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -83,7 +83,7 @@
 		g.gate.SetLimits(gate.Limits{})
 		return
 	}
-	g.gate.SetLimits(gate.Limits{Slots: t.Slots, Queue: svc.Queue, Order: svc.QueueOrder, NoRefusal: svc.NoRefusal})
+	g.gate.SetLimits(gate.Limits{Slots: t.Slots, Queue: svc.Queue, Order: svc.QueueOrder, Adaptive: svc.Adaptive, NoRefusal: svc.NoRefusal})
 	g.setKeys(svc, v.Here.VM)
 }
 
--- a/internal/guard/isolate.go
+++ b/internal/guard/isolate.go
@@ -124,7 +124,7 @@
 // enter waits for a slot and, for a suspect, until it is alone. The returned
 // function gives both back.
 func (g *Guard) enter(ctx context.Context, r *http.Request) (leave func(), refusal *kind.Error) {
-	slot, refusal := g.gate.Enter(ctx, g.classOf(r))
+	slot, refusal := g.gate.Enter(ctx, g.priorityOf(r))
 	if refusal != nil {
 		return nil, refusal
 	}
--- a/internal/guard/load.go
+++ b/internal/guard/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -80,8 +81,20 @@
 	return stamp[strings.LastIndexByte(stamp, ' ')+1:]
 }
 
-// classOf gives the class of the request's route, by which it gives way to
-// others under overload.
+// priorityOf gives what a request goes by when others must give way to it under
+// overload: the class of its route and, within a class, how deep in a call chain
+// it is. The calls above a deep one hold slots until it ends, so refusing it
+// wastes more than refusing a first call.
+func (g *Guard) priorityOf(r *http.Request) int {
+	// What isn't a number counts as a first call; the entry sends numbers.
+	depth, _ := strconv.Atoi(r.Header.Get(headers.Depth))
+	return g.classOf(r)*depths + min(max(depth, 0), depths-1)
+}
+
+// depths is more than the longest call chain that entries let pass.
+const depths = 32
+
+// classOf gives the class of the request's route.
 func (g *Guard) classOf(r *http.Request) int {
 	v := g.view.Load()
 	if v == nil {
--- a/internal/node/port.go
+++ b/internal/node/port.go
@@ -46,6 +46,9 @@
 	if err != nil {
 		return err
 	}
+	if tcp, ok := l.(*net.TCPListener); ok {
+		l = &lingeringListener{TCPListener: tcp}
+	}
 	p.listener = newPerIPListener(l, p.perIP, p.counters)
 	return nil
 }
