Graceful stop: the callers' port stops accepting before its server shuts down

Cause of the rolling restart's resets: http.Server, once told to shut down, drops each request that it reads without an answer, so a caller that connected or sent at that moment saw an end of file. Ruled out: the kernel's backlog alone; taking it while the server shuts down made it far worse (hundreds of ends of file). The port now takes its backlog, stops accepting, tells the rest to close, and shuts down then.

--- a/internal/node/linger.go
+++ b/internal/node/linger.go
@@ -20,6 +20,9 @@
 // has completed those connections, so their callers may have sent a request
 // already; closing at once would reset them, and a caller can't tell whether a
 // reset upload or booking has run. Taken, they are served like the others in flight.
+//
+// It must be closed before its http.Server is shut down, which would have the
+// requests of the connections taken last dropped.
 type lingeringListener struct {
 	*net.TCPListener
 	closing atomic.Bool
--- a/internal/node/port.go
+++ b/internal/node/port.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"errors"
 	"log"
 	"net"
 	"net/http"
@@ -28,12 +29,14 @@
 	counters *serverCounters
 	perIP    int
 	listener net.Listener
+	// ended is closed once no connection is accepted any more.
+	ended chan struct{}
 }
 
 func newHTTPPort(addr string, h http.Handler, perIP int, c *serverCounters) *httpPort {
 	d := newDrainer(watchProgress(h, c))
 	return &httpPort{
-		addr: addr, drainer: d, counters: c, perIP: perIP,
+		addr: addr, drainer: d, counters: c, perIP: perIP, ended: make(chan struct{}),
 		server: &http.Server{
 			Handler: d, ConnState: d.connState, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 			MaxHeaderBytes: maxHeader, ErrorLog: log.New(c, "", 0),
@@ -53,8 +56,23 @@
 	return nil
 }
 
-// serve serves the port until it is closed; the error is never nil.
-func (p *httpPort) serve() error { return p.server.Serve(p.listener) }
+// serve serves the port until it is closed; any other end is an error.
+func (p *httpPort) serve() error {
+	defer close(p.ended)
+	err := p.server.Serve(p.listener)
+	if errors.Is(err, net.ErrClosed) || errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// stopAccepting takes what is in the backlog and then no more. It must come
+// before the server's Shutdown: from then on the library drops every request that
+// it reads, without an answer.
+func (p *httpPort) stopAccepting() {
+	_ = p.listener.Close()
+	<-p.ended
+}
 
 // onlyFleet refuses requests that don't carry the fleet's name. An address is
 // given to another fleet's VM sooner or later, and an entry with an old list of
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -75,7 +75,7 @@
 func (s *servers) serve(fail func(error)) {
 	for _, p := range []*httpPort{s.callers, s.guard, s.admin} {
 		go func() {
-			if err := p.serve(); err != http.ErrServerClosed {
+			if err := p.serve(); err != nil {
 				fail(err)
 			}
 		}()
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -26,6 +26,7 @@
 	p.Loop.SetStopping()
 	p.Guard.SetLeaving(true)
 	time.Sleep(tellPeers)
+	p.Servers.callers.stopAccepting()
 	p.askToClose()
 	limit, cancel := context.WithTimeout(context.Background(), stopLimit(p.Settings.StopLimit, p.Entry.View()))
 	defer cancel()
