--- a/internal/node/main.go
+++ b/internal/node/main.go
@@ -56,6 +56,7 @@
 }
 
 func serve(set *settings.Settings) int {
+	tuneCollector()
 	log := newLogger(set.LogLevel)
 	app := fx.New(Module, fx.NopLogger, fx.Supply(set),
 		fx.Provide(func() logr.Logger { return log }),
