--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -134,8 +134,9 @@
 	PolicyIdleHints  = "idle-hints"
 	PolicyProbe      = "probe"
 
-	// DefaultPolicy is used where a service names none.
-	DefaultPolicy = PolicyTwoChoices
+	// DefaultPolicy is used where a service names none. docs/design/routing.md
+	// has the measurement that decided it.
+	DefaultPolicy = PolicyTwoLoad
 )
 
 // The orders in which requests that wait at a target run.
--- a/internal/core/config.go
+++ b/internal/core/config.go
@@ -33,8 +33,8 @@
 	// held is the newest version that a peer said is in force there.
 	held  config.Version
 	reads platformReads
-	// voices are the peers that answered since the start, and whether they serve.
-	voices map[string]bool
+	// heardFrom are the peers that answered since the start, and whether they serve.
+	heardFrom map[string]bool
 }
 
 // refusal is a version that was refused, and why.
@@ -45,10 +45,10 @@
 
 func newConfigTable() configTable {
 	return configTable{
-		docs:     map[config.Entry]*config.Service{},
-		fetching: map[config.Entry]bool{},
-		asked:    map[string]time.Duration{},
-		voices:   map[string]bool{},
+		docs:      map[config.Entry]*config.Service{},
+		fetching:  map[config.Entry]bool{},
+		asked:     map[string]time.Duration{},
+		heardFrom: map[string]bool{},
 	}
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -42,8 +42,8 @@
 	order    uint64
 	counters Counters
 	// suspects are requests that may crash backend servers.
-	suspects *suspect.Table
-	accused  suspect.Set
+	suspects   *suspect.Table
+	suspectSet suspect.Set
 	// now is the time of the last tick.
 	now time.Duration
 }
--- a/internal/core/gossip.go
+++ b/internal/core/gossip.go
@@ -54,7 +54,7 @@
 	from, addr := e.News.From, e.Addr
 	if addr != "" {
 		s.round.underWay--
-		s.config.voices[from] = e.News.Serving
+		s.config.heardFrom[from] = e.News.Serving
 	} else {
 		addr = s.controlAddr(from)
 	}
--- a/internal/core/join.go
+++ b/internal/core/join.go
@@ -27,7 +27,7 @@
 	}
 	s.joined, s.dirty = true, true
 	t.since = now
-	out.log("serving", "revision", t.version().Revision, "digest", t.version().Digest, "peers", len(t.voices))
+	out.log("serving", "revision", t.version().Revision, "digest", t.version().Digest, "peers", len(t.heardFrom))
 }
 
 // inForce is the version that requests are handled by; zero before the node
@@ -53,7 +53,7 @@
 // shows in answers from other zones.
 func (s *State) heardEnough(now time.Duration) bool {
 	serving, outside := 0, s.knownPeers() == len(s.zonePeers())
-	for vm, serves := range s.config.voices {
+	for vm, serves := range s.config.heardFrom {
 		if serves {
 			serving++
 		}
@@ -62,7 +62,7 @@
 	switch {
 	case serving >= min(joinPeers, s.knownPeers()) && s.vms.known:
 		return true
-	case serving > 0 || outside && len(s.config.voices) > 0:
+	case serving > 0 || outside && len(s.config.heardFrom) > 0:
 		return now >= joinPatience
 	}
 	return now >= lonelyPatience
--- a/internal/core/suspect.go
+++ b/internal/core/suspect.go
@@ -32,7 +32,7 @@
 func (s *State) runSuspects(now time.Duration, out *commands) {
 	s.suspects.Expire(now)
 	if set, changed := s.suspects.Changed(); changed {
-		s.accused, s.dirty = set, true
+		s.suspectSet, s.dirty = set, true
 		s.push(out)
 	}
 }
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -95,7 +95,7 @@
 	active := s.config.active
 	v := &pick.View{
 		Nodes:  len(s.vms.rows),
-		Config: active, Here: s.self.Place, Suspects: s.accused, Services: make(map[string]*pick.Service, len(active.Services)),
+		Config: active, Here: s.self.Place, Suspects: s.suspectSet, Services: make(map[string]*pick.Service, len(active.Services)),
 	}
 	for name, svc := range active.Services {
 		v.Services[name] = s.viewService(active, svc)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -30,9 +30,9 @@
 	Cost(m wire.Message) int
 }
 
-// Accuser is told of requests that may crash backend servers. Safe for
+// SuspectReporter is told of requests that may crash backend servers. Safe for
 // concurrent use.
-type Accuser interface {
+type SuspectReporter interface {
 	// Died reports a request that was in flight when a backend server died.
 	Died(fingerprint uint64, d suspect.Death)
 	// Cleared reports a suspect that has run to its end.
@@ -57,14 +57,14 @@
 	seal      func(*wire.Seal) *wire.Sealed
 	peers     Caller
 	observer  Observer
-	accuser   atomic.Pointer[Accuser]
+	reporter  atomic.Pointer[SuspectReporter]
 	behind    atomic.Pointer[func(vm string)]
 	now       func() time.Duration
 	load      func() gate.Load
 	limits    *limit.Table
 	measuring *budget.Measuring
 	accounts  accounts
-	pulse     pulse
+	heartbeat heartbeat
 	counters  Counters
 	// name is unique to this process; exchanges counts the ids made with it.
 	name      string
@@ -129,7 +129,7 @@
 }
 
 // Beat must be called often; a late call shows that the process was paused.
-func (e *Entry) Beat() { e.pulse.Beat(time.Now()) }
+func (e *Entry) Beat() { e.heartbeat.Beat(time.Now()) }
 
 // Counters gives what has been counted so far.
 func (e *Entry) Counters() *Counters { return &e.counters }
@@ -195,7 +195,7 @@
 		return err
 	}
 	x.arrived = time.Now()
-	if err := x.accuse(v, e.now()); err != nil {
+	if err := x.checkSuspect(v, e.now()); err != nil {
 		return err
 	}
 	if x.once {
--- a/internal/entry/pulse.go
+++ b/internal/entry/heartbeat.go
@@ -14,12 +14,12 @@
 // were opened during it and waited to be accepted.
 const backlog = time.Second
 
-// pulse notices that the process was paused. A request that was sent to it
+// heartbeat notices that the process was paused. A request that was sent to it
 // before may have waited in a socket's buffer for longer than its key's records
 // last, and looks as if it came just now. It shows as a beat that is late. By
 // the wall clock too, as the monotonic one stands still while a VM is suspended.
 // Safe for concurrent use.
-type pulse struct {
+type heartbeat struct {
 	mu   sync.Mutex
 	last time.Time
 	// woke is when the last long pause ended.
@@ -27,13 +27,13 @@
 }
 
 // Beat must be called often.
-func (p *pulse) Beat(now time.Time) {
+func (p *heartbeat) Beat(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.beat(now)
 }
 
-func (p *pulse) beat(now time.Time) {
+func (p *heartbeat) beat(now time.Time) {
 	late := now.Sub(p.last) > attempt.KeyPause || now.Round(0).Sub(p.last.Round(0)) > attempt.KeyPause
 	if late && !p.last.IsZero() {
 		p.woke = now
@@ -43,7 +43,7 @@
 
 // Doubts says whether what is read at now from a connection may be older than
 // the last pause.
-func (p *pulse) Doubts(opened, now time.Time) bool {
+func (p *heartbeat) Doubts(opened, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.beat(now)
--- a/internal/entry/pulse_test.go
+++ b/internal/entry/heartbeat_test.go
@@ -25,7 +25,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			var p pulse
+			var p heartbeat
 			p.Beat(start)
 			now := start.Add(max(c.pause, c.opened))
 			if c.opened > c.pause {
--- a/internal/entry/key.go
+++ b/internal/entry/key.go
@@ -17,7 +17,7 @@
 // serveKey offers a request with a key of the caller's own to the key's home,
 // and to no other target: another one can't know whether a copy has run.
 func (e *Entry) serveKey(ctx context.Context, w http.ResponseWriter, v *pick.View, x *request) *kind.Error {
-	if e.pulse.Doubts(openedAt(x.in), time.Now()) {
+	if e.heartbeat.Doubts(openedAt(x.in), time.Now()) {
 		w.Header().Set("Connection", "close")
 		return kind.New(kind.KeyUnknown, "this node was paused and can't tell how old the request is; send it on a new connection")
 	}
--- a/internal/entry/suspect.go
+++ b/internal/entry/suspect.go
@@ -8,8 +8,8 @@
 	"github.com/limpetdock/limpetdock/internal/suspect"
 )
 
-// SetAccuser sets who is told of suspects.
-func (e *Entry) SetAccuser(a Accuser) { e.accuser.Store(&a) }
+// ReportSuspects sets who is told of suspects.
+func (e *Entry) ReportSuspects(a SuspectReporter) { e.reporter.Store(&a) }
 
 // print gives the request's fingerprint, which is worked out only when needed.
 func (x *request) print() uint64 {
@@ -19,9 +19,9 @@
 	return x.fingerprint
 }
 
-// accuse looks whether the request is like one that crashed backend servers.
+// checkSuspect looks whether the request is like one that crashed backend servers.
 // A blocked one is answered at once: its caller would only ask again.
-func (x *request) accuse(v *pick.View, now time.Duration) *kind.Error {
+func (x *request) checkSuspect(v *pick.View, now time.Duration) *kind.Error {
 	if len(v.Suspects) == 0 {
 		return nil
 	}
@@ -41,7 +41,7 @@
 		return
 	}
 	x.suspected = true
-	if a := e.accuser.Load(); a != nil {
+	if a := e.reporter.Load(); a != nil {
 		(*a).Died(x.print(), suspect.Death{ID: err.Death, Alone: err.Alone})
 	}
 }
@@ -51,7 +51,7 @@
 	if !x.suspected {
 		return
 	}
-	if a := e.accuser.Load(); a != nil {
+	if a := e.reporter.Load(); a != nil {
 		(*a).Cleared(x.print())
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -35,7 +35,7 @@
 		func(s *settings.Settings) *platform.HTTP { return platform.NewHTTP(s.Platform) },
 		func(l *control.Loop, c *link.Counters) *link.Server { return link.NewServer(l, c) },
 	),
-	fx.Invoke(registerGauges, registerMeasuring, func(*libraryLog) {}, run, func(e *entry.Entry, l *control.Loop) { e.SetAccuser(l) }),
+	fx.Invoke(registerGauges, registerMeasuring, func(*libraryLog) {}, run, func(e *entry.Entry, l *control.Loop) { e.ReportSuspects(l) }),
 )
 
 // newSelf draws the node's incarnation: milliseconds since 1970 with random low
--- a/standin/matrix/matrix.go
+++ b/standin/matrix/matrix.go
@@ -18,18 +18,18 @@
 
 // The steps, in order.
 const (
-	Accepted   Step = "accepted"
-	Chosen     Step = "target chosen"
-	Sent       Step = "sent"
-	Recorded   Step = "recorded"
-	Running    Step = "running"
-	Answering  Step = "answering"
-	Undeliverd Step = "answered, not delivered"
-	Resent     Step = "resent"
+	Accepted    Step = "accepted"
+	Chosen      Step = "target chosen"
+	Sent        Step = "sent"
+	Recorded    Step = "recorded"
+	Running     Step = "running"
+	Answering   Step = "answering"
+	Undelivered Step = "answered, not delivered"
+	Resent      Step = "resent"
 )
 
 // Steps lists all steps in order.
-var Steps = []Step{Accepted, Chosen, Sent, Recorded, Running, Answering, Undeliverd, Resent}
+var Steps = []Step{Accepted, Chosen, Sent, Recorded, Running, Answering, Undelivered, Resent}
 
 // Style is how a request may be repeated.
 type Style string
--- a/standin/matrix/worker.go
+++ b/standin/matrix/worker.go
@@ -224,7 +224,7 @@
 		// The guard gets the start of the request's header and waits for the rest.
 		const some = 20
 		return w.holdLink(ctx, deploy.LinkFault{From: frontZone, To: w.zone, Hold: true, HoldAfter: some, Port: guardPort})
-	case Undeliverd:
+	case Undelivered:
 		return w.holdLink(ctx, deploy.LinkFault{From: w.zone, To: frontZone, Hold: true, Port: guardPort})
 	case Recorded:
 		if err := w.fill(ctx); err != nil {
@@ -294,7 +294,7 @@
 		return w.heldAt(ctx)
 	case Recorded:
 		return w.queuedAt(ctx, x.queued)
-	case Undeliverd:
+	case Undelivered:
 		if _, err := w.started(ctx, x.id); err != nil {
 			return "", err
 		}
