--- a/standin/deploy/faults.go
+++ b/standin/deploy/faults.go
@@ -59,7 +59,7 @@
 // bytes back now, or of which it holds the answers.
 func (d *Deployment) Held(ctx context.Context, zone string) ([]string, error) {
 	var held []string
-	err := get(ctx, "http://"+d.net.relayAdmin(d.zones[zone])+"/held", &held)
+	err := Get(ctx, "http://"+d.net.relayAdmin(d.zones[zone])+"/held", &held)
 	return held, err
 }
 
@@ -82,7 +82,7 @@
 // PlatformState reads the platform's version and its counted calls, by zone.
 func (d *Deployment) PlatformState(ctx context.Context) (PlatformState, error) {
 	var s PlatformState
-	err := get(ctx, d.platformURL("/admin/state"), &s)
+	err := Get(ctx, d.platformURL("/admin/state"), &s)
 	return s, err
 }
 
@@ -99,7 +99,7 @@
 	var all []LinkBytes
 	for _, no := range d.zones {
 		var rows []LinkBytes
-		if err := get(ctx, "http://"+d.net.relayAdmin(no)+"/bytes", &rows); err != nil {
+		if err := Get(ctx, "http://"+d.net.relayAdmin(no)+"/bytes", &rows); err != nil {
 			return nil, err
 		}
 		all = append(all, rows...)
@@ -107,8 +107,8 @@
 	return all, nil
 }
 
-// get reads a value as JSON from a stand-in.
-func get(ctx context.Context, url string, value any) error {
+// Get reads a value as JSON from a stand-in.
+func Get(ctx context.Context, url string, value any) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return err
--- a/standin/matrix/state.go
+++ b/standin/matrix/state.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"net/http"
 
 	"github.com/limpetdock/limpetdock/standin/deploy"
 )
@@ -25,7 +23,7 @@
 }
 
 func stateOf(ctx context.Context, p deploy.Place) (s state, err error) {
-	err = read(ctx, "http://"+p.Admin()+"/v1/dump", &s)
+	err = deploy.Get(ctx, "http://"+p.Admin()+"/v1/dump", &s)
 	return s, err
 }
 
@@ -34,18 +32,5 @@
 		State   string `json:"state"`
 		Running int    `json:"running"`
 	}
-	return read(ctx, "http://"+p.Backend()+"/healthz", &h) == nil && h.State == "live" && h.Running == 0
-}
-
-func read(ctx context.Context, url string, value any) error {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return err
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return err
-	}
-	defer func() { _ = resp.Body.Close() }()
-	return json.NewDecoder(resp.Body).Decode(value)
+	return deploy.Get(ctx, "http://"+p.Backend()+"/healthz", &h) == nil && h.State == "live" && h.Running == 0
 }
