Stand-ins: a parameter and an accessor that nothing used

The matrix told every sending apart and then didn't look; the deployment gave out its relays to nobody. Behaviour is the same: lint and the 311 cells passed.

--- a/standin/deploy/deploy.go
+++ b/standin/deploy/deploy.go
@@ -81,15 +81,12 @@
 	return d.fleet
 }
 
-// Node, Backend and Relay give the processes of a VM, or of a zone's links.
+// Node gives the node of a VM.
 func (d *Deployment) Node(vm string) *Process { return d.nodes[vm] }
 
 // Backend gives the backend server stand-in of a VM.
 func (d *Deployment) Backend(vm string) *Process { return d.backends[vm] }
 
-// Relay gives the relay of a zone.
-func (d *Deployment) Relay(zone string) *Process { return d.relays[zone] }
-
 // Platform gives the platform stand-in.
 func (d *Deployment) Platform() *Process { return d.platform }
 
--- a/standin/matrix/exchange.go
+++ b/standin/matrix/exchange.go
@@ -96,7 +96,7 @@
 			return nil
 		})
 	}
-	x.ended.Go(func() { x.exchange(x.front, body, false) })
+	x.ended.Go(func() { x.exchange(x.front, body) })
 	go func() {
 		x.ended.Wait()
 		close(x.done)
@@ -105,7 +105,7 @@
 
 // sendAgain sends a copy through another node while the first is under way.
 func (x *exchange) sendAgain(front deploy.Place) {
-	x.ended.Go(func() { x.exchange(front, bytes.NewReader(x.body), true) })
+	x.ended.Go(func() { x.exchange(front, bytes.NewReader(x.body)) })
 }
 
 // halved is a body that stops in its middle until the cell lets it go on.
@@ -149,14 +149,14 @@
 	}
 }
 
-func (x *exchange) exchange(front deploy.Place, body io.Reader, again bool) {
+func (x *exchange) exchange(front deploy.Place, body io.Reader) {
 	path := "/once/"
 	if x.cell.Style == Read {
 		path = "/read/"
 	}
 	req, err := http.NewRequestWithContext(x.ctx, http.MethodPost, "http://"+front.Callers()+path+x.id, body)
 	if err != nil {
-		x.tell(Wrong, err.Error(), "", again)
+		x.tell(Wrong, err.Error(), "")
 		return
 	}
 	req.ContentLength = int64(len(x.body))
@@ -171,13 +171,13 @@
 	if len(x.cell.Faults) > 0 && strings.Contains(strings.Join(x.cell.Faults, ","), "killing request") {
 		req.Header.Set("X-Standin-Crash", "1")
 	}
-	x.tellAnswer(req, again)
+	x.tellAnswer(req)
 }
 
-func (x *exchange) tellAnswer(req *http.Request, again bool) {
+func (x *exchange) tellAnswer(req *http.Request) {
 	resp, err := x.w.client.Do(req)
 	if err != nil {
-		x.tell(ToldUnknown, "no answer", "", again)
+		x.tell(ToldUnknown, "no answer", "")
 		return
 	}
 	defer func() { _ = resp.Body.Close() }()
@@ -185,21 +185,21 @@
 	by := resp.Header.Get("X-Standin-Name")
 	switch {
 	case err != nil:
-		x.tell(ToldUnknown, "answer visibly cut", by, again)
+		x.tell(ToldUnknown, "answer visibly cut", by)
 	case resp.Header.Get(headers.Kind) != "":
-		x.tell(Outcome(resp.Header.Get(headers.Outcome)), resp.Header.Get(headers.Kind), by, again)
+		x.tell(Outcome(resp.Header.Get(headers.Outcome)), resp.Header.Get(headers.Kind), by)
 	case resp.StatusCode == http.StatusInternalServerError:
-		x.tell(ToldUnknown, "the backend server failed", by, again)
+		x.tell(ToldUnknown, "the backend server failed", by)
 	case resp.StatusCode != http.StatusOK || !bytes.Equal(got, x.body):
-		x.tell(Wrong, "not the answer to this request: "+resp.Status, by, again)
+		x.tell(Wrong, "not the answer to this request: "+resp.Status, by)
 	default:
-		x.tell(Ran, "", by, again)
+		x.tell(Ran, "", by)
 	}
 }
 
 // tell notes what a sending was told. A wrong answer stays; not-run by either
 // sending stays too, because it speaks of both; else the better known counts.
-func (x *exchange) tell(o Outcome, detail, by string, again bool) {
+func (x *exchange) tell(o Outcome, detail, by string) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	rank := map[Outcome]int{"": 0, ToldUnknown: 1, Ran: 2, ToldNotRun: 3, Wrong: 4}
