A death isn't blamed on requests that came after it

The guard let the next suspect in before it had looked whether the backend server was dead. That suspect went out on a kept connection of the dead process, broke off with it, and was told it had died, alone: two deaths, one of them alone, block an innocent read.

Ruled out: the 2 s bound of isolation (runs take 5 ms); gossip of suspects (the failing answers came from the guard that had just died); restart of the backend server (1 s later than the failures).

Change: a connection belongs to the generation of the process it was opened to. A death is noted before its request gives its place up, kept connections are dropped then, and a write to an older generation is refused before its first byte, not run. A death is named by the generation, so one before any answer of the restarted process is a death of its own; before, both had one name. A suspect that has been in company didn't die alone.

--- a/internal/guard/conn.go
+++ b/internal/guard/conn.go
@@ -10,8 +10,12 @@
 	"github.com/rotisserie/eris"
 )
 
-// errRevoked is a write that came after its permit had ended.
-var errRevoked = eris.New("the request may not be sent any more")
+var (
+	// errRevoked is a write that came after its permit had ended.
+	errRevoked = eris.New("the request may not be sent any more")
+	// errDead is a write to a process that is known to have ended.
+	errDead = eris.New("the backend server's process has ended")
+)
 
 // permit lets one request's first byte out to the backend server, or proves
 // that none went. It guards against a process frozen between its last check of
@@ -22,10 +26,12 @@
 	mu       sync.Mutex
 	sent     bool
 	revoked  bool
+	// generation is that of the connection the request was sent on.
+	generation uint64
 }
 
 // use is asked before every write; the first one decides.
-func (p *permit) use() error {
+func (p *permit) use(c *backendConn) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.sent {
@@ -35,10 +41,21 @@
 		p.revoked = true
 		return errRevoked
 	}
-	p.sent = true
+	if c.dead() {
+		p.revoked = true
+		return errDead
+	}
+	p.sent, p.generation = true, c.generation
 	return nil
 }
 
+// sentIn gives the generation of the backend server that the request went to.
+func (p *permit) sentIn() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.generation
+}
+
 // revoke ends the permit. It returns true if no byte has gone and none will.
 func (p *permit) revoke() bool {
 	p.mu.Lock()
@@ -61,17 +78,25 @@
 // permit of the request that uses it.
 type backendConn struct {
 	net.Conn
-	mu     sync.Mutex
-	permit *permit
+	deaths *deaths
+	// generation counts the deaths before the connection was opened.
+	generation uint64
+	mu         sync.Mutex
+	permit     *permit
 }
 
+// dead says that the process at the other end has ended. Its end may show on
+// the connection only after a write: a request sent then would look like one
+// that was in flight, and be blamed for the death.
+func (c *backendConn) dead() bool { return c.deaths.generation() != c.generation }
+
 // Write writes under the permit of the current request.
 func (c *backendConn) Write(b []byte) (int, error) {
 	c.mu.Lock()
 	p := c.permit
 	c.mu.Unlock()
 	if p != nil {
-		if err := p.use(); err != nil {
+		if err := p.use(c); err != nil {
 			return 0, err
 		}
 	}
@@ -84,14 +109,16 @@
 	c.permit = p
 }
 
-// dialBackend opens a connection whose writes can be permitted.
-func dialBackend(ctx context.Context, network, addr string) (net.Conn, error) {
-	var d net.Dialer
-	conn, err := d.DialContext(ctx, network, addr)
+// dial opens a connection whose writes can be permitted. The generation is read
+// first: a process that takes the connection can't have ended before.
+func (d *deaths) dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	generation := d.generation()
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, network, addr)
 	if err != nil {
 		return nil, err
 	}
-	return &backendConn{Conn: conn}, nil
+	return &backendConn{Conn: conn, deaths: d, generation: generation}, nil
 }
 
 // withPermit makes the transport put the request's permit on whichever
--- a/internal/guard/conn_test.go
+++ b/internal/guard/conn_test.go
@@ -42,7 +42,7 @@
 			if c.revoked {
 				require.True(t, p.revoke())
 			}
-			conn := &backendConn{Conn: near}
+			conn := &backendConn{Conn: near, deaths: &deaths{}}
 			conn.set(p)
 			_, err := conn.Write([]byte("x"))
 			require.Equal(t, c.want, err)
@@ -79,7 +79,7 @@
 	c := claimOf(r, id)
 	v, _ := g.begin(c)
 	require.Equal(t, attempt.Start, v)
-	resp, e := g.detach(r, c, time.Now().Add(time.Minute), func() {})
+	resp, e := g.detach(r, c, time.Now().Add(time.Minute), visit{leave: func() {}})
 	if e != nil {
 		return nil, string(e.Kind) + " " + string(e.Said())
 	}
@@ -116,7 +116,7 @@
 	v, _ := g.begin(c)
 	require.Equal(t, attempt.Start, v)
 	cancel()
-	_, e := g.detach(r, c, time.Now().Add(time.Minute), func() {})
+	_, e := g.detach(r, c, time.Now().Add(time.Minute), visit{leave: func() {}})
 	require.NotNil(t, e)
 	close(release)
 	for _, incarnation := range []string{"1", "2"} {
--- a/internal/guard/death.go
+++ b/internal/guard/death.go
@@ -6,7 +6,7 @@
 	"net"
 	"net/http"
 	"strconv"
-	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -18,36 +18,43 @@
 // deathProbe bounds the look whether a backend server still listens.
 const deathProbe = 200 * time.Millisecond
 
-// deaths counts the ends of the backend server's process, so that all requests
-// that were in flight at one of them name the same death. Safe for concurrent use.
-type deaths struct {
-	mu    sync.Mutex
-	count uint64
-	dead  bool
-}
+// deaths counts the ends of the backend server's process. A connection belongs
+// to the generation that it was opened in, and ends with that generation's
+// process: so all requests that were in flight at a death name the same one,
+// and none that came later does. Safe for concurrent use.
+type deaths struct{ count atomic.Uint64 }
 
-// dieOnce gives the number of the death that is being noticed.
-func (d *deaths) dieOnce() uint64 {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if !d.dead {
-		d.dead = true
-		d.count++
-	}
-	return d.count
-}
+// generation gives the number of deaths so far.
+func (d *deaths) generation() uint64 { return d.count.Load() }
 
-// live notes that the backend server answers again.
-func (d *deaths) live() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.dead = false
+// end notes that the process of a generation has ended; news says that nobody
+// had noticed before.
+func (d *deaths) end(generation uint64) (news bool) {
+	return d.count.CompareAndSwap(generation, generation+1)
 }
 
 // brokenOff tells a backend server that died from one that only broke off an
 // exchange: a dead one no longer listens. A server restarted within the probe
-// is taken for alive, which costs one missed suspicion and no wrong one.
-func (g *Guard) brokenOff(cause error) *kind.Error {
+// is taken for alive unless another request has noticed its death, which costs
+// one missed suspicion and no wrong one.
+func (g *Guard) brokenOff(p *permit, cause error) *kind.Error {
+	generation := p.sentIn()
+	if g.deaths.generation() == generation {
+		if e := g.probe(cause); e != nil {
+			return e
+		}
+		if g.deaths.end(generation) {
+			// What is kept leads to the dead process.
+			g.transport.CloseIdleConnections()
+		}
+	}
+	e := kind.New(kind.BackendDied, "the backend server died with the request in flight").Because(cause)
+	e.Death = g.deathID(generation + 1)
+	return e
+}
+
+// probe looks whether the backend server listens. It returns nil if it doesn't.
+func (g *Guard) probe(cause error) *kind.Error {
 	ctx, cancel := context.WithTimeout(context.Background(), deathProbe)
 	defer cancel()
 	var dialer net.Dialer
@@ -59,9 +66,7 @@
 	if ctx.Err() != nil {
 		return kind.New(kind.BackendBroken, "the backend server doesn't answer").Because(cause)
 	}
-	e := kind.New(kind.BackendDied, "the backend server died with the request in flight").Because(cause)
-	e.Death = g.deathID(g.deaths.dieOnce())
-	return e
+	return nil
 }
 
 // deathID names a death so that no two of any nodes are the same.
@@ -73,12 +78,12 @@
 }
 
 // tellDeath adds to a refusal what the entry needs to note a suspect.
-func tellDeath(h http.Header, r *http.Request, e *kind.Error) {
+func tellDeath(h http.Header, e *kind.Error) {
 	if e.Death == 0 {
 		return
 	}
 	h.Set(headers.Death, strconv.FormatUint(e.Death, 16))
-	if r.Header.Get(headers.Suspect) != "" {
+	if e.Alone {
 		h.Set(headers.DeathAlone, "1")
 	}
 }
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -53,19 +53,20 @@
 // New returns the guard of the backend server at base. now gives the time
 // since the node's start, of a monotonic clock.
 func New(base *url.URL, incarnation uint64, now func() time.Duration) *Guard {
-	return &Guard{
+	g := &Guard{
 		backend:     base,
-		transport:   newTransport(),
 		incarnation: incarnation,
 		now:         now,
 		gate:        gate.New(),
 		attempts:    attempt.NewTable(incarnation),
 	}
+	g.transport = newTransport(&g.deaths)
+	return g
 }
 
-func newTransport() *http.Transport {
+func newTransport(d *deaths) *http.Transport {
 	return &http.Transport{
-		DialContext: dialBackend, MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute, DisableCompression: true,
+		DialContext: d.dial, MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute, DisableCompression: true,
 		ReadBufferSize: 16 << 10, WriteBufferSize: 16 << 10,
 	}
 }
@@ -159,7 +160,7 @@
 	}
 	id := r.Header.Get(headers.Exchange)
 	g.arrive(id)
-	leave, e := g.enter(ctx, r)
+	v, e := g.enter(ctx, r)
 	if e != nil {
 		g.depart(id)
 		cancel()
@@ -167,7 +168,7 @@
 	}
 	g.running.Add(1)
 	end := func() {
-		leave()
+		v.leave()
 		g.depart(id)
 		cancel()
 		g.running.Done()
@@ -176,11 +177,12 @@
 	p := &permit{deadline: deadline}
 	resp, err := g.forward(withPermit(ctx, p), r)
 	if err != nil {
-		end()
+		// Whoever waits to run alone next must find a death noted.
+		defer end()
 		if p.revoke() {
 			return nil, notSent(deadline, err)
 		}
-		return nil, g.backendError(ctx, err)
+		return nil, g.backendError(ctx, p, v, err)
 	}
 	resp.Body = &endingBody{ReadCloser: resp.Body, end: sync.OnceFunc(end)}
 	return resp, nil
@@ -234,7 +236,6 @@
 	if err != nil {
 		return nil, err
 	}
-	g.deaths.live()
 	headers.StripInternal(resp.Header)
 	headers.StripHop(resp.Header)
 	return resp, nil
@@ -247,17 +248,18 @@
 	kind.Write(rec, e)
 	rec.header.Set(headers.Incarnation, strconv.FormatUint(g.incarnation, 16))
 	rec.header.Set(headers.Tick, strconv.FormatUint(g.Tick(), 10))
-	tellDeath(rec.header, r, e)
+	tellDeath(rec.header, e)
 	return rec.response(r)
 }
 
-// backendError tells what went wrong on the way to the backend server.
-func (g *Guard) backendError(ctx context.Context, err error) *kind.Error {
-	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+// backendError tells what went wrong with a request that was sent under p.
+func (g *Guard) backendError(ctx context.Context, p *permit, v visit, err error) *kind.Error {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return kind.New(kind.DeadlineUnknown, "the deadline passed while the backend server ran the request").Because(err)
 	}
-	return g.brokenOff(err)
+	e := g.brokenOff(p, err)
+	e.Alone = e.Death != 0 && v.alone()
+	return e
 }
 
 // answerOf reads a whole answer of at most attempt.MaxAnswer bytes. For a
--- a/internal/guard/isolate.go
+++ b/internal/guard/isolate.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/limpetdock/limpetdock/internal/headers"
@@ -56,23 +57,48 @@
 	}
 }
 
-// joinAlone waits until nothing else runs and keeps others off until end is
-// called or aloneFor has passed.
-func (i *isolation) joinAlone(ctx context.Context) (end func(), ok bool) {
-	alone, ok := i.claim(ctx)
+// visit is a request's time at the backend server.
+type visit struct {
+	// leave ends it. It must be called once.
+	leave func()
+	// alone says that nothing else has run there since it began.
+	alone func() bool
+}
+
+// enter waits until a request may run, a suspect alone. It returns false if
+// ctx ends first.
+func (i *isolation) enter(ctx context.Context, suspect bool) (visit, bool) {
+	if suspect {
+		return i.joinAlone(ctx)
+	}
+	if !i.join(ctx) {
+		return visit{}, false
+	}
+	return visit{leave: i.leave, alone: func() bool { return false }}, true
+}
+
+// joinAlone waits until nothing else runs and keeps others off until the visit
+// ends or aloneFor has passed.
+func (i *isolation) joinAlone(ctx context.Context) (visit, bool) {
+	mine, ok := i.claim(ctx)
 	if !ok {
-		return nil, false
+		return visit{}, false
 	}
-	release := sync.OnceFunc(func() { i.release(alone) })
+	var released atomic.Bool
+	release := sync.OnceFunc(func() {
+		released.Store(true)
+		i.release(mine)
+	})
 	if !i.waitEmpty(ctx) {
 		release()
-		return nil, false
+		return visit{}, false
 	}
 	timer := time.AfterFunc(aloneFor, release)
-	return func() {
+	leave := func() {
 		timer.Stop()
 		release()
-	}, true
+	}
+	return visit{leave: leave, alone: func() bool { return !released.Load() }}, true
 }
 
 // claim waits for other suspects and then keeps everyone else off.
@@ -121,32 +147,24 @@
 	}
 }
 
-// enter waits for a slot and, for a suspect, until it is alone. The returned
-// function gives both back.
-func (g *Guard) enter(ctx context.Context, r *http.Request) (leave func(), refusal *kind.Error) {
+// enter waits for a slot and, for a suspect, until it is alone. The end of the
+// visit gives both back.
+func (g *Guard) enter(ctx context.Context, r *http.Request) (visit, *kind.Error) {
 	slot, refusal := g.gate.Enter(ctx, g.priorityOf(r))
 	if refusal != nil {
-		return nil, refusal
+		return visit{}, refusal
 	}
-	if r.Header.Get(headers.Suspect) == "" {
-		if !g.isolation.join(ctx) {
-			slot.Leave()
-			return nil, errLateInQueue()
-		}
-		return func() {
-			g.isolation.leave()
-			slot.Leave()
-		}, nil
-	}
-	end, ok := g.isolation.joinAlone(ctx)
+	v, ok := g.isolation.enter(ctx, r.Header.Get(headers.Suspect) != "")
 	if !ok {
 		slot.Leave()
-		return nil, errLateInQueue()
+		return visit{}, errLateInQueue()
 	}
-	return func() {
-		end()
+	leave := v.leave
+	v.leave = func() {
+		leave()
 		slot.Leave()
-	}, nil
+	}
+	return v, nil
 }
 
 func errLateInQueue() *kind.Error {
--- a/internal/guard/isolate_test.go
+++ b/internal/guard/isolate_test.go
@@ -18,12 +18,12 @@
 		require.True(t, i.join(ctx))
 		var order []string
 		go func() {
-			end, ok := i.joinAlone(ctx)
+			v, ok := i.joinAlone(ctx)
 			require.True(t, ok)
 			order = append(order, "suspect in")
 			time.Sleep(time.Second)
 			order = append(order, "suspect out")
-			end()
+			v.leave()
 		}()
 		synctest.Wait()
 		require.Empty(t, order, "the suspect waits for the request in flight")
@@ -44,14 +44,14 @@
 func TestASuspectIsAloneForABoundedTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var i isolation
-		end, ok := i.joinAlone(t.Context())
+		v, ok := i.joinAlone(t.Context())
 		require.True(t, ok)
 		ctx, cancel := context.WithTimeout(t.Context(), aloneFor/2)
 		defer cancel()
 		require.False(t, i.join(ctx), "others wait while the suspect is alone")
 		require.True(t, i.join(t.Context()), "but not for good")
 		i.leave()
-		end()
+		v.leave()
 		require.True(t, i.join(t.Context()))
 	})
 }
--- a/internal/guard/once.go
+++ b/internal/guard/once.go
@@ -35,17 +35,17 @@
 	if v, wait := g.check(c); v != attempt.Start {
 		return g.settle(r, c, v, wait)
 	}
-	leave, e := g.enterRecorded(r, c)
+	visit, e := g.enterRecorded(r, c)
 	if e != nil {
 		return g.refuse(r, c, e)
 	}
 	// Recorded only now that it has a slot: what is refused or still waits
 	// takes no room in the table and can be sealed.
 	if v, wait := g.begin(c); v != attempt.Start {
-		leave()
+		visit.leave()
 		return g.settle(r, c, v, wait)
 	}
-	return g.detach(r, c, deadline, leave)
+	return g.detach(r, c, deadline, visit)
 }
 
 func claimOf(r *http.Request, id string) attempt.Claim {
@@ -93,10 +93,10 @@
 
 // enterRecorded checks whether the guard takes work and waits for a slot. While it
 // waits, the attempt can be sealed.
-func (g *Guard) enterRecorded(r *http.Request, c attempt.Claim) (leave func(), e *kind.Error) {
+func (g *Guard) enterRecorded(r *http.Request, c attempt.Claim) (visit, *kind.Error) {
 	ctx, cancel, e := g.admissible(r)
 	if e != nil {
-		return nil, e
+		return visit{}, e
 	}
 	defer cancel()
 	g.arrive(c.ID)
@@ -111,12 +111,12 @@
 
 // detach runs a recorded attempt. The run outlives the exchange that brought
 // it: the entry may come back for the answer over another connection.
-func (g *Guard) detach(r *http.Request, c attempt.Claim, deadline time.Time, leave func()) (*http.Response, *kind.Error) {
+func (g *Guard) detach(r *http.Request, c attempt.Claim, deadline time.Time, v visit) (*http.Response, *kind.Error) {
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(r.Context()), deadline)
 	g.running.Add(1)
 	end := sync.OnceFunc(func() {
 		cancel()
-		leave()
+		v.leave()
 		g.running.Done()
 	})
 	body := &watchedBody{ReadCloser: r.Body}
@@ -125,7 +125,7 @@
 	}
 	ended := make(chan result, 1)
 	go func() {
-		resp, e := g.runRecorded(ctx, r, c.ID, &permit{deadline: deadline}, body, end)
+		resp, e := g.runRecorded(ctx, r, c.ID, &permit{deadline: deadline}, v, body, end)
 		ended <- result{resp, e}
 	}()
 	select {
@@ -149,7 +149,7 @@
 
 // runRecorded hands a recorded attempt to the backend server and records its
 // end. end is called once nothing of it runs any more.
-func (g *Guard) runRecorded(ctx context.Context, r *http.Request, id string, p *permit, body *watchedBody, end func()) (*http.Response, *kind.Error) {
+func (g *Guard) runRecorded(ctx context.Context, r *http.Request, id string, p *permit, v visit, body *watchedBody, end func()) (*http.Response, *kind.Error) {
 	resp, err := g.forward(withPermit(ctx, p), r)
 	if err == nil {
 		return g.keepAnswer(resp, id, end)
@@ -163,7 +163,7 @@
 	if body.failed.Load() && ctx.Err() == nil {
 		return nil, kind.New(kind.BodyCut, "the request's body ended early, after the backend server had its start").Because(err)
 	}
-	return nil, g.backendError(ctx, err)
+	return nil, g.backendError(ctx, p, v, err)
 }
 
 // notSent tells why no byte went to the backend server.
