--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -4,13 +4,9 @@
 package settings
 
 import (
-	"fmt"
-	"net"
 	"net/url"
 	"os"
-	"regexp"
 	"slices"
-	"strconv"
 	"strings"
 	"time"
 
@@ -46,32 +42,6 @@
 	LogLevel int
 }
 
-// Fault is one thing wrong with a settings file.
-type Fault struct {
-	File    string
-	Line    int
-	Key     string
-	Wrong   string
-	Allowed string
-}
-
-// Error gives the fault in one line: file, line, key, what is wrong, what is allowed.
-func (f Fault) Error() string {
-	return fmt.Sprintf("%s:%d: %s: %s (allowed: %s)", f.File, f.Line, f.Key, f.Wrong, f.Allowed)
-}
-
-// Faults is every fault of a file, in the order of the table of keys.
-type Faults []Fault
-
-// Error lists the faults, one a line.
-func (fs Faults) Error() string {
-	lines := make([]string, len(fs))
-	for i, f := range fs {
-		lines[i] = f.Error()
-	}
-	return strings.Join(lines, "\n")
-}
-
 // field is one key of the settings and how its value is checked.
 type field struct {
 	section, key string
@@ -81,8 +51,6 @@
 	set          func(s *Settings, value string) error
 }
 
-var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$`)
-
 const (
 	allowedName = "lower-case letters, digits, '-' and '.', at most 63"
 	allowedAddr = "IP:PORT"
@@ -183,139 +151,3 @@
 	}
 	return faults
 }
-
-// lineIndex maps "section.key" to the line it stands on first, because the INI
-// library doesn't keep line numbers; twice holds the line of the second one
-// where there is any, of which the library would silently take the last.
-func lineIndex(text []byte) (where, twice map[string]int) {
-	where, twice = map[string]int{}, map[string]int{}
-	section := ini.DefaultSection
-	for i, line := range strings.Split(string(text), "\n") {
-		line = strings.TrimSpace(line)
-		if strings.HasPrefix(line, "#") || strings.HasPrefix(line, ";") {
-			continue
-		}
-		if strings.HasPrefix(line, "[") && strings.HasSuffix(line, "]") {
-			section = strings.TrimSpace(line[1 : len(line)-1])
-			continue
-		}
-		key, _, ok := strings.Cut(line, "=")
-		if !ok {
-			continue
-		}
-		id := section + "." + strings.TrimSpace(key)
-		if where[id] != 0 {
-			twice[id] = i + 1
-			continue
-		}
-		where[id] = i + 1
-	}
-	return where, twice
-}
-
-func name(at func(*Settings) *string) func(*Settings, string) error {
-	return func(s *Settings, v string) error {
-		if !namePattern.MatchString(v) {
-			return eris.Errorf("%q is no name", v)
-		}
-		*at(s) = v
-		return nil
-	}
-}
-
-func address(at func(*Settings) *string) func(*Settings, string) error {
-	return func(s *Settings, v string) error {
-		if err := checkAddress(v); err != nil {
-			return err
-		}
-		*at(s) = v
-		return nil
-	}
-}
-
-func checkAddress(v string) error {
-	host, port, err := net.SplitHostPort(v)
-	if err != nil || net.ParseIP(host) == nil {
-		return eris.Errorf("%q is no IP:PORT", v)
-	}
-	if n, err := strconv.Atoi(port); err != nil || n < 0 || n > 65535 {
-		return eris.Errorf("%q has no port from 0 to 65535", v)
-	}
-	return nil
-}
-
-func base(at func(*Settings) **url.URL) func(*Settings, string) error {
-	return func(s *Settings, v string) error {
-		u, err := url.Parse(v)
-		if err != nil || u.Scheme != "http" {
-			return eris.Errorf("%q is no http URL", v)
-		}
-		if err := checkAddress(u.Host); err != nil {
-			return err
-		}
-		*at(s) = u
-		return nil
-	}
-}
-
-const maxSeeds = 8
-
-func seeds(s *Settings, v string) error {
-	if strings.TrimSpace(v) == "" {
-		return nil
-	}
-	list := strings.Split(v, ",")
-	if len(list) > maxSeeds {
-		return eris.Errorf("%d addresses", len(list))
-	}
-	for _, one := range list {
-		one = strings.TrimSpace(one)
-		if err := checkAddress(one); err != nil {
-			return err
-		}
-		s.Seeds = append(s.Seeds, one)
-	}
-	return nil
-}
-
-func healthPath(s *Settings, v string) error {
-	if u, err := url.Parse(v); err != nil || !strings.HasPrefix(v, "/") || u.Path != v {
-		return eris.Errorf("%q is no path", v)
-	}
-	s.Health = v
-	return nil
-}
-
-func duration(low, high time.Duration, at func(*Settings) *time.Duration) func(*Settings, string) error {
-	return func(s *Settings, v string) error {
-		d, err := time.ParseDuration(v)
-		if err != nil || d < low || d > high {
-			return eris.Errorf("%q is out of range", v)
-		}
-		*at(s) = d
-		return nil
-	}
-}
-
-const (
-	minConnsPerIP = 16
-	maxConnsPerIP = 100_000
-)
-
-func connsPerIP(s *Settings, v string) error {
-	n, err := strconv.Atoi(v)
-	if err != nil || n < minConnsPerIP || n > maxConnsPerIP {
-		return eris.Errorf("%q is out of range", v)
-	}
-	s.ConnsPerIP = n
-	return nil
-}
-
-func logLevel(s *Settings, v string) error {
-	n, err := strconv.Atoi(v)
-	if err != nil || n < 0 || n > 1 {
-		return eris.Errorf("%q is no level", v)
-	}
-	s.LogLevel = n
-	return nil
-}
