Guards keep to the declared connections; idle ones give way, nothing in flight is cut

Subsets bound the entries of a target, not what each opens at once, and nodes under different configurations draw differently. A guard took any number.

A new connection at the limit takes the place of the longest idle one, else its request is refused as overloaded, not run; answers of attempts can still be collected. Connections that say nothing count as idle. Ruled out: only telling entries to close with answers (idle ones don't get answers, and would block new entries for a minute); not accepting (the kernel completes the connection and the request waits in vain).

TestConnectionsOfAGuardAreBounded seen failing without the bound (no refusal comes).

--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -196,6 +196,9 @@
 	if g.leaving.Load() {
 		return nil, nil, kind.New(kind.Leaving, "the backend server is leaving")
 	}
+	if noRoom(r.Context()) {
+		return nil, nil, kind.New(kind.Overloaded, "the connections that the target accepts are all busy")
+	}
 	v, e := g.fenced(r, v)
 	if e != nil {
 		return nil, nil, e
--- a/internal/node/counters.go
+++ b/internal/node/counters.go
@@ -19,6 +19,9 @@
 	errors atomic.Uint64
 	// refused are connections over the settings' limit per address.
 	refused atomic.Uint64
+	// madeRoom are idle connections closed for new ones, noRoom requests refused
+	// because all connections were busy.
+	madeRoom, noRoom atomic.Uint64
 	// stalled are bodies and answers whose other end stopped moving.
 	stalled atomic.Uint64
 	// panics are handlers that broke down; the first one is logged with its stack.
@@ -33,6 +36,10 @@
 		"Errors of connections and handlers that the HTTP server met.", labels, c.errors.Load)
 	m.LabelledFunc("limpetdock_http_connections_refused_total",
 		"Connections closed at once because their address had too many.", labels, c.refused.Load)
+	m.LabelledFunc("limpetdock_http_idle_closed_total",
+		"Idle connections closed for new ones at the target's limit of connections.", labels, c.madeRoom.Load)
+	m.LabelledFunc("limpetdock_http_no_room_total",
+		"Requests refused because the target's connections were all busy.", labels, c.noRoom.Load)
 	m.LabelledFunc("limpetdock_http_panics_total",
 		"Requests whose handler broke down; a fault of the program.", labels, c.panics.Load)
 	m.LabelledFunc("limpetdock_http_stalled_total",
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -8,6 +8,7 @@
 	"github.com/go-logr/logr"
 	"go.uber.org/fx"
 
+	"github.com/limpetdock/limpetdock/fleet"
 	"github.com/limpetdock/limpetdock/internal/admin"
 	"github.com/limpetdock/limpetdock/internal/control"
 	"github.com/limpetdock/limpetdock/internal/core"
@@ -16,12 +17,14 @@
 	"github.com/limpetdock/limpetdock/internal/limit"
 	"github.com/limpetdock/limpetdock/internal/link"
 	"github.com/limpetdock/limpetdock/internal/metrics"
+	"github.com/limpetdock/limpetdock/internal/pick"
 	"github.com/limpetdock/limpetdock/internal/settings"
 )
 
 // servers are what listens in a node: three HTTP ports and the control port.
 type servers struct {
 	callers, guard, admin *httpPort
+	room                  *room
 	control               *link.Server
 	controlAddr           string
 	controlListener       net.Listener
@@ -56,9 +59,21 @@
 		control: p.Control, controlAddr: set.Control,
 	}
 	s.callers.server.ConnContext = entry.ConnContext
+	s.room = newRoom(func() int { return connectionsOf(p.Entry.View()) }, s.guard.counters)
+	s.room.bound(s.guard)
 	return s
 }
 
+// connectionsOf is how many connections the own target is declared to accept.
+func connectionsOf(v *pick.View) int {
+	if v != nil {
+		if _, t := v.Config.Target(v.Here.VM); t != nil {
+			return t.Connections
+		}
+	}
+	return fleet.DefaultConnections
+}
+
 // listen opens every port, so that a node whose address is taken doesn't start.
 func (s *servers) listen() error {
 	for _, p := range []*httpPort{s.callers, s.guard, s.admin} {
