A target that failed a request once gets its share again

Cause: two faults of the moving average of failures. No request goes to a target that looks worse than the others, so no success ever lowered its average: with two-choices, a server that failed three requests of a simulation got none of the requests 6 to 8 s later. And the average stopped at 7 of 1024, as integers don't divide further, which cost 68 ms for good: more than the way to another region.

Change: the average falls to nothing within 5 s without new evidence, and comes down to zero. Ejection goes by the average without its age, so that a target which fails at each try is still ejected for longer and longer. Ruled out: forgetting in 1 s, by which a server that always fails would be tried every second by each entry before it is ejected.

--- a/internal/pick/cost.go
+++ b/internal/pick/cost.go
@@ -5,8 +5,8 @@
 const (
 	// loadHalf is the age at which a load report counts half.
 	loadHalf = 100 * time.Millisecond
-	// forgetAfter is when a latency without newer samples counts no more, so
-	// that a target which was slow is tried again.
+	// forgetAfter is when a latency or a failure without newer evidence counts no
+	// more, so that a target which was slow or failed is tried again.
 	forgetAfter = 5 * time.Second
 	// slowFactor is how many times the typical time a target's average must be to
 	// count. Below that it is the noise of neighbours, gone before the next
@@ -71,8 +71,8 @@
 }
 
 // inFlight is the node's own requests at the target, as if failures were still running.
-func (t *Target) inFlight() int32 {
-	return t.Stat.InFlight.Load() + t.Stat.failing.Load()*failurePenalty/failScale
+func (t *Target) inFlight(now time.Duration) int32 {
+	return t.Stat.InFlight.Load() + int32(t.Stat.failures(now)*failurePenalty)
 }
 
 // serverTime is the average time to an answer, without the round trip; it
@@ -108,7 +108,7 @@
 // one is cheaper.
 func (t *Target) Cost(now time.Duration) float64 {
 	way, server, busy := t.expected(now)
-	return way + server*(1+busy/float64(max(t.Slots, 1))) + t.failureCost()
+	return way + server*(1+busy/float64(max(t.Slots, 1))) + t.failureCost(now)
 }
 
 // delay estimates the time to an answer, in nanoseconds: only requests beyond
@@ -117,9 +117,9 @@
 func (t *Target) delay(now time.Duration) float64 {
 	way, server, busy := t.expected(now)
 	slots := float64(max(t.Slots, 1))
-	return way + server*(1+max(busy+1-slots, 0)/slots) + t.failureCost()
+	return way + server*(1+max(busy+1-slots, 0)/slots) + t.failureCost(now)
 }
 
-func (t *Target) failureCost() float64 {
-	return float64(t.Stat.failing.Load()) / failScale * failureCost
+func (t *Target) failureCost(now time.Duration) float64 {
+	return t.Stat.failures(now) * failureCost
 }
--- a/internal/pick/health.go
+++ b/internal/pick/health.go
@@ -58,7 +58,7 @@
 	switch o {
 	case Neutral, Late:
 	case Good:
-		s.count(0)
+		s.count(now, 0)
 		s.succeeded(h, now)
 	case Refused:
 		// A refusal comes back fast and leaves nothing in flight: without a pause
@@ -67,16 +67,41 @@
 	case Unreachable:
 		s.eject(h, now, unreachable, rnd)
 	case Failed:
-		s.count(failScale)
+		s.count(now, failScale)
 		if s.failing.Load() > ejectAfter || h != nil && h.phase != ramping {
 			s.eject(h, now, ejected, rnd)
 		}
 	}
 }
 
-func (s *Stat) count(sample int32) {
+// count adds an outcome to the average of failures.
+func (s *Stat) count(now time.Duration, sample int32) {
 	old := s.failing.Load()
-	s.failing.Store(old + (sample-old)/failWeight)
+	if sample == 0 {
+		old = int32(s.failures(now) * failScale)
+	}
+	step := (sample - old) / failWeight
+	if step == 0 {
+		// Else the rest of the division would stay for good, and cost more than a
+		// round trip to another region.
+		step = sample - old
+	}
+	s.failing.Store(old + step)
+	s.counted.Store(int64(now))
+}
+
+// failures is the share of recent answers that failed, 0 to 1. It falls as it
+// grows old: a target that failed once gets no requests while others cost less
+// than a failure, so no success could ever lower it. An ejection goes by the
+// average without its age, so that a target which fails whenever it is tried
+// is ejected for longer and longer.
+func (s *Stat) failures(now time.Duration) float64 {
+	failing := s.failing.Load()
+	if failing == 0 {
+		return 0
+	}
+	left := forgetAfter - max(now-time.Duration(s.counted.Load()), 0)
+	return max(float64(failing)/failScale*float64(left)/float64(forgetAfter), 0)
 }
 
 // eject leaves the target alone for a time that doubles and is spread, so that
--- a/internal/pick/probe.go
+++ b/internal/pick/probe.go
@@ -27,7 +27,7 @@
 			continue
 		}
 		fresh++
-		load := t.reportedLoad(r)
+		load := t.reportedLoad(r, d.Now)
 		if calm == nil || load < fewest {
 			calm, fewest = t, load
 		}
@@ -47,10 +47,9 @@
 // reportedLoad is the share of slots in use by a report, with what the node
 // itself has sent since added: an answer that is used again must not draw
 // every request to one target.
-func (t *Target) reportedLoad(r *Report) float64 {
+func (t *Target) reportedLoad(r *Report, now time.Duration) float64 {
 	since := max(int(t.Stat.InFlight.Load())-r.own, 0)
-	failing := float64(t.Stat.failing.Load()) / failScale
-	return float64(r.Running+r.Waiting+since)/float64(max(r.Slots, 1)) + failing
+	return float64(r.Running+r.Waiting+since)/float64(max(r.Slots, 1)) + t.Stat.failures(now)
 }
 
 // AskedWithin says whether a target was chosen by probes not longer than d ago.
--- a/internal/pick/sim_test.go
+++ b/internal/pick/sim_test.go
@@ -16,6 +16,7 @@
 	queue          []func()
 	service        time.Duration
 	failsAfter     time.Duration // answers 500 after that long; 0 is never
+	failsNext      int           // answers 500 to that many at once
 	down           bool
 	served         int
 }
@@ -138,6 +139,10 @@
 	case srv.down:
 		end(Unreachable)
 		return
+	case srv.failsNext > 0:
+		srv.failsNext--
+		end(Failed)
+		return
 	case srv.failsAfter > 0:
 		s.after(srv.failsAfter, func() { end(Failed) })
 		return
--- a/internal/pick/stat.go
+++ b/internal/pick/stat.go
@@ -33,6 +33,8 @@
 	rtt atomic.Int64
 	// hints are idle slots that were reported and not used yet.
 	hints atomic.Int32
+	// counted is when an outcome was last counted in failing, in nanoseconds.
+	counted atomic.Int64
 	// starts holds when requests in flight began, in nanoseconds; 0 is free.
 	starts   [tracked]atomic.Int64
 	identity atomic.Pointer[Identity]
--- a/internal/pick/twochoices.go
+++ b/internal/pick/twochoices.go
@@ -7,7 +7,7 @@
 
 func (twoChoices) Choose(d Draw, among []*Target) *Target {
 	a, b := twoOf(d.Rand, among)
-	if b.inFlight() < a.inFlight() {
+	if b.inFlight(d.Now) < a.inFlight(d.Now) {
 		return b
 	}
 	return a
