--- a/standin/experiment/added.go
+++ b/standin/experiment/added.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"time"
 
 	"github.com/limpetdock/limpetdock/fleet"
@@ -17,6 +18,7 @@
 	common
 	Rates     []float64     `long:"rate" description:"calls per second of each of the two loads; may be repeated" default:"500" default:"2000"`
 	For       time.Duration `long:"for" default:"10s" description:"length of each run"`
+	Uploads   float64       `long:"uploads" description:"uploads of 1 MiB a second that go through the same entry to the same target, beside the two loads" default:"0"`
 	ServiceMs float64       `long:"service-ms" default:"0" description:"service time of the backend servers"`
 }
 
@@ -26,6 +28,9 @@
 	through = "through"
 )
 
+// uploadSize is the size of an upload beside the two loads, in bytes.
+const uploadSize = 1 << 20
+
 // addedSlots are so many that the backend server is never what is measured.
 const addedSlots = 128
 
@@ -67,13 +72,7 @@
 
 func (a *addedLatency) measure(ctx context.Context, t *table, where string, rate float64, entry, target deploy.Place) {
 	const warmUp = 2 * time.Second
-	plan := load.Plan{
-		Rate: 2 * rate, Duration: warmUp, Seed: 1,
-		Kinds: []load.Kind{
-			{Name: direct, Service: target.Service, To: []string{target.Backend()}},
-			{Name: through, Service: target.Service, To: []string{entry.Callers()}},
-		},
-	}.WithDefaults()
+	plan := load.Plan{Rate: 2*rate + a.Uploads, Duration: warmUp, Seed: 1, Kinds: a.kinds(rate, entry, target)}.WithDefaults()
 	client := load.NewClient(plan)
 	defer client.Close()
 	load.Run(ctx, plan, load.Options{Sender: client})
@@ -85,6 +84,20 @@
 		ms(one.P99), ms(two.P99), ms(two.P99-one.P99), count(float64(notOK)), kept(r))
 }
 
+func (a *addedLatency) kinds(rate float64, entry, target deploy.Place) []load.Kind {
+	kinds := []load.Kind{
+		{Name: direct, Service: target.Service, To: []string{target.Backend()}, Weight: int(rate)},
+		{Name: through, Service: target.Service, To: []string{entry.Callers()}, Weight: int(rate)},
+	}
+	if a.Uploads >= 1 {
+		kinds = append(kinds, load.Kind{
+			Name: "upload", Service: target.Service, To: []string{entry.Callers()},
+			Method: http.MethodPost, Body: uploadSize, Weight: int(a.Uploads),
+		})
+	}
+	return kinds
+}
+
 // kept says whether the sender kept its schedule.
 func kept(r *load.Report) string {
 	if r.Kept() {
