Keys: a new home waits out what the old one may still run

A zombie that was cut off, together with an entry, takes keys for half of (lifetime + 15 s) after the platform's last word. What it ran after its replacement had started left no record at the replacement, which took keys once it had waited (lifetime + 15 s) since its start: a key run by the zombie 5 min after the replacement and sent again 5 min later ran twice, within its lifetime. The same held for a home cut off from a revision that moved its keys.

A new home first lets a lapse pass, as long as records are kept: half of it for the zombie, the rest for the platform's lag, as the design already counted with.

Ruled out: a shorter confirmation (an outage of the platform would then turn all own keys away within seconds).

Tests changed, all stricter: the waits in TestWhenAHomeTakesAKey and TestAYoungHomeSaysWhenItTakesKeys are twice as long; the model's old worlds are older. The cost of a restart doubles: 20.5 min with the default lifetime.

--- a/internal/attempt/keys.go
+++ b/internal/attempt/keys.go
@@ -79,10 +79,15 @@
 // keep is how long a key's record outlives its last change.
 func (k *keyRules) keep() time.Duration { return max(k.now.Lifetime, minLifetime) + keySlack }
 
-// confirmedFor is how long one word of the platform lasts. A replacement waits
-// for the whole of keep, and the rest is for the platform's own lag.
+// confirmedFor is how long one word of the platform lasts.
 func (k *keyRules) confirmedFor() time.Duration { return max(k.keep()/2, minLifetime) }
 
+// lapse is how long another process, which was the home until now and is cut
+// off, may go on taking keys: for confirmedFor after the platform's last word,
+// and the rest is for the platform's own lag. What that process runs meanwhile
+// leaves no record here, so only what happened after the lapse is remembered.
+func (k *keyRules) lapse() time.Duration { return k.keep() }
+
 // SetKeys puts rules in force.
 func (t *Table) SetKeys(rules Keys, now time.Duration) {
 	t.sweep(now)
@@ -90,20 +95,20 @@
 	old, before := k.now, k.keep()
 	k.now = rules
 	if old.Service != rules.Service {
-		k.horizon, k.confirmed, k.past = now, now, nil
+		k.horizon, k.confirmed, k.past = now+k.lapse(), now, nil
 		return
 	}
 	if k.keep() > before {
 		// Records were dropped under the shorter lifetime.
 		k.horizon = max(k.horizon, now-before)
 	}
-	k.past = slices.DeleteFunc(k.past, func(e epoch) bool { return now-e.until > k.keep() })
+	k.past = slices.DeleteFunc(k.past, func(e epoch) bool { return now-e.until > k.lapse()+k.keep() })
 	if slices.Equal(old.Targets, rules.Targets) {
 		return
 	}
 	k.past = append(k.past, epoch{targets: old.Targets, until: now})
 	if len(k.past) > maxEpochs {
-		k.horizon, k.past = now, nil
+		k.horizon, k.past = now+k.lapse(), nil
 	}
 }
 
@@ -150,13 +155,13 @@
 		return Young, wait
 	}
 	for _, e := range k.past {
-		wait := e.until + k.keep() - now
+		wait := e.until + k.lapse() + k.keep() - now
 		if wait > 0 && Home(k.now.Service, key, e.targets) != k.now.Self {
 			return Young, wait
 		}
 	}
-	// A process that was replaced without noticing stops taking keys before its
-	// replacement, which waits for the whole of keep, begins to.
+	// A process that was replaced without noticing stops taking keys within the
+	// lapse, and its replacement takes none that may have run here until then.
 	if k.hasRival && now-k.rival <= k.keep() || now-k.confirmed > k.confirmedFor() {
 		return Unconfirmed, 0
 	}
--- a/internal/attempt/keys_test.go
+++ b/internal/attempt/keys_test.go
@@ -25,8 +25,11 @@
 }
 
 const (
-	// keptFor is how long a key's record is kept, and so how long a new process waits.
+	// keptFor is how long a key's record is kept.
 	keptFor = lifetime + 3*attempt.KeyDelay
+	// waitFor is how long a new process waits: as long again, in which its
+	// predecessor may have gone on.
+	waitFor = 2 * keptFor
 	aMinute = time.Minute
 )
 
@@ -42,28 +45,28 @@
 		{"a new process can't know what its predecessor ran", func(t *attempt.Table) time.Duration {
 			t.SetKeys(rules("ip", "a", "b", "c"), 0)
 			return aMinute
-		}, attempt.Young, keptFor - aMinute},
-		{"one that remembers a lifetime takes it", func(t *attempt.Table) time.Duration {
+		}, attempt.Young, waitFor - aMinute},
+		{"one that remembers a lifetime in which no predecessor can have gone on takes it", func(t *attempt.Table) time.Duration {
 			t.SetKeys(rules("ip", "a", "b", "c"), 0)
-			t.Confirm("ip", keptFor)
-			return keptFor
+			t.Confirm("ip", waitFor)
+			return waitFor
 		}, attempt.Start, 0},
 		{"slack for a copy held up on its way: a lifetime alone isn't enough", func(t *attempt.Table) time.Duration {
 			t.SetKeys(rules("ip", "a", "b", "c"), 0)
-			t.Confirm("ip", lifetime)
-			return lifetime
+			t.Confirm("ip", waitFor-3*attempt.KeyDelay)
+			return waitFor - 3*attempt.KeyDelay
 		}, attempt.Young, 3 * attempt.KeyDelay},
 		{"the home was another target until a minute ago", func(t *attempt.Table) time.Duration {
 			t.SetKeys(rules("ip", "b", "c"), 0)
 			t.SetKeys(rules("ip", "a", "b", "c"), 2*keptFor)
 			t.Confirm("ip", 2*keptFor+aMinute)
 			return 2*keptFor + aMinute
-		}, attempt.Young, keptFor - aMinute},
+		}, attempt.Young, waitFor - aMinute},
 		{"a change of targets leaves a key whose home it doesn't move", func(t *attempt.Table) time.Duration {
 			t.SetKeys(rules("ip", "a", "b", "c"), 0)
-			t.SetKeys(rules("ip", "a", "b"), keptFor)
-			t.Confirm("ip", keptFor+aMinute)
-			return keptFor + aMinute
+			t.SetKeys(rules("ip", "a", "b"), waitFor)
+			t.Confirm("ip", waitFor+aMinute)
+			return waitFor + aMinute
 		}, attempt.Start, 0},
 		{"another target is the home", func(t *attempt.Table) time.Duration {
 			t.SetKeys(attempt.Keys{Service: "s", Self: "b", Targets: []string{"a", "b", "c"}, Lifetime: lifetime}, 0)
--- a/internal/attempt/model_test.go
+++ b/internal/attempt/model_test.go
@@ -252,7 +252,7 @@
 
 var pauses = []time.Duration{
 	100 * time.Millisecond, time.Second, attempt.KeyDelay, attempt.Window / 2, attempt.Window, 2 * attempt.Window,
-	attempt.TicketWindow, lifetime / 2, lifetime, lifetime + 3*attempt.KeyDelay,
+	attempt.TicketWindow, lifetime / 2, lifetime, keptFor,
 }
 
 // actions are what may happen next, each drawn by rapid.
@@ -343,7 +343,7 @@
 		w := newWorld()
 		// Half of the worlds are old enough to take keys from the start.
 		if rapid.Bool().Draw(t, "old") {
-			w.advance(lifetime + 3*attempt.Window)
+			w.advance(waitFor)
 			w.look(0)
 			w.look(1)
 		}
--- a/internal/entry/key_test.go
+++ b/internal/entry/key_test.go
@@ -148,8 +148,8 @@
 	got := w.ask(0, "POST", "/pay", "x", headers.IdempotencyKey, "k")
 	wait, err := time.ParseDuration(got.retryFor + "s")
 	require.NoError(t, err)
-	require.Greater(t, wait, 9*time.Minute)
-	require.LessOrEqual(t, wait, 10*time.Minute+3*attempt.KeyDelay)
+	require.Greater(t, wait, 19*time.Minute)
+	require.LessOrEqual(t, wait, 2*(10*time.Minute+3*attempt.KeyDelay))
 }
 
 // One copy of a payout runs while another is refused before it was offered to
