--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -109,6 +109,8 @@
 	// Unconfirmed means a key while the platform hasn't confirmed for long that
 	// this VM is still the one that is declared.
 	Unconfirmed
+	// Handed means a key after the keys were sealed for a successor.
+	Handed
 	// Full means that there is no room for a record.
 	Full
 )
--- a/internal/attempt/keys.go
+++ b/internal/attempt/keys.go
@@ -63,9 +63,23 @@
 	// confirmed is when the platform last showed this VM under its address.
 	confirmed time.Duration
 	firstAddr string
+	// shown is the same without the benefit of the doubt that a new process gets.
+	shown    time.Duration
+	hasShown bool
+	// elsewhere is when the platform last showed this VM under another address.
+	elsewhere    time.Duration
+	hasElsewhere bool
+	// flapped says that this happened after the own address had been shown.
+	flapped bool
 	// rival is when a newer incarnation of this VM was last heard of, if hasRival.
 	rival    time.Duration
 	hasRival bool
+	// older is the newest incarnation of this VM below the own one that was heard of.
+	older uint64
+	// handed says that the keys have been sealed to be handed to a successor.
+	handed bool
+	// taken says that a predecessor's table has been taken.
+	taken bool
 }
 
 type epoch struct {
@@ -96,6 +110,8 @@
 	k.now = rules
 	if old.Service != rules.Service {
 		k.horizon, k.confirmed, k.past = now+k.lapse(), now, nil
+		// Whose address was shown could not be told before.
+		k.hasShown, k.hasElsewhere, k.flapped = false, false, false
 		return
 	}
 	if k.keep() > before {
@@ -114,8 +130,9 @@
 
 // Confirm notes that the platform has just shown this VM under an address.
 // Another address than this process's own means that the VM was replaced while
-// this process lives on, and confirms nothing. What the platform showed first
-// is the second best: it may be old news, and then no keys are taken.
+// this process lives on, or isn't listed yet: what the process there runs leaves
+// no record here. What the platform showed first is the second best: it may be
+// old news, and then no keys are taken.
 func (t *Table) Confirm(addr string, now time.Duration) {
 	k := &t.keys
 	if k.firstAddr == "" {
@@ -125,21 +142,41 @@
 	if own == "" {
 		own = k.firstAddr
 	}
-	if addr == own {
-		k.confirmed = max(k.confirmed, now)
+	if addr != own {
+		k.elsewhere, k.hasElsewhere = max(k.elsewhere, now), true
+		k.flapped = k.flapped || k.hasShown
+		return
+	}
+	k.confirmed = max(k.confirmed, now)
+	if !k.hasShown {
+		// Until now the VM may have been another process's.
+		k.horizon = max(k.horizon, now+k.lapse())
 	}
+	k.shown, k.hasShown = max(k.shown, now), true
 }
 
 // Doubt takes the last Confirm back: time has passed that this table's clock
 // didn't count.
-func (t *Table) Doubt() { t.keys.confirmed = -t.keys.keep() }
+func (t *Table) Doubt() {
+	k := &t.keys
+	k.confirmed = -k.keep()
+	k.shown = -k.keep()
+}
 
 // ConfirmWithin is how long one Confirm lasts.
 func (t *Table) ConfirmWithin() time.Duration { return t.keys.confirmedFor() }
 
-// Supersede notes that another, newer incarnation of this VM has been heard of:
-// two homes must not take keys side by side.
-func (t *Table) Supersede(now time.Duration) { t.keys.rival, t.keys.hasRival = now, true }
+// Heard notes that another incarnation of this VM has been heard of. Beside a
+// newer one no keys are taken: there must not be two homes.
+func (t *Table) Heard(incarnation uint64, now time.Duration) {
+	k := &t.keys
+	switch {
+	case incarnation > t.incarnation:
+		k.rival, k.hasRival = now, true
+	case incarnation < t.incarnation:
+		k.older = max(k.older, incarnation)
+	}
+}
 
 func (k *keyRules) takes(id string, now time.Duration) bool {
 	v, _ := k.check(id, now)
@@ -147,6 +184,9 @@
 }
 
 func (k *keyRules) check(id string, now time.Duration) (v Verdict, wait time.Duration) {
+	if k.handed {
+		return Handed, 0
+	}
 	key := strings.TrimPrefix(id, keyPrefix)
 	if Home(k.now.Service, key, k.now.Targets) != k.now.Self {
 		return NotHome, 0
@@ -162,8 +202,15 @@
 	}
 	// A process that was replaced without noticing stops taking keys within the
 	// lapse, and its replacement takes none that may have run here until then.
-	if k.hasRival && now-k.rival <= k.keep() || now-k.confirmed > k.confirmedFor() {
+	if k.contested(now) || now-k.confirmed > k.confirmedFor() {
 		return Unconfirmed, 0
 	}
 	return Start, 0
 }
+
+// contested says whether another process of this VM's name may have run keys in
+// the time that matters.
+func (k *keyRules) contested(now time.Duration) bool {
+	within := k.lapse() + k.keep()
+	return k.hasRival && now-k.rival <= within || k.hasElsewhere && now-k.elsewhere <= within
+}
--- a/internal/attempt/keys_test.go
+++ b/internal/attempt/keys_test.go
@@ -33,6 +33,12 @@
 	aMinute = time.Minute
 )
 
+// listed puts rules in force in a new process that the platform shows at once.
+func listed(t *attempt.Table, k attempt.Keys) {
+	t.SetKeys(k, 0)
+	t.Confirm("ip", 0)
+}
+
 func TestWhenAHomeTakesAKey(t *testing.T) {
 	stays := keyOf("a", "a", "b", "c")
 	cases := []struct {
@@ -43,27 +49,27 @@
 		wait    time.Duration
 	}{
 		{"a new process can't know what its predecessor ran", func(t *attempt.Table) time.Duration {
-			t.SetKeys(rules("ip", "a", "b", "c"), 0)
+			listed(t, rules("ip", "a", "b", "c"))
 			return aMinute
 		}, attempt.Young, waitFor - aMinute},
 		{"one that remembers a lifetime in which no predecessor can have gone on takes it", func(t *attempt.Table) time.Duration {
-			t.SetKeys(rules("ip", "a", "b", "c"), 0)
+			listed(t, rules("ip", "a", "b", "c"))
 			t.Confirm("ip", waitFor)
 			return waitFor
 		}, attempt.Start, 0},
 		{"slack for a copy held up on its way: a lifetime alone isn't enough", func(t *attempt.Table) time.Duration {
-			t.SetKeys(rules("ip", "a", "b", "c"), 0)
+			listed(t, rules("ip", "a", "b", "c"))
 			t.Confirm("ip", waitFor-3*attempt.KeyDelay)
 			return waitFor - 3*attempt.KeyDelay
 		}, attempt.Young, 3 * attempt.KeyDelay},
 		{"the home was another target until a minute ago", func(t *attempt.Table) time.Duration {
-			t.SetKeys(rules("ip", "b", "c"), 0)
+			listed(t, rules("ip", "b", "c"))
 			t.SetKeys(rules("ip", "a", "b", "c"), 2*keptFor)
 			t.Confirm("ip", 2*keptFor+aMinute)
 			return 2*keptFor + aMinute
 		}, attempt.Young, waitFor - aMinute},
 		{"a change of targets leaves a key whose home it doesn't move", func(t *attempt.Table) time.Duration {
-			t.SetKeys(rules("ip", "a", "b", "c"), 0)
+			listed(t, rules("ip", "a", "b", "c"))
 			t.SetKeys(rules("ip", "a", "b"), waitFor)
 			t.Confirm("ip", waitFor+aMinute)
 			return waitFor + aMinute
@@ -75,36 +81,47 @@
 		{"a longer lifetime asks for a memory that was swept", func(t *attempt.Table) time.Duration {
 			short := rules("ip", "a", "b", "c")
 			short.Lifetime = aMinute
-			t.SetKeys(short, 0)
+			listed(t, short)
 			t.SetKeys(rules("ip", "a", "b", "c"), 2*keptFor)
 			t.Confirm("ip", 2*keptFor)
 			return 2 * keptFor
 		}, attempt.Young, lifetime - aMinute},
 		{"the platform hasn't been heard for long", func(t *attempt.Table) time.Duration {
-			t.SetKeys(rules("ip", "a", "b", "c"), 0)
+			listed(t, rules("ip", "a", "b", "c"))
 			t.Confirm("ip", keptFor)
 			return 2 * keptFor
 		}, attempt.Unconfirmed, 0},
 		{"the platform lists the VM under its replacement's address", func(t *attempt.Table) time.Duration {
-			t.SetKeys(rules("ip", "a", "b", "c"), 0)
+			listed(t, rules("ip", "a", "b", "c"))
 			t.Confirm("ip", aMinute)
 			t.Confirm("other", 2*keptFor)
 			return 2 * keptFor
 		}, attempt.Unconfirmed, 0},
+		{"it wasn't listed until a minute ago", func(t *attempt.Table) time.Duration {
+			t.SetKeys(rules("ip", "a", "b", "c"), 0)
+			t.Confirm("ip", 2*keptFor)
+			return 2*keptFor + aMinute
+		}, attempt.Young, waitFor - aMinute},
+		{"another process was listed in its place until a minute ago", func(t *attempt.Table) time.Duration {
+			listed(t, rules("ip", "a", "b", "c"))
+			t.Confirm("other", 2*keptFor)
+			t.Confirm("ip", 2*keptFor+aMinute)
+			return 2*keptFor + aMinute
+		}, attempt.Unconfirmed, 0},
 		{"without an own address, the first one listed counts", func(t *attempt.Table) time.Duration {
-			t.SetKeys(rules("", "a", "b", "c"), 0)
+			listed(t, rules("", "a", "b", "c"))
 			t.Confirm("ip", aMinute)
 			t.Confirm("other", 2*keptFor)
 			return 2 * keptFor
 		}, attempt.Unconfirmed, 0},
 		{"a peer has told of a newer incarnation", func(t *attempt.Table) time.Duration {
-			t.SetKeys(rules("ip", "a", "b", "c"), 0)
+			listed(t, rules("ip", "a", "b", "c"))
 			t.Confirm("ip", 2*keptFor)
-			t.Supersede(2*keptFor - aMinute)
+			t.Heard(2, 2*keptFor-aMinute)
 			return 2 * keptFor
 		}, attempt.Unconfirmed, 0},
 		{"the process was suspended and its clock stood still", func(t *attempt.Table) time.Duration {
-			t.SetKeys(rules("ip", "a", "b", "c"), 0)
+			listed(t, rules("ip", "a", "b", "c"))
 			t.Confirm("ip", 2*keptFor)
 			t.Doubt()
 			return 2 * keptFor
--- a/internal/attempt/main_test.go
+++ b/internal/attempt/main_test.go
@@ -11,7 +11,7 @@
 func TestMain(m *testing.M) {
 	flag.Parse()
 	for name, value := range map[string]string{
-		"rapid.seed": "20261202", "rapid.nofailfile": "true", "rapid.checks": "2000", "rapid.steps": "80",
+		"rapid.seed": "20261202", "rapid.nofailfile": "true", "rapid.checks": "6000", "rapid.steps": "80",
 	} {
 		if given := flag.Lookup(name); given.Value.String() == given.DefValue {
 			if err := flag.Set(name, value); err != nil {
--- a/internal/attempt/model_test.go
+++ b/internal/attempt/model_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/limpetdock/limpetdock/internal/attempt"
+	"github.com/limpetdock/limpetdock/internal/handover"
 	"github.com/limpetdock/limpetdock/internal/wire"
 )
 
@@ -30,6 +31,7 @@
 	start       time.Duration
 	dead, cut   bool
 	targets     []string
+	lifetime    time.Duration
 }
 
 // promise is what the caller was promised: one ticket, key or plain request.
@@ -54,10 +56,13 @@
 	arrived time.Duration
 	// broken says that the entry has given the exchange up already.
 	broken bool
+	// lifetime is the one that the entry knows.
+	lifetime time.Duration
 }
 
 type world struct {
 	now       time.Duration
+	lifetime  time.Duration
 	serial    uint64
 	targets   []string
 	current   map[string]*process
@@ -66,14 +71,24 @@
 	// declared, and the identity that they learnt of it.
 	views    [2]map[string]*process
 	declared [2][]string
+	lifes    [2]time.Duration
 	learnt   [2]map[string]attempt.Claim
 	promises []*promise
 	flying   []*message
 	open     []*message
+	// keepers, parts and takes are of the hand-over of key tables.
+	keepers [2]*handover.Keeper
+	parts   []*part
+	takes   []*take
+	// stray is a process that has started and isn't listed.
+	stray *process
 }
 
 func newWorld() *world {
-	w := &world{targets: []string{"a", "b", "c"}, current: map[string]*process{}}
+	w := &world{targets: []string{"a", "b", "c"}, lifetime: lifetime, current: map[string]*process{}}
+	for i := range w.keepers {
+		w.keepers[i] = handover.NewKeeper(w.token)
+	}
 	for _, vm := range w.targets {
 		w.boot(vm)
 	}
@@ -84,12 +99,18 @@
 }
 
 func (w *world) boot(vm string) {
+	p := w.start(vm)
+	w.current[vm] = p
+	w.read(p)
+}
+
+// start starts a process that the platform doesn't list yet.
+func (w *world) start(vm string) *process {
 	w.serial++
 	p := &process{vm: vm, incarnation: w.serial, addr: fmt.Sprint("ip", w.serial), start: w.now}
 	p.table = attempt.NewTable(p.incarnation)
-	w.current[vm] = p
 	w.processes = append(w.processes, p)
-	w.read(p)
+	return p
 }
 
 func (w *world) at(p *process) time.Duration { return w.now - p.start }
@@ -99,8 +120,8 @@
 	if p.dead || p.cut {
 		return
 	}
-	p.targets = w.targets
-	p.table.SetKeys(attempt.Keys{Service: "s", Self: p.vm, Targets: p.targets, Lifetime: lifetime, Addr: p.addr}, w.at(p))
+	p.targets, p.lifetime = w.targets, w.lifetime
+	p.table.SetKeys(attempt.Keys{Service: "s", Self: p.vm, Targets: p.targets, Lifetime: w.lifetime, Addr: p.addr}, w.at(p))
 	p.table.Confirm(w.current[p.vm].addr, w.at(p))
 }
 
@@ -108,7 +129,7 @@
 func (w *world) look(entry int) {
 	w.views[entry] = map[string]*process{}
 	w.learnt[entry] = map[string]attempt.Claim{}
-	w.declared[entry] = w.targets
+	w.declared[entry], w.lifes[entry] = w.targets, w.lifetime
 	for vm, p := range w.current {
 		w.views[entry][vm] = p
 		w.learn(entry, p)
@@ -132,7 +153,7 @@
 
 // submit sends a copy of a promise through an entry.
 func (w *world) submit(p *promise, entry int, arrived time.Duration, vm string) {
-	m := &message{p: p, entry: entry, arrived: arrived}
+	m := &message{p: p, entry: entry, arrived: arrived, lifetime: w.lifes[entry]}
 	var id string
 	switch p.class {
 	case attempt.Try:
@@ -166,6 +187,10 @@
 		w.fail(m)
 		return
 	}
+	if m.lifetime > m.to.lifetime {
+		// Routed under a configuration that the guard doesn't have yet.
+		return
+	}
 	lost = lost || m.broken
 	if refused {
 		w.refuse(m, lost)
@@ -307,6 +332,7 @@
 		"declare": func(t *rapid.T) {
 			all := []string{"a", "b", "c"}
 			w.targets = all[:rapid.IntRange(2, 3).Draw(t, "count")]
+			w.lifetime = max(w.lifetime, lifetime*time.Duration(rapid.IntRange(1, 2).Draw(t, "lifetime")))
 		},
 		"": w.check,
 	}
@@ -330,9 +356,10 @@
 	w.submit(p, entry, w.now, vm)
 }
 
-// copy is the caller that sends again, as long as its key lives.
+// copy is the caller that sends again, as long as its key lives, as declared
+// where it asks.
 func (w *world) copy(p *promise, entry int) {
-	if p == nil || p.class == attempt.Try || p.class == attempt.Key && w.now-p.first > lifetime {
+	if p == nil || p.class == attempt.Try || p.class == attempt.Key && w.now-p.first > w.lifes[entry] {
 		return
 	}
 	w.submit(p, entry, w.now, "")
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/limpetdock/limpetdock/internal/config"
+	"github.com/limpetdock/limpetdock/internal/handover"
 	"github.com/limpetdock/limpetdock/internal/pick"
 	"github.com/limpetdock/limpetdock/internal/platform"
 	"github.com/limpetdock/limpetdock/internal/suspect"
@@ -45,6 +46,8 @@
 	// suspects are requests that may crash backend servers.
 	suspects   *suspect.Table
 	suspectSet suspect.Set
+	// keeper has key tables of peers that stopped moments ago.
+	keeper *handover.Keeper
 	// now is the time of the last tick.
 	now time.Duration
 }
@@ -64,12 +67,15 @@
 	Suspicions uint64 `json:"suspicions"`
 	// NameClashes counts news of another process under this VM's name.
 	NameClashes uint64 `json:"name_clashes"`
+	// Keys counts peers' key tables that this node kept.
+	Keys handover.Counts `json:"keys"`
 }
 
 // Counters gives a copy of the counters.
 func (s *State) Counters() Counters {
 	c := s.counters
 	c.Revision = s.inForce().Revision
+	c.Keys = s.keeper.Counts
 	return c
 }
 
@@ -82,9 +88,11 @@
 
 // New returns the state of a node that has just started.
 func New(self Self, seed uint64) *State {
+	rnd := rand.New(rand.NewPCG(seed, self.Incarnation))
 	return &State{
 		self:     self,
-		rnd:      rand.New(rand.NewPCG(seed, self.Incarnation)),
+		rnd:      rnd,
+		keeper:   handover.NewKeeper(rnd.Uint64),
 		config:   newConfigTable(),
 		vms:      vmTable{rows: map[string]platform.VM{}},
 		order:    self.Incarnation,
--- a/internal/core/dump.go
+++ b/internal/core/dump.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/limpetdock/limpetdock/internal/config"
+	"github.com/limpetdock/limpetdock/internal/handover"
 	"github.com/limpetdock/limpetdock/internal/platform"
 	"github.com/limpetdock/limpetdock/internal/wire"
 )
@@ -19,6 +20,8 @@
 	Members  map[string]MemberDump `json:"members"`
 	Counters Counters              `json:"counters"`
 	Suspects []wire.Suspect        `json:"suspects"`
+	// KeyTables are those of stopped peers that this node keeps.
+	KeyTables map[string]handover.Held `json:"key_tables"`
 }
 
 // ConfigDump is the configuration in force, those being gathered, and those
@@ -73,8 +76,8 @@
 	d := Dump{
 		Self: s.self, Joined: s.joined, Leaving: s.Leaving(), Config: s.dumpConfig(now),
 		VMs:     VMsDump{s.vms.version, maps.Clone(s.vms.rows)},
-		Members: map[string]MemberDump{}, Counters: s.counters,
-		Suspects: s.suspects.Dump(now),
+		Members: map[string]MemberDump{}, Counters: s.Counters(),
+		Suspects: s.suspects.Dump(now), KeyTables: s.keeper.Held(),
 	}
 	for name, m := range s.members.rows {
 		d.Members[name] = MemberDump{
--- a/internal/entry/fleet_test.go
+++ b/internal/entry/fleet_test.go
@@ -129,6 +129,7 @@
 	start := time.Now()
 	g := guard.New(base, incarnation, func() time.Duration { return time.Since(start) + time.Duration(passed.Load()) })
 	g.SetView(&pick.View{Config: n.world.config, Here: pick.Place{VM: fmt.Sprint("vm", n.no)}})
+	g.Listed("ip", time.Millisecond)
 	passed.Store(int64(age))
 	g.Listed("ip", age)
 	n.guard.Store(g)
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -36,12 +36,14 @@
 	leaving     atomic.Bool
 	mu          sync.Mutex
 	attempts    *attempt.Table
-	// addr is the VM's own address, or empty.
-	addr string
+	// vm and addr are the VM's own name and address, or empty.
+	vm, addr string
 	// listed is when the platform last showed this VM, since the node's start,
 	// and listedAt the same by the wall clock.
-	listed    time.Duration
-	listedAt  time.Time
+	listed   time.Duration
+	listedAt time.Time
+	// keyed says that the rules for callers' own keys are known.
+	keyed     bool
 	running   sync.WaitGroup
 	isolation isolation
 	deaths    deaths
@@ -75,6 +77,9 @@
 // be called before the first View.
 func (g *Guard) SetAddr(ip string) { g.addr = ip }
 
+// SetVM tells the VM's name, for news that come before the first View.
+func (g *Guard) SetVM(vm string) { g.vm = vm }
+
 // SetView puts a new View in force and with it the declared limits.
 func (g *Guard) SetView(v *pick.View) {
 	g.view.Store(v)
--- a/internal/guard/records.go
+++ b/internal/guard/records.go
@@ -1,6 +1,7 @@
 package guard
 
 import (
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -39,6 +40,9 @@
 	return &wire.Sealed{Incarnation: g.incarnation, Tick: g.Tick(), State: state}
 }
 
+// notListed is no time at which the platform showed this VM.
+const notListed = time.Duration(math.MinInt64)
+
 // setKeys puts the rules for callers' own keys in force.
 func (g *Guard) setKeys(svc *config.Service, vm string) {
 	rules := attempt.Keys{Service: svc.Name, Self: vm, Lifetime: svc.KeyLifetime, Addr: g.addr}
@@ -51,6 +55,10 @@
 	if g.listedAt.IsZero() {
 		g.listedAt = time.Now().Round(0)
 	}
+	if !g.keyed {
+		// What was told before could not be weighed by these rules.
+		g.keyed, g.listed = true, notListed
+	}
 }
 
 // Listed notes that the platform showed this VM under an address at a time
@@ -78,16 +86,16 @@
 // Heard takes news of nodes: a newer incarnation of the own VM means that this
 // process has been replaced and lives on beside its replacement.
 func (g *Guard) Heard(news []wire.Member) {
-	v := g.view.Load()
-	if v == nil {
-		return
+	vm := g.vm
+	if v := g.view.Load(); v != nil {
+		vm = v.Here.VM
 	}
 	for _, m := range news {
-		if m.VM != v.Here.VM || m.Incarnation <= g.incarnation {
+		if m.VM != vm || m.Incarnation == g.incarnation {
 			continue
 		}
 		g.mu.Lock()
-		g.attempts.Supersede(g.now())
+		g.attempts.Heard(m.Incarnation, g.now())
 		g.mu.Unlock()
 	}
 }
--- a/internal/guard/verdict.go
+++ b/internal/guard/verdict.go
@@ -61,6 +61,8 @@
 		return e
 	case attempt.Unconfirmed:
 		return kind.New(kind.KeyUnknown, "the key's home hasn't seen itself confirmed by the platform; it takes no keys for now")
+	case attempt.Handed:
+		return kind.New(kind.KeyUnknown, "the key's home is stopping; its next process takes keys")
 	}
 	e := kind.New(kind.StaleAttempt, "the attempt is for another incarnation or too old")
 	e.Outcome = notRunUnless(attempt.ClassOf(c.ID))
--- /dev/null
+++ b/internal/handover/keeper_test.go
@@ -0,0 +1,163 @@
+package handover
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/limpetdock/limpetdock/internal/attempt"
+	"github.com/limpetdock/limpetdock/internal/wire"
+)
+
+func at(up time.Duration) Moment { return Moment{Up: up, Wall: time.Unix(1e9, 0).Add(up)} }
+
+func offer(incarnation uint64, bytes uint64) *wire.KeysOffer {
+	return &wire.KeysOffer{Format: wire.KeysFormat, VM: "a", Incarnation: incarnation, Bytes: bytes, HoldMs: 10_000}
+}
+
+func ask(incarnation uint64, seq uint32) *wire.KeysAsk {
+	return &wire.KeysAsk{Format: wire.KeysFormat, VM: "a", Incarnation: incarnation, Seq: seq}
+}
+
+func part(token uint64, seq uint32) *wire.KeysPart {
+	return &wire.KeysPart{Token: token, Seq: seq, Parts: 2, Data: []byte{byte(seq)}}
+}
+
+func newKeeper() *Keeper {
+	n := uint64(0)
+	return NewKeeper(func() uint64 { n++; return n })
+}
+
+// kept is a keeper that has a whole table of incarnation 5 since 0.
+func kept() (*Keeper, uint64) {
+	k := newKeeper()
+	token := k.Offer(offer(5, 100), 5, at(0)).Token
+	k.Put("a", part(token, 0), at(0))
+	k.Put("a", part(token, 1), at(0))
+	return k, token
+}
+
+// Each of these, if the keeper gave the table, would make a process the home of
+// keys that another one has run or may still run.
+func TestWhatAKeeperDoesNotGive(t *testing.T) {
+	const given, notGiven = 2, 0
+	cases := []struct {
+		name string
+		// happens ends with the keeper's answer to the last question.
+		happens func(k *Keeper, token uint64) *wire.KeysPart
+		want    uint32
+	}{
+		{"to its successor in time", func(k *Keeper, _ uint64) *wire.KeysPart {
+			k.Give(ask(6, 0), 5, at(time.Second))
+			return k.Give(ask(6, 1), 6, at(time.Second))
+		}, given},
+		{"after its time", func(k *Keeper, _ uint64) *wire.KeysPart { return k.Give(ask(6, 0), 5, at(11*time.Second)) }, notGiven},
+		{"after its time by the wall clock alone", func(k *Keeper, _ uint64) *wire.KeysPart {
+			return k.Give(ask(6, 0), 5, Moment{Up: time.Second, Wall: at(time.Minute).Wall})
+		}, notGiven},
+		{"a second time", func(k *Keeper, _ uint64) *wire.KeysPart {
+			k.Give(ask(6, 0), 5, at(0))
+			k.Give(ask(6, 1), 5, at(0))
+			return k.Give(ask(6, 0), 5, at(0))
+		}, notGiven},
+		{"a part again whose answer was lost", func(k *Keeper, _ uint64) *wire.KeysPart {
+			k.Give(ask(6, 0), 5, at(0))
+			return k.Give(ask(6, 0), 5, at(0))
+		}, notGiven},
+		{"the rest to another", func(k *Keeper, _ uint64) *wire.KeysPart {
+			k.Give(ask(6, 0), 5, at(0))
+			return k.Give(ask(7, 1), 5, at(0))
+		}, notGiven},
+		{"when a third process has been heard of", func(k *Keeper, _ uint64) *wire.KeysPart {
+			return k.Give(ask(7, 0), 6, at(0))
+		}, notGiven},
+		{"to an older process", func(k *Keeper, _ uint64) *wire.KeysPart { return k.Give(ask(4, 0), 5, at(0)) }, notGiven},
+		{"once given, sent again by a sender that didn't hear", func(k *Keeper, token uint64) *wire.KeysPart {
+			k.Give(ask(6, 0), 5, at(0))
+			k.Give(ask(6, 1), 5, at(0))
+			k.Put("a", part(token, 0), at(0))
+			k.Put("a", part(token, 1), at(0))
+			return k.Give(ask(7, 0), 5, at(0))
+		}, notGiven},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			require.Equal(t, c.want, c.happens(kept()).Parts)
+		})
+	}
+}
+
+func TestWhatAKeeperDoesNotTake(t *testing.T) {
+	k := newKeeper()
+	require.Zero(t, k.Offer(offer(5, MaxBytes+1), 5, at(0)).Token, "too long")
+	require.Zero(t, k.Offer(offer(5, 100), 6, at(0)).Token, "of a process that was replaced")
+	other := offer(5, 100)
+	other.Format++
+	require.Zero(t, k.Offer(other, 5, at(0)).Token, "of another format")
+	token := k.Offer(offer(5, 1), 5, at(0)).Token
+	require.False(t, k.Put("a", part(token+1, 0), at(0)).OK, "under another token, as after a restart of the keeper")
+	require.False(t, k.Put("b", part(token, 0), at(0)).OK, "from another VM")
+	require.True(t, k.Put("a", part(token, 0), at(0)).OK)
+	require.True(t, k.Put("a", part(token, 0), at(0)).OK, "the same again")
+	require.False(t, k.Put("a", part(token, 1), at(0)).OK, "more than was offered")
+	token = k.Offer(offer(5, 100), 5, at(0)).Token
+	require.True(t, k.Put("a", part(token, 0), at(0)).OK)
+	require.False(t, k.Put("a", part(token, 1), at(putWithin+1)).OK, "from a process that was frozen after the first part")
+	require.Empty(t, k.Held())
+	for n := range 3 {
+		o := offer(5, MaxBytes)
+		o.VM = fmt.Sprint(n)
+		require.Equal(t, n < maxKept/MaxBytes, k.Offer(o, 5, at(0)).Token != 0, "memory is bounded")
+	}
+}
+
+// A successor was frozen while the table came.
+func TestATableThatComesLateIsLetGo(t *testing.T) {
+	parts, err := Split(&attempt.KeyTable{})
+	require.NoError(t, err)
+	take := NewTake(at(0))
+	_, err = take.Table(at(0))
+	require.ErrorIs(t, err, ErrBroken)
+	_, err = take.Add(&wire.KeysPart{})
+	require.ErrorIs(t, err, ErrNothing)
+	more, err := take.Add(&wire.KeysPart{Token: 1, Parts: 1, Data: parts[0]})
+	require.NoError(t, err)
+	require.False(t, more)
+	_, err = take.Table(at(takeWithin + 1))
+	require.ErrorIs(t, err, ErrLate)
+	_, err = take.Table(at(takeWithin))
+	require.NoError(t, err)
+}
+
+// A table of 100 000 keys with answers must fit what a keeper takes, in parts
+// that fit a frame.
+func TestTheLargestTableFits(t *testing.T) {
+	const lifetime = 10 * time.Minute
+	table := attempt.NewTable(1)
+	table.SetKeys(attempt.Keys{Service: "s", Self: "a", Targets: []string{"a"}, Lifetime: lifetime, Addr: "ip"}, 0)
+	table.Confirm("ip", 0)
+	now := 2 * time.Hour
+	table.Confirm("ip", now)
+	for n := range 100_000 {
+		id := attempt.KeyID(fmt.Sprintf("%036d", n))
+		_, _ = table.Begin(attempt.Claim{ID: id, Incarnation: 1, Tick: attempt.Tick(now)}, now)
+		table.Finish(id, &attempt.Answer{Status: 200, Body: make([]byte, 300)}, now)
+	}
+	bytes, _, ok := table.KeysToHand(now)
+	require.True(t, ok)
+	require.LessOrEqual(t, bytes, MaxBytes)
+	sealed, ok := table.SealKeys(now)
+	require.True(t, ok)
+	parts, err := Split(sealed)
+	require.NoError(t, err)
+	total := 0
+	for i, data := range parts {
+		total += len(data)
+		_, err := wire.Encode(&wire.KeysPart{Token: 1, Seq: uint32(i), Parts: uint32(len(parts)), Data: data})
+		require.NoError(t, err)
+	}
+	require.LessOrEqual(t, total, bytes)
+	t.Logf("%d bytes in %d parts", total, len(parts))
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -29,6 +29,11 @@
 	TypeVMs
 	TypeProbe
 	TypeLoad
+	TypeKeysOffer
+	TypeKeysGrant
+	TypeKeysPart
+	TypeKeysKept
+	TypeKeysAsk
 )
 
 const (
@@ -247,6 +252,16 @@
 		return &Probe{}, smallFrame
 	case TypeLoad:
 		return &Load{}, smallFrame
+	case TypeKeysOffer:
+		return &KeysOffer{}, smallFrame
+	case TypeKeysGrant:
+		return &KeysGrant{}, smallFrame
+	case TypeKeysPart:
+		return &KeysPart{}, documentFrame
+	case TypeKeysKept:
+		return &KeysKept{}, smallFrame
+	case TypeKeysAsk:
+		return &KeysAsk{}, smallFrame
 	}
 	return nil, 0
 }
