Nodes hand their keys on when they stop, and ask for them when they start

Loop.HandKeys runs once runs have ended, for 2 s at most: it reads the VM list anew, finds up to two keepers, seals, and sends the table in parts. A new process that is listed asks its predecessor's keepers for 5 s. Counters, dump (attempts.keys, control.key_tables) and two log lines show it.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -11,6 +11,7 @@
 	"github.com/gin-gonic/gin"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/limpetdock/limpetdock/internal/attempt"
 	"github.com/limpetdock/limpetdock/internal/core"
 	"github.com/limpetdock/limpetdock/internal/gate"
 	"github.com/limpetdock/limpetdock/internal/limit"
@@ -40,6 +41,7 @@
 	View() *pick.View
 	Load() gate.Load
 	Attempts() (records, stored int)
+	KeyState() attempt.KeyState
 	// Limits are the limits on requests in flight, with their use.
 	Limits() []limit.Use
 	// Now is the time since the node's start.
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/limpetdock/limpetdock/fleet"
+	"github.com/limpetdock/limpetdock/internal/attempt"
 	"github.com/limpetdock/limpetdock/internal/config"
 	"github.com/limpetdock/limpetdock/internal/core"
 	"github.com/limpetdock/limpetdock/internal/gate"
@@ -29,7 +30,9 @@
 func (n *fakeNode) View() *pick.View     { return n.view }
 func (n *fakeNode) Load() gate.Load      { return gate.Load{Slots: 6, InUse: 2} }
 func (n *fakeNode) Attempts() (int, int) { return 3, 400 }
-func (n *fakeNode) Now() time.Duration   { return time.Minute }
+
+func (*fakeNode) KeyState() attempt.KeyState { return attempt.KeyState{} }
+func (n *fakeNode) Now() time.Duration       { return time.Minute }
 func (n *fakeNode) Limits() []limit.Use {
 	return []limit.Use{{Scope: limit.Team, Name: "store", InFlight: 4}, {Scope: limit.Route, Name: "orders/read", InFlight: 3}}
 }
@@ -123,7 +126,7 @@
 	require.WithinDuration(t, time.Now().Add(-time.Hour), c.Since, time.Minute)
 
 	d := read[Dump](t, h, PathDump)
-	require.Equal(t, AttemptsDump{3, 400}, d.Attempts)
+	require.Equal(t, AttemptsDump{3, 400, attempt.KeyState{}}, d.Attempts)
 	require.Len(t, d.Targets, 5)
 }
 
--- a/internal/admin/state.go
+++ b/internal/admin/state.go
@@ -8,6 +8,7 @@
 
 	"github.com/gin-gonic/gin"
 
+	"github.com/limpetdock/limpetdock/internal/attempt"
 	"github.com/limpetdock/limpetdock/internal/config"
 	"github.com/limpetdock/limpetdock/internal/core"
 	"github.com/limpetdock/limpetdock/internal/gate"
@@ -28,6 +29,8 @@
 type AttemptsDump struct {
 	Records     int `json:"records"`
 	StoredBytes int `json:"stored_bytes"`
+	// Keys is how the node stands as a home of callers' own keys.
+	Keys attempt.KeyState `json:"keys"`
 }
 
 func (a *api) dump(c *gin.Context) {
@@ -37,7 +40,7 @@
 	}
 	records, stored := a.node.Attempts()
 	d := Dump{
-		Control: control, Load: a.node.Load(), Attempts: AttemptsDump{records, stored},
+		Control: control, Load: a.node.Load(), Attempts: AttemptsDump{records, stored, a.node.KeyState()},
 		Targets: map[string]TargetState{},
 	}
 	if v := a.node.View(); v != nil {
--- a/internal/control/io.go
+++ b/internal/control/io.go
@@ -148,6 +148,8 @@
 		return nil
 	case *wire.Seal:
 		return l.guard.Seal(m)
+	case *wire.KeysOffer, *wire.KeysPart, *wire.KeysAsk:
+		return l.answerKeys(from, m)
 	}
 	return nil
 }
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/limpetdock/limpetdock/internal/attempt"
 	"github.com/limpetdock/limpetdock/internal/core"
 	"github.com/limpetdock/limpetdock/internal/link"
 	"github.com/limpetdock/limpetdock/internal/pick"
@@ -40,6 +41,12 @@
 	// Listed and Heard tell what the platform and peers say of the own VM.
 	Listed(addr string, at time.Duration)
 	Heard(news []wire.Member)
+	// KeysToHand, SealKeys, WantsKeys and TakeKeys hand the key table from one
+	// process of a VM to the next.
+	KeysToHand() (bytes int, hold time.Duration, ok bool)
+	SealKeys() (*attempt.KeyTable, bool)
+	WantsKeys() bool
+	TakeKeys(t *attempt.KeyTable) bool
 }
 
 // Entry is what the loop needs of the node's entry.
@@ -65,6 +72,9 @@
 	mu       sync.Mutex
 	health   health
 	counters atomic.Pointer[core.Counters]
+	keys     KeyCounters
+	// asked says that the predecessor's key table has been asked for.
+	asked bool
 }
 
 // health is what the guard's side last saw, until the next tick takes it.
@@ -169,6 +179,10 @@
 		if addr, at, ok := l.state.Listed(); ok {
 			l.guard.Listed(addr, at)
 		}
+		if !l.asked && l.guard.WantsKeys() {
+			l.asked = true
+			l.wg.Go(l.takeKeys)
+		}
 		events = events[:0]
 	}
 }
--- a/internal/control/loop_test.go
+++ b/internal/control/loop_test.go
@@ -11,6 +11,7 @@
 	"github.com/go-logr/logr"
 	"github.com/stretchr/testify/require"
 
+	"github.com/limpetdock/limpetdock/internal/attempt"
 	"github.com/limpetdock/limpetdock/internal/control"
 	"github.com/limpetdock/limpetdock/internal/core"
 	"github.com/limpetdock/limpetdock/internal/link"
@@ -55,6 +56,11 @@
 func (*quiet) Heard([]wire.Member)          {}
 func (*quiet) Beat()                        {}
 
+func (*quiet) KeysToHand() (int, time.Duration, bool) { return 0, 0, false }
+func (*quiet) SealKeys() (*attempt.KeyTable, bool)    { return nil, false }
+func (*quiet) WantsKeys() bool                        { return false }
+func (*quiet) TakeKeys(*attempt.KeyTable) bool        { return false }
+
 func newLoop(p platform.Client, g *quiet) *control.Loop {
 	start := time.Now()
 	return control.New(control.Config{
--- a/internal/node/gauges.go
+++ b/internal/node/gauges.go
@@ -39,10 +39,31 @@
 		{"limpetdock_config_behind_total", "Requests that showed a peer under another configuration.", func(c core.Counters) uint64 { return c.Behind }},
 		{"limpetdock_suspicions_total", "Peers that this node came to suspect.", func(c core.Counters) uint64 { return c.Suspicions }},
 		{"limpetdock_name_clashes_total", "News of another process under this VM's name.", func(c core.Counters) uint64 { return c.NameClashes }},
+		{"limpetdock_key_tables_kept_total", "Key tables of stopping peers that this node has kept.", func(c core.Counters) uint64 { return c.Keys.Kept }},
+		{"limpetdock_key_tables_given_total", "Key tables that this node gave to a peer's next process.", func(c core.Counters) uint64 { return c.Keys.Given }},
+		{"limpetdock_key_tables_dropped_total", "Key tables that this node kept and no process came for in time.", func(c core.Counters) uint64 { return c.Keys.Dropped }},
+		{"limpetdock_key_tables_refused_total", "Offers of key tables, and questions for them, that this node refused.", func(c core.Counters) uint64 { return c.Keys.Refused }},
 	}
 	for _, r := range rows {
 		m.Counter(r.name, r.help, func() float64 { return float64(r.read(l.Counters())) })
 	}
+	exposeKeys(m, l.KeyCounters())
+}
+
+func exposeKeys(m *metrics.Metrics, c *control.KeyCounters) {
+	rows := []struct {
+		name, help string
+		value      *atomic.Uint64
+	}{
+		{"limpetdock_keys_handed_total", "Times that this node handed its keys to a peer for its next process.", &c.Handed},
+		{"limpetdock_keys_not_handed_total", "Times that this node stopped and could not hand its keys on.", &c.NotHanded},
+		{"limpetdock_keys_taken_total", "Times that this node took the keys of its process before.", &c.Taken},
+		{"limpetdock_keys_not_taken_total", "Times that such keys came and could not be taken.", &c.NotTaken},
+		{"limpetdock_keys_bytes_total", "Bytes of key tables that this node sent and took.", &c.Bytes},
+	}
+	for _, r := range rows {
+		m.Counter(r.name, r.help, func() float64 { return float64(r.value.Load()) })
+	}
 }
 
 func exposeLink(m *metrics.Metrics, c *link.Counters) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -53,6 +53,7 @@
 func newGuard(s *settings.Settings, self core.Self, b *budget.Measuring, now Clock) *guard.Guard {
 	g := guard.New(s.Backend, self.Incarnation, now)
 	g.SetMeasuring(b)
+	g.SetVM(s.VM)
 	if host, _, err := net.SplitHostPort(s.Guard); err == nil {
 		if ip := net.ParseIP(host); ip != nil && !ip.IsUnspecified() {
 			g.SetAddr(host)
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -14,6 +14,8 @@
 	tellPeers = 300 * time.Millisecond
 	// collectFor is how long answers can still be collected after the last run.
 	collectFor = 500 * time.Millisecond
+	// handKeysFor bounds how long handing the keys on may hold up a stop.
+	handKeysFor = 2 * time.Second
 	// stopSlack is what a stop may take beyond the grace and the limit.
 	stopSlack = 5 * time.Second
 )
@@ -34,6 +36,7 @@
 		p.Log.Error(err, "callers cut off at the stop limit")
 	}
 	p.waitForRuns(limit)
+	p.handKeys()
 	if err := p.Servers.guard.server.Shutdown(limit); err != nil {
 		p.Log.Error(err, "entries cut off at the stop limit")
 	}
@@ -47,6 +50,14 @@
 	p.Log.Info("stopped")
 }
 
+// handKeys hands callers' own keys to the next process of the VM, now that
+// nothing runs under them any more.
+func (p parts) handKeys() {
+	ctx, cancel := context.WithTimeout(context.Background(), handKeysFor)
+	defer cancel()
+	p.Loop.HandKeys(ctx)
+}
+
 // stopLimit is how long a stop may wait for requests in flight: the service's
 // declared drain time, but no longer than the node's settings allow.
 func stopLimit(allowed time.Duration, v *pick.View) time.Duration {
