--- a/test/process/process_test.go
+++ b/test/process/process_test.go
@@ -109,6 +109,7 @@
 	require.NoError(t, err)
 	req.Header.Set(headers.Service, service)
 	req.Header.Set(headers.IdempotencyKey, key)
+	req.Header.Set(headers.RequestID, key)
 	resp, err := http.DefaultClient.Do(req)
 	require.NoError(t, err)
 	defer func() { _ = resp.Body.Close() }()
