--- a/internal/control/handover.go
+++ b/internal/control/handover.go
@@ -14,7 +14,7 @@
 
 const (
 	// handTimeout bounds one exchange of a hand-over.
-	handTimeout = 500 * time.Millisecond
+	handTimeout = time.Second
 	// grantsWanted is how many keepers are found before the table is sealed; the
 	// second is for a first one that fails before it has the whole.
 	grantsWanted = 2
