Guard: an older word of the platform doesn't undo a fresher one

The control loop tells every tick when the platform last showed the VM; a node that stops reads the list anew, and the next tick's older word put the wall clock's date back. Keys were then handed on or not by chance. TestAnOlderWordOfThePlatformChangesNothing was seen red without it.

--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -39,9 +39,10 @@
 	// vm and addr are the VM's own name and address, or empty.
 	vm, addr string
 	// listed is when the platform last showed this VM, since the node's start,
-	// and listedAt the same by the wall clock.
-	listed   time.Duration
-	listedAt time.Time
+	// listedAt the same by the wall clock, and listedAddr the address.
+	listed     time.Duration
+	listedAt   time.Time
+	listedAddr string
 	// keyed says that the rules for callers' own keys are known.
 	keyed     bool
 	running   sync.WaitGroup
--- a/internal/guard/records.go
+++ b/internal/guard/records.go
@@ -57,21 +57,26 @@
 	}
 	if !g.keyed {
 		// What was told before could not be weighed by these rules.
-		g.keyed, g.listed = true, notListed
+		g.keyed, g.listed, g.listedAddr = true, notListed, ""
 	}
 }
 
 // Listed notes that the platform showed this VM under an address at a time
-// since the node's start.
+// since the node's start. The same is told every tick; only what is newer, or of
+// another address, counts.
 func (g *Guard) Listed(addr string, at time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if at == g.listed {
+	newer := at > g.listed
+	if !newer && addr == g.listedAddr {
 		return
 	}
-	g.listed = at
+	g.listedAddr = addr
 	g.attempts.Confirm(addr, at)
-	g.listedAt = time.Now().Round(0).Add(at - g.now())
+	if newer {
+		g.listed = at
+		g.listedAt = time.Now().Round(0).Add(at - g.now())
+	}
 }
 
 // doubt takes the platform's word back when the wall clock says that it is old,
