--- a/internal/control/handover.go
+++ b/internal/control/handover.go
@@ -50,41 +50,38 @@
 // process of this VM. It ends with ctx at the latest, and then the next process
 // waits, as after a crash.
 func (l *Loop) HandKeys(ctx context.Context) {
+	if !l.handKeys(ctx) {
+		l.keys.NotHanded.Add(1)
+		return
+	}
+	l.keys.Handed.Add(1)
+}
+
+func (l *Loop) handKeys(ctx context.Context) bool {
 	l.confirm(ctx)
 	bytes, hold, ok := l.guard.KeysToHand()
 	if !ok || bytes+offerMargin > handover.MaxBytes {
-		l.keys.NotHanded.Add(1)
-		return
+		return false
 	}
 	grants := l.findKeepers(ctx, bytes+offerMargin, hold)
 	if len(grants) == 0 {
-		l.keys.NotHanded.Add(1)
-		return
+		return false
 	}
 	table, ok := l.guard.SealKeys()
 	if !ok {
-		l.keys.NotHanded.Add(1)
-		return
+		return false
 	}
 	parts, err := handover.Split(table)
 	if err != nil {
-		l.keys.NotHanded.Add(1)
-		return
+		return false
 	}
-	for _, g := range grants {
-		whole, err := l.putKeys(ctx, g, parts)
-		if err == nil {
-			l.keys.Handed.Add(1)
-			l.log.Info("keys handed on", "keeper", g.keeper.VM, "records", len(table.Records))
-			return
-		}
-		if whole {
-			// The keeper may have it all: with a second copy elsewhere, two
-			// processes could become home of the same keys.
-			break
-		}
+	to, ok := handover.Send(len(grants), len(parts), func(keeper, part int) error {
+		return l.putPart(ctx, grants[keeper], parts, part)
+	})
+	if ok {
+		l.log.Info("keys handed on", "keeper", grants[to].keeper.VM, "records", len(table.Records))
 	}
-	l.keys.NotHanded.Add(1)
+	return ok
 }
 
 // confirm reads the VM list anew, as the platform's last word may be too old to
@@ -135,23 +132,18 @@
 	return out
 }
 
-// putKeys sends the parts to a keeper. whole says that the last one has been
-// sent, so that the keeper may have the table whatever the error.
-func (l *Loop) putKeys(ctx context.Context, g grant, parts [][]byte) (whole bool, err error) {
-	for i, data := range parts {
-		whole = i == len(parts)-1
-		reply, err := l.exchange(ctx, g.keeper.Addr, &wire.KeysPart{
-			Token: g.token, Seq: uint32(i), Parts: uint32(len(parts)), Data: data,
-		})
-		if err != nil {
-			return whole, err
-		}
-		if kept, ok := reply.(*wire.KeysKept); !ok || !kept.OK {
-			return whole, errNotKept
-		}
-		l.keys.Bytes.Add(uint64(len(data)))
+func (l *Loop) putPart(ctx context.Context, g grant, parts [][]byte, i int) error {
+	reply, err := l.exchange(ctx, g.keeper.Addr, &wire.KeysPart{
+		Token: g.token, Seq: uint32(i), Parts: uint32(len(parts)), Data: parts[i],
+	})
+	if err != nil {
+		return err
+	}
+	if kept, ok := reply.(*wire.KeysKept); !ok || !kept.OK {
+		return errNotKept
 	}
-	return whole, nil
+	l.keys.Bytes.Add(uint64(len(parts[i])))
+	return nil
 }
 
 func (l *Loop) exchange(ctx context.Context, addr string, m wire.Message) (wire.Message, error) {
--- a/internal/handover/keeper_test.go
+++ b/internal/handover/keeper_test.go
@@ -131,6 +131,36 @@
 	require.NoError(t, err)
 }
 
+// A keeper falls silent in the middle of a hand-over. Its copy is whole if it got
+// the last part, although nobody heard it say so.
+func TestNoSecondKeeperAfterTheLastPart(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		failsAt int
+		to      int
+		ok      bool
+		puts    int
+	}{
+		{"all goes well", -1, 0, true, 3},
+		{"silent before the last part", 1, 1, true, 2 + 3},
+		{"silent at the last part", 2, 0, false, 3},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			puts := 0
+			to, ok := Send(2, 3, func(keeper, part int) error {
+				puts++
+				if keeper == 0 && part == c.failsAt {
+					return ErrBroken
+				}
+				return nil
+			})
+			require.Equal(t, c.ok, ok)
+			require.Equal(t, c.to, to)
+			require.Equal(t, c.puts, puts)
+		})
+	}
+}
+
 // A table of 100 000 keys with answers must fit what a keeper takes, in parts
 // that fit a frame.
 func TestTheLargestTableFits(t *testing.T) {
--- a/internal/handover/parts.go
+++ b/internal/handover/parts.go
@@ -47,6 +47,33 @@
 	return parts, flush()
 }
 
+// Send puts all parts to the first keeper that takes them, and says which. Once
+// the last part has been sent, that keeper may have the whole table, whatever
+// the error: no other is tried, as two processes could take the two copies.
+func Send(keepers, parts int, put func(keeper, part int) error) (to int, ok bool) {
+	for to = range keepers {
+		sent, err := sendTo(to, parts, put)
+		if err == nil {
+			return to, true
+		}
+		if sent == parts {
+			break
+		}
+	}
+	return 0, false
+}
+
+// sendTo gives how many parts have been sent, the last perhaps in vain.
+func sendTo(keeper, parts int, put func(keeper, part int) error) (sent int, err error) {
+	for sent < parts {
+		sent++
+		if err = put(keeper, sent-1); err != nil {
+			return sent, err
+		}
+	}
+	return sent, nil
+}
+
 // Take is a successor's side of a transfer.
 type Take struct {
 	asked Moment
