--- a/internal/guard/records.go
+++ b/internal/guard/records.go
@@ -1,6 +1,7 @@
 package guard
 
 import (
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -39,6 +40,9 @@
 	return &wire.Sealed{Incarnation: g.incarnation, Tick: g.Tick(), State: state}
 }
 
+// notListed is no time at which the platform showed this VM.
+const notListed = time.Duration(math.MinInt64)
+
 // setKeys puts the rules for callers' own keys in force.
 func (g *Guard) setKeys(svc *config.Service, vm string) {
 	rules := attempt.Keys{Service: svc.Name, Self: vm, Lifetime: svc.KeyLifetime, Addr: g.addr}
@@ -51,19 +55,28 @@
 	if g.listedAt.IsZero() {
 		g.listedAt = time.Now().Round(0)
 	}
+	if !g.keyed {
+		// What was told before could not be weighed by these rules.
+		g.keyed, g.listed, g.listedAddr = true, notListed, ""
+	}
 }
 
 // Listed notes that the platform showed this VM under an address at a time
-// since the node's start.
+// since the node's start. The same is told every tick; only what is newer, or of
+// another address, counts.
 func (g *Guard) Listed(addr string, at time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if at == g.listed {
+	newer := at > g.listed
+	if !newer && addr == g.listedAddr {
 		return
 	}
-	g.listed = at
+	g.listedAddr = addr
 	g.attempts.Confirm(addr, at)
-	g.listedAt = time.Now().Round(0).Add(at - g.now())
+	if newer {
+		g.listed = at
+		g.listedAt = time.Now().Round(0).Add(at - g.now())
+	}
 }
 
 // doubt takes the platform's word back when the wall clock says that it is old,
@@ -78,16 +91,16 @@
 // Heard takes news of nodes: a newer incarnation of the own VM means that this
 // process has been replaced and lives on beside its replacement.
 func (g *Guard) Heard(news []wire.Member) {
-	v := g.view.Load()
-	if v == nil {
-		return
+	vm := g.vm
+	if v := g.view.Load(); v != nil {
+		vm = v.Here.VM
 	}
 	for _, m := range news {
-		if m.VM != v.Here.VM || m.Incarnation <= g.incarnation {
+		if m.VM != vm || m.Incarnation == g.incarnation {
 			continue
 		}
 		g.mu.Lock()
-		g.attempts.Supersede(g.now())
+		g.attempts.Heard(m.Incarnation, g.now())
 		g.mu.Unlock()
 	}
 }
