Chains of calls on one service no longer bring it down

Cause: each call of a chain holds a slot until the calls below it have ended. Where they call the same service, a few chains that meet at full targets hold the slots that they wait for, until their deadlines of seconds; by then new ones have come. At half of the load that the slots can carry most calls fail.

Change, in the guard's gate: who waits is let in by depth, the deepest first, and a call below the top of its chain waits no longer than a moving queue needs; then it is refused, as not run, and may go on to another target. Given up early, one chain frees what the others need. First calls are untouched. The average time of a slot now starts with the first sample: it grew from zero.

--- a/internal/gate/drain.go
+++ b/internal/gate/drain.go
@@ -8,7 +8,7 @@
 // drain measures how fast a queue drains: the time between two requests that
 // leave while others wait.
 type drain struct {
-	// service is a moving average of the time a slot is held.
+	// service is a moving average of the time a slot is held; 0 is not measured.
 	service time.Duration
 	// pause is a moving average of the time between two that leave; 0 is not measured.
 	pause time.Duration
@@ -18,6 +18,9 @@
 
 // left takes one that leaves; busy says that the slots were full or somebody waited.
 func (d *drain) left(now time.Time, took time.Duration, busy bool) {
+	if d.service == 0 {
+		d.service = took
+	}
 	d.service += (took - d.service) / averageWeight
 	if !busy {
 		d.last = time.Time{}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -32,8 +32,9 @@
 	limits  Limits
 	order   order
 	running int
-	queue   []*waiter
-	spare   []*waiter
+	// queue is ordered by depth, the deepest first, and then by arrival.
+	queue []*waiter
+	spare []*waiter
 	// standing is when the queue last came to be; it is meaningful while
 	// somebody waits.
 	standing    time.Time
@@ -69,10 +70,10 @@
 	since time.Time
 }
 
-// Enter waits for a slot for a request of a route class. It refuses at once
-// when the queue is full of requests of the same class or higher, or when the
-// expected wait is longer than what ctx leaves.
-func (g *Gate) Enter(ctx context.Context, class int) (Slot, *kind.Error) {
+// Enter waits for a slot for a request. It refuses at once when the queue is
+// full of requests of the same rank or higher, or when the expected wait is
+// longer than what ctx leaves.
+func (g *Gate) Enter(ctx context.Context, rank Rank) (Slot, *kind.Error) {
 	g.mu.Lock()
 	now := time.Now()
 	if g.running < g.limit(now) && len(g.queue) == 0 {
@@ -80,7 +81,7 @@
 		g.mu.Unlock()
 		return Slot{g, now}, nil
 	}
-	w, refusal := g.enqueue(ctx, class, now)
+	w, refusal := g.enqueue(ctx, rank, now)
 	g.mu.Unlock()
 	if refusal != nil {
 		return Slot{}, refusal
@@ -113,7 +114,7 @@
 // dispatch lets those who wait into free slots. The mutex is held.
 func (g *Gate) dispatch(now time.Time) {
 	for len(g.queue) > 0 && g.running < g.limit(now) {
-		w := g.take(g.order.next(g.queue, g.stands(now)))
+		w := g.take(g.next(now))
 		g.running++
 		w.verdict <- true
 	}
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -69,9 +69,13 @@
 // offer sends a request that runs for a while, on a goroutine of its own, and
 // notes what became of it.
 func (j *journal) offer(g *Gate, ctx context.Context, name string, class int, runs time.Duration) {
+	j.enter(g, ctx, name, Rank{Class: class}, runs)
+}
+
+func (j *journal) enter(g *Gate, ctx context.Context, name string, rank Rank, runs time.Duration) {
 	start := time.Now()
 	go func() {
-		slot, e := g.Enter(ctx, class)
+		slot, e := g.Enter(ctx, rank)
 		if e != nil {
 			j.add(ran{name, e.Kind, time.Since(start)})
 			return
@@ -174,7 +178,7 @@
 		// Two slots of a second each: two leave a second, and ten wait.
 		least, most := time.Hour, time.Duration(0)
 		for range 100 {
-			_, e := g.Enter(ctx, 0)
+			_, e := g.Enter(ctx, Rank{})
 			require.Equal(t, kind.Overloaded, e.Kind)
 			least, most = min(least, e.RetryAfter), max(most, e.RetryAfter)
 		}
@@ -286,7 +290,7 @@
 	b.Run("free", func(b *testing.B) {
 		b.ReportAllocs()
 		for b.Loop() {
-			slot, _ := g.Enter(ctx, 0)
+			slot, _ := g.Enter(ctx, Rank{})
 			slot.Leave()
 		}
 	})
@@ -294,17 +298,17 @@
 		b.ReportAllocs()
 		b.RunParallel(func(pb *testing.PB) {
 			for pb.Next() {
-				slot, _ := g.Enter(ctx, 0)
+				slot, _ := g.Enter(ctx, Rank{})
 				slot.Leave()
 			}
 		})
 	})
 	full := started(Limits{Slots: 1, Queue: 0})
-	_, _ = full.Enter(ctx, 0)
+	_, _ = full.Enter(ctx, Rank{})
 	b.Run("refused", func(b *testing.B) {
 		b.ReportAllocs()
 		for b.Loop() {
-			_, _ = full.Enter(ctx, 0)
+			_, _ = full.Enter(ctx, Rank{})
 		}
 	})
 }
@@ -313,7 +317,7 @@
 	g := started(Limits{Slots: 4, Queue: 4})
 	ctx := context.Background()
 	require.Zero(t, testing.AllocsPerRun(1000, func() {
-		slot, _ := g.Enter(ctx, 0)
+		slot, _ := g.Enter(ctx, Rank{})
 		slot.Leave()
 	}))
 }
@@ -325,11 +329,11 @@
 	late, used := 0, 0
 	for range 200 {
 		g := started(Limits{Slots: 1, Queue: 1})
-		first, e := g.Enter(t.Context(), 0)
+		first, e := g.Enter(t.Context(), Rank{})
 		require.Nil(t, e)
 		ctx, cancel := context.WithCancel(t.Context())
 		g.mu.Lock()
-		w, e := g.enqueue(ctx, 0, time.Now())
+		w, e := g.enqueue(ctx, Rank{}, time.Now())
 		g.mu.Unlock()
 		require.Nil(t, e)
 		first.Leave()
--- a/internal/gate/queue.go
+++ b/internal/gate/queue.go
@@ -10,7 +10,9 @@
 
 // waiter is a request that waits for a slot.
 type waiter struct {
-	class int
+	rank Rank
+	// patience is how long it may wait, or forever.
+	patience time.Duration
 	// deadline is zero for none.
 	deadline time.Time
 	// verdict is told once: true for a slot, false for giving way to another.
@@ -38,23 +40,26 @@
 }
 
 // enqueue lets a request wait, or refuses it. The mutex is held.
-func (g *Gate) enqueue(ctx context.Context, class int, now time.Time) (*waiter, *kind.Error) {
+func (g *Gate) enqueue(ctx context.Context, rank Rank, now time.Time) (*waiter, *kind.Error) {
 	deadline, _ := ctx.Deadline()
-	if refusal := g.room(class, deadline, now); refusal != nil {
+	ahead := g.ahead(rank.Depth, deadline, now)
+	patience := g.patience(rank, ahead, now)
+	if refusal := g.room(rank, ahead, patience, deadline, now); refusal != nil {
 		return nil, refusal
 	}
 	w := g.newWaiter()
-	w.class, w.deadline = class, deadline
+	w.rank, w.deadline, w.patience = rank, deadline, patience
 	if len(g.queue) == 0 {
 		g.standing = now
 	}
-	g.queue = append(g.queue, w)
+	_, end := g.section(rank.Depth)
+	g.queue = slices.Insert(g.queue, end, w)
 	g.wakeLater()
 	return w, nil
 }
 
 // room makes room for a request, or refuses it. The mutex is held.
-func (g *Gate) room(class int, deadline, now time.Time) *kind.Error {
+func (g *Gate) room(rank Rank, ahead int, patience time.Duration, deadline, now time.Time) *kind.Error {
 	if g.limits.Slots == 0 {
 		return g.overloaded(now, "no slots are declared for this backend server")
 	}
@@ -64,23 +69,32 @@
 		}
 		return nil
 	}
-	ahead := g.order.ahead(g.queue, deadline, g.stands(now))
-	if !deadline.IsZero() && deadline.Sub(now) < g.drain.wait(now, ahead+1, g.limit(now)) {
+	wait := g.drain.wait(now, ahead+1, g.limit(now))
+	if wait > patience {
+		return g.overloaded(now, tooLongInChain)
+	}
+	if !deadline.IsZero() && deadline.Sub(now) < wait {
 		return g.overloaded(now, "the wait for the backend server is longer than the deadline")
 	}
-	if len(g.queue) < g.limits.Queue || g.evict(class) {
+	if len(g.queue) < g.limits.Queue || g.evict(rank) {
 		return nil
 	}
 	return g.overloaded(now, "the backend server's slots and queue are full")
 }
 
-// evict makes the latest of the lowest class give way to a higher class, and
+// ahead counts those who would run before one that arrives now. The mutex is held.
+func (g *Gate) ahead(depth int, deadline, now time.Time) int {
+	start, end := g.section(depth)
+	return start + g.order.ahead(g.queue[start:end], deadline, g.stands(now))
+}
+
+// evict makes the latest of the lowest rank give way to a higher rank, and
 // says whether there was one. It has not run, so it can still be refused. The
 // mutex is held.
-func (g *Gate) evict(class int) bool {
+func (g *Gate) evict(rank Rank) bool {
 	lowest := -1
 	for i, w := range g.queue {
-		if w.class < class && (lowest < 0 || w.class <= g.queue[lowest].class) {
+		if w.rank.below(rank) && (lowest < 0 || !g.queue[lowest].rank.below(w.rank)) {
 			lowest = i
 		}
 	}
@@ -91,6 +105,25 @@
 	return true
 }
 
+// section gives the places of those who wait at a depth, and so where one that
+// comes is put. The mutex is held.
+func (g *Gate) section(depth int) (start, end int) {
+	for start < len(g.queue) && g.queue[start].rank.Depth > depth {
+		start++
+	}
+	for end = start; end < len(g.queue) && g.queue[end].rank.Depth == depth; {
+		end++
+	}
+	return start, end
+}
+
+// next gives the place of who runs next in a queue that isn't empty: of the
+// deepest calls the one that the order says. The mutex is held.
+func (g *Gate) next(now time.Time) int {
+	_, end := g.section(g.queue[0].rank.Depth)
+	return g.order.next(g.queue[:end], g.stands(now))
+}
+
 // take removes a waiter from the queue. The mutex is held.
 func (g *Gate) take(i int) *waiter {
 	w := g.queue[i]
@@ -100,21 +133,35 @@
 
 // wait waits for the verdict.
 func (g *Gate) wait(ctx context.Context, w *waiter) (Slot, *kind.Error) {
+	patience, stop := w.timer()
+	defer stop()
+	refusal := late
 	select {
 	case admitted := <-w.verdict:
 		return g.judged(w, admitted)
 	case <-ctx.Done():
+	case <-patience:
+		refusal = g.impatient
 	}
 	if g.abandon(w) {
-		return Slot{}, late()
+		return Slot{}, refusal()
 	}
 	// The verdict came at the same moment; a slot is given back unused.
-	slot, refusal := g.judged(w, <-w.verdict)
-	if refusal != nil {
-		return Slot{}, refusal
+	slot, refused := g.judged(w, <-w.verdict)
+	if refused != nil {
+		return Slot{}, refused
 	}
 	slot.giveBack()
-	return Slot{}, late()
+	return Slot{}, refusal()
+}
+
+// timer gives a channel that tells when the patience ends, and ends it.
+func (w *waiter) timer() (<-chan time.Time, func()) {
+	if w.patience == forever {
+		return nil, func() {}
+	}
+	t := time.NewTimer(w.patience)
+	return t.C, func() { t.Stop() }
 }
 
 // abandon takes a waiter out of the queue, unless it has been judged already.
@@ -129,6 +176,15 @@
 	return true
 }
 
+// tooLongInChain is told to a call that may not wait any longer, see patience.
+const tooLongInChain = "too long a wait for a call that holds slots further up its chain"
+
+func (g *Gate) impatient() *kind.Error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.overloaded(time.Now(), tooLongInChain)
+}
+
 func late() *kind.Error {
 	return kind.New(kind.DeadlineNotRun, "the deadline passed in the backend server's queue")
 }
@@ -140,7 +196,7 @@
 	g.free(w)
 	now := time.Now()
 	if !admitted {
-		return Slot{}, g.overloaded(now, "gave way to a request of a higher class")
+		return Slot{}, g.overloaded(now, "gave way to a request of a higher class or deeper in a call chain")
 	}
 	return Slot{g, now}, nil
 }
--- a/internal/guard/isolate.go
+++ b/internal/guard/isolate.go
@@ -150,7 +150,7 @@
 // enter waits for a slot and, for a suspect, until it is alone. The end of the
 // visit gives both back.
 func (g *Guard) enter(ctx context.Context, r *http.Request) (visit, *kind.Error) {
-	slot, refusal := g.gate.Enter(ctx, g.priorityOf(r))
+	slot, refusal := g.gate.Enter(ctx, g.rankOf(r))
 	if refusal != nil {
 		return visit{}, refusal
 	}
--- a/internal/guard/load.go
+++ b/internal/guard/load.go
@@ -9,6 +9,7 @@
 
 	"github.com/limpetdock/limpetdock/fleet"
 	"github.com/limpetdock/limpetdock/internal/budget"
+	"github.com/limpetdock/limpetdock/internal/gate"
 	"github.com/limpetdock/limpetdock/internal/headers"
 	"github.com/limpetdock/limpetdock/internal/pick"
 	"github.com/limpetdock/limpetdock/internal/wire"
@@ -86,19 +87,15 @@
 	return stamp[strings.LastIndexByte(stamp, ' ')+1:]
 }
 
-// priorityOf gives what a request goes by when others must give way to it under
-// overload: the class of its route and, within a class, how deep in a call chain
-// it is. The calls above a deep one hold slots until it ends, so refusing it
-// wastes more than refusing a first call.
-func (g *Guard) priorityOf(r *http.Request) int {
-	// What isn't a number counts as a first call; the entry sends numbers.
+// rankOf gives what a request goes by when others must give way to it under
+// overload: the class of its route, and how deep in a call chain it is.
+func (g *Guard) rankOf(r *http.Request) gate.Rank {
+	// What isn't a number counts as a first call; the entry sends numbers, and 1
+	// for a first call.
 	depth, _ := strconv.Atoi(r.Header.Get(headers.Depth))
-	return g.classOf(r)*depths + min(max(depth, 0), depths-1)
+	return gate.Rank{Class: g.classOf(r), Depth: max(depth-1, 0)}
 }
 
-// depths is more than the longest call chain that entries let pass.
-const depths = 32
-
 // classOf gives the class of the request's route.
 func (g *Guard) classOf(r *http.Request) int {
 	v := g.view.Load()
