--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 COMMIT = $(shell git describe --always --dirty)
 DEMO_ARGS := $(if $(CHECK),--check)
 
-.PHONY: matrix chaos build tools test lint demo clean experiments added-latency capacity
+.PHONY: matrix chaos build tools test lint demo clean experiments comparisons added-latency capacity
 
 build:
 	go build -o $(BIN)/ ./cmd/...
@@ -48,6 +48,12 @@
 experiments: build
 	$(BIN)/standin-experiment policies --bin $(BIN) --commit $(COMMIT) $(EXPERIMENT_ARGS)
 
+# What each byte of measuring buys, and the orders of the guards' queues: each run
+# three times. Under four minutes.
+comparisons: build
+	$(BIN)/standin-experiment budgets --bin $(BIN) --commit $(COMMIT) $(EXPERIMENT_ARGS)
+	$(BIN)/standin-experiment orders --bin $(BIN) --commit $(COMMIT) $(EXPERIMENT_ARGS)
+
 added-latency: build
 	$(BIN)/standin-experiment added-latency --bin $(BIN) --commit $(COMMIT) $(EXPERIMENT_ARGS)
 
--- /dev/null
+++ b/standin/experiment/compare.go
@@ -0,0 +1,184 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/limpetdock/limpetdock/internal/load"
+	"github.com/limpetdock/limpetdock/standin/deploy"
+)
+
+// comparison runs scenarios with several variants of the service in turn, on one
+// deployment and with the same schedules.
+type comparison struct {
+	common
+	Scenarios []string      `long:"scenario" description:"only this one; may be repeated"`
+	Seed      uint64        `long:"seed" default:"1" description:"seed of the first schedule; each repeat has the next"`
+	Repeat    int           `long:"repeat" description:"runs of each scenario with each variant; tables give median, least and most"`
+	Length    time.Duration `long:"length" description:"end each scenario after that long"`
+	Short     bool          `long:"short" description:"the same as --length 4s"`
+	Assets    string        `long:"plot-assets" description:"URL or directory with the chart script, ending in /"`
+	// hurried makes half of the calls hurried.
+	hurried  bool
+	revision uint64
+}
+
+const (
+	shortLength = 4 * time.Second
+	// settle is the pause between two runs, in which queues empty and averages
+	// forget.
+	settle = 500 * time.Millisecond
+)
+
+// run compares variants and publishes the tables under a name.
+func (c *comparison) run(ctx context.Context, name string, variants []variant) error {
+	chosen, err := c.choose()
+	if err != nil {
+		return err
+	}
+	c.revision = 1
+	var tables []*table
+	return c.with(ctx, name, variants[0].fleet(c.revision), meanMs, func(d *deploy.Deployment) error {
+		for _, one := range chosen {
+			t, err := c.compare(ctx, d, one, variants)
+			if err != nil {
+				return err
+			}
+			tables = append(tables, t)
+			fmt.Fprintf(os.Stderr, "%s done, %d of %d\n", one.name, len(tables), len(chosen))
+		}
+		return c.publish(name, tables...)
+	})
+}
+
+// choose gives the scenarios to run, and checks the names given.
+func (c *comparison) choose() ([]scenario, error) {
+	if c.Repeat < 0 || c.Length < 0 {
+		return nil, fmt.Errorf("--repeat and --length can't be negative")
+	}
+	var names []string
+	var chosen []scenario
+	for _, one := range scenarios {
+		names = append(names, one.name)
+		if len(c.Scenarios) == 0 || slices.Contains(c.Scenarios, one.name) {
+			chosen = append(chosen, one)
+		}
+	}
+	for _, name := range c.Scenarios {
+		if !slices.Contains(names, name) {
+			return nil, fmt.Errorf("no scenario %q; there are %s", name, strings.Join(names, ", "))
+		}
+	}
+	return chosen, nil
+}
+
+// shorten ends a scenario as the options say.
+func (c *comparison) shorten(one scenario) scenario {
+	if c.Short {
+		one.length = min(one.length, shortLength)
+	}
+	if c.Length > 0 {
+		one.length = min(one.length, c.Length)
+	}
+	return one
+}
+
+// compare runs one scenario with every variant.
+func (c *comparison) compare(ctx context.Context, d *deploy.Deployment, one scenario, variants []variant) (*table, error) {
+	one = c.shorten(one)
+	one.hurried = c.hurried
+	repeats := max(c.Repeat, 1)
+	t := &table{
+		Title:   one.name,
+		Note:    fmt.Sprintf("%s; %v, seed %d, %.0f calls/s to begin with", one.about, one.length, c.Seed, rate(d)),
+		Columns: []string{"variant"},
+	}
+	if repeats > 1 {
+		t.Note += fmt.Sprintf("; median of %d runs with seeds from there on, least and most in brackets", repeats)
+	}
+	for _, col := range columns {
+		t.Columns = append(t.Columns, col.title)
+	}
+	t.Columns = append(t.Columns, "schedule")
+	runs := make([][]measurement, len(variants))
+	// All variants go through one schedule before the next, so that a change of
+	// the machine meets all of them.
+	for i := range repeats {
+		for v := range variants {
+			m, err := c.measure(ctx, d, one, variants[v], c.Seed+uint64(i))
+			if err != nil {
+				return nil, err
+			}
+			runs[v] = append(runs[v], m)
+		}
+	}
+	best := bestTail(runs)
+	var plots []load.Series
+	for i, v := range variants {
+		t.add(rowOf(v.name, runs[i], best)...)
+		plots = append(plots, load.Series{Name: v.name, Report: runs[i][0].report})
+	}
+	return t, c.plot(one, plots)
+}
+
+func (c *comparison) plot(one scenario, runs []load.Series) error {
+	f, err := os.Create(filepath.Join(c.Out, one.name+".html"))
+	if err != nil {
+		return err
+	}
+	if err := load.WritePlot(f, one.name+": "+one.about, c.Assets, runs...); err != nil {
+		_ = f.Close()
+		return err
+	}
+	return f.Close()
+}
+
+// rate is the load at which utilization of all slots are busy.
+func rate(d *deploy.Deployment) float64 {
+	return utilization * slots * float64(len(d.Places)) / (meanMs / 1000)
+}
+
+func (c *comparison) measure(ctx context.Context, d *deploy.Deployment, one scenario, v variant, seed uint64) (measurement, error) {
+	m := measurement{nodes: len(d.Places)}
+	if err := c.prepare(ctx, d, v); err != nil {
+		return m, err
+	}
+	crossed, err := crossRegion(ctx, d)
+	if err != nil {
+		return m, err
+	}
+	m.metrics, _, err = during(ctx, d, func() error {
+		start := time.Now()
+		done := play(ctx, d, one)
+		m.report = send(ctx, d, one, seed)
+		m.took = time.Since(start)
+		return <-done
+	})
+	if err != nil {
+		return m, err
+	}
+	m.cross, err = crossRegion(ctx, d)
+	m.cross -= crossed
+	return m, err
+}
+
+// prepare makes all well and puts a variant in force.
+func (c *comparison) prepare(ctx context.Context, d *deploy.Deployment, v variant) error {
+	if err := reset(ctx, d); err != nil {
+		return err
+	}
+	c.revision++
+	if err := d.Publish(ctx, v.fleet(c.revision)); err != nil {
+		return err
+	}
+	if err := awaitRevision(ctx, d, c.revision); err != nil {
+		return err
+	}
+	time.Sleep(settle)
+	return ctx.Err()
+}
--- a/standin/experiment/experiment_test.go
+++ b/standin/experiment/experiment_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"math"
 	"strings"
 	"testing"
 
@@ -46,9 +47,17 @@
 }
 
 func TestFleetsAreDeclaredRight(t *testing.T) {
-	for _, p := range allPolicies {
-		_, err := experimentFleet(p, 1).Print()
-		require.NoError(t, err, p)
+	var all []variant
+	for _, list := range []func() ([]variant, error){
+		(&policies{}).variants, (&orders{}).variants, (&budgets{Budgets: []string{"0", "0.25", "4"}}).variants,
+	} {
+		some, err := list()
+		require.NoError(t, err)
+		all = append(all, some...)
+	}
+	for _, v := range all {
+		_, err := v.fleet(1).Print()
+		require.NoError(t, err, v.name)
 	}
 	for _, n := range []int{6, 18, 36, 72, targetNodes} {
 		_, err := capacityFleet(n, 1).Print()
@@ -60,6 +69,7 @@
 
 func TestPlansOfScenariosAreRight(t *testing.T) {
 	for _, one := range scenarios {
+		one.hurried = one.chains == 0
 		p := planOf(one, 1890, 1)
 		p.To = []string{"127.0.0.1:1"}
 		require.NoError(t, p.Check(), one.name)
@@ -67,11 +77,23 @@
 }
 
 func TestSelectionOfScenariosIsChecked(t *testing.T) {
-	chosen, err := (&policies{Scenarios: []string{"slow"}}).choose()
+	chosen, err := (&comparison{Scenarios: []string{"slow"}}).choose()
 	require.NoError(t, err)
 	require.Len(t, chosen, 1)
-	_, err = (&policies{Scenarios: []string{"none"}}).choose()
+	_, err = (&comparison{Scenarios: []string{"none"}}).choose()
 	require.ErrorContains(t, err, "there are steady")
-	_, err = (&policies{Policies: []string{"none"}}).choose()
+	_, err = (&policies{Policies: []string{"none"}}).variants()
 	require.ErrorContains(t, err, "there are random")
+	_, err = (&orders{Orders: []string{"none"}}).variants()
+	require.ErrorContains(t, err, "there are fifo")
+	_, err = (&budgets{Budgets: []string{"-1"}}).variants()
+	require.ErrorContains(t, err, "no multiple")
+}
+
+func TestRepeatedFiguresGiveMedianAndRange(t *testing.T) {
+	for want, list := range map[string][]float64{
+		"2.0": {2}, "2.0 (1.0-9.0)": {1, 2, 9}, "2.5 (1.0-9.0)": {1, 2, 3, 9}, "-": {math.NaN()}, "3.0": {3, 3},
+	} {
+		require.Equal(t, want, ranged("%.1f", list))
+	}
 }
--- a/standin/experiment/main.go
+++ b/standin/experiment/main.go
@@ -37,6 +37,8 @@
 		command     interface{ run(context.Context) error }
 	}{
 		{"policies", "compare routing policies under faults", &policies{}},
+		{"budgets", "compare budgets for measuring load", &budgets{}},
+		{"orders", "compare orders of the guards' queues", &orders{}},
 		{"added-latency", "measure what entry and guard add to a call", &addedLatency{}},
 		{"capacity", "measure how the control side's cost grows", &capacity{}},
 	}
--- /dev/null
+++ b/standin/experiment/play.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/limpetdock/limpetdock/internal/load"
+	"github.com/limpetdock/limpetdock/standin/deploy"
+)
+
+// play carries out the steps of a scenario as their times come.
+func play(ctx context.Context, d *deploy.Deployment, one scenario) <-chan error {
+	done := make(chan error, 1)
+	start := time.Now()
+	go func() {
+		for _, next := range one.steps {
+			if next.at >= one.length {
+				break
+			}
+			time.Sleep(time.Until(start.Add(next.at)))
+			if err := next.do(ctx, d); err != nil {
+				done <- err
+				return
+			}
+		}
+		done <- nil
+	}()
+	return done
+}
+
+func send(ctx context.Context, d *deploy.Deployment, one scenario, seed uint64) *load.Report {
+	plan := planOf(one, rate(d), seed)
+	for _, p := range d.Places {
+		plan.To = append(plan.To, p.Callers())
+	}
+	client := load.NewClient(plan)
+	defer client.Close()
+	return load.Run(ctx, plan, load.Options{Sender: client})
+}
+
+// planOf gives the load of a scenario; steady is the rate at the usual utilization.
+func planOf(one scenario, steady float64, seed uint64) load.Plan {
+	const workers = 20_000
+	plain := load.Kind{Name: "plain", Service: service, Timeout: timeout}
+	plan := load.Plan{
+		Rate: steady, Duration: one.length, Seed: seed, Surges: one.surges, Workers: workers, Kinds: []load.Kind{plain},
+	}
+	if one.hurried {
+		plan.Kinds = append(plan.Kinds, load.Kind{Name: "hurried", Service: service, Timeout: hurriedTimeout})
+	}
+	if one.chains > 0 {
+		others := steady * chainsUtilization / utilization
+		plan.Rate = others + one.chains
+		plan.Kinds[0].Weight = int(others)
+		plan.Kinds = append(plan.Kinds, load.Kind{
+			Name: "chain", Service: service, Timeout: chainTimeout, Weight: int(one.chains),
+			Chain: slices.Repeat([]string{service}, load.MaxChain),
+		})
+	}
+	return plan.WithDefaults()
+}
--- a/standin/experiment/scenario.go
+++ b/standin/experiment/scenario.go
@@ -20,16 +20,25 @@
 	// meanMs is the mean service time. Half of it is drawn for each request.
 	meanMs = 40.0
 	spread = 0.5
-	// timeout is the deadline of each call.
-	timeout = time.Second
+	// timeout is the deadline of each call, hurriedTimeout of a hurried one.
+	timeout        = time.Second
+	hurriedTimeout = 250 * time.Millisecond
 	// utilization is the load of a steady run, as a share of all slots.
 	utilization = 0.7
 )
 
-func experimentFleet(policy string, revision uint64) fleet.Fleet {
-	f := fleet.Fleet{Name: "experiment", Revision: revision, Teams: []fleet.Team{{Name: "measuring"}}}
+// variant is one way to configure the service; what is empty is the default.
+type variant struct {
+	name, policy, order string
+	budget              fleet.Budget
+}
+
+func (v variant) fleet(revision uint64) fleet.Fleet {
+	f := fleet.Fleet{
+		Name: "experiment", Revision: revision, Teams: []fleet.Team{{Name: "measuring"}}, Budget: v.budget,
+	}
 	svc := fleet.Service{
-		Name: service, Team: "measuring", Policy: policy, Timeout: timeout,
+		Name: service, Team: "measuring", Policy: v.policy, QueueOrder: v.order, Timeout: timeout,
 		Routes: []fleet.Route{{Name: "read", Methods: []string{"GET"}, Path: "/*", Idempotent: true}},
 	}
 	for _, region := range []string{"rs", "sc", "pr"} {
@@ -61,6 +70,8 @@
 	// chains is how many calls a second lead to ten more of the same service,
 	// one after another; the other load is then lower, see chainsUtilization.
 	chains float64
+	// hurried says that half of the calls have a short deadline.
+	hurried bool
 }
 
 // Chains of calls hold a slot at each level while the levels below run: eleven
--- a/standin/experiment/scrape.go
+++ b/standin/experiment/scrape.go
@@ -127,15 +127,6 @@
 	return since(before, now), sum(now), nil
 }
 
-// perSecond writes a metric's rate for a node, or a dash if nodes don't have it.
-func (s sample) perSecond(name string, took time.Duration, nodes int) string {
-	v, ok := s[name]
-	if !ok {
-		return "-"
-	}
-	return fmt.Sprintf("%.1f", v/took.Seconds()/float64(nodes))
-}
-
 // awaitRevision waits until a revision is in force at every node.
 func awaitRevision(ctx context.Context, d *deploy.Deployment, revision uint64) error {
 	const limit, pause = 20 * time.Second, 50 * time.Millisecond
