--- a/internal/pick/others.go
+++ b/internal/pick/others.go
@@ -8,6 +8,9 @@
 // loadHalf is the age at which a load report counts half when regions are compared.
 const loadHalf = 100 * time.Millisecond
 
+// chance is how many standard deviations of a count are taken for noise.
+const chance = 2
+
 // timeBits is how many bits of a load word hold the time in microseconds, which
 // is enough for eight years; the rest holds the number of requests.
 const timeBits = 48
@@ -36,7 +39,7 @@
 //     of one, so at that age it counts half. An estimate that fell to zero
 //     instead would send requests to whichever target has the oldest report.
 //   - Chance. Counts of independent requests differ by about the root of
-//     their mean. To follow smaller differences is worse than to go by the
+//     their mean. To follow differences below twice that is worse than to go by the
 //     node's own requests in flight, which are exact.
 func (t *Target) others(now time.Duration) float64 {
 	usual := t.shared.busyShare() * float64(max(t.Slots, 1))
@@ -46,7 +49,7 @@
 	}
 	life := float64(max(t.shared.typical.Load(), 1))
 	beyond := (others - usual) * life / (life + float64(age))
-	if beyond*beyond <= 4*usual {
+	if beyond*beyond <= chance*chance*usual {
 		return usual
 	}
 	return usual + beyond
