Declare hedged requests: hedge-percent, off where it isn't declared

A slow idempotent request is to be sent to a second target as well (Dean and Barroso, CACM 2013). Documents without it are read, and printed, as before.

Off by default: an entry can't tell a request that waits for calls of its own from a slow server, and its copy repeats those calls.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -73,6 +73,11 @@
 	Hops int
 	// RetryPercent is the retry budget as a share of requests, in percent.
 	RetryPercent int
+	// HedgePercent bounds hedged requests, as a share of requests in percent: an
+	// idempotent request that takes longer than 95 of 100 did lately is sent to a
+	// second target as well, and the first answer holds. 0 is none. It must stay 0
+	// where idempotent requests call other services: a copy would repeat those calls too.
+	HedgePercent int
 	// Queue bounds the requests that wait at each target.
 	Queue int
 	// QueueOrder is who of those that wait runs next; empty means DefaultQueueOrder.
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -72,6 +72,7 @@
 		"key lifetime":        {func(_ *fleet.Fleet, s *fleet.Service) { s.KeyLifetime = time.Millisecond }, "key-lifetime 1ms is out of range"},
 		"too many hops":       {func(_ *fleet.Fleet, s *fleet.Service) { s.Hops = 9 }, "hops 9 is out of range"},
 		"retry share":         {func(_ *fleet.Fleet, s *fleet.Service) { s.RetryPercent = 101 }, "retry-percent 101 is out of range"},
+		"hedge share":         {func(_ *fleet.Fleet, s *fleet.Service) { s.HedgePercent = 101 }, "hedge-percent 101 is out of range"},
 		"at most once with retries": {
 			func(_ *fleet.Fleet, s *fleet.Service) { s.Routes[1].Retries = 1 },
 			"route confirm: retries 1 on a route that runs at most once",
--- a/fleet/print.go
+++ b/fleet/print.go
@@ -152,6 +152,10 @@
 	"; class: 0 to 9, a higher one is refused later; in-flight: at each node, 0 is no limit"
 
 func (s Service) pairs() []pair {
+	hedges := ""
+	if s.HedgePercent != 0 {
+		hedges = strconv.Itoa(s.HedgePercent)
+	}
 	return []pair{
 		{"name", s.Name, ""},
 		{"hosts", strings.Join(s.Hosts, ","), ""},
@@ -161,6 +165,7 @@
 		dur("max-timeout", s.MaxTimeout, "; the longest deadline a caller may ask for"),
 		num("hops", s.Hops, "; targets that one request may be offered to"),
 		num("retry-percent", s.RetryPercent, "; retries as a share of requests, in percent"),
+		{"hedge-percent", hedges, "; slow reads sent to a second target too, in percent of requests"},
 		num("queue", s.Queue, "; requests that may wait at each target"),
 		{"queue-order", s.QueueOrder, "; who of them runs next: fifo, lifo (newest first once the queue stands) or deadline"},
 		{"adaptive", onOff(s.Adaptive), "; on runs fewer requests at once while a backend server is slow"},
--- a/fleet/publication_test.go
+++ b/fleet/publication_test.go
@@ -54,7 +54,9 @@
 // What is printed, written into a directory or a stream, and parsed as a node
 // does must be the declaration again, or a rule would be lost on the way.
 func TestADeclarationSurvivesPrintingAndParsing(t *testing.T) {
-	for _, f := range []fleet.Fleet{shop(), deployments.CestaViva(3), deployments.Eisbruecke(4)} {
+	hedged := shop()
+	hedged.Services[0].HedgePercent = 5
+	for _, f := range []fleet.Fleet{shop(), hedged, deployments.CestaViva(3), deployments.Eisbruecke(4)} {
 		pub, err := f.Print()
 		require.NoError(t, err)
 		dir := t.TempDir()
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -51,6 +51,7 @@
 	within(fs, where, "key-lifetime", s.KeyLifetime, time.Second, maxKeyLifetime)
 	within(fs, where, "hops", s.Hops, 1, maxHops)
 	within(fs, where, "retry-percent", s.RetryPercent, 0, 100)
+	within(fs, where, "hedge-percent", s.HedgePercent, 0, 100)
 	within(fs, where, "queue", s.Queue, 0, maxQueue)
 	within(fs, where, "in-flight", s.InFlight, 0, maxInFlight)
 	// A document without a drain time leaves it to the node's settings.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -172,7 +172,7 @@
 	switch what {
 	case "service":
 		r.allow(s, "name", "hosts", "team", "policy", "timeout", "max-timeout", "hops",
-			"retry-percent", "queue", "queue-order", "adaptive", "refusal", "in-flight", "drain", "key-lifetime")
+			"retry-percent", "hedge-percent", "queue", "queue-order", "adaptive", "refusal", "in-flight", "drain", "key-lifetime")
 		out.Name = s.Key("name").String()
 		out.Hosts = split(s.Key("hosts").String())
 		out.Team = s.Key("team").String()
@@ -181,6 +181,9 @@
 		out.MaxTimeout = r.duration(s, "max-timeout")
 		out.Hops = r.int(s, "hops")
 		out.RetryPercent = r.int(s, "retry-percent")
+		if s.HasKey("hedge-percent") {
+			out.HedgePercent = r.int(s, "hedge-percent")
+		}
 		out.Queue = r.int(s, "queue")
 		out.QueueOrder = s.Key("queue-order").MustString(fleet.DefaultQueueOrder)
 		out.Adaptive = r.onOff(s, "adaptive", false)
--- a/internal/diff/diff.go
+++ b/internal/diff/diff.go
@@ -177,6 +177,7 @@
 	}
 	value(l, "targets that one request may be offered to", before.Hops, after.Hops)
 	value(l, "retries in percent of requests", before.RetryPercent, after.RetryPercent)
+	compareHedges(l, before.HedgePercent, after.HedgePercent)
 	value(l, "requests that may wait at each target", before.Queue, after.Queue)
 	value(l, "the order of those that wait", before.QueueOrder, after.QueueOrder)
 	value(l, "fewer requests at once while a backend server is slow", before.Adaptive, after.Adaptive)
@@ -197,6 +198,17 @@
 	compareTargets(l, before.Targets, after.Targets)
 }
 
+func compareHedges(l *list, before, after int) {
+	switch {
+	case before == 0 && after != 0:
+		l.notef("idempotent requests that are slow are sent to a second target as well, up to %d in 100", after)
+	case before != 0 && after == 0:
+		l.notef("idempotent requests that are slow are no longer sent to a second target")
+	default:
+		value(l, "slow idempotent requests that are sent to a second target, in percent", before, after)
+	}
+}
+
 func compareHosts(l *list, before, after []string) {
 	for _, h := range before {
 		if !slices.Contains(after, h) {
--- a/internal/diff/diff_test.go
+++ b/internal/diff/diff_test.go
@@ -91,6 +91,10 @@
 			"note: orders: route confirm: requests at once at each node go from no limit to 5",
 			"note: orders: target orders-1: slots goes from 6 to 7",
 		}},
+		"hedges on": {func(f *fleet.Fleet, s *fleet.Service) { f.Revision, s.HedgePercent = 8, 5 }, []string{
+			"note: fleet: revision rises from 7 to 8",
+			"note: orders: idempotent requests that are slow are sent to a second target as well, up to 5 in 100",
+		}},
 		"no refusal": {func(f *fleet.Fleet, s *fleet.Service) { f.Revision, s.NoRefusal = 8, true }, []string{
 			"note: fleet: revision rises from 7 to 8",
 			"warning: orders: targets no longer refuse what they can't run in time: requests wait until their deadline",
