--- a/internal/budget/retry.go
+++ b/internal/budget/retry.go
@@ -24,6 +24,7 @@
 	account int
 	denied  uint64
 	spent   uint64
+	hedges  hedges
 }
 
 // NewRetry returns a budget of a share of requests, in percent, with a full account.
@@ -56,6 +57,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.account = min(r.account+r.percent, retryCap*retryUnit)
+	r.hedges.pay()
 }
 
 // Retry takes out one retry of a request that may have run, and says whether
