--- a/internal/pick/health.go
+++ b/internal/pick/health.go
@@ -56,7 +56,7 @@
 func (s *Stat) judge(now time.Duration, o Outcome, rnd *rand.Rand) {
 	h := s.health.Load()
 	switch o {
-	case Neutral, Late:
+	case Neutral, Late, Outrun:
 	case Good:
 		s.count(now, 0)
 		s.succeeded(h, now)
--- a/internal/pick/service.go
+++ b/internal/pick/service.go
@@ -38,6 +38,8 @@
 	// each slot, as the bits of a float64.
 	busy  atomic.Uint64
 	spill spill
+	// took is what whole exchanges took, by which copies are sent.
+	took durations
 }
 
 // NewService returns a Service over targets that are ordered nearest first.
--- a/internal/pick/stat.go
+++ b/internal/pick/stat.go
@@ -87,6 +87,9 @@
 	Late
 	// Refused is a guard that turned the request away.
 	Refused
+	// Outrun is an exchange given up because a copy at another target answered
+	// first. Its time is a lower bound of what the target would have taken.
+	Outrun
 )
 
 // Mark stands for one request in flight. It must be ended exactly once.
@@ -130,7 +133,11 @@
 	}
 	if m.place != untracked {
 		s.starts[m.place].Store(0)
-		if o == Good || o == Failed || o == Late {
+		switch {
+		case o == Good, o == Failed, o == Late:
+			t.sample(now, took)
+		case o == Outrun && took > t.serverTime(now):
+			// Shorter than usual it says nothing: the target wasn't let finish.
 			t.sample(now, took)
 		}
 	}
