Guard: a cancelled request isn't taken for one that was broken off

The guard dialled the backend server, for up to 200 ms on the caller's way, to see whether it had died; and a death found then was put down to the request that had just been cancelled. Seen failing without the change.

--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -257,8 +257,13 @@
 
 // backendError tells what went wrong with a request that was sent under p.
 func (g *Guard) backendError(ctx context.Context, p *permit, v visit, err error) *kind.Error {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return kind.New(kind.DeadlineUnknown, "the deadline passed while the backend server ran the request").Because(err)
+	case errors.Is(ctx.Err(), context.Canceled):
+		// Whoever cancelled doesn't wait for a look at the backend server, and
+		// what that shows wouldn't be this request's doing.
+		return kind.New(kind.OutcomeUnknown, "the request was cancelled").Because(err)
 	}
 	e := g.brokenOff(p, err)
 	e.Alone = e.Death != 0 && v.alone()
