Entry: a slow idempotent request is sent to a second target as well

A read on a server that slows or freezes with the read in flight waited until its deadline, whatever the choice of target. Now, where it is declared, a second copy goes out after the service's own 95th percentile; the first good answer holds and the other copy is cancelled. The first copy runs on the caller's goroutine as before; a pooled timer starts the second. Never for at most once, keys, tickets, streams, suspects, or below a copy or a retry; a death calls it back.

--- a/internal/admin/explain.go
+++ b/internal/admin/explain.go
@@ -23,9 +23,12 @@
 	Class int    `json:"class"`
 	// Timeout is the deadline of a request that brings none, MaxTimeout the
 	// longest that it may bring; both as durations.
-	Timeout    string        `json:"timeout"`
-	MaxTimeout string        `json:"max_timeout"`
-	Hops       int           `json:"hops"`
+	Timeout    string `json:"timeout"`
+	MaxTimeout string `json:"max_timeout"`
+	Hops       int    `json:"hops"`
+	// HedgeAfter is after how long without an answer a request is sent to a
+	// second target as well; empty means that it isn't.
+	HedgeAfter string        `json:"hedge_after,omitempty"`
 	Policy     string        `json:"policy"`
 	Limits     []Limit       `json:"limits"`
 	Targets    []TargetState `json:"targets"`
@@ -74,6 +77,9 @@
 	if route != nil {
 		e.Route, e.Runs, e.Class, e.Hops = route.Name, route.Runs(), route.Class, s.HopsFor(route)
 	}
+	if after := s.HedgeAfter(); after > 0 && route != nil && route.Idempotent && s.HedgePercent > 0 {
+		e.HedgeAfter = after.String()
+	}
 	e.Limits = limits(v, s, route)
 	for _, t := range s.Targets {
 		e.Targets = append(e.Targets, stateOf(v, t, now))
@@ -114,6 +120,9 @@
 		{"queue at each target", s.Queue},
 		{"retries in percent of requests", s.RetryPercent},
 	}
+	if s.HedgePercent > 0 {
+		list = append(list, Limit{"hedged requests in percent of requests", s.HedgePercent})
+	}
 	if route != nil && route.InFlight > 0 {
 		list = append(list, Limit{"route " + route.Name + ": requests at once here", route.InFlight})
 	}
--- a/internal/admin/state.go
+++ b/internal/admin/state.go
@@ -22,6 +22,9 @@
 	Load     gate.Load              `json:"load"`
 	Attempts AttemptsDump           `json:"attempts"`
 	Targets  map[string]TargetState `json:"targets"`
+	// HedgeAfterMs is, by service, after how long without an answer a slow
+	// idempotent request is sent to a second target; services without are left out.
+	HedgeAfterMs map[string]float64 `json:"hedge_after_ms"`
 }
 
 // AttemptsDump sums up the table of at-most-once attempts.
@@ -38,10 +41,13 @@
 	records, stored := a.node.Attempts()
 	d := Dump{
 		Control: control, Load: a.node.Load(), Attempts: AttemptsDump{records, stored},
-		Targets: map[string]TargetState{},
+		Targets: map[string]TargetState{}, HedgeAfterMs: map[string]float64{},
 	}
 	if v := a.node.View(); v != nil {
 		for _, s := range v.Services {
+			if after := s.HedgeAfter(); after > 0 && s.HedgePercent > 0 {
+				d.HedgeAfterMs[s.Name] = after.Seconds() * 1000
+			}
 			for _, t := range s.Targets {
 				d.Targets[t.Place.VM] = stateOf(v, t, a.node.Now())
 			}
--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -71,6 +71,9 @@
 	_, _ = fmt.Fprintf(w, "service\t%s (team %s)\nroute\t%s\nruns\t%s\nclass\t%d\n", e.Service, e.Team, route, e.Runs, e.Class)
 	_, _ = fmt.Fprintf(w, "deadline\t%s unless the request brings one, up to %s\n", e.Timeout, e.MaxTimeout)
 	_, _ = fmt.Fprintf(w, "offered to\tup to %d targets\n", e.Hops)
+	if e.HedgeAfter != "" {
+		_, _ = fmt.Fprintf(w, "hedged\tsent to a second target as well after %s without an answer\n", e.HedgeAfter)
+	}
 	for _, l := range e.Limits {
 		_, _ = fmt.Fprintf(w, "limit\t%s: %d\n", l.What, l.Value)
 	}
--- a/internal/entry/account.go
+++ b/internal/entry/account.go
@@ -26,6 +26,7 @@
 			row = budget.NewRetry(s.RetryPercent)
 		}
 		row.SetPercent(s.RetryPercent)
+		row.SetHedgePercent(s.HedgePercent)
 		rows[name] = row
 	}
 	a.rows = rows
@@ -46,6 +47,7 @@
 type RetryUse struct {
 	Service         string
 	Granted, Denied uint64
+	Hedges          budget.HedgeCounts
 }
 
 // RetryUses gives the use of every retry budget, in no particular order.
@@ -55,7 +57,7 @@
 	uses := make([]RetryUse, 0, len(e.accounts.rows))
 	for name, row := range e.accounts.rows {
 		spent, denied := row.Counts()
-		uses = append(uses, RetryUse{name, spent, denied})
+		uses = append(uses, RetryUse{name, spent, denied, row.HedgeCounts()})
 	}
 	return uses
 }
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -30,21 +31,61 @@
 // nothing has been written. A longer one that breaks off aborts the caller's
 // connection, so that it can't be taken for whole.
 func deliver(w http.ResponseWriter, resp *http.Response) *kind.Error {
-	defer func() { _ = resp.Body.Close() }()
-	if resp.ContentLength >= 0 && resp.ContentLength <= maxHeldAnswer {
-		return deliverHeld(w, resp)
+	r := hold(resp)
+	if r.err != nil {
+		return r.err
 	}
-	return deliverStream(w, resp)
+	return r.deliver(w)
+}
+
+// reply is what one copy of a request came to: an answer or an error.
+type reply struct {
+	resp *http.Response
+	// held is the whole body of a small answer; nil when the body is still to be read.
+	held *bytes.Buffer
+	err  *kind.Error
+	// cancel, if there is one, ends the exchange.
+	cancel context.CancelFunc
 }
 
-func deliverHeld(w http.ResponseWriter, resp *http.Response) *kind.Error {
-	var held bytes.Buffer
+// hold reads a small answer whole. A longer one is left to be streamed.
+func hold(resp *http.Response) reply {
+	if resp.ContentLength < 0 || resp.ContentLength > maxHeldAnswer {
+		return reply{resp: resp}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	held := &bytes.Buffer{}
 	held.Grow(int(resp.ContentLength))
-	if _, err := io.Copy(&held, resp.Body); err != nil {
-		return kind.New(kind.BackendBroken, "the answer broke off").Because(err)
+	if _, err := io.Copy(held, resp.Body); err != nil {
+		return reply{err: kind.New(kind.BackendBroken, "the answer broke off").Because(err)}
+	}
+	return reply{resp: resp, held: held}
+}
+
+// good says whether the reply is an answer that holds against one still to come.
+func (r reply) good() bool { return r.err == nil && r.resp.StatusCode < http.StatusInternalServerError }
+
+// refused says whether the target was too full for the request.
+func (r reply) refused() bool { return r.err != nil && r.err.Kind == kind.Overloaded }
+
+// drop ends the exchange without using its answer.
+func (r reply) drop() {
+	if r.cancel != nil {
+		r.cancel()
+	}
+	if r.resp != nil {
+		_ = r.resp.Body.Close()
+	}
+}
+
+// deliver writes the answer to the caller.
+func (r reply) deliver(w http.ResponseWriter) *kind.Error {
+	defer r.drop()
+	if r.held == nil {
+		return deliverStream(w, r.resp)
 	}
-	writeHeader(w, resp)
-	if _, err := w.Write(held.Bytes()); err != nil {
+	writeHeader(w, r.resp)
+	if _, err := w.Write(r.held.Bytes()); err != nil {
 		abort()
 	}
 	return nil
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -69,6 +70,9 @@
 	// name is unique to this process; exchanges counts the ids made with it.
 	name      string
 	exchanges atomic.Uint64
+	// copies counts second copies under way.
+	copies sync.WaitGroup
+	hedges sync.Pool
 }
 
 // Counters count what an entry does about exchanges that went wrong. Safe for
@@ -107,6 +111,7 @@
 		peers: c.Peers, observer: c.Observer, now: c.Now, name: uuid.NewString(),
 		load: c.Load, limits: c.Limits, measuring: c.Measuring,
 	}
+	e.hedges.New = newHedge
 	if e.limits == nil {
 		e.limits = limit.New()
 	}
@@ -188,6 +193,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), x.timeout)
 	defer cancel()
+	x.cancel = cancel
 	if r.Header.Get(headers.Ticket) != "" {
 		return e.issue(ctx, w, x)
 	}
--- a/internal/entry/hop.go
+++ b/internal/entry/hop.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/limpetdock/limpetdock/internal/headers"
@@ -33,6 +34,12 @@
 // send offers a request to a target and gives the backend server's answer, or
 // the kind of trouble. A nil error comes with an answer whose body must be closed.
 func (e *Entry) send(ctx context.Context, v *pick.View, t *pick.Target, out *http.Request) (*http.Response, *kind.Error) {
+	return e.sendCopy(ctx, v, t, out, nil)
+}
+
+// sendCopy does as send. lost says that it was cancelled because another copy
+// of the request was answered first; nil is never.
+func (e *Entry) sendCopy(ctx context.Context, v *pick.View, t *pick.Target, out *http.Request, lost *atomic.Bool) (*http.Response, *kind.Error) {
 	if deadline, ok := ctx.Deadline(); ok {
 		left := time.Until(deadline).Milliseconds()
 		if left <= 0 {
@@ -44,7 +51,11 @@
 	out.Header.Set(headers.Fleet, v.Config.Fleet())
 	m := t.Begin(e.now(), timed(out))
 	resp, failed := e.offered(ctx, v, t, m, out)
-	t.Headers(m, e.now(), outcomeOf(ctx, resp, failed), pick.SharedRand)
+	outcome := outcomeOf(ctx, resp, failed)
+	if outcome == pick.Neutral && lost != nil && lost.Load() {
+		outcome = pick.Outrun
+	}
+	t.Headers(m, e.now(), outcome, pick.SharedRand)
 	if failed != nil {
 		t.End()
 		return nil, failed
--- a/internal/entry/hop_bench_test.go
+++ b/internal/entry/hop_bench_test.go
@@ -23,12 +23,12 @@
 const benchService = "bench"
 
 // benchView gives the view of one service on one VM, whose guard is at addr,
-// as the node on the VM here has it.
-func benchView(b *testing.B, here, addr string) *pick.View {
+// as the node on the VM here has it. others are targets beside it.
+func benchView(b *testing.B, here, addr string, others ...*pick.Target) *pick.View {
 	f := fleet.Fleet{
 		Name: "bench", Revision: 1, Zones: []fleet.Zone{{Name: "z", Region: "r"}}, Teams: []fleet.Team{{Name: "t"}},
 		Services: []fleet.Service{{
-			Name: benchService, Team: "t", Targets: []fleet.Target{{VM: "one", Zone: "z", Slots: 100}},
+			Name: benchService, Team: "t", HedgePercent: 5, Targets: []fleet.Target{{VM: "one", Zone: "z", Slots: 100}},
 			Routes: []fleet.Route{{Name: "read", Methods: []string{"GET"}, Path: "/*", Idempotent: true}},
 		}},
 	}
@@ -46,7 +46,7 @@
 	place := pick.Place{VM: here, Zone: "z", Region: "r"}
 	t.Distance = place.DistanceTo(t.Place)
 	svc := c.Services[benchService]
-	s := pick.NewService(svc, []*pick.Target{t}, []*pick.Target{t}, 1, &pick.Shared{})
+	s := pick.NewService(svc, append([]*pick.Target{t}, others...), []*pick.Target{t}, 1+len(others), &pick.Shared{})
 	s.Stamp = c.Stamp(svc, here).String()
 	return &pick.View{Config: c, Here: place, Services: map[string]*pick.Service{benchService: s}}
 }
@@ -79,7 +79,7 @@
 }
 
 type parts struct {
-	backend, guard, local, remote string
+	backend, guard, local, remote, hedged string
 }
 
 // newParts starts a backend server, its guard, the entry beside that and one
@@ -104,7 +104,12 @@
 	for _, side := range []struct {
 		addr *string
 		view *pick.View
-	}{{&p.local, local}, {&p.remote, benchView(b, "two", p.guard)}} {
+	}{
+		{&p.local, local},
+		{&p.remote, benchView(b, "two", p.guard)},
+		// Nothing is ever sent to a target without an address.
+		{&p.hedged, benchView(b, "two", p.guard, &pick.Target{Distance: pick.SameZone, Stat: &pick.Stat{}})},
+	} {
 		e := entry.New(entry.Config{Local: g, Seal: g.Seal, Observer: metrics.New(), Now: now})
 		e.SetView(side.view)
 		b.Cleanup(e.Close)
@@ -121,4 +126,5 @@
 	b.Run("guard", func(b *testing.B) { bench(b, p.guard, map[string]string{headers.Exchange: "x-1"}) })
 	b.Run("entry+guard-local", func(b *testing.B) { bench(b, p.local, nil) })
 	b.Run("entry+guard-remote", func(b *testing.B) { bench(b, p.remote, nil) })
+	b.Run("entry+guard-remote-hedged", func(b *testing.B) { bench(b, p.hedged, nil) })
 }
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -46,6 +47,10 @@
 	// key is the caller's own idempotency key, and ticket one of ours.
 	key    string
 	ticket *ticket
+	// cancel ends the context that the request was admitted with.
+	cancel context.CancelFunc
+	// hedged says that a second copy was sent; there is never a third.
+	hedged bool
 	// arrived is when the request was read, with its body if that is held.
 	arrived time.Time
 	depth   int
--- a/internal/entry/stale.go
+++ b/internal/entry/stale.go
@@ -33,6 +33,7 @@
 		return err
 	}
 	anew.body, anew.stream, anew.arrived = x.body, x.stream, x.arrived
+	anew.account, anew.cancel, anew.chain, anew.hedged = x.account, x.cancel, x.chain, x.hedged
 	if deadline, ok := ctx.Deadline(); ok {
 		anew.timeout = min(anew.timeout, time.Until(deadline))
 	}
--- a/internal/node/measure.go
+++ b/internal/node/measure.go
@@ -36,6 +36,15 @@
 		"Retries and hops that the retry budget denied.", []string{"service"}, nil)
 )
 
+var (
+	hedgesDesc = prometheus.NewDesc("limpetdock_hedges_total",
+		"Second copies sent of idempotent requests that took long.", []string{"service"}, nil)
+	hedgesWonDesc = prometheus.NewDesc("limpetdock_hedges_won_total",
+		"Second copies that were answered first.", []string{"service"}, nil)
+	hedgesDeniedDesc = prometheus.NewDesc("limpetdock_hedges_denied_total",
+		"Second copies not sent because of the budget, or because targets refuse.", []string{"service"}, nil)
+)
+
 // retries collects the use of the retry budgets.
 type retries struct{ entry *entry.Entry }
 
@@ -43,12 +52,25 @@
 func (retries) Describe(out chan<- *prometheus.Desc) {
 	out <- retriesDesc
 	out <- retriesDeniedDesc
+	out <- hedgesDesc
+	out <- hedgesWonDesc
+	out <- hedgesDeniedDesc
 }
 
 // Collect implements prometheus.Collector.
 func (r retries) Collect(out chan<- prometheus.Metric) {
 	for _, u := range r.entry.RetryUses() {
-		out <- prometheus.MustNewConstMetric(retriesDesc, prometheus.CounterValue, float64(u.Granted), u.Service)
-		out <- prometheus.MustNewConstMetric(retriesDeniedDesc, prometheus.CounterValue, float64(u.Denied), u.Service)
+		count := func(desc *prometheus.Desc, n uint64) {
+			out <- prometheus.MustNewConstMetric(desc, prometheus.CounterValue, float64(n), u.Service)
+		}
+		count(retriesDesc, u.Granted)
+		count(retriesDeniedDesc, u.Denied)
+		if u.Hedges == (budget.HedgeCounts{}) {
+			// Most services of most nodes send none, and the scrape must stay small.
+			continue
+		}
+		count(hedgesDesc, u.Hedges.Sent)
+		count(hedgesWonDesc, u.Hedges.Won)
+		count(hedgesDeniedDesc, u.Hedges.Denied)
 	}
 }
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -33,6 +33,7 @@
 	if err := p.Servers.callers.server.Shutdown(limit); err != nil {
 		p.Log.Error(err, "callers cut off at the stop limit")
 	}
+	p.Entry.WaitCopies(limit)
 	p.waitForRuns(limit)
 	if err := p.Servers.guard.server.Shutdown(limit); err != nil {
 		p.Log.Error(err, "entries cut off at the stop limit")
