--- a/standin/experiment/policies.go
+++ b/standin/experiment/policies.go
@@ -21,6 +21,7 @@
 	common
 	Scenarios []string `long:"scenario" description:"only this one; may be repeated"`
 	Policies  []string `long:"policy" description:"only this one; may be repeated"`
+	Hedges    []int    `long:"hedge" description:"hedged requests in percent, 0 is off; may be repeated"`
 	Seed      uint64   `long:"seed" default:"1" description:"seed of the schedules"`
 	Short     bool     `long:"short" description:"end each scenario after its first 4 seconds"`
 	Assets    string   `long:"plot-assets" description:"URL or directory with the chart script, ending in /"`
@@ -69,6 +70,9 @@
 			return nil, fmt.Errorf("no policy %q; there are %s", p, strings.Join(allPolicies, ", "))
 		}
 	}
+	if len(c.Hedges) == 0 {
+		c.Hedges = []int{0}
+	}
 	var names []string
 	var chosen []scenario
 	for _, one := range scenarios {
@@ -94,28 +98,55 @@
 		Title: one.name,
 		Note:  fmt.Sprintf("%s; %v, seed %d, %.0f calls/s to begin with", one.about, one.length, c.Seed, rate(d)),
 		Columns: []string{
-			"policy", "p50 ms", "p99 ms", "p99.9 ms", "p99.9 to best", "good %", "good/s", "refused", "failed", "hops",
+			"policy", "p50 ms", "p99 ms", "p99.9 ms", "p99.9 to best", "good %", "good/s", "refused", "failed", "hops", "hedges", "won",
 			"probes/s", "measuring B/s", "of these cross-region", "all cross-region kB/s", "schedule",
 		},
 	}
 	var runs []load.Series
 	var all []measurement
 	best := math.Inf(1)
-	for _, policy := range c.Policies {
-		m, err := c.measure(ctx, d, one, policy)
+	variants := c.variants()
+	for _, v := range variants {
+		m, err := c.measure(ctx, d, one, v)
 		if err != nil {
 			return nil, err
 		}
 		all = append(all, m)
 		best = min(best, m.report.All.Latency.P999)
-		runs = append(runs, load.Series{Name: policy, Report: m.report})
+		runs = append(runs, load.Series{Name: v.String(), Report: m.report})
 	}
 	for i, m := range all {
-		t.add(append([]string{c.Policies[i]}, m.cells(len(d.Places), best)...)...)
+		t.add(append([]string{variants[i].String()}, m.cells(len(d.Places), best)...)...)
 	}
 	return t, c.plot(one, runs)
 }
 
+// variant is one row of a comparison.
+type variant struct {
+	policy string
+	// hedge is the share of hedged requests, in percent.
+	hedge int
+}
+
+// String names the row.
+func (v variant) String() string {
+	if v.hedge == 0 {
+		return v.policy
+	}
+	return fmt.Sprintf("%s, hedges %d %%", v.policy, v.hedge)
+}
+
+// variants gives every policy with every share of hedged requests.
+func (c *policies) variants() []variant {
+	var list []variant
+	for _, p := range c.Policies {
+		for _, h := range c.Hedges {
+			list = append(list, variant{p, h})
+		}
+	}
+	return list
+}
+
 func (c *policies) plot(one scenario, runs []load.Series) error {
 	f, err := os.Create(filepath.Join(c.Out, one.name+".html"))
 	if err != nil {
@@ -149,7 +180,7 @@
 	return []string{
 		ms(all.Latency.P50), ms(all.Latency.P99), ms(all.Latency.P999), fmt.Sprintf("%.2f", all.Latency.P999/best),
 		fmt.Sprintf("%.2f", 100*float64(all.Good)/float64(all.Calls)), count(all.Goodput),
-		count(float64(refused)), count(float64(failed)), count(m.metrics[metricHops]),
+		count(float64(refused)), count(float64(failed)), count(m.metrics[metricHops]), count(m.metrics[metricHedges]), count(m.metrics[metricHedgesWon]),
 		m.metrics.perSecond(metricMeasureRequests, m.took, nodes),
 		m.metrics.perSecond(metricMeasureBytes, m.took, nodes),
 		m.metrics.perSecond(metricMeasureCross, m.took, nodes),
@@ -157,9 +188,9 @@
 	}
 }
 
-func (c *policies) measure(ctx context.Context, d *deploy.Deployment, one scenario, policy string) (measurement, error) {
+func (c *policies) measure(ctx context.Context, d *deploy.Deployment, one scenario, v variant) (measurement, error) {
 	var m measurement
-	if err := c.prepare(ctx, d, policy); err != nil {
+	if err := c.prepare(ctx, d, v); err != nil {
 		return m, err
 	}
 	crossed, err := crossRegion(ctx, d)
@@ -181,13 +212,15 @@
 	return m, err
 }
 
-// prepare makes all well and puts a policy in force.
-func (c *policies) prepare(ctx context.Context, d *deploy.Deployment, policy string) error {
+// prepare makes all well and puts a variant in force.
+func (c *policies) prepare(ctx context.Context, d *deploy.Deployment, v variant) error {
 	if err := reset(ctx, d); err != nil {
 		return err
 	}
 	c.revision++
-	if err := d.Publish(ctx, experimentFleet(policy, c.revision)); err != nil {
+	f := experimentFleet(v.policy, c.revision)
+	f.Services[0].HedgePercent = v.hedge
+	if err := d.Publish(ctx, f); err != nil {
 		return err
 	}
 	if err := awaitRevision(ctx, d, c.revision); err != nil {
--- a/standin/experiment/scrape.go
+++ b/standin/experiment/scrape.go
@@ -16,6 +16,8 @@
 const (
 	metricRequests        = "limpetdock_requests_total"
 	metricHops            = "limpetdock_hops_total"
+	metricHedges          = "limpetdock_hedges_total"
+	metricHedgesWon       = "limpetdock_hedges_won_total"
 	metricRevision        = "limpetdock_config_revision"
 	metricMeasureRequests = "limpetdock_measuring_requests_total"
 	metricMeasureBytes    = "limpetdock_measuring_bytes_total"
