--- a/internal/node/counters.go
+++ b/internal/node/counters.go
@@ -17,6 +17,8 @@
 type serverCounters struct {
 	// errors are lines that net/http wanted to log.
 	errors atomic.Uint64
+	// accepted are connections taken.
+	accepted atomic.Uint64
 	// refused are connections over the settings' limit per address.
 	refused atomic.Uint64
 	// madeRoom are idle connections closed for new ones, noRoom requests refused
@@ -34,6 +36,8 @@
 	labels := map[string]string{"server": name}
 	m.LabelledFunc("limpetdock_http_server_errors_total",
 		"Errors of connections and handlers that the HTTP server met.", labels, c.errors.Load)
+	m.LabelledFunc("limpetdock_http_connections_total",
+		"Connections accepted.", labels, c.accepted.Load)
 	m.LabelledFunc("limpetdock_http_connections_refused_total",
 		"Connections closed at once because their address had too many.", labels, c.refused.Load)
 	m.LabelledFunc("limpetdock_http_idle_closed_total",
--- a/internal/node/perip.go
+++ b/internal/node/perip.go
@@ -27,6 +27,7 @@
 		}
 		ip, _, err := net.SplitHostPort(conn.RemoteAddr().String())
 		if err != nil || l.enter(ip) {
+			l.counters.accepted.Add(1)
 			return &countedConn{Conn: conn, leave: sync.OnceFunc(func() { l.leave(ip) })}, nil
 		}
 		l.counters.refused.Add(1)
--- a/test/process/recovery_test.go
+++ b/test/process/recovery_test.go
@@ -1,7 +1,9 @@
 package process_test
 
 import (
+	"context"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -80,6 +82,7 @@
 		return n
 	}
 	const zone = "sc-a"
+	sent := readers(ctx, d, zone)
 	before, start := calls(), time.Now()
 	lost := map[string]uint64{}
 	for _, p := range d.Places {
@@ -101,9 +104,55 @@
 		require.EqualValues(t, 2, revision(p))
 	}
 	took, spent := time.Since(start), calls()-before
+	noHerd(t, d, zone, sent)
 	t.Logf("%d nodes back after %v; %d platform calls meanwhile", len(lost), took.Round(time.Millisecond), spent)
 	// Index, list and three documents for each node; what the others call at rest
 	// is two watches of two keys in each zone every 20 s.
 	rest := 24 * (1 + uint64(took/(20*time.Second)))
 	require.LessOrEqual(t, spent, uint64(len(lost))*8+rest)
 }
+
+// readers are callers that read without a pause at the nodes of all zones but one,
+// until ctx ends. They count what they have sent.
+func readers(ctx context.Context, d *deploy.Deployment, but string) *atomic.Int64 {
+	const atEach = 4
+	sent := &atomic.Int64{}
+	for _, p := range d.Places {
+		for range atEach {
+			go func() {
+				for p.Zone != but && ctx.Err() == nil {
+					_, _, _ = get(ctx, p, uuid.NewString(), "/catalogue/week", false)
+					sent.Add(1)
+				}
+			}()
+		}
+	}
+	return sent
+}
+
+// noHerd checks what the guards of a zone that is back saw in their first second:
+// what their processes have counted since they began, a second after they serve.
+func noHerd(t *testing.T, d *deploy.Deployment, zone string, sent *atomic.Int64) {
+	runs := map[string]int{}
+	for _, p := range d.Places {
+		runs[p.VM] = started(t, d, p.VM)
+	}
+	before := sent.Load()
+	time.Sleep(time.Second)
+	share := int(sent.Load()-before) / 6
+	for _, p := range d.Places {
+		if p.Zone != zone {
+			continue
+		}
+		connections := counter(t, p, `limpetdock_http_connections_total{server="guard"}`)
+		ran := started(t, d, p.VM) - runs[p.VM]
+		t.Logf("%s: %v connections since it began, %d runs; an equal share of the reads sent is %d", p.VM, connections, ran, share)
+		require.LessOrEqual(t, connections, float64(connectionsOnReturn), p.VM)
+		require.LessOrEqual(t, ran, 2*share+4, p.VM)
+	}
+}
+
+// connectionsOnReturn bounds the connections that a guard accepts from its start
+// to a second after it serves: fewer than two for each of the 17 other entries,
+// where each may open 22.
+const connectionsOnReturn = 2 * 17
