--- a/internal/entry/fleet_test.go
+++ b/internal/entry/fleet_test.go
@@ -224,13 +224,30 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	p := &pipe{listen: l, address: l.Addr().String(), target: target, silent: make(chan struct{})}
-	go p.serve()
+	go p.serve(l)
 	return p
 }
 
-func (p *pipe) serve() {
+// reopen takes connections again after close, at the same address.
+func (p *pipe) reopen(t *testing.T) {
+	l, err := net.Listen("tcp", p.address)
+	require.NoError(t, err)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.listen, p.conns = l, nil
+	go p.serve(l)
+}
+
+// accepted counts the connections since the pipe was opened.
+func (p *pipe) accepted() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.conns) / 2
+}
+
+func (p *pipe) serve(l net.Listener) {
 	for {
-		in, err := p.listen.Accept()
+		in, err := l.Accept()
 		if err != nil {
 			return
 		}
@@ -285,7 +302,9 @@
 }
 
 func (p *pipe) close() {
+	p.mu.Lock()
 	_ = p.listen.Close()
+	p.mu.Unlock()
 	p.reset()
 }
 
