Records taken over with a home's keys are dropped in time as well

Records are dropped from a queue of those that have ended; a predecessor's were put into the table beside it and would never have gone. A stopping home drops all that is due before it counts and hands on its keys.

--- a/internal/attempt/handover.go
+++ b/internal/attempt/handover.go
@@ -50,6 +50,7 @@
 // KeysToHand gives the bytes that the key table takes at most and how long a
 // peer may keep it. ok is false if this process isn't certain to be the home.
 func (t *Table) KeysToHand(now time.Duration) (bytes int, hold time.Duration, ok bool) {
+	t.sweepAll(now)
 	k := &t.keys
 	if k.handed || !k.fresh(now) || k.contested(now) {
 		return 0, 0, false
@@ -99,7 +100,6 @@
 // this table don't reach the successor, so nothing of a key may start, or be
 // called "not run", here any more.
 func (t *Table) SealKeys(now time.Duration) (*KeyTable, bool) {
-	t.sweep(now)
 	if _, _, ok := t.KeysToHand(now); !ok {
 		return nil, false
 	}
@@ -193,7 +193,8 @@
 	case slices.ContainsFunc(kt.Records, func(r wire.KeyRecord) bool { return ClassOf(r.ID) != Key }):
 		return false
 	}
-	for i := range kt.Records {
+	// The latest come first in the table, and the oldest are dropped first here.
+	for i := range slices.Backward(kt.Records) {
 		t.restore(&kt.Records[i], now)
 	}
 	k.succeed(h, now)
@@ -242,9 +243,9 @@
 	if t.records[in.ID] != nil {
 		return
 	}
-	r := &record{state: wire.AttemptLost, changed: now - ms(in.AgoMs), fingerprint: in.Fingerprint, done: make(chan struct{})}
-	close(r.done)
+	r := &record{fingerprint: in.Fingerprint}
 	t.records[in.ID] = r
+	t.end(in.ID, r, wire.AttemptLost, now-ms(in.AgoMs))
 	switch {
 	case in.State == wire.AttemptSealed:
 		r.state = wire.AttemptSealed
--- a/internal/attempt/handover_test.go
+++ b/internal/attempt/handover_test.go
@@ -142,6 +142,28 @@
 	}
 }
 
+// A home is restarted every few days for months. Were a predecessor's records
+// never dropped, they would fill the table, and bookings would be refused.
+func TestAPredecessorsRecordsGoInTime(t *testing.T) {
+	old := predecessor(rules("ip", "a"))
+	for n := range 100 {
+		_, _ = old.Begin(claimKey(fmt.Sprint("k", n), 1, waitFor), waitFor)
+	}
+	sealed, ok := old.SealKeys(waitFor)
+	require.True(t, ok)
+	next := attempt.NewTable(2)
+	listed(next, rules("ip", "a"))
+	require.True(t, next.TakeKeys(sealed, time.Second))
+	records, _ := next.Len()
+	require.Equal(t, 100, records)
+	const late = 24 * time.Hour
+	for range records {
+		_, _ = next.Check(claimKey("later", 2, late), late)
+	}
+	records, _ = next.Len()
+	require.Zero(t, records)
+}
+
 func TestAnswersAreHandedWithinABound(t *testing.T) {
 	old := predecessor(rules("ip", "a"))
 	const runs = 100
--- a/internal/attempt/sweep.go
+++ b/internal/attempt/sweep.go
@@ -51,6 +51,14 @@
 	}
 }
 
+// sweepAll drops all of them. It is for a process that stops.
+func (t *Table) sweepAll(now time.Duration) {
+	for before := -1; before != len(t.records); {
+		before = len(t.records)
+		t.sweep(now)
+	}
+}
+
 func (t *Table) forget(r *record) {
 	if r.answer != nil {
 		t.stored -= r.answer.size()
