One table says what an entry may do after a refusal; guards match a route once

kind.Answer.Next replaces the lists in free, again and mayGoOn, and the guard's admission carries the class of the route. Behaviour as before: the kinds that moved on freely, by a hop or only when idempotent are the same; a stale attempt, which mayGoOn let pass freely, is a row like the others.

--- a/internal/entry/account.go
+++ b/internal/entry/account.go
@@ -69,7 +69,7 @@
 // attempt cost anything that named an older incarnation: after a restart each
 // target refuses one of every entry, and tells its new name.
 func (e *Entry) mayGoOn(x *request, err *kind.Error) bool {
-	if free(err) || err.Kind == kind.StaleAttempt {
+	if err.Free() {
 		return true
 	}
 	if err.Said() == kind.NotRun {
--- a/internal/entry/idempotent.go
+++ b/internal/entry/idempotent.go
@@ -19,17 +19,6 @@
 // maxTried bounds the targets one request is offered to, whatever they say.
 const maxTried = 8
 
-// free says whether a refusal leaves the request's hops as they were: nothing
-// was asked of a backend server. A service of which half the backend servers have
-// just died would otherwise refuse requests that the other half can serve.
-func free(err *kind.Error) bool {
-	switch err.Kind {
-	case kind.Unreachable, kind.Leaving, kind.NotReady, kind.StaleConfig:
-		return true
-	}
-	return false
-}
-
 // search is what became of the targets that one request was offered to so far.
 type search struct {
 	entry *Entry
@@ -45,7 +34,7 @@
 	if err == nil {
 		return
 	}
-	if !free(err) {
+	if !err.Free() {
 		s.hops++
 	}
 	if err.Death != 0 {
@@ -84,7 +73,7 @@
 		if ctx.Err() != nil || x.begun.Load() {
 			break
 		}
-		if !again(last) || s.deaths > maxDeaths || !e.mayGoOn(x, last) {
+		if !last.MayMove(true) || s.deaths > maxDeaths || !e.mayGoOn(x, last) {
 			break
 		}
 		e.observer.Hopped(x.service.Name, last.Kind)
@@ -135,16 +124,6 @@
 	}
 }
 
-// again says whether an idempotent request may go to another target after err.
-func again(err *kind.Error) bool {
-	switch err.Kind {
-	case kind.OutcomeUnknown, kind.BackendDied, kind.BackendBroken:
-		return true
-	}
-	row, _ := kind.AnswerOf(err.Kind)
-	return row.Elsewhere
-}
-
 // conclude gives the final answer: the last trouble, weakened to unknown when
 // any target may have run the request.
 func conclude(last *kind.Error, ran bool) *kind.Error {
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -49,8 +49,7 @@
 		if ctx.Err() != nil || x.stream && body.begun.Load() {
 			break
 		}
-		row, _ := kind.AnswerOf(err.Kind)
-		if !row.Elsewhere || !e.mayGoOn(x, err) {
+		if !err.MayMove(false) || !e.mayGoOn(x, err) {
 			break
 		}
 		if err.Kind != kind.StaleAttempt {
--- a/internal/guard/fence_test.go
+++ b/internal/guard/fence_test.go
@@ -116,7 +116,7 @@
 	r.Header.Set(headers.Service, "s")
 	r.Header.Set(headers.TimeoutMs, "5000")
 	r.Header.Set(headers.Config, old.Config.Stamp(old.Config.Services["s"], "vm9").String())
-	_, _, e := g.admissible(r)
+	_, e := g.admit(r)
 	require.NotNil(t, e)
 	require.Equal(t, kind.StaleConfig, e.Kind)
 	require.Contains(t, e.Message, "revision 3, while 4")
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -160,72 +160,82 @@
 }
 
 func (g *Guard) runIdempotent(r *http.Request) (*http.Response, *kind.Error) {
-	ctx, cancel, e := g.admissible(r)
+	a, e := g.admit(r)
 	if e != nil {
 		return nil, e
 	}
 	id := r.Header.Get(headers.Exchange)
 	g.arrive(id)
-	v, e := g.enter(ctx, r)
+	v, e := g.enter(a, r)
 	if e != nil {
 		g.depart(id)
-		cancel()
+		a.cancel()
 		return nil, e
 	}
 	g.running.Add(1)
 	end := func() {
 		v.leave()
 		g.depart(id)
-		cancel()
+		a.cancel()
 		g.running.Done()
 	}
-	deadline, _ := ctx.Deadline()
+	deadline, _ := a.ctx.Deadline()
 	p := &permit{deadline: deadline}
-	resp, err := g.forward(withPermit(ctx, p), r)
+	resp, err := g.forward(withPermit(a.ctx, p), r)
 	if err != nil {
 		// Whoever waits to run alone next must find a death noted.
 		defer end()
 		if p.revoke() {
 			return nil, notSent(deadline, err)
 		}
-		return nil, g.backendError(ctx, p, v, err)
+		return nil, g.backendError(a.ctx, p, v, err)
 	}
 	resp.Body = &endingBody{ReadCloser: resp.Body, end: sync.OnceFunc(end)}
 	return resp, nil
 }
 
-// admissible checks whether the guard may take the request at all, and gives
-// a context that ends with the request's deadline.
-func (g *Guard) admissible(r *http.Request) (context.Context, context.CancelFunc, *kind.Error) {
+// admission is a request that the guard may take.
+type admission struct {
+	// ctx ends with the request's deadline, and cancel frees it.
+	ctx    context.Context
+	cancel context.CancelFunc
+	// class is that of the request's route.
+	class int
+}
+
+// admit checks whether the guard may take the request at all.
+func (g *Guard) admit(r *http.Request) (admission, *kind.Error) {
 	v := g.view.Load()
 	if v == nil {
-		return nil, nil, kind.New(kind.NotReady, "no configuration is in force yet")
+		return admission{}, kind.New(kind.NotReady, "no configuration is in force yet")
 	}
 	if g.leaving.Load() {
-		return nil, nil, kind.New(kind.Leaving, "the backend server is leaving")
+		return admission{}, kind.New(kind.Leaving, "the backend server is leaving")
 	}
 	if noRoom(r.Context()) {
-		return nil, nil, kind.New(kind.Overloaded, "the connections that the target accepts are all busy")
+		return admission{}, kind.New(kind.Overloaded, "the connections that the target accepts are all busy")
 	}
 	v, e := g.fenced(r, v)
 	if e != nil {
-		return nil, nil, e
+		return admission{}, e
 	}
 	svc, _ := v.Config.Target(v.Here.VM)
 	if svc == nil || svc.Name != r.Header.Get(headers.Service) {
-		return nil, nil, kind.New(kind.StaleConfig, "this node doesn't serve the service")
+		return admission{}, kind.New(kind.StaleConfig, "this node doesn't serve the service")
+	}
+	class, once := 0, true
+	if route := svc.Match(r.Method, r.URL.Path); route != nil {
+		class, once = route.Class, !route.Idempotent
 	}
-	route := svc.Match(r.Method, r.URL.Path)
-	once := route == nil || !route.Idempotent
 	if once && r.Header.Get(headers.Attempt) == "" {
-		return nil, nil, kind.New(kind.StaleConfig, "the route runs at most once here")
+		return admission{}, kind.New(kind.StaleConfig, "the route runs at most once here")
 	}
 	ms, err := strconv.ParseInt(r.Header.Get(headers.TimeoutMs), 10, 64)
 	if err != nil || ms <= 0 {
-		return nil, nil, kind.New(kind.DeadlineNotRun, "the deadline has passed")
+		return admission{}, kind.New(kind.DeadlineNotRun, "the deadline has passed")
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(ms)*time.Millisecond)
-	return ctx, cancel, nil
+	return admission{ctx, cancel, class}, nil
 }
 
 // forward hands the request to the backend server.
--- a/internal/guard/isolate.go
+++ b/internal/guard/isolate.go
@@ -149,12 +149,12 @@
 
 // enter waits for a slot and, for a suspect, until it is alone. The end of the
 // visit gives both back.
-func (g *Guard) enter(ctx context.Context, r *http.Request) (visit, *kind.Error) {
-	slot, refusal := g.gate.Enter(ctx, g.rankOf(r))
+func (g *Guard) enter(a admission, r *http.Request) (visit, *kind.Error) {
+	slot, refusal := g.gate.Enter(a.ctx, rankOf(r, a.class))
 	if refusal != nil {
 		return visit{}, refusal
 	}
-	v, ok := g.isolation.enter(ctx, r.Header.Get(headers.Suspect) != "")
+	v, ok := g.isolation.enter(a.ctx, r.Header.Get(headers.Suspect) != "")
 	if !ok {
 		slot.Leave()
 		return visit{}, errLateInQueue()
--- a/internal/guard/load.go
+++ b/internal/guard/load.go
@@ -89,27 +89,11 @@
 
 // rankOf gives what a request goes by when others must give way to it under
 // overload: the class of its route, and how deep in a call chain it is.
-func (g *Guard) rankOf(r *http.Request) gate.Rank {
+func rankOf(r *http.Request, class int) gate.Rank {
 	// What isn't a number counts as a first call; the entry sends numbers, and 1
 	// for a first call.
 	depth, _ := strconv.Atoi(r.Header.Get(headers.Depth))
-	return gate.Rank{Class: g.classOf(r), Depth: max(depth-1, 0)}
-}
-
-// classOf gives the class of the request's route.
-func (g *Guard) classOf(r *http.Request) int {
-	v := g.view.Load()
-	if v == nil {
-		return 0
-	}
-	svc := v.Config.Services[r.Header.Get(headers.Service)]
-	if svc == nil {
-		return 0
-	}
-	if route := svc.Match(r.Method, r.URL.Path); route != nil {
-		return route.Class
-	}
-	return 0
+	return gate.Rank{Class: class, Depth: max(depth-1, 0)}
 }
 
 // Probed answers a probe of the node on a VM, or gives nil if the budget has no
--- a/internal/guard/once.go
+++ b/internal/guard/once.go
@@ -94,14 +94,14 @@
 // enterRecorded checks whether the guard takes work and waits for a slot. While it
 // waits, the attempt can be sealed.
 func (g *Guard) enterRecorded(r *http.Request, c attempt.Claim) (visit, *kind.Error) {
-	ctx, cancel, e := g.admissible(r)
+	a, e := g.admit(r)
 	if e != nil {
 		return visit{}, e
 	}
-	defer cancel()
+	defer a.cancel()
 	g.arrive(c.ID)
 	defer g.depart(c.ID)
-	return g.enter(ctx, r)
+	return g.enter(a, r)
 }
 
 type result struct {
--- a/internal/kind/kind.go
+++ b/internal/kind/kind.go
@@ -83,35 +83,52 @@
 	Outcome Outcome
 	// Retry says whether asking again can help, and so whether Retry-After is sent.
 	Retry bool
-	// Elsewhere says whether an entry may try another target after this refusal.
-	Elsewhere bool
+	// Next is what an entry may do with the request after this answer of a target.
+	Next Next
 }
 
+// Next is what may be done with a request that a target didn't answer well.
+type Next uint8
+
+// What may be done.
+const (
+	// Stop: no other target would say otherwise.
+	Stop Next = iota
+	// Repeat: it may have run, so only an idempotent request goes to another target.
+	Repeat
+	// Elsewhere: the target refused it, and it may go to another one.
+	Elsewhere
+	// Free: as Elsewhere, and as no backend server was asked it costs nothing of
+	// what bounds such moves. A service of which half the backend servers have just
+	// died would otherwise refuse requests that the other half can serve.
+	Free
+)
+
 var table = map[Kind]Answer{
-	BadRequest:      {http.StatusBadRequest, NotRun, false, false},
-	UnknownService:  {http.StatusNotFound, NotRun, false, false},
-	NotReady:        {http.StatusServiceUnavailable, NotRun, true, true},
-	NoTarget:        {http.StatusServiceUnavailable, NotRun, true, false},
-	Overloaded:      {http.StatusServiceUnavailable, NotRun, true, true},
-	OverLimit:       {http.StatusTooManyRequests, NotRun, true, false},
-	Leaving:         {http.StatusServiceUnavailable, NotRun, true, true},
-	DeadlineNotRun:  {http.StatusGatewayTimeout, NotRun, true, false},
-	DeadlineUnknown: {http.StatusGatewayTimeout, Unknown, true, false},
-	StaleAttempt:    {http.StatusServiceUnavailable, NotRun, true, true},
-	StaleConfig:     {http.StatusServiceUnavailable, NotRun, true, true},
-	Sealed:          {http.StatusServiceUnavailable, NotRun, true, true},
-	KeyUnknown:      {http.StatusServiceUnavailable, Unknown, true, false},
-	KeyConflict:     {http.StatusUnprocessableEntity, Unknown, false, false},
-	AnswerLost:      {http.StatusBadGateway, Unknown, false, false},
-	Running:         {http.StatusAccepted, Unknown, true, false},
-	BackendDied:     {http.StatusBadGateway, Unknown, true, false},
-	BackendBroken:   {http.StatusBadGateway, Unknown, true, false},
-	Unreachable:     {http.StatusServiceUnavailable, NotRun, true, true},
-	OutcomeUnknown:  {http.StatusBadGateway, Unknown, true, false},
-	Blocked:         {http.StatusServiceUnavailable, Unknown, true, false},
-	TooDeep:         {http.StatusLoopDetected, NotRun, false, false},
-	WrongFleet:      {http.StatusMisdirectedRequest, NotRun, true, true},
-	BodyCut:         {http.StatusBadRequest, Unknown, false, false},
+	BadRequest:      {http.StatusBadRequest, NotRun, false, Stop},
+	UnknownService:  {http.StatusNotFound, NotRun, false, Stop},
+	NotReady:        {http.StatusServiceUnavailable, NotRun, true, Free},
+	NoTarget:        {http.StatusServiceUnavailable, NotRun, true, Stop},
+	Overloaded:      {http.StatusServiceUnavailable, NotRun, true, Elsewhere},
+	OverLimit:       {http.StatusTooManyRequests, NotRun, true, Stop},
+	Leaving:         {http.StatusServiceUnavailable, NotRun, true, Free},
+	DeadlineNotRun:  {http.StatusGatewayTimeout, NotRun, true, Stop},
+	DeadlineUnknown: {http.StatusGatewayTimeout, Unknown, true, Stop},
+	StaleAttempt:    {http.StatusServiceUnavailable, NotRun, true, Free},
+	StaleConfig:     {http.StatusServiceUnavailable, NotRun, true, Free},
+	Sealed:          {http.StatusServiceUnavailable, NotRun, true, Elsewhere},
+	KeyUnknown:      {http.StatusServiceUnavailable, Unknown, true, Stop},
+	KeyConflict:     {http.StatusUnprocessableEntity, Unknown, false, Stop},
+	AnswerLost:      {http.StatusBadGateway, Unknown, false, Stop},
+	Running:         {http.StatusAccepted, Unknown, true, Stop},
+	BackendDied:     {http.StatusBadGateway, Unknown, true, Repeat},
+	BackendBroken:   {http.StatusBadGateway, Unknown, true, Repeat},
+	Unreachable:     {http.StatusServiceUnavailable, NotRun, true, Free},
+	OutcomeUnknown:  {http.StatusBadGateway, Unknown, true, Repeat},
+	Blocked:         {http.StatusServiceUnavailable, Unknown, true, Stop},
+	TooDeep:         {http.StatusLoopDetected, NotRun, false, Stop},
+	WrongFleet:      {http.StatusMisdirectedRequest, NotRun, true, Elsewhere},
+	BodyCut:         {http.StatusBadRequest, Unknown, false, Stop},
 }
 
 // AnswerOf returns the table's row for k; ok is false for a kind not listed.
@@ -169,6 +186,15 @@
 	return table[e.Kind].Outcome
 }
 
+// MayMove says whether a request may go to another target after e.
+func (e *Error) MayMove(idempotent bool) bool {
+	next := table[e.Kind].Next
+	return next == Elsewhere || next == Free || next == Repeat && idempotent
+}
+
+// Free says that e cost no backend server anything.
+func (e *Error) Free() bool { return table[e.Kind].Next == Free }
+
 // Because sets the cause and returns e.
 func (e *Error) Because(err error) *Error {
 	e.Cause = err
--- a/internal/kind/kind_test.go
+++ b/internal/kind/kind_test.go
@@ -19,7 +19,7 @@
 		require.True(t, ok, k)
 		require.GreaterOrEqual(t, row.Status, 200, k)
 		require.Contains(t, []kind.Outcome{kind.NotRun, kind.Unknown}, row.Outcome, k)
-		if row.Elsewhere {
+		if kind.New(k, "").MayMove(false) {
 			require.Equal(t, kind.NotRun, row.Outcome, "%s may go elsewhere only when it wasn't run", k)
 		}
 	}
