--- a/internal/guard/death_test.go
+++ b/internal/guard/death_test.go
@@ -15,10 +15,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/limpetdock/limpetdock/fleet"
-	"github.com/limpetdock/limpetdock/internal/config"
 	"github.com/limpetdock/limpetdock/internal/headers"
 	"github.com/limpetdock/limpetdock/internal/kind"
-	"github.com/limpetdock/limpetdock/internal/pick"
 )
 
 const (
@@ -115,15 +113,9 @@
 			Targets: []fleet.Target{{VM: "vm1", Zone: "z", Slots: 2}},
 		}},
 	}
-	pub, err := f.Print()
-	require.NoError(t, err)
-	c, err := config.FromDocuments(map[string][]byte{
-		pub.Index.Key: pub.Index.Text, pub.Services[0].Key: pub.Services[0].Text,
-	})
-	require.NoError(t, err)
 	start := time.Now()
 	g := New(&url.URL{Scheme: "http", Host: m.addr}, 1, func() time.Duration { return time.Since(start) })
-	g.SetView(&pick.View{Config: c, Here: pick.Place{VM: "vm1", Zone: "z", Region: "r"}})
+	g.SetView(viewFor(t, f))
 	g.gate.BackendCount(0)
 	t.Cleanup(g.Close)
 	return g
--- a/internal/guard/fence_test.go
+++ b/internal/guard/fence_test.go
@@ -26,13 +26,17 @@
 			Targets: []fleet.Target{{VM: "vm1", Zone: "z", Slots: 2}},
 		}},
 	}
+	return viewFor(t, f)
+}
+
+// viewFor gives the View of a fleet at vm1.
+func viewFor(t *testing.T, f fleet.Fleet) *pick.View {
+	t.Helper()
 	pub, err := f.Print()
 	require.NoError(t, err)
-	idx, err := config.ParseIndex(pub.Index.Text)
-	require.NoError(t, err)
-	s, err := config.ParseService(idx.Entries[0], pub.Services[0].Text)
-	require.NoError(t, err)
-	c, err := config.Assemble(idx, []*config.Service{s})
+	c, err := config.FromDocuments(map[string][]byte{
+		pub.Index.Key: pub.Index.Text, pub.Services[0].Key: pub.Services[0].Text,
+	})
 	require.NoError(t, err)
 	return &pick.View{Config: c, Here: pick.Place{VM: "vm1", Zone: "z", Region: "r"}}
 }
