--- a/internal/node/clock.go
+++ b/internal/clock/clock.go
@@ -1,4 +1,5 @@
-package node
+// Package clock gives the time since a process started.
+package clock
 
 import (
 	"time"
@@ -12,7 +13,8 @@
 // (clock_gettime(2), CLOCK_BOOTTIME).
 type Clock func() time.Duration
 
-func newClock() Clock {
+// New returns a Clock that starts now.
+func New() Clock {
 	start, err := sinceBoot()
 	if err != nil {
 		began := time.Now()
--- a/internal/gate/chain.go
+++ b/internal/gate/chain.go
@@ -12,7 +12,7 @@
 type Rank struct {
 	// Class is that of the request's route.
 	Class int
-	// Depth is how many calls led to this one.
+	// Depth is how many calls led to this one. The deepest run first.
 	Depth int
 }
 
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -74,6 +74,13 @@
 // full of requests of the same rank or higher, or when the expected wait is
 // longer than what ctx leaves.
 func (g *Gate) Enter(ctx context.Context, rank Rank) (Slot, *kind.Error) {
+	return g.EnterWithin(ctx, rank, 0)
+}
+
+// EnterWithin does as Enter for a request whose sender says how long it may wait:
+// as long as no other gate would take it sooner. A patience of 0 leaves that to
+// the gate.
+func (g *Gate) EnterWithin(ctx context.Context, rank Rank, patience time.Duration) (Slot, *kind.Error) {
 	g.mu.Lock()
 	now := time.Now()
 	if g.running < g.limit(now) && len(g.queue) == 0 {
@@ -81,7 +88,7 @@
 		g.mu.Unlock()
 		return Slot{g, now}, nil
 	}
-	w, refusal := g.enqueue(ctx, rank, now)
+	w, refusal := g.enqueue(ctx, rank, patience, now)
 	g.mu.Unlock()
 	if refusal != nil {
 		return Slot{}, refusal
@@ -177,5 +184,5 @@
 func (g *Gate) overloaded(now time.Time, why string) *kind.Error {
 	g.refused++
 	wait := g.drain.wait(now, len(g.queue)+1, g.limit(now))
-	return &kind.Error{Kind: kind.Overloaded, Message: why, RetryAfter: wait + rand.N(max(wait, time.Second))}
+	return &kind.Error{Kind: kind.Overloaded, Message: why, Wait: wait, RetryAfter: wait + rand.N(max(wait, time.Second))}
 }
--- a/internal/gate/queue.go
+++ b/internal/gate/queue.go
@@ -40,10 +40,12 @@
 }
 
 // enqueue lets a request wait, or refuses it. The mutex is held.
-func (g *Gate) enqueue(ctx context.Context, rank Rank, now time.Time) (*waiter, *kind.Error) {
+func (g *Gate) enqueue(ctx context.Context, rank Rank, patience time.Duration, now time.Time) (*waiter, *kind.Error) {
 	deadline, _ := ctx.Deadline()
 	ahead := g.ahead(rank.Depth, deadline, now)
-	patience := g.patience(rank, ahead, now)
+	if patience == 0 {
+		patience = g.patience(rank, ahead, now)
+	}
 	if refusal := g.room(rank, ahead, patience, deadline, now); refusal != nil {
 		return nil, refusal
 	}
--- a/internal/kind/kind.go
+++ b/internal/kind/kind.go
@@ -155,12 +155,18 @@
 	Outcome Outcome
 	// RetryAfter is the hint for the caller; zero means the default.
 	RetryAfter time.Duration
+	// Wait is how long the request would have waited where it was refused; zero is
+	// not known.
+	Wait time.Duration
 	// Death names the death of a backend server that this tells of; 0 is none.
 	Death uint64
 	// Alone says that the request was the only one in flight at that death.
 	Alone bool
 	// FromGuard says that the target's guard told it, and not the entry itself.
 	FromGuard bool
+	// FromBackend says that the backend server itself refused: the request arrived
+	// there, though it didn't run.
+	FromBackend bool
 	// Cause is for logs only and never shown to callers.
 	Cause error
 }
--- /dev/null
+++ b/internal/mesh/check.go
@@ -0,0 +1,54 @@
+package mesh
+
+import (
+	"strings"
+
+	"github.com/rotisserie/eris"
+)
+
+// Check says what is wrong with a configuration, if anything is. One that fails
+// is refused whole: a part of it could send requests where nobody meant them to go.
+func (c *Config) Check() error {
+	if c.Version == 0 {
+		return eris.New("a configuration needs a version above 0")
+	}
+	for _, r := range c.Routes() {
+		if err := c.checkRoute(r); err != nil {
+			return eris.Wrapf(err, "route %s", r.Name)
+		}
+	}
+	l := c.Limits
+	if l.HeaderBytes < 0 || l.BodyBytes < 0 || l.HeaderTimeout < 0 || l.IdleTimeout < 0 {
+		return eris.New("a limit is below 0")
+	}
+	return nil
+}
+
+func (c *Config) checkRoute(r *Route) error {
+	switch {
+	case r.Host == "":
+		return eris.New("no host")
+	case !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/"):
+		return eris.Errorf("prefix %q doesn't begin and end with a slash", r.Prefix)
+	case r.Timeout <= 0:
+		return eris.New("no timeout")
+	case r.Aim < 0, r.MaxTargets < 0, r.Priority < 0:
+		return eris.New("a number is below 0")
+	case len(r.Shares) == 0:
+		return eris.New("no service")
+	}
+	total := 0.0
+	for _, s := range r.Shares {
+		if c.Services[s.Service] == nil {
+			return eris.Errorf("service %q isn't declared", s.Service)
+		}
+		if s.Weight < 0 {
+			return eris.New("a weight is below 0")
+		}
+		total += s.Weight
+	}
+	if total <= 0 {
+		return eris.New("no weight is above 0")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/mesh/directory/loop.go
@@ -0,0 +1,137 @@
+package directory
+
+import (
+	"context"
+	"time"
+
+	"github.com/limpetdock/limpetdock/internal/decision"
+	"github.com/limpetdock/limpetdock/internal/mesh"
+)
+
+// Event is news of the store.
+type Event interface {
+	apply(l *Loop, now time.Duration)
+}
+
+// The events.
+type (
+	// ConfigRead is a configuration that was read, decoded and checked.
+	ConfigRead struct{ Config *mesh.Config }
+	// TargetsRead is the whole list of targets as of a revision.
+	TargetsRead struct {
+		Revision uint64
+		Targets  []Registration
+	}
+	// TargetChanged is one registration as it was written.
+	TargetChanged struct{ Registration Registration }
+	// TargetRemoved is the end of a registration.
+	TargetRemoved struct {
+		Revision uint64
+		ID       string
+	}
+	// StoreLost says that the store doesn't answer, and why.
+	StoreLost struct{ Err error }
+	// StoreRegained says that it answers again.
+	StoreRegained struct{}
+)
+
+func (e ConfigRead) apply(l *Loop, _ time.Duration) {
+	if l.state.Configure(e.Config) {
+		l.log.Change("configuration in force", "version", e.Config.Version, "routes", len(e.Config.Routes()))
+		return
+	}
+	l.log.Change("configuration not newer than the one in force", "version", e.Config.Version)
+}
+
+func (e TargetsRead) apply(l *Loop, now time.Duration) {
+	l.state.Replace(now, e.Revision, e.Targets)
+	l.log.Change("targets read", "revision", e.Revision, "targets", len(e.Targets))
+}
+
+func (e TargetChanged) apply(l *Loop, now time.Duration) {
+	r := e.Registration
+	l.state.Put(now, r)
+	l.log.Change("target changed", "target", r.ID, "service", r.Service, "address", r.Addr, "draining", r.State == mesh.Draining, "revision", r.Revision)
+}
+
+func (e TargetRemoved) apply(l *Loop, now time.Duration) {
+	held := l.state.lapsing(now)
+	l.state.Remove(now, e.Revision, e.ID)
+	l.log.Change("target's registration ended", "target", e.ID, "revision", e.Revision, "store_was_away", held)
+}
+
+func (e StoreLost) apply(l *Loop, _ time.Duration) {
+	if l.state.Lost() {
+		l.log.Trouble("store lost", "error", e.Err.Error())
+	}
+}
+
+func (e StoreRegained) apply(l *Loop, now time.Duration) {
+	if l.state.Regained(now) {
+		l.log.Change("store regained")
+	}
+}
+
+// maxEvents is how many events wait for the control goroutine. The reader of the
+// store waits when they are more.
+const maxEvents = 64
+
+// Loop is the control goroutine: it alone touches the State.
+type Loop struct {
+	state   *State
+	log     *decision.Log
+	now     func() time.Duration
+	publish func(*mesh.View)
+	events  chan []Event
+}
+
+// NewLoop returns a Loop that hands new Views to publish.
+func NewLoop(s *State, log *decision.Log, now func() time.Duration, publish func(*mesh.View)) *Loop {
+	return &Loop{state: s, log: log, now: now, publish: publish, events: make(chan []Event, maxEvents)}
+}
+
+// Take hands events over that belong together: one View is made of them all.
+func (l *Loop) Take(ctx context.Context, events ...Event) {
+	select {
+	case l.events <- events:
+	case <-ctx.Done():
+	}
+}
+
+// Run applies events until ctx ends.
+func (l *Loop) Run(ctx context.Context) {
+	for {
+		timer, stop := l.wake()
+		select {
+		case events := <-l.events:
+			for _, e := range events {
+				e.apply(l, l.now())
+			}
+		case <-timer:
+		case <-ctx.Done():
+			stop()
+			return
+		}
+		stop()
+		if v := l.state.Tick(l.now()); v != nil {
+			l.publish(v)
+		}
+	}
+}
+
+// retryDrop is the pause before a look at targets that are due while the store is away.
+const retryDrop = 500 * time.Millisecond
+
+// wake gives a channel that tells when the State has something to drop.
+func (l *Loop) wake() (<-chan time.Time, func()) {
+	due := l.state.Due()
+	if due == 0 {
+		return nil, func() {}
+	}
+	wait := due - l.now()
+	if wait <= 0 {
+		wait = retryDrop
+	}
+	t := time.NewTimer(wait)
+	return t.C, func() { t.Stop() }
+}
--- /dev/null
+++ b/internal/mesh/entry/choose.go
@@ -0,0 +1,171 @@
+package entry
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/limpetdock/limpetdock/internal/mesh"
+)
+
+const (
+	// assumedService is how long a slot is held where nothing has been measured.
+	assumedService = 80 * time.Millisecond
+	// assumedAnswer is the size of an answer where none was seen, in bytes.
+	assumedAnswer = 2 << 10
+	// envelope is what the frames and TCP add to a request and its answer, in bytes.
+	envelope = 600
+	// failureCost is what a request that surely fails is taken to cost: over the
+	// longest wait that is worth it, so that failing fast never looks cheap.
+	failureCost = 1500 * time.Millisecond
+	// coldFactor is how much longer work is taken to last at a target that has just
+	// started.
+	coldFactor = 2.0
+	// crowding is the part of a slot's time that a full target adds beside waits:
+	// among targets with free slots the emptier one is better, as what it gets next
+	// is less likely to wait.
+	crowding = 0.15
+	// jitter spreads nodes that see the same loads over targets that are equally good.
+	jitter = 3 * time.Millisecond
+)
+
+// wayTo is the round trip to each distance, on the usual links between zones and
+// regions; the price of bytes matters more than its exact value.
+var wayTo = [...]time.Duration{
+	mesh.SameVM: 0, mesh.SameZone: 300 * time.Microsecond,
+	mesh.SameRegion: 3 * time.Millisecond, mesh.OtherRegion: 16 * time.Millisecond,
+}
+
+// candidate is a target with what a request is expected to cost there.
+type candidate struct {
+	target *mesh.Target
+	// cost orders candidates: time, and bytes and risks as time.
+	cost time.Duration
+	// wait is the time until it gets a slot, and work how long it then takes.
+	wait, work time.Duration
+}
+
+// routeStat is what was seen of a route's requests. Safe for concurrent use.
+type routeStat struct {
+	mu sync.Mutex
+	// answer is a moving average of answers' sizes in bytes, work one of the time
+	// they took at the target, in nanoseconds.
+	answer, work float64
+}
+
+// statWeight is the inverse weight of a new sample in the moving averages.
+const statWeight = 16
+
+func (s *routeStat) learn(bytes int, work time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.work == 0 {
+		s.answer, s.work = float64(bytes), float64(work)
+	}
+	s.answer += (float64(bytes) - s.answer) / statWeight
+	s.work += (float64(work) - s.work) / statWeight
+}
+
+func (s *routeStat) expect() (bytes float64, work time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.work == 0 {
+		return assumedAnswer, assumedService
+	}
+	return s.answer, time.Duration(s.work)
+}
+
+func (e *Entry) routeStat(name string) *routeStat {
+	s, _ := e.routes.LoadOrStore(name, &routeStat{})
+	return s.(*routeStat)
+}
+
+// candidates gives the targets that the request may be offered to, cheapest first.
+func (t *trip) candidates() []candidate {
+	all := t.view.Targets[t.service]
+	list := make([]candidate, 0, len(all))
+	var avoided []candidate
+	for _, target := range all {
+		if t.tried(target) {
+			continue
+		}
+		c, usable := t.weigh(target)
+		if usable {
+			list = append(list, c)
+		} else {
+			avoided = append(avoided, c)
+		}
+	}
+	if len(list) == 0 {
+		// One more try beats a certain refusal.
+		list = avoided
+	}
+	slices.SortFunc(list, func(a, b candidate) int { return cmp.Compare(a.cost, b.cost) })
+	return list
+}
+
+// tried says whether the request may have run at the target already.
+func (t *trip) tried(target *mesh.Target) bool {
+	return slices.ContainsFunc(t.offers, func(o offer) bool {
+		return o.target.ID == target.ID && !refusedBusy(o.kind)
+	})
+}
+
+// weigh estimates what the request costs at a target, and whether that is usable.
+func (t *trip) weigh(target *mesh.Target) (candidate, bool) {
+	now := t.entry.Now()
+	if target.Distance == mesh.SameVM {
+		target.Stat.Report(t.entry.Guard.Load(), now)
+	}
+	est := target.Stat.Estimate(now)
+	bytes, work := t.entry.routeStat(t.route.Name).expect()
+	c := candidate{target: target}
+	slowdown := est.Slowdown
+	if now < target.WarmAt {
+		slowdown = max(slowdown, coldFactor)
+	}
+	c.work = time.Duration(float64(work) * slowdown)
+	c.wait = waitAt(est, target, slowdown)
+	if wait, refused := t.refusals[target.ID]; refused {
+		c.wait = max(c.wait, wait)
+	}
+	slots := max(est.Slots, target.Slots, 1)
+	c.cost = wayTo[target.Distance] + c.wait + c.work +
+		time.Duration(crowding*float64(work)*float64(est.Busy)/float64(slots)) +
+		time.Duration(est.Failing*float64(failureCost)) +
+		t.entry.prices.Load().of(target.Distance, len(t.in.Body)+int(bytes)+envelope) +
+		rand.N(jitter)
+	return c, !est.Avoid && !est.Leaving
+}
+
+// waitAt estimates how long a request waits for a slot.
+func waitAt(est mesh.Estimate, target *mesh.Target, slowdown float64) time.Duration {
+	slots := est.Slots
+	if !est.Known {
+		slots = target.Slots
+	}
+	slots = max(slots, 1)
+	ahead := est.Busy + 1 - slots
+	if ahead <= 0 {
+		return 0
+	}
+	service := est.Service
+	if service == 0 {
+		service = assumedService
+	}
+	return time.Duration(float64(service) * slowdown * float64(ahead) / float64(slots))
+}
+
+// of gives the price of bytes to a distance, as time.
+func (p Prices) of(d mesh.Distance, bytes int) time.Duration {
+	const kilobyte = 1000
+	switch d {
+	case mesh.SameRegion:
+		return p.ZonePerKB * time.Duration(bytes) / kilobyte
+	case mesh.OtherRegion:
+		return p.RegionPerKB * time.Duration(bytes) / kilobyte
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/mesh/entry/run.go
@@ -0,0 +1,224 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/limpetdock/limpetdock/internal/kind"
+	"github.com/limpetdock/limpetdock/internal/mesh"
+)
+
+const (
+	// maxOffers bounds the guards one request is offered to, whatever they say. A
+	// refusal of a guard runs nothing and takes a round trip.
+	maxOffers = 6
+	// minPatience is the wait that is never worth a hop to another node.
+	minPatience = 15 * time.Millisecond
+	// answerMargin is kept off the time that a guard is given, so that its own
+	// answer, which knows whether the request has run, comes before the deadline.
+	answerMargin = 40 * time.Millisecond
+	// avoidUnreachable is how long a target is passed over that no connection could
+	// be opened to; avoidLeaving one that said it takes no more.
+	avoidUnreachable = time.Second
+	avoidLeaving     = 2 * time.Second
+	// leastLeft is the time under which a request isn't offered any more.
+	leastLeft = 10 * time.Millisecond
+)
+
+// run offers the request to targets until one answers or nothing more may be tried.
+func (t *trip) run(ctx context.Context) (*mesh.Answer, *kind.Error) {
+	var last *kind.Error
+	for range maxOffers {
+		if ctx.Err() != nil || t.deadline-t.entry.Now() < leastLeft {
+			break
+		}
+		c, patience, refusal := t.next()
+		if refusal != nil {
+			if last == nil || last.Said() == kind.NotRun {
+				last = refusal
+			}
+			break
+		}
+		answer, err := t.offer(ctx, c, patience)
+		if err == nil && !t.repeatable(answer) {
+			return answer, nil
+		}
+		if err == nil {
+			// A failure of the backend server's own: if nothing better comes, it stands.
+			if again, _ := t.again(ctx); again != nil {
+				return again, nil
+			}
+			return answer, nil
+		}
+		last = err
+		if !t.mayGoOn(err) {
+			break
+		}
+		t.entry.Observer.Hopped(t.service, err.Kind)
+	}
+	return nil, t.conclude(last)
+}
+
+// again offers an idempotent request that a backend server failed once more.
+func (t *trip) again(ctx context.Context) (*mesh.Answer, *kind.Error) {
+	c, patience, refusal := t.next()
+	if refusal != nil {
+		return nil, refusal
+	}
+	answer, err := t.offer(ctx, c, patience)
+	if err != nil {
+		return nil, err
+	}
+	if answer.Status >= http.StatusInternalServerError {
+		return nil, nil
+	}
+	return answer, nil
+}
+
+// next gives the best target and how long the request may wait there.
+func (t *trip) next() (candidate, time.Duration, *kind.Error) {
+	list := t.candidates()
+	if len(list) == 0 {
+		return candidate{}, 0, kind.New(kind.NoTarget, "no target can take the request")
+	}
+	best := list[0]
+	left := t.deadline - t.entry.Now() - answerMargin
+	if best.wait+best.work/2 > left {
+		e := kind.New(kind.Overloaded, "the wait at every target is longer than the deadline")
+		e.RetryAfter = best.wait
+		return candidate{}, 0, e
+	}
+	if len(list) == 1 || len(t.offers) >= maxOffers-1 {
+		return best, left, nil
+	}
+	// It may wait for as long as the next target would cost more.
+	patience := best.wait + max(list[1].cost-best.cost, minPatience)
+	return best, min(patience, left), nil
+}
+
+// offer sends the request to a target and takes what comes as evidence.
+func (t *trip) offer(ctx context.Context, c candidate, patience time.Duration) (*mesh.Answer, *kind.Error) {
+	e := t.entry
+	start := e.Now()
+	r := &mesh.Request{
+		ID: t.in.ID, Method: t.in.Method, URI: t.in.URI, Host: t.in.Host, Header: t.in.Header.Clone(), Body: t.in.Body,
+		Caller: e.Here.Service, Service: t.service, Target: c.target.ID,
+		Idempotent: t.route.Idempotent, Priority: t.route.Priority,
+		Left: t.deadline - start - answerMargin/2 - wayTo[c.target.Distance]/2, Patience: patience, Version: t.view.Config.Version,
+	}
+	c.target.Stat.Begin()
+	var answer *mesh.Answer
+	var err *kind.Error
+	if c.target.Distance == mesh.SameVM {
+		answer, err = e.Guard.Run(ctx, r)
+	} else {
+		answer, err = e.Peers.Run(ctx, c.target.Peer, r)
+	}
+	took := e.Now() - start
+	t.note(c, answer, err, took)
+	return answer, err
+}
+
+// note takes the outcome of an offer as evidence about the target.
+func (t *trip) note(c candidate, answer *mesh.Answer, err *kind.Error, took time.Duration) {
+	now := t.entry.Now()
+	o := offer{target: c.target, took: took}
+	if err == nil {
+		t.sent++
+		failed := answer.Status >= http.StatusInternalServerError
+		c.target.Stat.End(now, failed, true)
+		if !failed {
+			t.entry.routeStat(t.route.Name).learn(len(answer.Body), took-wayTo[c.target.Distance])
+		}
+		t.offers = append(t.offers, o)
+		return
+	}
+	o.kind = err.Kind
+	t.offers = append(t.offers, o)
+	if err.Said() != kind.NotRun {
+		t.sent++
+	}
+	t.blame(c.target, err, now)
+}
+
+// blame decides what an error says of the target.
+func (t *trip) blame(target *mesh.Target, err *kind.Error, now time.Duration) {
+	failed, telling := false, true
+	switch err.Kind {
+	case kind.Unreachable:
+		failed = true
+		target.Stat.Avoid(now + avoidUnreachable)
+	case kind.Leaving, kind.NotReady, kind.StaleConfig, kind.StaleAttempt:
+		telling = false
+		target.Stat.Avoid(now + avoidLeaving)
+	case kind.Overloaded:
+		telling = false
+		t.refusals[target.ID] = err.Wait
+	case kind.BackendBroken, kind.OutcomeUnknown:
+		failed = true
+	case kind.DeadlineUnknown:
+		// Late is a failure only of one that never answers; a slow one shows in its load.
+		telling = now >= t.deadline
+		failed = telling
+	default:
+		telling = false
+	}
+	target.Stat.End(now, failed, telling)
+}
+
+// refusedBusy says whether a target only had no room, so that it may be asked again.
+func refusedBusy(k kind.Kind) bool { return k == kind.Overloaded }
+
+// repeatable says whether an answer is a failure that another target may mend.
+func (t *trip) repeatable(a *mesh.Answer) bool {
+	if a.Status < http.StatusInternalServerError || !t.route.Idempotent || t.sent >= t.route.MaxTargets {
+		return false
+	}
+	return t.entry.repeats(t.service).Repeat(t.entry.Now())
+}
+
+// mayGoOn says whether the request may be offered to another target after err.
+func (t *trip) mayGoOn(err *kind.Error) bool {
+	if !err.MayMove(t.route.Idempotent) || t.sent >= max(t.route.MaxTargets, 1) {
+		return false
+	}
+	if err.FromBackend || err.Said() != kind.NotRun {
+		// Only what reached a backend server counts as a repeat there.
+		return t.entry.repeats(t.service).Repeat(t.entry.Now())
+	}
+	return true
+}
+
+// conclude gives the final answer: the last trouble, weakened to unknown when
+// any target may have run the request.
+func (t *trip) conclude(last *kind.Error) *kind.Error {
+	if last == nil {
+		last = kind.New(kind.DeadlineNotRun, "the deadline passed before a target could be asked")
+	}
+	if t.sent > 0 {
+		last.Outcome = kind.Unknown
+	}
+	if last.Said() == kind.NotRun && last.RetryAfter == 0 {
+		last.RetryAfter = t.comeBack()
+	}
+	return last
+}
+
+const (
+	// comeBackLeast is the shortest time after which a refused caller is asked to
+	// come back, and comeBackSpread what is added at random, so that those who are
+	// refused together don't return together.
+	comeBackLeast  = 100 * time.Millisecond
+	comeBackSpread = 200 * time.Millisecond
+)
+
+// comeBack estimates when a target will have room.
+func (t *trip) comeBack() time.Duration {
+	wait := time.Duration(0)
+	if list := t.candidates(); len(list) > 0 {
+		wait = list[0].wait
+	}
+	return max(wait, comeBackLeast) + rand.N(comeBackSpread)
+}
--- /dev/null
+++ b/internal/mesh/guard/guard.go
@@ -0,0 +1,282 @@
+// Package guard admits requests to the backend server beside the node and makes
+// the exchange. Only it knows how many run there, and only it decides that one
+// more does.
+package guard
+
+import (
+	"context"
+	"math"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/limpetdock/limpetdock/internal/decision"
+	"github.com/limpetdock/limpetdock/internal/gate"
+	"github.com/limpetdock/limpetdock/internal/kind"
+	"github.com/limpetdock/limpetdock/internal/mesh"
+	"github.com/limpetdock/limpetdock/internal/mesh/exchange"
+)
+
+// Config is what a Guard is made of.
+type Config struct {
+	Here    mesh.Place
+	Dialect mesh.Dialect
+	Backend *exchange.Client
+	// Now gives the time since the node's start by a clock that counts the time
+	// for which the VM was suspended.
+	Now func() time.Duration
+	Log *decision.Log
+	// Changed is called when the load changed in a way that entries should know.
+	Changed func(urgent bool)
+}
+
+// Guard is the guard role of a node. Safe for concurrent use.
+type Guard struct {
+	Config
+	gate     *gate.Gate
+	view     atomic.Pointer[mesh.View]
+	leaving  atomic.Bool
+	stopping atomic.Bool
+	// slowdown is the last one told, as the bits of a float64, at toldAt.
+	slowdown atomic.Uint64
+	toldAt   atomic.Int64
+	// fill is the share of the declared slots that is filled, as the bits of a float64.
+	fill atomic.Uint64
+	// askedAt is when a request last came, in nanoseconds since the start.
+	askedAt atomic.Int64
+	probes  atomic.Uint64
+	ran     atomic.Uint64
+	active  atomic.Int64
+}
+
+// New returns a Guard that refuses everything until it has a View.
+func New(c Config) *Guard {
+	g := &Guard{Config: c, gate: gate.New()}
+	g.slowdown.Store(math.Float64bits(1))
+	g.fill.Store(math.Float64bits(1))
+	return g
+}
+
+// SetFill changes the share of the declared slots that is filled.
+func (g *Guard) SetFill(share float64) {
+	g.fill.Store(math.Float64bits(share))
+	if v := g.view.Load(); v != nil {
+		g.setSlots(v)
+	}
+}
+
+// queuePerSlot is how many requests may wait for each slot. Patience and
+// deadlines bound the wait; this bounds the memory.
+const queuePerSlot = 8
+
+// SetView puts a new View in force.
+func (g *Guard) SetView(v *mesh.View) {
+	g.view.Store(v)
+	own := v.Own
+	leaving := own == nil || own.State == mesh.Draining
+	g.setSlots(v)
+	if g.leaving.Swap(leaving) != leaving {
+		g.Changed(true)
+	}
+}
+
+func (g *Guard) setSlots(v *mesh.View) {
+	if v.Own == nil {
+		return
+	}
+	share := math.Float64frombits(g.fill.Load())
+	slots := max(int(float64(v.Own.Slots)*share+roundUp), 1)
+	g.gate.SetLimits(gate.Limits{Slots: slots, Queue: queuePerSlot * slots})
+}
+
+// roundUp keeps an exact product from being rounded down by its last bit.
+const roundUp = 1e-6
+
+// Stop makes the guard refuse new requests because the node stops.
+func (g *Guard) Stop() {
+	g.stopping.Store(true)
+	g.Changed(true)
+}
+
+// Active gives how many requests wait or run.
+func (g *Guard) Active() int { return int(g.active.Load()) }
+
+// Counts gives how many requests were sent to the backend server, and probes.
+func (g *Guard) Counts() (ran, probes uint64) { return g.ran.Load(), g.probes.Load() }
+
+// Load gives the load to tell entries.
+func (g *Guard) Load() mesh.Load {
+	l := g.gate.Load()
+	load := mesh.Load{
+		Running: l.InUse, Waiting: l.Waiting, Slots: l.Limit, Service: l.Service,
+		Slowdown: math.Float64frombits(g.slowdown.Load()),
+		Leaving:  g.leaving.Load() || g.stopping.Load(),
+	}
+	if v := g.view.Load(); v != nil {
+		load.Revision = v.Revision
+	}
+	return load
+}
+
+// Run runs a request or refuses it. ctx ends when nobody waits for it any more.
+func (g *Guard) Run(ctx context.Context, r *mesh.Request) (*mesh.Answer, *kind.Error) {
+	g.active.Add(1)
+	defer g.active.Add(-1)
+	start := g.Now()
+	g.askedAt.Store(int64(start))
+	answer, e := g.run(ctx, r, start)
+	g.record(r, start, answer, e)
+	return answer, e
+}
+
+func (g *Guard) run(ctx context.Context, r *mesh.Request, start time.Duration) (*mesh.Answer, *kind.Error) {
+	if e := g.takes(r); e != nil {
+		return nil, e
+	}
+	deadline := start + r.Left
+	ctx, cancel := context.WithTimeout(ctx, r.Left)
+	defer cancel()
+	slot, e := g.gate.EnterWithin(ctx, rankOf(r), max(r.Patience, time.Millisecond))
+	if e != nil {
+		return nil, e
+	}
+	defer slot.Leave()
+	if e := g.takes(r); e != nil {
+		return nil, e
+	}
+	return g.exchange(ctx, r, deadline)
+}
+
+// takes says whether the guard takes new requests at all.
+func (g *Guard) takes(r *mesh.Request) *kind.Error {
+	switch {
+	case g.view.Load() == nil:
+		return kind.New(kind.NotReady, "no configuration is in force yet")
+	case r.Service != g.Here.Service:
+		return kind.New(kind.StaleConfig, "this node doesn't serve the service")
+	case g.leaving.Load():
+		return kind.New(kind.Leaving, "the backend server is leaving")
+	case g.stopping.Load():
+		return kind.New(kind.Leaving, "the node is stopping")
+	}
+	return nil
+}
+
+// maxPriority is the lowest rank that is told apart.
+const maxPriority = 15
+
+// rankOf orders by the route's priority, as the gate runs the highest depth first.
+func rankOf(r *mesh.Request) gate.Rank {
+	return gate.Rank{Depth: maxPriority - min(max(r.Priority, 0), maxPriority)}
+}
+
+// exchange sends the request to the backend server.
+func (g *Guard) exchange(ctx context.Context, r *mesh.Request, deadline time.Duration) (*mesh.Answer, *kind.Error) {
+	if !r.Idempotent {
+		// Once sent it is seen through: to break it off would leave its outcome open
+		// and free little. allow still notices a caller that left before.
+		caller := ctx
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(context.WithoutCancel(ctx), deadline-g.Now())
+		defer cancel()
+		return g.send(ctx, r, func() bool { return caller.Err() == nil && g.Now() < deadline }, deadline)
+	}
+	return g.send(ctx, r, func() bool { return g.Now() < deadline }, deadline)
+}
+
+func (g *Guard) send(ctx context.Context, r *mesh.Request, allow func() bool, deadline time.Duration) (*mesh.Answer, *kind.Error) {
+	g.ran.Add(1)
+	answer, failure := g.Backend.Do(ctx, g.message(r, deadline), allow)
+	if failure != nil {
+		return nil, g.failed(ctx, failure)
+	}
+	g.learn(answer.Header)
+	names := g.Dialect.Headers
+	if answer.Header.Get(names.NotRun) != "" || answer.Status == http.StatusMisdirectedRequest {
+		return nil, refusedBy(answer)
+	}
+	if answer.Status < http.StatusMultipleChoices && answer.Header.Get(names.Signature) == "" {
+		return nil, kind.New(kind.BackendBroken, "the answer has no proof of its origin")
+	}
+	return answer, nil
+}
+
+// refusedBy tells of a backend server that didn't run the request, by its word.
+func refusedBy(a *mesh.Answer) *kind.Error {
+	e := kind.New(kind.Overloaded, "the backend server refused the request with %d", a.Status)
+	if a.Status == http.StatusMisdirectedRequest {
+		e = kind.New(kind.StaleAttempt, "another backend server has the address")
+	}
+	e.FromBackend = true
+	return e
+}
+
+func (g *Guard) failed(ctx context.Context, f *exchange.Failure) *kind.Error {
+	switch {
+	case f.Outcome == exchange.Unreachable:
+		return kind.New(kind.Unreachable, "the backend server can't be reached").Because(f)
+	case f.Outcome == exchange.NotSent && ctx.Err() != nil:
+		return kind.New(kind.DeadlineNotRun, "the deadline passed before the request was sent").Because(f)
+	case f.Outcome == exchange.NotSent:
+		return kind.New(kind.Unreachable, "the connection to the backend server was gone").Because(f)
+	case ctx.Err() != nil:
+		return kind.New(kind.DeadlineUnknown, "the deadline passed while the backend server ran the request").Because(f)
+	}
+	return kind.New(kind.BackendBroken, "the backend server broke off the exchange").Because(f)
+}
+
+func (g *Guard) message(r *mesh.Request, deadline time.Duration) *exchange.Message {
+	names := g.Dialect.Headers
+	header := http.Header(r.Header)
+	header.Set(names.RequestID, r.ID)
+	header.Set(names.TimeoutMs, strconv.FormatInt(max((deadline-g.Now()).Milliseconds(), 1), 10))
+	header.Set(names.ExpectedTarget, r.Target)
+	header.Set(names.Caller, r.Caller)
+	return &exchange.Message{
+		Method: r.Method, URI: r.URI, Host: r.Host, Header: header, Body: r.Body, Once: !r.Idempotent,
+	}
+}
+
+// slowdownStep is the change of slowdown that entries are told of at once.
+const slowdownStep = 0.5
+
+// learn takes what an answer says of the backend server's load.
+func (g *Guard) learn(h http.Header) {
+	l, ok := g.Dialect.ParseLoad(h.Get(g.Dialect.Headers.Load))
+	if !ok {
+		return
+	}
+	g.gate.BackendCount(l.Running)
+	g.toldAt.Store(int64(g.Now()))
+	if l.Slowdown <= 0 {
+		return
+	}
+	old := math.Float64frombits(g.slowdown.Swap(math.Float64bits(l.Slowdown)))
+	if math.Abs(l.Slowdown-old) >= slowdownStep {
+		g.Changed(false)
+	}
+}
+
+// record writes the decision about a request.
+func (g *Guard) record(r *mesh.Request, start time.Duration, a *mesh.Answer, e *kind.Error) {
+	l := g.Load()
+	pairs := []any{
+		"id", r.ID, "service", r.Service, "target", r.Target, "running", l.Running, "waiting", l.Waiting,
+		"slots", l.Slots, "slowdown", l.Slowdown, "load_age_ms", (g.Now() - time.Duration(g.toldAt.Load())).Milliseconds(),
+		"revision", l.Revision, "left_ms", r.Left.Milliseconds(), "patience_ms", r.Patience.Milliseconds(),
+		"took_ms", (g.Now() - start).Milliseconds(),
+	}
+	if e != nil {
+		g.Log.Decide("guard refused or lost", append(pairs, "kind", e.Kind, "outcome", e.Said(), "message", e.Message, "cause", errorText(e.Cause))...)
+		return
+	}
+	g.Log.Decide("guard served", append(pairs, "status", a.Status)...)
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
--- /dev/null
+++ b/internal/mesh/message.go
@@ -0,0 +1,50 @@
+package mesh
+
+import (
+	"net/http"
+	"time"
+)
+
+// Request is one request of a caller, whole, on its way to a backend server.
+type Request struct {
+	// ID is the caller's own id of this attempt.
+	ID string
+	// Method, URI and Host are as the caller sent them, byte for byte.
+	Method, URI, Host string
+	// Header has no headers of a single connection and none that the system sets.
+	Header http.Header
+	Body   []byte
+	// Caller is the service beside the node that took the request.
+	Caller string
+	// Service and Target are who is to run it.
+	Service, Target string
+	Idempotent      bool
+	Priority        int
+	// Left is what is left of the caller's time, as of sending.
+	Left time.Duration
+	// Patience is how long it may wait for a slot.
+	Patience time.Duration
+	// Version is the configuration's that routed it.
+	Version uint64
+}
+
+// Answer is a whole answer of a backend server.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Load is how busy a backend server is, as the guard beside it counts.
+type Load struct {
+	// Running and Waiting count requests; Slots is how many the guard lets run.
+	Running, Waiting, Slots int
+	// Service is how long a slot is held on average.
+	Service time.Duration
+	// Slowdown is how many times as long as usual work takes at the moment.
+	Slowdown float64
+	// Leaving says that the guard takes no new requests.
+	Leaving bool
+	// Revision is the newest store revision that the guard has seen.
+	Revision uint64
+}
--- /dev/null
+++ b/internal/mesh/node/admin.go
@@ -0,0 +1,108 @@
+package node
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/limpetdock/limpetdock/internal/clock"
+	"github.com/limpetdock/limpetdock/internal/mesh"
+	"github.com/limpetdock/limpetdock/internal/mesh/entry"
+	"github.com/limpetdock/limpetdock/internal/mesh/guard"
+	"github.com/limpetdock/limpetdock/internal/metrics"
+)
+
+// Paths of the operators' port.
+const (
+	// PathMetrics serves the counters.
+	PathMetrics = "/metrics"
+	// PathState dumps what the node believes.
+	PathState = "/state"
+)
+
+// admin answers the platform's readiness check and operators.
+type admin struct {
+	readyPath string
+	entry     *entry.Entry
+	guard     *guard.Guard
+	metrics   *metrics.Metrics
+	now       clock.Clock
+	stopping  atomic.Bool
+}
+
+func newAdmin(p Platform, e *entry.Entry, g *guard.Guard, m *metrics.Metrics, now clock.Clock) *admin {
+	gin.SetMode(gin.ReleaseMode)
+	return &admin{readyPath: p.ReadyPath, entry: e, guard: g, metrics: m, now: now}
+}
+
+// adminTimeout bounds reading a request's header at these ports.
+const adminTimeout = 5 * time.Second
+
+func serveHTTP(l net.Listener, h http.Handler) error {
+	s := &http.Server{Handler: h, ReadHeaderTimeout: adminTimeout}
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// serveReady answers the platform: the node takes callers while it has a
+// configuration and a list of targets and doesn't stop.
+func (a *admin) serveReady(l net.Listener) error {
+	r := gin.New()
+	r.GET(a.readyPath, func(c *gin.Context) {
+		if a.entry.View() == nil || a.stopping.Load() {
+			c.Status(http.StatusServiceUnavailable)
+			return
+		}
+		c.Status(http.StatusOK)
+	})
+	return serveHTTP(l, r)
+}
+
+// serve answers operators.
+func (a *admin) serve(l net.Listener) error {
+	r := gin.New()
+	r.GET(PathMetrics, gin.WrapH(promhttp.HandlerFor(a.metrics.Registry, promhttp.HandlerOpts{})))
+	r.GET(PathState, func(c *gin.Context) { c.JSON(http.StatusOK, a.state()) })
+	return serveHTTP(l, r)
+}
+
+// state is a dump of what a node believes.
+type state struct {
+	Stopping bool `json:"stopping"`
+	// Config is the version in force, 0 for none; Revision the store's.
+	Config   uint64        `json:"config"`
+	Revision uint64        `json:"revision"`
+	Active   int           `json:"active"`
+	Load     mesh.Load     `json:"load"`
+	Targets  []targetState `json:"targets"`
+}
+
+type targetState struct {
+	ID       string        `json:"id"`
+	Service  string        `json:"service"`
+	Addr     string        `json:"address"`
+	Zone     string        `json:"zone"`
+	Estimate mesh.Estimate `json:"estimate"`
+}
+
+func (a *admin) state() state {
+	s := state{Stopping: a.stopping.Load(), Active: a.entry.Active(), Load: a.guard.Load()}
+	v := a.entry.View()
+	if v == nil {
+		return s
+	}
+	s.Config, s.Revision = v.Config.Version, v.Revision
+	for _, list := range v.Targets {
+		for _, t := range list {
+			s.Targets = append(s.Targets, targetState{t.ID, t.Service, t.Addr, t.Zone, t.Stat.Estimate(a.now())})
+		}
+	}
+	return s
+}
--- /dev/null
+++ b/internal/mesh/node/metrics.go
@@ -0,0 +1,37 @@
+package node
+
+import (
+	"github.com/limpetdock/limpetdock/internal/decision"
+	"github.com/limpetdock/limpetdock/internal/mesh/entry"
+	"github.com/limpetdock/limpetdock/internal/mesh/exchange"
+	"github.com/limpetdock/limpetdock/internal/mesh/front"
+	"github.com/limpetdock/limpetdock/internal/mesh/guard"
+	"github.com/limpetdock/limpetdock/internal/metrics"
+)
+
+// registerMetrics exposes the counters that the parts of a node keep themselves.
+func registerMetrics(m *metrics.Metrics, log *decision.Log, s Source, f *front.Server, e *entry.Entry, g *guard.Guard, b *exchange.Client) {
+	count := func(name, help string, read func() uint64) {
+		m.Counter(name, help, func() float64 { return float64(read()) })
+	}
+	count("limpetdock_log_lines_total", "Lines written to the log.", func() uint64 { n, _ := log.Counts(); return n })
+	count("limpetdock_log_dropped_total", "Lines dropped to bound the log.", func() uint64 { _, n := log.Counts(); return n })
+	count("limpetdock_store_calls_total", "Calls to the platform's store, a waiting watch as one.", func() uint64 { n, _ := s.Calls(); return n })
+	count("limpetdock_store_calls_failed_total", "Calls to the store without an answer that could be used.", func() uint64 { _, n := s.Calls(); return n })
+	count("limpetdock_backend_sent_total", "Requests sent to the backend server.", func() uint64 { n, _ := g.Counts(); return n })
+	count("limpetdock_backend_probes_total", "Questions to the backend server about its load.", func() uint64 { _, n := g.Counts(); return n })
+	count("limpetdock_backend_connections_total", "Connections opened to the backend server.", b.Opened)
+	count("limpetdock_callers_connections_total", "Connections accepted from callers.", f.Counts.Accepted.Load)
+	count("limpetdock_callers_requests_total", "Requests read whole.", f.Counts.Requests.Load)
+	count("limpetdock_callers_rejected_total", "Requests that could not be read.", f.Counts.Rejected.Load)
+	count("limpetdock_callers_left_total", "Requests whose caller left before the answer.", f.Counts.Left.Load)
+	m.Gauge("limpetdock_requests_in_flight", "Requests of callers being served.", func() float64 { return float64(e.Active()) })
+	m.Gauge("limpetdock_backend_slots_in_use", "Requests that the backend server runs now.", func() float64 { return float64(g.Load().Running) })
+	m.Gauge("limpetdock_backend_queue_length", "Requests that wait for a slot.", func() float64 { return float64(g.Load().Waiting) })
+	m.Gauge("limpetdock_config_version", "Configuration in force; 0 is none.", func() float64 {
+		if v := e.View(); v != nil {
+			return float64(v.Config.Version)
+		}
+		return 0
+	})
+}
--- /dev/null
+++ b/internal/mesh/node/reports.go
@@ -0,0 +1,99 @@
+package node
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/limpetdock/limpetdock/internal/clock"
+	"github.com/limpetdock/limpetdock/internal/mesh"
+	"github.com/limpetdock/limpetdock/internal/mesh/guard"
+	"github.com/limpetdock/limpetdock/internal/mesh/peer"
+)
+
+// reports hands load reports of other nodes to the targets they are about.
+type reports struct {
+	now clock.Clock
+	// byPeer finds the targets beside a node.
+	byPeer atomic.Pointer[map[string]*mesh.Target]
+}
+
+func newReports(now clock.Clock) *reports { return &reports{now: now} }
+
+func (r *reports) setView(v *mesh.View) {
+	byPeer := map[string]*mesh.Target{}
+	for _, list := range v.Targets {
+		for _, t := range list {
+			byPeer[t.Peer] = t
+		}
+	}
+	r.byPeer.Store(&byPeer)
+}
+
+// Reported takes the load of the backend server beside the node at addr.
+func (r *reports) Reported(addr string, l mesh.Load) {
+	targets := r.byPeer.Load()
+	if targets == nil {
+		return
+	}
+	if t := (*targets)[addr]; t != nil {
+		t.Stat.Report(l, r.now())
+	}
+}
+
+const (
+	// tellEvery is the least pause between two load reports to the own region. A
+	// report is some 90 bytes on the wire for each node there.
+	tellEvery = 60 * time.Millisecond
+	// tellAlways is the longest pause while anything runs or waits.
+	tellAlways = 250 * time.Millisecond
+)
+
+// teller tells other nodes the load of the own backend server when it changes.
+type teller struct {
+	wake   chan struct{}
+	urgent atomic.Bool
+}
+
+func newTeller() *teller { return &teller{wake: make(chan struct{}, 1)} }
+
+// changed notes that there is something to tell; urgent news go to all regions.
+func (t *teller) changed(urgent bool) {
+	if urgent {
+		t.urgent.Store(true)
+	}
+	select {
+	case t.wake <- struct{}{}:
+	default:
+	}
+}
+
+// run tells until ctx ends.
+func (t *teller) run(ctx context.Context, peers *peer.Server, g *guard.Guard) {
+	var told mesh.Load
+	ticker := time.NewTicker(tellAlways)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-t.wake:
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		l := g.Load()
+		if urgent := t.urgent.Swap(false); urgent || l != told {
+			peers.Tell(l, urgent)
+			told = l
+		}
+		sleep(ctx, tellEvery)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/mesh/node/stop.go
@@ -0,0 +1,41 @@
+package node
+
+import (
+	"time"
+)
+
+const (
+	// leastStop is how long a stopping node serves on at least: the platform takes
+	// it out after two missed readiness checks a second apart, and its callers open
+	// connections until then.
+	leastStop = 2500 * time.Millisecond
+	// stopMargin is kept off the grace, after which the process is killed.
+	stopMargin = 400 * time.Millisecond
+	// stopEvery is the pause between looks whether everything has ended.
+	stopEvery = 20 * time.Millisecond
+	// flushWithin bounds the wait for the last lines of the log.
+	flushWithin = 50 * time.Millisecond
+)
+
+// stop ends the node without cutting off a request: other nodes send no more,
+// callers are told to use another connection with their next answer, and what is
+// in flight ends first, for as long as the grace lasts.
+func (p *parts) stop() {
+	began := time.Now()
+	p.Log.Change("stopping", "active", p.Front.Active(), "guard_active", p.Guard.Active())
+	p.Admin.stopping.Store(true)
+	p.Guard.Stop()
+	p.Front.Drain()
+	limit := p.Settings.StopGrace - stopMargin
+	for time.Since(began) < limit {
+		time.Sleep(stopEvery)
+		if time.Since(began) >= leastStop && p.Guard.Active() == 0 && p.Front.Finish() {
+			break
+		}
+	}
+	p.Log.Change("stopped", "active", p.Front.Active(), "guard_active", p.Guard.Active(), "took_ms", time.Since(began).Milliseconds())
+	p.Log.Flush(flushWithin)
+	p.Front.Close()
+	p.Peers.Close()
+	p.Backend.Close()
+}
--- /dev/null
+++ b/internal/mesh/peer/server.go
@@ -0,0 +1,203 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/limpetdock/limpetdock/internal/kind"
+	"github.com/limpetdock/limpetdock/internal/mesh"
+)
+
+// Handler runs requests of other nodes. Safe for concurrent use.
+type Handler interface {
+	// Run runs or refuses a request. ctx ends when nobody waits for it any more.
+	Run(ctx context.Context, r *mesh.Request) (*mesh.Answer, *kind.Error)
+	// Load gives the load to tell with the answer.
+	Load() mesh.Load
+}
+
+// helloTimeout bounds the wait for a connection's first frame.
+const helloTimeout = 2 * time.Second
+
+// acceptPause follows a failed accept, as when descriptors have run out.
+const acceptPause = 20 * time.Millisecond
+
+// Server takes requests of other nodes. Safe for concurrent use.
+type Server struct {
+	handler Handler
+	here    mesh.Place
+	mu      sync.Mutex
+	conns   map[*serverConn]struct{}
+}
+
+// NewServer returns a Server that hands requests to h.
+func NewServer(h Handler, here mesh.Place) *Server {
+	return &Server{handler: h, here: here, conns: map[*serverConn]struct{}{}}
+}
+
+// Serve accepts connections on l until it is closed.
+func (s *Server) Serve(l net.Listener) error {
+	for {
+		c, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			time.Sleep(acceptPause)
+			continue
+		}
+		go s.serve(c)
+	}
+}
+
+// serverConn is a connection that another node opened.
+type serverConn struct {
+	server  *Server
+	writer  *writer
+	hello   Hello
+	mu      sync.Mutex
+	running map[uint32]context.CancelFunc
+}
+
+func (s *Server) serve(c net.Conn) {
+	conn := &serverConn{server: s, writer: newWriter(c), running: map[uint32]context.CancelFunc{}}
+	defer conn.writer.close()
+	reader := bufio.NewReader(c)
+	if err := conn.greet(c, reader); err != nil {
+		return
+	}
+	s.add(conn)
+	defer s.remove(conn)
+	ctx, cancel := context.WithCancel(context.Background())
+	// Nobody waits any more for what came over a connection that has ended.
+	defer cancel()
+	for {
+		t, stream, body, err := decode(reader)
+		if err != nil {
+			return
+		}
+		if !conn.take(ctx, t, stream, body) {
+			return
+		}
+	}
+}
+
+func (c *serverConn) greet(raw net.Conn, reader *bufio.Reader) error {
+	if err := raw.SetReadDeadline(time.Now().Add(helloTimeout)); err != nil {
+		return err
+	}
+	t, _, body, err := decode(reader)
+	if err != nil {
+		return err
+	}
+	if t != frameHello {
+		return errFrame
+	}
+	if err := msgpack.Unmarshal(body, &c.hello); err != nil {
+		return err
+	}
+	return raw.SetReadDeadline(time.Time{})
+}
+
+// take acts on one frame; false ends the connection.
+func (c *serverConn) take(ctx context.Context, t frameType, stream uint32, body []byte) bool {
+	switch t {
+	case frameRequest:
+		var r requestBody
+		if msgpack.Unmarshal(body, &r) != nil {
+			return false
+		}
+		c.start(ctx, stream, r.request())
+	case frameCancel:
+		c.mu.Lock()
+		cancel := c.running[stream]
+		c.mu.Unlock()
+		if cancel != nil {
+			cancel()
+		}
+	case framePing:
+		return c.reply(framePong, stream, nil)
+	default:
+		return false
+	}
+	return true
+}
+
+func (c *serverConn) start(ctx context.Context, stream uint32, r *mesh.Request) {
+	ctx, cancel := context.WithCancel(ctx)
+	c.mu.Lock()
+	c.running[stream] = cancel
+	c.mu.Unlock()
+	go func() {
+		defer func() {
+			c.mu.Lock()
+			delete(c.running, stream)
+			c.mu.Unlock()
+			cancel()
+		}()
+		answer, e := c.server.handler.Run(ctx, r)
+		load := c.server.handler.Load()
+		if e != nil {
+			c.reply(frameRefusal, stream, fromError(e, load))
+			return
+		}
+		c.reply(frameAnswer, stream, &answerBody{
+			Status: answer.Status, Header: answer.Header, Body: answer.Body, Load: fromLoad(load),
+		})
+	}()
+}
+
+func (c *serverConn) reply(t frameType, stream uint32, body any) bool {
+	frame, err := encode(t, stream, body)
+	if err != nil {
+		return false
+	}
+	// A connection that can't be written to is closed, and its reader ends.
+	return c.writer.send(frame) == nil
+}
+
+func (s *Server) add(c *serverConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns[c] = struct{}{}
+}
+
+func (s *Server) remove(c *serverConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+}
+
+// Tell sends a load report to the nodes of the own region, or to all.
+func (s *Server) Tell(l mesh.Load, all bool) {
+	frame, err := encode(frameLoad, 0, fromLoad(l))
+	if err != nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	told := map[string]bool{}
+	for c := range s.conns {
+		if !all && c.hello.Region != s.here.Region || told[c.hello.VM] {
+			continue
+		}
+		told[c.hello.VM] = true
+		// One that can't be told has its connection closed, and dials again.
+		_ = c.writer.send(frame)
+	}
+}
+
+// Close ends all connections.
+func (s *Server) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.writer.close()
+	}
+}
--- /dev/null
+++ b/internal/mesh/peer/writer.go
@@ -0,0 +1,124 @@
+package peer
+
+import (
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// maxQueued bounds the bytes that wait to be written to one peer. A peer that
+	// doesn't read is given up; it would otherwise fill this node's memory.
+	maxQueued = 24 << 20
+	// writeTimeout bounds one write. Nothing between two nodes takes as long
+	// unless the peer is frozen or cut off.
+	writeTimeout = 3 * time.Second
+)
+
+var errFull = eris.New("the peer doesn't read what is sent to it")
+
+// writer writes frames from a queue, so that nobody waits for the network.
+// Frames that wait together go out in one write.
+type writer struct {
+	conn   net.Conn
+	mu     sync.Mutex
+	queue  net.Buffers
+	queued int
+	wake   chan struct{}
+	closed bool
+}
+
+func newWriter(c net.Conn) *writer {
+	w := &writer{conn: c, wake: make(chan struct{}, 1)}
+	go w.run()
+	return w
+}
+
+// send queues a frame.
+func (w *writer) send(frame []byte) error {
+	w.mu.Lock()
+	if w.closed {
+		w.mu.Unlock()
+		return net.ErrClosed
+	}
+	if w.queued+len(frame) > maxQueued {
+		w.mu.Unlock()
+		w.close()
+		return errFull
+	}
+	defer w.mu.Unlock()
+	w.queue = append(w.queue, frame)
+	w.queued += len(frame)
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+	return nil
+}
+
+func (w *writer) run() {
+	for range w.wake {
+		w.mu.Lock()
+		frames := w.queue
+		w.queue, w.queued = nil, 0
+		closed := w.closed
+		w.mu.Unlock()
+		if closed {
+			return
+		}
+		if len(frames) == 0 {
+			continue
+		}
+		if err := w.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+			w.close()
+			return
+		}
+		if _, err := frames.WriteTo(w.conn); err != nil {
+			w.close()
+			return
+		}
+	}
+}
+
+// close closes the connection; what is queued is dropped.
+func (w *writer) close() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.closed {
+		return
+	}
+	w.closed = true
+	w.queue = nil
+	// The reader of the connection tells everybody who waits.
+	_ = w.conn.Close()
+	close(w.wake)
+}
+
+const (
+	// keepIdle, keepEvery and keepCount find a peer that went dark within three
+	// seconds without a byte of the node's own (tcp(7)).
+	keepIdle  = time.Second
+	keepEvery = time.Second
+	keepCount = 2
+	// userTimeout is when the kernel gives up unacknowledged bytes, in
+	// milliseconds: a request on its way into the dark is known to be lost then.
+	userTimeout = 1500
+)
+
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: keepIdle, Interval: keepEvery, Count: keepCount}
+
+// giveUpSoon sets how long unacknowledged bytes are tried for.
+func giveUpSoon(_, _ string, raw syscall.RawConn) error {
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, userTimeout)
+	})
+	if err != nil {
+		return err
+	}
+	return failed
+}
--- /dev/null
+++ b/internal/mesh/settings/settings.go
@@ -0,0 +1,218 @@
+// Package settings reads and checks the settings file (INI) of a node in a
+// deployment whose targets register themselves.
+package settings
+
+import (
+	"math"
+	"net"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"gopkg.in/ini.v1"
+
+	"github.com/limpetdock/limpetdock/internal/mesh"
+	"github.com/limpetdock/limpetdock/internal/mesh/entry"
+)
+
+// Settings are the checked settings of one node.
+type Settings struct {
+	// Here is where the node stands, and what it stands beside.
+	Here mesh.Place
+	// Regions finds the region of an availability zone.
+	Regions map[string]string
+	// Callers, Peers, Ready and Admin are the addresses the node listens on, for
+	// callers, other nodes, the platform's readiness check and operators.
+	Callers, Peers, Ready, Admin string
+	// Backend is the address of the backend server beside the node.
+	Backend string
+	// Store is the address of the platform's store.
+	Store string
+	// Repeats bounds how often requests may be run again, over all nodes.
+	Repeats entry.Repeats
+	// StopGrace is the time from the signal to stop until the process is killed.
+	StopGrace time.Duration
+	// Tunable are the settings that a running node takes over.
+	Tunable Tunable
+}
+
+// Tunable are the settings that may change while a node runs.
+type Tunable struct {
+	// Prices turn bytes that leave the zone into time.
+	Prices entry.Prices
+	// Fill is the share of a backend server's slots that is filled.
+	Fill float64
+	// LogLevel is 0 for information, 1 for warnings only.
+	LogLevel int
+}
+
+// field is one key of the settings and how its value is checked.
+type field struct {
+	section, key string
+	// fallback holds where the key is missing; a key without one is required.
+	fallback string
+	allowed  string
+	set      func(s *Settings, value string) error
+}
+
+const required = ""
+
+// leastFill is the least share of slots that is any use.
+const leastFill = 0.1
+
+var fields = []field{
+	{"node", "vm", required, "a name", text(func(s *Settings) *string { return &s.Here.VM })},
+	{"node", "ip", required, "an IP address", ip},
+	{"node", "zone", required, "a name", text(func(s *Settings) *string { return &s.Here.Zone })},
+	{"node", "region", required, "a name", text(func(s *Settings) *string { return &s.Here.Region })},
+	{"node", "service", required, "a name", text(func(s *Settings) *string { return &s.Here.Service })},
+	{"listen", "callers", required, "IP:PORT", address(func(s *Settings) *string { return &s.Callers })},
+	{"listen", "peers", required, "IP:PORT", address(func(s *Settings) *string { return &s.Peers })},
+	{"listen", "ready", required, "IP:PORT", address(func(s *Settings) *string { return &s.Ready })},
+	{"listen", "admin", required, "IP:PORT", address(func(s *Settings) *string { return &s.Admin })},
+	{"backend", "address", required, "IP:PORT", address(func(s *Settings) *string { return &s.Backend })},
+	{"store", "address", required, "IP:PORT", address(func(s *Settings) *string { return &s.Store })},
+	{"repeats", "ratio", "0.2", "repeats for each request, from 0 to 1", number(0, 1, func(s *Settings, v float64) { s.Repeats.Ratio = v })},
+	{"repeats", "slack", "0", "repeats besides, of all nodes together, in a window", number(0, 1e6, func(s *Settings, v float64) { s.Repeats.Slack = v })},
+	{"repeats", "window-seconds", "10", "seconds, from 1 to 3600", number(1, 3600, func(s *Settings, v float64) { s.Repeats.Window = seconds(v) })},
+	{"stop", "grace-seconds", "6", "seconds, from 1 to 600", number(1, 600, func(s *Settings, v float64) { s.StopGrace = seconds(v) })},
+	{"routing", "zone-price", "2500us", "a duration for each kilobyte that leaves the zone", duration(func(s *Settings) *time.Duration { return &s.Tunable.Prices.ZonePerKB })},
+	{"routing", "region-price", "20ms", "a duration for each kilobyte that leaves the region", duration(func(s *Settings) *time.Duration { return &s.Tunable.Prices.RegionPerKB })},
+	{"backend", "fill", "0.8", "a share of the slots, from 0.1 to 1", number(leastFill, 1, func(s *Settings, v float64) { s.Tunable.Fill = v })},
+	{"log", "level", "0", "0 or 1", level},
+}
+
+// zonesSection maps availability zones to regions, a line each.
+const zonesSection = "zones"
+
+// Load reads and checks the settings file at path. The error names everything
+// that is wrong.
+func Load(path string) (*Settings, error) {
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return nil, eris.Wrap(err, "read settings")
+	}
+	return Parse(content)
+}
+
+// Parse checks the settings in content.
+func Parse(content []byte) (*Settings, error) {
+	doc, err := ini.LoadSources(ini.LoadOptions{IgnoreInlineComment: true}, content)
+	if err != nil {
+		return nil, eris.Wrap(err, "settings aren't INI")
+	}
+	s := &Settings{Regions: map[string]string{}}
+	wrong := unknown(doc)
+	for _, f := range fields {
+		if err := f.apply(s, doc); err != nil {
+			wrong = append(wrong, err.Error())
+		}
+	}
+	for _, key := range doc.Section(zonesSection).Keys() {
+		s.Regions[key.Name()] = key.String()
+	}
+	if len(s.Regions) == 0 {
+		wrong = append(wrong, "[zones] needs a line ZONE = REGION for each availability zone")
+	}
+	if len(wrong) > 0 {
+		return nil, eris.New("settings: " + strings.Join(wrong, "; "))
+	}
+	return s, nil
+}
+
+func (f field) apply(s *Settings, doc *ini.File) error {
+	value := doc.Section(f.section).Key(f.key).String()
+	if value == "" {
+		value = f.fallback
+	}
+	if value == "" {
+		return eris.Errorf("[%s] %s is missing; allowed: %s", f.section, f.key, f.allowed)
+	}
+	if err := f.set(s, value); err != nil {
+		return eris.Errorf("[%s] %s: %v; allowed: %s", f.section, f.key, err, f.allowed)
+	}
+	return nil
+}
+
+// unknown lists the keys that no field has: a misspelt one would be without effect.
+func unknown(doc *ini.File) []string {
+	var wrong []string
+	for _, section := range doc.Sections() {
+		if section.Name() == zonesSection {
+			continue
+		}
+		for _, key := range section.Keys() {
+			known := slices.ContainsFunc(fields, func(f field) bool {
+				return f.section == section.Name() && f.key == key.Name()
+			})
+			if !known {
+				wrong = append(wrong, "["+section.Name()+"] "+key.Name()+" isn't known")
+			}
+		}
+	}
+	return wrong
+}
+
+func text(at func(*Settings) *string) func(*Settings, string) error {
+	return func(s *Settings, v string) error {
+		*at(s) = v
+		return nil
+	}
+}
+
+func ip(s *Settings, v string) error {
+	if net.ParseIP(v) == nil {
+		return eris.Errorf("%q is no IP address", v)
+	}
+	s.Here.IP = v
+	return nil
+}
+
+func address(at func(*Settings) *string) func(*Settings, string) error {
+	return func(s *Settings, v string) error {
+		host, port, err := net.SplitHostPort(v)
+		if err != nil || net.ParseIP(host) == nil {
+			return eris.Errorf("%q is no IP:PORT", v)
+		}
+		if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 {
+			return eris.Errorf("%q has no port", v)
+		}
+		*at(s) = v
+		return nil
+	}
+}
+
+func duration(at func(*Settings) *time.Duration) func(*Settings, string) error {
+	return func(s *Settings, v string) error {
+		d, err := time.ParseDuration(v)
+		if err != nil || d < 0 {
+			return eris.Errorf("%q is no duration of 0 or more", v)
+		}
+		*at(s) = d
+		return nil
+	}
+}
+
+func seconds(v float64) time.Duration { return time.Duration(v * float64(time.Second)) }
+
+func number(least, most float64, set func(*Settings, float64)) func(*Settings, string) error {
+	return func(s *Settings, v string) error {
+		n, err := strconv.ParseFloat(v, 64)
+		if err != nil || math.IsNaN(n) || n < least || n > most {
+			return eris.Errorf("%q is no number from %g to %g", v, least, most)
+		}
+		set(s, n)
+		return nil
+	}
+}
+
+func level(s *Settings, v string) error {
+	if v != "0" && v != "1" {
+		return eris.Errorf("%q is no level", v)
+	}
+	s.Tunable.LogLevel = int(v[0] - '0')
+	return nil
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -11,6 +11,7 @@
 	"go.uber.org/fx"
 
 	"github.com/limpetdock/limpetdock/internal/budget"
+	"github.com/limpetdock/limpetdock/internal/clock"
 	"github.com/limpetdock/limpetdock/internal/control"
 	"github.com/limpetdock/limpetdock/internal/core"
 	"github.com/limpetdock/limpetdock/internal/entry"
@@ -28,9 +29,9 @@
 // logr.Logger from outside.
 var Module = fx.Options(
 	fx.Provide(
-		newClock, newSelf, newGuard, newEntry, newLoop, newDialer, newServers,
+		clock.New, newSelf, newGuard, newEntry, newLoop, newDialer, newServers,
 		metrics.New, limit.New, countLibraryLog,
-		func(now Clock) *budget.Measuring { return budget.NewMeasuring(now) },
+		func(now clock.Clock) *budget.Measuring { return budget.NewMeasuring(now) },
 		func() *link.Counters { return &link.Counters{} },
 		func(s *settings.Settings) *platform.HTTP { return platform.NewHTTP(s.Platform) },
 		func(l *control.Loop, c *link.Counters) *link.Server { return link.NewServer(l, c) },
@@ -50,7 +51,7 @@
 	}
 }
 
-func newGuard(s *settings.Settings, self core.Self, b *budget.Measuring, now Clock) *guard.Guard {
+func newGuard(s *settings.Settings, self core.Self, b *budget.Measuring, now clock.Clock) *guard.Guard {
 	g := guard.New(s.Backend, self.Incarnation, now)
 	g.SetMeasuring(b)
 	g.SetVM(s.VM)
@@ -62,7 +63,7 @@
 	return g
 }
 
-func newEntry(g *guard.Guard, d *link.Dialer, m *metrics.Metrics, limits *limit.Table, b *budget.Measuring, now Clock) *entry.Entry {
+func newEntry(g *guard.Guard, d *link.Dialer, m *metrics.Metrics, limits *limit.Table, b *budget.Measuring, now clock.Clock) *entry.Entry {
 	m.Registry.MustRegister(limits)
 	return entry.New(entry.Config{
 		Local: g, Seal: g.Seal, Peers: d, Observer: m, Load: g.Load, Limits: limits, Measuring: b, Now: now,
@@ -73,7 +74,7 @@
 	return link.NewDialer(wire.Hello{Fleet: self.Fleet, VM: self.VM, Incarnation: self.Incarnation}, c)
 }
 
-func newLoop(self core.Self, p *platform.HTTP, d *link.Dialer, g *guard.Guard, e *entry.Entry, log logr.Logger, now Clock) *control.Loop {
+func newLoop(self core.Self, p *platform.HTTP, d *link.Dialer, g *guard.Guard, e *entry.Entry, log logr.Logger, now clock.Clock) *control.Loop {
 	return control.New(control.Config{
 		State: core.New(self, rand.Uint64()), Platform: p, Peers: d, Guard: g, Entry: e, Log: log, Now: now,
 	})
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -10,6 +10,7 @@
 
 	"github.com/limpetdock/limpetdock/fleet"
 	"github.com/limpetdock/limpetdock/internal/admin"
+	"github.com/limpetdock/limpetdock/internal/clock"
 	"github.com/limpetdock/limpetdock/internal/control"
 	"github.com/limpetdock/limpetdock/internal/core"
 	"github.com/limpetdock/limpetdock/internal/entry"
@@ -40,7 +41,7 @@
 	Metrics  *metrics.Metrics
 	Control  *link.Server
 	Limits   *limit.Table
-	Clock    Clock
+	Clock    clock.Clock
 	Log      logr.Logger
 }
 
@@ -114,7 +115,7 @@
 	*entry.Entry
 	*guard.Guard
 	limits *limit.Table
-	clock  Clock
+	clock  clock.Clock
 }
 
 // Limits are the limits on requests in flight, with their use.
