--- a/internal/mesh/directory/directory.go
+++ b/internal/mesh/directory/directory.go
@@ -71,7 +71,8 @@
 
 // Configure puts a configuration in force if it is newer than the one that is,
 // and says whether it was.
-func (s *State) Configure(c *mesh.Config) bool {
+func (s *State) Configure(c *mesh.Config, revision uint64) bool {
+	s.revision = max(s.revision, revision)
 	if s.config != nil && c.Version <= s.config.Version {
 		return false
 	}
--- a/internal/mesh/directory/loop.go
+++ b/internal/mesh/directory/loop.go
@@ -15,8 +15,12 @@
 
 // The events.
 type (
-	// ConfigRead is a configuration that was read, decoded and checked.
-	ConfigRead struct{ Config *mesh.Config }
+	// ConfigRead is a configuration that was read, decoded and checked, and the
+	// revision at which it was written.
+	ConfigRead struct {
+		Config   *mesh.Config
+		Revision uint64
+	}
 	// TargetsRead is the whole list of targets as of a revision.
 	TargetsRead struct {
 		Revision uint64
@@ -36,7 +40,7 @@
 )
 
 func (e ConfigRead) apply(l *Loop, _ time.Duration) {
-	if l.state.Configure(e.Config) {
+	if l.state.Configure(e.Config, e.Revision) {
 		l.log.Change("configuration in force", "version", e.Config.Version, "routes", len(e.Config.Routes()))
 		return
 	}
--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -27,14 +27,17 @@
 	Dialect mesh.Dialect
 	// ReadyPath is where the platform asks whether the node takes callers.
 	ReadyPath string
-	// Source opens the platform's store at an address.
-	Source func(address string, log *decision.Log, sink *directory.Loop) Source
+	// Source opens the platform's store at an address. alone says whether the node
+	// hears of no other.
+	Source func(address string, log *decision.Log, sink *directory.Loop, alone func() bool) Source
 }
 
 // Source reads the platform's store and hands its news to the control goroutine.
 type Source interface {
 	// Run reads until ctx ends.
 	Run(ctx context.Context)
+	// Seen tells the revision that another node has seen.
+	Seen(revision uint64)
 	// Calls gives how many calls were made, and how many of them failed.
 	Calls() (made, failed uint64)
 }
@@ -97,8 +100,10 @@
 	}), nil
 }
 
-func newSource(s *settings.Settings, p Platform, log *decision.Log, l *directory.Loop) Source {
-	return p.Source(s.Store, log, l)
+func newSource(s *settings.Settings, p Platform, log *decision.Log, l *directory.Loop, r *reports) Source {
+	source := p.Source(s.Store, log, l, r.alone)
+	r.onRevision(source.Seen)
+	return source
 }
 
 // parts are what a running node acts on.
--- a/internal/mesh/node/reports.go
+++ b/internal/mesh/node/reports.go
@@ -16,6 +16,10 @@
 	now clock.Clock
 	// byPeer finds the targets beside a node.
 	byPeer atomic.Pointer[map[string]*mesh.Target]
+	// heard is when a report last came, in nanoseconds since the start.
+	heard atomic.Int64
+	// seen is told the store revision in each report.
+	seen atomic.Pointer[func(revision uint64)]
 }
 
 func newReports(now clock.Clock) *reports { return &reports{now: now} }
@@ -30,8 +34,22 @@
 	r.byPeer.Store(&byPeer)
 }
 
+// onRevision sets what is told the store revisions that other nodes have seen.
+func (r *reports) onRevision(f func(uint64)) { r.seen.Store(&f) }
+
+// aloneAfter is how long nothing comes from any node before the node takes itself
+// for alone: two of the reports that come in any case.
+const aloneAfter = 2*tellAnyway + tellAnyway/2
+
+// alone says whether the node hears of no other.
+func (r *reports) alone() bool { return r.now()-time.Duration(r.heard.Load()) > aloneAfter }
+
 // Reported takes the load of the backend server beside the node at addr.
 func (r *reports) Reported(addr string, l mesh.Load) {
+	r.heard.Store(int64(r.now()))
+	if seen := r.seen.Load(); seen != nil {
+		(*seen)(l.Revision)
+	}
 	targets := r.byPeer.Load()
 	if targets == nil {
 		return
@@ -47,6 +65,9 @@
 	tellEvery = 60 * time.Millisecond
 	// tellAlways is the longest pause while anything runs or waits.
 	tellAlways = 250 * time.Millisecond
+	// tellAnyway is the longest pause between two reports: they show that the node
+	// is there, and what it has seen of the store.
+	tellAnyway = time.Second
 )
 
 // teller tells other nodes the load of the own backend server when it changes.
@@ -71,6 +92,7 @@
 // run tells until ctx ends.
 func (t *teller) run(ctx context.Context, peers *peer.Server, g *guard.Guard) {
 	var told mesh.Load
+	var toldAt time.Time
 	ticker := time.NewTicker(tellAlways)
 	defer ticker.Stop()
 	for {
@@ -81,9 +103,9 @@
 			return
 		}
 		l := g.Load()
-		if urgent := t.urgent.Swap(false); urgent || l != told {
-			peers.Tell(l, urgent)
-			told = l
+		if urgent := t.urgent.Swap(false); urgent || l != told || time.Since(toldAt) >= tellAnyway {
+			peers.Tell(l, urgent || l.Revision != told.Revision)
+			told, toldAt = l, time.Now()
 		}
 		sleep(ctx, tellEvery)
 	}
