--- /dev/null
+++ b/internal/decision/decision_test.go
@@ -0,0 +1,84 @@
+package decision_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/limpetdock/limpetdock/internal/decision"
+)
+
+// Whoever reads the log has stopped reading, and the pipe is full. Requests must go
+// on as if nothing were; what can't be written is counted.
+func TestAReaderThatDoesNotReadHoldsUpNobody(t *testing.T) {
+	r, w := io.Pipe()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	log := decision.New(ctx, w, slog.LevelInfo)
+	const lines = 5000
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for i := range lines {
+			log.Decide("request ended", "id", i)
+			log.Change("belief", "id", i)
+		}
+	}()
+	<-done
+	written, dropped := log.Counts()
+	require.Zero(t, written)
+	require.Greater(t, dropped, uint64(lines))
+	require.NoError(t, r.Close())
+}
+
+// syncBuffer is a bytes.Buffer for several goroutines.
+type syncBuffer struct {
+	mu sync.Mutex
+	bytes.Buffer
+}
+
+func (b *syncBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.Buffer.Write(p)
+}
+
+func TestALineIsOneJSONObjectWithItsPairs(t *testing.T) {
+	var out syncBuffer
+	log := decision.New(t.Context(), &out, slog.LevelInfo)
+	log.Decide("request ended", "id", "a7", "kind", "overloaded")
+	require.Eventually(t, func() bool { n, _ := log.Counts(); return n == 1 }, time.Minute, time.Millisecond)
+	out.mu.Lock()
+	defer out.mu.Unlock()
+	var line map[string]any
+	require.NoError(t, json.Unmarshal(out.Bytes(), &line))
+	require.Equal(t, "request ended", line["msg"])
+	require.Equal(t, "a7", line["id"])
+	require.Equal(t, "overloaded", line["kind"])
+}
+
+func TestWarningsOnlyLeavesDecisionsOut(t *testing.T) {
+	var out syncBuffer
+	log := decision.New(t.Context(), &out, slog.LevelWarn)
+	log.Decide("request ended")
+	log.Trouble("store lost")
+	require.Eventually(t, func() bool { n, _ := log.Counts(); return n == 1 }, time.Minute, time.Millisecond)
+	out.mu.Lock()
+	defer out.mu.Unlock()
+	require.Contains(t, out.String(), "store lost")
+	require.NotContains(t, out.String(), "request ended")
+}
+
+func TestANilLogDropsEverything(t *testing.T) {
+	var log *decision.Log
+	log.Decide("x")
+	log.Change("x")
+	log.Trouble("x")
+}
--- /dev/null
+++ b/internal/mesh/directory/directory_test.go
@@ -0,0 +1,159 @@
+package directory_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/limpetdock/limpetdock/internal/mesh"
+	"github.com/limpetdock/limpetdock/internal/mesh/directory"
+)
+
+var (
+	here    = mesh.Place{VM: "vm-1", IP: "10.1.0.1", Zone: "rs-a", Region: "rs", Service: "orders"}
+	regions = map[string]string{"rs-a": "rs", "rs-b": "rs", "sc-a": "sc"}
+)
+
+func newState() *directory.State { return directory.New(here, "10.1.0.1:8301", regions, "8300") }
+
+func config(version uint64) *mesh.Config {
+	return mesh.NewConfig(version, nil, []*mesh.Route{{Name: "r", Host: "h", Prefix: "/", Shares: []mesh.Share{{Service: "orders", Weight: 1}}}}, mesh.Limits{})
+}
+
+func target(id, addr, zone string, revision uint64) directory.Registration {
+	return directory.Registration{
+		ID: id, Service: "orders", Addr: addr, Zone: zone, Slots: 6, Revision: revision, Started: time.UnixMilli(1000),
+	}
+}
+
+func ids(v *mesh.View) []string {
+	var list []string
+	for _, t := range v.Targets["orders"] {
+		list = append(list, t.ID)
+	}
+	return list
+}
+
+func ready(t *testing.T) *directory.State {
+	s := newState()
+	require.True(t, s.Configure(config(3), 1))
+	s.Replace(0, 10, []directory.Registration{
+		target("i-own", "10.1.0.1:8301", "rs-a", 2), target("i-zone", "10.2.0.1:8301", "rs-b", 3), target("i-far", "10.3.0.1:8301", "sc-a", 4),
+	})
+	return s
+}
+
+func TestTheViewShowsTargetsNearestFirst(t *testing.T) {
+	v := ready(t).Tick(0)
+	require.Equal(t, []string{"i-own", "i-zone", "i-far"}, ids(v))
+	require.Equal(t, "i-own", v.Own.ID)
+	require.Equal(t, map[string]mesh.Distance{"10.2.0.1:8300": mesh.SameRegion, "10.3.0.1:8300": mesh.OtherRegion}, v.Peers)
+	require.EqualValues(t, 10, v.Revision)
+}
+
+func TestNothingIsInForceUntilBothAreKnown(t *testing.T) {
+	s := newState()
+	require.Nil(t, s.Tick(0))
+	s.Configure(config(1), 1)
+	require.Nil(t, s.Tick(0))
+	s.Replace(0, 1, nil)
+	require.NotNil(t, s.Tick(0))
+	require.Nil(t, s.Tick(0), "nothing has changed since")
+}
+
+// Two reads of the store overtake each other. The older configuration comes last
+// and must not replace the newer one.
+func TestAnOlderConfigurationIsNeverPutInForce(t *testing.T) {
+	s := ready(t)
+	require.False(t, s.Configure(config(2), 9))
+	require.False(t, s.Configure(config(3), 9))
+	require.True(t, s.Configure(config(7), 9))
+	require.EqualValues(t, 7, s.Tick(0).Config.Version)
+}
+
+func TestADrainingTargetGetsNothingMore(t *testing.T) {
+	s := ready(t)
+	leaving := target("i-zone", "10.2.0.1:8301", "rs-b", 11)
+	leaving.State = mesh.Draining
+	s.Put(0, leaving)
+	require.Equal(t, []string{"i-own", "i-far"}, ids(s.Tick(0)))
+	s.Put(0, target("i-zone", "10.2.0.1:8301", "rs-b", 3))
+	require.Nil(t, s.Tick(0), "what was written before changes nothing")
+}
+
+// A target that never says it drains is removed from the store. It serves on for
+// two seconds, and must be left within them.
+func TestATargetThatIsRemovedIsDroppedAtOnce(t *testing.T) {
+	s := ready(t)
+	s.Remove(0, 11, "i-zone")
+	require.Equal(t, []string{"i-own", "i-far"}, ids(s.Tick(0)))
+}
+
+// The store is away for longer than registrations last. When it comes back all
+// have run out, though every target runs; each is renewed a moment later. A node
+// that drops them at once has nothing left to send requests to.
+func TestRegistrationsThatRanOutDuringAnOutageAreHeld(t *testing.T) {
+	s := ready(t)
+	require.True(t, s.Lost())
+	require.False(t, s.Lost(), "known already")
+	require.True(t, s.Regained(20*time.Second))
+	for _, id := range []string{"i-own", "i-zone", "i-far"} {
+		s.Remove(20*time.Second, 12, id)
+	}
+	require.Equal(t, []string{"i-own", "i-zone", "i-far"}, ids(s.Tick(20*time.Second)))
+	s.Put(21*time.Second, target("i-own", "10.1.0.1:8301", "rs-a", 13))
+	s.Put(21*time.Second, target("i-far", "10.3.0.1:8301", "sc-a", 14))
+	require.Equal(t, 22*time.Second, s.Due())
+	require.Equal(t, []string{"i-own", "i-far"}, ids(s.Tick(22*time.Second)), "one that isn't renewed is gone")
+}
+
+// The store goes away again while missing targets are held. Their time must start
+// anew when it is back, or they would be dropped during the second outage.
+func TestASecondOutageHoldsThemAgain(t *testing.T) {
+	s := ready(t)
+	s.Lost()
+	s.Regained(10 * time.Second)
+	s.Remove(10*time.Second, 11, "i-zone")
+	s.Lost()
+	require.Contains(t, ids(s.Tick(15*time.Second)), "i-zone")
+	s.Regained(30 * time.Second)
+	s.Replace(30*time.Second, 12, []directory.Registration{target("i-own", "10.1.0.1:8301", "rs-a", 2)})
+	require.Contains(t, ids(s.Tick(31*time.Second)), "i-zone")
+	require.Equal(t, []string{"i-own"}, ids(s.Tick(32*time.Second)))
+}
+
+// A target ends and its address goes to one of another service before the old
+// entry runs out. Requests for the old one must not be sent there.
+func TestAnAddressBelongsToWhoStartedLast(t *testing.T) {
+	s := ready(t)
+	next := target("i-new", "10.2.0.1:8301", "rs-b", 12)
+	next.Service, next.Started = "stock", time.UnixMilli(9000)
+	s.Put(0, next)
+	v := s.Tick(0)
+	require.Equal(t, []string{"i-own", "i-far"}, ids(v))
+	require.Equal(t, "i-new", v.Targets["stock"][0].ID)
+}
+
+// A target starts again under the id that it had. What was measured of the former
+// incarnation says nothing of this one.
+func TestANewIncarnationStartsWithoutEvidence(t *testing.T) {
+	s := ready(t)
+	before := s.Tick(0).Targets["orders"][1]
+	before.Stat.Begin()
+	again := target("i-zone", "10.2.0.1:8301", "rs-b", 11)
+	s.Put(0, again)
+	require.Same(t, before.Stat, s.Tick(0).Targets["orders"][1].Stat, "the same incarnation")
+	again.Started, again.Revision = time.UnixMilli(5000), 12
+	s.Put(0, again)
+	require.NotSame(t, before.Stat, s.Tick(0).Targets["orders"][1].Stat)
+}
+
+// Pages of a list are no snapshot: a target that registers while they are read
+// may be in a change that came before, and not on its page.
+func TestAListDoesNotRemoveWhatIsNewerThanIt(t *testing.T) {
+	s := ready(t)
+	s.Put(0, target("i-late", "10.2.0.9:8301", "rs-b", 21))
+	s.Replace(0, 20, []directory.Registration{target("i-own", "10.1.0.1:8301", "rs-a", 2)})
+	require.Equal(t, []string{"i-own", "i-late"}, ids(s.Tick(0)))
+}
--- a/internal/mesh/entry/entry.go
+++ b/internal/mesh/entry/entry.go
@@ -70,8 +70,13 @@
 	rows   map[string]*budget.Window
 	routes sync.Map // route name to *routeStat
 	active atomic.Int64
+	// stop is set once the node stops.
+	stop atomic.Pointer[stop]
 }
 
+// stop is when the node began to stop and when the process ends, since its start.
+type stop struct{ began, ends time.Duration }
+
 // New returns an Entry that refuses everything until it has a View.
 func New(c Config) *Entry {
 	e := &Entry{Config: c, rows: map[string]*budget.Window{}}
@@ -91,6 +96,33 @@
 // Active gives how many requests are being served.
 func (e *Entry) Active() int { return int(e.active.Load()) }
 
+// Stop tells that the process ends at a time since its start. Requests that may
+// not be over by then are refused from a moment on.
+func (e *Entry) Stop(ends time.Duration) { e.stop.Store(&stop{e.Now(), ends}) }
+
+const (
+	// stopTakes is how long after the signal to stop every request is still taken:
+	// callers learn only then that they should go elsewhere.
+	stopTakes = 2900 * time.Millisecond
+	// stopRetry is when a caller that is refused because the node stops should come
+	// back, to another node.
+	stopRetry = 50 * time.Millisecond
+)
+
+// refuseLate refuses a request that may outlast the process. A caller that keeps
+// its connection sends on it until the process is gone; taken, its booking
+// would be cut off midway and nobody could tell whether it ran. Refused at once,
+// it goes to another node.
+func (t *trip) refuseLate() *kind.Error {
+	s := t.entry.stop.Load()
+	if s == nil || t.in.Arrived < s.began+stopTakes || t.deadline < s.ends {
+		return nil
+	}
+	e := kind.New(kind.Leaving, "the node stops before the request may be over")
+	e.RetryAfter = stopRetry
+	return e
+}
+
 // Inbound is one request as a caller sent it, read whole.
 type Inbound struct {
 	ID, Method, URI, Path, Host string
@@ -168,6 +200,9 @@
 	if t.route.Aim == 0 {
 		t.aim = t.deadline
 	}
+	if refusal := t.refuseLate(); refusal != nil {
+		return t, refusal
+	}
 	e.repeats(t.service).Request(e.Now())
 	return t, nil
 }
--- /dev/null
+++ b/internal/mesh/exchange/exchange_test.go
@@ -0,0 +1,310 @@
+package exchange_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"github.com/limpetdock/limpetdock/internal/mesh"
+	"github.com/limpetdock/limpetdock/internal/mesh/exchange"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+var names = mesh.HeaderNames{RequestID: "X-Id"}
+
+// backend is a backend server whose every connection is served by a function.
+type backend struct {
+	net.Listener
+	accepted atomic.Int32
+}
+
+// connection is one connection as the backend server has it.
+type connection struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+// next reads a request and gives its id.
+func (c *connection) next() (string, error) {
+	r, err := http.ReadRequest(c.reader)
+	if err != nil {
+		return "", err
+	}
+	_, err = io.Copy(io.Discard, r.Body)
+	return r.Header.Get("X-Id"), err
+}
+
+func (c *connection) write(format string, a ...any) { _, _ = fmt.Fprintf(c, format, a...) }
+
+func (c *connection) answer(id, body string) {
+	c.write("HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func serve(t *testing.T, f func(c *connection)) (*backend, *exchange.Client) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	b := &backend{Listener: l}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			b.accepted.Add(1)
+			go func() {
+				defer func() { _ = c.Close() }()
+				f(&connection{c, bufio.NewReader(c)})
+			}()
+		}
+	}()
+	client := exchange.NewClient(l.Addr().String(), names)
+	t.Cleanup(func() {
+		client.Close()
+		_ = l.Close()
+	})
+	return b, client
+}
+
+func always() bool { return true }
+
+func message(id string) *exchange.Message {
+	return &exchange.Message{Method: "GET", URI: "/a?b=c", Host: "h", Header: http.Header{"X-Id": {id}}}
+}
+
+// echo answers every request.
+func echo(c *connection) {
+	for {
+		id, err := c.next()
+		if err != nil {
+			return
+		}
+		c.answer(id, "for "+id)
+	}
+}
+
+func TestAKeptConnectionIsUsedAgain(t *testing.T) {
+	b, client := serve(t, echo)
+	for i := range 5 {
+		id := fmt.Sprint(i)
+		a, f := client.Do(t.Context(), message(id), always)
+		require.Nil(t, f)
+		require.Equal(t, "for "+id, string(a.Body))
+	}
+	require.EqualValues(t, 1, b.accepted.Load())
+}
+
+// A backend server answers a request twice. The second answer arrives when the
+// next request's is due; handed on, an office would see another one's order.
+func TestAnAnswerToAnotherRequestIsSkipped(t *testing.T) {
+	_, client := serve(t, func(c *connection) {
+		last := ""
+		for {
+			id, err := c.next()
+			if err != nil {
+				return
+			}
+			if last != "" {
+				c.answer(last, "again for "+last)
+			}
+			c.answer(id, "for "+id)
+			last = id
+		}
+	})
+	for _, id := range []string{"a", "b", "c"} {
+		a, f := client.Do(t.Context(), message(id), always)
+		require.Nil(t, f)
+		require.Equal(t, "for "+id, string(a.Body))
+	}
+}
+
+// The extra answer comes at once, while the connection is idle. It must neither
+// be taken for the next request's nor cost that request its outcome.
+func TestAnExtraAnswerOnAnIdleConnectionHarmsNoRequest(t *testing.T) {
+	_, client := serve(t, func(c *connection) {
+		for {
+			id, err := c.next()
+			if err != nil {
+				return
+			}
+			c.answer(id, "for "+id)
+			c.answer(id, "extra")
+		}
+	})
+	for i := range 20 {
+		id := fmt.Sprint(i)
+		a, f := client.Do(t.Context(), message(id), always)
+		require.Nil(t, f)
+		require.Equal(t, "for "+id, string(a.Body))
+	}
+}
+
+// Bytes that are no answer follow a whole one. They belong to no request.
+func TestGarbageAfterAnAnswerEndsTheConnection(t *testing.T) {
+	garbage := make(chan struct{}, 1)
+	b, client := serve(t, func(c *connection) {
+		id, err := c.next()
+		if err != nil {
+			return
+		}
+		c.answer(id, "for "+id)
+		c.write("%s", strings.Repeat("x", 10)+"\r\n\r\n")
+		garbage <- struct{}{}
+		_, _ = c.next()
+	})
+	_, f := client.Do(t.Context(), message("a"), always)
+	require.Nil(t, f)
+	<-garbage
+	require.Eventually(t, func() bool {
+		a, f := client.Do(t.Context(), message("b"), always)
+		return f == nil && string(a.Body) == "for b"
+	}, time.Minute, time.Millisecond)
+	require.Greater(t, b.accepted.Load(), int32(1))
+}
+
+// A backend server refuses an upload before all of it was sent, and keeps the
+// connection to read the rest. Another request's bytes there would be taken for it.
+func TestAnEarlyAnswerEndsTheConnection(t *testing.T) {
+	b, client := serve(t, func(c *connection) {
+		r, err := http.ReadRequest(c.reader)
+		if err != nil {
+			return
+		}
+		c.answer(r.Header.Get("X-Id"), "early")
+		if r.ContentLength == 0 {
+			return
+		}
+		// Some of the body stays unread, as the buffers between the two are full.
+		_, _ = io.CopyN(io.Discard, c.reader, 1)
+		_, _ = c.reader.ReadByte()
+	})
+	big := message("a")
+	big.Method, big.Body, big.Once = "POST", make([]byte, 32<<20), true
+	a, f := client.Do(t.Context(), big, always)
+	require.Nil(t, f)
+	require.Equal(t, "early", string(a.Body))
+	_, f = client.Do(t.Context(), message("b"), always)
+	require.Nil(t, f)
+	require.EqualValues(t, 2, b.accepted.Load())
+}
+
+// A process is frozen between its last look at the clock and the write. When it
+// wakes, the caller has long booked elsewhere; nothing may be sent.
+func TestARequestThatIsNoLongerAllowedIsNotSent(t *testing.T) {
+	var got atomic.Int32
+	_, client := serve(t, func(c *connection) {
+		for {
+			if _, err := c.next(); err != nil {
+				return
+			}
+			got.Add(1)
+		}
+	})
+	_, f := client.Do(t.Context(), message("a"), func() bool { return false })
+	require.NotNil(t, f)
+	require.Equal(t, exchange.NotSent, f.Outcome)
+	require.Zero(t, got.Load())
+}
+
+func TestWhatBreaksOffAfterTheWriteIsUnknown(t *testing.T) {
+	cases := map[string]func(c *connection, id string){
+		"no answer":         func(*connection, string) {},
+		"cut header":        func(c *connection, _ string) { c.write("HTTP/1.1 200 OK\r\nX-") },
+		"cut body":          func(c *connection, id string) { c.write("HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: 9\r\n\r\nhalf", id) },
+		"cut chunk":         func(c *connection, id string) { c.write("HTTP/1.1 200 OK\r\nX-Id: %s\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nhalf", id) },
+		"no answer at all":  func(c *connection, _ string) { c.write("what\r\n\r\n") },
+		"another's answers": func(c *connection, _ string) { c.answer("x", ""); c.answer("y", ""); c.answer("z", "") },
+	}
+	for name, f := range cases {
+		t.Run(name, func(t *testing.T) {
+			_, client := serve(t, func(c *connection) {
+				id, err := c.next()
+				if err == nil {
+					f(c, id)
+				}
+			})
+			_, failure := client.Do(t.Context(), message("a"), always)
+			require.NotNil(t, failure)
+			require.Equal(t, exchange.Unknown, failure.Outcome)
+		})
+	}
+}
+
+// An answer without a length ends with its connection, and is whole then.
+func TestAnAnswerMayEndWithItsConnection(t *testing.T) {
+	_, client := serve(t, func(c *connection) {
+		id, err := c.next()
+		if err == nil {
+			c.write("HTTP/1.1 200 OK\r\nX-Id: %s\r\n\r\nto the end", id)
+		}
+	})
+	a, f := client.Do(t.Context(), message("a"), always)
+	require.Nil(t, f)
+	require.Equal(t, "to the end", string(a.Body))
+}
+
+func TestNobodyListeningIsUnreachable(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	addr := l.Addr().String()
+	require.NoError(t, l.Close())
+	_, f := exchange.NewClient(addr, names).Do(t.Context(), message("a"), always)
+	require.Equal(t, exchange.Unreachable, f.Outcome)
+}
+
+// A caller leaves. The backend server learns of it by its connection's end, and
+// can stop to work for nobody.
+func TestTheEndOfTheWaitClosesTheConnection(t *testing.T) {
+	closed := make(chan error, 1)
+	started := make(chan struct{})
+	_, client := serve(t, func(c *connection) {
+		if _, err := c.next(); err != nil {
+			return
+		}
+		close(started)
+		_, err := c.reader.ReadByte()
+		closed <- err
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-started
+		cancel()
+	}()
+	_, f := client.Do(ctx, message("a"), always)
+	require.Equal(t, exchange.Unknown, f.Outcome)
+	require.Error(t, <-closed)
+}
+
+// A backend server closes an idle connection. The next request must go over a new
+// one, and not be reset on the old.
+func TestAConnectionClosedWhileIdleIsNotUsed(t *testing.T) {
+	closed := make(chan struct{}, 1)
+	_, client := serve(t, func(c *connection) {
+		id, err := c.next()
+		if err != nil {
+			return
+		}
+		c.answer(id, "for "+id)
+		_ = c.Close()
+		closed <- struct{}{}
+	})
+	_, f := client.Do(t.Context(), message("a"), always)
+	require.Nil(t, f)
+	<-closed
+	once := message("b")
+	once.Once = true
+	require.Eventually(t, func() bool {
+		_, f := client.Do(t.Context(), once, always)
+		return f == nil
+	}, time.Minute, time.Millisecond)
+}
--- a/internal/mesh/node/stop.go
+++ b/internal/mesh/node/stop.go
@@ -9,6 +9,9 @@
 	// it out after two missed readiness checks a second apart, and its callers open
 	// connections until then.
 	leastStop = 2500 * time.Millisecond
+	// guardStop is how long its backend server, which runs on, still takes requests
+	// of other nodes: they would find it idle otherwise while the own callers leave.
+	guardStop = 1500 * time.Millisecond
 	// stopMargin is kept off the grace, after which the process is killed.
 	stopMargin = 400 * time.Millisecond
 	// stopEvery is the pause between looks whether everything has ended.
@@ -17,16 +20,19 @@
 	flushWithin = 50 * time.Millisecond
 )
 
-// stop ends the node without cutting off a request: other nodes send no more,
-// callers are told to use another connection with their next answer, and what is
-// in flight ends first, for as long as the grace lasts.
+// stop ends the node without cutting off a request: other nodes soon
+// send no more, callers are told to use another connection with their next answer, and what is
+// in flight ends first, for as long as the grace lasts. Requests that could
+// outlast it are refused.
 func (p *parts) stop() {
 	began := time.Now()
 	p.Log.Change("stopping", "active", p.Front.Active(), "guard_active", p.Guard.Active())
 	p.Admin.stopping.Store(true)
-	p.Guard.Stop()
+	guardStops := time.AfterFunc(guardStop, p.Guard.Stop)
+	defer guardStops.Stop()
 	p.Front.Drain()
 	limit := p.Settings.StopGrace - stopMargin
+	p.Entry.Stop(p.Now() + limit)
 	for time.Since(began) < limit {
 		time.Sleep(stopEvery)
 		if time.Since(began) >= leastStop && p.Guard.Active() == 0 && p.Front.Finish() {
--- /dev/null
+++ b/internal/mesh/peer/peer_test.go
@@ -0,0 +1,230 @@
+package peer
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"github.com/limpetdock/limpetdock/internal/kind"
+	"github.com/limpetdock/limpetdock/internal/mesh"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// node runs requests by a function.
+type node struct {
+	run func(ctx context.Context, r *mesh.Request) (*mesh.Answer, *kind.Error)
+}
+
+func (n node) Run(ctx context.Context, r *mesh.Request) (*mesh.Answer, *kind.Error) {
+	return n.run(ctx, r)
+}
+
+func (n node) Load() mesh.Load { return mesh.Load{Running: 2, Slots: 6, Slowdown: 1.5, Revision: 9} }
+
+// heard keeps the last load of each node.
+type heard struct {
+	mu   sync.Mutex
+	last map[string]mesh.Load
+}
+
+func (h *heard) Reported(addr string, l mesh.Load) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.last[addr] = l
+}
+
+func (h *heard) of(addr string) mesh.Load {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.last[addr]
+}
+
+func start(t *testing.T, run func(ctx context.Context, r *mesh.Request) (*mesh.Answer, *kind.Error)) (addr string, s *Server, c *Client, h *heard) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	here := mesh.Place{VM: "a", Region: "rs"}
+	s = NewServer(node{run}, here)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = s.Serve(l)
+	}()
+	h = &heard{last: map[string]mesh.Load{}}
+	c = NewClient(here, h)
+	t.Cleanup(func() {
+		c.Keep(nil)
+		_ = l.Close()
+		<-ended
+		s.Close()
+	})
+	return l.Addr().String(), s, c, h
+}
+
+func TestARequestAndItsAnswerTravelWhole(t *testing.T) {
+	var got *mesh.Request
+	addr, _, c, h := start(t, func(_ context.Context, r *mesh.Request) (*mesh.Answer, *kind.Error) {
+		got = r
+		return &mesh.Answer{Status: 201, Header: http.Header{"A": {"b", "c"}}, Body: []byte("body")}, nil
+	})
+	sent := &mesh.Request{
+		ID: "id", Method: "POST", URI: "/a?b", Host: "h", Header: http.Header{"X": {"y"}}, Body: bytes.Repeat([]byte("x"), bulkSize),
+		Caller: "shop", Service: "orders", Target: "i-1", Idempotent: true, Priority: 2,
+		Left: 900 * time.Millisecond, Patience: 20 * time.Millisecond, Version: 7,
+	}
+	answer, err := c.Run(t.Context(), addr, sent)
+	require.Nil(t, err)
+	require.Equal(t, sent, got)
+	require.Equal(t, 201, answer.Status)
+	require.Equal(t, []string{"b", "c"}, answer.Header["A"])
+	require.Equal(t, "body", string(answer.Body))
+	require.Equal(t, node{}.Load(), h.of(addr))
+}
+
+func TestARefusalKeepsWhatItProves(t *testing.T) {
+	addr, _, c, _ := start(t, func(context.Context, *mesh.Request) (*mesh.Answer, *kind.Error) {
+		return nil, &kind.Error{
+			Kind: kind.Overloaded, Message: "full", Wait: 70 * time.Millisecond, RetryAfter: 90 * time.Millisecond, FromBackend: true,
+		}
+	})
+	_, err := c.Run(t.Context(), addr, &mesh.Request{})
+	require.Equal(t, kind.Overloaded, err.Kind)
+	require.Equal(t, kind.NotRun, err.Said())
+	require.Equal(t, 70*time.Millisecond, err.Wait)
+	require.Equal(t, 90*time.Millisecond, err.RetryAfter)
+	require.True(t, err.FromBackend)
+}
+
+// Many requests share a connection. A slow one must not hold up the others.
+func TestRequestsDoNotWaitForEachOther(t *testing.T) {
+	release := make(chan struct{})
+	addr, _, c, _ := start(t, func(_ context.Context, r *mesh.Request) (*mesh.Answer, *kind.Error) {
+		if r.ID == "slow" {
+			<-release
+		}
+		return &mesh.Answer{Status: 200, Body: []byte(r.ID)}, nil
+	})
+	slow := make(chan string, 1)
+	go func() {
+		a, _ := c.Run(context.Background(), addr, &mesh.Request{ID: "slow"})
+		slow <- string(a.Body)
+	}()
+	for range 10 {
+		a, err := c.Run(t.Context(), addr, &mesh.Request{ID: "quick"})
+		require.Nil(t, err)
+		require.Equal(t, "quick", string(a.Body))
+	}
+	close(release)
+	require.Equal(t, "slow", <-slow)
+}
+
+// A caller leaves while its request runs on another VM. That node must learn of
+// it, or its backend server goes on working for nobody.
+func TestACancelReachesTheNode(t *testing.T) {
+	running, ended := make(chan struct{}), make(chan struct{})
+	addr, _, c, _ := start(t, func(ctx context.Context, _ *mesh.Request) (*mesh.Answer, *kind.Error) {
+		close(running)
+		<-ctx.Done()
+		close(ended)
+		return nil, kind.New(kind.OutcomeUnknown, "cancelled")
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-running
+		cancel()
+	}()
+	_, err := c.Run(ctx, addr, &mesh.Request{})
+	require.Equal(t, kind.Unknown, err.Said())
+	<-ended
+}
+
+// A node is killed while it runs a booking. Nobody can tell whether it ran, so
+// the entry must be told "unknown", and at once.
+func TestABrokenConnectionLeavesTheOutcomeOpen(t *testing.T) {
+	running := make(chan struct{})
+	addr, s, c, _ := start(t, func(ctx context.Context, _ *mesh.Request) (*mesh.Answer, *kind.Error) {
+		close(running)
+		<-ctx.Done()
+		return nil, kind.New(kind.OutcomeUnknown, "cancelled")
+	})
+	go func() {
+		<-running
+		s.Close()
+	}()
+	_, err := c.Run(t.Context(), addr, &mesh.Request{})
+	require.Equal(t, kind.OutcomeUnknown, err.Kind)
+	require.Equal(t, kind.Unknown, err.Said())
+}
+
+// Something between two nodes has lost track of their connection: it takes bytes
+// and gives none, while new connections work. The request must not wait on it
+// until its deadline.
+func TestASilentConnectionIsGivenUp(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	accepted := make(chan net.Conn, 1)
+	go func() {
+		if conn, err := l.Accept(); err == nil {
+			accepted <- conn
+		}
+	}()
+	c := NewClient(mesh.Place{}, &heard{last: map[string]mesh.Load{}})
+	_, failure := c.Run(t.Context(), l.Addr().String(), &mesh.Request{})
+	require.Equal(t, kind.OutcomeUnknown, failure.Kind)
+	require.ErrorIs(t, failure.Cause, errSilent)
+	require.NoError(t, (<-accepted).Close())
+	require.NoError(t, l.Close())
+}
+
+func TestNobodyListeningIsUnreachable(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	addr := l.Addr().String()
+	require.NoError(t, l.Close())
+	c := NewClient(mesh.Place{}, &heard{})
+	_, failure := c.Run(t.Context(), addr, &mesh.Request{})
+	require.Equal(t, kind.Unreachable, failure.Kind)
+	require.Equal(t, kind.NotRun, failure.Said())
+}
+
+func TestReportsReachTheOwnRegionOnly(t *testing.T) {
+	addr, s, near, h := start(t, nil)
+	far := &heard{last: map[string]mesh.Load{}}
+	other := NewClient(mesh.Place{VM: "b", Region: "sc"}, far)
+	defer other.Keep(nil)
+	require.NoError(t, near.Warm(t.Context(), addr))
+	require.NoError(t, other.Warm(t.Context(), addr))
+	require.Eventually(t, func() bool {
+		s.Tell(mesh.Load{Slots: 3}, false)
+		return h.of(addr).Slots == 3
+	}, time.Minute, time.Millisecond)
+	require.Zero(t, far.of(addr).Slots)
+	require.Eventually(t, func() bool {
+		s.Tell(mesh.Load{Slots: 4, Leaving: true}, true)
+		return far.of(addr).Slots == 4 && far.of(addr).Leaving
+	}, time.Minute, time.Millisecond)
+}
+
+func FuzzDecode(f *testing.F) {
+	frame, err := encode(frameRequest, 7, fromRequest(&mesh.Request{ID: "a", Body: []byte("b")}))
+	require.NoError(f, err)
+	f.Add(frame)
+	f.Add([]byte{0, 0, 0, 1, 99, 0, 0, 0, 0, 1})
+	f.Add([]byte{255, 255, 255, 255, 1, 0, 0, 0, 0})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		kind, _, body, err := decode(bufio.NewReader(bytes.NewReader(b)))
+		if err != nil {
+			return
+		}
+		require.GreaterOrEqual(t, kind, frameHello)
+		require.LessOrEqual(t, len(body)+prefixSize, len(b))
+	})
+}
