Front and entry: faults that their first tests showed

A header within the read buffer passed its limit; header names with spaces were read; a target that refuses without a wait was asked six times over.

--- /dev/null
+++ b/internal/mesh/entry/entry_test.go
@@ -0,0 +1,310 @@
+package entry_test
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/limpetdock/limpetdock/internal/kind"
+	"github.com/limpetdock/limpetdock/internal/mesh"
+	"github.com/limpetdock/limpetdock/internal/mesh/entry"
+)
+
+// world is a deployment in which every target's node answers by a function.
+type world struct {
+	t     *testing.T
+	entry *entry.Entry
+	route *mesh.Route
+	now   time.Duration
+	mu    sync.Mutex
+	// offered are the targets' nodes that requests were offered to, in order.
+	offered []string
+	answers map[string]func(r *mesh.Request) (*mesh.Answer, *kind.Error)
+	targets []*mesh.Target
+	// load is the own guard's.
+	load mesh.Load
+}
+
+const own = "own"
+
+func (w *world) Run(_ context.Context, addr string, r *mesh.Request) (*mesh.Answer, *kind.Error) {
+	w.mu.Lock()
+	w.offered = append(w.offered, addr)
+	f := w.answers[addr]
+	w.mu.Unlock()
+	if f == nil {
+		return answered(200)(r)
+	}
+	return f(r)
+}
+
+// guard is the own node's guard.
+type guard struct{ *world }
+
+func (g guard) Run(ctx context.Context, r *mesh.Request) (*mesh.Answer, *kind.Error) {
+	return g.world.Run(ctx, own, r)
+}
+func (g guard) Load() mesh.Load { return g.load }
+
+type observer struct{}
+
+func (observer) Answered(string, kind.Kind, time.Duration) {}
+func (observer) Hopped(string, kind.Kind)                  {}
+
+func answered(status int) func(*mesh.Request) (*mesh.Answer, *kind.Error) {
+	return func(*mesh.Request) (*mesh.Answer, *kind.Error) {
+		return &mesh.Answer{Status: status, Header: http.Header{}}, nil
+	}
+}
+
+func failing(k kind.Kind) func(*mesh.Request) (*mesh.Answer, *kind.Error) {
+	return func(*mesh.Request) (*mesh.Answer, *kind.Error) { return nil, kind.New(k, "test") }
+}
+
+// newWorld makes a deployment with a target on the own VM, two in the region, of
+// which the second has work, and one in another region.
+func newWorld(t *testing.T, idempotent bool) *world {
+	w := &world{t: t, now: time.Minute, load: mesh.Load{Slots: 6, Slowdown: 1}, answers: map[string]func(*mesh.Request) (*mesh.Answer, *kind.Error){}}
+	w.entry = entry.New(entry.Config{
+		Here: mesh.Place{VM: "vm", Service: "shop"}, Guard: guard{w}, Peers: w, Observer: observer{},
+		Repeats: entry.Repeats{Ratio: 0.2, Slack: 80, Window: 10 * time.Second},
+		Now:     func() time.Duration { return w.now },
+	})
+	w.entry.SetPrices(entry.Prices{ZonePerKB: 2 * time.Millisecond, RegionPerKB: 20 * time.Millisecond})
+	distances := map[string]mesh.Distance{own: mesh.SameVM, "zone": mesh.SameRegion, "region": mesh.SameRegion, "far": mesh.OtherRegion}
+	for _, name := range []string{own, "zone", "region", "far"} {
+		w.targets = append(w.targets, &mesh.Target{
+			ID: "i-" + name, Service: "orders", Peer: name, Slots: 6, Distance: distances[name], Stat: &mesh.Stat{},
+		})
+	}
+	w.targets[2].Stat.Report(mesh.Load{Running: 3, Slots: 6, Service: 80 * time.Millisecond, Slowdown: 1}, w.now)
+	w.route = &mesh.Route{
+		Name: "r", Host: "h", Prefix: "/", Shares: []mesh.Share{{Service: "orders", Weight: 1}}, Idempotent: idempotent,
+		Timeout: time.Second, Aim: 300 * time.Millisecond, MaxTargets: 2, Weights: &mesh.Weights{},
+	}
+	w.publish()
+	return w
+}
+
+func (w *world) publish() {
+	services := map[string]*mesh.Service{"orders": {Name: "orders"}}
+	w.entry.SetView(&mesh.View{
+		Config:  mesh.NewConfig(1, services, []*mesh.Route{w.route}, mesh.Limits{}),
+		Targets: map[string][]*mesh.Target{"orders": w.targets}, Peers: map[string]mesh.Distance{"zone": 1, "region": 2, "far": 3},
+	})
+}
+
+func (w *world) request(body int) *entry.Inbound {
+	return &entry.Inbound{ID: "id", Method: "POST", URI: "/a", Path: "/a", Host: "h", Header: http.Header{}, Body: make([]byte, body), Arrived: w.now}
+}
+
+func (w *world) serve() (*mesh.Answer, *kind.Error) {
+	return w.entry.Serve(w.t.Context(), w.request(0))
+}
+
+// busy makes targets report that all slots are taken and some wait.
+func (w *world) busy(waiting int, names ...string) {
+	full := mesh.Load{Running: 6, Waiting: waiting, Slots: 6, Service: 100 * time.Millisecond, Slowdown: 1}
+	for _, t := range w.targets {
+		for _, name := range names {
+			if t.Peer != name {
+				continue
+			}
+			t.Stat.Report(full, w.now)
+			if name == own {
+				w.load = full
+			}
+		}
+	}
+}
+
+// A node dies with a booking on its way to a backend server. Whether it ran can't
+// be known, so it must not be offered to another one.
+func TestABookingWhoseOutcomeIsOpenIsNotSentAgain(t *testing.T) {
+	for _, k := range []kind.Kind{kind.OutcomeUnknown, kind.BackendBroken, kind.DeadlineUnknown} {
+		w := newWorld(t, false)
+		w.answers[own] = failing(k)
+		_, err := w.serve()
+		require.Equal(t, kind.Unknown, err.Said(), k)
+		require.Equal(t, []string{own}, w.offered, k)
+	}
+}
+
+func TestABookingGoesOnWithProofThatItDidNotRun(t *testing.T) {
+	for _, k := range []kind.Kind{kind.Overloaded, kind.Leaving, kind.Unreachable, kind.StaleAttempt, kind.NotReady} {
+		w := newWorld(t, false)
+		w.answers[own] = failing(k)
+		answer, err := w.serve()
+		require.Nil(t, err, k)
+		require.Equal(t, 200, answer.Status)
+		require.Equal(t, []string{own, "zone"}, w.offered, k)
+	}
+}
+
+// Once any target may have run it, no later refusal makes "not run" true.
+func TestARefusalAfterAnOpenOutcomeStaysOpen(t *testing.T) {
+	w := newWorld(t, true)
+	w.answers[own] = failing(kind.BackendBroken)
+	for _, name := range []string{"zone", "region", "far"} {
+		w.answers[name] = failing(kind.Overloaded)
+	}
+	_, err := w.serve()
+	require.Equal(t, kind.Unknown, err.Said())
+}
+
+func TestAReadIsRepeatedOnAnotherTarget(t *testing.T) {
+	for name, f := range map[string]func(*mesh.Request) (*mesh.Answer, *kind.Error){
+		"broken": failing(kind.BackendBroken), "own failure": answered(500),
+	} {
+		w := newWorld(t, true)
+		w.answers[own] = f
+		answer, err := w.serve()
+		require.Nil(t, err, name)
+		require.Equal(t, 200, answer.Status, name)
+		require.Len(t, w.offered, 2)
+	}
+}
+
+// All targets fail. A read is repeated as often as its route says, and the last
+// failure is the answer.
+func TestNoRequestRunsOnMoreTargetsThanItsRouteAllows(t *testing.T) {
+	w := newWorld(t, true)
+	for _, name := range []string{own, "zone", "region", "far"} {
+		w.answers[name] = answered(500)
+	}
+	answer, err := w.serve()
+	require.Nil(t, err)
+	require.Equal(t, 500, answer.Status)
+	require.Len(t, w.offered, w.route.MaxTargets)
+}
+
+// Every backend server fails at a burst. Repeats must end when the node's share
+// of the budget is used up, or they double the load on servers that are down.
+func TestRepeatsEndWithTheBudget(t *testing.T) {
+	w := newWorld(t, true)
+	for _, name := range []string{own, "zone", "region", "far"} {
+		w.answers[name] = answered(500)
+	}
+	const requests = 200
+	for range requests {
+		_, _ = w.serve()
+	}
+	repeats := len(w.offered) - requests
+	// A share of the ratio, and half of a quarter of the slack.
+	require.LessOrEqual(t, float64(repeats), 0.2*requests+10)
+	require.Greater(t, repeats, 10)
+}
+
+// The own zone's target has a queue. A small request is worth its bytes to the
+// next zone; an upload of a megabyte to another region never is.
+func TestBytesKeepUploadsNearHome(t *testing.T) {
+	w := newWorld(t, false)
+	w.busy(6, own, "zone")
+	_, err := w.serve()
+	require.Nil(t, err)
+	require.Equal(t, []string{"region"}, w.offered)
+	w.busy(6, "region")
+	w.offered = nil
+	_, err = w.entry.Serve(t.Context(), w.request(1<<20))
+	require.Nil(t, err)
+	require.NotContains(t, w.offered, "far")
+}
+
+// A target is slowed by its neighbours at this moment, and says so. Its free
+// slots are no reason to choose it.
+func TestASlowedTargetIsPassedOver(t *testing.T) {
+	w := newWorld(t, true)
+	w.targets = w.targets[1:3]
+	w.targets[0].Stat.Report(mesh.Load{Slots: 6, Slowdown: 4}, w.now)
+	w.targets[1].Stat.Report(mesh.Load{Running: 2, Slots: 6, Slowdown: 1}, w.now)
+	w.publish()
+	_, err := w.serve()
+	require.Nil(t, err)
+	require.Equal(t, []string{"region"}, w.offered)
+}
+
+// A refusal tells how long the wait would be. A request that found every target
+// full waits at the one with the shortest queue, for as long as it has time.
+func TestARequestThatAllRefusedWaitsWhereItIsShortest(t *testing.T) {
+	w := newWorld(t, false)
+	waits := map[string]time.Duration{own: 400 * time.Millisecond, "zone": 100 * time.Millisecond, "region": 300 * time.Millisecond, "far": 500 * time.Millisecond}
+	for name, wait := range waits {
+		w.answers[name] = func(r *mesh.Request) (*mesh.Answer, *kind.Error) {
+			if r.Patience > wait {
+				return answered(200)(r)
+			}
+			return nil, &kind.Error{Kind: kind.Overloaded, Wait: wait}
+		}
+	}
+	answer, err := w.serve()
+	require.Nil(t, err)
+	require.Equal(t, 200, answer.Status)
+	require.Equal(t, "zone", w.offered[len(w.offered)-1])
+}
+
+// Every queue is longer than the request can wait. It is refused at once, with the
+// time after which asking again can help, and not held until its deadline.
+func TestWhatCannotBeServedInTimeIsRefusedAtOnce(t *testing.T) {
+	w := newWorld(t, false)
+	w.busy(200, own, "zone", "region", "far")
+	for _, name := range []string{own, "zone", "region", "far"} {
+		w.answers[name] = func(*mesh.Request) (*mesh.Answer, *kind.Error) {
+			return nil, &kind.Error{Kind: kind.Overloaded, Wait: 3 * time.Second}
+		}
+	}
+	_, err := w.serve()
+	require.Equal(t, kind.Overloaded, err.Kind)
+	require.Equal(t, kind.NotRun, err.Said())
+	require.Greater(t, err.RetryAfter, time.Second)
+}
+
+// A node got the signal to stop and its callers keep their connections. A booking
+// taken shortly before the end would be cut off midway.
+func TestARequestThatMayOutlastTheProcessIsRefused(t *testing.T) {
+	w := newWorld(t, false)
+	w.entry.Stop(w.now + 5600*time.Millisecond)
+	_, err := w.serve()
+	require.Nil(t, err, "callers don't know yet")
+	w.now += 4 * time.Second
+	_, err = w.serve()
+	require.Nil(t, err, "it will be over in time")
+	w.now += time.Second
+	w.offered = nil
+	_, err = w.serve()
+	require.Equal(t, kind.Leaving, err.Kind)
+	require.Equal(t, kind.NotRun, err.Said())
+	require.Empty(t, w.offered)
+}
+
+func TestWithoutARouteOrConfiguration(t *testing.T) {
+	w := newWorld(t, true)
+	r := w.request(0)
+	r.Host = "nowhere"
+	_, err := w.entry.Serve(t.Context(), r)
+	require.Equal(t, kind.UnknownService, err.Kind)
+	empty := entry.New(entry.Config{Observer: observer{}, Now: func() time.Duration { return 0 }})
+	_, err = empty.Serve(t.Context(), r)
+	require.Equal(t, kind.NotReady, err.Kind)
+}
+
+func TestTheShorterOfCallersAndRoutesTimeHolds(t *testing.T) {
+	w := newWorld(t, true)
+	var left time.Duration
+	w.answers[own] = func(r *mesh.Request) (*mesh.Answer, *kind.Error) {
+		left = r.Left
+		return answered(200)(r)
+	}
+	r := w.request(0)
+	r.Timeout = 5 * time.Second
+	_, err := w.entry.Serve(t.Context(), r)
+	require.Nil(t, err)
+	require.LessOrEqual(t, left, time.Second)
+	r.Timeout = 200 * time.Millisecond
+	_, err = w.entry.Serve(t.Context(), r)
+	require.Nil(t, err)
+	require.LessOrEqual(t, left, 200*time.Millisecond)
+}
--- a/internal/mesh/entry/run.go
+++ b/internal/mesh/entry/run.go
@@ -23,6 +23,9 @@
 	// be opened to; avoidLeaving one that said it takes no more.
 	avoidUnreachable = time.Second
 	avoidLeaving     = 2 * time.Second
+	// leastRefused is the wait assumed at a target that refused without telling one:
+	// about half of what a slot is usually held for.
+	leastRefused = 40 * time.Millisecond
 	// leastLeft is the time under which a request isn't offered any more.
 	leastLeft = 10 * time.Millisecond
 )
@@ -155,7 +158,9 @@
 		target.Stat.Avoid(now + avoidLeaving)
 	case kind.Overloaded:
 		telling = false
-		t.refusals[target.ID] = err.Wait
+		// Refused again it counts double, so that a guard which tells no wait isn't
+		// asked over and over while another has room.
+		t.refusals[target.ID] = max(err.Wait, leastRefused) + t.refusals[target.ID]
 	case kind.BackendBroken, kind.OutcomeUnknown:
 		failed = true
 	case kind.DeadlineUnknown:
--- a/internal/mesh/front/read.go
+++ b/internal/mesh/front/read.go
@@ -9,6 +9,8 @@
 	"strings"
 	"time"
 
+	"golang.org/x/net/http/httpguts"
+
 	"github.com/limpetdock/limpetdock/internal/mesh"
 )
 
@@ -28,11 +30,12 @@
 
 var errHeaderTooLarge = errors.New("header over the limit")
 
-// headerLimit bounds the bytes read while a header is.
+// headerLimit bounds the bytes read while a header is, and counts all.
 type headerLimit struct {
 	conn net.Conn
 	// left is what may still be read; negative is no bound.
 	left int64
+	read int64
 }
 
 func (h *headerLimit) Read(p []byte) (int, error) {
@@ -43,6 +46,7 @@
 		p = p[:h.left]
 	}
 	n, err := h.conn.Read(p)
+	h.read += int64(n)
 	if h.left > 0 {
 		h.left -= int64(n)
 	}
@@ -64,9 +68,7 @@
 	if bad := c.awaitRequest(limits); bad != nil {
 		return nil, bad
 	}
-	c.header.left = limitOr(limits.HeaderBytes, defaultHeaderBytes)
-	in, err := http.ReadRequest(c.reader)
-	c.header.left = -1
+	in, err := c.readHeader(limitOr(limits.HeaderBytes, defaultHeaderBytes))
 	if err != nil {
 		return nil, unreadable(err)
 	}
@@ -86,6 +88,19 @@
 	}, nil
 }
 
+// readHeader reads a request's header of so many bytes at most. What stands in the
+// buffer already isn't bounded by the reads, so the bytes taken are counted too.
+func (c *conn) readHeader(limit int64) (*http.Request, error) {
+	before := c.header.read - int64(c.reader.Buffered())
+	c.header.left = limit
+	in, err := http.ReadRequest(c.reader)
+	c.header.left = -1
+	if err == nil && c.header.read-int64(c.reader.Buffered())-before > limit {
+		return nil, errHeaderTooLarge
+	}
+	return in, err
+}
+
 // awaitRequest waits for the first byte of a request.
 func (c *conn) awaitRequest(limits mesh.Limits) *badRequest {
 	idle := limits.IdleTimeout
@@ -156,9 +171,25 @@
 	case !strings.HasPrefix(in.RequestURI, "/"):
 		return bad
 	}
+	for name, values := range in.Header {
+		if !httpguts.ValidHeaderFieldName(name) || !allValid(values) {
+			return bad
+		}
+	}
 	return nil
 }
 
+// allValid says whether values may be sent on. The library reads some that
+// another server would take for the end of the header.
+func allValid(values []string) bool {
+	for _, v := range values {
+		if !httpguts.ValidHeaderFieldValue(v) {
+			return false
+		}
+	}
+	return true
+}
+
 // readBody reads a body whole.
 func (c *conn) readBody(in *http.Request, limits mesh.Limits) ([]byte, *badRequest) {
 	if in.Body == nil || in.Body == http.NoBody {
