Guard: wait for the end of a neighbour's pulse before a request starts

Cause: how long work takes is decided when it starts; 12 % of the time a target is slowed four times for a fifth of a second (from the logs: reads that started in a pulse took 281-541 ms at the 10th-90th, others 69-163). Ruled out: queues (waited 0 to the 95th), pulses during the work (no effect).

Exchange: a connection was dropped at random when the answer came before the writing goroutine had reported (seen in a unit test: five connections for five requests).

--- a/internal/mesh/entry/choose.go
+++ b/internal/mesh/entry/choose.go
@@ -122,12 +122,11 @@
 	est := target.Stat.Estimate(now)
 	bytes, work := t.entry.routeStat(t.route.Name).expect()
 	c := candidate{target: target}
-	slowdown := est.Slowdown
 	if now < target.WarmAt {
-		slowdown = max(slowdown, coldFactor)
+		work = time.Duration(float64(work) * coldFactor)
 	}
-	c.work = time.Duration(float64(work) * slowdown)
-	c.wait = waitAt(est, target, slowdown)
+	c.work = work + est.Extra(work)
+	c.wait = waitAt(est, target)
 	if wait, refused := t.refusals[target.ID]; refused {
 		c.wait = max(c.wait, wait)
 	}
@@ -141,7 +140,7 @@
 }
 
 // waitAt estimates how long a request waits for a slot.
-func waitAt(est mesh.Estimate, target *mesh.Target, slowdown float64) time.Duration {
+func waitAt(est mesh.Estimate, target *mesh.Target) time.Duration {
 	slots := est.Slots
 	if !est.Known {
 		slots = target.Slots
@@ -155,7 +154,7 @@
 	if service == 0 {
 		service = assumedService
 	}
-	return time.Duration(float64(service) * slowdown * float64(ahead) / float64(slots))
+	return service * time.Duration(ahead) / time.Duration(slots)
 }
 
 // of gives the price of bytes to a distance, as time.
--- a/internal/mesh/entry/run.go
+++ b/internal/mesh/entry/run.go
@@ -110,6 +110,7 @@
 		Caller: e.Here.Service, Service: t.service, Target: c.target.ID,
 		Idempotent: t.route.Idempotent, Priority: t.route.Priority,
 		Left: t.deadline - start - answerMargin/2 - wayTo[c.target.Distance]/2, Patience: patience, Version: t.view.Config.Version,
+		Work: t.usualWork(),
 	}
 	c.target.Stat.Begin()
 	var answer *mesh.Answer
@@ -124,6 +125,12 @@
 	return answer, err
 }
 
+// usualWork is how long the route's requests take.
+func (t *trip) usualWork() time.Duration {
+	_, work := t.entry.routeStat(t.route.Name).expect()
+	return work
+}
+
 // note takes the outcome of an offer as evidence about the target.
 func (t *trip) note(c candidate, answer *mesh.Answer, err *kind.Error, took time.Duration) {
 	now := t.entry.Now()
--- a/internal/mesh/exchange/conn.go
+++ b/internal/mesh/exchange/conn.go
@@ -197,23 +197,14 @@
 		c.kill()
 		return result{err: errNotAllowed}, false
 	}
-	written := make(chan error, 1)
-	go func() { written <- req.Write(c.Conn) }()
+	written := c.write(req)
 	select {
 	case r = <-c.results:
 	case <-ctx.Done():
 		c.kill()
 		return result{err: ctx.Err()}, true
 	}
-	if r.err != nil {
-		return r, true
-	}
-	select {
-	case err := <-written:
-		if err != nil {
-			c.kill()
-		}
-	default:
+	if r.err == nil && !wholeWritten(written) {
 		// Answered before the body was in. The backend server may read on for it;
 		// what it would get there next isn't it.
 		c.kill()
@@ -221,4 +212,37 @@
 	return r, true
 }
 
+const (
+	// smallBody is what is written without a goroutine of its own, in bytes: it fits
+	// into the buffers of a connection on which nothing else is under way.
+	smallBody = 16 << 10
+	// writtenWithin is how long after its answer the write of a long request may
+	// take to return.
+	writtenWithin = 5 * time.Millisecond
+)
+
+// write writes a request; the channel gives how that ended. A long one is written
+// while the answer is waited for, which may come early.
+func (c *conn) write(req *http.Request) <-chan error {
+	written := make(chan error, 1)
+	if req.ContentLength <= smallBody {
+		written <- req.Write(c.Conn)
+		return written
+	}
+	go func() { written <- req.Write(c.Conn) }()
+	return written
+}
+
+// wholeWritten says whether a request that was answered is written to its end.
+func wholeWritten(written <-chan error) bool {
+	timer := time.NewTimer(writtenWithin)
+	defer timer.Stop()
+	select {
+	case err := <-written:
+		return err == nil
+	case <-timer.C:
+		return false
+	}
+}
+
 var errNotAllowed = eris.New("the time to send the request has passed")
--- a/internal/mesh/front/front_test.go
+++ b/internal/mesh/front/front_test.go
@@ -27,6 +27,7 @@
 }
 
 func (h handler) Serve(ctx context.Context, r *front.Request) *front.Response { return h.serve(ctx, r) }
+
 func (h handler) Reject(status int) *front.Response {
 	return &front.Response{Status: status, Header: http.Header{}}
 }
--- a/internal/mesh/guard/guard.go
+++ b/internal/mesh/guard/guard.go
@@ -38,9 +38,11 @@
 	view     atomic.Pointer[mesh.View]
 	leaving  atomic.Bool
 	stopping atomic.Bool
-	// slowdown is the last one told, as the bits of a float64, at toldAt.
-	slowdown atomic.Uint64
-	toldAt   atomic.Int64
+	pulse    pulse
+	// toldAt is when the backend server last told its load, and probing says that it
+	// is being asked.
+	toldAt  atomic.Int64
+	probing atomic.Bool
 	// fill is the share of the declared slots that is filled, as the bits of a float64.
 	fill atomic.Uint64
 	// askedAt is when a request last came, in nanoseconds since the start.
@@ -53,7 +55,6 @@
 // New returns a Guard that refuses everything until it has a View.
 func New(c Config) *Guard {
 	g := &Guard{Config: c, gate: gate.New()}
-	g.slowdown.Store(math.Float64bits(1))
 	g.fill.Store(math.Float64bits(1))
 	return g
 }
@@ -108,10 +109,10 @@
 // Load gives the load to tell entries.
 func (g *Guard) Load() mesh.Load {
 	l := g.gate.Load()
+	slowdown, calmIn := g.pulse.state(g.Now())
 	load := mesh.Load{
 		Running: l.InUse, Waiting: l.Waiting, Slots: l.Limit, Service: l.Service,
-		Slowdown: math.Float64frombits(g.slowdown.Load()),
-		Leaving:  g.leaving.Load() || g.stopping.Load(),
+		Slowdown: slowdown, CalmIn: calmIn, Leaving: g.leaving.Load() || g.stopping.Load(),
 	}
 	if v := g.view.Load(); v != nil {
 		load.Revision = v.Revision
@@ -125,23 +126,40 @@
 	defer g.active.Add(-1)
 	start := g.Now()
 	g.askedAt.Store(int64(start))
-	answer, e := g.run(ctx, r, start)
-	g.record(r, start, answer, e)
+	v := &visit{request: r, start: start}
+	answer, e := g.run(ctx, v)
+	g.record(v, answer, e)
 	return answer, e
 }
 
-func (g *Guard) run(ctx context.Context, r *mesh.Request, start time.Duration) (*mesh.Answer, *kind.Error) {
+// visit is a request's time at the guard.
+type visit struct {
+	request *mesh.Request
+	// start is when it came, waited how long it then waited for a slot.
+	start, waited time.Duration
+}
+
+func (g *Guard) run(ctx context.Context, v *visit) (*mesh.Answer, *kind.Error) {
+	r := v.request
 	if e := g.takes(r); e != nil {
 		return nil, e
 	}
-	deadline := start + r.Left
+	deadline := v.start + r.Left
 	ctx, cancel := context.WithTimeout(ctx, r.Left)
 	defer cancel()
+	if e := g.awaitCalm(ctx, v); e != nil {
+		return nil, e
+	}
 	slot, e := g.gate.EnterWithin(ctx, rankOf(r), max(r.Patience, time.Millisecond))
+	v.waited = g.Now() - v.start
 	if e != nil {
 		return nil, e
 	}
 	defer slot.Leave()
+	if e := g.awaitCalm(ctx, v); e != nil {
+		return nil, e
+	}
+	v.waited = g.Now() - v.start
 	if e := g.takes(r); e != nil {
 		return nil, e
 	}
@@ -238,9 +256,6 @@
 	}
 }
 
-// slowdownStep is the change of slowdown that entries are told of at once.
-const slowdownStep = 0.5
-
 // learn takes what an answer says of the backend server's load.
 func (g *Guard) learn(h http.Header) {
 	l, ok := g.Dialect.ParseLoad(h.Get(g.Dialect.Headers.Load))
@@ -248,24 +263,21 @@
 		return
 	}
 	g.gate.BackendCount(l.Running)
-	g.toldAt.Store(int64(g.Now()))
-	if l.Slowdown <= 0 {
-		return
-	}
-	old := math.Float64frombits(g.slowdown.Swap(math.Float64bits(l.Slowdown)))
-	if math.Abs(l.Slowdown-old) >= slowdownStep {
+	now := g.Now()
+	g.toldAt.Store(int64(now))
+	if l.Slowdown > 0 && g.pulse.told(now, l.Slowdown) {
 		g.Changed(false)
 	}
 }
 
 // record writes the decision about a request.
-func (g *Guard) record(r *mesh.Request, start time.Duration, a *mesh.Answer, e *kind.Error) {
-	l := g.Load()
+func (g *Guard) record(v *visit, a *mesh.Answer, e *kind.Error) {
+	l, r := g.Load(), v.request
 	pairs := []any{
 		"id", r.ID, "service", r.Service, "target", r.Target, "running", l.Running, "waiting", l.Waiting,
 		"slots", l.Slots, "slowdown", l.Slowdown, "load_age_ms", (g.Now() - time.Duration(g.toldAt.Load())).Milliseconds(),
 		"revision", l.Revision, "left_ms", r.Left.Milliseconds(), "patience_ms", r.Patience.Milliseconds(),
-		"took_ms", (g.Now() - start).Milliseconds(),
+		"waited_ms", v.waited.Milliseconds(), "took_ms", (g.Now() - v.start).Milliseconds(),
 	}
 	if e != nil {
 		g.Log.Decide("guard refused or lost", append(pairs, "kind", e.Kind, "outcome", e.Said(), "message", e.Message, "cause", errorText(e.Cause))...)
--- a/internal/mesh/guard/probe.go
+++ b/internal/mesh/guard/probe.go
@@ -58,6 +58,10 @@
 }
 
 func (g *Guard) probe(ctx context.Context) {
+	if g.probing.Swap(true) {
+		return
+	}
+	defer g.probing.Store(false)
 	v := g.view.Load()
 	svc := v.Config.Services[g.Here.Service]
 	if svc == nil || svc.HealthPath == "" {
--- a/internal/mesh/message.go
+++ b/internal/mesh/message.go
@@ -22,8 +22,10 @@
 	Priority        int
 	// Left is what is left of the caller's time, as of sending.
 	Left time.Duration
-	// Patience is how long it may wait for a slot.
+	// Patience is how long it may wait before it is sent to the backend server.
 	Patience time.Duration
+	// Work is how long the backend server usually takes for its like.
+	Work time.Duration
 	// Version is the configuration's that routed it.
 	Version uint64
 }
@@ -43,6 +45,9 @@
 	Service time.Duration
 	// Slowdown is how many times as long as usual work takes at the moment.
 	Slowdown float64
+	// CalmIn is when the slowdown is expected to be over; 0 says that there is none
+	// or that it lasts.
+	CalmIn time.Duration
 	// Leaving says that the guard takes no new requests.
 	Leaving bool
 	// Revision is the newest store revision that the guard has seen.
--- a/internal/mesh/peer/frame.go
+++ b/internal/mesh/peer/frame.go
@@ -66,6 +66,7 @@
 	Priority   int
 	LeftMs     uint32
 	PatienceMs uint32
+	WorkMs     uint32
 	Version    uint64
 }
 
@@ -94,6 +95,7 @@
 	ServiceMs uint16
 	// Percent is 100 for work that takes as long as usual.
 	Percent  uint16
+	CalmInMs uint16
 	Leaving  bool
 	Revision uint64
 }
@@ -106,7 +108,8 @@
 	return &requestBody{
 		ID: r.ID, Method: r.Method, URI: r.URI, Host: r.Host, Header: r.Header, Body: r.Body,
 		Caller: r.Caller, Service: r.Service, Target: r.Target, Idempotent: r.Idempotent,
-		Priority: r.Priority, LeftMs: milliseconds(r.Left), PatienceMs: milliseconds(r.Patience), Version: r.Version,
+		Priority: r.Priority, LeftMs: milliseconds(r.Left), PatienceMs: milliseconds(r.Patience),
+		WorkMs: milliseconds(r.Work), Version: r.Version,
 	}
 }
 
@@ -118,7 +121,8 @@
 		ID: b.ID, Method: b.Method, URI: b.URI, Host: b.Host, Header: b.Header, Body: b.Body,
 		Caller: b.Caller, Service: b.Service, Target: b.Target, Idempotent: b.Idempotent, Priority: b.Priority,
 		Left:     time.Duration(b.LeftMs) * time.Millisecond,
-		Patience: time.Duration(b.PatienceMs) * time.Millisecond, Version: b.Version,
+		Patience: time.Duration(b.PatienceMs) * time.Millisecond,
+		Work:     time.Duration(b.WorkMs) * time.Millisecond, Version: b.Version,
 	}
 }
 
@@ -128,7 +132,7 @@
 	return loadBody{
 		Running: clip16(l.Running), Waiting: clip16(l.Waiting), Slots: clip16(l.Slots),
 		ServiceMs: clip16(int(l.Service.Milliseconds())), Percent: clip16(int(100 * l.Slowdown)),
-		Leaving: l.Leaving, Revision: l.Revision,
+		CalmInMs: clip16(int(l.CalmIn.Milliseconds())), Leaving: l.Leaving, Revision: l.Revision,
 	}
 }
 
@@ -136,6 +140,7 @@
 	return mesh.Load{
 		Running: int(b.Running), Waiting: int(b.Waiting), Slots: int(b.Slots),
 		Service: time.Duration(b.ServiceMs) * time.Millisecond, Slowdown: float64(b.Percent) / 100,
+		CalmIn:  time.Duration(b.CalmInMs) * time.Millisecond,
 		Leaving: b.Leaving, Revision: b.Revision,
 	}
 }
--- a/internal/mesh/stat.go
+++ b/internal/mesh/stat.go
@@ -13,10 +13,9 @@
 	// forgetFailures is the time constant in which failures without newer evidence
 	// fade, so that a target which was bad is tried again.
 	forgetFailures = 3 * time.Second
-	// slowdownMemory is the time constant in which a reported slowdown returns to
-	// the usual. Neighbours on shared machines change several times a second; it is
-	// the mean length of their phases as measured on the target's answers.
-	slowdownMemory = 400 * time.Millisecond
+	// slowdownMemory is the time constant in which a lasting slowdown is forgotten
+	// without newer reports.
+	slowdownMemory = time.Second
 )
 
 // Stat is what a node knows of a target from traffic. It outlives Views. Safe
@@ -47,8 +46,10 @@
 	Busy, Slots int
 	// Service is how long a slot is held.
 	Service time.Duration
-	// Slowdown is the expected slowdown, by report and age.
+	// Slowdown is the expected slowdown, by report and age, and CalmIn when it is
+	// expected to be over; 0 is not known.
 	Slowdown float64
+	CalmIn   time.Duration
 	// Failing is the share of requests that fail, faded by age.
 	Failing float64
 	// Avoid says that the target is to be passed over, Leaving that it told so.
@@ -131,8 +132,21 @@
 	}
 	e.Slots, e.Service, e.Leaving = s.load.Slots, s.load.Service, s.load.Leaving
 	e.Busy = max(s.load.Running+s.load.Waiting+s.sent, s.inFlight)
-	if s.load.Slowdown > 0 {
+	switch {
+	case s.load.CalmIn > e.Age:
+		e.Slowdown, e.CalmIn = s.load.Slowdown, s.load.CalmIn-e.Age
+	case s.load.CalmIn == 0 && s.load.Slowdown > 0:
 		e.Slowdown = 1 + (s.load.Slowdown-1)*fade(e.Age, slowdownMemory)
 	}
 	return e
 }
+
+// Extra is how much longer work takes for the slowdown: what it adds to the work,
+// or the wait until it is over, whichever is less.
+func (e Estimate) Extra(work time.Duration) time.Duration {
+	extra := time.Duration(float64(work) * (e.Slowdown - 1))
+	if e.CalmIn > 0 {
+		extra = min(extra, e.CalmIn)
+	}
+	return max(extra, 0)
+}
