--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -74,13 +74,20 @@
 // full of requests of the same rank or higher, or when the expected wait is
 // longer than what ctx leaves.
 func (g *Gate) Enter(ctx context.Context, rank Rank) (Slot, *kind.Error) {
-	return g.EnterWithin(ctx, rank, 0)
+	return g.EnterWithin(ctx, rank, Wait{})
 }
 
-// EnterWithin does as Enter for a request whose sender says how long it may wait:
-// as long as no other gate would take it sooner. A patience of 0 leaves that to
-// the gate.
-func (g *Gate) EnterWithin(ctx context.Context, rank Rank, patience time.Duration) (Slot, *kind.Error) {
+// Wait bounds how a request waits, where its sender says so.
+type Wait struct {
+	// Patience is how long it may wait: as long as no other gate would take it
+	// sooner. 0 leaves that to the gate.
+	Patience time.Duration
+	// StartBy is until when it is worth starting, zero for always.
+	StartBy time.Time
+}
+
+// EnterWithin does as Enter for a request whose sender says how it may wait.
+func (g *Gate) EnterWithin(ctx context.Context, rank Rank, limits Wait) (Slot, *kind.Error) {
 	g.mu.Lock()
 	now := time.Now()
 	if g.running < g.limit(now) && len(g.queue) == 0 {
@@ -88,7 +95,7 @@
 		g.mu.Unlock()
 		return Slot{g, now}, nil
 	}
-	w, refusal := g.enqueue(ctx, rank, patience, now)
+	w, refusal := g.enqueue(ctx, rank, limits, now)
 	g.mu.Unlock()
 	if refusal != nil {
 		return Slot{}, refusal
@@ -159,10 +166,12 @@
 // Load is how busy the backend server is.
 type Load struct {
 	// Slots are declared; Limit is how many of them are used at present.
-	Slots   int           `json:"slots"`
-	Limit   int           `json:"limit"`
-	InUse   int           `json:"in_use"`
-	Waiting int           `json:"waiting"`
+	Slots   int `json:"slots"`
+	Limit   int `json:"limit"`
+	InUse   int `json:"in_use"`
+	Waiting int `json:"waiting"`
+	// Due are those that wait and can still be answered in time.
+	Due     int           `json:"due"`
 	Service time.Duration `json:"service_ns"`
 	// Refused counts refusals since the start.
 	Refused uint64 `json:"refused"`
@@ -173,7 +182,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return Load{
-		Slots: g.limits.Slots, Limit: g.limit(time.Now()), InUse: g.running, Waiting: len(g.queue),
+		Slots: g.limits.Slots, Limit: g.limit(time.Now()), InUse: g.running, Waiting: len(g.queue), Due: due(g.queue, time.Now()),
 		Service: g.drain.service, Refused: g.refused,
 	}
 }
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -333,7 +333,7 @@
 		require.Nil(t, e)
 		ctx, cancel := context.WithCancel(t.Context())
 		g.mu.Lock()
-		w, e := g.enqueue(ctx, Rank{}, 0, time.Now())
+		w, e := g.enqueue(ctx, Rank{}, Wait{}, time.Now())
 		g.mu.Unlock()
 		require.Nil(t, e)
 		first.Leave()
--- /dev/null
+++ b/internal/gate/in_time_test.go
@@ -0,0 +1,70 @@
+package gate
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Twice as many reads come for ten seconds as the backend server can run. First
+// in, first out, the queue soon is so long that every read is answered, but
+// after a caller has lost interest: the server works at its limit for next to
+// nothing. Those that can still make it must go first.
+func TestUnderOverloadThoseGoFirstThatCanStillMakeIt(t *testing.T) {
+	fifo, served := overload(t, "")
+	inTime, servedInTime := overload(t, OrderInTime)
+	t.Logf("of 800 requests in time: fifo %d, in time first %d; served at all: %d, %d", fifo, inTime, served, servedInTime)
+	require.Greater(t, inTime, 3*fifo)
+	require.GreaterOrEqual(t, servedInTime*10, served*9)
+}
+
+// overload sends requests of 100 ms to four slots, twice as many as they carry,
+// each worth an answer within 300 ms and waiting for a second.
+func overload(t *testing.T, order string) (inTime, served int) {
+	const (
+		requests = 800
+		work     = 100 * time.Millisecond
+		aim      = 300 * time.Millisecond
+		patience = time.Second - work
+		every    = work / 8
+	)
+	var met, ran atomic.Int32
+	synctest.Test(t, func(t *testing.T) {
+		g := New()
+		g.SetLimits(Limits{Slots: 4, Queue: 64, Order: order})
+		g.BackendCount(0)
+		for range requests {
+			arrived := time.Now()
+			go func() {
+				ctx, cancel := context.WithDeadline(t.Context(), arrived.Add(time.Second))
+				defer cancel()
+				slot, refusal := g.EnterWithin(ctx, Rank{}, Wait{Patience: patience, StartBy: arrived.Add(aim - work)})
+				if refusal != nil {
+					return
+				}
+				time.Sleep(work)
+				slot.Leave()
+				ran.Add(1)
+				if time.Since(arrived) <= aim {
+					met.Add(1)
+				}
+			}()
+			time.Sleep(every)
+		}
+		time.Sleep(2 * time.Second)
+	})
+	return int(met.Load()), int(ran.Load())
+}
+
+func TestTheLateRunOnlyWhenNobodyElseWaits(t *testing.T) {
+	now := time.Now()
+	queue := []*waiter{{startBy: now.Add(-time.Second)}, {startBy: now.Add(time.Second)}, {}}
+	require.Equal(t, 1, inTime{}.next(queue, now, false))
+	require.Equal(t, 2, inTime{}.ahead(queue, &waiter{startBy: now.Add(time.Second)}, now, false))
+	require.Equal(t, 3, inTime{}.ahead(queue, &waiter{startBy: now.Add(-time.Second)}, now, false))
+	require.Equal(t, 0, inTime{}.next(queue[:1], now, false))
+}
--- a/internal/gate/queue.go
+++ b/internal/gate/queue.go
@@ -15,6 +15,8 @@
 	patience time.Duration
 	// deadline is zero for none.
 	deadline time.Time
+	// startBy is until when it is worth starting, zero for always.
+	startBy time.Time
 	// verdict is told once: true for a slot, false for giving way to another.
 	verdict chan bool
 }
@@ -40,17 +42,19 @@
 }
 
 // enqueue lets a request wait, or refuses it. The mutex is held.
-func (g *Gate) enqueue(ctx context.Context, rank Rank, patience time.Duration, now time.Time) (*waiter, *kind.Error) {
-	deadline, _ := ctx.Deadline()
-	ahead := g.ahead(rank.Depth, deadline, now)
-	if patience == 0 {
-		patience = g.patience(rank, ahead, now)
-	}
-	if refusal := g.room(rank, ahead, patience, deadline, now); refusal != nil {
+func (g *Gate) enqueue(ctx context.Context, rank Rank, limits Wait, now time.Time) (*waiter, *kind.Error) {
+	w := g.newWaiter()
+	w.rank, w.startBy = rank, limits.StartBy
+	w.deadline, _ = ctx.Deadline()
+	ahead := g.ahead(w, now)
+	w.patience = limits.Patience
+	if w.patience == 0 {
+		w.patience = g.patience(rank, ahead, now)
+	}
+	if refusal := g.room(w, ahead, now); refusal != nil {
+		g.free(w)
 		return nil, refusal
 	}
-	w := g.newWaiter()
-	w.rank, w.deadline, w.patience = rank, deadline, patience
 	if len(g.queue) == 0 {
 		g.standing = now
 	}
@@ -61,7 +65,7 @@
 }
 
 // room makes room for a request, or refuses it. The mutex is held.
-func (g *Gate) room(rank Rank, ahead int, patience time.Duration, deadline, now time.Time) *kind.Error {
+func (g *Gate) room(w *waiter, ahead int, now time.Time) *kind.Error {
 	if g.limits.Slots == 0 {
 		return g.overloaded(now, "no slots are declared for this backend server")
 	}
@@ -72,22 +76,22 @@
 		return nil
 	}
 	wait := g.drain.wait(now, ahead+1, g.limit(now))
-	if wait > patience {
+	if wait > w.patience {
 		return g.overloaded(now, tooLongInChain)
 	}
-	if !deadline.IsZero() && deadline.Sub(now) < wait {
+	if !w.deadline.IsZero() && w.deadline.Sub(now) < wait {
 		return g.overloaded(now, "the wait for the backend server is longer than the deadline")
 	}
-	if len(g.queue) < g.limits.Queue || g.evict(rank) {
+	if len(g.queue) < g.limits.Queue || g.evict(w.rank) {
 		return nil
 	}
 	return g.overloaded(now, "the backend server's slots and queue are full")
 }
 
 // ahead counts those who would run before one that arrives now. The mutex is held.
-func (g *Gate) ahead(depth int, deadline, now time.Time) int {
-	start, end := g.section(depth)
-	return start + g.order.ahead(g.queue[start:end], deadline, g.stands(now))
+func (g *Gate) ahead(w *waiter, now time.Time) int {
+	start, end := g.section(w.rank.Depth)
+	return start + g.order.ahead(g.queue[start:end], w, now, g.stands(now))
 }
 
 // evict makes the latest of the lowest rank give way to a higher rank, and
@@ -123,7 +127,7 @@
 // deepest calls the one that the order says. The mutex is held.
 func (g *Gate) next(now time.Time) int {
 	_, end := g.section(g.queue[0].rank.Depth)
-	return g.order.next(g.queue[:end], g.stands(now))
+	return g.order.next(g.queue[:end], now, g.stands(now))
 }
 
 // take removes a waiter from the queue. The mutex is held.
--- a/internal/mesh/entry/run.go
+++ b/internal/mesh/entry/run.go
@@ -110,7 +110,7 @@
 		Caller: e.Here.Service, Service: t.service, Target: c.target.ID,
 		Idempotent: t.route.Idempotent, Priority: t.route.Priority,
 		Left: t.deadline - start - answerMargin/2 - wayTo[c.target.Distance]/2, Patience: patience, Version: t.view.Config.Version,
-		Work: t.usualWork(),
+		Work: t.usualWork(), AimLeft: t.aim - start - wayTo[c.target.Distance],
 	}
 	c.target.Stat.Begin()
 	var answer *mesh.Answer
--- a/internal/mesh/guard/guard.go
+++ b/internal/mesh/guard/guard.go
@@ -88,7 +88,7 @@
 	}
 	share := math.Float64frombits(g.fill.Load())
 	slots := max(int(float64(v.Own.Slots)*share+roundUp), 1)
-	g.gate.SetLimits(gate.Limits{Slots: slots, Queue: queuePerSlot * slots})
+	g.gate.SetLimits(gate.Limits{Slots: slots, Queue: queuePerSlot * slots, Order: gate.OrderInTime})
 }
 
 // roundUp keeps an exact product from being rounded down by its last bit.
@@ -111,7 +111,7 @@
 	l := g.gate.Load()
 	slowdown, calmIn := g.pulse.state(g.Now())
 	load := mesh.Load{
-		Running: l.InUse, Waiting: l.Waiting, Slots: l.Limit, Service: l.Service,
+		Running: l.InUse, Waiting: l.Due, Slots: l.Limit, Service: l.Service,
 		Slowdown: slowdown, CalmIn: calmIn, Leaving: g.leaving.Load() || g.stopping.Load(),
 	}
 	if v := g.view.Load(); v != nil {
@@ -150,7 +150,9 @@
 	if e := g.awaitCalm(ctx, v); e != nil {
 		return nil, e
 	}
-	slot, e := g.gate.EnterWithin(ctx, rankOf(r), max(r.Patience, time.Millisecond))
+	slot, e := g.gate.EnterWithin(ctx, rankOf(r), gate.Wait{
+		Patience: max(r.Patience-(g.Now()-v.start), time.Millisecond), StartBy: time.Now().Add(r.AimLeft - r.Work),
+	})
 	v.waited = g.Now() - v.start
 	if e != nil {
 		return nil, e
--- a/internal/mesh/guard/guard_test.go
+++ b/internal/mesh/guard/guard_test.go
@@ -64,7 +64,7 @@
 func request() *mesh.Request {
 	return &mesh.Request{
 		ID: "id", Method: "POST", URI: "/a", Host: "h", Header: http.Header{}, Caller: "shop", Service: "orders",
-		Target: "i-1", Left: time.Minute, Patience: time.Minute,
+		Target: "i-1", Left: time.Minute, Patience: time.Minute, AimLeft: time.Minute,
 	}
 }
 
--- a/internal/mesh/message.go
+++ b/internal/mesh/message.go
@@ -24,6 +24,9 @@
 	Left time.Duration
 	// Patience is how long it may wait before it is sent to the backend server.
 	Patience time.Duration
+	// AimLeft is the time after which the answer loses most of its worth; below 0 it
+	// is late already.
+	AimLeft time.Duration
 	// Work is how long the backend server usually takes for its like.
 	Work time.Duration
 	// Version is the configuration's that routed it.
@@ -39,7 +42,8 @@
 
 // Load is how busy a backend server is, as the guard beside it counts.
 type Load struct {
-	// Running and Waiting count requests; Slots is how many the guard lets run.
+	// Running and Waiting count requests, without those that wait and are late
+	// already, as these go last; Slots is how many the guard lets run.
 	Running, Waiting, Slots int
 	// Service is how long a slot is held on average.
 	Service time.Duration
--- a/internal/mesh/peer/frame.go
+++ b/internal/mesh/peer/frame.go
@@ -8,6 +8,7 @@
 	"bytes"
 	"encoding/binary"
 	"io"
+	"math"
 	"net/http"
 	"time"
 
@@ -67,6 +68,7 @@
 	LeftMs     uint32
 	PatienceMs uint32
 	WorkMs     uint32
+	AimLeftMs  int32
 	Version    uint64
 }
 
@@ -104,12 +106,17 @@
 	return uint32(min(max(d.Milliseconds(), 0), 1<<31))
 }
 
+// signed gives milliseconds of a time that may be over.
+func signed(d time.Duration) int32 {
+	return int32(min(max(d.Milliseconds(), math.MinInt32), math.MaxInt32))
+}
+
 func fromRequest(r *mesh.Request) *requestBody {
 	return &requestBody{
 		ID: r.ID, Method: r.Method, URI: r.URI, Host: r.Host, Header: r.Header, Body: r.Body,
 		Caller: r.Caller, Service: r.Service, Target: r.Target, Idempotent: r.Idempotent,
 		Priority: r.Priority, LeftMs: milliseconds(r.Left), PatienceMs: milliseconds(r.Patience),
-		WorkMs: milliseconds(r.Work), Version: r.Version,
+		WorkMs: milliseconds(r.Work), AimLeftMs: signed(r.AimLeft), Version: r.Version,
 	}
 }
 
@@ -122,7 +129,8 @@
 		Caller: b.Caller, Service: b.Service, Target: b.Target, Idempotent: b.Idempotent, Priority: b.Priority,
 		Left:     time.Duration(b.LeftMs) * time.Millisecond,
 		Patience: time.Duration(b.PatienceMs) * time.Millisecond,
-		Work:     time.Duration(b.WorkMs) * time.Millisecond, Version: b.Version,
+		Work:     time.Duration(b.WorkMs) * time.Millisecond,
+		AimLeft:  time.Duration(b.AimLeftMs) * time.Millisecond, Version: b.Version,
 	}
 }
 
