Guard: no look at the load of a target whose registration has ended

Cause: a nil pointer, as the own target left the view while a request waited for its slot; the node went down with all requests on it. The unit test panicked first.

--- a/internal/mesh/guard/guard_test.go
+++ b/internal/mesh/guard/guard_test.go
@@ -165,6 +165,39 @@
 	require.EqualValues(t, 1, x.got.Load())
 }
 
+// The backend server's registration ends while a request waits for its slot. The
+// node went down with every request on it, as it looked for the load of a target
+// that was no longer there.
+func TestATargetThatGoesWhileRequestsWaitHarmsNobody(t *testing.T) {
+	release, started := make(chan struct{}), make(chan struct{}, 2)
+	x := newFixture(t, 1, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Load", "1 1")
+		started <- struct{}{}
+		<-release
+		signed(w, r)
+	})
+	go func() { release <- struct{}{} }()
+	_, err := x.Run(t.Context(), request())
+	require.Nil(t, err, "the load is known now")
+	<-started
+	failures := make(chan *kind.Error, 2)
+	run := func() {
+		_, err := x.Run(context.Background(), request())
+		failures <- err
+	}
+	go run()
+	<-started
+	go run()
+	require.Eventually(t, func() bool { return x.Load().Waiting == 1 }, time.Minute, time.Millisecond)
+	gone := *x.view
+	gone.Own = nil
+	x.SetView(&gone)
+	x.now.Store(int64(time.Second))
+	close(release)
+	require.Nil(t, <-failures, "what runs is seen through")
+	require.Equal(t, kind.Leaving, (<-failures).Kind)
+}
+
 // The backend server is full. A stock check that a running order waits for goes
 // ahead of catalogue reads that came before it.
 func TestTheMoreUrgentRunsFirst(t *testing.T) {
--- a/internal/mesh/guard/probe.go
+++ b/internal/mesh/guard/probe.go
@@ -63,6 +63,10 @@
 	}
 	defer g.probing.Store(false)
 	v := g.view.Load()
+	if v == nil || v.Own == nil {
+		// The registration may end while requests that came before still wait.
+		return
+	}
 	svc := v.Config.Services[g.Here.Service]
 	if svc == nil || svc.HealthPath == "" {
 		return
