--- a/internal/mesh/entry/entry_test.go
+++ b/internal/mesh/entry/entry_test.go
@@ -280,6 +280,24 @@
 	require.Empty(t, w.offered)
 }
 
+// Many callers leave before they are answered. The targets that ran their requests
+// must not pass for failing because of it.
+func TestACallerThatLeavesIsNoFailureOfTheTarget(t *testing.T) {
+	w := newWorld(t, true)
+	w.targets = w.targets[:1]
+	w.publish()
+	ctx, cancel := context.WithCancel(t.Context())
+	w.answers[own] = func(*mesh.Request) (*mesh.Answer, *kind.Error) {
+		cancel()
+		return nil, kind.New(kind.OutcomeUnknown, "the caller left").Because(context.Canceled)
+	}
+	_, err := w.entry.Serve(ctx, w.request(0))
+	require.Equal(t, kind.OutcomeUnknown, err.Kind)
+	estimate := w.targets[0].Stat.Estimate(w.now)
+	require.Zero(t, estimate.Failing)
+	require.Zero(t, estimate.Busy)
+}
+
 func TestWithoutARouteOrConfiguration(t *testing.T) {
 	w := newWorld(t, true)
 	r := w.request(0)
--- a/internal/mesh/entry/run.go
+++ b/internal/mesh/entry/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -155,6 +156,11 @@
 
 // blame decides what an error says of the target.
 func (t *trip) blame(target *mesh.Target, err *kind.Error, now time.Duration) {
+	if errors.Is(err.Cause, context.Canceled) {
+		// That the caller left says nothing about the target.
+		target.Stat.End(now, false, false)
+		return
+	}
 	failed, telling := false, true
 	switch err.Kind {
 	case kind.Unreachable:
--- a/internal/mesh/guard/guard.go
+++ b/internal/mesh/guard/guard.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"math"
 	"net/http"
 	"strconv"
@@ -234,6 +235,8 @@
 
 func (g *Guard) failed(ctx context.Context, f *exchange.Failure) *kind.Error {
 	switch {
+	case errors.Is(ctx.Err(), context.Canceled) && f.Outcome == exchange.Unknown:
+		return kind.New(kind.OutcomeUnknown, "the caller left").Because(ctx.Err())
 	case f.Outcome == exchange.Unreachable:
 		return kind.New(kind.Unreachable, "the backend server can't be reached").Because(f)
 	case f.Outcome == exchange.NotSent && ctx.Err() != nil:
--- a/internal/mesh/peer/client.go
+++ b/internal/mesh/peer/client.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -126,6 +127,9 @@
 				// If it can't be sent, the connection ends, and that cancels as well.
 				_ = w.send(frame)
 			}
+			if errors.Is(ctx.Err(), context.Canceled) {
+				return nil, kind.New(kind.OutcomeUnknown, "the caller left").Because(ctx.Err())
+			}
 			return nil, kind.New(kind.DeadlineUnknown, "the wait for the target ended").Because(ctx.Err())
 		case <-check.C:
 			check.Reset(l.check(w))
