--- a/internal/gate/queue.go
+++ b/internal/gate/queue.go
@@ -11,8 +11,11 @@
 // waiter is a request that waits for a slot.
 type waiter struct {
 	rank Rank
-	// patience is how long it may wait, or forever.
-	patience time.Duration
+	// patience is how long a wait it is let into the queue for, or forever, and
+	// waitFor how long it then waits at most.
+	patience, waitFor time.Duration
+	// asked says that the patience is its sender's.
+	asked bool
 	// deadline is zero for none.
 	deadline time.Time
 	// startBy is until when it is worth starting, zero for always.
@@ -47,10 +50,13 @@
 	w.rank, w.startBy = rank, limits.StartBy
 	w.deadline, _ = ctx.Deadline()
 	ahead := g.ahead(w, now)
-	w.patience = limits.Patience
-	if w.patience == 0 {
+	w.patience, w.asked = limits.Patience, limits.Patience > 0
+	if !w.asked {
 		w.patience = g.patience(rank, ahead, now)
 	}
+	// Once in the queue, one that can still be answered in time keeps its place:
+	// elsewhere it would begin to wait anew.
+	w.waitFor = max(w.patience, limits.StartBy.Sub(now))
 	if refusal := g.room(w, ahead, now); refusal != nil {
 		g.free(w)
 		return nil, refusal
@@ -77,7 +83,7 @@
 	}
 	wait := g.drain.wait(now, ahead+1, g.limit(now))
 	if wait > w.patience {
-		return g.overloaded(now, tooLongInChain)
+		return g.overloaded(now, w.tooLong())
 	}
 	if !w.deadline.IsZero() && w.deadline.Sub(now) < wait {
 		return g.overloaded(now, "the wait for the backend server is longer than the deadline")
@@ -141,13 +147,15 @@
 func (g *Gate) wait(ctx context.Context, w *waiter) (Slot, *kind.Error) {
 	patience, stop := w.timer()
 	defer stop()
+	// Asked for now: once abandoned, the waiter may be another request's.
+	why := w.tooLong()
 	refusal := late
 	select {
 	case admitted := <-w.verdict:
 		return g.judged(w, admitted)
 	case <-ctx.Done():
 	case <-patience:
-		refusal = g.impatient
+		refusal = func() *kind.Error { return g.impatient(why) }
 	}
 	if g.abandon(w) {
 		return Slot{}, refusal()
@@ -163,10 +171,10 @@
 
 // timer gives a channel that tells when the patience ends, and ends it.
 func (w *waiter) timer() (<-chan time.Time, func()) {
-	if w.patience == forever {
+	if w.waitFor == forever {
 		return nil, func() {}
 	}
-	t := time.NewTimer(w.patience)
+	t := time.NewTimer(w.waitFor)
 	return t.C, func() { t.Stop() }
 }
 
@@ -185,10 +193,20 @@
 // tooLongInChain is told to a call that may not wait any longer, see patience.
 const tooLongInChain = "too long a wait for a call that holds slots further up its chain"
 
-func (g *Gate) impatient() *kind.Error {
+// tooLongForSender is told to a request whose sender gave its patience.
+const tooLongForSender = "the wait for a slot is longer than the request's patience"
+
+func (w *waiter) tooLong() string {
+	if w.asked {
+		return tooLongForSender
+	}
+	return tooLongInChain
+}
+
+func (g *Gate) impatient(why string) *kind.Error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.overloaded(time.Now(), tooLongInChain)
+	return g.overloaded(time.Now(), why)
 }
 
 func late() *kind.Error {
--- a/internal/mesh/guard/guard_test.go
+++ b/internal/mesh/guard/guard_test.go
@@ -237,13 +237,22 @@
 // A caller that may go elsewhere says how long it waits at most. A longer queue
 // refuses it at once and tells the wait.
 func TestAnImpatientRequestIsRefusedWithTheWait(t *testing.T) {
+	const work = 50 * time.Millisecond
 	release := make(chan struct{})
 	started := make(chan struct{}, 1)
 	x := newFixture(t, 1, func(w http.ResponseWriter, r *http.Request) {
-		started <- struct{}{}
-		<-release
+		if r.Header.Get("X-Id") == "measured" {
+			time.Sleep(work)
+		} else {
+			started <- struct{}{}
+			<-release
+		}
 		signed(w, r)
 	})
+	measured := request()
+	measured.ID = "measured"
+	_, err := x.Run(t.Context(), measured)
+	require.Nil(t, err)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -251,12 +260,13 @@
 	}()
 	<-started
 	hasty := request()
-	hasty.Patience = time.Nanosecond
-	_, err := x.Run(t.Context(), hasty)
-	require.Equal(t, kind.Overloaded, err.Kind)
-	require.Equal(t, kind.NotRun, err.Said())
+	hasty.Patience = work / 10
+	_, err = x.Run(t.Context(), hasty)
 	close(release)
 	<-done
+	require.Equal(t, kind.Overloaded, err.Kind)
+	require.Equal(t, kind.NotRun, err.Said())
+	require.GreaterOrEqual(t, err.Wait, work)
 }
 
 // A booking is at work when its caller leaves. Breaking it off would leave its
