--- a/internal/gate/queue.go
+++ b/internal/gate/queue.go
@@ -11,9 +11,8 @@
 // waiter is a request that waits for a slot.
 type waiter struct {
 	rank Rank
-	// patience is how long a wait it is let into the queue for, or forever, and
-	// waitFor how long it then waits at most.
-	patience, waitFor time.Duration
+	// patience is how long it may wait, or forever.
+	patience time.Duration
 	// asked says that the patience is its sender's.
 	asked bool
 	// deadline is zero for none.
@@ -54,9 +53,6 @@
 	if !w.asked {
 		w.patience = g.patience(rank, ahead, now)
 	}
-	// Once in the queue, one that can still be answered in time keeps its place:
-	// elsewhere it would begin to wait anew.
-	w.waitFor = max(w.patience, limits.StartBy.Sub(now))
 	if refusal := g.room(w, ahead, now); refusal != nil {
 		g.free(w)
 		return nil, refusal
@@ -171,10 +167,10 @@
 
 // timer gives a channel that tells when the patience ends, and ends it.
 func (w *waiter) timer() (<-chan time.Time, func()) {
-	if w.waitFor == forever {
+	if w.patience == forever {
 		return nil, func() {}
 	}
-	t := time.NewTimer(w.waitFor)
+	t := time.NewTimer(w.patience)
 	return t.C, func() { t.Stop() }
 }
 
--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -38,6 +38,11 @@
 	Run(ctx context.Context)
 	// Seen tells the revision that another node has seen.
 	Seen(revision uint64)
+	// Snapshot gives what the store held when it was last read, for Restore of a node
+	// that starts while the store is away; nil if it wasn't read yet.
+	Snapshot() []byte
+	// Restore takes another node's snapshot, unless the node knows as much itself.
+	Restore(ctx context.Context, snapshot []byte) error
 	// Calls gives how many calls were made, and how many of them failed.
 	Calls() (made, failed uint64)
 }
@@ -166,6 +171,12 @@
 
 // serve starts the goroutines of the node.
 func (p *parts) serve(ctx context.Context, l *listeners) {
+	p.Client.OnAsked(p.Source.Snapshot)
+	p.Peers.OnState(p.lacksState, func(snapshot []byte) {
+		if err := p.Source.Restore(ctx, snapshot); err != nil {
+			p.Log.Trouble("another node's state can't be used", "error", err.Error())
+		}
+	})
 	go p.Loop.Run(ctx)
 	go p.Source.Run(ctx)
 	go p.Guard.Probe(ctx)
@@ -187,6 +198,9 @@
 	}
 }
 
+// lacksState says whether the node has nothing in force yet.
+func (p *parts) lacksState() bool { return p.Entry.View() == nil }
+
 const (
 	// warmEvery is the pause between looks for nodes of the region that no
 	// connection is open to. Load reports come over these connections.
--- a/internal/mesh/peer/client.go
+++ b/internal/mesh/peer/client.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -43,6 +44,26 @@
 	listener Listener
 	mu       sync.Mutex
 	links    map[linkKey]*link
+	// state gives the node's state for one that has none.
+	state atomic.Pointer[func() []byte]
+}
+
+// OnAsked sets what gives the node's state to a node that starts while the store is
+// away; nil of it is nothing to tell.
+func (c *Client) OnAsked(state func() []byte) { c.state.Store(&state) }
+
+// tellState answers a node that asks for the state.
+func (c *Client) tellState(w *writer) {
+	give := c.state.Load()
+	if give == nil {
+		return
+	}
+	state := (*give)()
+	if state == nil {
+		return
+	}
+	// One that can't be told has its connection closed and is dialled again.
+	_ = w.send(rawFrame(frameState, state))
 }
 
 type linkKey struct {
@@ -238,7 +259,7 @@
 	reader := bufio.NewReader(raw)
 	for {
 		t, number, body, err := decode(reader)
-		if err != nil || !l.take(t, number, body) {
+		if err != nil || !l.take(w, t, number, body) {
 			break
 		}
 	}
@@ -252,7 +273,7 @@
 	}
 }
 
-func (l *link) take(t frameType, number uint32, body []byte) bool {
+func (l *link) take(w *writer, t frameType, number uint32, body []byte) bool {
 	l.mu.Lock()
 	l.heard = time.Now()
 	l.mu.Unlock()
@@ -277,6 +298,8 @@
 			return false
 		}
 		l.client.listener.Reported(l.key.addr, b.load())
+	case frameAsk:
+		l.client.tellState(w)
 	case framePong:
 	default:
 		return false
--- a/internal/mesh/peer/frame.go
+++ b/internal/mesh/peer/frame.go
@@ -35,6 +35,10 @@
 	// framePing asks for a framePong at once; both are without a stream.
 	framePing
 	framePong
+	// frameAsk asks the node that dialled for its state, and frameState is that; both
+	// are without a stream.
+	frameAsk
+	frameState
 )
 
 const (
@@ -187,10 +191,22 @@
 		}
 	}
 	frame := text.Bytes()
+	setPrefix(frame, t, stream)
+	return frame, nil
+}
+
+// rawFrame makes a frame, without a stream, whose body is encoded already.
+func rawFrame(t frameType, body []byte) []byte {
+	frame := make([]byte, prefixSize, prefixSize+len(body))
+	frame = append(frame, body...)
+	setPrefix(frame, t, 0)
+	return frame
+}
+
+func setPrefix(frame []byte, t frameType, stream uint32) {
 	binary.BigEndian.PutUint32(frame, uint32(len(frame)-prefixSize))
 	frame[4] = byte(t)
 	binary.BigEndian.PutUint32(frame[5:], stream)
-	return frame, nil
 }
 
 // decode reads the next frame.
@@ -201,7 +217,7 @@
 	}
 	size := binary.BigEndian.Uint32(prefix[:])
 	t := frameType(prefix[4])
-	if size > maxFrame || t < frameHello || t > framePong {
+	if size > maxFrame || t < frameHello || t > frameState {
 		return 0, 0, nil, errFrame
 	}
 	body := make([]byte, size)
--- a/internal/mesh/peer/peer_test.go
+++ b/internal/mesh/peer/peer_test.go
@@ -215,6 +215,39 @@
 	}, time.Minute, time.Millisecond)
 }
 
+// A node starts while the store is away and knows no other. One that dials it still
+// knows everything and tells it when asked; one that has its state isn't told.
+func TestANodeWithoutStateIsToldByWhoDialsIt(t *testing.T) {
+	for _, lacks := range []bool{true, false} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		s := NewServer(node{func(context.Context, *mesh.Request) (*mesh.Answer, *kind.Error) {
+			return &mesh.Answer{Status: 200}, nil
+		}}, mesh.Place{})
+		told := make(chan string, 1)
+		s.OnState(func() bool { return lacks }, func(state []byte) { told <- string(state) })
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			_ = s.Serve(l)
+		}()
+		c := NewClient(mesh.Place{}, &heard{last: map[string]mesh.Load{}})
+		c.OnAsked(func() []byte { return []byte("all that I know") })
+		_, failure := c.Run(t.Context(), l.Addr().String(), &mesh.Request{})
+		require.Nil(t, failure)
+		if lacks {
+			require.Equal(t, "all that I know", <-told)
+		}
+		_, failure = c.Run(t.Context(), l.Addr().String(), &mesh.Request{})
+		require.Nil(t, failure)
+		require.Empty(t, told)
+		c.Keep(nil)
+		require.NoError(t, l.Close())
+		<-ended
+		s.Close()
+	}
+}
+
 func FuzzDecode(f *testing.F) {
 	frame, err := encode(frameRequest, 7, fromRequest(&mesh.Request{ID: "a", Body: []byte("b")}))
 	require.NoError(f, err)
--- a/internal/mesh/peer/server.go
+++ b/internal/mesh/peer/server.go
@@ -34,6 +34,19 @@
 	here    mesh.Place
 	mu      sync.Mutex
 	conns   map[*serverConn]struct{}
+	// lacks says whether the node has no state yet, and restore takes one.
+	lacks   func() bool
+	restore func(state []byte)
+}
+
+// OnState sets what takes the state of a node that dials this one while lacks says
+// that there is none. It must be called before Serve.
+//
+// A node that starts while the store is away knows no other node, and would serve
+// nobody until the store is back. The others still know its address, and keep
+// dialling it.
+func (s *Server) OnState(lacks func() bool, restore func(state []byte)) {
+	s.lacks, s.restore = lacks, restore
 }
 
 // NewServer returns a Server that hands requests to h.
@@ -74,6 +87,9 @@
 	}
 	s.add(conn)
 	defer s.remove(conn)
+	if s.lacks != nil && s.lacks() {
+		conn.reply(frameAsk, 0, nil)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	// Nobody waits any more for what came over a connection that has ended.
 	defer cancel()
@@ -121,6 +137,11 @@
 		if cancel != nil {
 			cancel()
 		}
+	case frameState:
+		if c.server.restore == nil {
+			return false
+		}
+		c.server.restore(body)
 	case framePing:
 		return c.reply(framePong, stream, nil)
 	default:
--- /dev/null
+++ b/internal/mesh/settings/settings_test.go
@@ -0,0 +1,88 @@
+package settings_test
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/limpetdock/limpetdock/internal/mesh"
+	"github.com/limpetdock/limpetdock/internal/mesh/settings"
+)
+
+const good = `[node]
+vm = vm-1
+ip = 10.1.0.8
+zone = rs-a
+region = rs
+service = orders
+[zones]
+rs-a = rs
+sc-a = sc
+[listen]
+callers = 10.1.0.8:8304
+peers = 10.1.0.8:8300
+ready = 10.1.0.8:8302
+admin = 10.1.0.8:7635
+[backend]
+address = 10.1.0.8:8301
+[store]
+address = 10.200.1.7:8309
+`
+
+func TestDefaultsHoldWhereAKeyIsMissingOrEmpty(t *testing.T) {
+	for _, text := range []string{good, good + "[repeats]\nratio =\nslack =\nwindow-seconds =\n[stop]\ngrace-seconds =\n"} {
+		s, err := settings.Parse([]byte(text))
+		require.NoError(t, err)
+		require.Equal(t, mesh.Place{VM: "vm-1", IP: "10.1.0.8", Zone: "rs-a", Region: "rs", Service: "orders"}, s.Here)
+		require.Equal(t, map[string]string{"rs-a": "rs", "sc-a": "sc"}, s.Regions)
+		require.Equal(t, 6*time.Second, s.StopGrace)
+		require.Equal(t, 10*time.Second, s.Repeats.Window)
+		require.InDelta(t, 0.8, s.Tunable.Fill, 0)
+		require.Equal(t, 20*time.Millisecond, s.Tunable.Prices.RegionPerKB)
+	}
+}
+
+func TestFractionsOfSecondsAreRead(t *testing.T) {
+	s, err := settings.Parse([]byte(good + "[stop]\ngrace-seconds = 4.5\n[repeats]\nratio = 0.1\nslack = 56\n"))
+	require.NoError(t, err)
+	require.Equal(t, 4500*time.Millisecond, s.StopGrace)
+	require.InDelta(t, 0.1, s.Repeats.Ratio, 0)
+	require.InDelta(t, 56, s.Repeats.Slack, 0)
+}
+
+func TestEveryFaultIsNamedAtOnce(t *testing.T) {
+	text := strings.NewReplacer("10.1.0.8:8304", "nowhere", "vm = vm-1", "wm = vm-1", "[store]\naddress = 10.200.1.7:8309", "").Replace(good)
+	_, err := settings.Parse([]byte(text + "[backend]\nfill = 2\n[stop]\ngrace-seconds = NaN\n"))
+	require.Error(t, err)
+	for _, part := range []string{"[listen] callers", "[node] vm is missing", "[node] wm isn't known", "[store] address is missing", "[backend] fill", "grace-seconds"} {
+		require.ErrorContains(t, err, part)
+	}
+}
+
+func TestWhatIsNoINIOrHasNoZones(t *testing.T) {
+	_, err := settings.Parse([]byte("{\"json\": 1"))
+	require.Error(t, err)
+	_, err = settings.Parse([]byte(strings.Replace(good, "rs-a = rs\nsc-a = sc\n", "", 1)))
+	require.ErrorContains(t, err, "[zones]")
+	_, err = settings.Load(filepath.Join(t.TempDir(), "none"))
+	require.ErrorIs(t, err, os.ErrNotExist)
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add(good)
+	f.Add(good + "[routing]\nzone-price = -1ms\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		s, err := settings.Parse([]byte(text))
+		if err != nil {
+			return
+		}
+		require.NotEmpty(t, s.Here.VM)
+		require.NotEmpty(t, s.Regions)
+		require.Positive(t, s.Tunable.Fill)
+		require.Positive(t, s.StopGrace)
+	})
+}
