--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,54 @@
+// Package daemon holds what both kinds of node have on their command line.
+package daemon
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+)
+
+// Exit codes of the daemon.
+const (
+	ExitOK     = 0
+	ExitFailed = 1
+	ExitUsage  = 2
+)
+
+// Options are what the command line says.
+type Options struct {
+	Settings string `short:"s" long:"settings" value-name:"FILE" required:"true" description:"settings file (INI)"`
+	Check    bool   `long:"check" description:"check the settings file and exit"`
+}
+
+// Main reads the command line of a program and the settings that it names, and
+// serves under them. It gives the exit code.
+func Main[S any](program string, args []string, load func(path string) (S, error), serve func(path string, settings S) int) int {
+	var opts Options
+	parser := flags.NewNamedParser(program, flags.HelpFlag|flags.PassDoubleDash)
+	if _, err := parser.AddGroup("Options", "", &opts); err != nil {
+		return Complain(err)
+	}
+	if _, err := parser.ParseArgs(args); err != nil {
+		if flags.WroteHelp(err) {
+			fmt.Println(err)
+			return ExitOK
+		}
+		return Complain(err)
+	}
+	settings, err := load(opts.Settings)
+	if err != nil {
+		return Complain(err)
+	}
+	if opts.Check {
+		fmt.Println("settings are good")
+		return ExitOK
+	}
+	return serve(opts.Settings, settings)
+}
+
+// Complain tells why the program can't start.
+func Complain(err error) int {
+	fmt.Fprintln(os.Stderr, "limpetdockd:", err)
+	return ExitUsage
+}
--- a/internal/entry/background.go
+++ b/internal/entry/background.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/limpetdock/limpetdock/fleet"
+	"github.com/limpetdock/limpetdock/internal/clock"
 	"github.com/limpetdock/limpetdock/internal/headers"
 	"github.com/limpetdock/limpetdock/internal/pick"
 	"github.com/limpetdock/limpetdock/internal/wire"
@@ -37,24 +38,12 @@
 	wg.Wait()
 }
 
-// sleep waits, and says whether ctx still holds.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // warmUp opens a connection to each near target once, one after the other at
 // random times: after a zone has come back, all entries together would
 // otherwise open thousands within a second.
 func (e *Entry) warmUp(ctx context.Context) {
 	warm := map[string]bool{}
-	for sleep(ctx, warmEvery/2+rand.N(warmEvery)) {
+	for clock.Sleep(ctx, warmEvery/2+rand.N(warmEvery)) {
 		v := e.view.Load()
 		if t := coldest(v, warm); t != nil {
 			warm[t.Guard] = true
@@ -103,7 +92,7 @@
 // those with the oldest reports first.
 func (e *Entry) probe(ctx context.Context, wg *sync.WaitGroup) {
 	turn := 0
-	for sleep(ctx, probeEvery/2+rand.N(probeEvery)) {
+	for clock.Sleep(ctx, probeEvery/2+rand.N(probeEvery)) {
 		v := e.view.Load()
 		if v == nil {
 			continue
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -73,7 +73,7 @@
 	name := r.Header.Get(headers.Service)
 	conf := v.Config.Lookup(name, r.Host)
 	if conf == nil {
-		return nil, kind.New(kind.UnknownService, "no service %q is declared", clip(orHost(name, r.Host)))
+		return nil, kind.New(kind.UnknownService, "no service %q is declared", kind.Clip(orHost(name, r.Host)))
 	}
 	x := &request{in: r, service: v.Services[conf.Name]}
 	if err := x.parseKey(); err != nil {
@@ -115,15 +115,6 @@
 	return host
 }
 
-const clipAt = 64
-
-func clip(s string) string {
-	if len(s) > clipAt {
-		return s[:clipAt] + "..."
-	}
-	return s
-}
-
 func (x *request) parseTimeout() *kind.Error {
 	x.timeout = x.service.Timeout
 	value := x.in.Header.Get(headers.TimeoutMs)
--- a/internal/kind/kind.go
+++ b/internal/kind/kind.go
@@ -216,3 +216,14 @@
 	}
 	return New(OutcomeUnknown, "the request failed in an unforeseen way").Because(err)
 }
+
+// clipAt is the longest text of a caller's that a message repeats, in bytes.
+const clipAt = 64
+
+// Clip shortens a text that a caller sent for use in a message.
+func Clip(s string) string {
+	if len(s) > clipAt {
+		return s[:clipAt] + "..."
+	}
+	return s
+}
--- a/internal/mesh/entry/describe.go
+++ b/internal/mesh/entry/describe.go
@@ -11,7 +11,7 @@
 
 // describe gives what decided a request, for the log.
 func (t *trip) describe(a *mesh.Answer, err *kind.Error, took time.Duration) []any {
-	pairs := []any{"id", t.in.ID, "method", t.in.Method, "host", t.in.Host, "path", clip(t.in.Path), "took_ms", took.Milliseconds()}
+	pairs := []any{"id", t.in.ID, "method", t.in.Method, "host", t.in.Host, "path", kind.Clip(t.in.Path), "took_ms", took.Milliseconds()}
 	if t.view != nil {
 		pairs = append(pairs, "config", t.view.Config.Version, "revision", t.view.Revision)
 	}
--- a/internal/mesh/entry/entry.go
+++ b/internal/mesh/entry/entry.go
@@ -185,7 +185,7 @@
 	}
 	t.route = t.view.Config.Match(in.Host, in.Path)
 	if t.route == nil {
-		return t, kind.New(kind.UnknownService, "no route for %s%s", clip(in.Host), clip(in.Path))
+		return t, kind.New(kind.UnknownService, "no route for %s%s", kind.Clip(in.Host), kind.Clip(in.Path))
 	}
 	t.service = t.route.Weights.Next(t.route.Shares)
 	timeout := t.route.Timeout
@@ -211,15 +211,6 @@
 // is what most HTTP clients use.
 const defaultTimeout = 30 * time.Second
 
-const clipAt = 64
-
-func clip(s string) string {
-	if len(s) > clipAt {
-		return s[:clipAt] + "..."
-	}
-	return s
-}
-
 // nodeMargin is what a node's share of the slack is divided by besides the number
 // of nodes: one that was killed and started again begins a new share, and both
 // may fall into one window.
--- a/internal/mesh/exchange/pool.go
+++ b/internal/mesh/exchange/pool.go
@@ -9,21 +9,20 @@
 	"net/url"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
-	"golang.org/x/sys/unix"
 
 	"github.com/limpetdock/limpetdock/internal/mesh"
+	"github.com/limpetdock/limpetdock/internal/sockopt"
 )
 
 const (
 	// dialTimeout bounds opening a connection on the own VM.
 	dialTimeout = time.Second
-	// userTimeout is when the kernel gives up unacknowledged bytes, in
-	// milliseconds: an address that went dark must not hold a request for minutes.
-	userTimeout = 3000
+	// userTimeout is when the kernel gives up unacknowledged bytes: an address that
+	// went dark must not hold a request for minutes.
+	userTimeout = 3 * time.Second
 	// defaultIdle is how long an unused connection is trusted where the backend
 	// server doesn't say how long it keeps one.
 	defaultIdle = 4 * time.Second
@@ -172,16 +171,7 @@
 }
 
 func (c *Client) dial(ctx context.Context) (*conn, error) {
-	d := net.Dialer{Timeout: dialTimeout, Control: func(_, _ string, raw syscall.RawConn) error {
-		var failed error
-		err := raw.Control(func(fd uintptr) {
-			failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, userTimeout)
-		})
-		if err != nil {
-			return err
-		}
-		return failed
-	}}
+	d := net.Dialer{Timeout: dialTimeout, Control: sockopt.UserTimeout(userTimeout)}
 	raw, err := d.DialContext(ctx, "tcp", c.addr)
 	if err != nil {
 		return nil, eris.Wrap(err, "open connection to backend server")
--- a/internal/mesh/guard/pulse.go
+++ b/internal/mesh/guard/pulse.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/limpetdock/limpetdock/internal/clock"
 	"github.com/limpetdock/limpetdock/internal/kind"
 )
 
@@ -97,7 +98,7 @@
 			e.Wait, e.RetryAfter = calmIn, calmIn
 			return e
 		}
-		if !pause(ctx, min(calmEvery, calmIn)) {
+		if !clock.Sleep(ctx, min(calmEvery, calmIn)) {
 			return kind.New(kind.DeadlineNotRun, "the deadline passed while the backend server was slowed")
 		}
 	}
@@ -120,15 +121,3 @@
 	defer p.mu.Unlock()
 	return p.length != 0
 }
-
-// pause waits, and says whether ctx still holds.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -10,6 +10,7 @@
 	"go.uber.org/fx"
 
 	"github.com/limpetdock/limpetdock/internal/clock"
+	"github.com/limpetdock/limpetdock/internal/daemon"
 	"github.com/limpetdock/limpetdock/internal/decision"
 	"github.com/limpetdock/limpetdock/internal/mesh"
 	"github.com/limpetdock/limpetdock/internal/mesh/directory"
@@ -192,7 +193,7 @@
 			if err := serve(); err != nil {
 				p.Log.Trouble("a server ended", "error", err.Error())
 				// The process ends and is started again with all of its ports.
-				_ = p.Shutdown.Shutdown(fx.ExitCode(ExitFailed))
+				_ = p.Shutdown.Shutdown(fx.ExitCode(daemon.ExitFailed))
 			}
 		}()
 	}
--- a/internal/mesh/node/reports.go
+++ b/internal/mesh/node/reports.go
@@ -107,15 +107,6 @@
 			peers.Tell(l, urgent || l.Revision != told.Revision)
 			told, toldAt = l, time.Now()
 		}
-		sleep(ctx, tellEvery)
-	}
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
+		clock.Sleep(ctx, tellEvery)
 	}
 }
--- a/internal/mesh/peer/writer.go
+++ b/internal/mesh/peer/writer.go
@@ -3,11 +3,9 @@
 import (
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
-	"golang.org/x/sys/unix"
 )
 
 const (
@@ -104,21 +102,9 @@
 	keepIdle  = time.Second
 	keepEvery = time.Second
 	keepCount = 2
-	// userTimeout is when the kernel gives up unacknowledged bytes, in
-	// milliseconds: a request on its way into the dark is known to be lost then.
-	userTimeout = 1500
+	// userTimeout is when the kernel gives up unacknowledged bytes: a request on its
+	// way into the dark is known to be lost then.
+	userTimeout = 1500 * time.Millisecond
 )
 
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: keepIdle, Interval: keepEvery, Count: keepCount}
-
-// giveUpSoon sets how long unacknowledged bytes are tried for.
-func giveUpSoon(_, _ string, raw syscall.RawConn) error {
-	var failed error
-	err := raw.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, userTimeout)
-	})
-	if err != nil {
-		return err
-	}
-	return failed
-}
--- a/internal/node/main.go
+++ b/internal/node/main.go
@@ -2,57 +2,19 @@
 
 import (
 	"context"
-	"fmt"
 	"log/slog"
 	"os"
 
 	"github.com/go-logr/logr"
-	"github.com/jessevdk/go-flags"
 	"go.uber.org/fx"
 
+	"github.com/limpetdock/limpetdock/internal/daemon"
 	"github.com/limpetdock/limpetdock/internal/settings"
 )
 
-// Exit codes of the daemon.
-const (
-	ExitOK     = 0
-	ExitFailed = 1
-	ExitUsage  = 2
-)
-
-type options struct {
-	Settings string `short:"s" long:"settings" value-name:"FILE" required:"true" description:"settings file (INI)"`
-	Check    bool   `long:"check" description:"check the settings file and exit"`
-}
-
 // Main runs the daemon with command-line arguments and gives its exit code.
 func Main(args []string) int {
-	var opts options
-	parser := flags.NewNamedParser("limpetdockd", flags.HelpFlag|flags.PassDoubleDash)
-	if _, err := parser.AddGroup("Options", "", &opts); err != nil {
-		return complain(err)
-	}
-	if _, err := parser.ParseArgs(args); err != nil {
-		if flags.WroteHelp(err) {
-			fmt.Println(err)
-			return ExitOK
-		}
-		return complain(err)
-	}
-	set, err := settings.Load(opts.Settings)
-	if err != nil {
-		return complain(err)
-	}
-	if opts.Check {
-		fmt.Println("settings are good")
-		return ExitOK
-	}
-	return serve(set)
-}
-
-func complain(err error) int {
-	fmt.Fprintln(os.Stderr, "limpetdockd:", err)
-	return ExitUsage
+	return daemon.Main("limpetdockd", args, settings.Load, func(_ string, set *settings.Settings) int { return serve(set) })
 }
 
 func serve(set *settings.Settings) int {
@@ -65,14 +27,14 @@
 	defer cancel()
 	if err := app.Start(start); err != nil {
 		log.Error(err, "start failed")
-		return ExitFailed
+		return daemon.ExitFailed
 	}
 	signal := <-app.Wait()
 	stop, cancelStop := context.WithTimeout(context.Background(), app.StopTimeout())
 	defer cancelStop()
 	if err := app.Stop(stop); err != nil {
 		log.Error(err, "stop failed")
-		return ExitFailed
+		return daemon.ExitFailed
 	}
 	return signal.ExitCode
 }
