--- a/internal/cli/reference.go
+++ b/internal/cli/reference.go
@@ -8,6 +8,12 @@
 	"github.com/jessevdk/go-flags"
 )
 
+// daemonText points to the daemon, which has no commands of its own.
+const daemonText = "The node is another program: `limpetdockd --settings FILE [--check]`, described in " +
+	"[settings](operators/settings.md), and `limpetdockd mesh --settings FILE [--check]` for deployments whose " +
+	"targets register themselves, in [platform](operators/platform.md). The commands below ask the first kind; " +
+	"a mesh node tells its state by `curl http://IP:9464/state`."
+
 // Reference gives the reference of all commands as Markdown, for docs/cli.md.
 func Reference() (string, error) {
 	p, err := newParser(nil)
@@ -17,6 +23,7 @@
 	var b strings.Builder
 	b.WriteString("# limpetdock: reference\n\nGenerated from the help texts by `UPDATE=1 go test ./internal/cli`; a test checks it.\n\n")
 	b.WriteString(exitCodesText + "\n\nShell completion: `source <(limpetdock completion)`.\n")
+	b.WriteString("\n" + daemonText + "\n")
 	for _, c := range p.Commands() {
 		describe(&b, "limpetdock", c)
 	}
