Read once more: one accept loop, expectations once a choice, fields nobody read are gone

Accepting connections stood three times (front, peer, link) and waiting under a context twice more (load, the backend stand-in). A choice of target looked the route's expectation up again for each candidate. The version of the configuration and the place of the dialler travelled between nodes and nobody read them.

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/limpetdock/limpetdock/internal/accept"
 	"github.com/limpetdock/limpetdock/internal/wire"
 )
 
@@ -62,18 +63,7 @@
 
 // Serve accepts connections on l until it is closed.
 func (s *Server) Serve(l net.Listener) error {
-	for {
-		conn, err := l.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return nil
-		}
-		if err != nil {
-			// As when the process is out of file descriptors for a moment: what is
-			// open goes on, and the listener is tried again.
-			s.counters.AcceptErrors.Add(1)
-			time.Sleep(acceptPause)
-			continue
-		}
+	accept.Loop(l, acceptPause, func() { s.counters.AcceptErrors.Add(1) }, func(conn net.Conn) {
 		select {
 		case s.slots <- struct{}{}:
 			s.start(conn)
@@ -81,7 +71,8 @@
 			s.counters.Full.Add(1)
 			_ = conn.Close()
 		}
-	}
+	})
+	return nil
 }
 
 func (s *Server) start(conn net.Conn) {
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/limpetdock/limpetdock/internal/clock"
 )
 
 // Outcome is what became of a call: an error kind of the system (package kind),
@@ -90,14 +92,7 @@
 	if left <= 0 {
 		return ctx.Err() == nil
 	}
-	timer := time.NewTimer(left)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return clock.Sleep(ctx, left)
 }
 
 // watch reports progress until the returned function is called.
--- a/internal/mesh/directory/directory.go
+++ b/internal/mesh/directory/directory.go
@@ -241,8 +241,8 @@
 	}
 	region := s.regions[one.Zone]
 	return &mesh.Target{
-		ID: one.ID, Started: one.Started, Service: one.Service, Addr: one.Addr,
-		Peer: net.JoinHostPort(host, s.peerPort), Zone: one.Zone, Region: region, Slots: one.Slots,
+		ID: one.ID, Service: one.Service, Addr: one.Addr,
+		Peer: net.JoinHostPort(host, s.peerPort), Zone: one.Zone, Slots: one.Slots,
 		State: one.State, WarmAt: one.warmAt, Stat: one.stat, Distance: s.here.DistanceTo(host, one.Zone, region),
 	}
 }
--- a/internal/mesh/entry/choose.go
+++ b/internal/mesh/entry/choose.go
@@ -85,13 +85,14 @@
 // candidates gives the targets that the request may be offered to, cheapest first.
 func (t *trip) candidates() []candidate {
 	all := t.view.Targets[t.service]
+	bytes, work := t.stat.expect()
 	list := make([]candidate, 0, len(all))
 	var avoided []candidate
 	for _, target := range all {
 		if t.tried(target) {
 			continue
 		}
-		c, usable := t.weigh(target)
+		c, usable := t.weigh(target, int(bytes), work)
 		if usable {
 			list = append(list, c)
 		} else {
@@ -113,14 +114,14 @@
 	})
 }
 
-// weigh estimates what the request costs at a target, and whether that is usable.
-func (t *trip) weigh(target *mesh.Target) (candidate, bool) {
+// weigh estimates what the request costs at a target whose answer has so many bytes
+// and takes so much work, and whether the target is usable.
+func (t *trip) weigh(target *mesh.Target, bytes int, work time.Duration) (candidate, bool) {
 	now := t.entry.Now()
 	if target.Distance == mesh.SameVM {
 		target.Stat.Report(t.entry.Guard.Load(), now)
 	}
 	est := target.Stat.Estimate(now)
-	bytes, work := t.entry.routeStat(t.route.Name).expect()
 	c := candidate{target: target}
 	if now < target.WarmAt {
 		work = time.Duration(float64(work) * coldFactor)
@@ -134,7 +135,7 @@
 	c.cost = wayTo[target.Distance] + c.wait + c.work +
 		time.Duration(crowding*float64(work)*float64(est.Busy)/float64(slots)) +
 		time.Duration(est.Failing*float64(failureCost)) +
-		t.entry.prices.Load().of(target.Distance, len(t.in.Body)+int(bytes)+envelope) +
+		t.entry.prices.Load().of(target.Distance, len(t.in.Body)+bytes+envelope) +
 		rand.N(jitter)
 	return c, !est.Avoid && !est.Leaving
 }
--- a/internal/mesh/entry/entry.go
+++ b/internal/mesh/entry/entry.go
@@ -140,6 +140,7 @@
 	in      *Inbound
 	view    *mesh.View
 	route   *mesh.Route
+	stat    *routeStat
 	service string
 	// deadline is when the caller or the route gives up, and aim when the answer
 	// loses most of its worth.
@@ -187,6 +188,7 @@
 	if t.route == nil {
 		return t, kind.New(kind.UnknownService, "no route for %s%s", kind.Clip(in.Host), kind.Clip(in.Path))
 	}
+	t.stat = e.routeStat(t.route.Name)
 	t.service = t.route.Weights.Next(t.route.Shares)
 	timeout := t.route.Timeout
 	if in.Timeout > 0 && (timeout == 0 || in.Timeout < timeout) {
--- a/internal/mesh/entry/run.go
+++ b/internal/mesh/entry/run.go
@@ -110,7 +110,7 @@
 		ID: t.in.ID, Method: t.in.Method, URI: t.in.URI, Host: t.in.Host, Header: t.in.Header.Clone(), Body: t.in.Body,
 		Caller: e.Here.Service, Service: t.service, Target: c.target.ID,
 		Idempotent: t.route.Idempotent, Priority: t.route.Priority,
-		Left: t.deadline - start - answerMargin/2 - wayTo[c.target.Distance]/2, Patience: patience, Version: t.view.Config.Version,
+		Left: t.deadline - start - answerMargin/2 - wayTo[c.target.Distance]/2, Patience: patience,
 		Work: t.usualWork(), AimLeft: t.aim - start - wayTo[c.target.Distance],
 	}
 	c.target.Stat.Begin()
@@ -128,7 +128,7 @@
 
 // usualWork is how long the route's requests take.
 func (t *trip) usualWork() time.Duration {
-	_, work := t.entry.routeStat(t.route.Name).expect()
+	_, work := t.stat.expect()
 	return work
 }
 
@@ -141,7 +141,7 @@
 		failed := answer.Status >= http.StatusInternalServerError
 		c.target.Stat.End(now, failed, true)
 		if !failed {
-			t.entry.routeStat(t.route.Name).learn(len(answer.Body), took-wayTo[c.target.Distance])
+			t.stat.learn(len(answer.Body), took-wayTo[c.target.Distance])
 		}
 		t.offers = append(t.offers, o)
 		return
--- a/internal/mesh/exchange/conn.go
+++ b/internal/mesh/exchange/conn.go
@@ -58,13 +58,12 @@
 	keep      time.Duration
 	mu        sync.Mutex
 	dead      bool
-	fresh     bool
 }
 
 func newConn(c net.Conn, idHeader string) *conn {
 	one := &conn{
 		Conn: c, reader: bufio.NewReaderSize(c, readBuffer), idHeader: idHeader,
-		wanted: make(chan *http.Request, 1), results: make(chan result, 1), fresh: true,
+		wanted: make(chan *http.Request, 1), results: make(chan result, 1),
 	}
 	go one.read()
 	return one
--- a/internal/mesh/front/conn.go
+++ b/internal/mesh/front/conn.go
@@ -141,7 +141,7 @@
 			c.end()
 			continue
 		}
-		last := c.last(p, resp)
+		last := c.last(p)
 		err := c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
 		if err == nil {
 			err = writeResponse(w, p.method, resp, last, c.server.handler.Limits().IdleTimeout)
@@ -164,13 +164,13 @@
 
 // last says whether the connection ends with an answer, and then takes no more
 // requests. It ends only when no other request was taken on it.
-func (c *conn) last(p *pending, r *Response) bool {
+func (c *conn) last(p *pending) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closing {
 		return true
 	}
-	if !p.close && !r.Close && !c.server.draining.Load() {
+	if !p.close && !c.server.draining.Load() {
 		return false
 	}
 	if c.ahead > 1 && !p.close {
--- a/internal/mesh/front/read.go
+++ b/internal/mesh/front/read.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"errors"
 	"io"
 	"net"
@@ -68,7 +69,7 @@
 	if bad := c.awaitRequest(limits); bad != nil {
 		return nil, bad
 	}
-	in, err := c.readHeader(limitOr(limits.HeaderBytes, defaultHeaderBytes))
+	in, err := c.readHeader(cmp.Or(limits.HeaderBytes, defaultHeaderBytes))
 	if err != nil {
 		return nil, unreadable(err)
 	}
@@ -103,10 +104,7 @@
 
 // awaitRequest waits for the first byte of a request.
 func (c *conn) awaitRequest(limits mesh.Limits) *badRequest {
-	idle := limits.IdleTimeout
-	if idle == 0 {
-		idle = defaultIdle
-	}
+	idle := cmp.Or(limits.IdleTimeout, defaultIdle)
 	c.mu.Lock()
 	// With an answer outstanding the connection isn't idle, and its end, which
 	// CloseWrite has given a deadline, isn't to be put off.
@@ -143,13 +141,6 @@
 	return c.ahead > 0 && !c.closing
 }
 
-func limitOr(limit, otherwise int64) int64 {
-	if limit > 0 {
-		return limit
-	}
-	return otherwise
-}
-
 // unreadable gives the answer to a header that can't be read.
 func unreadable(err error) *badRequest {
 	var timeout net.Error
@@ -195,7 +186,7 @@
 	if in.Body == nil || in.Body == http.NoBody {
 		return nil, nil
 	}
-	limit := limitOr(limits.BodyBytes, defaultBodyBytes)
+	limit := cmp.Or(limits.BodyBytes, defaultBodyBytes)
 	if in.ContentLength > limit {
 		return nil, tooLarge
 	}
--- a/internal/mesh/front/server.go
+++ b/internal/mesh/front/server.go
@@ -7,13 +7,13 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/limpetdock/limpetdock/internal/accept"
 	"github.com/limpetdock/limpetdock/internal/mesh"
 )
 
@@ -33,8 +33,6 @@
 	Status int
 	Header http.Header
 	Body   []byte
-	// Close ends the connection after the answer.
-	Close bool
 }
 
 // Handler answers requests. ctx ends when the caller leaves. Safe for concurrent use.
@@ -73,18 +71,11 @@
 
 // Serve accepts connections on l until it is closed.
 func (s *Server) Serve(l net.Listener) error {
-	for {
-		c, err := l.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return nil
-		}
-		if err != nil {
-			time.Sleep(acceptPause)
-			continue
-		}
+	accept.Loop(l, acceptPause, func() {}, func(c net.Conn) {
 		s.Counts.Accepted.Add(1)
 		go s.serve(c)
-	}
+	})
+	return nil
 }
 
 // Drain tells callers with each answer from now on to use another connection.
--- a/internal/mesh/message.go
+++ b/internal/mesh/message.go
@@ -29,8 +29,6 @@
 	AimLeft time.Duration
 	// Work is how long the backend server usually takes for its like.
 	Work time.Duration
-	// Version is the configuration's that routed it.
-	Version uint64
 }
 
 // Answer is a whole answer of a backend server.
--- a/internal/mesh/peer/client.go
+++ b/internal/mesh/peer/client.go
@@ -55,7 +55,7 @@
 // NewClient returns a Client of the node at here.
 func NewClient(here mesh.Place, l Listener) *Client {
 	return &Client{
-		hello:    Hello{VM: here.VM, IP: here.IP, Zone: here.Zone, Region: here.Region},
+		hello:    Hello{VM: here.VM, Region: here.Region},
 		listener: l, links: map[linkKey]*link{},
 	}
 }
--- a/internal/mesh/peer/frame.go
+++ b/internal/mesh/peer/frame.go
@@ -53,7 +53,7 @@
 
 // Hello opens every connection and says who dialled.
 type Hello struct {
-	VM, IP, Zone, Region string
+	VM, Region string
 }
 
 // requestBody is a mesh.Request on the wire. Times are in milliseconds.
@@ -73,7 +73,6 @@
 	PatienceMs uint32
 	WorkMs     uint32
 	AimLeftMs  int32
-	Version    uint64
 }
 
 type answerBody struct {
@@ -120,7 +119,7 @@
 		ID: r.ID, Method: r.Method, URI: r.URI, Host: r.Host, Header: r.Header, Body: r.Body,
 		Caller: r.Caller, Service: r.Service, Target: r.Target, Idempotent: r.Idempotent,
 		Priority: r.Priority, LeftMs: milliseconds(r.Left), PatienceMs: milliseconds(r.Patience),
-		WorkMs: milliseconds(r.Work), AimLeftMs: signed(r.AimLeft), Version: r.Version,
+		WorkMs: milliseconds(r.Work), AimLeftMs: signed(r.AimLeft),
 	}
 }
 
@@ -134,7 +133,7 @@
 		Left:     time.Duration(b.LeftMs) * time.Millisecond,
 		Patience: time.Duration(b.PatienceMs) * time.Millisecond,
 		Work:     time.Duration(b.WorkMs) * time.Millisecond,
-		AimLeft:  time.Duration(b.AimLeftMs) * time.Millisecond, Version: b.Version,
+		AimLeft:  time.Duration(b.AimLeftMs) * time.Millisecond,
 	}
 }
 
@@ -173,7 +172,7 @@
 	e.Outcome = kind.Outcome(b.Outcome)
 	e.RetryAfter = time.Duration(b.RetryAfterMs) * time.Millisecond
 	e.Wait = time.Duration(b.WaitMs) * time.Millisecond
-	e.FromGuard, e.FromBackend = true, b.FromBackend
+	e.FromBackend = b.FromBackend
 	return e
 }
 
--- a/internal/mesh/peer/peer_test.go
+++ b/internal/mesh/peer/peer_test.go
@@ -80,7 +80,7 @@
 	sent := &mesh.Request{
 		ID: "id", Method: "POST", URI: "/a?b", Host: "h", Header: http.Header{"X": {"y"}}, Body: bytes.Repeat([]byte("x"), bulkSize),
 		Caller: "shop", Service: "orders", Target: "i-1", Idempotent: true, Priority: 2,
-		Left: 900 * time.Millisecond, Patience: 20 * time.Millisecond, Work: 90 * time.Millisecond, AimLeft: -40 * time.Millisecond, Version: 7,
+		Left: 900 * time.Millisecond, Patience: 20 * time.Millisecond, Work: 90 * time.Millisecond, AimLeft: -40 * time.Millisecond,
 	}
 	answer, err := c.Run(t.Context(), addr, sent)
 	require.Nil(t, err)
--- a/internal/mesh/peer/server.go
+++ b/internal/mesh/peer/server.go
@@ -3,13 +3,13 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"net"
 	"sync"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/limpetdock/limpetdock/internal/accept"
 	"github.com/limpetdock/limpetdock/internal/kind"
 	"github.com/limpetdock/limpetdock/internal/mesh"
 )
@@ -56,17 +56,8 @@
 
 // Serve accepts connections on l until it is closed.
 func (s *Server) Serve(l net.Listener) error {
-	for {
-		c, err := l.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return nil
-		}
-		if err != nil {
-			time.Sleep(acceptPause)
-			continue
-		}
-		go s.serve(c)
-	}
+	accept.Loop(l, acceptPause, func() {}, func(c net.Conn) { go s.serve(c) })
+	return nil
 }
 
 // serverConn is a connection that another node opened.
--- a/internal/mesh/peer/size_test.go
+++ b/internal/mesh/peer/size_test.go
@@ -18,7 +18,7 @@
 	require.LessOrEqual(t, len(load), 40)
 	r := &mesh.Request{
 		ID: "9c41d07be2a35f68", Method: "GET", URI: "/lepu270/2f", Host: "shop.example", Header: http.Header{},
-		Caller: "orders", Service: "catalogue", Target: "i-7f3a91c2", Left: time.Second, Patience: time.Second, Work: time.Second, Version: 12,
+		Caller: "orders", Service: "catalogue", Target: "i-7f3a91c2", Left: time.Second, Patience: time.Second, Work: time.Second,
 	}
 	request, err := encode(frameRequest, 7, fromRequest(r))
 	require.NoError(t, err)
--- a/internal/mesh/target.go
+++ b/internal/mesh/target.go
@@ -15,15 +15,13 @@
 
 // Target is one backend server as it registered itself.
 type Target struct {
-	// ID names one incarnation, or, if the server keeps it over restarts, the
-	// server; Started then tells its incarnations apart.
+	// ID names one incarnation, or, if the server keeps it over restarts, the server.
 	ID      string
-	Started time.Time
 	Service string
 	// Addr is the backend server's own address, which only its VM reaches, and
 	// Peer that of the node beside it.
-	Addr, Peer   string
-	Zone, Region string
+	Addr, Peer string
+	Zone       string
 	// Slots is how many requests it runs at once.
 	Slots int
 	State TargetState
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -13,6 +13,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/limpetdock/limpetdock/internal/clock"
 )
 
 type backend struct {
@@ -135,14 +137,7 @@
 	if d <= 0 {
 		return true
 	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return clock.Sleep(ctx, d)
 }
 
 // chain calls the next service of X-Standin-Chain through the node beside it.
