Test of cut answers: nodes of its own for each request

Cause: the scripted backend server closes after its answer without saying so, and the second request of a case was sent on the connection that was closing; its outcome is open then, and the node says so. Every assertion is as before, each request starts on a connection of its own.

--- a/internal/entry/answer_test.go
+++ b/internal/entry/answer_test.go
@@ -91,8 +91,11 @@
 			}
 			t.Run(fmt.Sprintf("%s, reset %t", c.name, reset), func(t *testing.T) {
 				s := newScripted(t, c.says, reset)
-				w := newWorld(t, "http://"+s.Addr().String())
 				for _, path := range []string{"/read", "/book"} {
+					// Nodes of its own for each request: the backend server closes
+					// without a word, and a request that is sent on the closing
+					// connection of the one before has an open outcome, rightly.
+					w := newWorld(t, "http://"+s.Addr().String())
 					got := w.ask(0, "GET", path, "")
 					if c.whole != "" {
 						require.Equal(t, c.whole, got.body, path)
