One node of each availability zone reads the store, the others follow it

Every node ranks those of its zone alike and reads unless it hears of one before it that does; a reader tells its region what revision it has seen, and followers fetch what changed from it, or from the store when that is silent, too slow or too large.

Cause: 29 nodes were cut off from the store only; followers among them heard from others that their own targets' registrations had run out, and dropped them and each other's, though all ran.

--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,7 @@
 	go test ./test/process -run AtMostOnce -count=1 -v -timeout 20m -chaos.requests=$(REQUESTS) -chaos.seed=$(SEED)
 
 lint: tools
-	@unformatted=$$($(TOOLS)/gofumpt -l cmd docs fleet internal standin examples test); \
+	@unformatted=$$($(TOOLS)/gofumpt -l cmd docs fleet internal platform standin examples test); \
 	if [ -n "$$unformatted" ]; then echo "not formatted by gofumpt:"; echo "$$unformatted"; exit 1; fi
 	go vet ./...
 	$(TOOLS)/staticcheck ./...
--- a/internal/mesh/directory/directory.go
+++ b/internal/mesh/directory/directory.go
@@ -18,6 +18,10 @@
 // empty whole services while all their targets run.
 const lapseGrace = 2 * time.Second
 
+// reviveWithin is how long a registration that ended is remembered. Those of targets
+// that were cut off from the store together run out within one and a half heartbeats.
+const reviveWithin = 4 * time.Second
+
 // Registration is what a target says of itself in the store.
 type Registration struct {
 	ID            string
@@ -41,6 +45,12 @@
 	dropAt time.Duration
 }
 
+// endedRow is a row and when it was dropped.
+type endedRow struct {
+	*row
+	at time.Duration
+}
+
 // State is what a node believes. It belongs to one goroutine.
 type State struct {
 	here     mesh.Place
@@ -50,6 +60,8 @@
 	config   *mesh.Config
 	weights  map[string]*mesh.Weights
 	rows     map[string]*row
+	// ended are rows of targets that were in use until their registration ended.
+	ended map[string]endedRow
 	// known says that the list of targets has been read whole once.
 	known    bool
 	revision uint64
@@ -65,7 +77,7 @@
 func New(here mesh.Place, own string, regions map[string]string, peerPort string) *State {
 	return &State{
 		here: here, own: own, regions: regions, peerPort: peerPort,
-		weights: map[string]*mesh.Weights{}, rows: map[string]*row{}, regainedAt: -lapseGrace,
+		weights: map[string]*mesh.Weights{}, rows: map[string]*row{}, ended: map[string]endedRow{}, regainedAt: -lapseGrace,
 	}
 }
 
@@ -118,6 +130,7 @@
 		one.stat = &mesh.Stat{}
 	}
 	s.rows[r.ID] = one
+	delete(s.ended, r.ID)
 	s.dirty = true
 }
 
@@ -134,9 +147,22 @@
 		if one.dropAt == 0 {
 			one.dropAt = max(now, s.regainedAt) + lapseGrace
 		}
+		if s.lost && one.Addr == s.own {
+			s.revive(now)
+		}
 		return
 	}
+	s.drop(now, id)
+}
+
+// drop takes a target out of use.
+func (s *State) drop(now time.Duration, id string) {
+	if one := s.rows[id]; one.State == mesh.Ready {
+		one.dropAt = 0
+		s.ended[id] = endedRow{one, now}
+	}
 	delete(s.rows, id)
+	s.dirty = true
 }
 
 func (s *State) lapsing(now time.Duration) bool {
@@ -144,12 +170,43 @@
 }
 
 // Lost notes that the store doesn't answer; it returns false if that was known.
-func (s *State) Lost() bool {
+//
+// A node that takes its news from others may learn that the registration of its own
+// backend server ended before it learns that both are cut off from the store, which is
+// why it ended, or at about the same time. Its callers would then find one target less, and the other nodes that
+// were cut off as well, though all of them run. So what ended together with the own
+// registration is used again until the store answers.
+func (s *State) Lost(now time.Duration) bool {
 	was := s.lost
 	s.lost = true
+	if !was && s.OwnEnded() {
+		s.revive(now)
+	}
 	return !was
 }
 
+func (s *State) revive(now time.Duration) {
+	for id, one := range s.ended {
+		delete(s.ended, id)
+		if now-one.at > reviveWithin {
+			continue
+		}
+		one.dropAt = now + lapseGrace
+		s.rows[id] = one.row
+		s.dirty = true
+	}
+}
+
+// OwnEnded says whether the registration of the own backend server ended lately.
+func (s *State) OwnEnded() bool {
+	for _, one := range s.ended {
+		if one.Addr == s.own {
+			return true
+		}
+	}
+	return false
+}
+
 // Regained notes that the store answers; it returns false if it did before.
 func (s *State) Regained(now time.Duration) bool {
 	was := s.lost
@@ -164,13 +221,22 @@
 	return was
 }
 
+// OutageEnded takes another node's word that the store came back some time ago. A
+// node that takes its news from others may not have noticed the outage, and would
+// drop at once what had run out meanwhile.
+func (s *State) OutageEnded(at time.Duration) { s.regainedAt = max(s.regainedAt, at) }
+
 // Tick drops what is due, and gives a new View if anything has changed and
 // enough is known for one; else nil.
 func (s *State) Tick(now time.Duration) *mesh.View {
 	for id, one := range s.rows {
 		if one.dropAt != 0 && now >= one.dropAt && !s.lost {
-			delete(s.rows, id)
-			s.dirty = true
+			s.drop(now, id)
+		}
+	}
+	for id, one := range s.ended {
+		if now-one.at > reviveWithin {
+			delete(s.ended, id)
 		}
 	}
 	if !s.dirty || s.config == nil || !s.known {
@@ -197,7 +263,7 @@
 func (s *State) view() *mesh.View {
 	v := &mesh.View{
 		Config: s.config, Revision: s.revision,
-		Targets: map[string][]*mesh.Target{}, Peers: map[string]mesh.Distance{},
+		Targets: map[string][]*mesh.Target{}, Peers: map[string]mesh.Peer{},
 	}
 	for _, one := range s.current() {
 		t := s.target(one)
@@ -207,7 +273,7 @@
 		if one.Addr == s.own {
 			v.Own = t
 		} else {
-			v.Peers[t.Peer] = t.Distance
+			v.Peers[t.Peer] = mesh.Peer{Zone: t.Zone, Distance: t.Distance}
 		}
 		if t.State == mesh.Ready {
 			v.Targets[t.Service] = append(v.Targets[t.Service], t)
--- a/internal/mesh/directory/directory_test.go
+++ b/internal/mesh/directory/directory_test.go
@@ -48,7 +48,9 @@
 	v := ready(t).Tick(0)
 	require.Equal(t, []string{"i-own", "i-zone", "i-far"}, ids(v))
 	require.Equal(t, "i-own", v.Own.ID)
-	require.Equal(t, map[string]mesh.Distance{"10.2.0.1:8300": mesh.SameRegion, "10.3.0.1:8300": mesh.OtherRegion}, v.Peers)
+	require.Equal(t, map[string]mesh.Peer{
+		"10.2.0.1:8300": {Zone: "rs-b", Distance: mesh.SameRegion}, "10.3.0.1:8300": {Zone: "sc-a", Distance: mesh.OtherRegion},
+	}, v.Peers)
 	require.EqualValues(t, 10, v.Revision)
 }
 
@@ -95,8 +97,8 @@
 // that drops them at once has nothing left to send requests to.
 func TestRegistrationsThatRanOutDuringAnOutageAreHeld(t *testing.T) {
 	s := ready(t)
-	require.True(t, s.Lost())
-	require.False(t, s.Lost(), "known already")
+	require.True(t, s.Lost(0))
+	require.False(t, s.Lost(0), "known already")
 	require.True(t, s.Regained(20*time.Second))
 	for _, id := range []string{"i-own", "i-zone", "i-far"} {
 		s.Remove(20*time.Second, 12, id)
@@ -112,10 +114,10 @@
 // anew when it is back, or they would be dropped during the second outage.
 func TestASecondOutageHoldsThemAgain(t *testing.T) {
 	s := ready(t)
-	s.Lost()
+	s.Lost(0)
 	s.Regained(10 * time.Second)
 	s.Remove(10*time.Second, 11, "i-zone")
-	s.Lost()
+	s.Lost(0)
 	require.Contains(t, ids(s.Tick(15*time.Second)), "i-zone")
 	s.Regained(30 * time.Second)
 	s.Replace(30*time.Second, 12, []directory.Registration{target("i-own", "10.1.0.1:8301", "rs-a", 2)})
@@ -157,3 +159,69 @@
 	s.Replace(0, 20, []directory.Registration{target("i-own", "10.1.0.1:8301", "rs-a", 2)})
 	require.Equal(t, []string{"i-own", "i-late"}, ids(s.Tick(0)))
 }
+
+// The store was away, and registrations ran out that nobody could renew. A node that
+// takes its news from another didn't notice the outage. Told of the ends, it keeps the
+// targets as long as the node that did notice, or it would empty whole services.
+func TestAnOutageThatAnotherNodeSawHoldsTargetsToo(t *testing.T) {
+	s := ready(t)
+	s.Tick(0)
+	now := 10 * time.Second
+	s.OutageEnded(now - 500*time.Millisecond)
+	s.Remove(now, 11, "i-zone")
+	require.Equal(t, []string{"i-own", "i-zone", "i-far"}, ids(s.Tick(now)))
+	require.Nil(t, s.Tick(now+1900*time.Millisecond))
+	require.Equal(t, []string{"i-own", "i-far"}, ids(s.Tick(now+2*time.Second)))
+	s.OutageEnded(now - 5*time.Second)
+	s.Remove(now+2*time.Second, 12, "i-far")
+	require.Equal(t, []string{"i-own"}, ids(s.Tick(now+2*time.Second)), "an older outage says nothing")
+}
+
+// A third of the VMs are cut off from the store, not from each other. Their targets'
+// registrations run out; a node among them hears so from others, its own among them,
+// asks the store and gets no answer. Its callers must not lose targets that run: those
+// that ended with its own are used until the store answers, and dropped if they are
+// missing two seconds after.
+func TestWhatEndedWithTheOwnRegistrationIsUsedWhileCutOff(t *testing.T) {
+	s := ready(t)
+	s.Put(0, target("i-left", "10.4.0.1:8301", "rs-a", 5))
+	s.Tick(0)
+	s.Remove(time.Second, 11, "i-left")
+	now := 6 * time.Second
+	s.Tick(now)
+	s.Remove(now, 12, "i-zone")
+	s.Remove(now+time.Second, 13, "i-own")
+	require.True(t, s.OwnEnded())
+	require.Equal(t, []string{"i-far"}, ids(s.Tick(now+time.Second)))
+	require.True(t, s.Lost(now+1600*time.Millisecond))
+	require.Equal(t, []string{"i-own", "i-zone", "i-far"}, ids(s.Tick(now+1600*time.Millisecond)), "not the one that left long before")
+	s.Remove(now+2*time.Second, 14, "i-far")
+	require.Equal(t, []string{"i-own", "i-zone", "i-far"}, ids(s.Tick(now+10*time.Second)))
+	require.True(t, s.Regained(now+11*time.Second))
+	s.Put(now+12*time.Second, target("i-own", "10.1.0.1:8301", "rs-a", 15))
+	require.Equal(t, []string{"i-own"}, ids(s.Tick(now+13*time.Second)))
+}
+
+// The store goes down just after a target has left. Nothing says that this node was
+// cut off, so the target stays gone.
+func TestATargetThatLeftBeforeAnOutageStaysGone(t *testing.T) {
+	s := ready(t)
+	s.Tick(0)
+	s.Remove(time.Second, 11, "i-zone")
+	require.Equal(t, []string{"i-own", "i-far"}, ids(s.Tick(time.Second)))
+	s.Lost(2 * time.Second)
+	require.Nil(t, s.Tick(2*time.Second))
+}
+
+// The same, but the node notices that it is cut off before its own registration runs
+// out. One that ended a moment earlier was dropped meanwhile and is used again, too.
+func TestWhatEndedJustBeforeTheOwnRegistrationIsUsedAgain(t *testing.T) {
+	s := ready(t)
+	s.Tick(0)
+	s.Remove(5*time.Second, 12, "i-zone")
+	require.Equal(t, []string{"i-own", "i-far"}, ids(s.Tick(5*time.Second)))
+	s.Lost(5500 * time.Millisecond)
+	require.Nil(t, s.Tick(5500*time.Millisecond))
+	s.Remove(6*time.Second, 13, "i-own")
+	require.Equal(t, []string{"i-own", "i-zone", "i-far"}, ids(s.Tick(6*time.Second)))
+}
--- a/internal/mesh/directory/loop.go
+++ b/internal/mesh/directory/loop.go
@@ -37,6 +37,8 @@
 	StoreLost struct{ Err error }
 	// StoreRegained says that it answers again.
 	StoreRegained struct{}
+	// OutageEnded says how long ago the store came back, by another node's word.
+	OutageEnded struct{ Ago time.Duration }
 )
 
 func (e ConfigRead) apply(l *Loop, _ time.Duration) {
@@ -64,8 +66,8 @@
 	l.log.Change("target's registration ended", "target", e.ID, "revision", e.Revision, "store_was_away", held)
 }
 
-func (e StoreLost) apply(l *Loop, _ time.Duration) {
-	if l.state.Lost() {
+func (e StoreLost) apply(l *Loop, now time.Duration) {
+	if l.state.Lost(now) {
 		l.log.Trouble("store lost", "error", e.Err.Error())
 	}
 }
@@ -76,6 +78,8 @@
 	}
 }
 
+func (e OutageEnded) apply(l *Loop, now time.Duration) { l.state.OutageEnded(now - e.Ago) }
+
 // maxEvents is how many events wait for the control goroutine. The reader of the
 // store waits when they are more.
 const maxEvents = 64
@@ -87,13 +91,19 @@
 	now     func() time.Duration
 	publish func(*mesh.View)
 	events  chan []Event
+	// ownEnded is called when the own backend server's registration has ended.
+	ownEnded func()
 }
 
 // NewLoop returns a Loop that hands new Views to publish.
 func NewLoop(s *State, log *decision.Log, now func() time.Duration, publish func(*mesh.View)) *Loop {
-	return &Loop{state: s, log: log, now: now, publish: publish, events: make(chan []Event, maxEvents)}
+	return &Loop{state: s, log: log, now: now, publish: publish, events: make(chan []Event, maxEvents), ownEnded: func() {}}
 }
 
+// OnOwnEnded sets what is called when the registration of the own backend server has
+// ended. It must be called before Run.
+func (l *Loop) OnOwnEnded(f func()) { l.ownEnded = f }
+
 // Take hands events over that belong together: one View is made of them all.
 func (l *Loop) Take(ctx context.Context, events ...Event) {
 	select {
@@ -108,9 +118,7 @@
 		timer, stop := l.wake()
 		select {
 		case events := <-l.events:
-			for _, e := range events {
-				e.apply(l, l.now())
-			}
+			l.apply(events)
 		case <-timer:
 		case <-ctx.Done():
 			stop()
@@ -123,6 +131,16 @@
 	}
 }
 
+func (l *Loop) apply(events []Event) {
+	had := l.state.OwnEnded()
+	for _, e := range events {
+		e.apply(l, l.now())
+	}
+	if !had && l.state.OwnEnded() {
+		l.ownEnded()
+	}
+}
+
 // retryDrop is the pause before a look at targets that are due while the store is away.
 const retryDrop = 500 * time.Millisecond
 
--- a/internal/mesh/entry/entry_test.go
+++ b/internal/mesh/entry/entry_test.go
@@ -94,7 +94,7 @@
 	services := map[string]*mesh.Service{"orders": {Name: "orders"}}
 	w.entry.SetView(&mesh.View{
 		Config:  mesh.NewConfig(1, services, []*mesh.Route{w.route}, mesh.Limits{}),
-		Targets: map[string][]*mesh.Target{"orders": w.targets}, Peers: map[string]mesh.Distance{"zone": 1, "region": 2, "far": 3},
+		Targets: map[string][]*mesh.Target{"orders": w.targets}, Peers: map[string]mesh.Peer{"zone": {Distance: 1}, "region": {Distance: 2}, "far": {Distance: 3}},
 	})
 }
 
--- a/internal/mesh/message.go
+++ b/internal/mesh/message.go
@@ -52,6 +52,8 @@
 	CalmIn time.Duration
 	// Leaving says that the guard takes no new requests.
 	Leaving bool
-	// Revision is the newest store revision that the guard has seen.
+	// Revision is the newest store revision that the node has seen.
 	Revision uint64
+	// Reading says that the node reads the store itself, and that it answers.
+	Reading bool
 }
--- a/internal/mesh/node/admin.go
+++ b/internal/mesh/node/admin.go
@@ -13,7 +13,6 @@
 	"github.com/limpetdock/limpetdock/internal/clock"
 	"github.com/limpetdock/limpetdock/internal/mesh"
 	"github.com/limpetdock/limpetdock/internal/mesh/entry"
-	"github.com/limpetdock/limpetdock/internal/mesh/guard"
 	"github.com/limpetdock/limpetdock/internal/metrics"
 )
 
@@ -29,13 +28,13 @@
 type admin struct {
 	readyPath string
 	entry     *entry.Entry
-	guard     *guard.Guard
+	guard     *reporter
 	metrics   *metrics.Metrics
 	now       clock.Clock
 	stopping  atomic.Bool
 }
 
-func newAdmin(p Platform, e *entry.Entry, g *guard.Guard, m *metrics.Metrics, now clock.Clock) *admin {
+func newAdmin(p Platform, e *entry.Entry, g *reporter, m *metrics.Metrics, now clock.Clock) *admin {
 	gin.SetMode(gin.ReleaseMode)
 	return &admin{readyPath: p.ReadyPath, entry: e, guard: g, metrics: m, now: now}
 }
@@ -77,11 +76,13 @@
 type state struct {
 	Stopping bool `json:"stopping"`
 	// Config is the version in force, 0 for none; Revision the store's.
-	Config   uint64        `json:"config"`
-	Revision uint64        `json:"revision"`
-	Active   int           `json:"active"`
-	Load     mesh.Load     `json:"load"`
-	Targets  []targetState `json:"targets"`
+	Config   uint64 `json:"config"`
+	Revision uint64 `json:"revision"`
+	// Reading says that the node reads the store itself.
+	Reading bool          `json:"reading"`
+	Active  int           `json:"active"`
+	Load    mesh.Load     `json:"load"`
+	Targets []targetState `json:"targets"`
 }
 
 type targetState struct {
@@ -94,6 +95,7 @@
 
 func (a *admin) state() state {
 	s := state{Stopping: a.stopping.Load(), Active: a.entry.Active(), Load: a.guard.Load()}
+	s.Reading = s.Load.Reading
 	v := a.entry.View()
 	if v == nil {
 		return s
--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -19,6 +19,7 @@
 	"github.com/limpetdock/limpetdock/internal/mesh/front"
 	"github.com/limpetdock/limpetdock/internal/mesh/guard"
 	"github.com/limpetdock/limpetdock/internal/mesh/peer"
+	"github.com/limpetdock/limpetdock/internal/mesh/reader"
 	"github.com/limpetdock/limpetdock/internal/mesh/settings"
 	"github.com/limpetdock/limpetdock/internal/metrics"
 )
@@ -28,22 +29,26 @@
 	Dialect mesh.Dialect
 	// ReadyPath is where the platform asks whether the node takes callers.
 	ReadyPath string
-	// Source opens the platform's store at an address. alone says whether the node
-	// hears of no other.
-	Source func(address string, log *decision.Log, sink *directory.Loop, alone func() bool) Source
+	// Source opens the platform's store at an address.
+	Source func(address string, log *decision.Log, sink *directory.Loop, part Part) Source
+}
+
+// Part tells a Source what the node has to do with the store.
+type Part struct {
+	// Reads says whether the node reads the store itself, and if not, at which time
+	// since its start to ask again.
+	Reads func() (reads bool, again time.Duration)
+	// Alone says whether the node hears of no other.
+	Alone func() bool
+	// Now gives the time since the node's start.
+	Now func() time.Duration
 }
 
 // Source reads the platform's store and hands its news to the control goroutine.
 type Source interface {
+	reader.Store
 	// Run reads until ctx ends.
 	Run(ctx context.Context)
-	// Seen tells the revision that another node has seen.
-	Seen(revision uint64)
-	// Snapshot gives what the store held when it was last read, for Restore of a node
-	// that starts while the store is away; nil if it wasn't read yet.
-	Snapshot() []byte
-	// Restore takes another node's snapshot, unless the node knows as much itself.
-	Restore(ctx context.Context, snapshot []byte) error
 	// Calls gives how many calls were made, and how many of them failed.
 	Calls() (made, failed uint64)
 }
@@ -53,7 +58,7 @@
 var Module = fx.Options(
 	fx.Provide(
 		clock.New, metrics.New, newBackend, newGuard, newTeller, newPeerServer, newPeerClient, newEntry,
-		newCallers, newFront, newLoop, newSource, newAdmin, newReports,
+		newCallers, newFront, newLoop, newSource, newAdmin, newReports, newReaders, newFollower, newReporter,
 	),
 	fx.Invoke(registerMetrics, run),
 )
@@ -70,8 +75,8 @@
 	return g
 }
 
-func newPeerServer(s *settings.Settings, g *guard.Guard) *peer.Server {
-	return peer.NewServer(g, s.Here)
+func newPeerServer(s *settings.Settings, r *reporter) *peer.Server {
+	return peer.NewServer(r, s.Here)
 }
 
 func newPeerClient(s *settings.Settings, r *reports) *peer.Client {
@@ -92,7 +97,7 @@
 
 func newFront(c *callers) *front.Server { return front.New(c) }
 
-func newLoop(s *settings.Settings, now clock.Clock, log *decision.Log, e *entry.Entry, g *guard.Guard, c *peer.Client, r *reports) (*directory.Loop, error) {
+func newLoop(s *settings.Settings, now clock.Clock, log *decision.Log, e *entry.Entry, g *guard.Guard, c *peer.Client, r *reports, readers *reader.Table) (*directory.Loop, error) {
 	_, port, err := net.SplitHostPort(s.Peers)
 	if err != nil {
 		return nil, err
@@ -100,18 +105,32 @@
 	state := directory.New(s.Here, s.Backend, s.Regions, port)
 	return directory.NewLoop(state, log, now, func(v *mesh.View) {
 		r.setView(v)
+		readers.SetView(v)
 		g.SetView(v)
 		e.SetView(v)
 		c.Keep(v.Peers)
 	}), nil
 }
 
-func newSource(s *settings.Settings, p Platform, log *decision.Log, l *directory.Loop, r *reports) Source {
-	source := p.Source(s.Store, log, l, r.alone)
-	r.onRevision(source.Seen)
+func newReaders(s *settings.Settings, now clock.Clock) *reader.Table {
+	return reader.NewTable(s.Peers, s.Here, now)
+}
+
+func newSource(s *settings.Settings, p Platform, log *decision.Log, l *directory.Loop, r *reports, t *reader.Table, now clock.Clock) Source {
+	source := p.Source(s.Store, log, l, Part{Reads: t.Reads, Alone: r.alone, Now: now})
+	// Told by others that the own backend server is gone, the node finds out whether it
+	// is itself cut off from the store.
+	l.OnOwnEnded(source.Refresh)
 	return source
 }
 
+func newFollower(t *reader.Table, s Source, c *peer.Client, log *decision.Log, r *reports, o *reporter) *reader.Follower {
+	f := reader.NewFollower(t, s, c, log)
+	r.onReport(f.Heard)
+	o.reads(s.Reading)
+	return f
+}
+
 // parts are what a running node acts on.
 type parts struct {
 	fx.In
@@ -124,6 +143,9 @@
 	Backend  *exchange.Client
 	Loop     *directory.Loop
 	Source   Source
+	Readers  *reader.Table
+	Follower *reader.Follower
+	Reporter *reporter
 	Admin    *admin
 	Teller   *teller
 	Log      *decision.Log
@@ -172,16 +194,14 @@
 
 // serve starts the goroutines of the node.
 func (p *parts) serve(ctx context.Context, l *listeners) {
-	p.Client.OnAsked(p.Source.Snapshot)
-	p.Peers.OnState(p.lacksState, func(snapshot []byte) {
-		if err := p.Source.Restore(ctx, snapshot); err != nil {
-			p.Log.Trouble("another node's state can't be used", "error", err.Error())
-		}
-	})
+	news := p.Follower.News(ctx)
+	p.Client.OnNews(news)
+	p.Peers.OnNews(p.lacksState, news)
 	go p.Loop.Run(ctx)
 	go p.Source.Run(ctx)
 	go p.Guard.Probe(ctx)
-	go p.Teller.run(ctx, p.Peers, p.Guard)
+	go p.Follower.Run(ctx)
+	go p.Teller.run(ctx, p.Peers, p.Reporter)
 	go p.warm(ctx)
 	for _, serve := range []func() error{
 		func() error { return p.Peers.Serve(l.peers) },
@@ -210,7 +230,8 @@
 	warmTimeout = 500 * time.Millisecond
 )
 
-// warm keeps connections open to the nodes of the own region.
+// warm keeps connections open to the nodes of the own region, and from a node that
+// reads the store to the likely readers of all zones.
 func (p *parts) warm(ctx context.Context) {
 	ticker := time.NewTicker(warmEvery)
 	defer ticker.Stop()
@@ -224,14 +245,24 @@
 		if v == nil {
 			continue
 		}
-		for addr, distance := range v.Peers {
-			if distance > mesh.SameRegion {
-				continue
+		for addr, other := range v.Peers {
+			if other.Distance <= mesh.SameRegion {
+				p.warmOne(ctx, addr)
 			}
-			one, cancel := context.WithTimeout(ctx, warmTimeout)
-			// One that can't be reached is tried again; requests will tell as well.
-			_ = p.Client.Warm(one, addr)
-			cancel()
+		}
+		if !p.Source.Reading() {
+			continue
+		}
+		for _, addr := range p.Readers.Leads() {
+			p.warmOne(ctx, addr)
 		}
 	}
 }
+
+// warmOne opens a connection that isn't open. A node that can't be reached is tried
+// again; requests will tell as well.
+func (p *parts) warmOne(ctx context.Context, addr string) {
+	ctx, cancel := context.WithTimeout(ctx, warmTimeout)
+	defer cancel()
+	_ = p.Client.Warm(ctx, addr)
+}
--- a/internal/mesh/node/reports.go
+++ b/internal/mesh/node/reports.go
@@ -9,6 +9,7 @@
 	"github.com/limpetdock/limpetdock/internal/mesh"
 	"github.com/limpetdock/limpetdock/internal/mesh/guard"
 	"github.com/limpetdock/limpetdock/internal/mesh/peer"
+	"github.com/limpetdock/limpetdock/internal/mesh/reader"
 )
 
 // reports hands load reports of other nodes to the targets they are about.
@@ -18,8 +19,8 @@
 	byPeer atomic.Pointer[map[string]*mesh.Target]
 	// heard is when a report last came, in nanoseconds since the start.
 	heard atomic.Int64
-	// seen is told the store revision in each report.
-	seen atomic.Pointer[func(revision uint64)]
+	// listener is told of each report.
+	listener atomic.Pointer[func(addr string, l mesh.Load)]
 }
 
 func newReports(now clock.Clock) *reports { return &reports{now: now} }
@@ -34,8 +35,8 @@
 	r.byPeer.Store(&byPeer)
 }
 
-// onRevision sets what is told the store revisions that other nodes have seen.
-func (r *reports) onRevision(f func(uint64)) { r.seen.Store(&f) }
+// onReport sets what is told of each report.
+func (r *reports) onReport(f func(addr string, l mesh.Load)) { r.listener.Store(&f) }
 
 // aloneAfter is how long nothing comes from any node before the node takes itself
 // for alone: two of the reports that come in any case.
@@ -47,8 +48,8 @@
 // Reported takes the load of the backend server beside the node at addr.
 func (r *reports) Reported(addr string, l mesh.Load) {
 	r.heard.Store(int64(r.now()))
-	if seen := r.seen.Load(); seen != nil {
-		(*seen)(l.Revision)
+	if listener := r.listener.Load(); listener != nil {
+		(*listener)(addr, l)
 	}
 	targets := r.byPeer.Load()
 	if targets == nil {
@@ -70,6 +71,27 @@
 	tellAnyway = time.Second
 )
 
+// reporter is the guard as other nodes see it, with what its node has to do with
+// the store.
+type reporter struct {
+	*guard.Guard
+	reading atomic.Pointer[func() bool]
+}
+
+func newReporter(g *guard.Guard) *reporter { return &reporter{Guard: g} }
+
+// reads sets what says whether the node reads the store.
+func (r *reporter) reads(f func() bool) { r.reading.Store(&f) }
+
+// Load gives the load to tell other nodes.
+func (r *reporter) Load() mesh.Load {
+	l := r.Guard.Load()
+	if reading := r.reading.Load(); reading != nil {
+		l.Reading = (*reading)()
+	}
+	return l
+}
+
 // teller tells other nodes the load of the own backend server when it changes.
 type teller struct {
 	wake   chan struct{}
@@ -90,7 +112,7 @@
 }
 
 // run tells until ctx ends.
-func (t *teller) run(ctx context.Context, peers *peer.Server, g *guard.Guard) {
+func (t *teller) run(ctx context.Context, peers *peer.Server, r *reporter) {
 	var told mesh.Load
 	var toldAt time.Time
 	ticker := time.NewTicker(tellAlways)
@@ -102,9 +124,13 @@
 		case <-ctx.Done():
 			return
 		}
-		l := g.Load()
-		if urgent := t.urgent.Swap(false); urgent || l != told || time.Since(toldAt) >= tellAnyway {
-			peers.Tell(l, urgent || l.Revision != told.Revision)
+		l := r.Load()
+		anyway := tellAnyway
+		if l.Reading {
+			anyway = reader.ReportEvery
+		}
+		if urgent := t.urgent.Swap(false); urgent || l != told || time.Since(toldAt) >= anyway {
+			peers.Tell(l, urgent || l.Reading && l.Revision != told.Revision)
 			told, toldAt = l, time.Now()
 		}
 		clock.Sleep(ctx, tellEvery)
--- a/internal/mesh/peer/client.go
+++ b/internal/mesh/peer/client.go
@@ -25,26 +25,29 @@
 	listener Listener
 	mu       sync.Mutex
 	links    map[linkKey]*link
-	// state gives the node's state for one that has none.
-	state atomic.Pointer[func() []byte]
+	// news answers and asks for news of the store; nil until it is set.
+	news atomic.Pointer[News]
 }
 
-// OnAsked sets what gives the node's state to a node that starts while the store is
-// away; nil of it is nothing to tell.
-func (c *Client) OnAsked(state func() []byte) { c.state.Store(&state) }
+// OnNews sets what answers questions of other nodes and takes their answers. It
+// must be called before the first request.
+func (c *Client) OnNews(n News) { c.news.Store(&n) }
 
-// tellState answers a node that asks for the state.
-func (c *Client) tellState(w *writer) {
-	give := c.state.Load()
-	if give == nil {
-		return
+// Ask asks the node at addr for news of the store, if a connection to it is open.
+// The answer goes to News.Take.
+func (c *Client) Ask(addr string, q Question) error {
+	l := c.link(linkKey{addr: addr})
+	l.mu.Lock()
+	w := l.writer
+	l.mu.Unlock()
+	if w == nil {
+		return errNotConnected
 	}
-	state := (*give)()
-	if state == nil {
-		return
+	frame, err := encode(frameAsk, 0, askBody(q))
+	if err != nil {
+		return err
 	}
-	// One that can't be told has its connection closed and is dialled again.
-	_ = w.send(rawFrame(frameState, state))
+	return w.send(frame)
 }
 
 type linkKey struct {
@@ -99,7 +102,7 @@
 }
 
 // Keep closes the connections to all nodes but those in use.
-func (c *Client) Keep(inUse map[string]mesh.Distance) {
+func (c *Client) Keep(inUse map[string]mesh.Peer) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for key, l := range c.links {
--- a/internal/mesh/peer/frame.go
+++ b/internal/mesh/peer/frame.go
@@ -35,8 +35,8 @@
 	// framePing asks for a framePong at once; both are without a stream.
 	framePing
 	framePong
-	// frameAsk asks the node that dialled for its state, and frameState is that; both
-	// are without a stream.
+	// frameAsk asks a node for what it knows of the store, and frameState is that;
+	// both are without a stream and go either way.
 	frameAsk
 	frameState
 )
@@ -103,6 +103,13 @@
 	CalmInMs uint16
 	Leaving  bool
 	Revision uint64
+	Reading  bool
+}
+
+// askBody is a Question on the wire.
+type askBody struct {
+	After uint64
+	Whole bool
 }
 
 func milliseconds(d time.Duration) uint32 {
@@ -144,6 +151,7 @@
 		Running: clip16(l.Running), Waiting: clip16(l.Waiting), Slots: clip16(l.Slots),
 		ServiceMs: clip16(int(l.Service.Milliseconds())), Percent: clip16(int(100 * l.Slowdown)),
 		CalmInMs: clip16(int(l.CalmIn.Milliseconds())), Leaving: l.Leaving, Revision: l.Revision,
+		Reading: l.Reading,
 	}
 }
 
@@ -152,7 +160,7 @@
 		Running: int(b.Running), Waiting: int(b.Waiting), Slots: int(b.Slots),
 		Service: time.Duration(b.ServiceMs) * time.Millisecond, Slowdown: float64(b.Percent) / 100,
 		CalmIn:  time.Duration(b.CalmInMs) * time.Millisecond,
-		Leaving: b.Leaving, Revision: b.Revision,
+		Leaving: b.Leaving, Revision: b.Revision, Reading: b.Reading,
 	}
 }
 
--- a/internal/mesh/peer/link.go
+++ b/internal/mesh/peer/link.go
@@ -217,8 +217,8 @@
 			return false
 		}
 		l.client.listener.Reported(l.key.addr, b.load())
-	case frameAsk:
-		l.client.tellState(w)
+	case frameAsk, frameState:
+		return l.client.news.Load().frame(w, t, body)
 	case framePong:
 	default:
 		return false
--- a/internal/mesh/peer/peer_test.go
+++ b/internal/mesh/peer/peer_test.go
@@ -225,14 +225,17 @@
 			return &mesh.Answer{Status: 200}, nil
 		}}, mesh.Place{})
 		told := make(chan string, 1)
-		s.OnState(func() bool { return lacks }, func(state []byte) { told <- string(state) })
+		s.OnNews(func() bool { return lacks }, News{Take: func(state []byte) { told <- string(state) }})
 		ended := make(chan struct{})
 		go func() {
 			defer close(ended)
 			_ = s.Serve(l)
 		}()
 		c := NewClient(mesh.Place{}, &heard{last: map[string]mesh.Load{}})
-		c.OnAsked(func() []byte { return []byte("all that I know") })
+		c.OnNews(News{Give: func(q Question) []byte {
+			require.Equal(t, Question{Whole: true}, q)
+			return []byte("all that I know")
+		}})
 		_, failure := c.Run(t.Context(), l.Addr().String(), &mesh.Request{})
 		require.Nil(t, failure)
 		if lacks {
@@ -248,6 +251,41 @@
 	}
 }
 
+// A node has missed news of the store and asks one that told of them, over the
+// connection over which it hears of it. An empty answer arrives too, as it says that
+// the store is to be asked; without a connection there is nobody to ask.
+func TestNewsAreAskedForOverAnOpenConnection(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := NewServer(node{}, mesh.Place{})
+	s.OnNews(func() bool { return false }, News{Give: func(q Question) []byte {
+		if q.After == 7 {
+			return []byte("since seven")
+		}
+		return nil
+	}})
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = s.Serve(l)
+	}()
+	addr, told := l.Addr().String(), make(chan string, 1)
+	c := NewClient(mesh.Place{}, &heard{last: map[string]mesh.Load{}})
+	c.OnNews(News{Take: func(answer []byte) { told <- string(answer) }})
+	t.Cleanup(func() {
+		c.Keep(nil)
+		_ = l.Close()
+		<-ended
+		s.Close()
+	})
+	require.ErrorIs(t, c.Ask(addr, Question{After: 7}), errNotConnected)
+	require.NoError(t, c.Warm(t.Context(), addr))
+	require.NoError(t, c.Ask(addr, Question{After: 7}))
+	require.Equal(t, "since seven", <-told)
+	require.NoError(t, c.Ask(addr, Question{After: 8}))
+	require.Empty(t, <-told)
+}
+
 func FuzzDecode(f *testing.F) {
 	frame, err := encode(frameRequest, 7, fromRequest(&mesh.Request{ID: "a", Body: []byte("b")}))
 	require.NoError(f, err)
--- a/internal/mesh/peer/server.go
+++ b/internal/mesh/peer/server.go
@@ -34,19 +34,20 @@
 	here    mesh.Place
 	mu      sync.Mutex
 	conns   map[*serverConn]struct{}
-	// lacks says whether the node has no state yet, and restore takes one.
-	lacks   func() bool
-	restore func(state []byte)
+	// lacks says whether the node knows nothing of the store yet.
+	lacks func() bool
+	news  *News
 }
 
-// OnState sets what takes the state of a node that dials this one while lacks says
-// that there is none. It must be called before Serve.
+// OnNews sets what answers questions of other nodes and takes their answers. A
+// node that dials this one is asked for all it knows while lacks says that nothing
+// is known here. It must be called before Serve.
 //
 // A node that starts while the store is away knows no other node, and would serve
 // nobody until the store is back. The others still know its address, and keep
 // dialling it.
-func (s *Server) OnState(lacks func() bool, restore func(state []byte)) {
-	s.lacks, s.restore = lacks, restore
+func (s *Server) OnNews(lacks func() bool, n News) {
+	s.lacks, s.news = lacks, &n
 }
 
 // NewServer returns a Server that hands requests to h.
@@ -79,7 +80,7 @@
 	s.add(conn)
 	defer s.remove(conn)
 	if s.lacks != nil && s.lacks() {
-		conn.reply(frameAsk, 0, nil)
+		conn.reply(frameAsk, 0, &askBody{Whole: true})
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	// Nobody waits any more for what came over a connection that has ended.
@@ -128,11 +129,8 @@
 		if cancel != nil {
 			cancel()
 		}
-	case frameState:
-		if c.server.restore == nil {
-			return false
-		}
-		c.server.restore(body)
+	case frameAsk, frameState:
+		return c.server.news.frame(c.writer, t, body)
 	case framePing:
 		return c.reply(framePong, stream, nil)
 	default:
--- a/internal/mesh/target.go
+++ b/internal/mesh/target.go
@@ -71,6 +71,12 @@
 	Targets map[string][]*Target
 	// Own is the target beside the node, or nil while it isn't registered.
 	Own *Target
-	// Peers are the addresses of all other nodes, by distance.
-	Peers map[string]Distance
+	// Peers are all other nodes, by the address at which they take requests of nodes.
+	Peers map[string]Peer
+}
+
+// Peer says where another node stands.
+type Peer struct {
+	Zone     string
+	Distance Distance
 }
