Under overload: work counts without the wait, refusals tell the wait of those ahead

Cause, by the guards' lines: (1) the time that a route's requests take was learnt with their wait for a slot, so under load every request looked late from the start and the order of the queue was none; (2) a refusal told the wait of the whole queue, late ones included, so entries took every guard for full ("the wait at every target is longer than the deadline", 342 in four seconds, 89 without a single offer).

Tests, both seen failing without the change: TestTheWaitForASlotIsNoWork, TestARefusalTellsTheWaitOfThoseAheadOnly (told 2.1 s for a wait of 0.2 s).

--- a/internal/gate/in_time_test.go
+++ b/internal/gate/in_time_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/limpetdock/limpetdock/internal/kind"
 )
 
 // Twice as many reads come for ten seconds as the backend server can run. First
@@ -68,3 +70,42 @@
 	require.Equal(t, 3, inTime{}.ahead(queue, &waiter{startBy: now.Add(-time.Second)}, now, false))
 	require.Equal(t, 0, inTime{}.next(queue[:1], now, false))
 }
+
+// Requests whose time is up wait in numbers, and go last. Another one could be run after
+// one other, but its sender gives it too little patience. It must hear of that short
+// wait: told that of the whole queue, its sender took every guard of the service for
+// full and refused it, while the late ones ran.
+func TestARefusalTellsTheWaitOfThoseAheadOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const work = 100 * time.Millisecond
+		g := New()
+		g.SetLimits(Limits{Slots: 1, Queue: 64, Order: OrderInTime})
+		g.BackendCount(0)
+		ctx, cancel := context.WithCancel(t.Context())
+		enter := func(startBy time.Duration, patience time.Duration) *kind.Error {
+			slot, refusal := g.EnterWithin(ctx, Rank{}, Wait{Patience: patience, StartBy: time.Now().Add(startBy)})
+			if refusal != nil {
+				return refusal
+			}
+			time.Sleep(work)
+			slot.Leave()
+			return nil
+		}
+		for range 30 {
+			go func() { _ = enter(-time.Second, time.Minute) }()
+		}
+		time.Sleep(10 * work)
+		go func() { _ = enter(time.Second, time.Minute) }()
+		synctest.Wait()
+		refusal := enter(time.Second, time.Millisecond)
+		require.NotNil(t, refusal)
+		t.Logf("20 late ones and one in time wait for %v each: told %v", work, refusal.Wait)
+		require.LessOrEqual(t, refusal.Wait, 3*work)
+		require.Less(t, refusal.RetryAfter, 20*work)
+		late := enter(-time.Second, time.Millisecond)
+		require.NotNil(t, late)
+		require.Greater(t, late.Wait, 15*work, "a late one goes last")
+		cancel()
+		time.Sleep(2 * work)
+	})
+}
--- a/internal/gate/queue.go
+++ b/internal/gate/queue.go
@@ -69,25 +69,25 @@
 // room makes room for a request, or refuses it. The mutex is held.
 func (g *Gate) room(w *waiter, ahead int, now time.Time) *kind.Error {
 	if g.limits.Slots == 0 {
-		return g.overloaded(now, "no slots are declared for this backend server")
+		return g.overloaded(now, ahead, "no slots are declared for this backend server")
 	}
 	if g.limits.NoRefusal {
 		if len(g.queue) >= unboundedQueue {
-			return g.overloaded(now, "the backend server's queue is full")
+			return g.overloaded(now, ahead, "the backend server's queue is full")
 		}
 		return nil
 	}
 	wait := g.drain.wait(now, ahead+1, g.limit(now))
 	if wait > w.patience {
-		return g.overloaded(now, w.tooLong())
+		return g.overloaded(now, ahead, w.tooLong())
 	}
 	if !w.deadline.IsZero() && w.deadline.Sub(now) < wait {
-		return g.overloaded(now, "the wait for the backend server is longer than the deadline")
+		return g.overloaded(now, ahead, "the wait for the backend server is longer than the deadline")
 	}
 	if len(g.queue) < g.limits.Queue || g.evict(w.rank) {
 		return nil
 	}
-	return g.overloaded(now, "the backend server's slots and queue are full")
+	return g.overloaded(now, ahead, "the backend server's slots and queue are full")
 }
 
 // ahead counts those who would run before one that arrives now. The mutex is held.
@@ -144,14 +144,14 @@
 	patience, stop := w.timer()
 	defer stop()
 	// Asked for now: once abandoned, the waiter may be another request's.
-	why := w.tooLong()
+	why, like := w.tooLong(), waiter{rank: w.rank, deadline: w.deadline, startBy: w.startBy}
 	refusal := late
 	select {
 	case admitted := <-w.verdict:
 		return g.judged(w, admitted)
 	case <-ctx.Done():
 	case <-patience:
-		refusal = func() *kind.Error { return g.impatient(why) }
+		refusal = func() *kind.Error { return g.impatient(&like, why) }
 	}
 	if g.abandon(w) {
 		return Slot{}, refusal()
@@ -199,10 +199,12 @@
 	return tooLongInChain
 }
 
-func (g *Gate) impatient(why string) *kind.Error {
+// impatient refuses a request like w that has waited for as long as it may.
+func (g *Gate) impatient(w *waiter, why string) *kind.Error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.overloaded(time.Now(), why)
+	now := time.Now()
+	return g.overloaded(now, g.ahead(w, now), why)
 }
 
 func late() *kind.Error {
@@ -213,10 +215,11 @@
 func (g *Gate) judged(w *waiter, admitted bool) (Slot, *kind.Error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.free(w)
 	now := time.Now()
+	ahead := g.ahead(w, now)
+	g.free(w)
 	if !admitted {
-		return Slot{}, g.overloaded(now, "gave way to a request of a higher class or deeper in a call chain")
+		return Slot{}, g.overloaded(now, ahead, "gave way to a request of a higher class or deeper in a call chain")
 	}
 	return Slot{g, now}, nil
 }
--- a/internal/mesh/entry/entry_test.go
+++ b/internal/mesh/entry/entry_test.go
@@ -216,6 +216,26 @@
 
 // A target is slowed by its neighbours at this moment, and says so. Its free
 // slots are no reason to choose it.
+// Under load, requests wait for a slot for longer than they then take. Taken for work,
+// the wait would make every request look late from the start, and the guards' queues would
+// put none before another.
+func TestTheWaitForASlotIsNoWork(t *testing.T) {
+	w := newWorld(t, true)
+	var told time.Duration
+	w.targets = w.targets[:1]
+	w.publish()
+	w.answers[own] = func(r *mesh.Request) (*mesh.Answer, *kind.Error) {
+		told = r.Work
+		w.now += 400 * time.Millisecond
+		return &mesh.Answer{Status: 200, Header: http.Header{}, Waited: 300 * time.Millisecond}, nil
+	}
+	for range 20 {
+		_, err := w.serve()
+		require.Nil(t, err)
+	}
+	require.Equal(t, 100*time.Millisecond, told)
+}
+
 func TestASlowedTargetIsPassedOver(t *testing.T) {
 	w := newWorld(t, true)
 	w.targets = w.targets[1:3]
--- a/internal/mesh/entry/run.go
+++ b/internal/mesh/entry/run.go
@@ -141,7 +141,7 @@
 		failed := answer.Status >= http.StatusInternalServerError
 		c.target.Stat.End(now, failed, true)
 		if !failed {
-			t.stat.learn(len(answer.Body), took-wayTo[c.target.Distance])
+			t.stat.learn(len(answer.Body), took-answer.Waited-wayTo[c.target.Distance])
 		}
 		t.offers = append(t.offers, o)
 		return
--- a/internal/mesh/guard/guard.go
+++ b/internal/mesh/guard/guard.go
@@ -166,7 +166,11 @@
 	if e := g.takes(r); e != nil {
 		return nil, e
 	}
-	return g.exchange(ctx, r, deadline)
+	answer, e := g.exchange(ctx, r, deadline)
+	if answer != nil {
+		answer.Waited = v.waited
+	}
+	return answer, e
 }
 
 // takes says whether the guard takes new requests at all.
@@ -282,6 +286,7 @@
 		"id", r.ID, "service", r.Service, "target", r.Target, "running", l.Running, "waiting", l.Waiting,
 		"slots", l.Slots, "slowdown", l.Slowdown, "load_age_ms", (g.Now() - time.Duration(g.toldAt.Load())).Milliseconds(),
 		"revision", l.Revision, "left_ms", r.Left.Milliseconds(), "patience_ms", r.Patience.Milliseconds(),
+		"priority", r.Priority, "aim_left_ms", r.AimLeft.Milliseconds(), "work_ms", r.Work.Milliseconds(),
 		"waited_ms", v.waited.Milliseconds(), "took_ms", (g.Now() - v.start).Milliseconds(),
 	}
 	if e != nil {
--- a/internal/mesh/message.go
+++ b/internal/mesh/message.go
@@ -36,6 +36,9 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// Waited is how long the request waited at the guard before it was sent to the
+	// backend server.
+	Waited time.Duration
 }
 
 // Load is how busy a backend server is, as the guard beside it counts.
--- a/internal/mesh/peer/frame.go
+++ b/internal/mesh/peer/frame.go
@@ -76,10 +76,11 @@
 }
 
 type answerBody struct {
-	Status int
-	Header map[string][]string
-	Body   []byte
-	Load   loadBody
+	Status   int
+	Header   map[string][]string
+	Body     []byte
+	Load     loadBody
+	WaitedMs uint32
 }
 
 type refusalBody struct {
--- a/internal/mesh/peer/link.go
+++ b/internal/mesh/peer/link.go
@@ -203,7 +203,9 @@
 			return false
 		}
 		l.client.listener.Reported(l.key.addr, a.Load.load())
-		l.end(number, reply{answer: &mesh.Answer{Status: a.Status, Header: a.Header, Body: a.Body}})
+		l.end(number, reply{answer: &mesh.Answer{
+			Status: a.Status, Header: a.Header, Body: a.Body, Waited: time.Duration(a.WaitedMs) * time.Millisecond,
+		}})
 	case frameRefusal:
 		var r refusalBody
 		if msgpack.Unmarshal(body, &r) != nil {
