A fault soak of the mesh nodes; a node that knows nothing says when to come back

make soak plays seeds of random faults on deployments of real daemons behind a relay and checks the promises from what callers and backend servers see (docs/design/soak.md).

Cause: the wait of a refusal was set where offers are concluded, and this one has none. Now 100 to 300 ms; TestANodeThatKnowsNothingSaysWhenToComeBack was seen failing.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 COMMIT = $(shell git describe --always --dirty)
 DEMO_ARGS := $(if $(CHECK),--check)
 
-.PHONY: matrix chaos build tools test lint demo clean experiments comparisons added-latency capacity
+.PHONY: matrix chaos soak build tools test lint demo clean experiments comparisons added-latency capacity
 
 build:
 	go build -o $(BIN)/ ./cmd/...
@@ -33,6 +33,15 @@
 chaos:
 	go test ./test/process -run AtMostOnce -count=1 -v -timeout 20m -chaos.requests=$(REQUESTS) -chaos.seed=$(SEED)
 
+# soak plays random faults on real daemons: SEED=7, SEED=1-50, or MINUTES=3 of fresh
+# seeds. VMS is the size of each deployment, JOBS how many run at the same time; the logs
+# of seeds that fail go to build/soak.
+VMS := 6
+JOBS := 4
+soak:
+	go test ./platform -run TestSoak -count=1 -v -timeout 60m -soak.vms=$(VMS) -soak.parallel=$(JOBS) -soak.keep=$(CURDIR)/build/soak \
+		$(if $(MINUTES),-soak.minutes=$(MINUTES),-soak.seeds=$(or $(SEED),1-50))
+
 lint: tools
 	@unformatted=$$($(TOOLS)/gofumpt -l cmd docs fleet internal platform standin examples test); \
 	if [ -n "$$unformatted" ]; then echo "not formatted by gofumpt:"; echo "$$unformatted"; exit 1; fi
--- a/internal/mesh/entry/entry.go
+++ b/internal/mesh/entry/entry.go
@@ -182,7 +182,10 @@
 func (e *Entry) plan(in *Inbound) (*trip, *kind.Error) {
 	t := &trip{entry: e, in: in, view: e.view.Load(), refusals: map[string]time.Duration{}}
 	if t.view == nil {
-		return t, kind.New(kind.NotReady, "no configuration is in force yet")
+		// It comes within moments from the store, or from a neighbour if that is away.
+		refusal := kind.New(kind.NotReady, "no configuration is in force yet")
+		refusal.RetryAfter = spread(comeBackLeast)
+		return t, refusal
 	}
 	t.route = t.view.Config.Match(in.Host, in.Path)
 	if t.route == nil {
--- a/internal/mesh/entry/entry_test.go
+++ b/internal/mesh/entry/entry_test.go
@@ -318,6 +318,18 @@
 	require.Zero(t, estimate.Busy)
 }
 
+// A node was killed and starts while the store is away. It refuses what comes until a
+// neighbour has told it what is in force. Told to come back after no time at all, its
+// callers asked it hundreds of times in the second that it needed.
+func TestANodeThatKnowsNothingSaysWhenToComeBack(t *testing.T) {
+	w := newWorld(t, true)
+	e := entry.New(entry.Config{Observer: observer{}, Now: func() time.Duration { return w.now }})
+	_, err := e.Serve(t.Context(), w.request(0))
+	require.Equal(t, kind.NotReady, err.Kind)
+	require.Equal(t, kind.NotRun, err.Said())
+	require.GreaterOrEqual(t, err.RetryAfter, 100*time.Millisecond)
+}
+
 func TestWithoutARouteOrConfiguration(t *testing.T) {
 	w := newWorld(t, true)
 	r := w.request(0)
--- a/internal/mesh/entry/run.go
+++ b/internal/mesh/entry/run.go
@@ -226,8 +226,7 @@
 
 const (
 	// comeBackLeast is the shortest time after which a refused caller is asked to
-	// come back, and comeBackSpread what is added at random, so that those who are
-	// refused together don't return together.
+	// come back, and comeBackSpread the most that is added at random.
 	comeBackLeast  = 100 * time.Millisecond
 	comeBackSpread = 200 * time.Millisecond
 )
@@ -238,5 +237,9 @@
 	if list := t.candidates(); len(list) > 0 {
 		wait = list[0].wait
 	}
-	return max(wait, comeBackLeast) + rand.N(comeBackSpread)
+	return spread(max(wait, comeBackLeast))
 }
+
+// spread adds a random time to a wait, so that those who are refused together don't
+// return together.
+func spread(wait time.Duration) time.Duration { return wait + rand.N(comeBackSpread) }
--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -112,8 +112,14 @@
 	}), nil
 }
 
-func newReaders(s *settings.Settings, now clock.Clock) *reader.Table {
-	return reader.NewTable(s.Peers, s.Here, now)
+// newReaders makes the Table of the node as others know it: by its VM's address, which
+// needn't be the one that it listens on.
+func newReaders(s *settings.Settings, now clock.Clock) (*reader.Table, error) {
+	_, port, err := net.SplitHostPort(s.Peers)
+	if err != nil {
+		return nil, err
+	}
+	return reader.NewTable(net.JoinHostPort(s.Here.IP, port), s.Here, now), nil
 }
 
 func newSource(s *settings.Settings, p Platform, log *decision.Log, l *directory.Loop, r *reports, t *reader.Table, now clock.Clock) Source {
--- a/standin/deploy/deploy.go
+++ b/standin/deploy/deploy.go
@@ -103,7 +103,7 @@
 	if program == nodeProgram {
 		env = d.opts.NodeEnv
 	}
-	return startProcess(logs, name, filepath.Join(d.opts.Bin, program), env, !d.opts.NoRestart, d.writeTable, args...)
+	return StartProcess(logs, name, filepath.Join(d.opts.Bin, program), env, !d.opts.NoRestart, d.writeTable, args...)
 }
 
 // Start starts every process and publishes the configuration.
--- a/standin/deploy/process.go
+++ b/standin/deploy/process.go
@@ -28,7 +28,9 @@
 // restartPause is how long the platform takes to start a process again.
 const restartPause = time.Second
 
-func startProcess(logs, name, path string, env []string, restart bool, changed func(), args ...string) (*Process, error) {
+// StartProcess starts a program whose output goes to a file in logs. One that ends by
+// itself is started again after a pause if restart is set, and changed is called.
+func StartProcess(logs, name, path string, env []string, restart bool, changed func(), args ...string) (*Process, error) {
 	log, err := os.Create(filepath.Join(logs, name+".log"))
 	if err != nil {
 		return nil, err
