One table-driven reader for both INI settings files; the guard's records in a file of their own

The two parsers had the same shape (fields, defaults, unknown keys) and different faults: the mesh node's told no lines, and took the last of a key that stood twice without a word. internal/inifile serves both. Now each fault of a mesh node's file has its line, and a key that stands twice is refused (TestAKeyThatStandsTwiceIsRefused). Messages of that file changed with it; its test checks the new ones, line and allowed values included.

--- a/internal/settings/fault.go
+++ b/internal/inifile/fault.go
@@ -1,4 +1,4 @@
-package settings
+package inifile
 
 import (
 	"fmt"
--- /dev/null
+++ b/internal/mesh/guard/record.go
@@ -0,0 +1,53 @@
+package guard
+
+import (
+	"time"
+
+	"github.com/limpetdock/limpetdock/internal/kind"
+	"github.com/limpetdock/limpetdock/internal/mesh"
+)
+
+// visit is a request's time at the guard.
+type visit struct {
+	request *mesh.Request
+	// start is when it came, waited how long it then waited for a slot.
+	start, waited time.Duration
+	// slowdown is that of the backend server when the request was sent or refused, calmIn
+	// when that was expected to end, and loadAge how old its word on that was.
+	slowdown        float64
+	calmIn, loadAge time.Duration
+}
+
+// note keeps what is known of the backend server when a request is sent or refused.
+func (g *Guard) note(v *visit) {
+	now := g.Now()
+	v.slowdown, v.calmIn = g.pulse.state(now)
+	v.loadAge = now - time.Duration(g.toldAt.Load())
+}
+
+// record writes the decision about a request.
+func (g *Guard) record(v *visit, a *mesh.Answer, e *kind.Error) {
+	l, r := g.Load(), v.request
+	if v.slowdown == 0 {
+		g.note(v)
+	}
+	pairs := []any{
+		"id", r.ID, "service", r.Service, "target", r.Target, "running", l.Running, "waiting", l.Waiting,
+		"slots", l.Slots, "slowdown", v.slowdown, "calm_in_ms", v.calmIn.Milliseconds(), "load_age_ms", v.loadAge.Milliseconds(),
+		"revision", l.Revision, "left_ms", r.Left.Milliseconds(), "patience_ms", r.Patience.Milliseconds(),
+		"priority", r.Priority, "aim_left_ms", r.AimLeft.Milliseconds(), "work_ms", r.Work.Milliseconds(),
+		"waited_ms", v.waited.Milliseconds(), "took_ms", (g.Now() - v.start).Milliseconds(),
+	}
+	if e != nil {
+		g.Log.Decide("guard refused or lost", append(pairs, "kind", e.Kind, "outcome", e.Said(), "message", e.Message, "cause", errorText(e.Cause))...)
+		return
+	}
+	g.Log.Decide("guard served", append(pairs, "status", a.Status)...)
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
--- a/internal/mesh/node/reload.go
+++ b/internal/mesh/node/reload.go
@@ -77,7 +77,7 @@
 		return
 	}
 	w.content = content
-	next, err := settings.Parse(content)
+	next, err := settings.Parse(w.path, content)
 	if err != nil {
 		w.log.Trouble("settings refused, the former ones stay in force", "error", err.Error())
 		return
--- a/internal/mesh/settings/settings.go
+++ b/internal/mesh/settings/settings.go
@@ -3,17 +3,16 @@
 package settings
 
 import (
+	"errors"
 	"math"
 	"net"
 	"os"
-	"slices"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
-	"gopkg.in/ini.v1"
 
+	"github.com/limpetdock/limpetdock/internal/inifile"
 	"github.com/limpetdock/limpetdock/internal/mesh"
 	"github.com/limpetdock/limpetdock/internal/mesh/entry"
 )
@@ -49,113 +48,64 @@
 	LogLevel int
 }
 
-// field is one key of the settings and how its value is checked.
-type field struct {
-	section, key string
-	// fallback holds where the key is missing; a key without one is required.
-	fallback string
-	allowed  string
-	set      func(s *Settings, value string) error
-}
-
-const required = ""
-
 // leastFill is the least share of slots that is any use.
 const leastFill = 0.1
 
-var fields = []field{
-	{"node", "vm", required, "a name", text(func(s *Settings) *string { return &s.Here.VM })},
-	{"node", "ip", required, "an IP address", ip},
-	{"node", "zone", required, "a name", text(func(s *Settings) *string { return &s.Here.Zone })},
-	{"node", "region", required, "a name", text(func(s *Settings) *string { return &s.Here.Region })},
-	{"node", "service", required, "a name", text(func(s *Settings) *string { return &s.Here.Service })},
-	{"listen", "callers", required, "IP:PORT", address(func(s *Settings) *string { return &s.Callers })},
-	{"listen", "peers", required, "IP:PORT", address(func(s *Settings) *string { return &s.Peers })},
-	{"listen", "ready", required, "IP:PORT", address(func(s *Settings) *string { return &s.Ready })},
-	{"listen", "admin", required, "IP:PORT", address(func(s *Settings) *string { return &s.Admin })},
-	{"backend", "address", required, "IP:PORT", address(func(s *Settings) *string { return &s.Backend })},
-	{"store", "address", required, "IP:PORT", address(func(s *Settings) *string { return &s.Store })},
-	{"repeats", "ratio", "0.2", "repeats for each request, from 0 to 1", number(0, 1, func(s *Settings, v float64) { s.Repeats.Ratio = v })},
-	{"repeats", "slack", "0", "repeats besides, of all nodes together, in a window", number(0, 1e6, func(s *Settings, v float64) { s.Repeats.Slack = v })},
-	{"repeats", "window-seconds", "10", "seconds, from 1 to 3600", number(1, 3600, func(s *Settings, v float64) { s.Repeats.Window = seconds(v) })},
-	{"stop", "grace-seconds", "6", "seconds, from 1 to 600", number(1, 600, func(s *Settings, v float64) { s.StopGrace = seconds(v) })},
-	{"routing", "zone-price", "2500us", "a duration for each kilobyte that leaves the zone", duration(func(s *Settings) *time.Duration { return &s.Tunable.Prices.ZonePerKB })},
-	{"routing", "region-price", "20ms", "a duration for each kilobyte that leaves the region", duration(func(s *Settings) *time.Duration { return &s.Tunable.Prices.RegionPerKB })},
-	{"backend", "fill", "0.8", "a share of the slots, from 0.1 to 1", number(leastFill, 1, func(s *Settings, v float64) { s.Tunable.Fill = v })},
-	{"log", "level", "0", "0 or 1", level},
-}
+var table = inifile.Table[Settings]{EmptyIsMissing: true, Free: []string{zonesSection}, Fields: []inifile.Field[Settings]{
+	inifile.Required("node", "vm", "a name", text(func(s *Settings) *string { return &s.Here.VM })),
+	inifile.Required("node", "ip", "an IP address", ip),
+	inifile.Required("node", "zone", "a name", text(func(s *Settings) *string { return &s.Here.Zone })),
+	inifile.Required("node", "region", "a name", text(func(s *Settings) *string { return &s.Here.Region })),
+	inifile.Required("node", "service", "a name", text(func(s *Settings) *string { return &s.Here.Service })),
+	inifile.Required("listen", "callers", "IP:PORT", address(func(s *Settings) *string { return &s.Callers })),
+	inifile.Required("listen", "peers", "IP:PORT", address(func(s *Settings) *string { return &s.Peers })),
+	inifile.Required("listen", "ready", "IP:PORT", address(func(s *Settings) *string { return &s.Ready })),
+	inifile.Required("listen", "admin", "IP:PORT", address(func(s *Settings) *string { return &s.Admin })),
+	inifile.Required("backend", "address", "IP:PORT", address(func(s *Settings) *string { return &s.Backend })),
+	inifile.Required("store", "address", "IP:PORT", address(func(s *Settings) *string { return &s.Store })),
+	inifile.Optional("repeats", "ratio", "0.2", "repeats for each request, from 0 to 1", number(0, 1, func(s *Settings, v float64) { s.Repeats.Ratio = v })),
+	inifile.Optional("repeats", "slack", "0", "repeats besides, of all nodes together, in a window", number(0, 1e6, func(s *Settings, v float64) { s.Repeats.Slack = v })),
+	inifile.Optional("repeats", "window-seconds", "10", "seconds, from 1 to 3600", number(1, 3600, func(s *Settings, v float64) { s.Repeats.Window = seconds(v) })),
+	inifile.Optional("stop", "grace-seconds", "6", "seconds, from 1 to 600", number(1, 600, func(s *Settings, v float64) { s.StopGrace = seconds(v) })),
+	inifile.Optional("routing", "zone-price", "2500us", "a duration for each kilobyte that leaves the zone", duration(func(s *Settings) *time.Duration { return &s.Tunable.Prices.ZonePerKB })),
+	inifile.Optional("routing", "region-price", "20ms", "a duration for each kilobyte that leaves the region", duration(func(s *Settings) *time.Duration { return &s.Tunable.Prices.RegionPerKB })),
+	inifile.Optional("backend", "fill", "0.8", "a share of the slots, from 0.1 to 1", number(leastFill, 1, func(s *Settings, v float64) { s.Tunable.Fill = v })),
+	inifile.Optional("log", "level", "0", "0 or 1", level),
+}}
 
 // zonesSection maps availability zones to regions, a line each.
 const zonesSection = "zones"
 
-// Load reads and checks the settings file at path. The error names everything
-// that is wrong.
+// Load reads and checks the settings file at path. A file with anything wrong gives
+// inifile.Faults that list all of it.
 func Load(path string) (*Settings, error) {
 	content, err := os.ReadFile(path)
 	if err != nil {
 		return nil, eris.Wrap(err, "read settings")
 	}
-	return Parse(content)
+	return Parse(path, content)
 }
 
-// Parse checks the settings in content.
-func Parse(content []byte) (*Settings, error) {
-	doc, err := ini.LoadSources(ini.LoadOptions{IgnoreInlineComment: true}, content)
-	if err != nil {
-		return nil, eris.Wrap(err, "settings aren't INI")
-	}
+// Parse checks the settings in content; file is used in messages only.
+func Parse(file string, content []byte) (*Settings, error) {
 	s := &Settings{Regions: map[string]string{}}
-	wrong := unknown(doc)
-	for _, f := range fields {
-		if err := f.apply(s, doc); err != nil {
-			wrong = append(wrong, err.Error())
-		}
+	doc, err := table.Parse(file, content, s)
+	var faults inifile.Faults
+	if err != nil && !errors.As(err, &faults) || doc == nil {
+		return nil, err
 	}
 	for _, key := range doc.Section(zonesSection).Keys() {
 		s.Regions[key.Name()] = key.String()
 	}
 	if len(s.Regions) == 0 {
-		wrong = append(wrong, "[zones] needs a line ZONE = REGION for each availability zone")
+		faults = append(faults, inifile.Fault{File: file, Line: 1, Key: zonesSection, Wrong: "missing", Allowed: "a line ZONE = REGION for each availability zone"})
 	}
-	if len(wrong) > 0 {
-		return nil, eris.New("settings: " + strings.Join(wrong, "; "))
+	if len(faults) > 0 {
+		return nil, faults
 	}
 	return s, nil
 }
 
-func (f field) apply(s *Settings, doc *ini.File) error {
-	value := doc.Section(f.section).Key(f.key).String()
-	if value == "" {
-		value = f.fallback
-	}
-	if value == "" {
-		return eris.Errorf("[%s] %s is missing; allowed: %s", f.section, f.key, f.allowed)
-	}
-	if err := f.set(s, value); err != nil {
-		return eris.Errorf("[%s] %s: %v; allowed: %s", f.section, f.key, err, f.allowed)
-	}
-	return nil
-}
-
-// unknown lists the keys that no field has: a misspelt one would be without effect.
-func unknown(doc *ini.File) []string {
-	var wrong []string
-	for _, section := range doc.Sections() {
-		if section.Name() == zonesSection {
-			continue
-		}
-		for _, key := range section.Keys() {
-			known := slices.ContainsFunc(fields, func(f field) bool {
-				return f.section == section.Name() && f.key == key.Name()
-			})
-			if !known {
-				wrong = append(wrong, "["+section.Name()+"] "+key.Name()+" isn't known")
-			}
-		}
-	}
-	return wrong
-}
-
 func text(at func(*Settings) *string) func(*Settings, string) error {
 	return func(s *Settings, v string) error {
 		*at(s) = v
--- a/internal/mesh/settings/settings_test.go
+++ b/internal/mesh/settings/settings_test.go
@@ -35,7 +35,7 @@
 
 func TestDefaultsHoldWhereAKeyIsMissingOrEmpty(t *testing.T) {
 	for _, text := range []string{good, good + "[repeats]\nratio =\nslack =\nwindow-seconds =\n[stop]\ngrace-seconds =\n"} {
-		s, err := settings.Parse([]byte(text))
+		s, err := settings.Parse("node.ini", []byte(text))
 		require.NoError(t, err)
 		require.Equal(t, mesh.Place{VM: "vm-1", IP: "10.1.0.8", Zone: "rs-a", Region: "rs", Service: "orders"}, s.Here)
 		require.Equal(t, map[string]string{"rs-a": "rs", "sc-a": "sc"}, s.Regions)
@@ -47,7 +47,7 @@
 }
 
 func TestFractionsOfSecondsAreRead(t *testing.T) {
-	s, err := settings.Parse([]byte(good + "[stop]\ngrace-seconds = 4.5\n[repeats]\nratio = 0.1\nslack = 56\n"))
+	s, err := settings.Parse("node.ini", []byte(good+"[stop]\ngrace-seconds = 4.5\n[repeats]\nratio = 0.1\nslack = 56\n"))
 	require.NoError(t, err)
 	require.Equal(t, 4500*time.Millisecond, s.StopGrace)
 	require.InDelta(t, 0.1, s.Repeats.Ratio, 0)
@@ -56,18 +56,28 @@
 
 func TestEveryFaultIsNamedAtOnce(t *testing.T) {
 	text := strings.NewReplacer("10.1.0.8:8304", "nowhere", "vm = vm-1", "wm = vm-1", "[store]\naddress = 10.200.1.7:8309", "").Replace(good)
-	_, err := settings.Parse([]byte(text + "[backend]\nfill = 2\n[stop]\ngrace-seconds = NaN\n"))
+	_, err := settings.Parse("node.ini", []byte(text+"[backend]\nfill = 2\n[stop]\ngrace-seconds = NaN\n"))
 	require.Error(t, err)
-	for _, part := range []string{"[listen] callers", "[node] vm is missing", "[node] wm isn't known", "[store] address is missing", "[backend] fill", "grace-seconds"} {
+	for _, part := range []string{
+		`node.ini:11: listen.callers: "nowhere" is no IP:PORT (allowed: IP:PORT)`, "node.vm: missing", "node.ini:2: node.wm: unknown key (allowed: vm, ip, zone, region, service)",
+		"store.address: missing", "backend.fill", "stop.grace-seconds",
+	} {
 		require.ErrorContains(t, err, part)
 	}
 }
 
+// An operator adds a key that the template has already filled in. The library would take
+// the last one and say nothing.
+func TestAKeyThatStandsTwiceIsRefused(t *testing.T) {
+	_, err := settings.Parse("node.ini", []byte(good+"[backend]\naddress = 10.1.0.8:8399\n"))
+	require.ErrorContains(t, err, "backend.address: stands there twice")
+}
+
 func TestWhatIsNoINIOrHasNoZones(t *testing.T) {
-	_, err := settings.Parse([]byte("{\"json\": 1"))
+	_, err := settings.Parse("node.ini", []byte("{\"json\": 1"))
 	require.Error(t, err)
-	_, err = settings.Parse([]byte(strings.Replace(good, "rs-a = rs\nsc-a = sc\n", "", 1)))
-	require.ErrorContains(t, err, "[zones]")
+	_, err = settings.Parse("node.ini", []byte(strings.Replace(good, "rs-a = rs\nsc-a = sc\n", "", 1)))
+	require.ErrorContains(t, err, "zones: missing")
 	_, err = settings.Load(filepath.Join(t.TempDir(), "none"))
 	require.ErrorIs(t, err, os.ErrNotExist)
 }
@@ -76,7 +86,7 @@
 	f.Add(good)
 	f.Add(good + "[routing]\nzone-price = -1ms\n")
 	f.Fuzz(func(t *testing.T, text string) {
-		s, err := settings.Parse([]byte(text))
+		s, err := settings.Parse("node.ini", []byte(text))
 		if err != nil {
 			return
 		}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -6,12 +6,11 @@
 import (
 	"net/url"
 	"os"
-	"slices"
-	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
-	"gopkg.in/ini.v1"
+
+	"github.com/limpetdock/limpetdock/internal/inifile"
 )
 
 // Settings are the checked static settings of one node.
@@ -42,14 +41,8 @@
 	LogLevel int
 }
 
-// field is one key of the settings and how its value is checked.
-type field struct {
-	section, key string
-	fallback     string
-	required     bool
-	allowed      string
-	set          func(s *Settings, value string) error
-}
+// Faults is every fault of a file.
+type Faults = inifile.Faults
 
 const (
 	allowedName = "lower-case letters, digits, '-' and '.', at most 63"
@@ -58,24 +51,24 @@
 	allowedPath = "a path that starts with '/', without query"
 )
 
-var fields = []field{
-	{"node", "vm", "", true, allowedName, name(func(s *Settings) *string { return &s.VM })},
-	{"node", "fleet", "", true, allowedName, name(func(s *Settings) *string { return &s.Fleet })},
-	{"node", "region", "", true, allowedName, name(func(s *Settings) *string { return &s.Region })},
-	{"node", "zone", "", true, allowedName, name(func(s *Settings) *string { return &s.Zone })},
-	{"listen", "callers", "", true, allowedAddr, address(func(s *Settings) *string { return &s.Callers })},
-	{"listen", "guard", "", true, allowedAddr, address(func(s *Settings) *string { return &s.Guard })},
-	{"listen", "control", "", true, allowedAddr, address(func(s *Settings) *string { return &s.Control })},
-	{"listen", "admin", "127.0.0.1:7400", false, allowedAddr, address(func(s *Settings) *string { return &s.Admin })},
-	{"backend", "url", "", true, allowedURL, base(func(s *Settings) **url.URL { return &s.Backend })},
-	{"backend", "health", "/healthz", false, allowedPath, healthPath},
-	{"platform", "url", "", true, allowedURL, base(func(s *Settings) **url.URL { return &s.Platform })},
-	{"platform", "seeds", "", false, "up to 8 of IP:PORT, separated by commas", seeds},
-	{"limits", "connections-per-ip", "1024", false, "a whole number from 16 to 100000", connsPerIP},
-	{"stop", "grace", "3s", false, "a duration from 0s to 1m", duration(0, time.Minute, func(s *Settings) *time.Duration { return &s.StopGrace })},
-	{"stop", "limit", "60s", false, "a duration from 1s to 1h", duration(time.Second, time.Hour, func(s *Settings) *time.Duration { return &s.StopLimit })},
-	{"log", "level", "0", false, "0 or 1", logLevel},
-}
+var table = inifile.Table[Settings]{Fields: []inifile.Field[Settings]{
+	inifile.Required("node", "vm", allowedName, name(func(s *Settings) *string { return &s.VM })),
+	inifile.Required("node", "fleet", allowedName, name(func(s *Settings) *string { return &s.Fleet })),
+	inifile.Required("node", "region", allowedName, name(func(s *Settings) *string { return &s.Region })),
+	inifile.Required("node", "zone", allowedName, name(func(s *Settings) *string { return &s.Zone })),
+	inifile.Required("listen", "callers", allowedAddr, address(func(s *Settings) *string { return &s.Callers })),
+	inifile.Required("listen", "guard", allowedAddr, address(func(s *Settings) *string { return &s.Guard })),
+	inifile.Required("listen", "control", allowedAddr, address(func(s *Settings) *string { return &s.Control })),
+	inifile.Optional("listen", "admin", "127.0.0.1:7400", allowedAddr, address(func(s *Settings) *string { return &s.Admin })),
+	inifile.Required("backend", "url", allowedURL, base(func(s *Settings) **url.URL { return &s.Backend })),
+	inifile.Optional("backend", "health", "/healthz", allowedPath, healthPath),
+	inifile.Required("platform", "url", allowedURL, base(func(s *Settings) **url.URL { return &s.Platform })),
+	inifile.Optional("platform", "seeds", "", "up to 8 of IP:PORT, separated by commas", seeds),
+	inifile.Optional("limits", "connections-per-ip", "1024", "a whole number from 16 to 100000", connsPerIP),
+	inifile.Optional("stop", "grace", "3s", "a duration from 0s to 1m", duration(0, time.Minute, func(s *Settings) *time.Duration { return &s.StopGrace })),
+	inifile.Optional("stop", "limit", "60s", "a duration from 1s to 1h", duration(time.Second, time.Hour, func(s *Settings) *time.Duration { return &s.StopLimit })),
+	inifile.Optional("log", "level", "0", "0 or 1", logLevel),
+}}
 
 // Load reads and checks the settings file at path. A file with anything wrong
 // gives Faults that list all of it.
@@ -89,65 +82,9 @@
 
 // Parse checks the settings in text; file is used in messages only.
 func Parse(file string, text []byte) (*Settings, error) {
-	doc, err := ini.LoadSources(ini.LoadOptions{AllowDuplicateShadowValues: false}, text)
-	if err != nil {
-		return nil, Faults{{File: file, Line: 1, Key: "file", Wrong: strings.TrimSpace(err.Error()), Allowed: "INI: [section], key = value"}}
-	}
-	where, twice := lineIndex(text)
-	var faults Faults
-	for id, line := range twice {
-		faults = append(faults, Fault{file, line, id, "stands there twice", "each key once"})
-	}
-	slices.SortFunc(faults, func(a, b Fault) int { return a.Line - b.Line })
-	faults = append(faults, unknownKeys(file, doc, where)...)
 	s := &Settings{}
-	for _, f := range fields {
-		if fault, ok := f.apply(s, file, doc, where); !ok {
-			faults = append(faults, fault)
-		}
-	}
-	if len(faults) > 0 {
-		return nil, faults
+	if _, err := table.Parse(file, text, s); err != nil {
+		return nil, err
 	}
 	return s, nil
 }
-
-func (f field) apply(s *Settings, file string, doc *ini.File, where map[string]int) (Fault, bool) {
-	id := f.section + "." + f.key
-	fault := Fault{File: file, Line: max(where[id], 1), Key: id, Allowed: f.allowed}
-	value := f.fallback
-	if doc.Section(f.section).HasKey(f.key) {
-		value = doc.Section(f.section).Key(f.key).String()
-	} else if f.required {
-		fault.Wrong = "missing"
-		return fault, false
-	}
-	if err := f.set(s, value); err != nil {
-		fault.Wrong = err.Error()
-		return fault, false
-	}
-	return Fault{}, true
-}
-
-func unknownKeys(file string, doc *ini.File, where map[string]int) Faults {
-	known := map[string][]string{}
-	for _, f := range fields {
-		known[f.section] = append(known[f.section], f.key)
-	}
-	var faults Faults
-	for _, section := range doc.Sections() {
-		for _, key := range section.Keys() {
-			id := section.Name() + "." + key.Name()
-			allowed, ok := known[section.Name()]
-			if ok && slices.Contains(allowed, key.Name()) {
-				continue
-			}
-			what := strings.Join(allowed, ", ")
-			if !ok {
-				what = "sections node, listen, backend, platform, limits, stop, log"
-			}
-			faults = append(faults, Fault{file, max(where[id], 1), id, "unknown key", what})
-		}
-	}
-	return faults
-}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -72,14 +72,14 @@
 func TestThePageNamesEveryKey(t *testing.T) {
 	page, err := os.ReadFile("../../docs/operators/settings.md")
 	require.NoError(t, err)
-	for _, f := range fields {
-		row := "| `" + f.section + "` | `" + f.key + "` |"
+	for _, f := range table.Fields {
+		row := "| `" + f.Section + "` | `" + f.Key + "` |"
 		require.Contains(t, string(page), row)
 		at := strings.Index(string(page), row)
 		line, _, _ := strings.Cut(string(page)[at:], "\n")
-		require.Contains(t, line, "| "+f.allowed+" |")
-		if f.fallback != "" {
-			require.Contains(t, line, "| `"+f.fallback+"` |")
+		require.Contains(t, line, "| "+f.Allowed+" |")
+		if f.Fallback != "" {
+			require.Contains(t, line, "| `"+f.Fallback+"` |")
 		}
 	}
 }
