Test of hedged reads: the second copy waits until the first has arrived

Cause: on a busy machine the second copy can be at the stand-in, and answer, before the first copy is sent, which is then called back unsent; the test counts copies that arrive. The entry does what it should.

--- a/internal/entry/hedge_play_test.go
+++ b/internal/entry/hedge_play_test.go
@@ -34,11 +34,12 @@
 	entry  *entry.Entry
 	view   *pick.View
 	offers atomic.Int32
-	// came is closed when the second copy arrives, gone when its handler has ended.
-	came, gone chan struct{}
-	plays      []func(offer)
+	// first is closed when the first copy arrives, came when the second does, gone
+	// when the second one's handler has ended.
+	first, came, gone chan struct{}
+	plays             []func(offer)
 
-	cameOnce, goneOnce func()
+	firstOnce, cameOnce, goneOnce func()
 }
 
 // share is how many of 100 requests may be hedged.
@@ -57,7 +58,8 @@
 		f.Services[0].Targets = append(f.Services[0].Targets, fleet.Target{VM: fmt.Sprint("vm-", i), Zone: "a", Slots: 4})
 	}
 	change(&f.Services[0])
-	h := &hedged{T: t, plays: plays, came: make(chan struct{}), gone: make(chan struct{})}
+	h := &hedged{T: t, plays: plays, first: make(chan struct{}), came: make(chan struct{}), gone: make(chan struct{})}
+	h.firstOnce = sync.OnceFunc(func() { close(h.first) })
 	h.cameOnce = sync.OnceFunc(func() { close(h.came) })
 	h.goneOnce = sync.OnceFunc(func() { close(h.gone) })
 	server := httptest.NewServer(h)
@@ -88,12 +90,20 @@
 	// The first copy carries all of the chain's retries, wherever it arrives first.
 	left, _ := strconv.Atoi(r.Header.Get(headers.RetriesLeft))
 	n := budget.ChainRetries - left
-	if n == 1 {
+	switch n {
+	case 0:
+		h.firstOnce()
+	case 1:
 		h.cameOnce()
 		defer h.goneOnce()
 	}
 	// The context of a request ends with its connection only once its body is read.
 	_, _ = io.Copy(io.Discard, r.Body)
+	if n == 1 && len(h.plays) > 1 {
+		// On a busy machine the second copy may be here before the first one is sent,
+		// and its answer would call that one back unsent.
+		offer{w, r, h}.await(h.first)
+	}
 	w.Header().Set(headers.Exchange, r.Header.Get(headers.Exchange))
 	w.Header().Set("X-Seen", r.Header.Get(headers.RetriesLeft))
 	h.plays[min(n, len(h.plays)-1)](offer{w, r, h})
