--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -7,6 +7,10 @@
 	"time"
 )
 
+// Pause suits most listeners after a failed accept: descriptors come free when a
+// request ends, which takes some dozens of milliseconds.
+const Pause = 20 * time.Millisecond
+
 // Loop hands each connection to take until l is closed; take must not block. When
 // accepting fails otherwise, as when descriptors have run out for a moment, failed
 // is called and l is tried again after a pause: what is open goes on.
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -187,14 +187,18 @@
 	}
 }
 
-// overloaded makes a refusal of a request that ahead others would run before. The hint
-// is when these will have run by the measured rate, spread over as long again, so
-// that those who are refused together don't come back together. Requests that would
-// run after it don't count: a queue of some that are late already made every guard of a
-// service tell waits of over a second to requests that could have been run at once,
-// and these were refused while the late ones ran. The mutex is held.
-func (g *Gate) overloaded(now time.Time, ahead int, why string) *kind.Error {
+// expect estimates how long a request waits that ahead others run before. Requests that
+// would run after it don't count: a queue of some that are late already made every
+// guard of a service tell waits of over a second to requests that could have been run
+// at once, and these were refused while the late ones ran. The mutex is held.
+func (g *Gate) expect(now time.Time, ahead int) time.Duration {
+	return g.drain.wait(now, ahead+1, g.limit(now))
+}
+
+// overloaded makes a refusal of a request that would wait for so long. The hint is
+// when that is over, spread over as long again, so that those who are refused
+// together don't come back together. The mutex is held.
+func (g *Gate) overloaded(wait time.Duration, why string) *kind.Error {
 	g.refused++
-	wait := g.drain.wait(now, ahead+1, g.limit(now))
 	return &kind.Error{Kind: kind.Overloaded, Message: why, Wait: wait, RetryAfter: wait + rand.N(max(wait, time.Second))}
 }
--- a/internal/gate/queue.go
+++ b/internal/gate/queue.go
@@ -68,26 +68,26 @@
 
 // room makes room for a request, or refuses it. The mutex is held.
 func (g *Gate) room(w *waiter, ahead int, now time.Time) *kind.Error {
+	wait := g.expect(now, ahead)
 	if g.limits.Slots == 0 {
-		return g.overloaded(now, ahead, "no slots are declared for this backend server")
+		return g.overloaded(wait, "no slots are declared for this backend server")
 	}
 	if g.limits.NoRefusal {
 		if len(g.queue) >= unboundedQueue {
-			return g.overloaded(now, ahead, "the backend server's queue is full")
+			return g.overloaded(wait, "the backend server's queue is full")
 		}
 		return nil
 	}
-	wait := g.drain.wait(now, ahead+1, g.limit(now))
 	if wait > w.patience {
-		return g.overloaded(now, ahead, w.tooLong())
+		return g.overloaded(wait, w.tooLong())
 	}
 	if !w.deadline.IsZero() && w.deadline.Sub(now) < wait {
-		return g.overloaded(now, ahead, "the wait for the backend server is longer than the deadline")
+		return g.overloaded(wait, "the wait for the backend server is longer than the deadline")
 	}
 	if len(g.queue) < g.limits.Queue || g.evict(w.rank) {
 		return nil
 	}
-	return g.overloaded(now, ahead, "the backend server's slots and queue are full")
+	return g.overloaded(wait, "the backend server's slots and queue are full")
 }
 
 // ahead counts those who would run before one that arrives now. The mutex is held.
@@ -143,18 +143,17 @@
 func (g *Gate) wait(ctx context.Context, w *waiter) (Slot, *kind.Error) {
 	patience, stop := w.timer()
 	defer stop()
-	// Asked for now: once abandoned, the waiter may be another request's.
-	why, like := w.tooLong(), waiter{rank: w.rank, deadline: w.deadline, startBy: w.startBy}
-	refusal := late
+	// Copied now: once abandoned, the waiter may be another request's.
+	like, impatient := *w, false
 	select {
 	case admitted := <-w.verdict:
 		return g.judged(w, admitted)
 	case <-ctx.Done():
 	case <-patience:
-		refusal = func() *kind.Error { return g.impatient(&like, why) }
+		impatient = true
 	}
 	if g.abandon(w) {
-		return Slot{}, refusal()
+		return Slot{}, g.gaveUp(like, impatient)
 	}
 	// The verdict came at the same moment; a slot is given back unused.
 	slot, refused := g.judged(w, <-w.verdict)
@@ -162,7 +161,7 @@
 		return Slot{}, refused
 	}
 	slot.giveBack()
-	return Slot{}, refusal()
+	return Slot{}, g.gaveUp(like, impatient)
 }
 
 // timer gives a channel that tells when the patience ends, and ends it.
@@ -199,27 +198,26 @@
 	return tooLongInChain
 }
 
-// impatient refuses a request like w that has waited for as long as it may.
-func (g *Gate) impatient(w *waiter, why string) *kind.Error {
+// gaveUp refuses a request like w: it has waited for as long as it may, or until its
+// deadline.
+func (g *Gate) gaveUp(w waiter, impatient bool) *kind.Error {
+	if !impatient {
+		return kind.New(kind.DeadlineNotRun, "the deadline passed in the backend server's queue")
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
-	return g.overloaded(now, g.ahead(w, now), why)
-}
-
-func late() *kind.Error {
-	return kind.New(kind.DeadlineNotRun, "the deadline passed in the backend server's queue")
+	return g.overloaded(g.expect(now, g.ahead(&w, now)), w.tooLong())
 }
 
 // judged turns a verdict into a slot or a refusal.
 func (g *Gate) judged(w *waiter, admitted bool) (Slot, *kind.Error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	defer g.free(w)
 	now := time.Now()
-	ahead := g.ahead(w, now)
-	g.free(w)
 	if !admitted {
-		return Slot{}, g.overloaded(now, ahead, "gave way to a request of a higher class or deeper in a call chain")
+		return Slot{}, g.overloaded(g.expect(now, g.ahead(w, now)), "gave way to a request of a higher class or deeper in a call chain")
 	}
 	return Slot{g, now}, nil
 }
--- a/internal/mesh/front/server.go
+++ b/internal/mesh/front/server.go
@@ -44,9 +44,6 @@
 	Limits() mesh.Limits
 }
 
-// acceptPause follows a failed accept, as when descriptors have run out.
-const acceptPause = 20 * time.Millisecond
-
 // Server takes callers' connections. Safe for concurrent use.
 type Server struct {
 	handler  Handler
@@ -71,7 +68,7 @@
 
 // Serve accepts connections on l until it is closed.
 func (s *Server) Serve(l net.Listener) error {
-	accept.Loop(l, acceptPause, func() {}, func(c net.Conn) {
+	accept.Loop(l, accept.Pause, func() {}, func(c net.Conn) {
 		s.Counts.Accepted.Add(1)
 		go s.serve(c)
 	})
--- a/internal/mesh/guard/pulse.go
+++ b/internal/mesh/guard/pulse.go
@@ -77,6 +77,16 @@
 	return p.slowdown, p.length - lasted%p.length
 }
 
+// wait gives how long a request of so much work should wait for the end of the pulse; 0
+// is that starting now costs no more.
+func (p *pulse) wait(now, work time.Duration) time.Duration {
+	slowdown, calmIn := p.state(now)
+	if loss := time.Duration(float64(work) * (slowdown - 1)); loss <= calmIn {
+		return 0
+	}
+	return calmIn
+}
+
 const (
 	// freshLoad is the age up to which the last word of the backend server is
 	// trusted when a request starts: a pulse begins within it in one of fifty.
@@ -98,9 +108,8 @@
 	r := v.request
 	for {
 		g.look(ctx)
-		slowdown, calmIn := g.pulse.state(g.Now())
-		loss := time.Duration(float64(r.Work) * (slowdown - 1))
-		if calmIn == 0 || loss <= calmIn {
+		calmIn := g.pulse.wait(g.Now(), r.Work)
+		if calmIn == 0 {
 			return nil
 		}
 		waited := g.Now() - v.start
--- a/internal/mesh/guard/pulse_test.go
+++ b/internal/mesh/guard/pulse_test.go
@@ -48,8 +48,7 @@
 		now := arrived
 		for {
 			p.told(now, n.slowdown(now))
-			slowdown, calmIn := p.state(now)
-			if calmIn == 0 || time.Duration(float64(work)*(slowdown-1)) <= calmIn {
+			if p.wait(now, work) == 0 {
 				break
 			}
 			now += calmEvery
--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -97,29 +97,21 @@
 
 func newFront(c *callers) *front.Server { return front.New(c) }
 
-func newLoop(s *settings.Settings, now clock.Clock, log *decision.Log, e *entry.Entry, g *guard.Guard, c *peer.Client, r *reports, readers *reader.Table) (*directory.Loop, error) {
-	_, port, err := net.SplitHostPort(s.Peers)
-	if err != nil {
-		return nil, err
-	}
-	state := directory.New(s.Here, s.Backend, s.Regions, port)
+func newLoop(s *settings.Settings, now clock.Clock, log *decision.Log, e *entry.Entry, g *guard.Guard, c *peer.Client, r *reports, readers *reader.Table) *directory.Loop {
+	state := directory.New(s.Here, s.Backend, s.Regions, s.PeersPort())
 	return directory.NewLoop(state, log, now, func(v *mesh.View) {
 		r.setView(v)
 		readers.SetView(v)
 		g.SetView(v)
 		e.SetView(v)
 		c.Keep(v.Peers)
-	}), nil
+	})
 }
 
 // newReaders makes the Table of the node as others know it: by its VM's address, which
 // needn't be the one that it listens on.
-func newReaders(s *settings.Settings, now clock.Clock) (*reader.Table, error) {
-	_, port, err := net.SplitHostPort(s.Peers)
-	if err != nil {
-		return nil, err
-	}
-	return reader.NewTable(net.JoinHostPort(s.Here.IP, port), s.Here, now), nil
+func newReaders(s *settings.Settings, now clock.Clock) *reader.Table {
+	return reader.NewTable(net.JoinHostPort(s.Here.IP, s.PeersPort()), s.Here, now)
 }
 
 func newSource(s *settings.Settings, p Platform, log *decision.Log, l *directory.Loop, r *reports, t *reader.Table, now clock.Clock) Source {
--- a/internal/mesh/peer/server.go
+++ b/internal/mesh/peer/server.go
@@ -25,9 +25,6 @@
 // helloTimeout bounds the wait for a connection's first frame.
 const helloTimeout = 2 * time.Second
 
-// acceptPause follows a failed accept, as when descriptors have run out.
-const acceptPause = 20 * time.Millisecond
-
 // Server takes requests of other nodes. Safe for concurrent use.
 type Server struct {
 	handler Handler
@@ -59,7 +56,7 @@
 
 // Serve accepts connections on l until it is closed.
 func (s *Server) Serve(l net.Listener) error {
-	accept.Loop(l, acceptPause, func() {}, func(c net.Conn) { go s.serve(c) })
+	accept.Loop(l, accept.Pause, func() {}, func(c net.Conn) { go s.serve(c) })
 	return nil
 }
 
--- a/internal/mesh/reader/follower.go
+++ b/internal/mesh/reader/follower.go
@@ -131,19 +131,18 @@
 
 // await waits until a revision is known, an answer without it has come, or time is up.
 func (f *Follower) await(ctx context.Context, revision uint64) {
-	end := time.NewTimer(answerWithin)
-	defer end.Stop()
+	ctx, cancel := context.WithTimeout(ctx, answerWithin)
+	defer cancel()
+	look := time.NewTicker(recheck)
+	defer look.Stop()
 	for f.store.Revision() < revision {
-		look := time.NewTimer(recheck)
 		select {
 		case <-look.C:
-			continue
 		case <-f.answered:
-		case <-end.C:
+			return
 		case <-ctx.Done():
+			return
 		}
-		look.Stop()
-		return
 	}
 }
 
--- a/internal/mesh/settings/settings.go
+++ b/internal/mesh/settings/settings.go
@@ -38,6 +38,13 @@
 	Tunable Tunable
 }
 
+// PeersPort is the port at which every node takes requests of others.
+func (s *Settings) PeersPort() string {
+	// Peers was checked when the settings were read.
+	_, port, _ := net.SplitHostPort(s.Peers)
+	return port
+}
+
 // Tunable are the settings that may change while a node runs.
 type Tunable struct {
 	// Prices turn bytes that leave the zone into time.
