--- a/internal/entry/background.go
+++ b/internal/entry/background.go
@@ -12,6 +12,7 @@
 	"github.com/limpetdock/limpetdock/internal/clock"
 	"github.com/limpetdock/limpetdock/internal/headers"
 	"github.com/limpetdock/limpetdock/internal/pick"
+	"github.com/limpetdock/limpetdock/internal/place"
 	"github.com/limpetdock/limpetdock/internal/wire"
 )
 
@@ -126,7 +127,7 @@
 	if e.measuring == nil {
 		return false
 	}
-	return e.measuring.AllowRequest(e.peers.Cost(&wire.Probe{}), t.Distance == pick.OtherRegion)
+	return e.measuring.AllowRequest(e.peers.Cost(&wire.Probe{}), t.Distance == place.OtherRegion)
 }
 
 // probeOne asks one target. No answer is no evidence: the peer may have been
--- a/internal/entry/budget_test.go
+++ b/internal/entry/budget_test.go
@@ -22,6 +22,7 @@
 	"github.com/limpetdock/limpetdock/internal/headers"
 	"github.com/limpetdock/limpetdock/internal/kind"
 	"github.com/limpetdock/limpetdock/internal/pick"
+	"github.com/limpetdock/limpetdock/internal/place"
 	"github.com/limpetdock/limpetdock/internal/wire"
 )
 
@@ -104,7 +105,7 @@
 		}))
 		t.Cleanup(front.Close)
 		targets = append(targets, &pick.Target{
-			Place: p, Slots: declared.Slots, Connections: declared.Connections, Distance: pick.SameZone,
+			Place: p, Slots: declared.Slots, Connections: declared.Connections, Distance: place.SameZone,
 			Guard: strings.TrimPrefix(front.URL, "http://"), Stat: &pick.Stat{},
 		})
 	}
--- a/internal/entry/fleet_test.go
+++ b/internal/entry/fleet_test.go
@@ -23,6 +23,7 @@
 	"github.com/limpetdock/limpetdock/internal/kind"
 	"github.com/limpetdock/limpetdock/internal/link"
 	"github.com/limpetdock/limpetdock/internal/pick"
+	"github.com/limpetdock/limpetdock/internal/place"
 	"github.com/limpetdock/limpetdock/internal/wire"
 )
 
@@ -171,7 +172,7 @@
 	for i, n := range w.nodes {
 		targets = append(targets, &pick.Target{
 			Place: pick.Place{VM: fmt.Sprint("vm", i), Zone: "z", Region: "r"}, Slots: 64, Connections: 200,
-			Distance: pick.SameZone, Guard: n.pipe.address, Control: n.address, Stat: &pick.Stat{},
+			Distance: place.SameZone, Guard: n.pipe.address, Control: n.address, Stat: &pick.Stat{},
 		})
 	}
 	svc := pick.NewService(w.config.Services["s"], targets, targets, len(targets), &pick.Shared{})
--- a/internal/entry/hedge_play_test.go
+++ b/internal/entry/hedge_play_test.go
@@ -18,6 +18,7 @@
 	"github.com/limpetdock/limpetdock/internal/headers"
 	"github.com/limpetdock/limpetdock/internal/kind"
 	"github.com/limpetdock/limpetdock/internal/pick"
+	"github.com/limpetdock/limpetdock/internal/place"
 )
 
 // offer is one copy of a request at a stand-in for the guards.
@@ -69,7 +70,7 @@
 	for _, declared := range c.Services["orders"].Targets {
 		targets = append(targets, &pick.Target{
 			Place: pick.Place{VM: declared.VM, Zone: "a", Region: "r"}, Slots: 4, Connections: 200,
-			Distance: pick.SameZone, Guard: strings.TrimPrefix(server.URL, "http://"), Stat: &pick.Stat{},
+			Distance: place.SameZone, Guard: strings.TrimPrefix(server.URL, "http://"), Stat: &pick.Stat{},
 		})
 	}
 	s := pick.NewService(c.Services["orders"], targets, targets, len(targets), &pick.Shared{})
--- a/internal/entry/hop_bench_test.go
+++ b/internal/entry/hop_bench_test.go
@@ -18,6 +18,7 @@
 	"github.com/limpetdock/limpetdock/internal/headers"
 	"github.com/limpetdock/limpetdock/internal/metrics"
 	"github.com/limpetdock/limpetdock/internal/pick"
+	"github.com/limpetdock/limpetdock/internal/place"
 )
 
 const benchService = "bench"
@@ -108,7 +109,7 @@
 		{&p.local, local},
 		{&p.remote, benchView(b, "two", p.guard)},
 		// Nothing is ever sent to a target without an address.
-		{&p.hedged, benchView(b, "two", p.guard, &pick.Target{Distance: pick.SameZone, Stat: &pick.Stat{}})},
+		{&p.hedged, benchView(b, "two", p.guard, &pick.Target{Distance: place.SameZone, Stat: &pick.Stat{}})},
 	} {
 		e := entry.New(entry.Config{Local: g, Seal: g.Seal, Observer: metrics.New(), Now: now})
 		e.SetView(side.view)
--- a/internal/mesh/directory/directory_test.go
+++ b/internal/mesh/directory/directory_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/limpetdock/limpetdock/internal/mesh"
 	"github.com/limpetdock/limpetdock/internal/mesh/directory"
+	"github.com/limpetdock/limpetdock/internal/place"
 )
 
 var (
@@ -49,7 +50,7 @@
 	require.Equal(t, []string{"i-own", "i-zone", "i-far"}, ids(v))
 	require.Equal(t, "i-own", v.Own.ID)
 	require.Equal(t, map[string]mesh.Peer{
-		"10.2.0.1:8300": {Zone: "rs-b", Distance: mesh.SameRegion}, "10.3.0.1:8300": {Zone: "sc-a", Distance: mesh.OtherRegion},
+		"10.2.0.1:8300": {Zone: "rs-b", Distance: place.SameRegion}, "10.3.0.1:8300": {Zone: "sc-a", Distance: place.OtherRegion},
 	}, v.Peers)
 	require.EqualValues(t, 10, v.Revision)
 }
--- a/internal/mesh/entry/choose.go
+++ b/internal/mesh/entry/choose.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/limpetdock/limpetdock/internal/mesh"
+	"github.com/limpetdock/limpetdock/internal/place"
 )
 
 const (
@@ -34,8 +35,8 @@
 // wayTo is the round trip to each distance, on the usual links between zones and
 // regions; the price of bytes matters more than its exact value.
 var wayTo = [...]time.Duration{
-	mesh.SameVM: 0, mesh.SameZone: 300 * time.Microsecond,
-	mesh.SameRegion: 3 * time.Millisecond, mesh.OtherRegion: 16 * time.Millisecond,
+	place.SameVM: 0, place.SameZone: 300 * time.Microsecond,
+	place.SameRegion: 3 * time.Millisecond, place.OtherRegion: 16 * time.Millisecond,
 }
 
 // candidate is a target with what a request is expected to cost there.
@@ -118,7 +119,7 @@
 // and takes so much work, and whether the target is usable.
 func (t *trip) weigh(target *mesh.Target, bytes int, work time.Duration) (candidate, bool) {
 	now := t.entry.Now()
-	if target.Distance == mesh.SameVM {
+	if target.Distance == place.SameVM {
 		target.Stat.Report(t.entry.Guard.Load(), now)
 	}
 	est := target.Stat.Estimate(now)
@@ -159,12 +160,12 @@
 }
 
 // of gives the price of bytes to a distance, as time.
-func (p Prices) of(d mesh.Distance, bytes int) time.Duration {
+func (p Prices) of(d place.Distance, bytes int) time.Duration {
 	const kilobyte = 1000
 	switch d {
-	case mesh.SameRegion:
+	case place.SameRegion:
 		return p.ZonePerKB * time.Duration(bytes) / kilobyte
-	case mesh.OtherRegion:
+	case place.OtherRegion:
 		return p.RegionPerKB * time.Duration(bytes) / kilobyte
 	}
 	return 0
--- a/internal/mesh/entry/entry_test.go
+++ b/internal/mesh/entry/entry_test.go
@@ -12,6 +12,7 @@
 	"github.com/limpetdock/limpetdock/internal/kind"
 	"github.com/limpetdock/limpetdock/internal/mesh"
 	"github.com/limpetdock/limpetdock/internal/mesh/entry"
+	"github.com/limpetdock/limpetdock/internal/place"
 )
 
 // world is a deployment in which every target's node answers by a function.
@@ -75,7 +76,7 @@
 		Now:     func() time.Duration { return w.now },
 	})
 	w.entry.SetPrices(entry.Prices{ZonePerKB: 2 * time.Millisecond, RegionPerKB: 20 * time.Millisecond})
-	distances := map[string]mesh.Distance{own: mesh.SameVM, "zone": mesh.SameRegion, "region": mesh.SameRegion, "far": mesh.OtherRegion}
+	distances := map[string]place.Distance{own: place.SameVM, "zone": place.SameRegion, "region": place.SameRegion, "far": place.OtherRegion}
 	for _, name := range []string{own, "zone", "region", "far"} {
 		w.targets = append(w.targets, &mesh.Target{
 			ID: "i-" + name, Service: "orders", Peer: name, Slots: 6, Distance: distances[name], Stat: &mesh.Stat{},
--- a/internal/mesh/entry/run.go
+++ b/internal/mesh/entry/run.go
@@ -9,6 +9,7 @@
 
 	"github.com/limpetdock/limpetdock/internal/kind"
 	"github.com/limpetdock/limpetdock/internal/mesh"
+	"github.com/limpetdock/limpetdock/internal/place"
 )
 
 const (
@@ -116,7 +117,7 @@
 	c.target.Stat.Begin()
 	var answer *mesh.Answer
 	var err *kind.Error
-	if c.target.Distance == mesh.SameVM {
+	if c.target.Distance == place.SameVM {
 		answer, err = e.Guard.Run(ctx, r)
 	} else {
 		answer, err = e.Peers.Run(ctx, c.target.Peer, r)
--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -22,6 +22,7 @@
 	"github.com/limpetdock/limpetdock/internal/mesh/reader"
 	"github.com/limpetdock/limpetdock/internal/mesh/settings"
 	"github.com/limpetdock/limpetdock/internal/metrics"
+	"github.com/limpetdock/limpetdock/internal/place"
 )
 
 // Platform is what a platform's adapter gives to a node.
@@ -244,7 +245,7 @@
 			continue
 		}
 		for addr, other := range v.Peers {
-			if other.Distance <= mesh.SameRegion {
+			if other.Distance <= place.SameRegion {
 				p.warmOne(ctx, addr)
 			}
 		}
--- a/internal/mesh/target.go
+++ b/internal/mesh/target.go
@@ -1,6 +1,10 @@
 package mesh
 
-import "time"
+import (
+	"time"
+
+	"github.com/limpetdock/limpetdock/internal/place"
+)
 
 // TargetState is what a target says of itself.
 type TargetState uint8
@@ -27,21 +31,10 @@
 	State TargetState
 	// WarmAt is when it is no longer slow from its start.
 	WarmAt   time.Duration
-	Distance Distance
+	Distance place.Distance
 	Stat     *Stat
 }
 
-// Distance is how far a target stands from the node.
-type Distance uint8
-
-// The distances, nearest first.
-const (
-	SameVM Distance = iota
-	SameZone
-	SameRegion
-	OtherRegion
-)
-
 // Place says where a node stands.
 type Place struct {
 	VM, IP, Zone, Region string
@@ -50,16 +43,8 @@
 }
 
 // DistanceTo tells how far a target stands from p.
-func (p Place) DistanceTo(ip, zone, region string) Distance {
-	switch {
-	case ip == p.IP:
-		return SameVM
-	case zone == p.Zone:
-		return SameZone
-	case region == p.Region:
-		return SameRegion
-	}
-	return OtherRegion
+func (p Place) DistanceTo(ip, zone, region string) place.Distance {
+	return place.Between(ip == p.IP, zone == p.Zone, region == p.Region)
 }
 
 // View is what traffic goroutines know of the deployment. It is immutable.
@@ -78,5 +63,5 @@
 // Peer says where another node stands.
 type Peer struct {
 	Zone     string
-	Distance Distance
+	Distance place.Distance
 }
--- a/internal/pick/hedge_test.go
+++ b/internal/pick/hedge_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/limpetdock/limpetdock/fleet"
 	"github.com/limpetdock/limpetdock/internal/config"
+	"github.com/limpetdock/limpetdock/internal/place"
 )
 
 // The wait for a copy is the 95th percentile of what was seen lately, at most an
@@ -53,7 +54,7 @@
 
 // hedgeService is a service of five targets: two in the own zone, one beside it, two far.
 func hedgeService() *Service {
-	distances := []Distance{SameZone, SameZone, SameRegion, OtherRegion, OtherRegion}
+	distances := []place.Distance{place.SameZone, place.SameZone, place.SameRegion, place.OtherRegion, place.OtherRegion}
 	var targets []*Target
 	for i, d := range distances {
 		targets = append(targets, &Target{
--- a/internal/pick/region_test.go
+++ b/internal/pick/region_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/limpetdock/limpetdock/fleet"
+	"github.com/limpetdock/limpetdock/internal/place"
 )
 
 // homeShares runs two regions of two servers each, with all callers in the
@@ -26,7 +27,7 @@
 	s.observed = func(t *Target) {
 		i := min(int(s.now/bin), len(all)-1)
 		all[i]++
-		if t.Distance < OtherRegion {
+		if t.Distance < place.OtherRegion {
 			stayed[i]++
 		}
 	}
--- a/internal/pick/service.go
+++ b/internal/pick/service.go
@@ -7,6 +7,7 @@
 
 	"github.com/limpetdock/limpetdock/fleet"
 	"github.com/limpetdock/limpetdock/internal/config"
+	"github.com/limpetdock/limpetdock/internal/place"
 )
 
 // Service is one service with its usable targets, nearest first.
@@ -52,7 +53,7 @@
 		Service: c, Targets: targets, Homes: homes, InRegion: inRegion,
 		policy: newPolicy(c.Policy), shared: shared,
 	}
-	for s.inZone < inRegion && targets[s.inZone].Distance <= SameZone {
+	for s.inZone < inRegion && targets[s.inZone].Distance <= place.SameZone {
 		s.inZone++
 	}
 	return s
--- a/internal/pick/sim_test.go
+++ b/internal/pick/sim_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/limpetdock/limpetdock/fleet"
 	"github.com/limpetdock/limpetdock/internal/config"
+	"github.com/limpetdock/limpetdock/internal/place"
 )
 
 // server is a backend server of the simulation: slots, a queue, a service time.
@@ -165,7 +166,7 @@
 
 // report sends a server's load back; that of the own VM costs nothing.
 func (s *sim) report(t *Target, srv *server, back time.Duration) {
-	if !s.reports || t.Distance != SameVM && !srv.reports(s.now) {
+	if !s.reports || t.Distance != place.SameVM && !srv.reports(s.now) {
 		return
 	}
 	r := Report{Running: srv.running, Waiting: len(srv.queue), Slots: srv.slots, Service: srv.service}
--- a/internal/pick/view.go
+++ b/internal/pick/view.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/limpetdock/limpetdock/internal/config"
+	"github.com/limpetdock/limpetdock/internal/place"
 	"github.com/limpetdock/limpetdock/internal/suspect"
 )
 
@@ -27,17 +28,6 @@
 	VM, Zone, Region string
 }
 
-// Distance is how far a target stands from the node.
-type Distance uint8
-
-// The distances, nearest first.
-const (
-	SameVM Distance = iota
-	SameZone
-	SameRegion
-	OtherRegion
-)
-
 // The round trips assumed until one has been measured.
 const (
 	zoneRTT   = 3 * time.Millisecond
@@ -46,19 +36,11 @@
 )
 
 // defaultRTT is the round trip assumed for each Distance.
-var defaultRTT = [...]time.Duration{SameVM: 0, SameZone: nearRTT, SameRegion: zoneRTT, OtherRegion: regionRTT}
+var defaultRTT = [...]time.Duration{place.SameVM: 0, place.SameZone: nearRTT, place.SameRegion: zoneRTT, place.OtherRegion: regionRTT}
 
 // DistanceTo tells how far other stands from p.
-func (p Place) DistanceTo(other Place) Distance {
-	switch {
-	case p.VM == other.VM:
-		return SameVM
-	case p.Zone == other.Zone:
-		return SameZone
-	case p.Region == other.Region:
-		return SameRegion
-	}
-	return OtherRegion
+func (p Place) DistanceTo(other Place) place.Distance {
+	return place.Between(p.VM == other.VM, p.Zone == other.Zone, p.Region == other.Region)
 }
 
 // Target is one target as a View shows it.
@@ -71,7 +53,7 @@
 	// Leaving says that the VM list or its node says that it leaves.
 	Leaving bool
 	// Distance is how far the target stands from the node.
-	Distance Distance
+	Distance place.Distance
 	Stat     *Stat
 	// shared is the state of the target's service.
 	shared *Shared
--- a/standin/deploy/faults.go
+++ b/standin/deploy/faults.go
@@ -43,13 +43,19 @@
 		faults = []LinkFault{}
 	}
 	for _, no := range d.zones {
-		if err := put(ctx, "http://"+d.net.relayAdmin(no)+"/faults", faults); err != nil {
+		if err := SetRelay(ctx, d.net.relayAdmin(no), faults); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// SetRelay replaces the faults of the links that one relay carries. It is tried again
+// while the relay starts.
+func SetRelay(ctx context.Context, admin string, faults []LinkFault) error {
+	return put(ctx, "http://"+admin+"/faults", faults)
+}
+
 // SetPlatform sets what is wrong with the platform for one zone.
 func (d *Deployment) SetPlatform(ctx context.Context, zone string, f PlatformFault) error {
 	return put(ctx, d.platformURL("/admin/faults/"+zone), f)
--- a/standin/deploy/plan.go
+++ b/standin/deploy/plan.go
@@ -84,8 +84,8 @@
 	return places, zones
 }
 
-// route is a row of a relay's routes, as the relay reads it.
-type route struct {
+// RelayRoute is a row of a relay's routes, as the relay reads it.
+type RelayRoute struct {
 	Listen  string  `json:"listen"`
 	Target  string  `json:"target"`
 	From    string  `json:"from"`
@@ -94,12 +94,12 @@
 }
 
 // routes lists what the relay of one zone passes on.
-func routes(f fleet.Fleet, places []Place, zones map[string]int, from string) []route {
+func routes(f fleet.Fleet, places []Place, zones map[string]int, from string) []RelayRoute {
 	region := map[string]string{}
 	for _, z := range f.Zones {
 		region[z.Name] = z.Region
 	}
-	var list []route
+	var list []RelayRoute
 	for _, p := range places {
 		if p.Zone == from {
 			continue
@@ -109,7 +109,7 @@
 			delay = betweenRegionsMs
 		}
 		for _, port := range []int{f.Ports.Guard, f.Ports.Control} {
-			list = append(list, route{
+			list = append(list, RelayRoute{
 				Listen: fmt.Sprintf("%s:%d", p.seenFrom(zones[from]), port),
 				Target: fmt.Sprintf("%s:%d", p.IP(), port),
 				From:   from, To: p.Zone, DelayMs: delay,
