The guard learns how many requests its backend server runs best

The work of a route goes back to the entries without wait, neighbours and crowding. fill stays as a setting.

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/limpetdock/limpetdock/internal/crowd"
 	"github.com/limpetdock/limpetdock/internal/kind"
 )
 
@@ -22,6 +23,8 @@
 	Order string
 	// Adaptive lets fewer run at once than Slots while the backend server is slow.
 	Adaptive bool
+	// Learnt lets as many run at once as Slot.Learn has shown to be best.
+	Learnt bool
 	// NoRefusal lets requests wait that would be refused.
 	NoRefusal bool
 }
@@ -39,15 +42,19 @@
 	// somebody waits.
 	standing    time.Time
 	concurrency concurrency
-	drain       drain
-	start       slowStart
-	refused     uint64
+	// curve is what was learnt with Limits.Learnt, and trials how many run that were
+	// started to learn more.
+	curve   *crowd.Curve
+	trials  int
+	drain   drain
+	start   slowStart
+	refused uint64
 }
 
 // New returns a Gate that admits nothing until SetLimits is called. It starts
 // slowly: what its backend server already runs it can't know.
 func New() *Gate {
-	return &Gate{order: fifo{}, start: slowStart{active: true, began: time.Now()}}
+	return &Gate{order: fifo{}, curve: crowd.New(0), start: slowStart{active: true, began: time.Now()}}
 }
 
 // SetLimits puts limits in force. Who waits already goes on waiting.
@@ -60,6 +67,9 @@
 	if l.Slots != g.limits.Slots || l.Adaptive != g.limits.Adaptive {
 		g.concurrency.reset(l.Slots)
 	}
+	if l.Slots != g.limits.Slots {
+		g.curve = crowd.New(l.Slots)
+	}
 	g.limits, g.order = l, orderOf(l.Order)
 	g.dispatch(time.Now())
 }
@@ -68,6 +78,20 @@
 type Slot struct {
 	gate  *Gate
 	since time.Time
+	// beside is how many ran at the start, itself counted.
+	beside int
+	trial  bool
+}
+
+// Beside gives how many requests ran when the slot was given, its own counted.
+func (s Slot) Beside() int { return s.beside }
+
+// Factor gives how many times as long as alone a request in this slot is expected to
+// take, for those that run beside it.
+func (s Slot) Factor() float64 {
+	s.gate.mu.Lock()
+	defer s.gate.mu.Unlock()
+	return s.gate.curve.Factor(s.beside)
 }
 
 // Enter waits for a slot for a request. It refuses at once when the queue is
@@ -90,10 +114,10 @@
 func (g *Gate) EnterWithin(ctx context.Context, rank Rank, limits Wait) (Slot, *kind.Error) {
 	g.mu.Lock()
 	now := time.Now()
-	if g.running < g.limit(now) && len(g.queue) == 0 {
-		g.running++
+	if len(g.queue) == 0 && g.free(now) {
+		slot := g.give(now)
 		g.mu.Unlock()
-		return Slot{g, now}, nil
+		return slot, nil
 	}
 	w, refusal := g.enqueue(ctx, rank, limits, now)
 	g.mu.Unlock()
@@ -103,6 +127,48 @@
 	return g.wait(ctx, w)
 }
 
+// free says whether one more may start now. The mutex is held.
+func (g *Gate) free(now time.Time) bool {
+	limit := g.limit(now)
+	if g.running < limit {
+		return true
+	}
+	return g.mayTry() && g.running < min(g.curve.Trial(), g.start.bound(now, g.limits.Slots, g.limits.Slots))
+}
+
+// mayTry says whether a request may be started beyond the limit to learn how the
+// backend server takes it. The mutex is held.
+func (g *Gate) mayTry() bool {
+	return g.limits.Learnt && g.trials < g.curve.Trial()-g.curve.Limit()
+}
+
+// give gives a slot out. The mutex is held.
+func (g *Gate) give(now time.Time) Slot {
+	trial := g.running >= g.limit(now)
+	if trial {
+		g.trials++
+	}
+	g.running++
+	return Slot{gate: g, since: now, beside: g.running, trial: trial}
+}
+
+// Learn takes how long a request in the slot took at the backend server, for
+// Limits.Learnt. The sample's level is the slot's.
+func (s Slot) Learn(sample crowd.Sample) {
+	sample.Level = s.beside
+	s.gate.mu.Lock()
+	defer s.gate.mu.Unlock()
+	s.gate.curve.Learn(sample)
+}
+
+// Work gives how long a request of a class takes alone, as learnt with Limits.Learnt; 0 is
+// not known.
+func (g *Gate) Work(class string) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.curve.Work(class)
+}
+
 // Leave gives the slot back.
 func (s Slot) Leave() {
 	g := s.gate
@@ -112,14 +178,25 @@
 	took := now.Sub(s.since)
 	g.drain.left(now, took, len(g.queue) > 0 || g.running >= g.limit(now))
 	g.concurrency.sample(now, took, g.running)
-	g.running--
+	g.release(s)
 	g.dispatch(now)
 }
 
+// release takes a slot back. The mutex is held.
+func (g *Gate) release(s Slot) {
+	g.running--
+	if s.trial {
+		g.trials--
+	}
+}
+
 // limit is how many may run now. The mutex is held.
 func (g *Gate) limit(now time.Time) int {
 	limit := g.limits.Slots
-	if g.limits.Adaptive {
+	switch {
+	case g.limits.Learnt:
+		limit = g.curve.Limit()
+	case g.limits.Adaptive:
 		limit = g.concurrency.now()
 	}
 	return g.start.bound(now, limit, g.limits.Slots)
@@ -127,10 +204,9 @@
 
 // dispatch lets those who wait into free slots. The mutex is held.
 func (g *Gate) dispatch(now time.Time) {
-	for len(g.queue) > 0 && g.running < g.limit(now) {
+	for len(g.queue) > 0 && g.free(now) {
 		w := g.take(g.next(now))
-		g.running++
-		w.verdict <- true
+		w.verdict <- verdict{admitted: true, slot: g.give(now)}
 	}
 	if g.running == 0 && len(g.queue) == 0 {
 		g.drain.idle()
--- a/internal/gate/queue.go
+++ b/internal/gate/queue.go
@@ -19,8 +19,14 @@
 	deadline time.Time
 	// startBy is until when it is worth starting, zero for always.
 	startBy time.Time
-	// verdict is told once: true for a slot, false for giving way to another.
-	verdict chan bool
+	// verdict is told once.
+	verdict chan verdict
+}
+
+// verdict is what a waiter waits for: a slot, or giving way to another.
+type verdict struct {
+	admitted bool
+	slot     Slot
 }
 
 // maxSpare bounds the waiters that are kept to be used again.
@@ -33,11 +39,11 @@
 		g.spare = g.spare[:n-1]
 		return w
 	}
-	return &waiter{verdict: make(chan bool, 1)}
+	return &waiter{verdict: make(chan verdict, 1)}
 }
 
-// free keeps a waiter that nobody will send to any more. The mutex is held.
-func (g *Gate) free(w *waiter) {
+// keep keeps a waiter that nobody will send to any more. The mutex is held.
+func (g *Gate) keep(w *waiter) {
 	if len(g.spare) < maxSpare {
 		g.spare = append(g.spare, w)
 	}
@@ -54,7 +60,7 @@
 		w.patience = g.patience(rank, ahead, now)
 	}
 	if refusal := g.room(w, ahead, now); refusal != nil {
-		g.free(w)
+		g.keep(w)
 		return nil, refusal
 	}
 	if len(g.queue) == 0 {
@@ -109,7 +115,7 @@
 	if lowest < 0 {
 		return false
 	}
-	g.take(lowest).verdict <- false
+	g.take(lowest).verdict <- verdict{}
 	return true
 }
 
@@ -146,8 +152,8 @@
 	// Copied now: once abandoned, the waiter may be another request's.
 	like, impatient := *w, false
 	select {
-	case admitted := <-w.verdict:
-		return g.judged(w, admitted)
+	case v := <-w.verdict:
+		return g.judged(w, v)
 	case <-ctx.Done():
 	case <-patience:
 		impatient = true
@@ -181,7 +187,7 @@
 	if i < 0 {
 		return false
 	}
-	g.free(g.take(i))
+	g.keep(g.take(i))
 	return true
 }
 
@@ -211,22 +217,23 @@
 }
 
 // judged turns a verdict into a slot or a refusal.
-func (g *Gate) judged(w *waiter, admitted bool) (Slot, *kind.Error) {
+func (g *Gate) judged(w *waiter, v verdict) (Slot, *kind.Error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	defer g.free(w)
+	defer g.keep(w)
 	now := time.Now()
-	if !admitted {
+	if !v.admitted {
 		return Slot{}, g.overloaded(g.expect(now, g.ahead(w, now)), "gave way to a request of a higher class or deeper in a call chain")
 	}
-	return Slot{g, now}, nil
+	v.slot.since = now
+	return v.slot, nil
 }
 
 // giveBack returns a slot in which nothing ran; its time is no measurement.
 func (s Slot) giveBack() {
 	s.gate.mu.Lock()
 	defer s.gate.mu.Unlock()
-	s.gate.running--
+	s.gate.release(s)
 	s.gate.dispatch(time.Now())
 }
 
--- a/internal/mesh/entry/choose.go
+++ b/internal/mesh/entry/choose.go
@@ -52,8 +52,9 @@
 type routeStat struct {
 	mu sync.Mutex
 	// answer is a moving average of answers' sizes in bytes, work one of the time
-	// they took at the target, in nanoseconds.
+	// that an idle target takes for them, in nanoseconds; seen counts them.
 	answer, work float64
+	seen         int
 }
 
 // statWeight is the inverse weight of a new sample in the moving averages.
@@ -62,18 +63,17 @@
 func (s *routeStat) learn(bytes int, work time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.work == 0 {
-		s.answer, s.work = float64(bytes), float64(work)
-	}
-	s.answer += (float64(bytes) - s.answer) / statWeight
-	s.work += (float64(work) - s.work) / statWeight
+	s.seen++
+	weight := float64(min(s.seen, statWeight))
+	s.answer += (float64(bytes) - s.answer) / weight
+	s.work += (float64(work) - s.work) / weight
 }
 
 func (s *routeStat) expect() (bytes float64, work time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.work == 0 {
-		return assumedAnswer, assumedService
+	if s.seen == 0 {
+		return assumedAnswer, 0
 	}
 	return s.answer, time.Duration(s.work)
 }
@@ -87,6 +87,9 @@
 func (t *trip) candidates() []candidate {
 	all := t.view.Targets[t.service]
 	bytes, work := t.stat.expect()
+	if work == 0 {
+		work = assumedService
+	}
 	list := make([]candidate, 0, len(all))
 	var avoided []candidate
 	for _, target := range all {
--- a/internal/mesh/entry/run.go
+++ b/internal/mesh/entry/run.go
@@ -107,12 +107,13 @@
 func (t *trip) offer(ctx context.Context, c candidate, patience time.Duration) (*mesh.Answer, *kind.Error) {
 	e := t.entry
 	start := e.Now()
+	_, work := t.stat.expect()
 	r := &mesh.Request{
 		ID: t.in.ID, Method: t.in.Method, URI: t.in.URI, Host: t.in.Host, Header: t.in.Header.Clone(), Body: t.in.Body,
 		Caller: e.Here.Service, Service: t.service, Target: c.target.ID,
 		Idempotent: t.route.Idempotent, Priority: t.route.Priority,
 		Left: t.deadline - start - answerMargin/2 - wayTo[c.target.Distance]/2, Patience: patience,
-		Work: t.usualWork(), AimLeft: t.aim - start - wayTo[c.target.Distance],
+		Work: work, AimLeft: t.aim - start - wayTo[c.target.Distance],
 	}
 	c.target.Stat.Begin()
 	var answer *mesh.Answer
@@ -127,12 +128,6 @@
 	return answer, err
 }
 
-// usualWork is how long the route's requests take.
-func (t *trip) usualWork() time.Duration {
-	_, work := t.stat.expect()
-	return work
-}
-
 // note takes the outcome of an offer as evidence about the target.
 func (t *trip) note(c candidate, answer *mesh.Answer, err *kind.Error, took time.Duration) {
 	now := t.entry.Now()
@@ -141,8 +136,8 @@
 		t.sent++
 		failed := answer.Status >= http.StatusInternalServerError
 		c.target.Stat.End(now, failed, true)
-		if !failed {
-			t.stat.learn(len(answer.Body), took-answer.Waited-wayTo[c.target.Distance])
+		if answer.Work > 0 {
+			t.stat.learn(len(answer.Body), answer.Work)
 		}
 		t.offers = append(t.offers, o)
 		return
--- a/internal/mesh/guard/guard.go
+++ b/internal/mesh/guard/guard.go
@@ -9,9 +9,11 @@
 	"math"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
+	"github.com/limpetdock/limpetdock/internal/crowd"
 	"github.com/limpetdock/limpetdock/internal/decision"
 	"github.com/limpetdock/limpetdock/internal/gate"
 	"github.com/limpetdock/limpetdock/internal/kind"
@@ -19,11 +21,17 @@
 	"github.com/limpetdock/limpetdock/internal/mesh/exchange"
 )
 
+// Backend makes exchanges with the backend server. allow is asked right before the first
+// byte goes out.
+type Backend interface {
+	Do(ctx context.Context, m *exchange.Message, allow func() bool) (*mesh.Answer, *exchange.Failure)
+}
+
 // Config is what a Guard is made of.
 type Config struct {
 	Here    mesh.Place
 	Dialect mesh.Dialect
-	Backend *exchange.Client
+	Backend Backend
 	// Now gives the time since the node's start by a clock that counts the time
 	// for which the VM was suspended.
 	Now func() time.Duration
@@ -44,7 +52,8 @@
 	// is being asked.
 	toldAt  atomic.Int64
 	probing atomic.Bool
-	// fill is the share of the declared slots that is filled, as the bits of a float64.
+	// fill is the share of the declared slots that is filled, as the bits of a float64; 0
+	// is learnt.
 	fill atomic.Uint64
 	// askedAt is when a request last came, in nanoseconds since the start.
 	askedAt atomic.Int64
@@ -55,12 +64,11 @@
 
 // New returns a Guard that refuses everything until it has a View.
 func New(c Config) *Guard {
-	g := &Guard{Config: c, gate: gate.New()}
-	g.fill.Store(math.Float64bits(1))
-	return g
+	return &Guard{Config: c, gate: gate.New()}
 }
 
-// SetFill changes the share of the declared slots that is filled.
+// SetFill changes the share of the declared slots that is filled; 0 lets as many run as
+// the backend server shows to be best.
 func (g *Guard) SetFill(share float64) {
 	g.fill.Store(math.Float64bits(share))
 	if v := g.view.Load(); v != nil {
@@ -87,9 +95,13 @@
 	if v.Own == nil {
 		return
 	}
-	share := math.Float64frombits(g.fill.Load())
-	slots := max(int(float64(v.Own.Slots)*share+roundUp), 1)
-	g.gate.SetLimits(gate.Limits{Slots: slots, Queue: queuePerSlot * slots, Order: gate.OrderInTime})
+	limits := gate.Limits{Slots: v.Own.Slots, Order: gate.OrderInTime, Learnt: true}
+	if share := math.Float64frombits(g.fill.Load()); share > 0 {
+		limits.Slots = max(int(float64(v.Own.Slots)*share+roundUp), 1)
+		limits.Learnt = false
+	}
+	limits.Queue = queuePerSlot * limits.Slots
+	g.gate.SetLimits(limits)
 }
 
 // roundUp keeps an exact product from being rounded down by its last bit.
@@ -139,13 +151,15 @@
 		return nil, e
 	}
 	deadline := v.start + r.Left
+	v.class = g.classOf(r)
+	v.work = g.expect(v)
 	ctx, cancel := context.WithTimeout(ctx, r.Left)
 	defer cancel()
 	if e := g.awaitCalm(ctx, v); e != nil {
 		return nil, e
 	}
 	slot, e := g.gate.EnterWithin(ctx, rankOf(r), gate.Wait{
-		Patience: max(r.Patience-(g.Now()-v.start), time.Millisecond), StartBy: time.Now().Add(r.AimLeft - r.Work),
+		Patience: max(r.Patience-(g.Now()-v.start), time.Millisecond), StartBy: time.Now().Add(r.AimLeft - v.work),
 	})
 	v.waited = g.Now() - v.start
 	if e != nil {
@@ -160,13 +174,48 @@
 	if e := g.takes(r); e != nil {
 		return nil, e
 	}
+	v.beside, v.crowding = slot.Beside(), slot.Factor()
+	sent := g.Now()
 	answer, e := g.exchange(ctx, r, deadline)
-	if answer != nil {
-		answer.Waited = v.waited
-	}
+	v.own = g.Now() - sent
+	g.took(v, slot, answer, e)
 	return answer, e
 }
 
+// classOf names the requests that take alike: those of one route.
+func (g *Guard) classOf(r *mesh.Request) string {
+	path, _, _ := strings.Cut(r.URI, "?")
+	if route := g.view.Load().Config.Match(r.Host, path); route != nil {
+		return route.Name
+	}
+	return ""
+}
+
+// expect gives how long a request takes alone; 0 is not known.
+func (g *Guard) expect(v *visit) time.Duration {
+	if own := g.gate.Work(v.class); own > 0 {
+		return own
+	}
+	return v.request.Work
+}
+
+// took learns from how long the backend server had a request.
+func (g *Guard) took(v *visit, slot gate.Slot, answer *mesh.Answer, e *kind.Error) {
+	served := answer != nil && answer.Status < http.StatusInternalServerError
+	// One that was cut off at its deadline would have taken longer still. Left out, a
+	// backend server with too much to do would show only the requests that were fast.
+	late := e != nil && e.Kind == kind.DeadlineUnknown || answer != nil && answer.Status == http.StatusGatewayTimeout
+	if !served && !late {
+		return
+	}
+	slot.Learn(crowd.Sample{
+		Class: v.class, Took: time.Duration(float64(v.own) / v.slowdown), Told: v.request.Work, AtLeast: late,
+	})
+	if served {
+		answer.Work = g.gate.Work(v.class)
+	}
+}
+
 // takes says whether the guard takes new requests at all.
 func (g *Guard) takes(r *mesh.Request) *kind.Error {
 	switch {
--- a/internal/mesh/guard/pulse.go
+++ b/internal/mesh/guard/pulse.go
@@ -108,7 +108,7 @@
 	r := v.request
 	for {
 		g.look(ctx)
-		calmIn := g.pulse.wait(g.Now(), r.Work)
+		calmIn := g.pulse.wait(g.Now(), v.work)
 		if calmIn == 0 {
 			return nil
 		}
--- a/internal/mesh/guard/record.go
+++ b/internal/mesh/guard/record.go
@@ -12,6 +12,16 @@
 	request *mesh.Request
 	// start is when it came, waited how long it then waited for a slot.
 	start, waited time.Duration
+	// class names its like, and work is how long that is expected to take alone; 0 is not
+	// known.
+	class string
+	work  time.Duration
+	// beside is how many ran when it was sent, itself counted, and crowding how many
+	// times as long it was expected to take for that.
+	beside   int
+	crowding float64
+	// own is how long the backend server had it.
+	own time.Duration
 	// slowdown is that of the backend server when the request was sent or refused, calmIn
 	// when that was expected to end, and loadAge how old its word on that was.
 	slowdown        float64
@@ -35,7 +45,8 @@
 		"id", r.ID, "service", r.Service, "target", r.Target, "running", l.Running, "waiting", l.Waiting,
 		"slots", l.Slots, "slowdown", v.slowdown, "calm_in_ms", v.calmIn.Milliseconds(), "load_age_ms", v.loadAge.Milliseconds(),
 		"revision", l.Revision, "left_ms", r.Left.Milliseconds(), "patience_ms", r.Patience.Milliseconds(),
-		"priority", r.Priority, "aim_left_ms", r.AimLeft.Milliseconds(), "work_ms", r.Work.Milliseconds(),
+		"priority", r.Priority, "aim_left_ms", r.AimLeft.Milliseconds(), "work_ms", v.work.Milliseconds(),
+		"beside", v.beside, "crowding", v.crowding, "own_ms", v.own.Milliseconds(),
 		"waited_ms", v.waited.Milliseconds(), "took_ms", (g.Now() - v.start).Milliseconds(),
 	}
 	if e != nil {
--- a/internal/mesh/message.go
+++ b/internal/mesh/message.go
@@ -27,7 +27,8 @@
 	// AimLeft is the time after which the answer loses most of its worth; below 0 it
 	// is late already.
 	AimLeft time.Duration
-	// Work is how long the backend server usually takes for its like.
+	// Work is how long backend servers of the service take for its like with nothing else to
+	// do and no neighbours; 0 is not known to the sender.
 	Work time.Duration
 }
 
@@ -36,9 +37,10 @@
 	Status int
 	Header http.Header
 	Body   []byte
-	// Waited is how long the request waited at the guard before it was sent to the
-	// backend server.
-	Waited time.Duration
+	// Work is how long the backend server usually takes for its like with nothing else to
+	// do and no neighbours: without the wait for a slot, and with what slowed it taken out;
+	// 0 is not known.
+	Work time.Duration
 }
 
 // Load is how busy a backend server is, as the guard beside it counts.
--- a/internal/mesh/peer/frame.go
+++ b/internal/mesh/peer/frame.go
@@ -76,11 +76,11 @@
 }
 
 type answerBody struct {
-	Status   int
-	Header   map[string][]string
-	Body     []byte
-	Load     loadBody
-	WaitedMs uint32
+	Status int
+	Header map[string][]string
+	Body   []byte
+	Load   loadBody
+	WorkMs uint32
 }
 
 type refusalBody struct {
--- a/internal/mesh/peer/link.go
+++ b/internal/mesh/peer/link.go
@@ -204,7 +204,7 @@
 		}
 		l.client.listener.Reported(l.key.addr, a.Load.load())
 		l.end(number, reply{answer: &mesh.Answer{
-			Status: a.Status, Header: a.Header, Body: a.Body, Waited: time.Duration(a.WaitedMs) * time.Millisecond,
+			Status: a.Status, Header: a.Header, Body: a.Body, Work: time.Duration(a.WorkMs) * time.Millisecond,
 		}})
 	case frameRefusal:
 		var r refusalBody
--- a/internal/mesh/peer/server.go
+++ b/internal/mesh/peer/server.go
@@ -159,7 +159,7 @@
 		}
 		c.reply(frameAnswer, stream, &answerBody{
 			Status: answer.Status, Header: answer.Header, Body: answer.Body, Load: fromLoad(load),
-			WaitedMs: milliseconds(answer.Waited),
+			WorkMs: milliseconds(answer.Work),
 		})
 	}()
 }
--- a/internal/mesh/settings/settings.go
+++ b/internal/mesh/settings/settings.go
@@ -49,14 +49,18 @@
 type Tunable struct {
 	// Prices turn bytes that leave the zone into time.
 	Prices entry.Prices
-	// Fill is the share of a backend server's slots that is filled.
+	// Fill is the share of a backend server's slots that is filled; 0 is learnt.
 	Fill float64
 	// LogLevel is 0 for information, 1 for warnings only.
 	LogLevel int
 }
 
-// leastFill is the least share of slots that is any use.
-const leastFill = 0.1
+const (
+	// leastFill is the least share of slots that is any use.
+	leastFill = 0.1
+	// learnt lets a node find out how many slots to fill.
+	learnt = "learnt"
+)
 
 var table = inifile.Table[Settings]{EmptyIsMissing: true, Free: []string{zonesSection}, Fields: []inifile.Field[Settings]{
 	inifile.Required("node", "vm", "a name", text(func(s *Settings) *string { return &s.Here.VM })),
@@ -76,7 +80,7 @@
 	inifile.Optional("stop", "grace-seconds", "6", "seconds, from 1 to 600", number(1, 600, func(s *Settings, v float64) { s.StopGrace = seconds(v) })),
 	inifile.Optional("routing", "zone-price", "2500us", "a duration for each kilobyte that leaves the zone", duration(func(s *Settings) *time.Duration { return &s.Tunable.Prices.ZonePerKB })),
 	inifile.Optional("routing", "region-price", "20ms", "a duration for each kilobyte that leaves the region", duration(func(s *Settings) *time.Duration { return &s.Tunable.Prices.RegionPerKB })),
-	inifile.Optional("backend", "fill", "0.8", "a share of the slots, from 0.1 to 1", number(leastFill, 1, func(s *Settings, v float64) { s.Tunable.Fill = v })),
+	inifile.Optional("backend", "fill", learnt, "learnt, or a share of the slots from 0.1 to 1", fill),
 	inifile.Optional("log", "level", "0", "0 or 1", level),
 }}
 
@@ -166,6 +170,14 @@
 	}
 }
 
+func fill(s *Settings, v string) error {
+	if v == learnt {
+		s.Tunable.Fill = 0
+		return nil
+	}
+	return number(leastFill, 1, func(s *Settings, v float64) { s.Tunable.Fill = v })(s, v)
+}
+
 func level(s *Settings, v string) error {
 	if v != "0" && v != "1" {
 		return eris.Errorf("%q is no level", v)
