--- a/internal/mesh/guard/guard.go
+++ b/internal/mesh/guard/guard.go
@@ -86,6 +86,9 @@
 	own := v.Own
 	leaving := own == nil || own.State == mesh.Draining
 	g.setSlots(v)
+	if own != nil {
+		g.pulse.startsCold(own.WarmAt)
+	}
 	if g.leaving.Swap(leaving) != leaving {
 		g.Changed(true)
 	}
@@ -122,10 +125,10 @@
 // Load gives the load to tell entries.
 func (g *Guard) Load() mesh.Load {
 	l := g.gate.Load()
-	slowdown, calmIn := g.pulse.state(g.Now())
+	slow := g.pulse.state(g.Now())
 	load := mesh.Load{
 		Running: l.InUse, Waiting: l.Due, Slots: l.Limit, Service: l.Service,
-		Slowdown: slowdown, CalmIn: calmIn, Leaving: g.leaving.Load() || g.stopping.Load(),
+		Slowdown: slow.now, Standing: slow.standing, CalmIn: slow.calmIn, Leaving: g.leaving.Load() || g.stopping.Load(),
 	}
 	if v := g.view.Load(); v != nil {
 		load.Revision = v.Revision
@@ -209,7 +212,7 @@
 		return
 	}
 	slot.Learn(crowd.Sample{
-		Class: v.class, Took: time.Duration(float64(v.own) / v.slowdown), Told: v.request.Work, AtLeast: late,
+		Class: v.class, Took: time.Duration(float64(v.own) / v.slowdown.now), Told: v.request.Work, AtLeast: late,
 	})
 	if served {
 		answer.Work = g.gate.Work(v.class)
--- a/internal/mesh/guard/pulse.go
+++ b/internal/mesh/guard/pulse.go
@@ -1,6 +1,7 @@
 package guard
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -10,33 +11,49 @@
 )
 
 const (
-	// slow is the slowdown from which it is worth to wait for its end.
+	// slow is the slowdown beyond the standing one from which a pulse is told apart.
 	slow = 1.5
-	// firstPulse is the length of a slowdown assumed until some were seen: neighbours
-	// on shared machines were seen to take a fifth of a second at a time.
-	firstPulse = 200 * time.Millisecond
-	// leastPulse and mostPulse bound what is learnt.
-	leastPulse = 30 * time.Millisecond
-	mostPulse  = 400 * time.Millisecond
-	// lasting is when a slowdown is taken to stay, and nobody waits for its end any
-	// more. Neighbours draw their turns independently, so that one pulse in four goes on
-	// for another turn, and one in a thousand for five of them.
-	lasting = time.Second
-	// pulseWeight is the inverse weight of a new length in the moving average.
-	pulseWeight = 8
+	// pulsesKept is how many lengths of pulses are remembered.
+	pulsesKept = 32
+	// lasting is when a slowdown is taken to stay while no pulse has been seen, and
+	// lastingTimes how many times the longest seen it must last otherwise.
+	lasting      = time.Second
+	lastingTimes = 3
+	// longestGap is the longest pause between two words for which a change is taken to
+	// lie in the middle: with nothing to do, a backend server isn't asked for seconds.
+	longestGap = 2 * staleLoad
 )
 
 // pulse follows the slowdowns of a backend server whose neighbours take turns at
 // the processor. How long a request takes is decided when it starts: one that
 // starts in a pulse takes several times as long to its end, also when the pulse is
-// over a moment later. Safe for concurrent use.
+// over a moment later.
+//
+// What stays is no pulse: a start from cold, or a machine that has become slow. It is the
+// standing slowdown, and pulses come on top of it. Safe for concurrent use.
 type pulse struct {
 	mu       sync.Mutex
 	slowdown float64
-	// since is when the pulse began, or was first told of; ended when the last did.
-	since time.Duration
-	// length is a moving average of pulses' lengths.
-	length time.Duration
+	standing float64
+	// warmAt is until when the backend server is slow from its start.
+	warmAt time.Duration
+	// within says that there is a pulse; since is when it began, or was first told of, and
+	// lowest the least slowdown told since.
+	within bool
+	since  time.Duration
+	lowest float64
+	// toldAt is when a slowdown was last told.
+	toldAt time.Duration
+	// seen are the lengths of the last pulses, next where the next one goes.
+	seen []time.Duration
+	next int
+}
+
+// startsCold notes until when the backend server is slow from its start.
+func (p *pulse) startsCold(warmAt time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.warmAt = warmAt
 }
 
 // told takes a slowdown as the backend server told it, and says whether a pulse
@@ -44,47 +61,121 @@
 func (p *pulse) told(now time.Duration, slowdown float64) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	was, is := p.slowdown >= slow, slowdown >= slow
-	p.slowdown = slowdown
-	if p.length == 0 {
-		p.length = firstPulse
-	}
+	was := p.within
+	p.stand(now, slowdown)
+	// What changed did so at any time since the last word.
+	between := now - min(now-p.toldAt, longestGap)/2
+	p.slowdown, p.toldAt = slowdown, now
+	is := slowdown >= slow*p.standing
 	switch {
 	case is && !was:
-		p.since = now
-	case was && !is:
-		seen := min(max(now-p.since, leastPulse), mostPulse)
-		p.length += (seen - p.length) / pulseWeight
+		p.within, p.since, p.lowest = true, between, slowdown
+	case is:
+		p.lowest = min(p.lowest, slowdown)
+	case was:
+		p.remember(between - p.since)
+		p.within = false
 	}
 	return is != was
 }
 
-// state gives the slowdown, and when it is expected to end; 0 if there is none or
-// it has lasted for so long that it is taken to stay. One that outlasts the usual is
-// expected to go on for another turn of the neighbour. Taken to stay, it was the reason
-// for nine of ten late answers on a calm day: requests started in the midst of it and
-// took four times as long, while other targets were idle.
-func (p *pulse) state(now time.Duration) (slowdown float64, calmIn time.Duration) {
+// stand follows the standing slowdown. The mutex is held.
+func (p *pulse) stand(now time.Duration, slowdown float64) {
+	cold := now < p.warmAt
+	switch {
+	case p.standing == 0 && cold:
+		// The first word may be told in a pulse; the next lower one will show.
+		p.standing = max(slowdown, 1)
+	case p.standing == 0:
+		p.standing = 1
+	case slowdown < p.standing:
+		p.standing = max(slowdown, 1)
+	case p.within && now-p.since >= p.lastsFrom():
+		p.standing = p.lowest
+	}
+}
+
+// lastsFrom gives the length from which a slowdown is taken to stay. The mutex is held.
+func (p *pulse) lastsFrom() time.Duration {
+	longest := time.Duration(0)
+	for _, length := range p.seen {
+		longest = max(longest, length)
+	}
+	if longest == 0 {
+		return lasting
+	}
+	return lastingTimes * longest
+}
+
+// remember keeps the length of a pulse that is over. The mutex is held.
+func (p *pulse) remember(length time.Duration) {
+	if len(p.seen) < pulsesKept {
+		p.seen = append(p.seen, length)
+		return
+	}
+	p.seen[p.next] = length
+	p.next = (p.next + 1) % pulsesKept
+}
+
+// remaining gives how much longer a pulse is expected to last: the mean over those seen
+// that lasted longer. Where these are few, it is taken to go on for another turn of the
+// neighbours, as long as the usual pulse. Before any was seen, it is expected to last as
+// long again, so that a request waits no longer than it would have lost. The mutex is held.
+func (p *pulse) remaining(lasted time.Duration) time.Duration {
+	if len(p.seen) == 0 {
+		return lasted
+	}
+	const few = 4
+	var all, longer, n time.Duration
+	for _, length := range p.seen {
+		all += length
+		if length > lasted {
+			longer += length - lasted
+			n++
+		}
+	}
+	usual := all / time.Duration(len(p.seen))
+	if n < few {
+		return usual
+	}
+	return min(longer/n, usual)
+}
+
+// slowness is how a backend server is slowed.
+type slowness struct {
+	// now is how many times as long work takes at this moment, and standing what of it
+	// is expected to stay.
+	now, standing float64
+	// calmIn is when the pulse is expected to be over; 0 is that there is none.
+	calmIn time.Duration
+}
+
+// state gives the slowdown at now.
+func (p *pulse) state(now time.Duration) slowness {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.slowdown < slow {
-		return max(p.slowdown, 1), 0
+	s := slowness{now: max(p.slowdown, 1), standing: max(p.standing, 1)}
+	if !p.within {
+		s.standing = s.now
+		return s
 	}
-	lasted := now - p.since
-	if lasted >= lasting {
-		return p.slowdown, 0
+	if lasted := now - p.since; lasted < p.lastsFrom() {
+		s.calmIn = max(p.remaining(lasted), time.Millisecond)
+		return s
 	}
-	return p.slowdown, p.length - lasted%p.length
+	s.standing = s.now
+	return s
 }
 
-// wait gives how long a request of so much work should wait for the end of the pulse; 0
-// is that starting now costs no more.
-func (p *pulse) wait(now, work time.Duration) time.Duration {
-	slowdown, calmIn := p.state(now)
-	if loss := time.Duration(float64(work) * (slowdown - 1)); loss <= calmIn {
-		return 0
+// wait gives how long a request of so much work should wait for the end of the pulse, and
+// how much longer it takes if it starts now; 0 is that this costs no more.
+func (p *pulse) wait(now, work time.Duration) (calmIn, loss time.Duration) {
+	s := p.state(now)
+	loss = time.Duration(float64(work) * (s.now - s.standing))
+	if loss <= s.calmIn {
+		return 0, loss
 	}
-	return calmIn
+	return s.calmIn, loss
 }
 
 const (
@@ -98,24 +189,20 @@
 )
 
 // awaitCalm waits until a pulse is over, if that takes less time than the request
-// would lose by it. One that may not wait for so long is refused, as another
-// target is hardly slow at the same moment.
-//
-// Measured on reads of 90 ms with pulses of a fifth of a second in an eighth of
-// the time: those late fell from 10 in 100 to 5, at one more question to the backend
-// server for each two requests.
+// would lose by it. One whose patience is shorter than both is refused: its patience is how
+// much more another target costs, and that is hardly slow at the same moment.
 func (g *Guard) awaitCalm(ctx context.Context, v *visit) *kind.Error {
-	r := v.request
 	for {
 		g.look(ctx)
-		calmIn := g.pulse.wait(g.Now(), v.work)
-		if calmIn == 0 {
+		calmIn, loss := g.pulse.wait(g.Now(), v.work)
+		patience := v.request.Patience - (g.Now() - v.start)
+		if calmIn == 0 && loss <= max(patience, 0) {
 			return nil
 		}
-		waited := g.Now() - v.start
-		if waited+calmIn > r.Patience {
+		if calmIn == 0 || calmIn > patience {
 			e := kind.New(kind.Overloaded, "the backend server is slowed for a moment")
-			e.Wait, e.RetryAfter = calmIn, calmIn
+			e.Wait = cmp.Or(calmIn, loss)
+			e.RetryAfter = e.Wait
 			return e
 		}
 		if !clock.Sleep(ctx, min(calmEvery, calmIn)) {
@@ -139,5 +226,5 @@
 func (p *pulse) known() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.length != 0
+	return p.standing != 0
 }
--- a/internal/mesh/guard/record.go
+++ b/internal/mesh/guard/record.go
@@ -22,28 +22,28 @@
 	crowding float64
 	// own is how long the backend server had it.
 	own time.Duration
-	// slowdown is that of the backend server when the request was sent or refused, calmIn
-	// when that was expected to end, and loadAge how old its word on that was.
-	slowdown        float64
-	calmIn, loadAge time.Duration
+	// slowdown is that of the backend server when the request was sent or refused, and
+	// loadAge how old its word on that was.
+	slowdown slowness
+	loadAge  time.Duration
 }
 
 // note keeps what is known of the backend server when a request is sent or refused.
 func (g *Guard) note(v *visit) {
 	now := g.Now()
-	v.slowdown, v.calmIn = g.pulse.state(now)
+	v.slowdown = g.pulse.state(now)
 	v.loadAge = now - time.Duration(g.toldAt.Load())
 }
 
 // record writes the decision about a request.
 func (g *Guard) record(v *visit, a *mesh.Answer, e *kind.Error) {
 	l, r := g.Load(), v.request
-	if v.slowdown == 0 {
+	if v.slowdown.now == 0 {
 		g.note(v)
 	}
 	pairs := []any{
 		"id", r.ID, "service", r.Service, "target", r.Target, "running", l.Running, "waiting", l.Waiting,
-		"slots", l.Slots, "slowdown", v.slowdown, "calm_in_ms", v.calmIn.Milliseconds(), "load_age_ms", v.loadAge.Milliseconds(),
+		"slots", l.Slots, "slowdown", v.slowdown.now, "standing", v.slowdown.standing, "calm_in_ms", v.slowdown.calmIn.Milliseconds(), "load_age_ms", v.loadAge.Milliseconds(),
 		"revision", l.Revision, "left_ms", r.Left.Milliseconds(), "patience_ms", r.Patience.Milliseconds(),
 		"priority", r.Priority, "aim_left_ms", r.AimLeft.Milliseconds(), "work_ms", v.work.Milliseconds(),
 		"beside", v.beside, "crowding", v.crowding, "own_ms", v.own.Milliseconds(),
--- a/internal/mesh/message.go
+++ b/internal/mesh/message.go
@@ -50,10 +50,10 @@
 	Running, Waiting, Slots int
 	// Service is how long a slot is held on average.
 	Service time.Duration
-	// Slowdown is how many times as long as usual work takes at the moment.
-	Slowdown float64
-	// CalmIn is when the slowdown is expected to be over; 0 says that there is none
-	// or that it lasts.
+	// Slowdown is how many times as long as usual work takes at the moment, and Standing
+	// what of it is expected to stay, as of a start from cold; 0 is none.
+	Slowdown, Standing float64
+	// CalmIn is when the slowdown is expected to be down to Standing; 0 says that it is.
 	CalmIn time.Duration
 	// Leaving says that the guard takes no new requests.
 	Leaving bool
--- a/internal/mesh/peer/frame.go
+++ b/internal/mesh/peer/frame.go
@@ -105,6 +105,8 @@
 	Leaving  bool
 	Revision uint64
 	Reading  bool
+	// Standing is in percent, as Percent is.
+	Standing uint16
 }
 
 // askBody is a Question on the wire.
@@ -152,7 +154,7 @@
 		Running: clip16(l.Running), Waiting: clip16(l.Waiting), Slots: clip16(l.Slots),
 		ServiceMs: clip16(int(l.Service.Milliseconds())), Percent: clip16(int(100 * l.Slowdown)),
 		CalmInMs: clip16(int(l.CalmIn.Milliseconds())), Leaving: l.Leaving, Revision: l.Revision,
-		Reading: l.Reading,
+		Reading: l.Reading, Standing: clip16(int(100 * l.Standing)),
 	}
 }
 
@@ -161,7 +163,7 @@
 		Running: int(b.Running), Waiting: int(b.Waiting), Slots: int(b.Slots),
 		Service: time.Duration(b.ServiceMs) * time.Millisecond, Slowdown: float64(b.Percent) / 100,
 		CalmIn:  time.Duration(b.CalmInMs) * time.Millisecond,
-		Leaving: b.Leaving, Revision: b.Revision, Reading: b.Reading,
+		Leaving: b.Leaving, Revision: b.Revision, Reading: b.Reading, Standing: float64(b.Standing) / 100,
 	}
 }
 
--- a/internal/mesh/stat.go
+++ b/internal/mesh/stat.go
@@ -46,10 +46,10 @@
 	Busy, Slots int
 	// Service is how long a slot is held.
 	Service time.Duration
-	// Slowdown is the expected slowdown, by report and age, and CalmIn when it is
-	// expected to be over; 0 is not known.
-	Slowdown float64
-	CalmIn   time.Duration
+	// Slowdown is the expected slowdown, by report and age, and Standing what of it is
+	// expected to be left after CalmIn.
+	Slowdown, Standing float64
+	CalmIn             time.Duration
 	// Failing is the share of requests that fail, faded by age.
 	Failing float64
 	// Avoid says that the target is to be passed over, Leaving that it told so.
@@ -124,7 +124,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := Estimate{
-		Known: s.reported, Age: now - s.loadAt, Slowdown: 1, Busy: s.inFlight,
+		Known: s.reported, Age: now - s.loadAt, Slowdown: 1, Standing: 1, Busy: s.inFlight,
 		Failing: s.faded(now), Avoid: now < s.avoidUntil,
 	}
 	if !s.reported {
@@ -132,21 +132,14 @@
 	}
 	e.Slots, e.Service, e.Leaving = s.load.Slots, s.load.Service, s.load.Leaving
 	e.Busy = max(s.load.Running+s.load.Waiting+s.sent, s.inFlight)
-	switch {
-	case s.load.CalmIn > e.Age:
-		e.Slowdown, e.CalmIn = s.load.Slowdown, s.load.CalmIn-e.Age
-	case s.load.CalmIn == 0 && s.load.Slowdown > 0:
-		e.Slowdown = 1 + (s.load.Slowdown-1)*fade(e.Age, slowdownMemory)
+	standing := max(s.load.Standing, 1)
+	if s.load.CalmIn == 0 {
+		standing = max(s.load.Slowdown, 1)
 	}
-	return e
-}
-
-// Extra is how much longer work takes for the slowdown: what it adds to the work,
-// or the wait until it is over, whichever is less.
-func (e Estimate) Extra(work time.Duration) time.Duration {
-	extra := time.Duration(float64(work) * (e.Slowdown - 1))
-	if e.CalmIn > 0 {
-		extra = min(extra, e.CalmIn)
+	e.Standing = 1 + (standing-1)*fade(e.Age, slowdownMemory)
+	e.Slowdown = e.Standing
+	if s.load.CalmIn > e.Age {
+		e.Slowdown, e.CalmIn = max(s.load.Slowdown, e.Standing), s.load.CalmIn-e.Age
 	}
-	return max(extra, 0)
+	return e
 }
