--- a/internal/mesh/config.go
+++ b/internal/mesh/config.go
@@ -60,6 +60,14 @@
 	Weights *Weights
 }
 
+// aimPerWork is how many times the usual work of its requests the aim of a route is taken
+// to be where nothing was measured: operators leave room for a wait and a slow moment.
+const aimPerWork = 3
+
+// AssumedWork is how long the route's requests are taken to run on an idle target until
+// that has been measured; 0 is not known.
+func (r *Route) AssumedWork() time.Duration { return r.Aim / aimPerWork }
+
 // Share is a service with its part of a route's requests.
 type Share struct {
 	Service string
--- a/internal/mesh/entry/choose.go
+++ b/internal/mesh/entry/choose.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"gonum.org/v1/gonum/stat/distuv"
+
 	"github.com/limpetdock/limpetdock/internal/mesh"
 	"github.com/limpetdock/limpetdock/internal/place"
 )
@@ -19,6 +21,12 @@
 	// failureCost is what a request that surely fails is taken to cost: over the
 	// longest wait that is worth it, so that failing fast never looks cheap.
 	failureCost = 1500 * time.Millisecond
+	// lateCost is what an answer that is surely late is taken to cost: nearly as much as
+	// none.
+	lateCost = failureCost * 9 / 10
+	// workSpread is the deviation of the logarithm of how long a request takes from what
+	// is expected.
+	workSpread = 0.35
 	// crowding is the part of a slot's time that a full target adds beside waits:
 	// among targets with free slots the emptier one is better, as what it gets next
 	// is less likely to wait.
@@ -82,6 +90,7 @@
 func (t *trip) candidates() []candidate {
 	all := t.view.Targets[t.service]
 	bytes, work := t.stat.expect()
+	work = cmp.Or(work, t.route.AssumedWork())
 	list := make([]candidate, 0, len(all))
 	var avoided []candidate
 	for _, target := range all {
@@ -124,6 +133,7 @@
 	}
 	slots := max(f.Slots, target.Slots, 1)
 	c.cost = wayTo[target.Distance] + c.wait + c.work +
+		time.Duration(lateChance(f, t.aim-now-wayTo[target.Distance])*float64(lateCost)) +
 		time.Duration(crowding*float64(f.Work)*float64(f.Busy)/float64(slots)) +
 		time.Duration(f.Failing*float64(failureCost)) +
 		t.entry.prices.Load().of(target.Distance, len(t.in.Body)+bytes+envelope) +
@@ -131,6 +141,15 @@
 	return c, !f.Avoid && !f.Leaving
 }
 
+// lateChance gives the chance that a request is answered later than so much time from now.
+func lateChance(f mesh.Forecast, aimLeft time.Duration) float64 {
+	room := aimLeft - f.Wait
+	if room <= 0 {
+		return 1
+	}
+	return distuv.LogNormal{Sigma: workSpread}.Survival(float64(room) / float64(f.Work))
+}
+
 // of gives the price of bytes to a distance, as time.
 func (p Prices) of(d place.Distance, bytes int) time.Duration {
 	const kilobyte = 1000
--- a/internal/mesh/forecast.go
+++ b/internal/mesh/forecast.go
@@ -1,6 +1,9 @@
 package mesh
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 const (
 	// assumedService is how long a slot is held where nothing has been measured.
@@ -22,9 +25,7 @@
 // Forecast tells what to expect of a request, with so much work for a server that has
 // nothing else to do, that is sent to the target now. 0 is work not known.
 func (t *Target) Forecast(work, now time.Duration) Forecast {
-	if work == 0 {
-		work = assumedService
-	}
+	work = cmp.Or(work, assumedService)
 	e := t.Stat.Estimate(now)
 	if now < t.WarmAt && (!e.Known || e.Age > slowdownMemory) {
 		e.Standing = max(e.Standing, coldFactor)
--- a/internal/mesh/guard/guard.go
+++ b/internal/mesh/guard/guard.go
@@ -4,6 +4,7 @@
 package guard
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math"
@@ -154,8 +155,7 @@
 		return nil, e
 	}
 	deadline := v.start + r.Left
-	v.class = g.classOf(r)
-	v.work = g.expect(v)
+	g.know(v)
 	ctx, cancel := context.WithTimeout(ctx, r.Left)
 	defer cancel()
 	if e := g.awaitCalm(ctx, v); e != nil {
@@ -185,21 +185,14 @@
 	return answer, e
 }
 
-// classOf names the requests that take alike: those of one route.
-func (g *Guard) classOf(r *mesh.Request) string {
-	path, _, _ := strings.Cut(r.URI, "?")
-	if route := g.view.Load().Config.Match(r.Host, path); route != nil {
-		return route.Name
+// know fills in what is known of a request's like, that is of its route.
+func (g *Guard) know(v *visit) {
+	path, _, _ := strings.Cut(v.request.URI, "?")
+	assumed := time.Duration(0)
+	if route := g.view.Load().Config.Match(v.request.Host, path); route != nil {
+		v.class, assumed = route.Name, route.AssumedWork()
 	}
-	return ""
-}
-
-// expect gives how long a request takes alone; 0 is not known.
-func (g *Guard) expect(v *visit) time.Duration {
-	if own := g.gate.Work(v.class); own > 0 {
-		return own
-	}
-	return v.request.Work
+	v.work = cmp.Or(g.gate.Work(v.class), v.request.Work, assumed)
 }
 
 // took learns from how long the backend server had a request.
--- a/internal/mesh/settings/settings.go
+++ b/internal/mesh/settings/settings.go
@@ -78,8 +78,8 @@
 	inifile.Optional("repeats", "slack", "0", "repeats besides, of all nodes together, in a window", number(0, 1e6, func(s *Settings, v float64) { s.Repeats.Slack = v })),
 	inifile.Optional("repeats", "window-seconds", "10", "seconds, from 1 to 3600", number(1, 3600, func(s *Settings, v float64) { s.Repeats.Window = seconds(v) })),
 	inifile.Optional("stop", "grace-seconds", "6", "seconds, from 1 to 600", number(1, 600, func(s *Settings, v float64) { s.StopGrace = seconds(v) })),
-	inifile.Optional("routing", "zone-price", "2500us", "a duration for each kilobyte that leaves the zone", duration(func(s *Settings) *time.Duration { return &s.Tunable.Prices.ZonePerKB })),
-	inifile.Optional("routing", "region-price", "20ms", "a duration for each kilobyte that leaves the region", duration(func(s *Settings) *time.Duration { return &s.Tunable.Prices.RegionPerKB })),
+	inifile.Optional("routing", "zone-price", "10ms", "a duration for each kilobyte that leaves the zone", duration(func(s *Settings) *time.Duration { return &s.Tunable.Prices.ZonePerKB })),
+	inifile.Optional("routing", "region-price", "80ms", "a duration for each kilobyte that leaves the region", duration(func(s *Settings) *time.Duration { return &s.Tunable.Prices.RegionPerKB })),
 	inifile.Optional("backend", "fill", learnt, "learnt, or a share of the slots from 0.1 to 1", fill),
 	inifile.Optional("log", "level", "0", "0 or 1", level),
 }}
