--- a/internal/crowd/crowd.go
+++ b/internal/crowd/crowd.go
@@ -20,10 +20,8 @@
 	// leastWork is the work from which its length says anything about the backend
 	// server: what takes a few milliseconds is mostly connections and the node itself.
 	leastWork = 5 * time.Millisecond
-	// startShare is the part of the slots that is used before anything was measured, and
-	// stepShare the part of the best level by which those above it are tried first.
+	// startShare is the part of the slots that is used before anything was measured.
 	startShare = 2 / 3.0
-	stepShare  = 1 / 2.0
 	// downAfter is how many requests at the best level there must be before fewer are
 	// tried, and downUntil how many end that trial.
 	downAfter, downUntil = 12, 3
@@ -42,8 +40,6 @@
 	// best is the level with the most throughput, trial the highest that may be tried,
 	// and down one below the best that is tried; 0 is none.
 	best, trial, down int
-	// seen is the highest level that was ever measured.
-	seen int
 	// blocks is scratch space of smooth.
 	blocks []block
 }
@@ -149,14 +145,14 @@
 		// That it took longer than this was to be expected.
 		return
 	}
-	c.seen = max(c.seen, s.Level)
 	c.push(request{class: one, level: s.Level, took: took})
 	c.fit()
 }
 
-// expected gives the logarithm of the time that a request of the class takes alone.
+// expected gives the logarithm of the time that a request of the class takes alone; 0 is
+// not known.
 func (l *class) expected() float64 {
-	if l.count == 0 {
+	if l.work == 0 {
 		return l.told
 	}
 	return l.work
@@ -196,7 +192,11 @@
 		one.sum = 0
 	}
 	for _, r := range c.last {
-		r.class.sum += r.took - c.levels[r.level-1].fitted
+		alone := r.took - c.levels[r.level-1].fitted
+		if known := r.class.expected(); known > 0 {
+			alone = near(alone, known)
+		}
+		r.class.sum += alone
 	}
 	for _, one := range c.classes {
 		weight := float64(one.count)
@@ -218,13 +218,22 @@
 			continue
 		}
 		l := &c.levels[r.level-1]
-		l.sum += r.took - r.class.work
+		l.sum += near(r.took-r.class.work, l.fitted)
 		l.count++
 	}
 	c.smooth(priorWeight, func(l *level, value float64) { l.fitted = value })
 	c.smooth(0, func(l *level, value float64) { l.measured = value })
 }
 
+// mostOff bounds how far one request moves a fit, as the logarithm of a ratio: a pulse that
+// began right after the last word on it makes a request take several times as long.
+const mostOff = 1.0
+
+// near gives a value, drawn to within mostOff of what is fitted.
+func near(value, fitted float64) float64 {
+	return min(max(value, fitted-mostOff), fitted+mostOff)
+}
+
 // block is a run of neighbouring levels with one fitted value.
 type block struct {
 	weight, value float64
@@ -302,31 +311,18 @@
 
 // nextTrial gives the level to try next, or the best if none may be better: the lowest
 // above it that isn't measured and has more throughput if it is no slower than the one
-// below. Behind a mild knee that can lie some levels further up. Where nothing was ever
-// measured, several are tried at once: a server that starts under a rush soon has all of
-// its slots in use.
+// below. Behind a mild knee that can lie some levels further up.
 func (c *Curve) nextTrial(score float64) int {
 	if c.best == 0 {
 		return 0
 	}
-	step := 1
-	if c.seen <= c.best {
-		step = max(int(float64(c.best)*stepShare), 1)
-	}
-	trial := c.best
-	for n := c.best + 1; n <= len(c.levels) && step > 0; n++ {
+	for n := c.best + 1; n <= len(c.levels); n++ {
 		l := c.levels[n-1]
-		switch {
-		case l.count > 0:
-			if trial > c.best {
-				return trial
-			}
-		case math.Log(float64(n))-l.measured > score:
-			trial = n
-			step--
+		if l.count == 0 && math.Log(float64(n))-l.measured > score {
+			return n
 		}
 	}
-	return trial
+	return c.best
 }
 
 // trialDown gives a level below the best to try, 0 for none. Under a standing queue every
