What can't be served is refused at once, and nothing is sent too late to be of use

Cause: late requests in a standing queue waited until their deadline (held to the end); the cheapest target decided alone whether a request was refused, though a dearer one had room; a request went to the backend server with a millisecond left. Change: a late waiter is refused once its queue has stood for as long as it has left; any target that can answer in time is taken; nothing is sent with under half of its usual work left; chances to be late and to fail are costs. Forecasts against what happened: log and limpetdock_forecast_ratio.

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -106,8 +106,9 @@
 	// Patience is how long it may wait: as long as no other gate would take it
 	// sooner. 0 leaves that to the gate.
 	Patience time.Duration
-	// StartBy is until when it is worth starting, zero for always.
-	StartBy time.Time
+	// StartBy is until when it can still be answered in time, and Last until when at all;
+	// zero is always.
+	StartBy, Last time.Time
 }
 
 // EnterWithin does as Enter for a request whose sender says how it may wait.
--- a/internal/gate/in_time_test.go
+++ b/internal/gate/in_time_test.go
@@ -109,3 +109,62 @@
 		time.Sleep(2 * work)
 	})
 }
+
+// A rush fills the queue with requests that can still be answered in time, and these go
+// first. One that is late already is never started while they come. It must learn so while
+// it has time to be served elsewhere, and not at its deadline.
+func TestWhatIsNeverStartedIsRefusedBeforeItsDeadline(t *testing.T) {
+	const (
+		work  = 100 * time.Millisecond
+		every = 90 * time.Millisecond
+		last  = 2 * time.Second
+	)
+	synctest.Test(t, func(t *testing.T) {
+		g := started(Limits{Slots: 1, Queue: 64, Order: OrderInTime})
+		ctx, cancel := context.WithTimeout(t.Context(), 4*time.Second)
+		defer cancel()
+		for range 3 {
+			go run(ctx, g, work, Wait{Patience: time.Minute, StartBy: time.Now().Add(time.Minute)})
+		}
+		go func() {
+			for ctx.Err() == nil {
+				go run(ctx, g, work, Wait{Patience: time.Minute, StartBy: time.Now().Add(5 * work)})
+				time.Sleep(every)
+			}
+		}()
+		synctest.Wait()
+		began := time.Now()
+		_, refusal := g.EnterWithin(ctx, Rank{}, Wait{Patience: time.Minute, StartBy: began.Add(work / 2), Last: began.Add(last)})
+		require.NotNil(t, refusal)
+		require.Equal(t, kind.Overloaded, refusal.Kind)
+		require.Equal(t, kind.NotRun, refusal.Said())
+		require.Less(t, time.Since(began), last*3/4, "with time to go elsewhere")
+		require.Positive(t, refusal.RetryAfter)
+		<-ctx.Done()
+		time.Sleep(time.Second)
+	})
+}
+
+// The same without a rush: whoever is late is still run, as soon as there is a slot.
+func TestWhatIsLateIsServedWhenTheQueueEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := started(Limits{Slots: 1, Queue: 64, Order: OrderInTime})
+		go run(t.Context(), g, 400*time.Millisecond, Wait{})
+		synctest.Wait()
+		slot, refusal := g.EnterWithin(t.Context(), Rank{}, Wait{
+			Patience: time.Minute, StartBy: time.Now().Add(50 * time.Millisecond), Last: time.Now().Add(2 * time.Second),
+		})
+		require.Nil(t, refusal)
+		slot.Leave()
+	})
+}
+
+// run runs one request if it gets a slot.
+func run(ctx context.Context, g *Gate, work time.Duration, limits Wait) {
+	slot, refusal := g.EnterWithin(ctx, Rank{}, limits)
+	if refusal != nil {
+		return
+	}
+	time.Sleep(work)
+	slot.Leave()
+}
--- a/internal/gate/order.go
+++ b/internal/gate/order.go
@@ -95,10 +95,6 @@
 // answer is worth most; the others run only when none of these waits. In a
 // standing queue first in, first out would start each request just too late to be
 // of much use, and so all of them.
-//
-// Measured at twice the load that a backend server carries, for ten seconds: 408 of
-// 800 requests were answered in time, first in, first out 20; answered at all were
-// 436 in both (TestUnderOverloadThoseGoFirstThatCanStillMakeIt).
 type inTime struct{}
 
 func (inTime) next(queue []*waiter, now time.Time, _ bool) int {
--- a/internal/gate/queue.go
+++ b/internal/gate/queue.go
@@ -17,8 +17,9 @@
 	asked bool
 	// deadline is zero for none.
 	deadline time.Time
-	// startBy is until when it is worth starting, zero for always.
-	startBy time.Time
+	// startBy is until when it can still be answered in time, last until when at all; zero
+	// is always.
+	startBy, last time.Time
 	// verdict is told once.
 	verdict chan verdict
 }
@@ -52,7 +53,7 @@
 // enqueue lets a request wait, or refuses it. The mutex is held.
 func (g *Gate) enqueue(ctx context.Context, rank Rank, limits Wait, now time.Time) (*waiter, *kind.Error) {
 	w := g.newWaiter()
-	w.rank, w.startBy = rank, limits.StartBy
+	w.rank, w.startBy, w.last = rank, limits.StartBy, limits.Last
 	w.deadline, _ = ctx.Deadline()
 	ahead := g.ahead(w, now)
 	w.patience, w.asked = limits.Patience, limits.Patience > 0
@@ -147,16 +148,20 @@
 
 // wait waits for the verdict.
 func (g *Gate) wait(ctx context.Context, w *waiter) (Slot, *kind.Error) {
-	patience, stop := w.timer()
-	defer stop()
 	// Copied now: once abandoned, the waiter may be another request's.
 	like, impatient := *w, false
-	select {
-	case v := <-w.verdict:
-		return g.judged(w, v)
-	case <-ctx.Done():
-	case <-patience:
-		impatient = true
+	watch := newWatch(w, time.Now())
+	defer watch.Stop()
+	for done := false; !done; {
+		select {
+		case v := <-w.verdict:
+			return g.judged(w, v)
+		case <-ctx.Done():
+			done = true
+		case now := <-watch.C:
+			impatient = !watch.next(now) || g.hopeless(&like, now)
+			done = impatient
+		}
 	}
 	if g.abandon(w) {
 		return Slot{}, g.gaveUp(like, impatient)
@@ -170,13 +175,49 @@
 	return Slot{}, g.gaveUp(like, impatient)
 }
 
-// timer gives a channel that tells when the patience ends, and ends it.
-func (w *waiter) timer() (<-chan time.Time, func()) {
-	if w.patience == forever {
-		return nil, func() {}
+// watch wakes a waiter from when it can't be answered in time any more, again and again, until
+// it has waited for as long as it may or can't be answered at all.
+type watch struct {
+	*time.Timer
+	end time.Time
+}
+
+// farOff is later than any deadline.
+const farOff = 24 * time.Hour
+
+func newWatch(w *waiter, now time.Time) *watch {
+	end := now.Add(min(w.patience, farOff))
+	if !w.last.IsZero() && w.last.Before(end) {
+		end = w.last
+	}
+	first := end
+	if w.startBy.After(now) && w.startBy.Before(end) {
+		first = w.startBy
+	}
+	return &watch{time.NewTimer(first.Sub(now)), end}
+}
+
+// next says whether the waiter may wait on, and until when it is woken again.
+func (t *watch) next(now time.Time) bool {
+	if !now.Before(t.end) {
+		return false
+	}
+	t.Reset(min(t.end.Sub(now), standFor))
+	return true
+}
+
+// hopeless says whether a request like w, which can't be answered in time any more, won't
+// be answered at all. The others go before it for as long as any of them waits, and a queue
+// that has stood for some time is expected to stand for as long again. Waiting for its
+// deadline it would learn the same, and too late to be served elsewhere.
+func (g *Gate) hopeless(w *waiter, now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if w.last.IsZero() || g.limits.NoRefusal || !g.stands(now) {
+		return false
 	}
-	t := time.NewTimer(w.patience)
-	return t.C, func() { t.Stop() }
+	wait := max(g.expect(now, g.ahead(w, now)), now.Sub(g.standing))
+	return now.Add(wait).After(w.last)
 }
 
 // abandon takes a waiter out of the queue, unless it has been judged already.
--- a/internal/mesh/entry/choose.go
+++ b/internal/mesh/entry/choose.go
@@ -133,7 +133,7 @@
 	}
 	slots := max(f.Slots, target.Slots, 1)
 	c.cost = wayTo[target.Distance] + c.wait + c.work +
-		time.Duration(lateChance(f, t.aim-now-wayTo[target.Distance])*float64(lateCost)) +
+		t.risk(f, now+wayTo[target.Distance]) +
 		time.Duration(crowding*float64(f.Work)*float64(f.Busy)/float64(slots)) +
 		time.Duration(f.Failing*float64(failureCost)) +
 		t.entry.prices.Load().of(target.Distance, len(t.in.Body)+bytes+envelope) +
@@ -141,6 +141,13 @@
 	return c, !f.Avoid && !f.Leaving
 }
 
+// risk gives what the chances cost that a request sent now is answered late, or not at all.
+func (t *trip) risk(f mesh.Forecast, now time.Duration) time.Duration {
+	late := lateChance(f, t.aim-now)
+	none := lateChance(f, t.deadline-now)
+	return time.Duration(late*float64(lateCost) + none*float64(failureCost-lateCost))
+}
+
 // lateChance gives the chance that a request is answered later than so much time from now.
 func lateChance(f mesh.Forecast, aimLeft time.Duration) float64 {
 	room := aimLeft - f.Wait
--- a/internal/mesh/entry/describe.go
+++ b/internal/mesh/entry/describe.go
@@ -27,7 +27,8 @@
 	return append(pairs, "outcome", "answered", "status", a.Status, "bytes", len(a.Body))
 }
 
-// offered lists the targets that the request was offered to, with what each said.
+// offered lists the targets that the request was offered to, with what each said, after how
+// long, and after how long an answer was expected.
 func (t *trip) offered() string {
 	parts := make([]string, len(t.offers))
 	for i, o := range t.offers {
@@ -35,7 +36,7 @@
 		if said == "" {
 			said = "answered"
 		}
-		parts[i] = fmt.Sprintf("%s %s %dms", o.target.ID, said, o.took.Milliseconds())
+		parts[i] = fmt.Sprintf("%s %s %dms of %d", o.target.ID, said, o.took.Milliseconds(), o.expected.Milliseconds())
 	}
 	return strings.Join(parts, "; ")
 }
--- a/internal/mesh/entry/entry.go
+++ b/internal/mesh/entry/entry.go
@@ -30,6 +30,9 @@
 type Observer interface {
 	Answered(service string, k kind.Kind, took time.Duration)
 	Hopped(service string, k kind.Kind)
+	// Forecast is told how long an offer that was answered was expected to take, and how
+	// long it took.
+	Forecast(service string, expected, took time.Duration)
 }
 
 // Prices turn bytes that leave the zone into time: how much longer a request may
@@ -157,6 +160,8 @@
 	target *mesh.Target
 	took   time.Duration
 	kind   kind.Kind
+	// expected is how long it was expected to take.
+	expected time.Duration
 }
 
 // Serve answers a request. ctx ends when the caller leaves.
--- a/internal/mesh/entry/entry_test.go
+++ b/internal/mesh/entry/entry_test.go
@@ -55,6 +55,8 @@
 
 func (observer) Answered(string, kind.Kind, time.Duration) {}
 func (observer) Hopped(string, kind.Kind)                  {}
+func (observer) Forecast(string, time.Duration, time.Duration) {
+}
 
 func answered(status int) func(*mesh.Request) (*mesh.Answer, *kind.Error) {
 	return func(*mesh.Request) (*mesh.Answer, *kind.Error) {
@@ -267,6 +269,37 @@
 	require.Equal(t, "zone", w.offered[len(w.offered)-1])
 }
 
+// The nearest target has a queue longer than the request can wait, another region's has free
+// slots. Bytes are dear, but refused for the queue at home the request would be lost.
+func TestWhatAnyTargetCanServeInTimeIsNotRefused(t *testing.T) {
+	w := newWorld(t, false)
+	w.entry.SetPrices(entry.Prices{ZonePerKB: time.Second, RegionPerKB: 10 * time.Second})
+	w.busy(200, own, "zone", "region")
+	answer, err := w.serve()
+	require.Nil(t, err)
+	require.Equal(t, 200, answer.Status)
+	require.Equal(t, []string{"far"}, w.offered)
+}
+
+// Both targets answer before the deadline, the nearer one most likely after the aim, as its
+// queue is long. What the bytes cost is less than a late answer does; where both answer in
+// time, the request stays near.
+func TestARequestLeavesHomeOnlyForAnAnswerInTime(t *testing.T) {
+	w := newWorld(t, true)
+	w.targets = []*mesh.Target{w.targets[0], w.targets[3]}
+	w.publish()
+	w.entry.SetPrices(entry.Prices{ZonePerKB: 10 * time.Millisecond, RegionPerKB: 80 * time.Millisecond})
+	w.load = mesh.Load{Running: 6, Waiting: 6, Slots: 6, Service: 100 * time.Millisecond, Slowdown: 1}
+	w.route.Aim = 150 * time.Millisecond
+	_, err := w.serve()
+	require.Nil(t, err)
+	require.Equal(t, []string{"far"}, w.offered)
+	w.offered, w.route.Aim = nil, 900*time.Millisecond
+	_, err = w.serve()
+	require.Nil(t, err)
+	require.Equal(t, []string{own}, w.offered)
+}
+
 // Every queue is longer than the request can wait. It is refused at once, with the
 // time after which asking again can help, and not held until its deadline.
 func TestWhatCannotBeServedInTimeIsRefusedAtOnce(t *testing.T) {
--- a/internal/mesh/entry/run.go
+++ b/internal/mesh/entry/run.go
@@ -88,21 +88,37 @@
 	if len(list) == 0 {
 		return candidate{}, 0, kind.New(kind.NoTarget, "no target can take the request")
 	}
-	best := list[0]
 	left := t.deadline - t.entry.Now() - answerMargin
-	if best.wait+best.work/2 > left {
-		e := kind.New(kind.Overloaded, "the wait at every target is longer than the deadline")
-		e.RetryAfter = best.wait
-		return candidate{}, 0, e
+	best, refusal := feasible(list, left)
+	if refusal != nil {
+		return candidate{}, 0, refusal
 	}
 	if len(list) == 1 || len(t.offers) >= maxOffers-1 {
 		return best, left, nil
 	}
 	// It may wait for as long as the next target would cost more.
-	patience := best.wait + max(list[1].cost-best.cost, minPatience)
+	second := list[0]
+	if second.target == best.target {
+		second = list[1]
+	}
+	patience := best.wait + max(second.cost-best.cost, minPatience)
 	return best, min(patience, left), nil
 }
 
+// feasible gives the cheapest target that can answer in the time left.
+func feasible(list []candidate, left time.Duration) (candidate, *kind.Error) {
+	soonest := list[0].wait
+	for _, c := range list {
+		if c.wait+c.work/2 <= left {
+			return c, nil
+		}
+		soonest = min(soonest, c.wait)
+	}
+	e := kind.New(kind.Overloaded, "the wait at every target is longer than the deadline")
+	e.RetryAfter = soonest
+	return candidate{}, e
+}
+
 // offer sends the request to a target and takes what comes as evidence.
 func (t *trip) offer(ctx context.Context, c candidate, patience time.Duration) (*mesh.Answer, *kind.Error) {
 	e := t.entry
@@ -131,10 +147,13 @@
 // note takes the outcome of an offer as evidence about the target.
 func (t *trip) note(c candidate, answer *mesh.Answer, err *kind.Error, took time.Duration) {
 	now := t.entry.Now()
-	o := offer{target: c.target, took: took}
+	o := offer{target: c.target, took: took, expected: wayTo[c.target.Distance] + c.wait + c.work}
 	if err == nil {
 		t.sent++
 		failed := answer.Status >= http.StatusInternalServerError
+		if !failed {
+			t.entry.Observer.Forecast(t.service, o.expected, took)
+		}
 		c.target.Stat.End(now, failed, true)
 		if answer.Work > 0 {
 			t.stat.learn(len(answer.Body), answer.Work)
--- a/internal/mesh/guard/guard.go
+++ b/internal/mesh/guard/guard.go
@@ -162,7 +162,8 @@
 		return nil, e
 	}
 	slot, e := g.gate.EnterWithin(ctx, rankOf(r), gate.Wait{
-		Patience: max(r.Patience-(g.Now()-v.start), time.Millisecond), StartBy: time.Now().Add(r.AimLeft - v.work),
+		Patience: max(r.Patience-(g.Now()-v.start), time.Millisecond),
+		StartBy:  time.Now().Add(r.AimLeft - v.work), Last: time.Now().Add(deadline - g.Now() - v.least()),
 	})
 	v.waited = g.Now() - v.start
 	if e != nil {
@@ -177,6 +178,9 @@
 	if e := g.takes(r); e != nil {
 		return nil, e
 	}
+	if deadline-g.Now() < v.least() {
+		return nil, kind.New(kind.DeadlineNotRun, "too little time is left for the backend server to answer")
+	}
 	v.beside, v.crowding = slot.Beside(), slot.Factor()
 	sent := g.Now()
 	answer, e := g.exchange(ctx, r, deadline)
--- a/internal/mesh/guard/guard_test.go
+++ b/internal/mesh/guard/guard_test.go
@@ -334,3 +334,15 @@
 	require.Equal(t, kind.Unreachable, failure.Kind)
 	require.Equal(t, kind.NotRun, failure.Said())
 }
+
+// A request waited so long that its caller gives up before any backend server could answer.
+// Sent all the same it would cost a slot, and its outcome would be open; unsent, it is known
+// that it didn't run.
+func TestWhatCannotBeAnsweredAnyMoreIsNotSent(t *testing.T) {
+	x := newFixture(t, 4, signed)
+	r := request()
+	r.Work, r.Left = time.Second, 300*time.Millisecond
+	_, err := x.Run(t.Context(), r)
+	require.Equal(t, kind.NotRun, err.Said())
+	require.Zero(t, x.got.Load())
+}
--- a/internal/mesh/guard/record.go
+++ b/internal/mesh/guard/record.go
@@ -28,6 +28,12 @@
 	loadAge  time.Duration
 }
 
+// usefulShare is the part of the usual work under which hardly any request is answered.
+const usefulShare = 1 / 2.0
+
+// least gives the time that a request needs to have any use of being sent.
+func (v *visit) least() time.Duration { return time.Duration(usefulShare * float64(v.work)) }
+
 // note keeps what is known of the backend server when a request is sent or refused.
 func (g *Guard) note(v *visit) {
 	now := g.Now()
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -35,6 +35,7 @@
 	requests *prometheus.CounterVec
 	hops     *prometheus.CounterVec
 	latency  *prometheus.HistogramVec
+	forecast *prometheus.HistogramVec
 	now      func() time.Time
 	// services is replaced, never changed, when a service is first counted, so
 	// that requests find their counters without a lock.
@@ -56,10 +57,14 @@
 			Name: "limpetdock_request_duration_seconds", Help: "Time from a caller's request to the end of its answer.",
 			Buckets: []float64{.001, .002, .005, .01, .02, .05, .1, .2, .5, 1, 5, 30},
 		}, []string{"service"}),
+		forecast: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "limpetdock_forecast_ratio", Help: "Time until a target answered, in times of what the entry expected.",
+			Buckets: []float64{.25, .5, .7, .9, 1.1, 1.4, 2, 4, 8},
+		}, []string{"service"}),
 		now: time.Now,
 	}
 	m.services.Store(&map[string]*service{})
-	m.Registry.MustRegister(m.requests, m.hops, m.latency,
+	m.Registry.MustRegister(m.requests, m.hops, m.latency, m.forecast,
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector())
 	build := version.Current()
 	m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
@@ -69,6 +74,13 @@
 	return m
 }
 
+// Forecast counts how an answer's time compares with what was expected.
+func (m *Metrics) Forecast(name string, expected, took time.Duration) {
+	if expected > 0 {
+		m.service(name).forecast.Observe(took.Seconds() / expected.Seconds())
+	}
+}
+
 // Answered counts a request that was answered, by the backend server when k is
 // empty. An empty service is one that isn't declared.
 func (m *Metrics) Answered(name string, k kind.Kind, took time.Duration) {
--- a/internal/metrics/service.go
+++ b/internal/metrics/service.go
@@ -39,16 +39,16 @@
 // service holds the resolved counters of one service, so that counting a
 // request looks up no labels.
 type service struct {
-	answered, hopped row
-	latency          prometheus.Observer
-	recent           recent
+	answered, hopped  row
+	latency, forecast prometheus.Observer
+	recent            recent
 }
 
 func newService(m *Metrics, name string) *service {
 	return &service{
 		answered: newRow(m.requests, name), hopped: newRow(m.hops, name),
-		latency: m.latency.WithLabelValues(name),
-		recent:  newRecent(),
+		latency: m.latency.WithLabelValues(name), forecast: m.forecast.WithLabelValues(name),
+		recent: newRecent(),
 	}
 }
 
