--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -265,9 +265,8 @@
 }
 
 // expect estimates how long a request waits that ahead others run before. Requests that
-// would run after it don't count: a queue of some that are late already made every
-// guard of a service tell waits of over a second to requests that could have been run
-// at once, and these were refused while the late ones ran. The mutex is held.
+// would run after it don't count: with them, a queue of some that are late already would
+// have all that come refused, though these could be run at once. The mutex is held.
 func (g *Gate) expect(now time.Time, ahead int) time.Duration {
 	return g.drain.wait(now, ahead+1, g.limit(now))
 }
--- a/internal/mesh/guard/pulse.go
+++ b/internal/mesh/guard/pulse.go
@@ -180,7 +180,7 @@
 
 const (
 	// freshLoad is the age up to which the last word of the backend server is
-	// trusted when a request starts: a pulse begins within it in one of fifty.
+	// trusted when a request starts: a small part of the usual turn of a neighbour.
 	freshLoad = 30 * time.Millisecond
 	// calmEvery is the pause between two looks whether a pulse is over.
 	calmEvery = 15 * time.Millisecond
--- a/internal/mesh/node/reports.go
+++ b/internal/mesh/node/reports.go
@@ -62,7 +62,7 @@
 
 const (
 	// tellEvery is the least pause between two load reports to the nodes that use the
-	// backend server. A report is 23 bytes, 75 on the wire, for each of them.
+	// backend server.
 	tellEvery = 60 * time.Millisecond
 	// tellAlways is the longest pause while anything runs or waits.
 	tellAlways = 250 * time.Millisecond
@@ -140,8 +140,8 @@
 
 // next says whether a load is to be told now, and to whom.
 //
-// Changes of load go to those who use the backend server. Told to the whole region,
-// they were most of all bytes between zones where a region has a hundred nodes.
+// Changes of load go to those who use the backend server: told to a whole region of a
+// hundred nodes, they would be most of the bytes between its availability zones.
 func (t *telling) next(l mesh.Load, urgent bool, now time.Time) (reach peer.Reach, due bool) {
 	anyway := tellAnyway
 	if l.Reading {
