--- a/internal/mesh/entry/run.go
+++ b/internal/mesh/entry/run.go
@@ -1,10 +1,12 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/limpetdock/limpetdock/internal/kind"
@@ -89,36 +91,22 @@
 		return candidate{}, 0, kind.New(kind.NoTarget, "no target can take the request")
 	}
 	left := t.deadline - t.entry.Now() - answerMargin
-	best, refusal := feasible(list, left)
-	if refusal != nil {
-		return candidate{}, 0, refusal
+	soonest := slices.MinFunc(list, func(a, b candidate) int { return cmp.Compare(a.wait, b.wait) }).wait
+	list = slices.DeleteFunc(list, func(c candidate) bool { return c.wait+c.work/2 > left })
+	if len(list) == 0 {
+		e := kind.New(kind.Overloaded, "the wait at every target is longer than the deadline")
+		e.RetryAfter = soonest
+		return candidate{}, 0, e
 	}
+	best := list[0]
 	if len(list) == 1 || len(t.offers) >= maxOffers-1 {
 		return best, left, nil
 	}
 	// It may wait for as long as the next target would cost more.
-	second := list[0]
-	if second.target == best.target {
-		second = list[1]
-	}
-	patience := best.wait + max(second.cost-best.cost, minPatience)
+	patience := best.wait + max(list[1].cost-best.cost, minPatience)
 	return best, min(patience, left), nil
 }
 
-// feasible gives the cheapest target that can answer in the time left.
-func feasible(list []candidate, left time.Duration) (candidate, *kind.Error) {
-	soonest := list[0].wait
-	for _, c := range list {
-		if c.wait+c.work/2 <= left {
-			return c, nil
-		}
-		soonest = min(soonest, c.wait)
-	}
-	e := kind.New(kind.Overloaded, "the wait at every target is longer than the deadline")
-	e.RetryAfter = soonest
-	return candidate{}, e
-}
-
 // offer sends the request to a target and takes what comes as evidence.
 func (t *trip) offer(ctx context.Context, c candidate, patience time.Duration) (*mesh.Answer, *kind.Error) {
 	e := t.entry
--- a/internal/mesh/guard/guard_test.go
+++ b/internal/mesh/guard/guard_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -17,19 +16,10 @@
 	"github.com/limpetdock/limpetdock/internal/mesh"
 	"github.com/limpetdock/limpetdock/internal/mesh/exchange"
 	"github.com/limpetdock/limpetdock/internal/mesh/guard"
+	"github.com/limpetdock/limpetdock/internal/mesh/model"
 )
 
-var dialect = mesh.Dialect{
-	Headers: mesh.HeaderNames{
-		RequestID: "X-Id", TimeoutMs: "X-Timeout", Signature: "X-Signature", ExpectedTarget: "X-Expected",
-		Load: "X-Load", NotRun: "X-Not-Run", Caller: "X-Caller", Target: "X-Target",
-	},
-	ParseLoad: func(v string) (mesh.BackendLoad, bool) {
-		l := mesh.BackendLoad{}
-		n, err := fmt.Sscanf(v, "%d %f", &l.Running, &l.Slowdown)
-		return l, err == nil && n == 2
-	},
-}
+var dialect = model.Dialect
 
 type fixture struct {
 	*guard.Guard
--- a/internal/mesh/model/server.go
+++ b/internal/mesh/model/server.go
@@ -23,8 +23,7 @@
 // HealthPath is where a Server tells its load.
 const HealthPath = "/health"
 
-// Dialect is how a Server names headers and tells its load: "RUNNING WAITING SLOTS
-// SLOWDOWN".
+// Dialect is how a Server names headers and tells its load: "RUNNING SLOWDOWN".
 var Dialect = mesh.Dialect{
 	Headers: mesh.HeaderNames{
 		RequestID: "X-Id", TimeoutMs: "X-Timeout", Signature: "X-Signature", ExpectedTarget: "X-Expected",
@@ -32,8 +31,8 @@
 	},
 	ParseLoad: func(v string) (mesh.BackendLoad, bool) {
 		l := mesh.BackendLoad{}
-		n, err := fmt.Sscanf(v, "%d %d %d %f", &l.Running, &l.Waiting, &l.Slots, &l.Slowdown)
-		return l, err == nil && n == 4
+		n, err := fmt.Sscanf(v, "%d %f", &l.Running, &l.Slowdown)
+		return l, err == nil && n == 2
 	},
 }
 
@@ -234,6 +233,6 @@
 	header := http.Header{}
 	header.Set(Dialect.Headers.RequestID, m.Header.Get(Dialect.Headers.RequestID))
 	header.Set(Dialect.Headers.Signature, strconv.Itoa(s.ran))
-	header.Set(Dialect.Headers.Load, fmt.Sprintf("%d %d %d %g", s.running, len(s.queue), s.Slots, s.slowdown(time.Now())))
+	header.Set(Dialect.Headers.Load, fmt.Sprintf("%d %g", s.running, s.slowdown(time.Now())))
 	return &mesh.Answer{Status: status, Header: header}
 }
