--- a/internal/mesh/guard/guard.go
+++ b/internal/mesh/guard/guard.go
@@ -126,10 +126,10 @@
 // Load gives the load to tell entries.
 func (g *Guard) Load() mesh.Load {
 	l := g.gate.Load()
-	slow := g.pulse.state(g.Now())
+	slowed := g.pulse.state(g.Now())
 	load := mesh.Load{
 		Running: l.InUse, Waiting: l.Due, Slots: l.Limit, Service: l.Service,
-		Slowdown: slow.now, Standing: slow.standing, CalmIn: slow.calmIn, Leaving: g.leaving.Load() || g.stopping.Load(),
+		Slowdown: slowed.now, Standing: slowed.standing, CalmIn: slowed.calmIn, Leaving: g.leaving.Load() || g.stopping.Load(),
 	}
 	if v := g.view.Load(); v != nil {
 		load.Revision = v.Revision
--- a/internal/mesh/guard/load_test.go
+++ b/internal/mesh/guard/load_test.go
@@ -144,3 +144,25 @@
 	}
 	return sum
 }
+
+// Two requests come at once for one slot. The second waits as long as it then runs, on a
+// server that is slowed besides. Told as work, the wait and the slowdown would make the like
+// of it look late from the start, and the queues of all guards would put none before another.
+func TestWaitAndSlowdownAreNoWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := beside(t, model.Backend{Slots: 1, Queue: 4, Cold: time.Minute, ColdTimes: 2}, 1)
+		time.Sleep(time.Second)
+		var group sync.WaitGroup
+		for i := range 6 {
+			group.Go(func() {
+				answer, err := g.Run(t.Context(), &mesh.Request{
+					ID: fmt.Sprint(i), Method: http.MethodGet, URI: routes[0].prefix, Host: "h", Header: http.Header{}, Service: "orders",
+					Target: "i-1", Idempotent: true, Left: time.Minute, Patience: time.Minute, AimLeft: time.Minute,
+				})
+				require.Nil(t, err)
+				require.InDelta(t, routes[0].work.Seconds(), answer.Work.Seconds(), 0.01)
+			})
+		}
+		group.Wait()
+	})
+}
