Levels that are seldom run are remembered longer

Cause: a level found to be bad left the window after 256 requests and was tried again, at the cost of the slow requests that this took, on a server with an early knee without end. Change: up to three requests of a level stay for four more windows.

--- a/internal/crowd/crowd.go
+++ b/internal/crowd/crowd.go
@@ -50,6 +50,8 @@
 	level int
 	// took is the logarithm of the time taken, in nanoseconds.
 	took float64
+	// rounds is how often it was kept when its turn to leave the window came.
+	rounds int
 }
 
 // class is a kind of request.
@@ -165,6 +167,9 @@
 		c.last = append(c.last, r)
 		return
 	}
+	for c.rare(&c.last[c.next]) {
+		c.next = (c.next + 1) % window
+	}
 	old := &c.last[c.next]
 	if old.class.count--; old.class.count == 0 {
 		delete(c.classes, old.class.name)
@@ -173,6 +178,23 @@
 	c.next = (c.next + 1) % window
 }
 
+const (
+	// rareCount is the number of requests up to which a level counts as seldom run, and
+	// rareRounds how many more windows those are kept for.
+	rareCount, rareRounds = 3, 4
+)
+
+// rare says whether a request is to stay in the window for its level, which is seldom run.
+// A level that was found to be bad would else be tried again with each window, at the cost
+// of the requests that it makes slow.
+func (c *Curve) rare(r *request) bool {
+	if r.rounds >= rareRounds || c.levels[r.level-1].count > rareCount {
+		return false
+	}
+	r.rounds++
+	return true
+}
+
 // leastRounds and mostRounds bound how often classes and levels are fitted to each other
 // after a request. Each fit goes on from the one before, and the fewer requests there are,
 // the more a new one changes.
