A request waits near home only while its answer can be in time

Change: patience is how long a request may wait until the next target is the better, with the chance to be late counted at each moment of the wait. The test fails without the change.

--- a/internal/mesh/entry/choose.go
+++ b/internal/mesh/entry/choose.go
@@ -49,6 +49,7 @@
 	cost time.Duration
 	// wait is the time until it gets a slot, and work how long it then takes.
 	wait, work time.Duration
+	forecast   mesh.Forecast
 }
 
 // routeStat is what was seen of a route's requests. Safe for concurrent use.
@@ -127,7 +128,7 @@
 		target.Stat.Report(t.entry.Guard.Load(), now)
 	}
 	f := target.Forecast(work, now)
-	c := candidate{target: target, wait: f.Wait, work: f.Work}
+	c := candidate{target: target, wait: f.Wait, work: f.Work, forecast: f}
 	if wait, refused := t.refusals[target.ID]; refused {
 		c.wait = max(c.wait, wait)
 	}
--- a/internal/mesh/entry/entry_test.go
+++ b/internal/mesh/entry/entry_test.go
@@ -300,6 +300,27 @@
 	require.Equal(t, []string{own}, w.offered)
 }
 
+// A request goes to the target at home, whose neighbours slow it the next moment. Bytes to the
+// other target are dear, and for the sake of them the request would wait at home until its
+// answer is late. It waits for as long as it can still be in time, and then goes.
+func TestNoRequestWaitsUntilItIsLateToSaveBytes(t *testing.T) {
+	w := newWorld(t, true)
+	w.targets = []*mesh.Target{w.targets[0], w.targets[3]}
+	w.publish()
+	w.entry.SetPrices(entry.Prices{ZonePerKB: 10 * time.Millisecond, RegionPerKB: 200 * time.Millisecond})
+	w.route.Aim, w.route.Timeout = 300*time.Millisecond, 5*time.Second
+	var patience time.Duration
+	w.answers[own] = func(r *mesh.Request) (*mesh.Answer, *kind.Error) {
+		patience = r.Patience
+		return answered(200)(r)
+	}
+	_, err := w.serve()
+	require.Nil(t, err)
+	require.Equal(t, []string{own}, w.offered)
+	require.Positive(t, patience)
+	require.Less(t, patience, w.route.Aim)
+}
+
 // Every queue is longer than the request can wait. It is refused at once, with the
 // time after which asking again can help, and not held until its deadline.
 func TestWhatCannotBeServedInTimeIsRefusedAtOnce(t *testing.T) {
--- a/internal/mesh/entry/run.go
+++ b/internal/mesh/entry/run.go
@@ -102,9 +102,29 @@
 	if len(list) == 1 || len(t.offers) >= maxOffers-1 {
 		return best, left, nil
 	}
-	// It may wait for as long as the next target would cost more.
-	patience := best.wait + max(list[1].cost-best.cost, minPatience)
-	return best, min(patience, left), nil
+	return best, min(t.patience(best, list[1]), left), nil
+}
+
+// patienceSteps is how often the span of a patience is halved to find it.
+const patienceSteps = 6
+
+// patience gives how long a request may wait at the best target before the next one is the
+// better: for as long as that costs more, the chance counted that the wait makes the
+// answer late.
+func (t *trip) patience(best, next candidate) time.Duration {
+	margin := max(next.cost-best.cost, minPatience)
+	now := t.entry.Now() + wayTo[best.target.Distance]
+	risk := t.risk(best.forecast, now)
+	least, most := minPatience, margin
+	for range patienceSteps {
+		wait := (least + most) / 2
+		if wait+t.risk(best.forecast, now+wait)-risk <= margin {
+			least = wait
+		} else {
+			most = wait
+		}
+	}
+	return best.wait + least
 }
 
 // offer sends the request to a target and takes what comes as evidence.
