--- a/internal/mesh/guard/guard.go
+++ b/internal/mesh/guard/guard.go
@@ -6,10 +6,8 @@
 import (
 	"cmp"
 	"context"
-	"errors"
 	"math"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -238,86 +236,3 @@
 func rankOf(r *mesh.Request) gate.Rank {
 	return gate.Rank{Depth: maxPriority - min(max(r.Priority, 0), maxPriority)}
 }
-
-// exchange sends the request to the backend server.
-func (g *Guard) exchange(ctx context.Context, r *mesh.Request, deadline time.Duration) (*mesh.Answer, *kind.Error) {
-	if !r.Idempotent {
-		// Once sent it is seen through: to break it off would leave its outcome open
-		// and free little. allow still notices a caller that left before.
-		caller := ctx
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(context.WithoutCancel(ctx), deadline-g.Now())
-		defer cancel()
-		return g.send(ctx, r, func() bool { return caller.Err() == nil && g.Now() < deadline }, deadline)
-	}
-	return g.send(ctx, r, func() bool { return g.Now() < deadline }, deadline)
-}
-
-func (g *Guard) send(ctx context.Context, r *mesh.Request, allow func() bool, deadline time.Duration) (*mesh.Answer, *kind.Error) {
-	g.ran.Add(1)
-	answer, failure := g.Backend.Do(ctx, g.message(r, deadline), allow)
-	if failure != nil {
-		return nil, g.failed(ctx, failure)
-	}
-	g.learn(answer.Header)
-	names := g.Dialect.Headers
-	if answer.Header.Get(names.NotRun) != "" || answer.Status == http.StatusMisdirectedRequest {
-		return nil, refusedBy(answer)
-	}
-	if answer.Status < http.StatusMultipleChoices && answer.Header.Get(names.Signature) == "" {
-		return nil, kind.New(kind.BackendBroken, "the answer has no proof of its origin")
-	}
-	return answer, nil
-}
-
-// refusedBy tells of a backend server that didn't run the request, by its word.
-func refusedBy(a *mesh.Answer) *kind.Error {
-	e := kind.New(kind.Overloaded, "the backend server refused the request with %d", a.Status)
-	if a.Status == http.StatusMisdirectedRequest {
-		e = kind.New(kind.StaleAttempt, "another backend server has the address")
-	}
-	e.FromBackend = true
-	return e
-}
-
-func (g *Guard) failed(ctx context.Context, f *exchange.Failure) *kind.Error {
-	switch {
-	case errors.Is(ctx.Err(), context.Canceled) && f.Outcome == exchange.Unknown:
-		return kind.New(kind.OutcomeUnknown, "the caller left").Because(ctx.Err())
-	case f.Outcome == exchange.Unreachable:
-		return kind.New(kind.Unreachable, "the backend server can't be reached").Because(f)
-	case f.Outcome == exchange.NotSent && ctx.Err() != nil:
-		return kind.New(kind.DeadlineNotRun, "the deadline passed before the request was sent").Because(f)
-	case f.Outcome == exchange.NotSent:
-		return kind.New(kind.Unreachable, "the connection to the backend server was gone").Because(f)
-	case ctx.Err() != nil:
-		return kind.New(kind.DeadlineUnknown, "the deadline passed while the backend server ran the request").Because(f)
-	}
-	return kind.New(kind.BackendBroken, "the backend server broke off the exchange").Because(f)
-}
-
-func (g *Guard) message(r *mesh.Request, deadline time.Duration) *exchange.Message {
-	names := g.Dialect.Headers
-	header := http.Header(r.Header)
-	header.Set(names.RequestID, r.ID)
-	header.Set(names.TimeoutMs, strconv.FormatInt(max((deadline-g.Now()).Milliseconds(), 1), 10))
-	header.Set(names.ExpectedTarget, r.Target)
-	header.Set(names.Caller, r.Caller)
-	return &exchange.Message{
-		Method: r.Method, URI: r.URI, Host: r.Host, Header: header, Body: r.Body, Once: !r.Idempotent,
-	}
-}
-
-// learn takes what an answer says of the backend server's load.
-func (g *Guard) learn(h http.Header) {
-	l, ok := g.Dialect.ParseLoad(h.Get(g.Dialect.Headers.Load))
-	if !ok {
-		return
-	}
-	g.gate.BackendCount(l.Running)
-	now := g.Now()
-	g.toldAt.Store(int64(now))
-	if l.Slowdown > 0 && g.pulse.told(now, l.Slowdown) {
-		g.Changed(false)
-	}
-}
