--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -115,10 +115,11 @@
 func (g *Gate) EnterWithin(ctx context.Context, rank Rank, limits Wait) (Slot, *kind.Error) {
 	g.mu.Lock()
 	now := time.Now()
-	if len(g.queue) == 0 && g.free(now) {
-		slot := g.give(now)
-		g.mu.Unlock()
-		return slot, nil
+	if len(g.queue) == 0 {
+		if slot, admitted := g.admit(now); admitted {
+			g.mu.Unlock()
+			return slot, nil
+		}
 	}
 	w, refusal := g.enqueue(ctx, rank, limits, now)
 	g.mu.Unlock()
@@ -128,29 +129,25 @@
 	return g.wait(ctx, w)
 }
 
-// free says whether one more may start now. The mutex is held.
-func (g *Gate) free(now time.Time) bool {
-	limit := g.limit(now)
-	if g.running < limit {
-		return true
-	}
-	return g.mayTry() && g.running < min(g.curve.Trial(), g.start.bound(now, g.limits.Slots, g.limits.Slots))
-}
-
-// mayTry says whether a request may be started beyond the limit to learn how the
-// backend server takes it. The mutex is held.
-func (g *Gate) mayTry() bool {
-	return g.limits.Learnt && g.trials < g.curve.Trial()-g.curve.Limit()
-}
-
-// give gives a slot out. The mutex is held.
-func (g *Gate) give(now time.Time) Slot {
+// admit gives a slot out if one more request may start now. The mutex is held.
+func (g *Gate) admit(now time.Time) (Slot, bool) {
 	trial := g.running >= g.limit(now)
 	if trial {
+		if !g.mayTry(now) {
+			return Slot{}, false
+		}
 		g.trials++
 	}
 	g.running++
-	return Slot{gate: g, since: now, beside: g.running, trial: trial}
+	return Slot{gate: g, since: now, beside: g.running, trial: trial}, true
+}
+
+// mayTry says whether a request may be started beyond the limit to learn how the
+// backend server takes it. The mutex is held.
+func (g *Gate) mayTry(now time.Time) bool {
+	highest := g.curve.Trial()
+	return g.limits.Learnt && g.trials < highest-g.curve.Limit() &&
+		g.running < g.start.bound(now, highest, g.limits.Slots)
 }
 
 // Learn takes how long a request in the slot took at the backend server, for
@@ -205,9 +202,12 @@
 
 // dispatch lets those who wait into free slots. The mutex is held.
 func (g *Gate) dispatch(now time.Time) {
-	for len(g.queue) > 0 && g.free(now) {
-		w := g.take(g.next(now))
-		w.verdict <- verdict{admitted: true, slot: g.give(now)}
+	for len(g.queue) > 0 {
+		slot, admitted := g.admit(now)
+		if !admitted {
+			break
+		}
+		g.take(g.next(now)).verdict <- verdict{admitted: true, slot: slot}
 	}
 	if g.running == 0 && len(g.queue) == 0 {
 		g.drain.idle()
--- a/internal/mesh/entry/choose.go
+++ b/internal/mesh/entry/choose.go
@@ -47,9 +47,10 @@
 	target *mesh.Target
 	// cost orders candidates: time, and bytes and risks as time.
 	cost time.Duration
-	// wait is the time until it gets a slot, and work how long it then takes.
-	wait, work time.Duration
-	forecast   mesh.Forecast
+	// wait is the time until it gets a slot: the forecast's, or longer where the target
+	// refused the request for that.
+	wait     time.Duration
+	forecast mesh.Forecast
 }
 
 // routeStat is what was seen of a route's requests. Safe for concurrent use.
@@ -128,12 +129,12 @@
 		target.Stat.Report(t.entry.Guard.Load(), now)
 	}
 	f := target.Forecast(work, now)
-	c := candidate{target: target, wait: f.Wait, work: f.Work, forecast: f}
+	c := candidate{target: target, wait: f.Wait, forecast: f}
 	if wait, refused := t.refusals[target.ID]; refused {
 		c.wait = max(c.wait, wait)
 	}
 	slots := max(f.Slots, target.Slots, 1)
-	c.cost = wayTo[target.Distance] + c.wait + c.work +
+	c.cost = wayTo[target.Distance] + c.wait + f.Work +
 		t.risk(f, now+wayTo[target.Distance]) +
 		time.Duration(crowding*float64(f.Work)*float64(f.Busy)/float64(slots)) +
 		time.Duration(f.Failing*float64(failureCost)) +
--- a/internal/mesh/entry/run.go
+++ b/internal/mesh/entry/run.go
@@ -92,7 +92,7 @@
 	}
 	left := t.deadline - t.entry.Now() - answerMargin
 	soonest := slices.MinFunc(list, func(a, b candidate) int { return cmp.Compare(a.wait, b.wait) }).wait
-	list = slices.DeleteFunc(list, func(c candidate) bool { return c.wait+c.work/2 > left })
+	list = slices.DeleteFunc(list, func(c candidate) bool { return c.wait+c.forecast.Work/2 > left })
 	if len(list) == 0 {
 		e := kind.New(kind.Overloaded, "the wait at every target is longer than the deadline")
 		e.RetryAfter = soonest
@@ -155,7 +155,7 @@
 // note takes the outcome of an offer as evidence about the target.
 func (t *trip) note(c candidate, answer *mesh.Answer, err *kind.Error, took time.Duration) {
 	now := t.entry.Now()
-	o := offer{target: c.target, took: took, expected: wayTo[c.target.Distance] + c.wait + c.work}
+	o := offer{target: c.target, took: took, expected: wayTo[c.target.Distance] + c.wait + c.forecast.Work}
 	if err == nil {
 		t.sent++
 		failed := answer.Status >= http.StatusInternalServerError
--- a/internal/mesh/forecast.go
+++ b/internal/mesh/forecast.go
@@ -55,9 +55,5 @@
 	if ahead <= 0 {
 		return 0
 	}
-	service := e.Service
-	if service == 0 {
-		service = assumedService
-	}
-	return service * time.Duration(ahead) / time.Duration(slots)
+	return cmp.Or(e.Service, assumedService) * time.Duration(ahead) / time.Duration(slots)
 }
