Observability: how far each call to the store came, and how long a node is behind

What callers saw: nodes served an old configuration and their logs didn't say why: 'store lost' is written once, later failures were silent, and neither log nor metrics held the size of an answer or how far it came. The monitoring of the record kept the first 4 KB of a scrape, which were the Go runtime's metrics.

Each failed call and each answer over 64 KB has a line; new metrics for transfer time, bytes received, revision and time behind; /metrics/node has the plain counters only. No decision is changed.

--- a/internal/mesh/node/admin.go
+++ b/internal/mesh/node/admin.go
@@ -18,8 +18,10 @@
 
 // Paths of the operators' port.
 const (
-	// PathMetrics serves the counters.
-	PathMetrics = "/metrics"
+	// PathMetrics serves all metrics, and PathNodeMetrics the plain counters and
+	// gauges of the node only.
+	PathMetrics     = "/metrics"
+	PathNodeMetrics = "/metrics/node"
 	// PathState dumps what the node believes.
 	PathState = "/state"
 )
@@ -68,6 +70,7 @@
 func (a *admin) serve(l net.Listener) error {
 	r := gin.New()
 	r.GET(PathMetrics, gin.WrapH(promhttp.HandlerFor(a.metrics.Registry, promhttp.HandlerOpts{})))
+	r.GET(PathNodeMetrics, gin.WrapH(promhttp.HandlerFor(a.metrics.Node, promhttp.HandlerOpts{})))
 	r.GET(PathState, func(c *gin.Context) { c.JSON(http.StatusOK, a.state()) })
 	return serveHTTP(l, r)
 }
--- a/internal/mesh/node/metrics.go
+++ b/internal/mesh/node/metrics.go
@@ -6,11 +6,12 @@
 	"github.com/limpetdock/limpetdock/internal/mesh/exchange"
 	"github.com/limpetdock/limpetdock/internal/mesh/front"
 	"github.com/limpetdock/limpetdock/internal/mesh/guard"
+	"github.com/limpetdock/limpetdock/internal/mesh/reader"
 	"github.com/limpetdock/limpetdock/internal/metrics"
 )
 
 // registerMetrics exposes the counters that the parts of a node keep themselves.
-func registerMetrics(m *metrics.Metrics, log *decision.Log, s Source, f *front.Server, e *entry.Entry, g *guard.Guard, b *exchange.Client) {
+func registerMetrics(m *metrics.Metrics, log *decision.Log, c *storeCalls, s Source, r *reader.Follower, f *front.Server, e *entry.Entry, g *guard.Guard, b *exchange.Client) {
 	count := func(name, help string, read func() uint64) {
 		m.Counter(name, help, func() float64 { return float64(read()) })
 	}
@@ -18,6 +19,9 @@
 	count("limpetdock_log_dropped_total", "Lines dropped to bound the log.", func() uint64 { _, n := log.Counts(); return n })
 	count("limpetdock_store_calls_total", "Calls to the platform's store, a waiting watch as one.", func() uint64 { n, _ := s.Calls(); return n })
 	count("limpetdock_store_calls_failed_total", "Calls to the store without an answer that could be used.", func() uint64 { _, n := s.Calls(); return n })
+	count("limpetdock_store_received_bytes_total", "Bytes of answers of the store, also of those given up.", c.received.Load)
+	m.Gauge("limpetdock_store_revision", "Revision of the store up to which the node knows everything.", func() float64 { return float64(s.Revision()) })
+	m.Gauge("limpetdock_store_behind_seconds", "How long the node has known of a newer revision than its own; 0 is not.", func() float64 { return r.Behind().Seconds() })
 	count("limpetdock_backend_sent_total", "Requests sent to the backend server.", func() uint64 { n, _ := g.Counts(); return n })
 	count("limpetdock_backend_probes_total", "Questions to the backend server about its load.", func() uint64 { _, n := g.Counts(); return n })
 	count("limpetdock_backend_connections_total", "Connections opened to the backend server.", b.Opened)
--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -43,6 +43,8 @@
 	Alone func() bool
 	// Now gives the time since the node's start.
 	Now func() time.Duration
+	// Observe is told of each call to the store once it has ended.
+	Observe func(StoreCall)
 }
 
 // Source reads the platform's store and hands its news to the control goroutine.
@@ -59,7 +61,7 @@
 var Module = fx.Options(
 	fx.Provide(
 		clock.New, metrics.New, newBackend, newGuard, newTeller, newPeerServer, newPeerClient, newEntry,
-		newCallers, newFront, newLoop, newSource, newAdmin, newReports, newReaders, newFollower, newReporter,
+		newCallers, newFront, newLoop, newStoreCalls, newSource, newAdmin, newReports, newReaders, newFollower, newReporter,
 	),
 	fx.Invoke(registerMetrics, run),
 )
@@ -115,8 +117,8 @@
 	return reader.NewTable(net.JoinHostPort(s.Here.IP, s.PeersPort()), s.Here, now)
 }
 
-func newSource(s *settings.Settings, p Platform, log *decision.Log, l *directory.Loop, r *reports, t *reader.Table, now clock.Clock) Source {
-	source := p.Source(s.Store, log, l, Part{Reads: t.Reads, Alone: r.alone, Now: now})
+func newSource(s *settings.Settings, p Platform, log *decision.Log, l *directory.Loop, r *reports, t *reader.Table, now clock.Clock, c *storeCalls) Source {
+	source := p.Source(s.Store, log, l, Part{Reads: t.Reads, Alone: r.alone, Now: now, Observe: c.observe})
 	// Told by others that the own backend server is gone, the node finds out whether it
 	// is itself cut off from the store.
 	l.OnOwnEnded(source.Refresh)
--- /dev/null
+++ b/internal/mesh/node/store_calls.go
@@ -0,0 +1,63 @@
+package node
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/limpetdock/limpetdock/internal/decision"
+	"github.com/limpetdock/limpetdock/internal/metrics"
+)
+
+// StoreCall is a call to the platform's store that has ended.
+type StoreCall struct {
+	// Query is the call's path and query.
+	Query string
+	// Took is the time until the call ended, and AnswerAfter that until its answer
+	// began; 0 says that none did.
+	Took, AnswerAfter time.Duration
+	// Bytes is how much of the answer's body came.
+	Bytes int
+	// Err is nil for an answer that could be used.
+	Err error
+}
+
+// transfer is how long the answer's body took, or what of it came.
+func (c *StoreCall) transfer() time.Duration {
+	if c.AnswerAfter == 0 {
+		return 0
+	}
+	return c.Took - c.AnswerAfter
+}
+
+// largeAnswer is the size from which on an answer has a line of its own, in bytes: it
+// takes a noticeable time on a slow link.
+const largeAnswer = 64 << 10
+
+// storeCalls measures and logs calls to the store.
+type storeCalls struct {
+	log     *decision.Log
+	metrics *metrics.Metrics
+	// received counts the bytes of answers, also of those that were given up.
+	received atomic.Uint64
+}
+
+func newStoreCalls(log *decision.Log, m *metrics.Metrics) *storeCalls {
+	return &storeCalls{log: log, metrics: m}
+}
+
+// observe takes a call that has ended. Calls are few; failed ones come at most every
+// tenth of a second.
+func (s *storeCalls) observe(c StoreCall) {
+	s.received.Add(uint64(c.Bytes))
+	s.metrics.StoreAnswer(c.Err == nil, c.transfer())
+	fields := []any{
+		"query", c.Query, "took_ms", c.Took.Milliseconds(),
+		"answer_after_ms", c.AnswerAfter.Milliseconds(), "bytes", c.Bytes,
+	}
+	switch {
+	case c.Err != nil:
+		s.log.Trouble("call to the store failed", append(fields, "error", c.Err.Error())...)
+	case c.Bytes >= largeAnswer:
+		s.log.Change("large answer of the store", fields...)
+	}
+}
--- a/internal/mesh/reader/follower.go
+++ b/internal/mesh/reader/follower.go
@@ -49,6 +49,7 @@
 	news  chan news
 	// answered is told after each answer.
 	answered chan struct{}
+	behind   behind
 }
 
 // news is a node's word that it has seen a revision.
@@ -70,12 +71,19 @@
 	if known == 0 || l.Revision <= known {
 		return
 	}
+	f.behind.heard(l.Revision, known, f.table.now())
 	select {
 	case f.news <- news{addr, l.Revision}:
 	default:
 	}
 }
 
+// Behind gives how long the node has known of a newer revision than its own; 0 if it
+// knows of none.
+func (f *Follower) Behind() time.Duration {
+	return f.behind.lasting(f.store.Revision(), f.table.now())
+}
+
 // Run looks after news until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	for {
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -31,12 +31,15 @@
 
 // Metrics holds a node's counters. Safe for concurrent use.
 type Metrics struct {
-	Registry *prometheus.Registry
-	requests *prometheus.CounterVec
-	hops     *prometheus.CounterVec
-	latency  *prometheus.HistogramVec
-	forecast *prometheus.HistogramVec
-	now      func() time.Time
+	// Registry has everything. Node has the plain counters and gauges of the node
+	// itself, few enough for a monitor that reads only the first kilobytes.
+	Registry, Node *prometheus.Registry
+	requests       *prometheus.CounterVec
+	hops           *prometheus.CounterVec
+	latency        *prometheus.HistogramVec
+	forecast       *prometheus.HistogramVec
+	transfer       *prometheus.HistogramVec
+	now            func() time.Time
 	// services is replaced, never changed, when a service is first counted, so
 	// that requests find their counters without a lock.
 	services atomic.Pointer[map[string]*service]
@@ -46,7 +49,7 @@
 // New returns counters in a registry of their own.
 func New() *Metrics {
 	m := &Metrics{
-		Registry: prometheus.NewRegistry(),
+		Registry: prometheus.NewRegistry(), Node: prometheus.NewRegistry(),
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "limpetdock_requests_total", Help: "Requests answered to callers, by error kind or backend.",
 		}, []string{"service", "kind"}),
@@ -61,10 +64,15 @@
 			Name: "limpetdock_forecast_ratio", Help: "Time until a target answered, in times of what the entry expected.",
 			Buckets: []float64{.25, .5, .7, .9, 1.1, 1.4, 2, 4, 8},
 		}, []string{"service"}),
+		transfer: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "limpetdock_store_transfer_seconds",
+			Help:    "Time from the start to the end of an answer of the platform's store, or until it was given up.",
+			Buckets: []float64{.001, .01, .05, .1, .2, .5, 1, 2, 5},
+		}, []string{"outcome"}),
 		now: time.Now,
 	}
 	m.services.Store(&map[string]*service{})
-	m.Registry.MustRegister(m.requests, m.hops, m.latency, m.forecast,
+	m.Registry.MustRegister(m.requests, m.hops, m.latency, m.forecast, m.transfer,
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector())
 	build := version.Current()
 	m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
@@ -81,6 +89,21 @@
 	}
 }
 
+// Outcomes of calls to the platform's store.
+const (
+	storeAnswered = "answered"
+	storeFailed   = "failed"
+)
+
+// StoreAnswer counts a call to the platform's store and how long its answer took to arrive.
+func (m *Metrics) StoreAnswer(answered bool, transfer time.Duration) {
+	outcome := storeAnswered
+	if !answered {
+		outcome = storeFailed
+	}
+	m.transfer.WithLabelValues(outcome).Observe(transfer.Seconds())
+}
+
 // Answered counts a request that was answered, by the backend server when k is
 // empty. An empty service is one that isn't declared.
 func (m *Metrics) Answered(name string, k kind.Kind, took time.Duration) {
@@ -130,12 +153,17 @@
 
 // Gauge registers a value that is read whenever the metrics are.
 func (m *Metrics) Gauge(name, help string, read func() float64) {
-	m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, read))
+	m.registerPlain(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, read))
 }
 
 // Counter registers a counter that is read whenever the metrics are.
 func (m *Metrics) Counter(name, help string, read func() float64) {
-	m.Registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help}, read))
+	m.registerPlain(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help}, read))
+}
+
+func (m *Metrics) registerPlain(c prometheus.Collector) {
+	m.Registry.MustRegister(c)
+	m.Node.MustRegister(c)
 }
 
 // LabelledFunc registers a counter with constant labels that is read whenever
