--- /dev/null
+++ b/internal/progress/progress_test.go
@@ -0,0 +1,67 @@
+package progress_test
+
+import (
+	"context"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/limpetdock/limpetdock/internal/progress"
+)
+
+// pieces gives a byte after each pause, then waits for ctx.
+type pieces struct {
+	ctx    context.Context
+	pauses []time.Duration
+}
+
+func (p *pieces) Read(b []byte) (int, error) {
+	if len(p.pauses) == 0 {
+		<-p.ctx.Done()
+		return 0, context.Cause(p.ctx)
+	}
+	pause := p.pauses[0]
+	p.pauses = p.pauses[1:]
+	select {
+	case <-time.After(pause):
+		return copy(b, "x"), nil
+	case <-p.ctx.Done():
+		return 0, context.Cause(p.ctx)
+	}
+}
+
+func TestWatchdog(t *testing.T) {
+	const within = time.Second
+	slow := within - time.Millisecond
+	for _, c := range []struct {
+		name   string
+		pauses []time.Duration
+		bytes  int
+	}{
+		{"nothing comes", nil, 0},
+		{"each piece in time, the whole in many times the limit", []time.Duration{slow, slow, slow, slow, slow, slow}, 6},
+		{"a piece is late", []time.Duration{slow, within + time.Millisecond, slow}, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, w := progress.Watch(t.Context(), within)
+				defer w.Stop()
+				text, err := io.ReadAll(w.Reader(&pieces{ctx, c.pauses}, within))
+				require.ErrorIs(t, err, progress.ErrStalled)
+				require.Len(t, text, c.bytes)
+			})
+		})
+	}
+}
+
+func TestAnEndedWatchDoesNotStall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, w := progress.Watch(t.Context(), time.Second)
+		w.Stop()
+		time.Sleep(time.Minute)
+		require.ErrorIs(t, context.Cause(ctx), context.Canceled)
+	})
+}
