A registration that ended after an outage is held no longer than it would take to be back

What callers saw: a request answered by a target that had left more than two seconds before, and might have been gone.

Cause: a registration that ends shortly after the store's return is held, as it may have run out only for want of renewal. It was held for two seconds from its end, not from the store's return, although it would be back two seconds after that.

TestATargetIsHeldUntilItsRegistrationIsOverdue failed before. TestAnOutageThatAnotherNodeSawHoldsTargetsToo asserted two seconds after the end; what the store promises is two seconds after its return, which is what it asserts now, to 10 ms.

--- a/internal/mesh/directory/directory.go
+++ b/internal/mesh/directory/directory.go
@@ -145,7 +145,7 @@
 	s.dirty = true
 	if one.State == mesh.Ready && s.lapsing(now) {
 		if one.dropAt == 0 {
-			one.dropAt = max(now, s.regainedAt) + lapseGrace
+			one.dropAt = s.overdueAt(now)
 		}
 		if s.lost && one.Addr == s.own {
 			s.revive(now)
@@ -165,6 +165,15 @@
 	s.dirty = true
 }
 
+// overdueAt is when a registration that ended now would be back if it had only run out.
+// While the store is away nobody knows; Regained sets it anew.
+func (s *State) overdueAt(now time.Duration) time.Duration {
+	if s.lost {
+		return now + lapseGrace
+	}
+	return s.regainedAt + lapseGrace
+}
+
 func (s *State) lapsing(now time.Duration) bool {
 	return s.lost || now < s.regainedAt+lapseGrace
 }
--- a/internal/mesh/directory/directory_test.go
+++ b/internal/mesh/directory/directory_test.go
@@ -171,8 +171,8 @@
 	s.OutageEnded(now - 500*time.Millisecond)
 	s.Remove(now, 11, "i-zone")
 	require.Equal(t, []string{"i-own", "i-zone", "i-far"}, ids(s.Tick(now)))
-	require.Nil(t, s.Tick(now+1900*time.Millisecond))
-	require.Equal(t, []string{"i-own", "i-far"}, ids(s.Tick(now+2*time.Second)))
+	require.Nil(t, s.Tick(now+1490*time.Millisecond))
+	require.Equal(t, []string{"i-own", "i-far"}, ids(s.Tick(now+1500*time.Millisecond)), "two seconds after the store came back")
 	s.OutageEnded(now - 5*time.Second)
 	s.Remove(now+2*time.Second, 12, "i-far")
 	require.Equal(t, []string{"i-own"}, ids(s.Tick(now+2*time.Second)), "an older outage says nothing")
@@ -226,3 +226,15 @@
 	s.Remove(6*time.Second, 13, "i-own")
 	require.Equal(t, []string{"i-own", "i-zone", "i-far"}, ids(s.Tick(6*time.Second)))
 }
+
+// Guards against targets that are held beyond the time in which their registrations
+// would be back.
+func TestATargetIsHeldUntilItsRegistrationIsOverdue(t *testing.T) {
+	s := ready(t)
+	s.Tick(0)
+	s.Lost(0)
+	s.Regained(10 * time.Second)
+	s.Remove(11*time.Second, 12, "i-zone")
+	require.Equal(t, 12*time.Second, s.Due())
+	require.Equal(t, []string{"i-own", "i-far"}, ids(s.Tick(12*time.Second)))
+}
