An end of a registration that the store has confirmed is not taken back

What callers could see: after the store was lost, requests went to targets that had left in order a few seconds before.

Cause: what ended up to four seconds before the loss, together with the own target's registration, was used again, also when the store had answered this node after the ends, so that it was not cut off then.

Why this holds: an answer of the store as of a revision proves that the node was not cut off when that revision was written; only ends without such proof are taken back.

--- a/internal/mesh/directory/directory_test.go
+++ b/internal/mesh/directory/directory_test.go
@@ -238,3 +238,27 @@
 	require.Equal(t, 12*time.Second, s.Due())
 	require.Equal(t, []string{"i-own", "i-far"}, ids(s.Tick(12*time.Second)))
 }
+
+// Guards against requests to targets that left, sent once the store is lost.
+func TestAnEndThatTheStoreConfirmedOutlastsTheLossOfTheStore(t *testing.T) {
+	s := ready(t)
+	s.Tick(0)
+	s.Remove(time.Second, 11, "i-zone")
+	s.Remove(time.Second, 12, "i-own")
+	require.True(t, s.OwnEnded())
+	s.Answered(12)
+	require.False(t, s.OwnEnded())
+	s.Lost(2 * time.Second)
+	require.Equal(t, []string{"i-far"}, ids(s.Tick(2*time.Second)))
+}
+
+// Guards against an answer that is older than an end and confirms it.
+func TestAnAnswerConfirmsOnlyEndsBeforeIt(t *testing.T) {
+	s := ready(t)
+	s.Tick(0)
+	s.Remove(time.Second, 11, "i-zone")
+	s.Remove(time.Second, 12, "i-own")
+	s.Answered(11)
+	s.Lost(2 * time.Second)
+	require.Equal(t, []string{"i-own", "i-far"}, ids(s.Tick(2*time.Second)))
+}
--- a/internal/mesh/directory/loop.go
+++ b/internal/mesh/directory/loop.go
@@ -37,6 +37,9 @@
 	StoreLost struct{ Err error }
 	// StoreRegained says that it answers again.
 	StoreRegained struct{}
+	// StoreAnswered says that the store has answered this node as of a revision. It
+	// comes after what the answer told.
+	StoreAnswered struct{ Revision uint64 }
 	// OutageEnded says how long ago the store came back, by another node's word.
 	OutageEnded struct{ Ago time.Duration }
 )
@@ -78,6 +81,8 @@
 	}
 }
 
+func (e StoreAnswered) apply(l *Loop, _ time.Duration) { l.state.Answered(e.Revision) }
+
 func (e OutageEnded) apply(l *Loop, now time.Duration) { l.state.OutageEnded(now - e.Ago) }
 
 // maxEvents is how many events wait for the control goroutine. The reader of the
