--- a/internal/mesh/reader/follower.go
+++ b/internal/mesh/reader/follower.go
@@ -155,9 +155,9 @@
 }
 
 // maxNews bounds what a node tells of the store to one that follows, in bytes. More, as
-// after a configuration of thousands of routes, it reads from the store: the links of
-// VMs are slow beside the store's, and a reader has a whole zone to tell.
-const maxNews = 24 << 10
+// after a configuration that has little in common with the one before, it reads from the
+// store: a reader has a whole zone to tell, and the links of VMs are slow.
+const maxNews = 64 << 10
 
 // News gives what answers other nodes' questions and takes their answers.
 func (f *Follower) News(ctx context.Context) peer.News {
