A slow connection between nodes isn't taken for a silent one any more

What callers saw: on links of 10 Mbit/s, with an upload or an answer of more than a megabyte under way or several smaller uploads queued, all requests on the connection ended as outcome-unknown, though both nodes and the link were well. Whoever could send again began with the first byte.

Cause: only whole frames counted as life of the peer, and a ping had 600 ms from when it was queued. It waits behind what is queued before it, and the pong behind what the peer has queued, so what it measured was the size of the queues over the rate of the link.

Evidence: TestASlowConnectionIsNotTakenForSilent (all five cases) and TestAnAnswerMayStandBehindALargeState failed before with outcome-unknown, "the connection to the peer went silent"; TestAnUploadThatStandsStillIsGivenUp failed because the upload, which moved for two seconds, was given up after one. TestASilentConnectionIsGivenUpWhileRequestsAreSent passed before, and fails if all acknowledged bytes count.

Why this holds: each byte read from the peer counts, and a ping's time runs from when the bytes queued before it have arrived, or last moved. Arrived means acknowledged (TCP_INFO): the kernel takes megabytes of a write into its buffer long before they are on their way. Bytes behind the ping don't count, so a connection that takes everything and gives nothing is found after the same 400 and 600 ms; where bytes were on their way as it was pinged, up to one look (50 ms) later.

--- a/internal/mesh/peer/client.go
+++ b/internal/mesh/peer/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"sync/atomic"
 
@@ -23,8 +24,10 @@
 type Client struct {
 	hello    Hello
 	listener Listener
-	mu       sync.Mutex
-	links    map[linkKey]*link
+	// dial opens a connection to the node at an address.
+	dial  func(addr string) (net.Conn, error)
+	mu    sync.Mutex
+	links map[linkKey]*link
 	// news answers and asks for news of the store; nil until it is set.
 	news atomic.Pointer[News]
 }
@@ -59,7 +62,7 @@
 func NewClient(here mesh.Place, l Listener) *Client {
 	return &Client{
 		hello:    Hello{VM: here.VM, Region: here.Region},
-		listener: l, links: map[linkKey]*link{},
+		listener: l, dial: dialPeer, links: map[linkKey]*link{},
 	}
 }
 
--- a/internal/mesh/peer/link.go
+++ b/internal/mesh/peer/link.go
@@ -16,16 +16,9 @@
 	"github.com/limpetdock/limpetdock/internal/sockopt"
 )
 
-const (
-	// dialTimeout bounds opening a connection: some dozens of round trips between
-	// regions.
-	dialTimeout = 700 * time.Millisecond
-	// pingAfter is how long a request may be out without any frame of the peer
-	// before it is asked whether it is there, and pongWithin how long that takes
-	// at most. A connection may go silent for good while new ones work.
-	pingAfter  = 400 * time.Millisecond
-	pongWithin = 600 * time.Millisecond
-)
+// dialTimeout bounds opening a connection: some dozens of round trips between
+// regions.
+const dialTimeout = 700 * time.Millisecond
 
 var errSilent = eris.New("the connection to the peer went silent")
 
@@ -38,8 +31,7 @@
 	// dialing is closed when a dial under way has ended.
 	dialing chan struct{}
 	writer  *writer
-	heard   time.Time
-	pinged  time.Time
+	life    liveness
 	next    uint32
 	streams map[uint32]*stream
 }
@@ -77,32 +69,6 @@
 	}
 }
 
-// check pings a peer that wasn't heard of for a while, and closes the connection
-// of one that didn't answer. It gives the time to the next check.
-func (l *link) check(w *writer) time.Duration {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.writer != w {
-		return pingAfter
-	}
-	now := time.Now()
-	if !l.pinged.IsZero() && l.heard.Before(l.pinged) {
-		if now.Sub(l.pinged) >= pongWithin {
-			go w.close()
-		}
-		return pongWithin / 4
-	}
-	if now.Sub(l.heard) < pingAfter {
-		return pingAfter - now.Sub(l.heard)
-	}
-	l.pinged = now
-	if frame, err := encode(framePing, 0, nil); err == nil {
-		// If it can't be sent the connection ends.
-		_ = w.send(frame)
-	}
-	return pongWithin
-}
-
 func (l *link) open() (uint32, *stream) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -147,9 +113,14 @@
 	}
 }
 
-func (l *link) dial() (*writer, error) {
+// dialPeer opens a connection to the node at addr.
+func dialPeer(addr string) (net.Conn, error) {
 	d := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive, Control: sockopt.UserTimeout(userTimeout)}
-	raw, err := d.Dial("tcp", l.key.addr)
+	return d.Dial("tcp", addr)
+}
+
+func (l *link) dial() (*writer, error) {
+	raw, err := l.client.dial(l.key.addr)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	defer func() {
@@ -168,14 +139,14 @@
 		w.close()
 		return nil, err
 	}
-	l.writer, l.heard, l.pinged = w, time.Now(), time.Time{}
+	l.writer, l.life = w, liveness{heard: time.Now()}
 	go l.read(raw, w)
 	return w, nil
 }
 
 // read takes frames until the connection ends, and then ends every stream on it.
 func (l *link) read(raw net.Conn, w *writer) {
-	reader := bufio.NewReader(raw)
+	reader := bufio.NewReader(hearing{raw, l})
 	for {
 		t, number, body, err := decode(reader)
 		if err != nil || !l.take(w, t, number, body) {
@@ -193,9 +164,6 @@
 }
 
 func (l *link) take(w *writer, t frameType, number uint32, body []byte) bool {
-	l.mu.Lock()
-	l.heard = time.Now()
-	l.mu.Unlock()
 	switch t {
 	case frameAnswer:
 		var a answerBody
--- a/internal/mesh/peer/writer.go
+++ b/internal/mesh/peer/writer.go
@@ -26,6 +26,8 @@
 	mu     sync.Mutex
 	queue  net.Buffers
 	queued int
+	// total is how many bytes were queued since the connection was opened.
+	total  uint64
 	wake   chan struct{}
 	closed bool
 }
@@ -38,24 +40,33 @@
 
 // send queues a frame.
 func (w *writer) send(frame []byte) error {
+	_, err := w.enqueue(frame)
+	return err
+}
+
+// enqueue queues a frame and gives how many bytes were queued before it since the
+// connection was opened.
+func (w *writer) enqueue(frame []byte) (ahead uint64, err error) {
 	w.mu.Lock()
 	if w.closed {
 		w.mu.Unlock()
-		return net.ErrClosed
+		return 0, net.ErrClosed
 	}
 	if w.queued+len(frame) > maxQueued {
 		w.mu.Unlock()
 		w.close()
-		return errFull
+		return 0, errFull
 	}
 	defer w.mu.Unlock()
+	ahead = w.total
 	w.queue = append(w.queue, frame)
 	w.queued += len(frame)
+	w.total += uint64(len(frame))
 	select {
 	case w.wake <- struct{}{}:
 	default:
 	}
-	return nil
+	return ahead, nil
 }
 
 func (w *writer) run() {
