A queue to another node that keeps moving is written to its end

What callers saw: over a slow link, all requests on a connection between two nodes ended as outcome-unknown when more was queued at a time than the link carries in three seconds (3.75 MB at 10 Mbit/s). The connection was opened anew and the next queue began with the first byte.

Cause: the write deadline was set once for all frames that were taken from the queue together, up to 24 MB.

Evidence: TestAQueueThatKeepsMovingIsWrittenToItsEnd failed before with an unexpected end of the connection after 3.7 to 5.8 MB of 10. TestAQueueThatStandsStillIsGivenUp passed before and does now.

Why this holds: a write is looked at three times within the limit, and goes on where it stopped if the kernel took a byte or the peer acknowledged one since. Only one on which nothing moved for the limit is given up, at the next look: after three to four seconds. The acknowledged bytes are needed besides: the kernel takes more only when a third of its buffer is free, which may be a megabyte.

--- a/internal/mesh/peer/writer.go
+++ b/internal/mesh/peer/writer.go
@@ -6,14 +6,16 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/limpetdock/limpetdock/internal/stall"
 )
 
 const (
 	// maxQueued bounds the bytes that wait to be written to one peer. A peer that
 	// doesn't read is given up; it would otherwise fill this node's memory.
 	maxQueued = 24 << 20
-	// writeTimeout bounds one write. Nothing between two nodes takes as long
-	// unless the peer is frozen or cut off.
+	// writeTimeout bounds how long a write may stand still. It does only if the peer
+	// is frozen or cut off.
 	writeTimeout = 3 * time.Second
 )
 
@@ -70,6 +72,7 @@
 }
 
 func (w *writer) run() {
+	out := stall.NewWriter(w.conn, writeTimeout)
 	for range w.wake {
 		w.mu.Lock()
 		frames := w.queue
@@ -82,11 +85,7 @@
 		if len(frames) == 0 {
 			continue
 		}
-		if err := w.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-			w.close()
-			return
-		}
-		if _, err := frames.WriteTo(w.conn); err != nil {
+		if _, err := out.WriteBuffers(frames); err != nil {
 			w.close()
 			return
 		}
