Callers may announce an upload long after an answer

What callers saw: a request with "Expect: 100-continue" on a connection that had an answer more than ten seconds before got no answer: the connection was closed.

Cause: the write deadline of an answer stays set on the connection. "100 Continue" was written without one of its own, and failed at once.

Evidence: TestAnUploadMayBeAnnouncedLongAfterAnAnswer failed before with an unexpected end of the connection.

Why this holds: the interim answer is written by a stall.Writer, which sets a deadline before each write.

--- a/internal/mesh/front/read.go
+++ b/internal/mesh/front/read.go
@@ -13,6 +13,7 @@
 	"golang.org/x/net/http/httpguts"
 
 	"github.com/limpetdock/limpetdock/internal/mesh"
+	"github.com/limpetdock/limpetdock/internal/stall"
 )
 
 const (
@@ -191,7 +192,7 @@
 		return nil, tooLarge
 	}
 	if strings.EqualFold(in.Header.Get("Expect"), "100-continue") {
-		if _, err := io.WriteString(c.raw, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+		if _, err := io.WriteString(stall.NewWriter(c.raw, writeTimeout), "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 			return nil, gone
 		}
 	}
--- /dev/null
+++ b/internal/mesh/front/slow_test.go
@@ -0,0 +1,72 @@
+package front_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/limpetdock/limpetdock/internal/mesh/front"
+)
+
+// pipes is a listener of connections in memory.
+type pipes struct {
+	net.Listener
+	conns  chan net.Conn
+	closed chan struct{}
+}
+
+func (p *pipes) Accept() (net.Conn, error) {
+	select {
+	case c := <-p.conns:
+		return c, nil
+	case <-p.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// ask sends a request to a server in memory that answers with so many bytes.
+func ask(t *testing.T, size int) (s *front.Server, c net.Conn, stop func()) {
+	l := &pipes{conns: make(chan net.Conn), closed: make(chan struct{})}
+	s = front.New(handler{serve: func(context.Context, *front.Request) *front.Response {
+		return &front.Response{Status: 200, Header: http.Header{}, Body: make([]byte, size)}
+	}})
+	var served sync.WaitGroup
+	served.Go(func() { _ = s.Serve(l) })
+	c, far := net.Pipe()
+	l.conns <- far
+	_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.NoError(t, err)
+	return s, c, func() {
+		_ = c.Close()
+		close(l.closed)
+		served.Wait()
+		s.Close()
+	}
+}
+
+// Guards against a connection that ends at an Expect header because an earlier answer's time is over.
+func TestAnUploadMayBeAnnouncedLongAfterAnAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, c, stop := ask(t, 10)
+		defer stop()
+		reader := bufio.NewReader(c)
+		resp, err := http.ReadResponse(reader, nil)
+		require.NoError(t, err)
+		_, err = io.Copy(io.Discard, resp.Body)
+		require.NoError(t, err)
+		time.Sleep(20 * time.Second)
+		_, err = io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n")
+		require.NoError(t, err)
+		resp, err = http.ReadResponse(reader, nil)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusContinue, resp.StatusCode)
+	})
+}
