A caller that reads on gets the whole of a large answer

What callers saw: a large answer was cut off after ten seconds, in the middle of its body, while they were still reading; asked for again, it began with the first byte.

Cause: one write deadline bounded the writing of a whole answer, whatever its size and the caller's link.

Evidence: TestACallerThatReadsOnGetsItsWholeAnswer failed before with an unexpected end with 704 KB of 1 MB left, though the caller read 64 KB every two seconds. TestACallerThatStopsReadingIsLeft passed before and does now.

Why this holds: the answer is written by a stall.Writer, which gives up only once the caller has neither taken nor acknowledged a byte for ten seconds.

--- a/internal/mesh/front/conn.go
+++ b/internal/mesh/front/conn.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/limpetdock/limpetdock/internal/stall"
 )
 
 const (
@@ -15,8 +17,8 @@
 	// lingerFor is how long a connection is read on after its last answer. Closed
 	// with unread bytes it would be reset, and the reset could overtake the answer.
 	lingerFor = time.Second
-	// writeTimeout bounds writing one answer: a caller that doesn't read for longer
-	// holds memory for nothing.
+	// writeTimeout bounds how long the writing of an answer may stand still: a caller
+	// that doesn't read for longer holds memory for nothing.
 	writeTimeout = 10 * time.Second
 	// readBuffer holds most requests' headers, in bytes.
 	readBuffer = 4 << 10
@@ -125,7 +127,7 @@
 
 // write writes the answers in order.
 func (c *conn) write() {
-	w := bufio.NewWriter(c.raw)
+	w := bufio.NewWriter(stall.NewWriter(c.raw, writeTimeout))
 	failed := false
 	for p := range c.answers {
 		var resp *Response
@@ -142,10 +144,7 @@
 			continue
 		}
 		last := c.last(p)
-		err := c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
-		if err == nil {
-			err = writeResponse(w, p.method, resp, last, c.server.handler.Limits().IdleTimeout)
-		}
+		err := writeResponse(w, p.method, resp, last, c.server.handler.Limits().IdleTimeout)
 		if err == nil {
 			err = w.Flush()
 		}
--- a/internal/mesh/front/slow_test.go
+++ b/internal/mesh/front/slow_test.go
@@ -52,6 +52,35 @@
 	}
 }
 
+// Guards against a large answer that is cut off while its caller still reads.
+func TestACallerThatReadsOnGetsItsWholeAnswer(t *testing.T) {
+	const size = 1 << 20
+	synctest.Test(t, func(t *testing.T) {
+		_, c, stop := ask(t, size)
+		defer stop()
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		require.NoError(t, err)
+		for left := size; left > 0; left -= size / 16 {
+			time.Sleep(2 * time.Second)
+			_, err := io.CopyN(io.Discard, resp.Body, size/16)
+			require.NoError(t, err, "%d bytes were left", left)
+		}
+	})
+}
+
+// Guards against memory that is held for a caller that has stopped reading.
+func TestACallerThatStopsReadingIsLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, c, stop := ask(t, 1<<20)
+		defer stop()
+		_, err := http.ReadResponse(bufio.NewReader(c), nil)
+		require.NoError(t, err)
+		require.Equal(t, 1, s.Active())
+		time.Sleep(20 * time.Second)
+		require.Zero(t, s.Active())
+	})
+}
+
 // Guards against a connection that ends at an Expect header because an earlier answer's time is over.
 func TestAnUploadMayBeAnnouncedLongAfterAnAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
