The refusal of an upload isn't overtaken by a reset on slow links

What callers saw: an upload that is refused early (too large, or its header can't be read) ended in a reset instead of the answer, if sending the rest took longer than a second, as a megabyte and more does at 10 Mbit/s. A caller that reads only once it has sent all never saw why.

Cause: after the last answer the connection was read on for one second in all, and then closed with bytes still coming.

Evidence: TestARefusedUploadIsReadOnForAsLongAsItComes failed before, at the fifth piece of a body that sends one every 200 ms. TestACallerThatSendsNothingMoreIsLeftAfterItsLastAnswer passed before and does now.

Why this holds: the second is for each piece that comes, as it is for bodies that are wanted. What is read so, and thrown away, is bounded by 64 MB.

--- a/internal/mesh/front/conn.go
+++ b/internal/mesh/front/conn.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/limpetdock/limpetdock/internal/stall"
@@ -14,9 +15,11 @@
 const (
 	// maxAhead bounds the requests of one connection that are served at a time.
 	maxAhead = 16
-	// lingerFor is how long a connection is read on after its last answer. Closed
-	// with unread bytes it would be reset, and the reset could overtake the answer.
-	lingerFor = time.Second
+	// lingerFor is how long a connection is read on after its last answer for each
+	// piece that still comes. Closed with unread bytes it would be reset, and the reset
+	// could overtake the answer. lingerBytes bounds the whole, in bytes.
+	lingerFor   = time.Second
+	lingerBytes = 64 << 20
 	// writeTimeout bounds how long the writing of an answer may stand still: a caller
 	// that doesn't read for longer holds memory for nothing.
 	writeTimeout = 10 * time.Second
@@ -38,8 +41,10 @@
 	mu      sync.Mutex
 	// ahead counts requests that were taken and not answered yet.
 	ahead int
-	// closing says that the answer being written is the last one.
-	closing bool
+	// closing says that the answer being written is the last one, and lingering that
+	// it is written.
+	closing   bool
+	lingering atomic.Bool
 }
 
 // pending is a request whose answer is to come.
@@ -115,11 +120,20 @@
 	return true
 }
 
-// drainInput reads until the caller closes, so that it gets the last answers.
+// drainInput reads until the caller closes or sends nothing more, so that it gets the
+// last answers.
 func (c *conn) drainInput() {
 	var scratch [1 << 10]byte
-	for {
-		if _, err := c.raw.Read(scratch[:]); err != nil {
+	for left := lingerBytes; left > 0; {
+		n, err := c.raw.Read(scratch[:])
+		if err != nil {
+			return
+		}
+		if !c.lingering.Load() {
+			continue
+		}
+		left -= n
+		if c.raw.SetReadDeadline(time.Now().Add(lingerFor)) != nil {
 			return
 		}
 	}
@@ -188,6 +202,7 @@
 
 // finish ends the connection after the last answer, leaving the caller time to read it.
 func (c *conn) finish() {
+	c.lingering.Store(true)
 	if half, ok := c.raw.(interface{ CloseWrite() error }); ok {
 		if half.CloseWrite() == nil && c.raw.SetReadDeadline(time.Now().Add(lingerFor)) == nil {
 			return
--- a/internal/mesh/front/slow_test.go
+++ b/internal/mesh/front/slow_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/limpetdock/limpetdock/internal/mesh"
 	"github.com/limpetdock/limpetdock/internal/mesh/front"
 )
 
@@ -32,18 +33,29 @@
 	}
 }
 
+// half is a connection whose two directions end by themselves.
+type half struct{ net.Conn }
+
+func (half) CloseWrite() error { return nil }
+
 // ask sends a request to a server in memory that answers with so many bytes.
 func ask(t *testing.T, size int) (s *front.Server, c net.Conn, stop func()) {
-	l := &pipes{conns: make(chan net.Conn), closed: make(chan struct{})}
-	s = front.New(handler{serve: func(context.Context, *front.Request) *front.Response {
+	s, c, stop = connect(handler{serve: func(context.Context, *front.Request) *front.Response {
 		return &front.Response{Status: 200, Header: http.Header{}, Body: make([]byte, size)}
 	}})
+	_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.NoError(t, err)
+	return s, c, stop
+}
+
+// connect connects to a server in memory.
+func connect(h handler) (s *front.Server, c net.Conn, stop func()) {
+	l := &pipes{conns: make(chan net.Conn), closed: make(chan struct{})}
+	s = front.New(h)
 	var served sync.WaitGroup
 	served.Go(func() { _ = s.Serve(l) })
 	c, far := net.Pipe()
-	l.conns <- far
-	_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
-	require.NoError(t, err)
+	l.conns <- half{far}
 	return s, c, func() {
 		_ = c.Close()
 		close(l.closed)
@@ -99,3 +111,36 @@
 		require.Equal(t, http.StatusContinue, resp.StatusCode)
 	})
 }
+
+// Guards against a reset that overtakes the refusal of an upload that is still on its way.
+func TestARefusedUploadIsReadOnForAsLongAsItComes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, c, stop := connect(handler{limits: mesh.Limits{BodyBytes: 10}})
+		defer stop()
+		_, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3000\r\n\r\n")
+		require.NoError(t, err)
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusRequestEntityTooLarge, resp.StatusCode)
+		for i := range 30 {
+			time.Sleep(200 * time.Millisecond)
+			_, err := c.Write(make([]byte, 100))
+			require.NoError(t, err, "piece %d", i)
+		}
+	})
+}
+
+// Guards against a connection that stays open for a caller that got its last answer.
+func TestACallerThatSendsNothingMoreIsLeftAfterItsLastAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, c, stop := connect(handler{limits: mesh.Limits{BodyBytes: 10}})
+		defer stop()
+		_, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3000\r\n\r\n")
+		require.NoError(t, err)
+		_, err = http.ReadResponse(bufio.NewReader(c), nil)
+		require.NoError(t, err)
+		time.Sleep(2 * time.Second)
+		_, err = c.Write(make([]byte, 100))
+		require.ErrorIs(t, err, io.ErrClosedPipe)
+	})
+}
