A node that stops lets its answers arrive first

What callers saw: a large answer that was on its way from a stopping node over a slow link ended as outcome-unknown, though the request had run.

Cause: a stopping node ends its connections as soon as the guard has nothing running. The answer is then only queued; writing it takes as long as its size and the link make it, and closing the connection drops the queue.

Evidence: TestAnAnswerOnItsWayArrivesThoughItsNodeStops failed with outcome-unknown while Finish only closed the connections, as stopping did. The call in node/stop.go has no test of its own.

Why this holds: stopping waits until what was sent is acknowledged, within the grace.

--- a/internal/mesh/node/stop.go
+++ b/internal/mesh/node/stop.go
@@ -42,6 +42,6 @@
 	p.Log.Change("stopped", "active", p.Front.Active(), "guard_active", p.Guard.Active(), "took_ms", time.Since(began).Milliseconds())
 	p.Log.Flush(flushWithin)
 	p.Front.Close()
-	p.Peers.Close()
+	p.Peers.Finish(limit - time.Since(began))
 	p.Backend.Close()
 }
--- a/internal/mesh/peer/server.go
+++ b/internal/mesh/peer/server.go
@@ -254,3 +254,39 @@
 		c.writer.close()
 	}
 }
+
+// finishEvery is the pause between looks whether what was sent has arrived.
+const finishEvery = 20 * time.Millisecond
+
+// Finish waits until what was sent has arrived, for as long as that moves and within a
+// time, and ends all connections. An answer that was only queued would be lost, and
+// nobody could tell whether its request ran.
+func (s *Server) Finish(within time.Duration) {
+	defer s.Close()
+	now := time.Now()
+	ends, moved, left := now.Add(within), now, s.outstanding()
+	for left > 0 && now.Before(ends) && now.Sub(moved) < pongWithin {
+		time.Sleep(finishEvery)
+		now = time.Now()
+		rest := s.outstanding()
+		if rest < left {
+			moved = now
+		}
+		left = rest
+	}
+}
+
+// outstanding gives how many bytes were sent and haven't arrived, and counts one for
+// each answer that is to come.
+func (s *Server) outstanding() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	sum := uint64(0)
+	for c := range s.conns {
+		c.mu.Lock()
+		sum += uint64(len(c.running))
+		c.mu.Unlock()
+		sum += c.writer.outstanding()
+	}
+	return sum
+}
--- a/internal/mesh/peer/slow_test.go
+++ b/internal/mesh/peer/slow_test.go
@@ -16,8 +16,8 @@
 
 // slowNode starts a node that answers by run, and a Client whose connections to it
 // are slow; opened is told of the way there of each.
-func slowNode(t *testing.T, run func(ctx context.Context, r *mesh.Request) *mesh.Answer, opened func(there *wire)) (c *Client, stop func()) {
-	s := NewServer(node{func(ctx context.Context, r *mesh.Request) (*mesh.Answer, *kind.Error) {
+func slowNode(t *testing.T, run func(ctx context.Context, r *mesh.Request) *mesh.Answer, opened func(there *wire)) (c *Client, s *Server, stop func()) {
+	s = NewServer(node{func(ctx context.Context, r *mesh.Request) (*mesh.Answer, *kind.Error) {
 		return run(ctx, r), nil
 	}}, mesh.Place{})
 	c = NewClient(mesh.Place{}, &heard{last: map[string]mesh.Load{}})
@@ -28,7 +28,7 @@
 		served.Go(func() { s.serve(far) })
 		return near, nil
 	}
-	return c, func() {
+	return c, s, func() {
 		c.Keep(nil)
 		s.Close()
 		served.Wait()
@@ -54,7 +54,7 @@
 	for name, one := range cases {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				c, stop := slowNode(t, func(ctx context.Context, r *mesh.Request) *mesh.Answer {
+				c, _, stop := slowNode(t, func(ctx context.Context, r *mesh.Request) *mesh.Answer {
 					wait(ctx, one.work)
 					return &mesh.Answer{Status: 200, Body: make([]byte, one.body+len(r.Body)-one.upload)}
 				}, func(*wire) {})
@@ -104,7 +104,7 @@
 // Guards against a connection that gives nothing and is kept for the requests that it takes.
 func TestASilentConnectionIsGivenUpWhileRequestsAreSent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c, stop := slowNode(t, nothing, func(there *wire) { there.lost.Store(true) })
+		c, _, stop := slowNode(t, nothing, func(there *wire) { there.lost.Store(true) })
 		ctx, cancel := context.WithCancel(t.Context())
 		var sent sync.WaitGroup
 		defer func() {
@@ -132,7 +132,7 @@
 func TestAnUploadThatStandsStillIsGivenUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var out *wire
-		c, stop := slowNode(t, nothing, func(there *wire) { out = there })
+		c, _, stop := slowNode(t, nothing, func(there *wire) { out = there })
 		defer stop()
 		time.AfterFunc(2*time.Second, func() { out.stuck.Store(true) })
 		began := time.Now()
@@ -143,3 +143,46 @@
 		require.Greater(t, time.Since(began), 2*time.Second)
 	})
 }
+
+// Guards against an answer that is dropped because its node stops while it is on its way.
+func TestAnAnswerOnItsWayArrivesThoughItsNodeStops(t *testing.T) {
+	const size = 4 << 20
+	synctest.Test(t, func(t *testing.T) {
+		ran := make(chan struct{})
+		c, s, stop := slowNode(t, func(context.Context, *mesh.Request) *mesh.Answer {
+			defer close(ran)
+			return &mesh.Answer{Body: make([]byte, size)}
+		}, func(*wire) {})
+		defer stop()
+		var stopped sync.WaitGroup
+		defer stopped.Wait()
+		stopped.Go(func() {
+			<-ran
+			s.Finish(time.Minute)
+		})
+		answer, failure := c.Run(t.Context(), "", &mesh.Request{})
+		require.Nil(t, failure)
+		require.Len(t, answer.Body, size)
+	})
+}
+
+// Guards against a node that doesn't stop because another one has gone silent.
+func TestAStoppingNodeWaitsOnlyForWhatMoves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		s := NewServer(node{}, mesh.Place{})
+		var served sync.WaitGroup
+		served.Go(func() { s.serve(far) })
+		hello, err := encode(frameHello, 0, &Hello{})
+		require.NoError(t, err)
+		_, err = near.Write(hello)
+		require.NoError(t, err)
+		synctest.Wait()
+		s.Tell(mesh.Load{}, Everybody)
+		began := time.Now()
+		s.Finish(time.Minute)
+		require.Less(t, time.Since(began), time.Second)
+		served.Wait()
+		require.NoError(t, near.Close())
+	})
+}
