--- a/internal/mesh/front/conn.go
+++ b/internal/mesh/front/conn.go
@@ -6,17 +6,22 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
+
+	"github.com/limpetdock/limpetdock/internal/stall"
 )
 
 const (
 	// maxAhead bounds the requests of one connection that are served at a time.
 	maxAhead = 16
-	// lingerFor is how long a connection is read on after its last answer. Closed
-	// with unread bytes it would be reset, and the reset could overtake the answer.
-	lingerFor = time.Second
-	// writeTimeout bounds writing one answer: a caller that doesn't read for longer
-	// holds memory for nothing.
+	// lingerFor is how long a connection is read on after its last answer for each
+	// piece that still comes. Closed with unread bytes it would be reset, and the reset
+	// could overtake the answer. lingerBytes bounds the whole, in bytes.
+	lingerFor   = time.Second
+	lingerBytes = 64 << 20
+	// writeTimeout bounds how long the writing of an answer may stand still: a caller
+	// that doesn't read for longer holds memory for nothing.
 	writeTimeout = 10 * time.Second
 	// readBuffer holds most requests' headers, in bytes.
 	readBuffer = 4 << 10
@@ -36,8 +41,10 @@
 	mu      sync.Mutex
 	// ahead counts requests that were taken and not answered yet.
 	ahead int
-	// closing says that the answer being written is the last one.
-	closing bool
+	// closing says that the answer being written is the last one, and lingering that
+	// it is written.
+	closing   bool
+	lingering atomic.Bool
 }
 
 // pending is a request whose answer is to come.
@@ -113,11 +120,20 @@
 	return true
 }
 
-// drainInput reads until the caller closes, so that it gets the last answers.
+// drainInput reads until the caller closes or sends nothing more, so that it gets the
+// last answers.
 func (c *conn) drainInput() {
 	var scratch [1 << 10]byte
-	for {
-		if _, err := c.raw.Read(scratch[:]); err != nil {
+	for left := lingerBytes; left > 0; {
+		n, err := c.raw.Read(scratch[:])
+		if err != nil {
+			return
+		}
+		if !c.lingering.Load() {
+			continue
+		}
+		left -= n
+		if c.raw.SetReadDeadline(time.Now().Add(lingerFor)) != nil {
 			return
 		}
 	}
@@ -125,7 +141,7 @@
 
 // write writes the answers in order.
 func (c *conn) write() {
-	w := bufio.NewWriter(c.raw)
+	w := bufio.NewWriter(stall.NewWriter(c.raw, writeTimeout))
 	failed := false
 	for p := range c.answers {
 		var resp *Response
@@ -142,10 +158,7 @@
 			continue
 		}
 		last := c.last(p)
-		err := c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
-		if err == nil {
-			err = writeResponse(w, p.method, resp, last, c.server.handler.Limits().IdleTimeout)
-		}
+		err := writeResponse(w, p.method, resp, last, c.server.handler.Limits().IdleTimeout)
 		if err == nil {
 			err = w.Flush()
 		}
@@ -189,6 +202,7 @@
 
 // finish ends the connection after the last answer, leaving the caller time to read it.
 func (c *conn) finish() {
+	c.lingering.Store(true)
 	if half, ok := c.raw.(interface{ CloseWrite() error }); ok {
 		if half.CloseWrite() == nil && c.raw.SetReadDeadline(time.Now().Add(lingerFor)) == nil {
 			return
--- a/internal/mesh/peer/writer.go
+++ b/internal/mesh/peer/writer.go
@@ -6,14 +6,16 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/limpetdock/limpetdock/internal/stall"
 )
 
 const (
 	// maxQueued bounds the bytes that wait to be written to one peer. A peer that
 	// doesn't read is given up; it would otherwise fill this node's memory.
 	maxQueued = 24 << 20
-	// writeTimeout bounds one write. Nothing between two nodes takes as long
-	// unless the peer is frozen or cut off.
+	// writeTimeout bounds how long a write may stand still. It does only if the peer
+	// is frozen or cut off.
 	writeTimeout = 3 * time.Second
 )
 
@@ -26,6 +28,8 @@
 	mu     sync.Mutex
 	queue  net.Buffers
 	queued int
+	// total is how many bytes were queued since the connection was opened.
+	total  uint64
 	wake   chan struct{}
 	closed bool
 }
@@ -38,27 +42,37 @@
 
 // send queues a frame.
 func (w *writer) send(frame []byte) error {
+	_, err := w.enqueue(frame)
+	return err
+}
+
+// enqueue queues a frame and gives how many bytes were queued before it since the
+// connection was opened.
+func (w *writer) enqueue(frame []byte) (ahead uint64, err error) {
 	w.mu.Lock()
 	if w.closed {
 		w.mu.Unlock()
-		return net.ErrClosed
+		return 0, net.ErrClosed
 	}
 	if w.queued+len(frame) > maxQueued {
 		w.mu.Unlock()
 		w.close()
-		return errFull
+		return 0, errFull
 	}
 	defer w.mu.Unlock()
+	ahead = w.total
 	w.queue = append(w.queue, frame)
 	w.queued += len(frame)
+	w.total += uint64(len(frame))
 	select {
 	case w.wake <- struct{}{}:
 	default:
 	}
-	return nil
+	return ahead, nil
 }
 
 func (w *writer) run() {
+	out := stall.NewWriter(w.conn, writeTimeout)
 	for range w.wake {
 		w.mu.Lock()
 		frames := w.queue
@@ -71,17 +85,23 @@
 		if len(frames) == 0 {
 			continue
 		}
-		if err := w.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-			w.close()
-			return
-		}
-		if _, err := frames.WriteTo(w.conn); err != nil {
+		if _, err := out.WriteBuffers(frames); err != nil {
 			w.close()
 			return
 		}
 	}
 }
 
+// outstanding gives how many of the bytes that were queued haven't arrived.
+func (w *writer) outstanding() uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.closed {
+		return 0
+	}
+	return w.total - min(w.total, stall.Acknowledged(w.conn))
+}
+
 // close closes the connection; what is queued is dropped.
 func (w *writer) close() {
 	w.mu.Lock()
