Platform client: an answer that keeps coming is read to its end

What callers would see: a node whose link to the platform is slow never gets a document, an index or a VM list that takes over two seconds to arrive; nor, with a watch, one that begins late in the watch's time. Each read is given up and starts again from the first byte.

Cause: one limit of two seconds (22 for a watch) on waiting and body together, whatever the size of the body, which may have a megabyte.

Fix: the limits now bound the time until the answer begins; the body is bounded by progress.Pace: two seconds without a byte, or less than 4 KB/s after two seconds of grace.

Evidence: TestASlowAnswerOfThePlatformIsReadToItsEnd failed for Read, Watch and WatchVMs without the fix (context deadline exceeded). TestAStalledAnswerOfThePlatformIsGivenUp passed without the fix and passes with it.

--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -16,6 +16,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/limpetdock/limpetdock/fleet"
+	"github.com/limpetdock/limpetdock/internal/progress"
 )
 
 // VMState is what the VM list says of a VM.
@@ -66,12 +67,18 @@
 )
 
 const (
-	readTimeout = 2 * time.Second
+	// answerWithin is how long the platform may take to begin its answer, beyond what it
+	// was asked to wait.
+	answerWithin = 2 * time.Second
 	// watchWait is how long the platform may hold a watch open.
 	watchWait    = 20 * time.Second
 	versionField = "X-Version"
 )
 
+// pace is that of an answer which has begun. The whole has no limit in time: how long it
+// takes depends on the document's size and on the link.
+var pace = progress.Pace{Stall: 2 * time.Second, Rate: 4 << 10}
+
 // HTTP is a Client that speaks to the platform over HTTP.
 type HTTP struct {
 	base   *url.URL
@@ -88,27 +95,21 @@
 
 // Read gives the value of a key.
 func (c *HTTP) Read(ctx context.Context, key string) (Value, error) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	return c.value(ctx, key, nil)
+	return c.value(ctx, key, nil, answerWithin)
 }
 
 // Watch waits for a version other than after.
 func (c *HTTP) Watch(ctx context.Context, key string, after uint64) (Value, error) {
-	ctx, cancel := context.WithTimeout(ctx, watchWait+readTimeout)
-	defer cancel()
-	return c.value(ctx, key, watchQuery(after))
+	return c.value(ctx, key, watchQuery(after), watchWait+answerWithin)
 }
 
 // WatchVMs waits for a version of the VM list other than after.
 func (c *HTTP) WatchVMs(ctx context.Context, after uint64) (VMList, error) {
-	ctx, cancel := context.WithTimeout(ctx, watchWait+readTimeout)
-	defer cancel()
 	var q url.Values
 	if after != 0 {
 		q = watchQuery(after)
 	}
-	v, err := c.get(ctx, "/v1/vms", q)
+	v, err := c.get(ctx, "/v1/vms", q, watchWait+answerWithin)
 	if err != nil {
 		return VMList{}, err
 	}
@@ -123,11 +124,14 @@
 	return url.Values{"after": {strconv.FormatUint(after, 10)}, "wait": {watchWait.String()}}
 }
 
-func (c *HTTP) value(ctx context.Context, key string, q url.Values) (Value, error) {
-	return c.get(ctx, "/v1/values/"+key, q)
+func (c *HTTP) value(ctx context.Context, key string, q url.Values, within time.Duration) (Value, error) {
+	return c.get(ctx, "/v1/values/"+key, q, within)
 }
 
-func (c *HTTP) get(ctx context.Context, path string, q url.Values) (Value, error) {
+// get reads a path. within is how long its answer may take to begin.
+func (c *HTTP) get(ctx context.Context, path string, q url.Values, within time.Duration) (Value, error) {
+	ctx, watchdog := progress.Watch(ctx, within)
+	defer watchdog.Stop()
 	u := *c.base
 	u.Path = strings.TrimSuffix(u.Path, "/") + path
 	u.RawQuery = q.Encode()
@@ -147,7 +151,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return Value{}, eris.Errorf("platform answered %s", resp.Status)
 	}
-	text, err := io.ReadAll(io.LimitReader(resp.Body, fleet.MaxDocument+1))
+	text, err := io.ReadAll(io.LimitReader(watchdog.Paced(resp.Body, pace), fleet.MaxDocument+1))
 	if err != nil {
 		return Value{}, eris.Wrap(err, "platform")
 	}
--- /dev/null
+++ b/internal/platform/slow_test.go
@@ -0,0 +1,162 @@
+package platform
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// pipes is a listener and a dialer over net.Pipe, for the time of a synctest bubble.
+type pipes struct {
+	conns  chan net.Conn
+	once   sync.Once
+	closed chan struct{}
+}
+
+func (p *pipes) Accept() (net.Conn, error) {
+	select {
+	case c := <-p.conns:
+		return c, nil
+	case <-p.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (p *pipes) Close() error   { p.once.Do(func() { close(p.closed) }); return nil }
+func (p *pipes) Addr() net.Addr { return &net.TCPAddr{} }
+
+func (p *pipes) dial(context.Context, string, string) (net.Conn, error) {
+	here, there := net.Pipe()
+	p.conns <- there
+	return here, nil
+}
+
+// slowLink answers with text in a number of pieces, each after a pause.
+type slowLink struct {
+	text string
+	// begins is the pause before the answer begins, and pause that before each piece.
+	begins, pause time.Duration
+	pieces        int
+	// stands says that nothing follows the first half.
+	stands bool
+	asked  int
+}
+
+func (s *slowLink) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.asked++
+	if !sleep(r.Context(), s.begins) {
+		return
+	}
+	w.Header().Set("X-Version", "7")
+	w.Header().Set("Content-Length", strconv.Itoa(len(s.text)))
+	w.WriteHeader(http.StatusOK)
+	size := len(s.text) / s.pieces
+	for i := range s.pieces {
+		_ = http.NewResponseController(w).Flush()
+		if s.stands && i == s.pieces/2 {
+			<-r.Context().Done()
+			return
+		}
+		if !sleep(r.Context(), s.pause) {
+			return
+		}
+		_, _ = w.Write([]byte(s.text[i*size : (i+1)*size]))
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// ask runs f with a client of a platform behind a slow link.
+func ask(t *testing.T, s *slowLink, f func(t *testing.T, c *HTTP)) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &pipes{conns: make(chan net.Conn), closed: make(chan struct{})}
+		server := &http.Server{Handler: s}
+		go func() { _ = server.Serve(p) }()
+		defer func() { _ = server.Close() }()
+		c := NewHTTP(&url.URL{Scheme: "http", Host: "platform"})
+		c.client.Transport.(*http.Transport).DialContext = p.dial
+		defer c.Close()
+		f(t, c)
+	})
+}
+
+func reads(c *HTTP) map[string]func() (Value, error) {
+	ctx := context.Background()
+	return map[string]func() (Value, error){
+		"Read":  func() (Value, error) { return c.Read(ctx, "index") },
+		"Watch": func() (Value, error) { return c.Watch(ctx, "index", 3) },
+		"WatchVMs": func() (Value, error) {
+			list, err := c.WatchVMs(ctx, 3)
+			return Value{Version: list.Version}, err
+		},
+	}
+}
+
+const (
+	slowPieces = 64
+	slowSize   = 8 << 10 // bytes
+	slowPause  = 500 * time.Millisecond
+)
+
+func vmsText() string { return `{"version":7,"vms":[]}` + strings.Repeat(" ", slowPieces*slowSize-22) }
+
+// Guards against an answer that is given up while it comes, as over a slow link, and is
+// asked for from its first byte again and again.
+func TestASlowAnswerOfThePlatformIsReadToItsEnd(t *testing.T) {
+	for _, name := range []string{"Read", "Watch", "WatchVMs"} {
+		t.Run(name, func(t *testing.T) {
+			s := &slowLink{text: vmsText(), pause: slowPause, pieces: slowPieces}
+			if name != "Read" {
+				s.begins = watchWait
+			}
+			ask(t, s, func(t *testing.T, c *HTTP) {
+				v, err := reads(c)[name]()
+				require.NoError(t, err)
+				require.EqualValues(t, 7, v.Version)
+				if name != "WatchVMs" {
+					require.Equal(t, s.text, string(v.Text))
+				}
+			})
+			require.Equal(t, 1, s.asked)
+		})
+	}
+}
+
+// Guards against a read that waits for good for an answer that doesn't begin, that stands
+// still half way, or of which a byte comes now and then.
+func TestAStalledAnswerOfThePlatformIsGivenUp(t *testing.T) {
+	const never = 24 * time.Hour
+	for _, name := range []string{"Read", "Watch", "WatchVMs"} {
+		for _, s := range []*slowLink{
+			{text: vmsText(), begins: never, pieces: 1},
+			{text: vmsText(), pause: slowPause, pieces: slowPieces, stands: true},
+			{text: vmsText(), pause: time.Second, pieces: slowPieces * slowSize},
+		} {
+			t.Run(fmt.Sprintf("%s begins %v pieces %d", name, s.begins, s.pieces), func(t *testing.T) {
+				ask(t, s, func(t *testing.T, c *HTTP) {
+					start := time.Now()
+					_, err := reads(c)[name]()
+					require.Error(t, err)
+					require.Less(t, time.Since(start), time.Minute, "in the bubble's time")
+				})
+			})
+		}
+	}
+}
