Link: a frame that keeps coming is read to its end

What callers would see: over a slow link a node never gets a document or a VM list from a peer when the frame takes over two seconds: it goes on with the configuration it has. The exchange is given up, and the next one starts from the frame's first byte.

Cause: frameTimeout bounded a whole frame, at the reader and at the writer, whatever its size, which is up to a megabyte; and a kept connection had half of the call's time for all of the exchange.

Fix: frameTimeout bounds how long a frame may stand still, with the least rate of progress.Pace, so that a byte now and then still doesn't hold a connection; frames are written in pieces that are bounded one by one. A kept connection has half of the time for its answer to begin.

Evidence: TestAMessageThatKeepsComingIsReadToItsEnd failed without the fix, for an answer and for a question of a megabyte. What stands still, isn't read, or takes nothing more was given up before and must stay so: the other three tests passed without the fix.

--- a/internal/link/dialer.go
+++ b/internal/link/dialer.go
@@ -21,20 +21,35 @@
 	idle     map[string]net.Conn
 }
 
-// maxIdle bounds the idle connections a dialer keeps.
-const maxIdle = 16
+const (
+	// maxIdle bounds the idle connections a dialer keeps.
+	maxIdle = 16
+	// unbounded is the time that a call without a deadline has.
+	unbounded = 24 * time.Hour
+)
 
 // NewDialer returns a Dialer that opens each connection with hello.
 func NewDialer(hello wire.Hello, c *Counters) *Dialer {
 	return &Dialer{hello: hello, counters: c, dial: new(net.Dialer).DialContext, idle: map[string]net.Conn{}}
 }
 
-// Call sends m to the peer at addr and returns its answer. A kept connection
-// may have gone silent for good while new ones work, so it gets half of the
-// time; then, or when it is broken, a new one is tried. The peer may so get m twice.
+// Call sends m to the peer at addr and returns its answer, all of it before ctx's
+// deadline. A kept connection may have gone silent for good while new ones work, so
+// the answer must begin there in half of the time; then, or when it is broken, a new
+// one is tried. The peer may so get m twice.
 func (d *Dialer) Call(ctx context.Context, addr string, m wire.Message) (wire.Message, error) {
+	return d.call(ctx, addr, m, timeLeft(ctx))
+}
+
+// Fetch does as Call for an answer that may be large: it must begin within the time
+// given, and then only go on.
+func (d *Dialer) Fetch(ctx context.Context, addr string, m wire.Message, within time.Duration) (wire.Message, error) {
+	return d.call(ctx, addr, m, within)
+}
+
+func (d *Dialer) call(ctx context.Context, addr string, m wire.Message, within time.Duration) (wire.Message, error) {
 	if conn := d.take(addr); conn != nil {
-		reply, err := d.exchangeKept(ctx, conn, m)
+		reply, err := d.exchange(ctx, conn, m, within/2)
 		if err == nil {
 			d.keep(addr, conn)
 			return reply, nil
@@ -44,17 +59,16 @@
 			return nil, err
 		}
 	}
-	return d.CallNew(ctx, addr, m)
+	return d.callNew(ctx, addr, m, within)
 }
 
-func (d *Dialer) exchangeKept(ctx context.Context, conn net.Conn, m wire.Message) (wire.Message, error) {
+// timeLeft gives the time until ctx's deadline, or unbounded if it has none.
+func timeLeft(ctx context.Context) time.Duration {
 	deadline, ok := ctx.Deadline()
 	if !ok {
-		return d.exchange(ctx, conn, m)
+		return unbounded
 	}
-	ctx, cancel := context.WithTimeout(ctx, time.Until(deadline)/2)
-	defer cancel()
-	return d.exchange(ctx, conn, m)
+	return time.Until(deadline)
 }
 
 // Cost bounds the bytes that a Call of m sends: on a kept connection that turns
@@ -65,16 +79,15 @@
 
 // CallNew sends m over a new connection.
 func (d *Dialer) CallNew(ctx context.Context, addr string, m wire.Message) (wire.Message, error) {
-	d.counters.Dials.Add(1)
-	conn, err := d.dial(ctx, "tcp", addr)
+	return d.callNew(ctx, addr, m, timeLeft(ctx))
+}
+
+func (d *Dialer) callNew(ctx context.Context, addr string, m wire.Message, within time.Duration) (wire.Message, error) {
+	conn, err := d.open(ctx, addr, within)
 	if err != nil {
-		return nil, eris.Wrap(err, "dial peer")
-	}
-	if err := write(conn, &d.hello, d.counters); err != nil {
-		_ = conn.Close()
-		return nil, eris.Wrap(err, "greet peer")
+		return nil, err
 	}
-	reply, err := d.exchange(ctx, conn, m)
+	reply, err := d.exchange(ctx, conn, m, within)
 	if err != nil {
 		_ = conn.Close()
 		return nil, err
@@ -83,17 +96,31 @@
 	return reply, nil
 }
 
-func (d *Dialer) exchange(ctx context.Context, conn net.Conn, m wire.Message) (wire.Message, error) {
+// open opens a connection with a greeting.
+func (d *Dialer) open(ctx context.Context, addr string, within time.Duration) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	d.counters.Dials.Add(1)
+	conn, err := d.dial(ctx, "tcp", addr)
+	if err != nil {
+		return nil, eris.Wrap(err, "dial peer")
+	}
+	if err := write(ctx, conn, &d.hello, within, d.counters); err != nil {
+		_ = conn.Close()
+		return nil, eris.Wrap(err, "greet peer")
+	}
+	return conn, nil
+}
+
+// exchange sends m and reads the answer, which must begin within the time given.
+func (d *Dialer) exchange(ctx context.Context, conn net.Conn, m wire.Message, within time.Duration) (wire.Message, error) {
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
-	if err := write(conn, m, d.counters); err != nil {
+	if err := write(ctx, conn, m, within, d.counters); err != nil {
 		return nil, eris.Wrap(err, "send to peer")
 	}
-	r := &frameReader{conn: conn, counters: d.counters}
-	if deadline, ok := ctx.Deadline(); ok {
-		_ = conn.SetReadDeadline(deadline)
-	}
-	reply, err := wire.Read(r)
+	_ = conn.SetReadDeadline(time.Now().Add(within))
+	reply, err := wire.Read(&frameReader{ctx: ctx, conn: conn, counters: d.counters})
 	if err != nil {
 		return nil, eris.Wrap(err, "read from peer")
 	}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -4,6 +4,7 @@
 package link
 
 import (
+	"context"
 	"errors"
 	"net"
 	"sync"
@@ -15,9 +16,6 @@
 )
 
 const (
-	// frameTimeout bounds how long a frame may take once its connection is in
-	// use; a half-sent frame must not hold a goroutine for good.
-	frameTimeout = 2 * time.Second
 	// idleTimeout closes connections no one asks on.
 	idleTimeout = 2 * time.Minute
 	// acceptPause follows a failed accept.
@@ -113,7 +111,7 @@
 		if reply == nil {
 			return
 		}
-		if err := write(conn, reply, s.counters); err != nil {
+		if err := write(context.Background(), conn, reply, frameTimeout, s.counters); err != nil {
 			return
 		}
 	}
@@ -133,36 +131,13 @@
 	return hello.VM, true
 }
 
-// read waits up to wait for the first byte of a frame, then frameTimeout for the rest.
+// read waits up to wait for the first byte of a frame; the rest must keep the pace.
 func (s *Server) read(conn net.Conn, wait time.Duration) (wire.Message, error) {
-	r := &frameReader{conn: conn, counters: s.counters}
+	r := &frameReader{ctx: context.Background(), conn: conn, counters: s.counters}
 	_ = conn.SetReadDeadline(time.Now().Add(wait))
 	m, err := wire.Read(r)
-	if err != nil && r.begun && !errors.Is(err, net.ErrClosed) {
+	if err != nil && r.read > 0 && !errors.Is(err, net.ErrClosed) {
 		s.counters.BadFrames.Add(1)
 	}
 	return m, err
 }
-
-type frameReader struct {
-	conn     net.Conn
-	counters *Counters
-	begun    bool
-}
-
-func (r *frameReader) Read(p []byte) (int, error) {
-	n, err := r.conn.Read(p)
-	r.counters.Received.Add(uint64(n))
-	if n > 0 && !r.begun {
-		r.begun = true
-		_ = r.conn.SetReadDeadline(time.Now().Add(frameTimeout))
-	}
-	return n, err
-}
-
-func write(conn net.Conn, m wire.Message, c *Counters) error {
-	_ = conn.SetWriteDeadline(time.Now().Add(frameTimeout))
-	n, err := wire.Write(conn, m)
-	c.Sent.Add(uint64(n))
-	return err
-}
