Control: a document from a peer has no limit on its whole time

What callers would see: a node that reads its configuration from peers over a slow link never gets a document or a VM list that takes over three seconds, four being fetched at once; it serves the configuration it has, or none.

Cause: one limit of three seconds for asking a peer, waiting and the whole answer; a failed fetch starts from the first byte, from the next source.

Fix: the three seconds bound the time until the answer begins; then the link's pace holds.

--- a/internal/control/io.go
+++ b/internal/control/io.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -29,7 +28,7 @@
 }
 
 func (l *Loop) fetchVMs(c core.FetchVMs) {
-	reply, err := l.call(c.Peer, documentTimeout, &wire.FetchVMs{})
+	reply, err := l.peers.Fetch(l.ctx, c.Peer, &wire.FetchVMs{}, documentBegins)
 	list, ok := reply.(*wire.VMs)
 	if err == nil && !ok {
 		err = errProtocol
@@ -82,7 +81,7 @@
 )
 
 func (l *Loop) document(peer, digest string) ([]byte, error) {
-	reply, err := l.call(peer, documentTimeout, &wire.Fetch{Digest: digest})
+	reply, err := l.peers.Fetch(l.ctx, peer, &wire.Fetch{Digest: digest}, documentBegins)
 	if err != nil {
 		return nil, err
 	}
@@ -98,7 +97,7 @@
 
 func (l *Loop) gossip(c core.SendGossip) {
 	asked := l.now()
-	reply, err := l.call(c.Addr, peerTimeout, c.News)
+	reply, err := l.call(c.Addr, c.News)
 	news, ok := reply.(*wire.Gossip)
 	if err != nil || !ok {
 		l.submit(core.GossipFailed{VM: c.VM})
@@ -108,8 +107,8 @@
 	l.submit(core.GossipHeard{News: news, Addr: c.Addr, Prompt: l.now()-asked <= 2*peerTimeout})
 }
 
-func (l *Loop) call(addr string, limit time.Duration, m wire.Message) (wire.Message, error) {
-	ctx, cancel := context.WithTimeout(l.ctx, limit)
+func (l *Loop) call(addr string, m wire.Message) (wire.Message, error) {
+	ctx, cancel := context.WithTimeout(l.ctx, peerTimeout)
 	defer cancel()
 	return l.peers.Call(ctx, addr, m)
 }
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -26,8 +26,8 @@
 	eventRoom = 1024
 	// peerTimeout bounds one exchange with a peer.
 	peerTimeout = time.Second
-	// documentTimeout bounds fetching one document from a peer.
-	documentTimeout = 3 * time.Second
+	// documentBegins is how long a peer may take to begin an answer that may be large.
+	documentBegins = 3 * time.Second
 )
 
 // Guard is what the loop needs of the node's guard.
