CLI: an answer of a node that keeps coming is read to its end

What operators would see: dump, config and the like fail for a node whose answer takes over five seconds to arrive, as over a slow link, however often they are tried.

Cause: one limit of five seconds on waiting and the whole answer.

Fix: the five seconds bound the time until the answer begins, and the time without a byte.

Evidence: TestASlowAnswerOfANodeIsReadToItsEnd failed without the fix (broke off its answer). TestAStalledAnswerOfANodeIsGivenUp passed without the fix and must stay so.

--- a/internal/cli/ask.go
+++ b/internal/cli/ask.go
@@ -12,10 +12,12 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/limpetdock/limpetdock/internal/admin"
+	"github.com/limpetdock/limpetdock/internal/progress"
 )
 
 const (
-	// askTimeout bounds one question to a node.
+	// askTimeout is how long a node may take to begin its answer, and how long the answer
+	// may stand still. The whole takes as long as its size and the link need.
 	askTimeout = 5 * time.Second
 	// maxReply bounds what a node may answer, in bytes.
 	maxReply = 256 << 20
@@ -26,18 +28,22 @@
 	if err := checkNode(node); err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
-	defer cancel()
+	return askOver(http.DefaultClient, node, path)
+}
+
+func askOver(client *http.Client, node, path string) ([]byte, error) {
+	ctx, watchdog := progress.Watch(context.Background(), askTimeout)
+	defer watchdog.Stop()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+node+path, nil)
 	if err != nil {
 		return nil, eris.Errorf("%s: %v", node, err)
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
 		return nil, eris.Errorf("%s can't be asked: %v", node, cause(err))
 	}
 	defer func() { _ = resp.Body.Close() }()
-	text, err := io.ReadAll(io.LimitReader(resp.Body, maxReply))
+	text, err := io.ReadAll(io.LimitReader(watchdog.Reader(resp.Body, askTimeout), maxReply))
 	if err != nil {
 		return nil, eris.Errorf("%s broke off its answer", node)
 	}
