Node: the limit on a write of an answer doesn't depend on its length

What callers would see: an answer that is written in one go, as the administration API does, is cut after 30 s, although its reader goes on reading, when it is long for the link.

Cause: the limit held for each Write, of whatever length. Entry and guard write at most 64 KB at once; the administration API writes whole documents.

Fix: the writer writes in pieces of 64 KB under one limit each.

Evidence: TestASlowReaderGetsAnAnswerThatIsWrittenAtOnce (4 MB at 64 KB/s) failed without the fix (unexpected EOF). TestAStalledReaderIsCut stays as it was and passes.

--- a/internal/node/progress.go
+++ b/internal/node/progress.go
@@ -7,10 +7,11 @@
 )
 
 const (
-	// stallLimit is how long a read of a body or a write of an answer may take.
-	// Entry and guard write at most 64 KB at once, so a reader slower than about
-	// 2 KB/s counts as one that stands still.
+	// stallLimit is how long a read of a body or a write of a piece of an answer may
+	// take: a reader slower than about 2 KB/s counts as one that stands still.
 	stallLimit = 30 * time.Second
+	// pieceBytes is how much of an answer is written under one limit.
+	pieceBytes = 64 << 10
 	// minRate is the least rate of a request's body, in bytes per second of
 	// waiting for it, after stallLimit of grace. A sender that gives a byte
 	// now and then would otherwise hold a connection, and a slot, for good.
@@ -67,7 +68,21 @@
 	counters *serverCounters
 }
 
+// Write writes p in pieces, so that the limit doesn't depend on its length.
 func (w *watchedWriter) Write(p []byte) (int, error) {
+	written := 0
+	for len(p)-written > pieceBytes {
+		n, err := w.writePiece(p[written : written+pieceBytes])
+		written += n
+		if err != nil {
+			return written, err
+		}
+	}
+	n, err := w.writePiece(p[written:])
+	return written + n, err
+}
+
+func (w *watchedWriter) writePiece(p []byte) (int, error) {
 	_ = w.control.SetWriteDeadline(time.Now().Add(stallLimit))
 	n, err := w.ResponseWriter.Write(p)
 	if err != nil {
--- a/internal/node/slow_test.go
+++ b/internal/node/slow_test.go
@@ -180,3 +180,28 @@
 		require.EqualValues(t, 1, c.stalled.Load())
 	})
 }
+
+// Guards against an answer that is cut while it is read, as over a slow link, because it
+// was written in one go.
+func TestASlowReaderGetsAnAnswerThatIsWrittenAtOnce(t *testing.T) {
+	const size = 4 << 20
+	synctest.Test(t, func(t *testing.T) {
+		c := &serverCounters{}
+		near, end := serveOne(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", strconv.Itoa(size))
+			_, _ = w.Write(make([]byte, size))
+		}, c)
+		defer end()
+		_, err := io.WriteString(near, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+		require.NoError(t, err)
+		resp, err := http.ReadResponse(bufio.NewReader(near), nil)
+		require.NoError(t, err)
+		for read := 0; read < size; {
+			time.Sleep(time.Second)
+			n, err := io.ReadFull(resp.Body, make([]byte, 64<<10))
+			read += n
+			require.NoError(t, err)
+		}
+		require.Zero(t, c.stalled.Load())
+	})
+}
