--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -121,7 +121,7 @@
 	source := p.Source(s.Store, log, l, Part{Reads: t.Reads, Alone: r.alone, Now: now, Observe: c.observe})
 	// Told by others that the own backend server is gone, the node finds out whether it
 	// is itself cut off from the store.
-	l.OnOwnEnded(source.Refresh)
+	l.OnOwnEnded(func() { source.Refresh(reader.AnyRevision) })
 	return source
 }
 
--- a/internal/mesh/node/store_calls.go
+++ b/internal/mesh/node/store_calls.go
@@ -21,14 +21,6 @@
 	Err error
 }
 
-// transfer is how long the answer's body took, or what of it came.
-func (c *StoreCall) transfer() time.Duration {
-	if c.AnswerAfter == 0 {
-		return 0
-	}
-	return c.Took - c.AnswerAfter
-}
-
 // largeAnswer is the size from which on an answer has a line of its own, in bytes: it
 // takes a noticeable time on a slow link.
 const largeAnswer = 64 << 10
@@ -49,7 +41,9 @@
 // tenth of a second.
 func (s *storeCalls) observe(c StoreCall) {
 	s.received.Add(uint64(c.Bytes))
-	s.metrics.StoreAnswer(c.Err == nil, c.transfer())
+	if c.AnswerAfter > 0 {
+		s.metrics.StoreAnswer(c.Err == nil, c.Took-c.AnswerAfter)
+	}
 	fields := []any{
 		"query", c.Query, "took_ms", c.Took.Milliseconds(),
 		"answer_after_ms", c.AnswerAfter.Milliseconds(), "bytes", c.Bytes,
--- a/internal/mesh/reader/follower.go
+++ b/internal/mesh/reader/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/limpetdock/limpetdock/internal/clock"
@@ -20,14 +21,17 @@
 	answerWithin = 250 * time.Millisecond
 )
 
+// AnyRevision is newer than any of the store's.
+const AnyRevision = math.MaxUint64
+
 // Store is a node's own reading of the platform's store. Safe for concurrent use.
 type Store interface {
 	// Revision is up to which everything is known; 0 is nothing yet.
 	Revision() uint64
 	// Reading says that the node reads the store, and that it answers.
 	Reading() bool
-	// Refresh asks the store at once.
-	Refresh()
+	// Refresh asks the store at once, unless everything up to a revision is known.
+	Refresh(revision uint64)
 	// Snapshot gives what is known after a revision for Restore at another node;
 	// empty if that is more than the bytes given. 0 of these is no bound.
 	Snapshot(after uint64, most int) []byte
@@ -131,7 +135,7 @@
 
 func (f *Follower) refresh(n news) {
 	f.log.Change("another node has newer news, asking the store", "node", n.addr, "revision", n.revision, "known", f.store.Revision())
-	f.store.Refresh()
+	f.store.Refresh(n.revision)
 }
 
 // recheck is the pause between looks whether the news have come.
--- a/internal/mesh/reader/follower_test.go
+++ b/internal/mesh/reader/follower_test.go
@@ -41,7 +41,7 @@
 	return r
 }
 
-func (s *fakeStore) Refresh() {
+func (s *fakeStore) Refresh(uint64) {
 	s.with(func() {
 		s.asked++
 		if !s.away {
