Relay: a link's limit holds for all its connections and both directions

BytesPerSec was taken by each connection and direction for itself, so that a link of 10 Mbit/s carried 10 Mbit/s for every connection. No test or plan used the limit so far; the soak is to have slow links and needs links that can be full.

--- a/standin/relay/main.go
+++ b/standin/relay/main.go
@@ -30,7 +30,8 @@
 
 // fault is what is wrong with the links that match From and To, which are zone
 // names or patterns as in path.Match. Cut refuses and breaks connections; Drop
-// swallows what is sent from From to To. Hold keeps back what is sent from From
+// swallows what is sent from From to To. BytesPerSec is the bandwidth of the whole link,
+// if it is set for both directions they share it. Hold keeps back what is sent from From
 // to To on connections to Port, after the first HoldAfter bytes of each, until
 // the fault is taken away.
 type fault struct {
@@ -58,6 +59,8 @@
 	pipes  map[*pipe]struct{}
 	// passed counts the bytes passed on, by link.
 	passed map[link]*atomic.Uint64
+	// limits has the same limiter for both directions of a link.
+	limits map[link]*limiter
 }
 
 // link is one direction between two zones.
@@ -86,11 +89,7 @@
 	if err := json.Unmarshal(text, &routes); err != nil {
 		return err
 	}
-	r := &relay{pipes: map[*pipe]struct{}{}, passed: map[link]*atomic.Uint64{}}
-	for _, rt := range routes {
-		r.passed[link{rt.From, rt.To}] = &atomic.Uint64{}
-		r.passed[link{rt.To, rt.From}] = &atomic.Uint64{}
-	}
+	r := newRelay(routes)
 	for _, rt := range routes {
 		l, err := net.Listen("tcp", rt.Listen)
 		if err != nil {
@@ -104,6 +103,20 @@
 	return http.ListenAndServe(admin, nil)
 }
 
+func newRelay(routes []route) *relay {
+	r := &relay{pipes: map[*pipe]struct{}{}, passed: map[link]*atomic.Uint64{}, limits: map[link]*limiter{}}
+	for _, rt := range routes {
+		there, back := link{rt.From, rt.To}, link{rt.To, rt.From}
+		r.passed[there] = &atomic.Uint64{}
+		r.passed[back] = &atomic.Uint64{}
+		if r.limits[there] == nil {
+			r.limits[there] = &limiter{}
+			r.limits[back] = r.limits[there]
+		}
+	}
+	return r
+}
+
 // bytes tells how many bytes went each way on each link.
 func (r *relay) bytes(w http.ResponseWriter, _ *http.Request) {
 	type row struct {
--- a/standin/relay/pipe.go
+++ b/standin/relay/pipe.go
@@ -84,7 +84,7 @@
 		delay := time.Duration((p.route.DelayMs + f.ExtraDelayMs) * float64(time.Millisecond))
 		if n > 0 {
 			if f.BytesPerSec > 0 {
-				time.Sleep(time.Duration(n) * time.Second / time.Duration(f.BytesPerSec))
+				p.relay.limits[link{from, to}].wait(n, f.BytesPerSec)
 			}
 			queue <- chunk{time.Now().Add(delay), buf[:n]}
 		}
