--- a/examples/deployments/cestaviva.go
+++ b/examples/deployments/cestaviva.go
@@ -25,8 +25,8 @@
 	}
 	return fleet.Fleet{
 		Name: "cesta-viva", Revision: revision, Regions: []string{"rs", "sc", "pr"}, Zones: zones,
-		// Every byte between regions is billed. A quarter of the default budget was
-		// measured to buy nearly the same latency.
+		// Every byte between regions is billed, and measuring more would hardly lower
+		// latency.
 		Budget: fleet.Budget{Requests: fleet.DefaultRequests, Bytes: fleet.DefaultBytes / 4, CrossRegionBytes: fleet.DefaultCrossBytes / 4},
 		Teams:  []fleet.Team{{Name: "store"}, {Name: "logistics"}},
 		Services: []fleet.Service{
--- a/internal/core/gossip.go
+++ b/internal/core/gossip.go
@@ -22,7 +22,7 @@
 	newsPerGossip = 8
 	// urgentPerGossip is the same while there are news ahead of their turn: a
 	// restarted zone is 81 changes at once, and its nodes should be known within
-	// half a minute, not two. It is a control cost of about 2 KB/s for that time.
+	// half a minute. Longer messages cost more for that time only.
 	urgentPerGossip = 18
 	// pushTo is how many peers are told at once of a change that is in force here.
 	pushTo = 3
--- a/internal/mesh/reader/table.go
+++ b/internal/mesh/reader/table.go
@@ -98,8 +98,8 @@
 }
 
 // assume takes the nodes before this one for readers until they had time to say
-// so. Otherwise each node would begin to read when it starts: of 59 that started
-// together each made ten calls before one a zone was left. The mutex is held.
+// so. Otherwise each node of a fleet that starts would begin to read, and go on until
+// it hears of another reader. The mutex is held.
 func (t *Table) assume(before []string) {
 	now := t.now()
 	if t.heard == nil {
