The test of a million requests keeps the answers that weren't 200

A run of the test said that 9996 of 10000 sound requests were served and not what the other four came to, so the cause couldn't be traced. It now keeps each such answer with when its request began and how long it took, and prints them with the failure. What it demands is unchanged.

--- a/internal/node/quiet_test.go
+++ b/internal/node/quiet_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"fmt"
 	"log"
 	"net/http"
 	"net/http/httptest"
@@ -9,6 +10,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/go-logr/logr/funcr"
@@ -17,6 +19,29 @@
 	"github.com/limpetdock/limpetdock/internal/headers"
 )
 
+// unserved keeps the answers to sound requests that weren't served. Safe for
+// concurrent use.
+type unserved struct {
+	mu      sync.Mutex
+	answers []string
+}
+
+// note keeps an answer, and when its request began and how long it took.
+func (u *unserved) note(begun time.Time, w *httptest.ResponseRecorder) {
+	took := time.Since(begun)
+	answer := fmt.Sprintf("%s after %s: %d %v %s", begun.Format(time.StampMicro), took, w.Code, w.Header(), w.Body)
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.answers = append(u.answers, answer)
+}
+
+// String gives the answers, one a line.
+func (u *unserved) String() string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return strings.Join(u.answers, "\n")
+}
+
 // An operator pays for every line of a log, and a caller who can have lines
 // written at will can fill it. Requests of every kind, served and refused, must
 // be counted and write nothing, whichever of the libraries would like to.
@@ -35,6 +60,7 @@
 	}
 	var wg sync.WaitGroup
 	var served atomic.Int64
+	var lost unserved
 	for range workers {
 		wg.Go(func() {
 			for i := range requests / workers {
@@ -42,19 +68,23 @@
 					Method: http.MethodGet, URL: &url.URL{Path: "/x"}, Host: "orders", Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 					Header: http.Header{}, Body: http.NoBody,
 				}
-				if i%everyNthServed != 0 {
+				sound := i%everyNthServed == 0
+				if !sound {
 					shapes[i%len(shapes)](r)
 				}
 				w := httptest.NewRecorder()
+				begun := time.Now()
 				n.servers.callers.server.Handler.ServeHTTP(w, r)
 				if w.Code == http.StatusOK {
 					served.Add(1)
+				} else if sound {
+					lost.note(begun, w)
 				}
 			}
 		})
 	}
 	wg.Wait()
-	require.Equal(t, int64(requests/everyNthServed), served.Load())
+	require.Equal(t, int64(requests/everyNthServed), served.Load(), "sound requests that weren't served:\n%s", &lost)
 	require.Equal(t, before, n.lines.Load(), "the node's own log")
 	require.Same(t, n.library, log.Writer(), "libraries can't reach stderr")
 	require.Zero(t, n.library.lines.Load(), "the libraries' log")
