A starting node asks one node at a time for all it knows

What callers could see: a node that starts beside many others, over a slow link and with a large configuration, stays without a state and isn't ready, while its link is busy all the time.

Cause: while a node knows nothing it asked every node that dialled it for everything, at once. All answers came together over its own link, beside its own read of the store; connections were given up, dialled again and asked again.

Why this holds: one connection at a time has the turn, in the order in which they came. It passes on with an empty answer at once, with the end of the connection, or when the bytes of the node stand still or fall behind a least pace; there is no limit on the whole answer. An answer that tells something is given time to be decoded and put in force, and whoever has the turn next asks only if the node still knows nothing. The wait belongs to the goroutine that serves the connection and ends before it.

--- a/internal/mesh/peer/link.go
+++ b/internal/mesh/peer/link.go
@@ -146,7 +146,7 @@
 
 // read takes frames until the connection ends, and then ends every stream on it.
 func (l *link) read(raw net.Conn, w *writer) {
-	reader := bufio.NewReader(hearing{raw, l})
+	reader := bufio.NewReader(hearing{raw, l.hear})
 	for {
 		t, number, body, err := decode(reader)
 		if err != nil || !l.take(w, t, number, body) {
@@ -187,8 +187,10 @@
 			return false
 		}
 		l.client.listener.Reported(l.key.addr, b.load())
-	case frameAsk, frameState:
-		return l.client.news.Load().frame(w, t, body)
+	case frameAsk:
+		return l.client.news.Load().give(w, body)
+	case frameState:
+		return l.client.news.Load().take(body)
 	case framePong:
 	default:
 		return false
--- a/internal/mesh/peer/liveness.go
+++ b/internal/mesh/peer/liveness.go
@@ -78,18 +78,23 @@
 	return lookEvery
 }
 
-// hearing notes when bytes of the peer come.
+// hear notes that bytes of the peer came.
+func (l *link) hear(int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.life.heard = time.Now()
+}
+
+// hearing tells when bytes of the peer come, and how many.
 type hearing struct {
 	conn net.Conn
-	link *link
+	hear func(bytes int)
 }
 
 func (h hearing) Read(p []byte) (int, error) {
 	n, err := h.conn.Read(p)
 	if n > 0 {
-		h.link.mu.Lock()
-		h.link.life.heard = time.Now()
-		h.link.mu.Unlock()
+		h.hear(n)
 	}
 	return n, err
 }
--- a/internal/mesh/peer/news.go
+++ b/internal/mesh/peer/news.go
@@ -24,14 +24,19 @@
 
 var errNotConnected = eris.New("no connection to the peer is open")
 
-// frame acts on a question or an answer; false ends the connection.
-func (n *News) frame(w *writer, t frameType, body []byte) bool {
+// take takes an answer; false ends the connection.
+func (n *News) take(answer []byte) bool {
 	if n == nil {
 		return false
 	}
-	if t == frameState {
-		n.Take(body)
-		return true
+	n.Take(answer)
+	return true
+}
+
+// give answers a question; false ends the connection.
+func (n *News) give(w *writer, body []byte) bool {
+	if n == nil {
+		return false
 	}
 	var ask askBody
 	if msgpack.Unmarshal(body, &ask) != nil {
--- a/internal/mesh/peer/server.go
+++ b/internal/mesh/peer/server.go
@@ -33,25 +33,27 @@
 	conns   map[*serverConn]struct{}
 	// askedAt is when each VM last sent a request.
 	askedAt map[string]time.Time
-	// lacks says whether the node knows nothing of the store yet.
-	lacks func() bool
-	news  *News
+	lacking *lacking
+	news    *News
 }
 
 // OnNews sets what answers questions of other nodes and takes their answers. A
-// node that dials this one is asked for all it knows while lacks says that nothing
-// is known here. It must be called before Serve.
+// node that dials this one is asked for all it knows, in its turn, while lacks says
+// that nothing is known here. It must be called before Serve.
 //
 // A node that starts while the store is away knows no other node, and would serve
 // nobody until the store is back. The others still know its address, and keep
 // dialling it.
 func (s *Server) OnNews(lacks func() bool, n News) {
-	s.lacks, s.news = lacks, &n
+	s.lacking, s.news = newLacking(lacks), &n
 }
 
 // NewServer returns a Server that hands requests to h.
 func NewServer(h Handler, here mesh.Place) *Server {
-	return &Server{handler: h, here: here, conns: map[*serverConn]struct{}{}, askedAt: map[string]time.Time{}}
+	return &Server{
+		handler: h, here: here, conns: map[*serverConn]struct{}{}, askedAt: map[string]time.Time{},
+		lacking: newLacking(func() bool { return false }),
+	}
 }
 
 // Serve accepts connections on l until it is closed.
@@ -62,34 +64,34 @@
 
 // serverConn is a connection that another node opened.
 type serverConn struct {
-	server  *Server
-	writer  *writer
-	hello   Hello
-	mu      sync.Mutex
-	running map[uint32]context.CancelFunc
+	server   *Server
+	writer   *writer
+	hello    Hello
+	question question
+	mu       sync.Mutex
+	running  map[uint32]context.CancelFunc
 }
 
 func (s *Server) serve(c net.Conn) {
 	conn := &serverConn{server: s, writer: newWriter(c), running: map[uint32]context.CancelFunc{}}
 	defer conn.writer.close()
-	reader := bufio.NewReader(c)
+	reader := bufio.NewReader(hearing{c, conn.question.hear})
 	if err := conn.greet(c, reader); err != nil {
 		return
 	}
 	s.add(conn)
 	defer s.remove(conn)
-	if s.lacks != nil && s.lacks() {
-		conn.reply(frameAsk, 0, &askBody{Whole: true})
-	}
+	var asking sync.WaitGroup
+	defer asking.Wait()
 	ctx, cancel := context.WithCancel(context.Background())
 	// Nobody waits any more for what came over a connection that has ended.
 	defer cancel()
+	if s.lacking.wants() {
+		asking.Go(func() { s.lacking.ask(ctx, conn) })
+	}
 	for {
 		t, stream, body, err := decode(reader)
-		if err != nil {
-			return
-		}
-		if !conn.take(ctx, t, stream, body) {
+		if err != nil || !conn.take(ctx, t, stream, body) {
 			return
 		}
 	}
@@ -128,8 +130,10 @@
 		if cancel != nil {
 			cancel()
 		}
-	case frameAsk, frameState:
-		return c.server.news.frame(c.writer, t, body)
+	case frameAsk:
+		return c.server.news.give(c.writer, body)
+	case frameState:
+		return c.question.take(c.server.news, body)
 	case framePing:
 		return c.reply(framePong, stream, nil)
 	default:
@@ -248,6 +252,7 @@
 
 // Close ends all connections.
 func (s *Server) Close() {
+	s.lacking.stop()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
@@ -263,6 +268,7 @@
 // nobody could tell whether its request ran.
 func (s *Server) Finish(within time.Duration) {
 	defer s.Close()
+	s.lacking.stop()
 	now := time.Now()
 	ends, moved, left := now.Add(within), now, s.outstanding()
 	for left > 0 && now.Before(ends) && now.Sub(moved) < pongWithin {
