Opening a connection to a node is bounded by the request's own time and taken off it

What callers could see: an answer up to 0.7 s after a request's deadline, and a target that was told up to 0.7 s more than was left, where the connection to the target's node had to be opened first.

Cause: the request that dialled for all waited for the dial without its own deadline, and the time that was left was told as it had been before the dial.

TestADialDoesNotHoldARequestBeyondItsDeadline and TestTheTimeOfADialIsTakenOffARequestsTime failed before (the first never ended). TestARequestAndItsAnswerTravelWhole opens its connection first, so that it goes on to ask for every field to the millisecond.

Why this holds: the dial runs by itself, everyone waits for it until their own deadline, and what was waited is taken off the times that are sent.

--- a/internal/mesh/peer/client.go
+++ b/internal/mesh/peer/client.go
@@ -5,6 +5,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/limpetdock/limpetdock/internal/kind"
 	"github.com/limpetdock/limpetdock/internal/mesh"
@@ -81,10 +82,11 @@
 // error that says "not run" is proof.
 func (c *Client) Run(ctx context.Context, addr string, r *mesh.Request) (*mesh.Answer, *kind.Error) {
 	l := c.link(linkKey{addr, len(r.Body) >= bulkSize})
-	w, err := l.connect(ctx)
+	w, waited, err := l.connect(ctx)
 	if err != nil {
 		return nil, kind.New(kind.Unreachable, "the target's node can't be reached").Because(err)
 	}
+	r = after(r, waited)
 	number, s := l.open()
 	defer l.forget(number)
 	frame, err := encode(frameRequest, number, fromRequest(r))
@@ -97,10 +99,19 @@
 	return l.wait(ctx, w, number, s)
 }
 
+// after gives a request whose times are less by what has passed.
+func after(r *mesh.Request, passed time.Duration) *mesh.Request {
+	later := *r
+	later.Left = max(0, later.Left-passed)
+	later.AimLeft -= passed
+	later.Patience = max(0, later.Patience-passed)
+	return &later
+}
+
 // Warm opens the connections to peers that aren't open, so that their load
 // reports arrive before the first request.
 func (c *Client) Warm(ctx context.Context, addr string) error {
-	_, err := c.link(linkKey{addr: addr}).connect(ctx)
+	_, _, err := c.link(linkKey{addr: addr}).connect(ctx)
 	return err
 }
 
--- /dev/null
+++ b/internal/mesh/peer/dial_test.go
@@ -0,0 +1,53 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/stretchr/testify/require"
+
+	"github.com/limpetdock/limpetdock/internal/kind"
+	"github.com/limpetdock/limpetdock/internal/mesh"
+)
+
+// Guards against a request that outlasts its deadline because it opens a connection.
+func TestADialDoesNotHoldARequestBeyondItsDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := NewClient(mesh.Place{}, &heard{last: map[string]mesh.Load{}})
+		released := make(chan struct{})
+		c.dial = func(string) (net.Conn, error) {
+			<-released
+			return nil, eris.New("unreachable")
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err := c.Run(ctx, "peer", &mesh.Request{Left: time.Second})
+		require.Equal(t, kind.Unreachable, err.Kind)
+		require.ErrorIs(t, err, context.DeadlineExceeded)
+		close(released)
+	})
+}
+
+// Guards against a target that is told more time than is left, as the connection to its
+// node had to be opened first.
+func TestTheTimeOfADialIsTakenOffARequestsTime(t *testing.T) {
+	const dial = 300 * time.Millisecond
+	sent := mesh.Request{Left: time.Second, AimLeft: dial / 2, Patience: dial / 3}
+	synctest.Test(t, func(t *testing.T) {
+		var got *mesh.Request
+		c, _, stop := slowNode(t, func(_ context.Context, r *mesh.Request) *mesh.Answer {
+			got = r
+			return &mesh.Answer{Status: 200}
+		}, func(*wire) { time.Sleep(dial) })
+		defer stop()
+		_, err := c.Run(t.Context(), "peer", &sent)
+		require.Nil(t, err)
+		require.Equal(t, sent.Left-dial, got.Left)
+		require.Equal(t, sent.AimLeft-dial, got.AimLeft)
+		require.Zero(t, got.Patience)
+	})
+}
--- a/internal/mesh/peer/link.go
+++ b/internal/mesh/peer/link.go
@@ -20,7 +20,7 @@
 // regions.
 const dialTimeout = 700 * time.Millisecond
 
-var errSilent = eris.New("the connection to the peer went silent")
+var errSilent = eris.New("the connection to the peer ended or went silent")
 
 // link is one connection to a peer, opened when it is first needed and again
 // after it broke.
@@ -28,12 +28,14 @@
 	client *Client
 	key    linkKey
 	mu     sync.Mutex
-	// dialing is closed when a dial under way has ended.
-	dialing chan struct{}
-	writer  *writer
-	life    liveness
-	next    uint32
-	streams map[uint32]*stream
+	// dialing is closed when a dial under way has ended, and dialFailed why the last one
+	// failed; nil if it didn't.
+	dialing    chan struct{}
+	dialFailed error
+	writer     *writer
+	life       liveness
+	next       uint32
+	streams    map[uint32]*stream
 }
 
 type stream struct {
@@ -84,33 +86,35 @@
 	delete(l.streams, number)
 }
 
-// connect gives the open connection, or opens it; one caller dials for all.
-func (l *link) connect(ctx context.Context) (*writer, error) {
-	for {
-		l.mu.Lock()
-		if l.writer != nil {
-			defer l.mu.Unlock()
-			return l.writer, nil
-		}
-		wait := l.dialing
-		if wait == nil {
-			l.dialing = make(chan struct{})
-			l.mu.Unlock()
-			return l.dial()
-		}
-		l.mu.Unlock()
-		select {
-		case <-wait:
-		case <-ctx.Done():
-			return nil, ctx.Err()
-		}
-		l.mu.Lock()
-		failed := l.writer == nil && l.dialing == nil
-		l.mu.Unlock()
-		if failed {
-			return nil, eris.New("opening the connection failed")
-		}
+// connect gives the open connection, or has it opened and waits until it is or ctx ends.
+// waited is how long that took; 0 for a connection that was open.
+func (l *link) connect(ctx context.Context) (w *writer, waited time.Duration, err error) {
+	l.mu.Lock()
+	if l.writer != nil {
+		defer l.mu.Unlock()
+		return l.writer, 0, nil
+	}
+	if l.dialing == nil {
+		l.dialing = make(chan struct{})
+		go l.dial()
 	}
+	ended, began := l.dialing, time.Now()
+	l.mu.Unlock()
+	select {
+	case <-ended:
+	case <-ctx.Done():
+		return nil, time.Since(began), ctx.Err()
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	waited = time.Since(began)
+	switch {
+	case l.dialFailed != nil:
+		return nil, waited, eris.Wrap(l.dialFailed, "open connection to peer")
+	case l.writer == nil:
+		return nil, waited, errSilent
+	}
+	return l.writer, waited, nil
 }
 
 // dialPeer opens a connection to the node at addr.
@@ -119,17 +123,22 @@
 	return d.Dial("tcp", addr)
 }
 
-func (l *link) dial() (*writer, error) {
+// dial opens the connection for all that wait for it.
+func (l *link) dial() {
 	raw, err := l.client.dial(l.key.addr)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	defer func() {
-		close(l.dialing)
-		l.dialing = nil
-	}()
-	if err != nil {
-		return nil, eris.Wrap(err, "open connection to peer")
+	if err == nil {
+		err = l.greet(raw)
 	}
+	l.dialFailed = err
+	close(l.dialing)
+	l.dialing = nil
+}
+
+// greet says hello over a connection that was opened, and begins to read it. The mutex is
+// held.
+func (l *link) greet(raw net.Conn) error {
 	w := newWriter(raw)
 	frame, err := encode(frameHello, 0, &l.client.hello)
 	if err == nil {
@@ -137,11 +146,11 @@
 	}
 	if err != nil {
 		w.close()
-		return nil, err
+		return err
 	}
 	l.writer, l.life = w, liveness{heard: time.Now()}
 	go l.read(raw, w)
-	return w, nil
+	return nil
 }
 
 // read takes frames until the connection ends, and then ends every stream on it.
--- a/internal/mesh/peer/peer_test.go
+++ b/internal/mesh/peer/peer_test.go
@@ -84,6 +84,8 @@
 		Caller: "shop", Service: "orders", Target: "i-1", Idempotent: true, Priority: 2,
 		Left: 900 * time.Millisecond, Patience: 20 * time.Millisecond, Work: 90 * time.Millisecond, AimLeft: -40 * time.Millisecond,
 	}
+	_, _, opened := c.link(linkKey{addr, true}).connect(t.Context())
+	require.NoError(t, opened)
 	answer, err := c.Run(t.Context(), addr, sent)
 	require.Nil(t, err)
 	require.Equal(t, sent, <-got)
