An upload is asked for only after the answers to the requests before it

What callers could see: '100 Continue' in the midst of an answer, or in place of the answer to a request that was sent before on the same connection.

Cause: the goroutine that reads requests wrote it at once, beside the one that writes answers.

Evidence: found in reading by the one who worked on slow callers. TestAnUploadIsAskedForAfterTheAnswersBeforeIt failed before (100 where the first answer was due).

Why this holds: it waits until every request that was taken is answered; no other is taken meanwhile, so nothing else writes.

--- a/internal/mesh/front/conn.go
+++ b/internal/mesh/front/conn.go
@@ -39,8 +39,10 @@
 	// answers are those to be written, in order of their requests.
 	answers chan *pending
 	mu      sync.Mutex
-	// ahead counts requests that were taken and not answered yet.
-	ahead int
+	// ahead counts requests that were taken and not answered yet; answered is told when
+	// one is.
+	ahead    int
+	answered sync.Cond
 	// closing says that the answer being written is the last one, and lingering that
 	// it is written.
 	closing   bool
@@ -61,6 +63,7 @@
 		server: s, raw: raw, ctx: ctx, cancel: cancel, answers: make(chan *pending, maxAhead),
 		header: &headerLimit{conn: raw, left: -1},
 	}
+	c.answered.L = &c.mu
 	c.reader = bufio.NewReaderSize(c.header, readBuffer)
 	s.add(c)
 	defer s.remove(c)
@@ -197,9 +200,20 @@
 	c.mu.Lock()
 	c.ahead--
 	c.mu.Unlock()
+	c.answered.Broadcast()
 	c.server.active.Add(-1)
 }
 
+// awaitAnswers waits until every request that was taken is answered. Only then may the
+// goroutine that reads write to the connection.
+func (c *conn) awaitAnswers() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for c.ahead > 0 {
+		c.answered.Wait()
+	}
+}
+
 // finish ends the connection after the last answer, leaving the caller time to read it.
 func (c *conn) finish() {
 	c.lingering.Store(true)
--- a/internal/mesh/front/front_test.go
+++ b/internal/mesh/front/front_test.go
@@ -245,3 +245,33 @@
 	require.Equal(t, "2", resp.Header.Get("X-Theirs"))
 	require.Equal(t, "timeout=15", resp.Header.Get("Keep-Alive"))
 }
+
+// Guards against a 100 Continue in the midst of the answers to requests before it.
+func TestAnUploadIsAskedForAfterTheAnswersBeforeIt(t *testing.T) {
+	const work = 50 * time.Millisecond
+	_, c := start(t, handler{serve: func(_ context.Context, r *front.Request) *front.Response {
+		if r.Method == http.MethodGet {
+			time.Sleep(work)
+		}
+		return text(r.Method + string(r.Body))
+	}})
+	_, err := io.WriteString(c, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n"+
+		"PUT /b HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n")
+	require.NoError(t, err)
+	answer, err := http.ReadResponse(c.reader, nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, answer.StatusCode)
+	body, err := io.ReadAll(answer.Body)
+	require.NoError(t, err)
+	require.Equal(t, "GET", string(body))
+	answer, err = http.ReadResponse(c.reader, nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusContinue, answer.StatusCode)
+	_, err = io.WriteString(c, "xy")
+	require.NoError(t, err)
+	answer, err = http.ReadResponse(c.reader, nil)
+	require.NoError(t, err)
+	body, err = io.ReadAll(answer.Body)
+	require.NoError(t, err)
+	require.Equal(t, "PUTxy", string(body))
+}
--- a/internal/mesh/front/read.go
+++ b/internal/mesh/front/read.go
@@ -192,6 +192,7 @@
 		return nil, tooLarge
 	}
 	if strings.EqualFold(in.Header.Get("Expect"), "100-continue") {
+		c.awaitAnswers()
 		if _, err := io.WriteString(stall.NewWriter(c.raw, writeTimeout), "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 			return nil, gone
 		}
