A stopping node serves its callers until answers to other nodes have arrived

Why this holds: the wait is part of the loop that ends the callers' side last, and only answers count. The tests of delivery ask for the same with Stop, Delivered and Close in place of Finish; the one of a silent node has an answer on its way now, where it had a load report.

--- a/internal/mesh/node/stop.go
+++ b/internal/mesh/node/stop.go
@@ -31,17 +31,32 @@
 	guardStops := time.AfterFunc(guardStop, p.Guard.Stop)
 	defer guardStops.Stop()
 	p.Front.Drain()
+	p.Peers.Stop()
 	limit := p.Settings.StopGrace - stopMargin
 	p.Entry.Stop(p.Now() + limit)
 	for time.Since(began) < limit {
 		time.Sleep(stopEvery)
-		if time.Since(began) >= leastStop && p.Guard.Active() == 0 && p.Front.Finish() {
+		if time.Since(began) >= leastStop && allEnded(p.guardIdle, p.Peers.Delivered, p.Front.Finish) {
 			break
 		}
 	}
 	p.Log.Change("stopped", "active", p.Front.Active(), "guard_active", p.Guard.Active(), "took_ms", time.Since(began).Milliseconds())
 	p.Log.Flush(flushWithin)
 	p.Front.Close()
-	p.Peers.Finish(limit - time.Since(began))
+	p.Peers.Close()
 	p.Backend.Close()
 }
+
+func (p *parts) guardIdle() bool { return p.Guard.Active() == 0 }
+
+// allEnded asks in order whether everything has ended, up to the first that hasn't. What
+// stops taking requests when it is asked has to come last: until the process ends,
+// callers get no answer from it.
+func allEnded(ended ...func() bool) bool {
+	for _, f := range ended {
+		if !f() {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/mesh/node/stop_test.go
@@ -0,0 +1,22 @@
+package node
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against callers that get no answer while a stopping node waits for something else.
+func TestCallersAreServedUntilEverythingElseHasEnded(t *testing.T) {
+	var refused, idle bool
+	finish := func() bool {
+		refused = true
+		return true
+	}
+	other := func() bool { return idle }
+	require.False(t, allEnded(other, finish))
+	require.False(t, refused)
+	idle = true
+	require.True(t, allEnded(other, finish))
+	require.True(t, refused)
+}
--- a/internal/mesh/peer/lacking_test.go
+++ b/internal/mesh/peer/lacking_test.go
@@ -249,7 +249,7 @@
 		// Stopping waits for this request.
 		go c.Run(t.Context(), "", &mesh.Request{})
 		wait(t.Context(), pongWithin/4)
-		s.server.Finish(time.Minute)
+		finish(s.server)
 		s.served.Wait()
 		asks, _ := s.asked()
 		require.Equal(t, 1, asks)
--- a/internal/mesh/peer/server.go
+++ b/internal/mesh/peer/server.go
@@ -68,6 +68,7 @@
 	writer   *writer
 	hello    Hello
 	question question
+	answers  delivery
 	mu       sync.Mutex
 	running  map[uint32]context.CancelFunc
 }
@@ -174,7 +175,11 @@
 		return false
 	}
 	// A connection that can't be written to is closed, and its reader ends.
-	return c.writer.send(frame) == nil
+	ahead, err := c.writer.enqueue(frame)
+	if t == frameAnswer || t == frameRefusal {
+		c.answers.queued(ahead+uint64(len(frame)), time.Now())
+	}
+	return err == nil
 }
 
 func (s *Server) add(c *serverConn) {
@@ -250,49 +255,15 @@
 	}
 }
 
+// Stop has the node ask others for nothing any more.
+func (s *Server) Stop() { s.lacking.stop() }
+
 // Close ends all connections.
 func (s *Server) Close() {
-	s.lacking.stop()
+	s.Stop()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
 		c.writer.close()
 	}
 }
-
-// finishEvery is the pause between looks whether what was sent has arrived.
-const finishEvery = 20 * time.Millisecond
-
-// Finish waits until what was sent has arrived, for as long as that moves and within a
-// time, and ends all connections. An answer that was only queued would be lost, and
-// nobody could tell whether its request ran.
-func (s *Server) Finish(within time.Duration) {
-	defer s.Close()
-	s.lacking.stop()
-	now := time.Now()
-	ends, moved, left := now.Add(within), now, s.outstanding()
-	for left > 0 && now.Before(ends) && now.Sub(moved) < pongWithin {
-		time.Sleep(finishEvery)
-		now = time.Now()
-		rest := s.outstanding()
-		if rest < left {
-			moved = now
-		}
-		left = rest
-	}
-}
-
-// outstanding gives how many bytes were sent and haven't arrived, and counts one for
-// each answer that is to come.
-func (s *Server) outstanding() uint64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	sum := uint64(0)
-	for c := range s.conns {
-		c.mu.Lock()
-		sum += uint64(len(c.running))
-		c.mu.Unlock()
-		sum += c.writer.outstanding()
-	}
-	return sum
-}
--- a/internal/mesh/peer/slow_test.go
+++ b/internal/mesh/peer/slow_test.go
@@ -35,6 +35,15 @@
 	}
 }
 
+// finish ends a node once everything is delivered, within a minute.
+func finish(s *Server) {
+	s.Stop()
+	for ends := time.Now().Add(time.Minute); !s.Delivered() && time.Now().Before(ends); {
+		time.Sleep(20 * time.Millisecond)
+	}
+	s.Close()
+}
+
 // nothing answers without a body.
 func nothing(context.Context, *mesh.Request) *mesh.Answer { return &mesh.Answer{} }
 
@@ -158,7 +167,7 @@
 		defer stopped.Wait()
 		stopped.Go(func() {
 			<-ran
-			s.Finish(time.Minute)
+			finish(s)
 		})
 		answer, failure := c.Run(t.Context(), "", &mesh.Request{})
 		require.Nil(t, failure)
@@ -170,7 +179,9 @@
 func TestAStoppingNodeWaitsOnlyForWhatMoves(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		near, far := net.Pipe()
-		s := NewServer(node{}, mesh.Place{})
+		s := NewServer(node{func(ctx context.Context, r *mesh.Request) (*mesh.Answer, *kind.Error) {
+			return nothing(ctx, r), nil
+		}}, mesh.Place{})
 		var served sync.WaitGroup
 		served.Go(func() { s.serve(far) })
 		hello, err := encode(frameHello, 0, &Hello{})
@@ -178,9 +189,14 @@
 		_, err = near.Write(hello)
 		require.NoError(t, err)
 		synctest.Wait()
-		s.Tell(mesh.Load{}, Everybody)
+		request, err := encode(frameRequest, 1, fromRequest(&mesh.Request{}))
+		require.NoError(t, err)
+		_, err = near.Write(request)
+		require.NoError(t, err)
+		synctest.Wait()
+		require.False(t, s.Delivered(), "the answer isn't read")
 		began := time.Now()
-		s.Finish(time.Minute)
+		finish(s)
 		require.Less(t, time.Since(began), time.Second)
 		served.Wait()
 		require.NoError(t, near.Close())
--- a/internal/mesh/peer/writer.go
+++ b/internal/mesh/peer/writer.go
@@ -92,16 +92,6 @@
 	}
 }
 
-// outstanding gives how many of the bytes that were queued haven't arrived.
-func (w *writer) outstanding() uint64 {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.closed {
-		return 0
-	}
-	return w.total - min(w.total, stall.Acknowledged(w.conn))
-}
-
 // close closes the connection; what is queued is dropped.
 func (w *writer) close() {
 	w.mu.Lock()
