--- a/internal/mesh/node/store_calls_test.go
+++ b/internal/mesh/node/store_calls_test.go
@@ -22,8 +22,8 @@
 	defer cancel()
 	log := decision.New(ctx, &out, slog.LevelInfo)
 	calls := newStoreCalls(log, metrics.New())
-	calls.observe(StoreCall{Query: "/kv-watch", Took: time.Second, AnswerAfter: time.Millisecond, Bytes: 10})
-	cut := StoreCall{Query: "/kv-range", Took: time.Second, AnswerAfter: 5 * time.Millisecond, Bytes: 700_000, Err: eris.New("cut")}
+	calls.observe(StoreCall{Query: "/watch", Took: time.Second, AnswerAfter: time.Millisecond, Bytes: 10})
+	cut := StoreCall{Query: "/read", Took: time.Second, AnswerAfter: 5 * time.Millisecond, Bytes: 700_000, Err: eris.New("cut")}
 	calls.observe(cut)
 	calls.observe(cut)
 	require.Eventually(t, func() bool { n, _ := log.Counts(); return n == 2 }, time.Minute, time.Millisecond)
