--- a/internal/mesh/node/metrics.go
+++ b/internal/mesh/node/metrics.go
@@ -19,6 +19,10 @@
 	count("limpetdock_log_dropped_total", "Lines dropped to bound the log.", func() uint64 { _, n := log.Counts(); return n })
 	count("limpetdock_store_calls_total", "Calls to the platform's store, a waiting watch as one.", func() uint64 { n, _ := s.Calls(); return n })
 	count("limpetdock_store_calls_failed_total", "Calls to the store without an answer that could be used.", func() uint64 { _, n := s.Calls(); return n })
+	for _, cause := range StoreCauses {
+		m.LabelledFunc("limpetdock_store_calls_by_cause_total", "Calls to the platform's store by what they were made for.",
+			map[string]string{"cause": string(cause)}, func() uint64 { return s.CallsFor(cause) })
+	}
 	count("limpetdock_store_received_bytes_total", "Bytes of answers of the store, also of those given up.", c.received.Load)
 	m.Gauge("limpetdock_store_revision", "Revision of the store up to which the node knows everything.", func() float64 { return float64(s.Revision()) })
 	m.Gauge("limpetdock_store_behind_seconds", "How long the node has known of a newer revision than its own; 0 is not.", func() float64 { return r.Behind().Seconds() })
--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -54,6 +54,8 @@
 	Run(ctx context.Context)
 	// Calls gives how many calls were made, and how many of them failed.
 	Calls() (made, failed uint64)
+	// CallsFor gives how many calls were made for a cause.
+	CallsFor(StoreCause) uint64
 }
 
 // Module provides every part of a node. It needs *settings.Settings, Platform and
--- a/internal/mesh/node/store_calls.go
+++ b/internal/mesh/node/store_calls.go
@@ -8,8 +8,29 @@
 	"github.com/limpetdock/limpetdock/internal/metrics"
 )
 
+// StoreCause is why a call to the platform's store is made.
+type StoreCause string
+
+// The causes.
+const (
+	// StoreStart reads everything at a node that knows nothing yet.
+	StoreStart StoreCause = "start"
+	// StoreReread reads everything again, where a watch can't tell what has changed.
+	StoreReread StoreCause = "reread"
+	// StoreWatch waits for changes.
+	StoreWatch StoreCause = "watch"
+	// StoreCatchUp asks at once for changes that another node knows of.
+	StoreCatchUp StoreCause = "catch_up"
+	// StoreRetry follows a call that failed.
+	StoreRetry StoreCause = "retry"
+)
+
+// StoreCauses are all causes.
+var StoreCauses = []StoreCause{StoreStart, StoreReread, StoreWatch, StoreCatchUp, StoreRetry}
+
 // StoreCall is a call to the platform's store that has ended.
 type StoreCall struct {
+	Cause StoreCause
 	// Query is the call's path and query.
 	Query string
 	// Took is the time until the call ended, and AnswerAfter that until its answer
@@ -45,7 +66,7 @@
 		s.metrics.StoreAnswer(c.Err == nil, c.Took-c.AnswerAfter)
 	}
 	fields := []any{
-		"query", c.Query, "took_ms", c.Took.Milliseconds(),
+		"cause", c.Cause, "query", c.Query, "took_ms", c.Took.Milliseconds(),
 		"answer_after_ms", c.AnswerAfter.Milliseconds(), "bytes", c.Bytes,
 	}
 	switch {
