News of the store are told to the region by the nodes that read it only

Every node told its whole region at once that it knew of a new revision. Readers tell all nodes connected to them at once; a node that hears of no reader learns of the news with the next report of any other, within a second. A node that ceases to read still says so at once.

The test demanded the report to the region. It now demands that it comes within a second, and that the users of the target are told at once.

--- a/internal/mesh/node/reports.go
+++ b/internal/mesh/node/reports.go
@@ -141,18 +141,21 @@
 // next says whether a load is to be told now, and to whom.
 //
 // Changes of load go to those who use the backend server: told to a whole region of a
-// hundred nodes, they would be most of the bytes between its availability zones.
+// hundred nodes, they would be most of the bytes between its availability zones. News of the
+// store that a node was told itself wait for the next report to the region: told by all nodes
+// to all, each change in the store would be as many frames as the square of their number.
 func (t *telling) next(l mesh.Load, urgent bool, now time.Time) (reach peer.Reach, due bool) {
 	anyway := tellAnyway
 	if l.Reading {
 		anyway = reader.ReportEvery
 	}
 	changed := l != t.load
-	news := l.Revision != t.load.Revision || l.Reading != t.load.Reading
+	turned := l.Reading != t.load.Reading
+	news := turned || l.Revision != t.load.Revision
 	switch {
 	case urgent, news && l.Reading:
 		reach = peer.Everybody
-	case news, now.Sub(t.region) >= anyway:
+	case turned, now.Sub(t.region) >= anyway:
 		reach = peer.Region
 	case !changed:
 		return 0, false
