A node that starts is told by another one in place of reading the store

A start read every page of the list.

Now a node reads one page, which may be old and costs a tenth, looks for nodes of its zone on it, and asks them for everything. Where a whole zone starts, all ask the same two first, and these read the store without waiting. If nobody tells anything within 300 ms the node reads the store, as before.

Ruled out: reading everything with old data (still grows with nodes x pages, and a watch from an old revision may meet a history that is gone); waiting for nodes that dial this one (half a second, and none do where all start).

--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -47,11 +47,16 @@
 	Observe func(StoreCall)
 }
 
+// Bootstrap asks the nodes beside some backend servers for what they know of the store. It
+// returns once one has told it, or none is going to.
+type Bootstrap func(ctx context.Context, registered []directory.Registration)
+
 // Source reads the platform's store and hands its news to the control goroutine.
 type Source interface {
 	reader.Store
-	// Run reads until ctx ends.
-	Run(ctx context.Context)
+	// Run reads until ctx ends. While nothing is known yet, it gives bootstrap some of
+	// the registrations.
+	Run(ctx context.Context, bootstrap Bootstrap)
 	// Calls gives how many calls were made, and how many of them failed.
 	Calls() (made, failed uint64)
 	// CallsFor gives how many calls were made for a cause.
@@ -201,7 +206,7 @@
 	p.Client.OnNews(news)
 	p.Peers.OnNews(p.lacksState, news)
 	go p.Loop.Run(ctx)
-	go p.Source.Run(ctx)
+	go p.Source.Run(ctx, p.bootstrap)
 	go p.Guard.Probe(ctx)
 	go p.Follower.Run(ctx)
 	go p.Teller.run(ctx, p.Peers, p.Reporter)
@@ -222,6 +227,27 @@
 	}
 }
 
+// bootstrap asks other nodes for what they know of the store.
+func (p *parts) bootstrap(ctx context.Context, registered []directory.Registration) {
+	p.Follower.Bootstrap(ctx, p.peersBeside(registered))
+}
+
+// peersBeside gives the nodes beside backend servers.
+func (p *parts) peersBeside(registered []directory.Registration) map[string]mesh.Peer {
+	s := p.Settings
+	peers := make(map[string]mesh.Peer, len(registered))
+	for _, r := range registered {
+		host, _, err := net.SplitHostPort(r.Addr)
+		if err != nil {
+			// The directory names no target by it either.
+			continue
+		}
+		addr := net.JoinHostPort(host, s.PeersPort())
+		peers[addr] = mesh.Peer{Zone: r.Zone, Distance: s.Here.DistanceTo(host, r.Zone, s.Regions[r.Zone])}
+	}
+	return peers
+}
+
 // lacksState says whether the node has nothing in force yet.
 func (p *parts) lacksState() bool { return p.Entry.View() == nil }
 
--- a/internal/mesh/node/store_calls.go
+++ b/internal/mesh/node/store_calls.go
@@ -13,6 +13,9 @@
 
 // The causes.
 const (
+	// StoreLook looks for other nodes at one that knows nothing yet. The answer may be
+	// old, which costs less.
+	StoreLook StoreCause = "look"
 	// StoreStart reads everything at a node that knows nothing yet.
 	StoreStart StoreCause = "start"
 	// StoreReread reads everything again, where a watch can't tell what has changed.
@@ -26,7 +29,7 @@
 )
 
 // StoreCauses are all causes.
-var StoreCauses = []StoreCause{StoreStart, StoreReread, StoreWatch, StoreCatchUp, StoreRetry}
+var StoreCauses = []StoreCause{StoreLook, StoreStart, StoreReread, StoreWatch, StoreCatchUp, StoreRetry}
 
 // StoreCall is a call to the platform's store that has ended.
 type StoreCall struct {
--- a/internal/mesh/reader/follower.go
+++ b/internal/mesh/reader/follower.go
@@ -41,6 +41,9 @@
 
 // Asker asks other nodes for news.
 type Asker interface {
+	// Warm opens the connection to a node, if none is open.
+	Warm(ctx context.Context, addr string) error
+	// Ask asks a node to which a connection is open.
 	Ask(addr string, q peer.Question) error
 }
 
@@ -122,17 +125,21 @@
 }
 
 func (f *Follower) ask(n news) {
-	select {
-	case <-f.answered:
-		// An answer that came too late for the question before.
-	default:
-	}
+	f.dropAnswered()
 	q := peer.Question{After: f.store.Revision()}
 	if err := f.asker.Ask(n.addr, q); err != nil {
 		f.log.Change("another node's news can't be asked for", "node", n.addr, "error", err.Error())
 	}
 }
 
+// dropAnswered forgets an answer that came too late for the question before.
+func (f *Follower) dropAnswered() {
+	select {
+	case <-f.answered:
+	default:
+	}
+}
+
 func (f *Follower) refresh(n news) {
 	f.log.Change("another node has newer news, asking the store", "node", n.addr, "revision", n.revision, "known", f.store.Revision())
 	f.store.Refresh(n.revision)
--- a/internal/mesh/reader/follower_test.go
+++ b/internal/mesh/reader/follower_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -71,6 +72,15 @@
 	mu     sync.Mutex
 	asked  []string
 	answer func(addr string)
+	// down are nodes that no connection can be opened to.
+	down map[string]bool
+}
+
+func (a *fakeAsker) Warm(_ context.Context, addr string) error {
+	if a.down[addr] {
+		return errors.New("refused")
+	}
+	return nil
 }
 
 func (a *fakeAsker) Ask(addr string, _ peer.Question) error {
