--- a/internal/mesh/node/store_calls.go
+++ b/internal/mesh/node/store_calls.go
@@ -26,10 +26,13 @@
 	StoreCatchUp StoreCause = "catch_up"
 	// StoreRetry follows a call that failed.
 	StoreRetry StoreCause = "retry"
+	// StoreProbe finds out whether a store that is away answers again. The answer may be
+	// old, which costs less.
+	StoreProbe StoreCause = "probe"
 )
 
 // StoreCauses are all causes.
-var StoreCauses = []StoreCause{StoreLook, StoreStart, StoreReread, StoreWatch, StoreCatchUp, StoreRetry}
+var StoreCauses = []StoreCause{StoreLook, StoreStart, StoreReread, StoreWatch, StoreCatchUp, StoreRetry, StoreProbe}
 
 // StoreCall is a call to the platform's store that has ended.
 type StoreCall struct {
