A request that must not run twice is confirmed by its entry before it runs

The guard now asks the entry right before it sends such a request to its backend server, with the slot held, and the entry lets it run or has given it up. What it hasn't let run is known not to have run, and goes to another target or is refused as such.

Cost: a round trip of a slot's time for requests that must not run twice and run on another VM, and two frames of 9 bytes. Ruled out: telling of each start (the last word is lost with the node, so that it proves nothing), asking after the break (nobody is left to answer).

--- a/internal/mesh/guard/guard.go
+++ b/internal/mesh/guard/guard.go
@@ -171,6 +171,9 @@
 	if e := g.awaitCalm(ctx, v); e != nil {
 		return nil, e
 	}
+	if e := confirm(ctx, r); e != nil {
+		return nil, e
+	}
 	v.waited = g.Now() - v.start
 	g.note(v)
 	if e := g.takes(r); e != nil {
@@ -187,6 +190,17 @@
 	return answer, e
 }
 
+// confirm asks the entry whether a request may run, where that is wanted.
+func confirm(ctx context.Context, r *mesh.Request) *kind.Error {
+	if r.Confirm == nil {
+		return nil
+	}
+	if err := r.Confirm(ctx); err != nil {
+		return kind.New(kind.DeadlineNotRun, "the entry no longer waits for the request").Because(err)
+	}
+	return nil
+}
+
 // know fills in what is known of a request's like, that is of its route.
 func (g *Guard) know(v *visit) {
 	path, _, _ := strings.Cut(v.request.URI, "?")
--- a/internal/mesh/guard/guard_test.go
+++ b/internal/mesh/guard/guard_test.go
@@ -336,3 +336,19 @@
 	require.Equal(t, kind.NotRun, err.Said())
 	require.Zero(t, x.got.Load())
 }
+
+// Guards against a booking that runs though its entry has given it up, or can't be asked.
+func TestARequestThatIsNotConfirmedIsNotSent(t *testing.T) {
+	x := newFixture(t, 4, signed)
+	r := request()
+	r.Confirm = func(context.Context) error { return context.Canceled }
+	_, err := x.Run(t.Context(), r)
+	require.Equal(t, kind.DeadlineNotRun, err.Kind)
+	require.Equal(t, kind.NotRun, err.Said())
+	require.Zero(t, x.got.Load())
+	r = request()
+	r.Confirm = func(context.Context) error { return nil }
+	_, err = x.Run(t.Context(), r)
+	require.Nil(t, err)
+	require.EqualValues(t, 1, x.got.Load())
+}
--- a/internal/mesh/message.go
+++ b/internal/mesh/message.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"context"
 	"net/http"
 	"time"
 )
@@ -30,6 +31,9 @@
 	// Work is how long backend servers of the service take for its like with nothing else to
 	// do and no neighbours; 0 is not known to the sender.
 	Work time.Duration
+	// Confirm asks the entry right before the request is sent to the backend server. An
+	// error says that it mustn't be. nil is a request that needn't be confirmed.
+	Confirm func(ctx context.Context) error
 }
 
 // Answer is a whole answer of a backend server.
--- a/internal/mesh/peer/client.go
+++ b/internal/mesh/peer/client.go
@@ -87,9 +87,11 @@
 		return nil, kind.New(kind.Unreachable, "the target's node can't be reached").Because(err)
 	}
 	r = after(r, waited)
-	number, s := l.open()
+	number, s := l.open(!r.Idempotent)
 	defer l.forget(number)
-	frame, err := encode(frameRequest, number, fromRequest(r))
+	body := fromRequest(r)
+	body.Confirm = s.confirmed
+	frame, err := encode(frameRequest, number, body)
 	if err != nil {
 		return nil, kind.New(kind.BadRequest, "the request can't be sent on").Because(err)
 	}
--- a/internal/mesh/peer/frame.go
+++ b/internal/mesh/peer/frame.go
@@ -39,6 +39,12 @@
 	// both are without a stream and go either way.
 	frameAsk
 	frameState
+	// frameReady says that a request which is to be confirmed has a slot, and
+	// frameProceed that it may run.
+	frameReady
+	frameProceed
+	// frameEnd is above all types.
+	frameEnd
 )
 
 const (
@@ -73,6 +79,8 @@
 	PatienceMs uint32
 	WorkMs     uint32
 	AimLeftMs  int32
+	// Confirm has the request wait for frameProceed before it runs.
+	Confirm bool
 }
 
 type answerBody struct {
@@ -107,6 +115,8 @@
 	Reading  bool
 	// Standing is in percent, as Percent is.
 	Standing uint16
+	// Confirms says that the node has requests confirmed that ask for it.
+	Confirms bool
 }
 
 // askBody is a Question on the wire.
@@ -154,7 +164,7 @@
 		Running: clip16(l.Running), Waiting: clip16(l.Waiting), Slots: clip16(l.Slots),
 		ServiceMs: clip16(int(l.Service.Milliseconds())), Percent: clip16(int(100 * l.Slowdown)),
 		CalmInMs: clip16(int(l.CalmIn.Milliseconds())), Leaving: l.Leaving, Revision: l.Revision,
-		Reading: l.Reading, Standing: clip16(int(100 * l.Standing)),
+		Reading: l.Reading, Standing: clip16(int(100 * l.Standing)), Confirms: true,
 	}
 }
 
@@ -227,7 +237,7 @@
 	}
 	size := binary.BigEndian.Uint32(prefix[:])
 	t := frameType(prefix[4])
-	if size > maxFrame || t < frameHello || t > frameState {
+	if size > maxFrame || t < frameHello || t >= frameEnd {
 		return 0, 0, nil, errFrame
 	}
 	body := make([]byte, size)
--- a/internal/mesh/peer/link.go
+++ b/internal/mesh/peer/link.go
@@ -36,12 +36,21 @@
 	life       liveness
 	next       uint32
 	streams    map[uint32]*stream
+	// confirms says that the peer has requests confirmed that ask for it.
+	confirms bool
 }
 
+// stream is a request that is out.
 type stream struct {
 	ended chan reply
+	// confirmed says that the request doesn't run before the peer has asked, and proceeds
+	// that it has asked and was told yes.
+	confirmed, proceeds bool
 }
 
+// mayRun says whether the request may have run or may still run.
+func (s *stream) mayRun() bool { return !s.confirmed || s.proceeds }
+
 type reply struct {
 	answer *mesh.Answer
 	err    *kind.Error
@@ -57,25 +66,63 @@
 		case r := <-s.ended:
 			return r.answer, r.err
 		case <-ctx.Done():
-			if frame, err := encode(frameCancel, number, nil); err == nil {
-				// If it can't be sent, the connection ends, and that cancels as well.
-				_ = w.send(frame)
-			}
-			if errors.Is(ctx.Err(), context.Canceled) {
-				return nil, kind.New(kind.OutcomeUnknown, "the caller left").Because(ctx.Err())
-			}
-			return nil, kind.New(kind.DeadlineUnknown, "the wait for the target ended").Because(ctx.Err())
+			return nil, l.giveUp(ctx, w, number, s)
 		case <-check.C:
 			check.Reset(l.check(w))
 		}
 	}
 }
 
-func (l *link) open() (uint32, *stream) {
+// giveUp ends a request for which nobody waits any more, and tells what became of it.
+func (l *link) giveUp(ctx context.Context, w *writer, number uint32, s *stream) *kind.Error {
+	// From then on the peer isn't told to proceed.
+	l.forget(number)
+	if frame, err := encode(frameCancel, number, nil); err == nil {
+		// If it can't be sent, the connection ends, and that cancels as well.
+		_ = w.send(frame)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		return kind.New(kind.OutcomeUnknown, "the caller left").Because(ctx.Err())
+	case s.mayRun():
+		return kind.New(kind.DeadlineUnknown, "the wait for the target ended").Because(ctx.Err())
+	}
+	return kind.New(kind.DeadlineNotRun, "the wait for a slot at the target ended").Because(ctx.Err())
+}
+
+// proceed lets the peer run a request, unless nobody waits for it any more.
+func (l *link) proceed(w *writer, number uint32) bool {
+	l.mu.Lock()
+	s := l.streams[number]
+	if s != nil {
+		s.proceeds = true
+	}
+	l.mu.Unlock()
+	if s == nil {
+		// The peer hears of it by a frameCancel.
+		return true
+	}
+	frame, err := encode(frameProceed, number, nil)
+	return err == nil && w.send(frame) == nil
+}
+
+// reported takes a load report of the peer.
+func (l *link) reported(b loadBody) {
+	l.mu.Lock()
+	l.confirms = b.Confirms
+	l.mu.Unlock()
+	l.client.listener.Reported(l.key.addr, b.load())
+}
+
+// open begins a request. Where the peer is known to ask, one that must not run twice is
+// confirmed: if the connection breaks before, it is known not to have run.
+func (l *link) open(once bool) (uint32, *stream) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.next++
-	s := &stream{ended: make(chan reply, 1)}
+	s := &stream{ended: make(chan reply, 1), confirmed: once && l.confirms}
 	l.streams[l.next] = s
 	return l.next, s
 }
@@ -148,7 +195,8 @@
 		w.close()
 		return err
 	}
-	l.writer, l.life = w, liveness{heard: time.Now()}
+	// The process at the other end may be another one than before, of another version.
+	l.writer, l.life, l.confirms = w, liveness{heard: time.Now()}, false
 	go l.read(raw, w)
 	return nil
 }
@@ -168,8 +216,16 @@
 	l.writer = nil
 	for number, s := range l.streams {
 		delete(l.streams, number)
-		s.ended <- reply{err: kind.New(kind.OutcomeUnknown, "the connection to the target's node broke").Because(errSilent)}
+		s.ended <- reply{err: s.broken()}
+	}
+}
+
+// broken tells what the end of the connection says of the request.
+func (s *stream) broken() *kind.Error {
+	if s.mayRun() {
+		return kind.New(kind.OutcomeUnknown, "the connection to the target's node broke").Because(errSilent)
 	}
+	return kind.New(kind.Unreachable, "the connection to the target's node broke before the request ran").Because(errSilent)
 }
 
 func (l *link) take(w *writer, t frameType, number uint32, body []byte) bool {
@@ -179,7 +235,7 @@
 		if msgpack.Unmarshal(body, &a) != nil {
 			return false
 		}
-		l.client.listener.Reported(l.key.addr, a.Load.load())
+		l.reported(a.Load)
 		l.end(number, reply{answer: &mesh.Answer{
 			Status: a.Status, Header: a.Header, Body: a.Body, Work: time.Duration(a.WorkMs) * time.Millisecond,
 		}})
@@ -188,14 +244,16 @@
 		if msgpack.Unmarshal(body, &r) != nil {
 			return false
 		}
-		l.client.listener.Reported(l.key.addr, r.Load.load())
+		l.reported(r.Load)
 		l.end(number, reply{err: r.error()})
 	case frameLoad:
 		var b loadBody
 		if msgpack.Unmarshal(body, &b) != nil {
 			return false
 		}
-		l.client.listener.Reported(l.key.addr, b.load())
+		l.reported(b)
+	case frameReady:
+		return l.proceed(w, number)
 	case frameAsk:
 		return l.client.news.Load().give(w, body)
 	case frameState:
--- a/internal/mesh/peer/server.go
+++ b/internal/mesh/peer/server.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -71,10 +72,14 @@
 	answers  delivery
 	mu       sync.Mutex
 	running  map[uint32]context.CancelFunc
+	// unconfirmed are requests that wait to be confirmed.
+	unconfirmed map[uint32]chan struct{}
+	// mute says that the node didn't confirm a request in time, and nothing came since.
+	mute atomic.Bool
 }
 
 func (s *Server) serve(c net.Conn) {
-	conn := &serverConn{server: s, writer: newWriter(c), running: map[uint32]context.CancelFunc{}}
+	conn := &serverConn{server: s, writer: newWriter(c), running: map[uint32]context.CancelFunc{}, unconfirmed: map[uint32]chan struct{}{}}
 	defer conn.writer.close()
 	reader := bufio.NewReader(hearing{c, conn.question.hear})
 	if err := conn.greet(c, reader); err != nil {
@@ -117,13 +122,14 @@
 
 // take acts on one frame; false ends the connection.
 func (c *serverConn) take(ctx context.Context, t frameType, stream uint32, body []byte) bool {
+	c.mute.Store(false)
 	switch t {
 	case frameRequest:
 		var r requestBody
 		if msgpack.Unmarshal(body, &r) != nil {
 			return false
 		}
-		c.start(ctx, stream, r.request())
+		c.start(ctx, stream, &r)
 	case frameCancel:
 		c.mu.Lock()
 		cancel := c.running[stream]
@@ -131,6 +137,8 @@
 		if cancel != nil {
 			cancel()
 		}
+	case frameProceed:
+		c.proceed(stream)
 	case frameAsk:
 		return c.server.news.give(c.writer, body)
 	case frameState:
@@ -143,8 +151,12 @@
 	return true
 }
 
-func (c *serverConn) start(ctx context.Context, stream uint32, r *mesh.Request) {
+func (c *serverConn) start(ctx context.Context, stream uint32, body *requestBody) {
 	c.server.asked(c.hello.VM)
+	r := body.request()
+	if body.Confirm {
+		r.Confirm = func(ctx context.Context) error { return c.confirm(ctx, stream) }
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	c.mu.Lock()
 	c.running[stream] = cancel
