--- a/internal/mesh/reader/bootstrap.go
+++ b/internal/mesh/reader/bootstrap.go
@@ -91,7 +91,7 @@
 	}
 	// Nodes of a zone spread over those that they ask first.
 	first := others[:min(len(others), bootstrapReaders)]
-	if hash(t.own)>>32%bootstrapReaders != 0 {
+	if !reads && hash(t.own)>>32%bootstrapReaders != 0 {
 		slices.Reverse(first)
 	}
 	return others[:min(len(others), bootstrapAsks)], reads
