A fleet that starts for the first time doesn't watch the store at every node

Until then a node knew no other, so that all read and watched the store and were woken by each registration.

Fixtures register the own target, where nodes are meant to be known.

--- a/internal/mesh/reader/follower_test.go
+++ b/internal/mesh/reader/follower_test.go
@@ -108,7 +108,7 @@
 func newFollower(s *fakeStore, a *fakeAsker) *Follower {
 	began := time.Now()
 	t := NewTable("10.1.0.9:8300", mesh.Place{Zone: "rs-a"}, func() time.Duration { return time.Since(began) })
-	t.SetView(&mesh.View{Peers: map[string]mesh.Peer{"10.1.0.1:8300": {Zone: "rs-a"}, "10.2.0.1:8300": {Zone: "rs-b"}}})
+	t.SetView(&mesh.View{Own: &mesh.Target{}, Peers: map[string]mesh.Peer{"10.1.0.1:8300": {Zone: "rs-a"}, "10.2.0.1:8300": {Zone: "rs-b"}}})
 	return NewFollower(t, s, a, nil)
 }
 
--- a/internal/mesh/reader/table.go
+++ b/internal/mesh/reader/table.go
@@ -47,7 +47,9 @@
 	now  func() time.Duration
 
 	mu sync.Mutex
-	// before are the nodes of the own zone that go before this one, best first.
+	// before are the nodes of the own zone that go before this one, best first. While
+	// the own backend server isn't registered no other node knows this one and could take
+	// news from it, so that all go before it.
 	before []string
 	// leads are the best nodes of all other zones.
 	leads []string
@@ -85,7 +87,10 @@
 			leads = append(leads, list[:min(len(list), leadsPerZone)]...)
 		}
 	}
-	before := slices.DeleteFunc(byZone[t.zone], func(addr string) bool { return rank(addr, t.own) > 0 })
+	before := byZone[t.zone]
+	if v.Own != nil {
+		before = slices.DeleteFunc(before, func(addr string) bool { return rank(addr, t.own) > 0 })
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.assume(before)
--- a/internal/mesh/reader/table_test.go
+++ b/internal/mesh/reader/table_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -33,7 +35,7 @@
 
 // publish gives a node its View.
 func (f *fleet) publish(addr string) {
-	v := &mesh.View{Peers: map[string]mesh.Peer{
+	v := &mesh.View{Own: &mesh.Target{}, Peers: map[string]mesh.Peer{
 		"10.2.0.1:8300": {Zone: "rs-b"}, "10.2.0.2:8300": {Zone: "rs-b"}, "10.2.0.3:8300": {Zone: "rs-b"}, "10.3.0.1:8300": {Zone: "sc-a"},
 	}}
 	for _, other := range f.addrs {
@@ -193,6 +195,30 @@
 	}
 }
 
+// Guards against nodes that all read the store while a fleet starts whose targets register
+// one after the other.
+func TestANodeThatNobodyKnowsReadsOnlyIfNoOtherDoes(t *testing.T) {
+	f := newFleet(6)
+	f.play(5*time.Second, everybody)
+	reader := f.readers(everybody)[0]
+	first := f.tables[reader]
+	unknown := &mesh.View{Peers: map[string]mesh.Peer{}}
+	for _, addr := range f.addrs[1:] {
+		unknown.Peers[addr] = mesh.Peer{Zone: "rs-a"}
+	}
+	delete(unknown.Peers, reader)
+	other := slices.Sorted(maps.Keys(unknown.Peers))[0]
+	first.SetView(unknown)
+	first.Heard(other, true)
+	reads, _ := first.Reads()
+	require.False(t, reads)
+	for addr := range unknown.Peers {
+		first.Heard(addr, false)
+	}
+	reads, _ = first.Reads()
+	require.True(t, reads, "no other does")
+}
+
 func TestAReaderKeepsToTheBestOfOtherZones(t *testing.T) {
 	f := newFleet(2)
 	leads := f.tables[f.addrs[0]].Leads()
