--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -41,6 +41,9 @@
 	Reads func() (reads bool, again time.Duration)
 	// Alone says whether the node hears of no other.
 	Alone func() bool
+	// First says whether the node is among the first of its zone to read the store, and
+	// Served whether it hears of any node that reads it.
+	First, Served func() bool
 	// Now gives the time since the node's start.
 	Now func() time.Duration
 	// Observe is told of each call to the store once it has ended.
@@ -125,7 +128,9 @@
 }
 
 func newSource(s *settings.Settings, p Platform, log *decision.Log, l *directory.Loop, r *reports, t *reader.Table, now clock.Clock, c *storeCalls) Source {
-	source := p.Source(s.Store, log, l, Part{Reads: t.Reads, Alone: r.alone, Now: now, Observe: c.observe})
+	source := p.Source(s.Store, log, l, Part{
+		Reads: t.Reads, First: t.First, Served: t.Served, Alone: r.alone, Now: now, Observe: c.observe,
+	})
 	// Told by others that the own backend server is gone, the node finds out whether it
 	// is itself cut off from the store.
 	l.OnOwnEnded(func() { source.Refresh(reader.AnyRevision) })
--- a/internal/mesh/reader/table.go
+++ b/internal/mesh/reader/table.go
@@ -159,6 +159,29 @@
 	return true, now
 }
 
+// outageReaders is how many nodes of a zone look for a store that is away in place of all.
+const outageReaders = 2
+
+// First says whether this node is among the first to read the store for its zone.
+func (t *Table) First() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.before) < outageReaders
+}
+
+// Served says whether any other node was heard of lately that reads the store.
+func (t *Table) Served() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.now()
+	for _, w := range t.heard {
+		if w.reading && now < w.at+silentAfter {
+			return true
+		}
+	}
+	return false
+}
+
 // Leads gives the nodes of other zones that a reader stays connected to. What the
 // reader of one zone has seen then reaches those of all others within moments, also if
 // their own watches have been forgotten.
--- a/internal/mesh/reader/table_test.go
+++ b/internal/mesh/reader/table_test.go
@@ -212,6 +212,7 @@
 	first.Heard(other, true)
 	reads, _ := first.Reads()
 	require.False(t, reads)
+	require.False(t, first.First())
 	for addr := range unknown.Peers {
 		first.Heard(addr, false)
 	}
@@ -219,6 +220,26 @@
 	require.True(t, reads, "no other does")
 }
 
+// Guards against a fleet all of whose nodes call a store that is away.
+func TestFewNodesOfAZoneLookForAStoreThatIsAway(t *testing.T) {
+	f := newFleet(33)
+	f.play(5*time.Second, everybody)
+	n := 0
+	for _, table := range f.tables {
+		if table.First() {
+			n++
+		}
+		require.True(t, table.Served() || len(table.before) == 0)
+	}
+	require.Equal(t, outageReaders, n)
+	for _, table := range f.tables {
+		for _, addr := range f.addrs {
+			table.Heard(addr, false)
+		}
+		require.False(t, table.Served())
+	}
+}
+
 func TestAReaderKeepsToTheBestOfOtherZones(t *testing.T) {
 	f := newFleet(2)
 	leads := f.tables[f.addrs[0]].Leads()
