--- a/internal/mesh/directory/directory.go
+++ b/internal/mesh/directory/directory.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/limpetdock/limpetdock/internal/mesh"
+	"github.com/limpetdock/limpetdock/internal/place"
 )
 
 // Registration is what a target says of itself in the store.
@@ -26,6 +27,16 @@
 	Revision uint64
 }
 
+// Peer gives the address at which the node beside the target takes requests of other nodes,
+// at the port that all nodes use for that, and how far it stands from a place.
+func (r Registration) Peer(here mesh.Place, regions map[string]string, port string) (string, place.Distance, error) {
+	host, _, err := net.SplitHostPort(r.Addr)
+	if err != nil {
+		return "", 0, err
+	}
+	return net.JoinHostPort(host, port), here.DistanceTo(host, r.Zone, regions[r.Zone]), nil
+}
+
 // row is a registered target.
 type row struct {
 	Registration
@@ -195,14 +206,13 @@
 }
 
 func (s *State) target(one *row) *mesh.Target {
-	host, _, err := net.SplitHostPort(one.Addr)
+	peer, distance, err := one.Peer(s.here, s.regions, s.peerPort)
 	if err != nil {
 		return nil
 	}
-	region := s.regions[one.Zone]
 	return &mesh.Target{
 		ID: one.ID, Service: one.Service, Addr: one.Addr,
-		Peer: net.JoinHostPort(host, s.peerPort), Zone: one.Zone, Slots: one.Slots,
-		State: one.State, WarmAt: one.warmAt, Stat: one.stat, Distance: s.here.DistanceTo(host, one.Zone, region),
+		Peer: peer, Zone: one.Zone, Slots: one.Slots,
+		State: one.State, WarmAt: one.warmAt, Stat: one.stat, Distance: distance,
 	}
 }
--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -242,13 +242,12 @@
 	s := p.Settings
 	peers := make(map[string]mesh.Peer, len(registered))
 	for _, r := range registered {
-		host, _, err := net.SplitHostPort(r.Addr)
+		addr, distance, err := r.Peer(s.Here, s.Regions, s.PeersPort())
 		if err != nil {
 			// The directory names no target by it either.
 			continue
 		}
-		addr := net.JoinHostPort(host, s.PeersPort())
-		peers[addr] = mesh.Peer{Zone: r.Zone, Distance: s.Here.DistanceTo(host, r.Zone, s.Regions[r.Zone])}
+		peers[addr] = mesh.Peer{Zone: r.Zone, Distance: distance}
 	}
 	return peers
 }
