mesh: the log says who ended a request, and requests without an answer are counted

A request that the node itself cut off at the end of a stop was logged as "the caller left", the message of the opposite case, and a request that was read while the server admits none left no trace at all.

- The context of a request ends with a cause, mesh.ErrCallerLeft or mesh.ErrStopping; the lines of entry and guard name it.
- `offers` says of each failed attempt whether its target may have run the request.
- The line `stopped` has the number of requests that were read and not answered.

TestCanceledRequestReportsWhoEndedIt, TestRequestReadAfterStopIsCounted and TestLogOfCanceledRequestHasCauseAndOutcomeOfAttempt guard it.

--- a/internal/mesh/entry/describe.go
+++ b/internal/mesh/entry/describe.go
@@ -32,9 +32,9 @@
 func (t *transaction) describeAttempts() string {
 	parts := make([]string, len(t.attempts))
 	for i, a := range t.attempts {
-		outcome := string(a.kind)
-		if outcome == "" {
-			outcome = "answered"
+		outcome := "answered"
+		if a.kind != "" {
+			outcome = fmt.Sprintf("%s (%s)", a.kind, a.outcome)
 		}
 		parts[i] = fmt.Sprintf("%s %s %dms of %d", a.target.ID, outcome, a.took.Milliseconds(), a.expected.Milliseconds())
 	}
--- /dev/null
+++ b/internal/mesh/entry/describe_test.go
@@ -0,0 +1,64 @@
+package entry_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/limpetdock/limpetdock/internal/decision"
+	"github.com/limpetdock/limpetdock/internal/kind"
+	"github.com/limpetdock/limpetdock/internal/mesh"
+)
+
+// logBuffer collects the lines of a log. Safe for concurrent use.
+type logBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *logBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+// line returns the only line once it has been written.
+func (l *logBuffer) line(t *testing.T) map[string]any {
+	var line map[string]any
+	require.Eventually(t, func() bool {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return json.Unmarshal(l.b.Bytes(), &line) == nil
+	}, time.Minute, time.Millisecond)
+	return line
+}
+
+// Guards against a log line of a canceled request that doesn't say who ended it, or whether
+// its last target may have run it.
+func TestLogOfCanceledRequestHasCauseAndOutcomeOfAttempt(t *testing.T) {
+	for _, cause := range []error{mesh.ErrCallerLeft, mesh.ErrStopping} {
+		t.Run(cause.Error(), func(t *testing.T) {
+			var out logBuffer
+			d := newDeployment(t, false)
+			d.entry.Log = decision.New(t.Context(), &out, slog.LevelInfo)
+			ctx, cancel := context.WithCancelCause(t.Context())
+			d.answers[own] = func(*mesh.Request) (*mesh.Answer, *kind.Error) {
+				cancel(cause)
+				e := mesh.CancelledError(ctx)
+				e.Outcome = kind.NotRun
+				return nil, e
+			}
+			_, err := d.entry.Serve(ctx, d.request(0))
+			require.NotNil(t, err)
+			line := out.line(t)
+			require.Equal(t, cause.Error(), line["message"])
+			require.Contains(t, line["offers"], "i-own outcome-unknown (not-run) ")
+		})
+	}
+}
--- a/internal/mesh/entry/entry.go
+++ b/internal/mesh/entry/entry.go
@@ -162,11 +162,14 @@
 	target *mesh.Target
 	took   time.Duration
 	kind   kind.Kind
+	// outcome is that of an attempt that failed.
+	outcome kind.Outcome
 	// expected is how long the attempt was expected to take.
 	expected time.Duration
 }
 
-// Serve handles a request and returns its answer. ctx ends when the caller disconnects.
+// Serve handles a request and returns its answer. ctx ends with the cause mesh.ErrCallerLeft or
+// mesh.ErrStopping once nobody reads the answer.
 func (e *Entry) Serve(ctx context.Context, in *Inbound) (*mesh.Answer, *kind.Error) {
 	e.active.Add(1)
 	defer e.active.Add(-1)
@@ -179,7 +182,7 @@
 	defer cancel()
 	answer, err := t.run(wait)
 	if err != nil && ctx.Err() != nil {
-		err = kind.New(kind.OutcomeUnknown, "the caller left").WithCause(ctx.Err())
+		err = mesh.CancelledError(ctx)
 	}
 	e.record(t, answer, err)
 	return answer, err
--- a/internal/mesh/entry/run.go
+++ b/internal/mesh/entry/run.go
@@ -169,7 +169,7 @@
 		t.attempts = append(t.attempts, a)
 		return
 	}
-	a.kind = err.Kind
+	a.kind, a.outcome = err.Kind, err.ReportedOutcome()
 	t.attempts = append(t.attempts, a)
 	if err.ReportedOutcome() != kind.NotRun {
 		t.sent++
--- a/internal/mesh/front/conn.go
+++ b/internal/mesh/front/conn.go
@@ -33,9 +33,8 @@
 	raw    net.Conn
 	reader *bufio.Reader
 	header *headerLimit
-	// ctx ends when the caller disconnects.
-	ctx    context.Context
-	cancel context.CancelFunc
+	// ctx ends when the caller disconnects or the server closes the connection.
+	ctx context.Context
 	// answers holds the answers to be written, in the order of their requests.
 	answers chan *pending
 	mu      sync.Mutex
@@ -58,9 +57,9 @@
 }
 
 func (s *Server) serve(raw net.Conn) {
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancelCause(context.Background())
 	c := &conn{
-		server: s, raw: raw, ctx: ctx, cancel: cancel, answers: make(chan *pending, maxPipelined),
+		server: s, raw: raw, ctx: ctx, answers: make(chan *pending, maxPipelined),
 		header: &headerLimit{conn: raw, remaining: -1},
 	}
 	c.answered.L = &c.mu
@@ -73,8 +72,8 @@
 		c.write()
 	}()
 	c.read()
-	// The caller sends nothing more: requests in flight are cancelled.
-	cancel()
+	// Nothing more can be read: requests in flight are cancelled.
+	cancel(s.endCause())
 	close(c.answers)
 	<-written
 	_ = raw.Close()
@@ -116,7 +115,11 @@
 func (c *conn) beginRequest() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closing || !c.server.beginRequest() {
+	if c.closing {
+		return false
+	}
+	if !c.server.beginRequest() {
+		c.server.Counts.Unanswered.Add(1)
 		return false
 	}
 	c.outstanding++
@@ -151,8 +154,8 @@
 		select {
 		case resp = <-p.done:
 		case <-c.ctx.Done():
-			// The caller has disconnected; requests in flight end by themselves.
-			c.server.Counts.Abandoned.Add(1)
+			// Nobody reads the answer; requests in flight end by themselves.
+			c.server.countUnwritten(context.Cause(c.ctx))
 			resp = <-p.done
 			failed = true
 		}
--- a/internal/mesh/front/front_test.go
+++ b/internal/mesh/front/front_test.go
@@ -275,3 +275,41 @@
 	require.NoError(t, err)
 	require.Equal(t, "PUTxy", string(body))
 }
+
+// Guards against a log that blames the caller for a request that the node itself ended.
+func TestCanceledRequestReportsWhoEndedIt(t *testing.T) {
+	cases := map[string]struct {
+		end                   func(s *front.Server, c *caller)
+		cause                 error
+		abandoned, unanswered uint64
+	}{
+		"the caller disconnects": {func(_ *front.Server, c *caller) { _ = c.Close() }, mesh.ErrCallerLeft, 1, 0},
+		"the node stops":         {func(s *front.Server, _ *caller) { s.Close() }, mesh.ErrStopping, 0, 1},
+	}
+	for name, one := range cases {
+		t.Run(name, func(t *testing.T) {
+			running, cause := make(chan struct{}), make(chan error, 1)
+			s, c := start(t, handler{serve: func(ctx context.Context, _ *front.Request) *front.Response {
+				close(running)
+				<-ctx.Done()
+				cause <- context.Cause(ctx)
+				return text("")
+			}})
+			c.get("/")
+			<-running
+			one.end(s, c)
+			require.ErrorIs(t, <-cause, one.cause)
+			require.Eventually(t, func() bool { return s.Active() == 0 }, time.Minute, time.Millisecond)
+			require.Equal(t, one.abandoned, s.Counts.Abandoned.Load())
+			require.Equal(t, one.unanswered, s.Counts.Unanswered.Load())
+		})
+	}
+}
+
+// Guards against a request that is read and dropped without any trace.
+func TestRequestReadAfterStopIsCounted(t *testing.T) {
+	s, c := start(t, handler{})
+	require.True(t, s.StopIfIdle())
+	c.get("/")
+	require.Eventually(t, func() bool { return s.Counts.Unanswered.Load() == 1 }, time.Minute, time.Millisecond)
+}
--- a/internal/mesh/front/server.go
+++ b/internal/mesh/front/server.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -34,8 +35,10 @@
 	Body   []byte
 }
 
-// Handler answers requests. ctx ends when the caller disconnects. Safe for concurrent use.
+// Handler answers requests. Safe for concurrent use.
 type Handler interface {
+	// Serve answers one request. ctx ends with the cause mesh.ErrCallerLeft or
+	// mesh.ErrStopping once nobody reads the answer.
 	Serve(ctx context.Context, r *Request) *Response
 	// Reject returns the answer with the given status to a request that can't be read.
 	Reject(status int) *Response
@@ -49,17 +52,20 @@
 	draining atomic.Bool
 	// closed is true once no more requests are admitted.
 	closed atomic.Bool
-	active atomic.Int64
-	mu     sync.Mutex
-	conns  map[*conn]struct{}
-	Counts Counts
+	// closing is true once the connections are being closed.
+	closing atomic.Bool
+	active  atomic.Int64
+	mu      sync.Mutex
+	conns   map[*conn]struct{}
+	Counts  Counts
 }
 
 // Counts counts what the server does. Safe for concurrent use.
 type Counts struct {
 	// Accepted counts connections, Requests those read completely, Rejected those that
 	// could not be read, and Abandoned those whose caller disconnected before the answer.
-	Accepted, Requests, Rejected, Abandoned atomic.Uint64
+	// Unanswered counts requests that were read and got no answer because the server stopped.
+	Accepted, Requests, Rejected, Abandoned, Unanswered atomic.Uint64
 }
 
 // New returns a Server that answers with h.
@@ -94,6 +100,7 @@
 // Close stops admitting requests and closes all connections.
 func (s *Server) Close() {
 	s.closed.Store(true)
+	s.closing.Store(true)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
@@ -101,6 +108,23 @@
 	}
 }
 
+// endCause returns why a connection ended, as the cause for its requests' contexts.
+func (s *Server) endCause() error {
+	if s.closing.Load() {
+		return mesh.ErrStopping
+	}
+	return mesh.ErrCallerLeft
+}
+
+// countUnwritten counts a request whose answer isn't written, by the cause of its end.
+func (s *Server) countUnwritten(cause error) {
+	if errors.Is(cause, mesh.ErrStopping) {
+		s.Counts.Unanswered.Add(1)
+		return
+	}
+	s.Counts.Abandoned.Add(1)
+}
+
 // beginRequest counts a request as active, unless requests are no longer admitted.
 func (s *Server) beginRequest() bool {
 	s.active.Add(1)
--- a/internal/mesh/guard/send.go
+++ b/internal/mesh/guard/send.go
@@ -59,7 +59,7 @@
 func (g *Guard) exchangeError(ctx context.Context, f *exchange.Failure) *kind.Error {
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled) && f.Outcome == exchange.Unknown:
-		return kind.New(kind.OutcomeUnknown, "the caller left").WithCause(ctx.Err())
+		return mesh.CancelledError(ctx)
 	case f.Outcome == exchange.Unreachable:
 		return kind.New(kind.Unreachable, "the backend server can't be reached").WithCause(f)
 	case f.Outcome == exchange.NotSent && ctx.Err() != nil:
--- a/internal/mesh/message.go
+++ b/internal/mesh/message.go
@@ -2,8 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/limpetdock/limpetdock/internal/kind"
 )
 
 // Request is a complete request of a caller on its way to a backend server.
@@ -38,6 +43,24 @@
 	Confirm func(ctx context.Context) error
 }
 
+// Causes of the end of a request's context (context.Cause).
+var (
+	// ErrCallerLeft means that the caller closed its connection.
+	ErrCallerLeft = eris.New("the caller left")
+	// ErrStopping means that the node stops and can't wait for the answer any longer.
+	ErrStopping = eris.New("the node stopped before the request was answered")
+)
+
+// CancelledError returns the error for a request whose context was cancelled. Its outcome is
+// unknown unless the caller knows better.
+func CancelledError(ctx context.Context) *kind.Error {
+	cause := ErrCallerLeft
+	if errors.Is(context.Cause(ctx), ErrStopping) {
+		cause = ErrStopping
+	}
+	return kind.New(kind.OutcomeUnknown, "%s", cause.Error()).WithCause(ctx.Err())
+}
+
 // Answer is a complete answer of a backend server.
 type Answer struct {
 	Status int
--- a/internal/mesh/node/stop.go
+++ b/internal/mesh/node/stop.go
@@ -39,7 +39,7 @@
 			break
 		}
 	}
-	p.Log.Event("stopped", "active", p.Front.Active(), "guard_active", p.Guard.Active(), "took_ms", time.Since(began).Milliseconds())
+	p.Log.Event("stopped", "active", p.Front.Active(), "unanswered", p.Front.Counts.Unanswered.Load(), "guard_active", p.Guard.Active(), "took_ms", time.Since(began).Milliseconds())
 	p.Log.Flush(flushTimeout)
 	p.Front.Close()
 	p.Peers.Close()
--- a/internal/mesh/peer/link.go
+++ b/internal/mesh/peer/link.go
@@ -85,7 +85,11 @@
 	defer l.mu.Unlock()
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled):
-		return kind.New(kind.OutcomeUnknown, "the caller left").WithCause(ctx.Err())
+		e := mesh.CancelledError(ctx)
+		if !s.mayHaveRun() {
+			e.Outcome = kind.NotRun
+		}
+		return e
 	case s.mayHaveRun():
 		return kind.New(kind.DeadlineUnknown, "timed out waiting for the target").WithCause(ctx.Err())
 	}
