guard: the test of a removed target tells its two requests apart

TestWaitingRequestsAreRefusedWhenTheTargetIsRemoved read the outcomes of the running and of the waiting request from one channel and took the first for the running one. The waiting request is refused once the running one has released its slot, before that one has recorded its outcome, so the order isn't certain. Each request now has a channel of its own; the same two outcomes are required.

--- a/internal/mesh/guard/guard_test.go
+++ b/internal/mesh/guard/guard_test.go
@@ -173,22 +173,22 @@
 	_, err := x.Run(t.Context(), request())
 	require.Nil(t, err, "the load has been reported")
 	<-started
-	failures := make(chan *kind.Error, 2)
-	run := func() {
+	running, waiting := make(chan *kind.Error, 1), make(chan *kind.Error, 1)
+	run := func(result chan<- *kind.Error) {
 		_, err := x.Run(context.Background(), request())
-		failures <- err
+		result <- err
 	}
-	go run()
+	go run(running)
 	<-started
-	go run()
+	go run(waiting)
 	require.Eventually(t, func() bool { return x.Load().Waiting == 1 }, time.Minute, time.Millisecond)
 	removed := *x.view
 	removed.LocalTarget = nil
 	x.SetView(&removed)
 	x.now.Store(int64(time.Second))
 	close(release)
-	require.Nil(t, <-failures, "a running request completes")
-	require.Equal(t, kind.Leaving, (<-failures).Kind)
+	require.Nil(t, <-running, "a running request completes")
+	require.Equal(t, kind.Leaving, (<-waiting).Kind)
 }
 
 // The backend server is full. A stock check that a running order depends on must run
