mesh: a stopping node answers the requests that are open at the end of its grace

Callers saw their connections closed without an answer, up to 5.6 s after their node had got SIGTERM, though the node had read their requests and knew in most cases that they had not run.

Cause: nothing bounded a request by the life of the process that holds it. A request read shortly after SIGTERM kept its own deadline, which may lie beyond the end of the process. At the limit of the stop the node closed the callers' connections; that cancelled what was open like a caller that leaves, so no answer was written.

Now a request ends with its caller's deadline or with the process, whichever comes first: targets get no more time than that, and one that no target can complete by then is refused at once. At the limit front.Server.Shutdown ends the contexts with the cause mesh.ErrStopping, and closes a connection only when its answers are written. The answer is 503 with Retry-After where no target was allowed to run the request and none will be, as the entry confirms no run of a request that it has given up; 502 otherwise. A run at the local target that must not run twice is cut off only by the stop.

--- a/internal/mesh/entry/choose.go
+++ b/internal/mesh/entry/choose.go
@@ -153,7 +153,7 @@
 // at arrival is answered after its latency objective or after its deadline.
 func (t *transaction) riskPenalty(f mesh.Forecast, arrival time.Duration) time.Duration {
 	late := lateProbability(f, t.objective-arrival)
-	none := lateProbability(f, t.deadline-arrival)
+	none := lateProbability(f, t.end()-arrival)
 	return time.Duration(late*float64(latePenalty) + none*float64(failurePenalty-latePenalty))
 }
 
--- a/internal/mesh/entry/describe_test.go
+++ b/internal/mesh/entry/describe_test.go
@@ -42,8 +42,12 @@
 // Guards against a log line of a canceled request that doesn't say who ended it, or whether
 // its last target may have run it.
 func TestLogOfCanceledRequestHasCauseAndOutcomeOfAttempt(t *testing.T) {
-	for _, cause := range []error{mesh.ErrCallerLeft, mesh.ErrStopping} {
-		t.Run(cause.Error(), func(t *testing.T) {
+	messages := map[error]string{
+		mesh.ErrCallerLeft: "the caller left",
+		mesh.ErrStopping:   "the node stops before the request can complete",
+	}
+	for cause, message := range messages {
+		t.Run(message, func(t *testing.T) {
 			var out logBuffer
 			d := newDeployment(t, false)
 			d.entry.Log = decision.New(t.Context(), &out, slog.LevelInfo)
@@ -57,7 +61,7 @@
 			_, err := d.entry.Serve(ctx, d.request(0))
 			require.NotNil(t, err)
 			line := out.line(t)
-			require.Equal(t, cause.Error(), line["message"])
+			require.Equal(t, message, line["message"])
 			require.Contains(t, line["offers"], "i-own outcome-unknown (not-run) ")
 		})
 	}
--- a/internal/mesh/entry/entry.go
+++ b/internal/mesh/entry/entry.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -100,8 +101,9 @@
 // Active returns the number of requests being served.
 func (e *Entry) Active() int { return int(e.active.Load()) }
 
-// Stop announces that the process ends at the given time since the node's start. After a grace
-// period, requests that might not complete before then are refused.
+// Stop announces that the process ends at the given time since the node's start. Requests in
+// flight are refused once they can't complete before then. After a grace period, new requests
+// that might not complete before then are refused at once.
 func (e *Entry) Stop(ends time.Duration) { e.stop.Store(&stop{e.Now(), ends}) }
 
 const (
@@ -127,6 +129,41 @@
 	return e
 }
 
+// end returns until when the request can be answered: until its deadline, or the end of the
+// process if that is earlier.
+func (t *transaction) end() time.Duration {
+	if s := t.entry.stop.Load(); s != nil {
+		return min(t.deadline, s.ends)
+	}
+	return t.deadline
+}
+
+// endsWithProcess reports whether the process ends before the request's deadline.
+func (t *transaction) endsWithProcess() bool { return t.end() < t.deadline }
+
+// stopError returns the error for a request that can't complete before the process ends.
+func (t *transaction) stopError() *kind.Error {
+	if t.sent > 0 {
+		return kind.New(kind.OutcomeUnknown, "the node stopped while a target may have been running the request")
+	}
+	e := kind.New(kind.Leaving, "the node stops before the request can complete")
+	e.RetryAfter = stopRetryAfter
+	return e
+}
+
+// endError returns the error for the caller of a request that failed with err: if the caller left
+// or the node stops, that is the reason.
+func (t *transaction) endError(ctx context.Context, err *kind.Error) *kind.Error {
+	timedOut := err.Kind == kind.DeadlineNotRun || err.Kind == kind.DeadlineUnknown
+	switch {
+	case errors.Is(context.Cause(ctx), mesh.ErrStopping), timedOut && t.endsWithProcess():
+		return t.stopError()
+	case ctx.Err() != nil:
+		return mesh.CancelledError(ctx)
+	}
+	return err
+}
+
 // Inbound is one complete request as a caller sent it.
 type Inbound struct {
 	ID, Method, URI, Path, Host string
@@ -168,8 +205,8 @@
 	expected time.Duration
 }
 
-// Serve handles a request and returns its answer. ctx ends with the cause mesh.ErrCallerLeft or
-// mesh.ErrStopping once nobody reads the answer.
+// Serve handles a request and returns its answer. ctx ends with the cause mesh.ErrCallerLeft once
+// nobody reads the answer, and with mesh.ErrStopping when the node can't wait any longer.
 func (e *Entry) Serve(ctx context.Context, in *Inbound) (*mesh.Answer, *kind.Error) {
 	e.active.Add(1)
 	defer e.active.Add(-1)
@@ -181,8 +218,8 @@
 	wait, cancel := context.WithTimeout(ctx, t.deadline-e.Now())
 	defer cancel()
 	answer, err := t.run(wait)
-	if err != nil && ctx.Err() != nil {
-		err = mesh.CancelledError(ctx)
+	if err != nil {
+		err = t.endError(ctx, err)
 	}
 	e.record(t, answer, err)
 	return answer, err
--- a/internal/mesh/entry/run.go
+++ b/internal/mesh/entry/run.go
@@ -38,7 +38,7 @@
 func (t *transaction) run(ctx context.Context) (*mesh.Answer, *kind.Error) {
 	var last *kind.Error
 	for range maxAttempts {
-		if ctx.Err() != nil || t.deadline-t.entry.Now() < minRemaining {
+		if ctx.Err() != nil || t.end()-t.entry.Now() < minRemaining {
 			break
 		}
 		c, queueTimeout, refusal := t.next()
@@ -90,9 +90,12 @@
 	if len(list) == 0 {
 		return candidate{}, 0, kind.New(kind.NoTarget, "no target can take the request")
 	}
-	remaining := t.deadline - t.entry.Now() - answerMargin
+	remaining := t.end() - t.entry.Now() - answerMargin
 	shortestWait := slices.MinFunc(list, func(a, b candidate) int { return cmp.Compare(a.wait, b.wait) }).wait
 	list = slices.DeleteFunc(list, func(c candidate) bool { return c.wait+c.forecast.ExpectedServiceTime/2 > remaining })
+	if len(list) == 0 && t.endsWithProcess() {
+		return candidate{}, 0, t.stopError()
+	}
 	if len(list) == 0 {
 		e := kind.New(kind.Overloaded, "the wait at every target is longer than the deadline")
 		e.RetryAfter = shortestWait
@@ -136,7 +139,7 @@
 		ID: t.in.ID, Method: t.in.Method, URI: t.in.URI, Host: t.in.Host, Header: t.in.Header.Clone(), Body: t.in.Body,
 		Caller: e.Here.Service, Service: t.service, Target: c.target.ID,
 		Idempotent: t.route.Idempotent, Priority: t.route.Priority,
-		Remaining: t.deadline - start - answerMargin/2 - rttTo[c.target.Distance]/2, QueueTimeout: queueTimeout,
+		Remaining: t.end() - start - answerMargin/2 - rttTo[c.target.Distance]/2, QueueTimeout: queueTimeout,
 		BaseServiceTime: baseServiceTime, ObjectiveRemaining: t.objective - start - rttTo[c.target.Distance],
 	}
 	c.target.Stat.Begin()
--- a/internal/mesh/front/conn.go
+++ b/internal/mesh/front/conn.go
@@ -3,12 +3,14 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/limpetdock/limpetdock/internal/mesh"
 	"github.com/limpetdock/limpetdock/internal/stall"
 )
 
@@ -33,7 +35,7 @@
 	raw    net.Conn
 	reader *bufio.Reader
 	header *headerLimit
-	// ctx ends when the caller disconnects or the server closes the connection.
+	// ctx ends when the caller disconnects or the server shuts down.
 	ctx context.Context
 	// answers holds the answers to be written, in the order of their requests.
 	answers chan *pending
@@ -57,14 +59,18 @@
 }
 
 func (s *Server) serve(raw net.Conn) {
-	ctx, cancel := context.WithCancelCause(context.Background())
+	ctx, cancel := context.WithCancelCause(s.ctx)
+	defer cancel(nil)
 	c := &conn{
 		server: s, raw: raw, ctx: ctx, answers: make(chan *pending, maxPipelined),
 		header: &headerLimit{conn: raw, remaining: -1},
 	}
 	c.answered.L = &c.mu
 	c.reader = bufio.NewReaderSize(c.header, readBuffer)
-	s.add(c)
+	if !s.add(c) {
+		_ = raw.Close()
+		return
+	}
 	defer s.remove(c)
 	written := make(chan struct{})
 	go func() {
@@ -72,8 +78,10 @@
 		c.write()
 	}()
 	c.read()
-	// Nothing more can be read: requests in flight are cancelled.
-	cancel(s.endCause())
+	if !s.closing.Load() {
+		// The caller disconnected: requests in flight are cancelled.
+		cancel(mesh.ErrCallerLeft)
+	}
 	close(c.answers)
 	<-written
 	_ = raw.Close()
@@ -139,7 +147,7 @@
 			continue
 		}
 		remaining -= n
-		if c.raw.SetReadDeadline(time.Now().Add(lingerTimeout)) != nil {
+		if c.setReadDeadline(time.Now().Add(lingerTimeout)) != nil {
 			return
 		}
 	}
@@ -150,13 +158,9 @@
 	w := bufio.NewWriter(stall.NewWriter(c.raw, writeTimeout))
 	failed := false
 	for p := range c.answers {
-		var resp *Response
-		select {
-		case resp = <-p.done:
-		case <-c.ctx.Done():
-			// Nobody reads the answer; requests in flight end by themselves.
-			c.server.countUnwritten(context.Cause(c.ctx))
-			resp = <-p.done
+		resp := <-p.done
+		if errors.Is(context.Cause(c.ctx), mesh.ErrCallerLeft) {
+			c.server.Counts.Abandoned.Add(1)
 			failed = true
 		}
 		if failed {
@@ -221,7 +225,7 @@
 func (c *conn) linger() {
 	c.lingering.Store(true)
 	if half, ok := c.raw.(interface{ CloseWrite() error }); ok {
-		if half.CloseWrite() == nil && c.raw.SetReadDeadline(time.Now().Add(lingerTimeout)) == nil {
+		if half.CloseWrite() == nil && c.setReadDeadline(time.Now().Add(lingerTimeout)) == nil {
 			return
 		}
 	}
--- a/internal/mesh/front/read.go
+++ b/internal/mesh/front/read.go
@@ -80,7 +80,7 @@
 	if bad != nil {
 		return nil, bad
 	}
-	if err := c.raw.SetReadDeadline(time.Time{}); err != nil {
+	if err := c.setReadDeadline(time.Time{}); err != nil {
 		return nil, disconnected
 	}
 	return &Request{
@@ -114,7 +114,7 @@
 		return disconnected
 	}
 	for {
-		if err := c.raw.SetReadDeadline(time.Now().Add(idle + idleGrace)); err != nil {
+		if err := c.setReadDeadline(time.Now().Add(idle + idleGrace)); err != nil {
 			return disconnected
 		}
 		_, err := c.reader.Peek(1)
@@ -122,18 +122,33 @@
 			break
 		}
 		var timeout net.Error
-		if !errors.As(err, &timeout) || !timeout.Timeout() || !c.serving() {
+		if !errors.As(err, &timeout) || !timeout.Timeout() || !c.serving() || c.server.closing.Load() {
 			return disconnected
 		}
 	}
 	if limits.HeaderTimeout > 0 {
-		if err := c.raw.SetReadDeadline(time.Now().Add(limits.HeaderTimeout)); err != nil {
+		if err := c.setReadDeadline(time.Now().Add(limits.HeaderTimeout)); err != nil {
 			return disconnected
 		}
 	}
 	return nil
 }
 
+// setReadDeadline sets the deadline of the next reads; the zero time means none. Once the
+// server shuts down, nothing more is read.
+func (c *conn) setReadDeadline(t time.Time) error {
+	if err := c.raw.SetReadDeadline(t); err != nil {
+		return err
+	}
+	if c.server.closing.Load() {
+		c.stopReading()
+	}
+	return nil
+}
+
+// stopReading makes the current read and all later ones time out.
+func (c *conn) stopReading() { _ = c.raw.SetReadDeadline(time.Unix(1, 0)) }
+
 // serving reports whether answers are outstanding.
 func (c *conn) serving() bool {
 	c.mu.Lock()
@@ -200,7 +215,7 @@
 	if in.ContentLength > 0 {
 		body.Grow(int(in.ContentLength))
 	}
-	paced := &pacedReader{conn: c.raw, from: io.LimitReader(in.Body, limit+1)}
+	paced := &pacedReader{conn: c, from: io.LimitReader(in.Body, limit+1)}
 	if _, err := io.Copy(&body, paced); err != nil {
 		var timeout net.Error
 		if errors.As(err, &timeout) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed) {
@@ -216,12 +231,12 @@
 
 // pacedReader sets a new deadline for each chunk of a body.
 type pacedReader struct {
-	conn net.Conn
+	conn *conn
 	from io.Reader
 }
 
 func (p *pacedReader) Read(b []byte) (int, error) {
-	if err := p.conn.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
+	if err := p.conn.setReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
 		return 0, err
 	}
 	return p.from.Read(b)
--- a/internal/mesh/front/server.go
+++ b/internal/mesh/front/server.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -37,8 +36,9 @@
 
 // Handler answers requests. Safe for concurrent use.
 type Handler interface {
-	// Serve answers one request. ctx ends with the cause mesh.ErrCallerLeft or
-	// mesh.ErrStopping once nobody reads the answer.
+	// Serve answers one request. ctx ends with the cause mesh.ErrCallerLeft once nobody reads
+	// the answer, and with mesh.ErrStopping when the answer is needed at once, as the server
+	// shuts down.
 	Serve(ctx context.Context, r *Request) *Response
 	// Reject returns the answer with the given status to a request that can't be read.
 	Reject(status int) *Response
@@ -50,29 +50,41 @@
 type Server struct {
 	handler  Handler
 	draining atomic.Bool
-	// closed is true once no more requests are admitted.
+	// closed is true while no requests are admitted.
 	closed atomic.Bool
-	// closing is true once the connections are being closed.
-	closing atomic.Bool
-	active  atomic.Int64
-	mu      sync.Mutex
-	conns   map[*conn]struct{}
-	Counts  Counts
+	active atomic.Int64
+	// ctx is the parent of the connections' contexts. It ends when the server shuts down.
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	// closing is true once the server shuts down.
+	closing  atomic.Bool
+	mu       sync.Mutex
+	listener net.Listener
+	conns    map[*conn]struct{}
+	// allClosed is closed once the server shuts down and has no connections.
+	allClosed chan struct{}
+	Counts    Counts
 }
 
 // Counts counts what the server does. Safe for concurrent use.
 type Counts struct {
 	// Accepted counts connections, Requests those read completely, Rejected those that
 	// could not be read, and Abandoned those whose caller disconnected before the answer.
-	// Unanswered counts requests that were read and got no answer because the server stopped.
+	// Unanswered counts requests that were read while none were admitted, and got no answer.
 	Accepted, Requests, Rejected, Abandoned, Unanswered atomic.Uint64
 }
 
 // New returns a Server that answers with h.
-func New(h Handler) *Server { return &Server{handler: h, conns: map[*conn]struct{}{}} }
+func New(h Handler) *Server {
+	ctx, cancel := context.WithCancelCause(context.Background())
+	return &Server{handler: h, ctx: ctx, cancel: cancel, conns: map[*conn]struct{}{}, allClosed: make(chan struct{})}
+}
 
-// Serve accepts connections on l until it is closed.
+// Serve accepts connections on l until it is closed or the server shuts down.
 func (s *Server) Serve(l net.Listener) error {
+	s.mu.Lock()
+	s.listener = l
+	s.mu.Unlock()
 	accept.Loop(l, accept.RetryDelay, func() {}, func(c net.Conn) {
 		s.Counts.Accepted.Add(1)
 		go s.serve(c)
@@ -97,52 +109,80 @@
 	return false
 }
 
-// Close stops admitting requests and closes all connections.
-func (s *Server) Close() {
-	s.closed.Store(true)
-	s.closing.Store(true)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for c := range s.conns {
-		_ = c.raw.Close()
+// beginRequest counts a request as active, unless requests are no longer admitted.
+func (s *Server) beginRequest() bool {
+	s.active.Add(1)
+	if s.closed.Load() {
+		s.active.Add(-1)
+		return false
 	}
+	return true
 }
 
-// endCause returns why a connection ended, as the cause for its requests' contexts.
-func (s *Server) endCause() error {
-	if s.closing.Load() {
-		return mesh.ErrStopping
+// Shutdown ends the server and answers each request that it has read: it ends the contexts of
+// all requests with the cause mesh.ErrStopping, stops reading, and closes each connection once its
+// answers have been written. When ctx ends, it closes the connections that are left, and returns
+// the error of ctx.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.beginShutdown()
+	select {
+	case <-s.allClosed:
+		return nil
+	case <-ctx.Done():
+		s.closeConns()
+		return ctx.Err()
 	}
-	return mesh.ErrCallerLeft
 }
 
-// countUnwritten counts a request whose answer isn't written, by the cause of its end.
-func (s *Server) countUnwritten(cause error) {
-	if errors.Is(cause, mesh.ErrStopping) {
-		s.Counts.Unanswered.Add(1)
+// Close closes all connections without answering their requests.
+func (s *Server) Close() {
+	s.beginShutdown()
+	s.closeConns()
+}
+
+func (s *Server) beginShutdown() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closing.Swap(true) {
 		return
 	}
-	s.Counts.Abandoned.Add(1)
+	s.Drain()
+	s.cancel(mesh.ErrStopping)
+	if s.listener != nil {
+		_ = s.listener.Close()
+	}
+	if len(s.conns) == 0 {
+		close(s.allClosed)
+	}
+	for c := range s.conns {
+		c.stopReading()
+	}
 }
 
-// beginRequest counts a request as active, unless requests are no longer admitted.
-func (s *Server) beginRequest() bool {
-	s.active.Add(1)
-	if s.closed.Load() {
-		s.active.Add(-1)
-		return false
+func (s *Server) closeConns() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		_ = c.raw.Close()
 	}
-	return true
 }
 
-func (s *Server) add(c *conn) {
+// add registers a connection, unless the server shuts down.
+func (s *Server) add(c *conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.closing.Load() {
+		return false
+	}
 	s.conns[c] = struct{}{}
+	return true
 }
 
 func (s *Server) remove(c *conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, c)
+	if s.closing.Load() && len(s.conns) == 0 {
+		close(s.allClosed)
+	}
 }
--- a/internal/mesh/front/slow_test.go
+++ b/internal/mesh/front/slow_test.go
@@ -22,6 +22,12 @@
 	net.Listener
 	conns  chan net.Conn
 	closed chan struct{}
+	once   sync.Once
+}
+
+func (p *pipes) Close() error {
+	p.once.Do(func() { close(p.closed) })
+	return nil
 }
 
 func (p *pipes) Accept() (net.Conn, error) {
@@ -58,7 +64,7 @@
 	l.conns <- half{far}
 	return s, c, func() {
 		_ = c.Close()
-		close(l.closed)
+		_ = l.Close()
 		served.Wait()
 		s.Close()
 	}
--- a/internal/mesh/guard/send.go
+++ b/internal/mesh/guard/send.go
@@ -19,14 +19,30 @@
 		// the outcome unknown and free few resources. allow still checks for a caller
 		// that left before the request was sent.
 		caller := ctx
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(context.WithoutCancel(ctx), deadline-g.Now())
+		ctx, cancelStopping := withoutCallerLeft(caller)
+		defer cancelStopping()
+		ctx, cancel := context.WithTimeout(ctx, deadline-g.Now())
 		defer cancel()
 		return g.send(ctx, r, func() bool { return caller.Err() == nil && g.Now() < deadline }, deadline)
 	}
 	return g.send(ctx, r, func() bool { return g.Now() < deadline }, deadline)
 }
 
+// withoutCallerLeft returns a context that ends when the node stops but not when the caller
+// leaves.
+func withoutCallerLeft(caller context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(context.WithoutCancel(caller))
+	unlink := context.AfterFunc(caller, func() {
+		if errors.Is(context.Cause(caller), mesh.ErrStopping) {
+			cancel(mesh.ErrStopping)
+		}
+	})
+	return ctx, func() {
+		unlink()
+		cancel(nil)
+	}
+}
+
 func (g *Guard) send(ctx context.Context, r *mesh.Request, allow func() bool, deadline time.Duration) (*mesh.Answer, *kind.Error) {
 	g.sent.Add(1)
 	answer, failure := g.Backend.Do(ctx, g.message(r, deadline), allow)
--- a/internal/mesh/node/stop.go
+++ b/internal/mesh/node/stop.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"time"
 )
 
@@ -14,15 +15,19 @@
 	guardStopDelay = 1500 * time.Millisecond
 	// stopMargin is reserved at the end of the grace, after which the process is killed.
 	stopMargin = 400 * time.Millisecond
+	// finalAnswerTimeout bounds how long the final answers to requests that are open at the
+	// end of the grace may take. It is a part of stopMargin.
+	finalAnswerTimeout = 250 * time.Millisecond
 	// stopPollInterval is the pause between checks whether all work has ended.
 	stopPollInterval = 20 * time.Millisecond
 	// flushTimeout bounds the wait for the last lines of the log.
 	flushTimeout = 50 * time.Millisecond
 )
 
-// stop stops the node without aborting requests: other nodes stop sending after a short time,
+// stop stops the node without dropping a request: other nodes stop sending after a short time,
 // callers are told to use another connection in their next response, and requests in flight
-// end first, for as long as the grace lasts. Requests that could outlast it are refused.
+// end first, for as long as the grace lasts. Requests that are open after that get their final
+// answers before their connections are closed.
 func (p *components) stop() {
 	began := time.Now()
 	p.Log.Event("stopping", "active", p.Front.Active(), "guard_active", p.Guard.Active())
@@ -39,13 +44,24 @@
 			break
 		}
 	}
-	p.Log.Event("stopped", "active", p.Front.Active(), "unanswered", p.Front.Counts.Unanswered.Load(), "guard_active", p.Guard.Active(), "took_ms", time.Since(began).Milliseconds())
+	active := p.Front.Active()
+	unanswered := p.answerCallers()
+	p.Log.Event("stopped", "active", active, "unanswered", unanswered, "guard_active", p.Guard.Active(), "took_ms", time.Since(began).Milliseconds())
 	p.Log.Flush(flushTimeout)
-	p.Front.Close()
 	p.Peers.Close()
 	p.Backend.Close()
 }
 
+// answerCallers ends the callers' requests that are still open with an answer, and returns
+// how many could not be answered.
+func (p *components) answerCallers() (unanswered int) {
+	ctx, cancel := context.WithTimeout(context.Background(), finalAnswerTimeout)
+	defer cancel()
+	// The error says only that time ran out, as the number does.
+	_ = p.Front.Shutdown(ctx)
+	return p.Front.Active() + int(p.Front.Counts.Unanswered.Load())
+}
+
 func (p *components) guardIdle() bool { return p.Guard.Active() == 0 }
 
 // allEnded calls its arguments in order until one returns false, and reports whether all
