mesh: a stopping node no longer reads requests that it doesn't answer

A caller whose request was read in the moment in which the node tried to stop got no answer, and its connection stayed open until the process ended: a request without an answer although the node went on serving.

Cause: Server.StopIfIdle set the server to admit nothing, looked whether a request was active, and set it back if one was. A request that was read between the two was dropped. After the last look, too, requests were read and dropped until the process ended.

There is no such state any more. A node stops once a look finds it idle; Shutdown stops reading and answers whatever has been read. TestShutdownAnswersEveryRequestThatIsRead guards it.

--- a/internal/mesh/front/conn.go
+++ b/internal/mesh/front/conn.go
@@ -126,11 +126,8 @@
 	if c.closing {
 		return false
 	}
-	if !c.server.beginRequest() {
-		c.server.Counts.Unanswered.Add(1)
-		return false
-	}
 	c.outstanding++
+	c.server.active.Add(1)
 	return true
 }
 
--- a/internal/mesh/front/server.go
+++ b/internal/mesh/front/server.go
@@ -50,9 +50,7 @@
 type Server struct {
 	handler  Handler
 	draining atomic.Bool
-	// closed is true while no requests are admitted.
-	closed atomic.Bool
-	active atomic.Int64
+	active   atomic.Int64
 	// ctx is the parent of the connections' contexts. It ends when the server shuts down.
 	ctx    context.Context
 	cancel context.CancelCauseFunc
@@ -70,8 +68,7 @@
 type Counts struct {
 	// Accepted counts connections, Requests those read completely, Rejected those that
 	// could not be read, and Abandoned those whose caller disconnected before the answer.
-	// Unanswered counts requests that were read while none were admitted, and got no answer.
-	Accepted, Requests, Rejected, Abandoned, Unanswered atomic.Uint64
+	Accepted, Requests, Rejected, Abandoned atomic.Uint64
 }
 
 // New returns a Server that answers with h.
@@ -98,27 +95,6 @@
 // Active returns how many requests were read and not answered yet.
 func (s *Server) Active() int { return int(s.active.Load()) }
 
-// StopIfIdle stops admitting requests if none is being served, and reports whether it did.
-// It returns false if a request is read at the same moment.
-func (s *Server) StopIfIdle() bool {
-	s.closed.Store(true)
-	if s.active.Load() == 0 {
-		return true
-	}
-	s.closed.Store(false)
-	return false
-}
-
-// beginRequest counts a request as active, unless requests are no longer admitted.
-func (s *Server) beginRequest() bool {
-	s.active.Add(1)
-	if s.closed.Load() {
-		s.active.Add(-1)
-		return false
-	}
-	return true
-}
-
 // Shutdown ends the server and answers each request that it has read: it ends the contexts of
 // all requests with the cause mesh.ErrStopping, stops reading, and closes each connection once its
 // answers have been written. When ctx ends, it closes the connections that are left, and returns
--- a/internal/mesh/node/stop.go
+++ b/internal/mesh/node/stop.go
@@ -38,12 +38,7 @@
 	p.Peers.StopBootstrap()
 	limit := p.Settings.StopGrace - stopMargin
 	p.Entry.Stop(p.Now() + limit)
-	for time.Since(began) < limit {
-		time.Sleep(stopPollInterval)
-		if time.Since(began) >= minStopTime && allEnded(p.guardIdle, p.Peers.Delivered, p.Front.StopIfIdle) {
-			break
-		}
-	}
+	awaitIdle(limit, p.guardIdle, p.Peers.Delivered, p.callersIdle)
 	active := p.Front.Active()
 	unanswered := p.answerCallers()
 	p.Log.Event("stopped", "active", active, "unanswered", unanswered, "guard_active", p.Guard.Active(), "took_ms", time.Since(began).Milliseconds())
@@ -59,16 +54,26 @@
 	defer cancel()
 	// The error says only that time ran out, as the number does.
 	_ = p.Front.Shutdown(ctx)
-	return p.Front.Active() + int(p.Front.Counts.Unanswered.Load())
+	return p.Front.Active()
 }
 
 func (p *components) guardIdle() bool { return p.Guard.Active() == 0 }
 
-// allEnded calls its arguments in order until one returns false, and reports whether all
-// returned true. A function that stops accepting requests as a side effect must come last:
-// callers get no response from then on until the process ends.
-func allEnded(ended ...func() bool) bool {
-	for _, f := range ended {
+func (p *components) callersIdle() bool { return p.Front.Active() == 0 }
+
+// awaitIdle waits until all of idle return true, at least for minStopTime and at most for
+// limit; the limit takes precedence.
+func awaitIdle(limit time.Duration, idle ...func() bool) {
+	for began := time.Now(); time.Since(began) < limit; {
+		time.Sleep(stopPollInterval)
+		if time.Since(began) >= minStopTime && allIdle(idle) {
+			return
+		}
+	}
+}
+
+func allIdle(idle []func() bool) bool {
+	for _, f := range idle {
 		if !f() {
 			return false
 		}
