decision: Flush waits for the line that is being written

Flush looked at the queue alone, which is empty while its last line is being written. TestFlushWaitsForLineBeingWritten: 1 of 2 lines written before, 2 now.

--- a/internal/decision/decision.go
+++ b/internal/decision/decision.go
@@ -28,8 +28,10 @@
 
 // Log is a bounded log. A nil Log drops everything. Safe for concurrent use.
 type Log struct {
-	out     *slog.Logger
-	queue   chan record
+	out   *slog.Logger
+	queue chan record
+	// pending counts lines that were queued and are not written yet.
+	pending atomic.Int64
 	limit   *rate.Limiter
 	dropped atomic.Uint64
 	written atomic.Uint64
@@ -84,9 +86,11 @@
 	if !l.out.Enabled(context.Background(), level) {
 		return
 	}
+	l.pending.Add(1)
 	select {
 	case l.queue <- record{time.Now(), level, message, pairs}:
 	default:
+		l.pending.Add(-1)
 		l.dropped.Add(1)
 	}
 }
@@ -100,6 +104,7 @@
 		select {
 		case r := <-l.queue:
 			l.write(r)
+			l.pending.Add(-1)
 		case <-ctx.Done():
 			return
 		}
@@ -121,9 +126,9 @@
 	l.written.Add(1)
 }
 
-// Flush waits until the queue is empty, at most for the given time.
+// Flush waits until all lines are written, at most for the given time.
 func (l *Log) Flush(within time.Duration) {
-	for end := time.Now().Add(within); len(l.queue) > 0 && time.Now().Before(end); {
+	for end := time.Now().Add(within); l.pending.Load() > 0 && time.Now().Before(end); {
 		time.Sleep(time.Millisecond)
 	}
 }
--- a/internal/decision/decision_test.go
+++ b/internal/decision/decision_test.go
@@ -7,7 +7,9 @@
 	"io"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -64,6 +66,29 @@
 	require.Equal(t, "overloaded", line["kind"])
 }
 
+// Guards against the loss of a process's last line: Flush returns while it is being written.
+func TestFlushWaitsForLineBeingWritten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const writeTime = 20 * time.Millisecond
+		var written atomic.Int32
+		log := decision.New(t.Context(), writerFunc(func(p []byte) (int, error) {
+			time.Sleep(writeTime)
+			written.Add(1)
+			return len(p), nil
+		}), slog.LevelInfo)
+		log.Event("stopping")
+		log.Event("stopped")
+		synctest.Wait()
+		log.Flush(time.Second)
+		require.EqualValues(t, 2, written.Load())
+	})
+}
+
+// writerFunc is an io.Writer made of a function.
+type writerFunc func(p []byte) (int, error)
+
+func (f writerFunc) Write(p []byte) (int, error) { return f(p) }
+
 func TestWarnLevelLeavesOutDecisions(t *testing.T) {
 	var out syncBuffer
 	log := decision.New(t.Context(), &out, slog.LevelWarn)
