front: a server that was shut down closes a listener that it gets later

A stop that overtakes the start left the callers' port open, as Shutdown had no listener to close. TestServeAfterShutdownAcceptsNothing didn't end before.

--- a/internal/mesh/front/server.go
+++ b/internal/mesh/front/server.go
@@ -79,9 +79,7 @@
 
 // Serve accepts connections on l until it is closed or the server shuts down.
 func (s *Server) Serve(l net.Listener) error {
-	s.mu.Lock()
-	s.listener = l
-	s.mu.Unlock()
+	s.setListener(l)
 	accept.Loop(l, accept.RetryDelay, func() {}, func(c net.Conn) {
 		s.Counts.Accepted.Add(1)
 		go s.serve(c)
@@ -89,6 +87,17 @@
 	return nil
 }
 
+// setListener sets the listener that Shutdown closes, or closes it if the server shuts down
+// already.
+func (s *Server) setListener(l net.Listener) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listener = l
+	if s.closing.Load() {
+		_ = l.Close()
+	}
+}
+
 // Drain makes each answer from now on ask the caller to use another connection.
 func (s *Server) Drain() { s.draining.Store(true) }
 
--- a/internal/mesh/front/shutdown_test.go
+++ b/internal/mesh/front/shutdown_test.go
@@ -139,3 +139,12 @@
 	_, err = net.Dial("tcp", c.RemoteAddr().String())
 	require.Error(t, err)
 }
+
+// Guards against a server that accepts connections after it was shut down, when a stop overtakes the start.
+func TestServeAfterShutdownAcceptsNothing(t *testing.T) {
+	s := front.New(handler{})
+	s.Close()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, s.Serve(l))
+}
