entry: a stopping node blames the stop only for requests that ran out of its time

The error now depends on the time, not on its kind. TestOtherErrorsOfStoppingNodeKeepTheirReason failed before.

--- a/internal/mesh/entry/entry.go
+++ b/internal/mesh/entry/entry.go
@@ -152,11 +152,11 @@
 }
 
 // endError returns the error for the caller of a request that failed with err: if the caller left
-// or the node stops, that is the reason.
+// or the node can't wait any longer, that is the reason.
 func (t *transaction) endError(ctx context.Context, err *kind.Error) *kind.Error {
-	timedOut := err.Kind == kind.DeadlineNotRun || err.Kind == kind.DeadlineUnknown
+	outOfTime := t.endsWithProcess() && t.entry.Now() >= t.end()-answerMargin
 	switch {
-	case errors.Is(context.Cause(ctx), mesh.ErrStopping), timedOut && t.endsWithProcess():
+	case outOfTime, errors.Is(context.Cause(ctx), mesh.ErrStopping):
 		return t.stopError()
 	case ctx.Err() != nil:
 		return mesh.CancelledError(ctx)
--- a/internal/mesh/entry/stop_test.go
+++ b/internal/mesh/entry/stop_test.go
@@ -64,8 +64,19 @@
 	d.entry.Stop(d.now + left)
 	d.answers[own] = func(r *mesh.Request) (*mesh.Answer, *kind.Error) {
 		require.LessOrEqual(t, r.Remaining, left)
+		d.now += r.Remaining
 		return nil, kind.New(kind.DeadlineUnknown, "test")
 	}
 	_, err := d.serve()
 	require.Equal(t, kind.OutcomeUnknown, err.Kind, "the caller's own deadline has not passed")
 }
+
+// Guards against a refusal that blames the stop although the process has time left.
+func TestOtherErrorsOfStoppingNodeKeepTheirReason(t *testing.T) {
+	d := newDeployment(t, false)
+	d.route.Timeout = 10 * time.Second
+	d.entry.Stop(d.now + 4*time.Second)
+	d.answers[own] = failing(kind.DeadlineNotRun)
+	_, err := d.serve()
+	require.Equal(t, kind.DeadlineNotRun, err.Kind)
+}
