front: requests in flight are answered whatever arrives behind them

A caller that had sent a second request behind its first one lost the answer to the first if the second didn't arrive in time or was rejected. It saw its connection closed without an answer, though it had not left and the target worked on the request.

Cause: the server took every end of reading for a caller that had disconnected, and cancelled what was in flight: the header timeout, the pause allowed in a body, and, where a request was rejected, the deadline that had been set for reading it, which went on while the earlier requests were served.

Evidence: TestRequestsInFlightAreAnsweredWhateverArrivesBehindThem failed on the code before in all four cases with "unexpected EOF" in place of the first answer: incomplete header, incomplete body, no HTTP and body too large.

Now only an end of the connection counts as a disconnect. After a timeout or a rejection the server reads no more requests, answers those that it has read, the last one with Connection: close, and goes on watching for a caller that leaves. The deadline of the last request is lifted while the answers are awaited.

--- a/internal/mesh/front/conn.go
+++ b/internal/mesh/front/conn.go
@@ -44,10 +44,10 @@
 	// signalled when one is answered.
 	outstanding int
 	answered    sync.Cond
-	// closing is true if the answer being written is the last one, and lingering once it
-	// has been written.
-	closing   bool
-	lingering atomic.Bool
+	// finished is true once no more requests are read. closing is true if the answer being
+	// written is the last one, and lingering once it has been written.
+	finished, closing bool
+	lingering         atomic.Bool
 }
 
 // pending is a request whose answer is outstanding.
@@ -92,14 +92,7 @@
 	for {
 		r, bad := c.readRequest()
 		if bad != nil {
-			if bad.status == 0 || !c.beginRequest() {
-				return
-			}
-			c.server.Counts.Rejected.Add(1)
-			p := &pending{method: http.MethodGet, done: make(chan *Response, 1), close: true}
-			p.done <- c.server.handler.Reject(bad.status)
-			c.answers <- p
-			c.drainInput()
+			c.endReading(bad)
 			return
 		}
 		if !c.beginRequest() {
@@ -119,6 +112,29 @@
 	}
 }
 
+// endReading answers a request that can't be read, where possible, and waits until all answers
+// have been sent or the caller disconnects.
+func (c *conn) endReading(bad *badRequest) {
+	if bad.answered() && c.beginRequest() {
+		c.server.Counts.Rejected.Add(1)
+		p := &pending{method: http.MethodGet, done: make(chan *Response, 1), close: true}
+		p.done <- c.server.handler.Reject(bad.status)
+		c.answers <- p
+	}
+	if bad != disconnected && c.finish() {
+		c.drainInput()
+	}
+}
+
+// finish makes the last answer close the connection. It returns false if all answers have been
+// sent and the connection was to stay open.
+func (c *conn) finish() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.finished = true
+	return c.outstanding > 0 || c.closing
+}
+
 // beginRequest admits a request unless the connection is about to be closed.
 func (c *conn) beginRequest() bool {
 	c.mu.Lock()
@@ -134,6 +150,13 @@
 // drainInput reads until the caller closes the connection or sends nothing more, so that
 // the caller receives the last answers.
 func (c *conn) drainInput() {
+	// A deadline that was set for the last request doesn't apply to the answers.
+	if c.setReadDeadline(time.Time{}) != nil {
+		return
+	}
+	if c.lingering.Load() && c.setReadDeadline(time.Now().Add(lingerTimeout)) != nil {
+		return
+	}
 	var scratch [1 << 10]byte
 	for remaining := lingerBytes; remaining > 0; {
 		n, err := c.raw.Read(scratch[:])
@@ -175,7 +198,7 @@
 			_ = c.raw.Close()
 			continue
 		}
-		if last {
+		if last || c.done() {
 			failed = true
 			c.linger()
 		}
@@ -183,21 +206,22 @@
 }
 
 // isLast reports whether the connection is closed after an answer; from then on no requests
-// are admitted on it. A draining server closes it only if no other request was admitted on it.
+// are admitted on it. Unless the caller asked for it, it is closed only if no other request was
+// admitted on it.
 func (c *conn) isLast(p *pending) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closing {
-		return true
-	}
-	if !p.close && !c.server.draining.Load() {
-		return false
-	}
-	if c.outstanding > 1 && !p.close {
-		return false
+	if p.close || c.outstanding == 1 && (c.finished || c.server.draining.Load()) {
+		c.closing = true
 	}
-	c.closing = true
-	return true
+	return c.closing
+}
+
+// done reports whether every request has been answered and no more are read.
+func (c *conn) done() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.finished && c.outstanding == 0
 }
 
 func (c *conn) endRequest() {
--- a/internal/mesh/front/read.go
+++ b/internal/mesh/front/read.go
@@ -54,15 +54,20 @@
 	return n, err
 }
 
-// badRequest is a request that can't be read. With status 0 the connection is closed
-// without an answer.
+// badRequest is a request that can't be read, with the status of its answer.
 type badRequest struct{ status int }
 
 var (
+	// disconnected means that the caller has closed the connection, and incomplete that no whole
+	// request arrived in time. Neither is answered.
 	disconnected = &badRequest{}
+	incomplete   = &badRequest{}
 	tooLarge     = &badRequest{http.StatusRequestEntityTooLarge}
 )
 
+// answered reports whether an answer is sent.
+func (b *badRequest) answered() bool { return b.status != 0 }
+
 // readRequest reads the next request with its body.
 func (c *conn) readRequest() (*Request, *badRequest) {
 	limits := c.server.handler.Limits()
@@ -121,10 +126,12 @@
 		if err == nil {
 			break
 		}
-		var timeout net.Error
-		if !errors.As(err, &timeout) || !timeout.Timeout() || !c.serving() || c.server.closing.Load() {
+		if !isTimeout(err) {
 			return disconnected
 		}
+		if !c.serving() || c.server.closing.Load() {
+			return incomplete
+		}
 	}
 	if limits.HeaderTimeout > 0 {
 		if err := c.setReadDeadline(time.Now().Add(limits.HeaderTimeout)); err != nil {
@@ -156,18 +163,32 @@
 	return c.outstanding > 0 && !c.closing
 }
 
-// headerError returns the answer to a header that can't be read.
-func headerError(err error) *badRequest {
-	var timeout net.Error
+func isTimeout(err error) bool {
+	var failure net.Error
+	return errors.As(err, &failure) && failure.Timeout()
+}
+
+// readError returns why a request that couldn't be read isn't answered, or the answer if its bytes
+// are invalid.
+func readError(err error) *badRequest {
+	var failure net.Error
 	switch {
-	case errors.Is(err, errHeaderTooLarge):
-		return &badRequest{http.StatusRequestHeaderFieldsTooLarge}
-	case errors.As(err, &timeout), errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+	case isTimeout(err):
+		return incomplete
+	case errors.As(err, &failure), errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, net.ErrClosed):
 		return disconnected
 	}
 	return &badRequest{http.StatusBadRequest}
 }
 
+// headerError returns the answer to a header that can't be read.
+func headerError(err error) *badRequest {
+	if errors.Is(err, errHeaderTooLarge) {
+		return &badRequest{http.StatusRequestHeaderFieldsTooLarge}
+	}
+	return readError(err)
+}
+
 // validate rejects requests that can't be forwarded as they are.
 func validate(in *http.Request) *badRequest {
 	bad := &badRequest{http.StatusBadRequest}
@@ -217,11 +238,7 @@
 	}
 	paced := &pacedReader{conn: c, from: io.LimitReader(in.Body, limit+1)}
 	if _, err := io.Copy(&body, paced); err != nil {
-		var timeout net.Error
-		if errors.As(err, &timeout) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed) {
-			return nil, disconnected
-		}
-		return nil, &badRequest{http.StatusBadRequest}
+		return nil, readError(err)
 	}
 	if int64(body.Len()) > limit {
 		return nil, tooLarge
--- a/internal/mesh/front/slow_test.go
+++ b/internal/mesh/front/slow_test.go
@@ -151,3 +151,46 @@
 		require.ErrorIs(t, err, io.ErrClosedPipe)
 	})
 }
+
+// Guards against requests in flight that are canceled and not answered because the request behind
+// them on the connection doesn't arrive in time or is rejected.
+func TestRequestsInFlightAreAnsweredWhateverArrivesBehindThem(t *testing.T) {
+	const work = 30 * time.Second
+	cases := map[string]struct {
+		behind   string
+		statuses []int
+	}{
+		"incomplete header": {"GET /2 HTTP/1.1\r\nHost: h\r\n", []int{200}},
+		"incomplete body":   {"POST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nx", []int{200}},
+		"no HTTP":           {"what is this\r\n\r\n", []int{200, 400}},
+		"body too large":    {"POST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 11\r\n\r\n", []int{200, 413}},
+	}
+	for name, one := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				limits := mesh.Limits{HeaderTimeout: time.Second, BodyBytes: 10}
+				s, c, stop := connect(handler{limits: limits, serve: func(ctx context.Context, _ *front.Request) *front.Response {
+					select {
+					case <-time.After(work):
+					case <-ctx.Done():
+					}
+					return text("")
+				}})
+				defer stop()
+				_, err := io.WriteString(c, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n"+one.behind)
+				require.NoError(t, err)
+				reader := bufio.NewReader(c)
+				for i, want := range one.statuses {
+					resp, err := http.ReadResponse(reader, nil)
+					require.NoError(t, err, "answer %d", i)
+					require.Equal(t, want, resp.StatusCode)
+					require.Equal(t, i == len(one.statuses)-1, resp.Close)
+				}
+				time.Sleep(2 * time.Second)
+				require.Zero(t, s.Active())
+				_, err = c.Write([]byte("x"))
+				require.ErrorIs(t, err, io.ErrClosedPipe)
+			})
+		})
+	}
+}
