front: a connection lingers after its last answer even if that was written early

A caller of a draining node may have got a reset in place of the last answer on its connection, or of the end of it.

Cause: after the last answer the server reads on for a second, so that a connection isn't closed with unread bytes, which resets it. It didn't if the answer had been written before the server looked for the next request: it then closed the connection at once. A request that is refused at once, as on a stopping node, leaves little time for that look.

Evidence: TestConnectionLingersThoughLastAnswerIsWrittenEarly failed on the code before, five times of five, with a connection that was closed right after its answer.

The server now ends reading in that case as it does after any other last request, and reads on until the caller has closed the connection or the time to linger has passed.

--- a/internal/mesh/front/read.go
+++ b/internal/mesh/front/read.go
@@ -116,7 +116,7 @@
 	closing := c.closing
 	c.mu.Unlock()
 	if closing {
-		return disconnected
+		return incomplete
 	}
 	for {
 		if err := c.setReadDeadline(time.Now().Add(idle + idleGrace)); err != nil {
--- a/internal/mesh/front/slow_test.go
+++ b/internal/mesh/front/slow_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -55,7 +56,7 @@
 }
 
 // connect connects to an in-memory server.
-func connect(h handler) (s *front.Server, c net.Conn, stop func()) {
+func connect(h front.Handler) (s *front.Server, c net.Conn, stop func()) {
 	l := &pipes{conns: make(chan net.Conn), closed: make(chan struct{})}
 	s = front.New(h)
 	var served sync.WaitGroup
@@ -194,3 +195,44 @@
 		})
 	}
 }
+
+// blockedLimits is a handler whose second call of Limits, by which the second request begins to
+// be read, waits.
+type blockedLimits struct {
+	handler
+	calls          *atomic.Int32
+	began, release chan struct{}
+}
+
+func (b blockedLimits) Limits() mesh.Limits {
+	if b.calls.Add(1) == 2 {
+		close(b.began)
+		<-b.release
+	}
+	return b.limits
+}
+
+// Guards against a reset that overtakes the last answer of a draining server, because the answer was
+// written before the server began to read the next request.
+func TestConnectionLingersThoughLastAnswerIsWrittenEarly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := blockedLimits{calls: &atomic.Int32{}, began: make(chan struct{}), release: make(chan struct{})}
+		h.serve = func(context.Context, *front.Request) *front.Response {
+			<-h.began
+			return text("")
+		}
+		s, c, stop := connect(h)
+		defer stop()
+		s.Drain()
+		_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		require.NoError(t, err)
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		require.NoError(t, err)
+		require.True(t, resp.Close)
+		synctest.Wait()
+		close(h.release)
+		synctest.Wait()
+		_, err = c.Write(make([]byte, 100))
+		require.NoError(t, err)
+	})
+}
