guard: waiting requests are refused as soon as the target leaves or the node stops

A request that waited for a slot when its target began to drain, was removed, or its node stopped was held until a slot became free or its queue timeout passed, and refused only then: up to the whole queue timeout of its time was lost for another target. If the process ended first, its entry saw the connection close, and an idempotent request that had never run counted as one that may have.

Cause: the guard checked whether it accepts requests when one arrived and again when it had a slot, not in between. It even asked the entry for confirmation before the second check, so that the outcome was open from there on.

Evidence: TestWaitingRequestsAreRefusedAtOnceWhenTheGuardLeaves failed on the code before in all three cases (the node stops, the target drains, the target is gone): "overloaded" after the queue timeout of 5 s in place of "leaving".

The waits for a slot and for the end of a slowdown now end with the guard's admission, which ends with the same two flags that refuse new requests, and opens again if the target returns. Requests that run are not affected.

--- a/internal/mesh/guard/guard.go
+++ b/internal/mesh/guard/guard.go
@@ -42,11 +42,12 @@
 // Guard is the guard role of a node. Safe for concurrent use.
 type Guard struct {
 	Config
-	gate     *gate.Gate
-	view     atomic.Pointer[mesh.View]
-	leaving  atomic.Bool
-	stopping atomic.Bool
-	slowdown slowdownTracker
+	gate      *gate.Gate
+	view      atomic.Pointer[mesh.View]
+	leaving   atomic.Bool
+	stopping  atomic.Bool
+	admission *admission
+	slowdown  slowdownTracker
 	// reportedAt is when the backend server last reported its load, and probing is true
 	// while a probe is in progress.
 	reportedAt atomic.Int64
@@ -63,7 +64,7 @@
 
 // New returns a Guard that refuses all requests until SetView is called.
 func New(c Config) *Guard {
-	return &Guard{Config: c, gate: gate.New()}
+	return &Guard{Config: c, gate: gate.New(), admission: newAdmission()}
 }
 
 // SetSlotShare sets the share of the declared slots that is used. With 0 the guard learns
@@ -89,6 +90,7 @@
 		g.slowdown.setWarmAt(own.WarmAt)
 	}
 	if g.leaving.Swap(leaving) != leaving {
+		g.admission.update(g.accepts)
 		g.LoadChanged(true)
 	}
 }
@@ -110,9 +112,10 @@
 // whole number must not be truncated to the number below.
 const roundingSlack = 1e-6
 
-// Stop makes the guard refuse new requests because the node stops.
+// Stop makes the guard refuse new and waiting requests because the node stops.
 func (g *Guard) Stop() {
 	g.stopping.Store(true)
+	g.admission.update(g.accepts)
 	g.LoadChanged(true)
 }
 
@@ -158,21 +161,11 @@
 	g.classify(s)
 	ctx, cancel := context.WithTimeout(ctx, r.Remaining)
 	defer cancel()
-	if e := g.awaitRecovery(ctx, s); e != nil {
-		return nil, e
-	}
-	slot, e := g.gate.AcquireWithin(ctx, rankOf(r), gate.WaitLimits{
-		QueueTimeout:     max(r.QueueTimeout-(g.Now()-s.start), time.Millisecond),
-		StartByObjective: time.Now().Add(r.ObjectiveRemaining - s.baseService), StartByDeadline: time.Now().Add(deadline - g.Now() - s.minRemaining()),
-	})
-	s.waited = g.Now() - s.start
+	slot, e := g.awaitTurn(ctx, s, deadline)
 	if e != nil {
 		return nil, e
 	}
 	defer slot.Release()
-	if e := g.awaitRecovery(ctx, s); e != nil {
-		return nil, e
-	}
 	if e := confirm(ctx, r); e != nil {
 		return nil, e
 	}
@@ -192,6 +185,38 @@
 	return answer, e
 }
 
+// awaitTurn waits until the request may be sent, for as long as the guard accepts requests.
+func (g *Guard) awaitTurn(ctx context.Context, s *requestState, deadline time.Duration) (gate.Slot, *kind.Error) {
+	admitted, cancel := g.admission.bound(ctx)
+	defer cancel()
+	slot, e := g.awaitSlot(admitted, s, deadline)
+	if e != nil && admitted.Err() != nil && ctx.Err() == nil {
+		e = g.leavingError()
+	}
+	return slot, e
+}
+
+// awaitSlot waits for a slot and for the end of a transient slowdown before and after that.
+func (g *Guard) awaitSlot(ctx context.Context, s *requestState, deadline time.Duration) (gate.Slot, *kind.Error) {
+	r := s.request
+	if e := g.awaitRecovery(ctx, s); e != nil {
+		return gate.Slot{}, e
+	}
+	slot, e := g.gate.AcquireWithin(ctx, rankOf(r), gate.WaitLimits{
+		QueueTimeout:     max(r.QueueTimeout-(g.Now()-s.start), time.Millisecond),
+		StartByObjective: time.Now().Add(r.ObjectiveRemaining - s.baseService), StartByDeadline: time.Now().Add(deadline - g.Now() - s.minRemaining()),
+	})
+	s.waited = g.Now() - s.start
+	if e != nil {
+		return gate.Slot{}, e
+	}
+	if e := g.awaitRecovery(ctx, s); e != nil {
+		slot.Release()
+		return gate.Slot{}, e
+	}
+	return slot, nil
+}
+
 // confirm asks the entry whether the request may run, if the request requires it.
 func confirm(ctx context.Context, r *mesh.Request) *kind.Error {
 	if r.Confirm == nil {
@@ -239,10 +264,8 @@
 		return kind.New(kind.NotReady, "no configuration is in force yet")
 	case r.Service != g.Here.Service:
 		return kind.New(kind.StaleConfig, "this node doesn't serve the service")
-	case g.leaving.Load():
-		return kind.New(kind.Leaving, "the backend server is leaving")
-	case g.stopping.Load():
-		return kind.New(kind.Leaving, "the node is stopping")
+	case !g.accepts():
+		return g.leavingError()
 	}
 	return nil
 }
--- a/internal/mesh/guard/guard_test.go
+++ b/internal/mesh/guard/guard_test.go
@@ -191,6 +191,76 @@
 	require.Equal(t, kind.Leaving, (<-waiting).Kind)
 }
 
+// Guards against a request that waits for a slot until it is too late for another target, although it
+// will not get one because the node stops or the target leaves.
+func TestWaitingRequestsAreRefusedAtOnceWhenTheGuardLeaves(t *testing.T) {
+	setView := func(x *fixture, change func(*mesh.View)) {
+		v, target := *x.view, *x.view.LocalTarget
+		v.LocalTarget = &target
+		change(&v)
+		x.SetView(&v)
+	}
+	cases := map[string]func(x *fixture){
+		"the node stops":     func(x *fixture) { x.Stop() },
+		"the target drains":  func(x *fixture) { setView(x, func(v *mesh.View) { v.LocalTarget.State = mesh.Draining }) },
+		"the target is gone": func(x *fixture) { setView(x, func(v *mesh.View) { v.LocalTarget = nil }) },
+	}
+	for name, leave := range cases {
+		t.Run(name, func(t *testing.T) {
+			release, started := make(chan struct{}), make(chan struct{}, 2)
+			x := newFixture(t, 1, func(w http.ResponseWriter, r *http.Request) {
+				started <- struct{}{}
+				<-release
+				signed(w, r)
+			})
+			running, waiting := make(chan *kind.Error, 1), make(chan *kind.Error, 1)
+			run := func(r *mesh.Request, result chan<- *kind.Error) {
+				_, err := x.Run(context.Background(), r)
+				result <- err
+			}
+			go run(request(), running)
+			<-started
+			r := request()
+			r.QueueTimeout = 5 * time.Second
+			go run(r, waiting)
+			require.Eventually(t, func() bool { return x.Load().Waiting == 1 }, time.Minute, time.Millisecond)
+			leave(x)
+			err := <-waiting
+			close(release)
+			require.Nil(t, <-running, "a running request completes")
+			require.Equal(t, kind.Leaving, err.Kind)
+			require.Equal(t, kind.NotRun, err.ReportedOutcome())
+			require.EqualValues(t, 1, x.received.Load())
+		})
+	}
+}
+
+// Guards against a guard that refuses requests after its target's state has returned to ready.
+func TestRequestsWaitAgainAfterTheTargetHasReturned(t *testing.T) {
+	release, started := make(chan struct{}), make(chan struct{}, 2)
+	x := newFixture(t, 1, func(w http.ResponseWriter, r *http.Request) {
+		started <- struct{}{}
+		<-release
+		signed(w, r)
+	})
+	draining, target := *x.view, *x.view.LocalTarget
+	target.State, draining.LocalTarget = mesh.Draining, &target
+	x.SetView(&draining)
+	x.SetView(x.view)
+	results := make(chan *kind.Error, 2)
+	run := func() {
+		_, err := x.Run(context.Background(), request())
+		results <- err
+	}
+	go run()
+	<-started
+	go run()
+	require.Eventually(t, func() bool { return x.Load().Waiting == 1 }, time.Minute, time.Millisecond)
+	close(release)
+	require.Nil(t, <-results)
+	require.Nil(t, <-results)
+}
+
 // The backend server is full. A stock check that a running order depends on must run
 // before catalogue reads that arrived earlier.
 func TestWaitingRequestsRunInPriorityOrder(t *testing.T) {
