mesh: a panic while a request is handled ends that request only

A defect in handling one request would end the process, and with it every request that it had read, of its own callers and of other nodes, all without an answer.

Cause: the server of callers and that of other nodes run each request in a goroutine of their own without recovering, unlike net/http.

The guard and the handler of callers' requests, through which all requests pass, recover, log the panic with its stack, and answer "outcome unknown". The slot is released as with any other outcome. The gate holds its mutex by defer everywhere now, since a panic that left it locked would stop the node's requests for good. Not covered: goroutines that belong to connections rather than requests, and a target's count of requests in flight at the entry, which stays one too high after a panic between its two ends.

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -116,20 +116,25 @@
 
 // AcquireWithin is like Acquire, for a request whose sender limits its wait.
 func (g *Gate) AcquireWithin(ctx context.Context, rank Rank, limits WaitLimits) (Slot, *kind.Error) {
+	slot, w, refusal := g.admitOrEnqueue(ctx, rank, limits)
+	if w == nil {
+		return slot, refusal
+	}
+	return g.wait(ctx, w)
+}
+
+// admitOrEnqueue returns a slot, a place in the queue or a refusal.
+func (g *Gate) admitOrEnqueue(ctx context.Context, rank Rank, limits WaitLimits) (Slot, *waiter, *kind.Error) {
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	now := time.Now()
 	if len(g.queue) == 0 {
 		if slot, admitted := g.admit(now); admitted {
-			g.mu.Unlock()
-			return slot, nil
+			return slot, nil, nil
 		}
 	}
 	w, refusal := g.enqueue(ctx, rank, limits, now)
-	g.mu.Unlock()
-	if refusal != nil {
-		return Slot{}, refusal
-	}
-	return g.wait(ctx, w)
+	return Slot{}, w, refusal
 }
 
 // admit returns a slot if one more request may start now. The mutex is held.
--- a/internal/mesh/guard/guard.go
+++ b/internal/mesh/guard/guard.go
@@ -141,13 +141,18 @@
 
 // Run runs a request on the backend server, or refuses it. ctx must be cancelled once
 // nobody waits for the response any more.
-func (g *Guard) Run(ctx context.Context, r *mesh.Request) (*mesh.Answer, *kind.Error) {
+func (g *Guard) Run(ctx context.Context, r *mesh.Request) (answer *mesh.Answer, e *kind.Error) {
 	g.active.Add(1)
 	defer g.active.Add(-1)
+	defer func() {
+		if cause := recover(); cause != nil {
+			answer, e = nil, mesh.PanicError(g.Log, r.ID, cause)
+		}
+	}()
 	start := g.Now()
 	g.lastRequestAt.Store(int64(start))
 	s := &requestState{request: r, start: start}
-	answer, e := g.run(ctx, s)
+	answer, e = g.run(ctx, s)
 	g.record(s, answer, e)
 	return answer, e
 }
--- a/internal/mesh/guard/guard_test.go
+++ b/internal/mesh/guard/guard_test.go
@@ -422,3 +422,25 @@
 	require.Nil(t, err)
 	require.EqualValues(t, 1, x.received.Load())
 }
+
+// panicking is a Backend that panics, as a defect in handling one request may.
+type panicking struct{}
+
+func (panicking) Do(context.Context, *exchange.Message, func() bool) (*mesh.Answer, *exchange.Failure) {
+	panic("defect")
+}
+
+// Guards against a defect in handling one request that ends the process with all its requests, or
+// that keeps the request's slot.
+func TestPanicEndsOnlyItsRequest(t *testing.T) {
+	x := newFixture(t, 1, signed)
+	sound := x.Backend
+	x.Backend = panicking{}
+	_, err := x.Run(t.Context(), request())
+	require.Equal(t, kind.OutcomeUnknown, err.Kind)
+	require.Equal(t, kind.Unknown, err.ReportedOutcome())
+	require.Zero(t, x.Active())
+	x.Backend = sound
+	_, err = x.Run(t.Context(), request())
+	require.Nil(t, err)
+}
--- a/internal/mesh/node/callers.go
+++ b/internal/mesh/node/callers.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"github.com/limpetdock/limpetdock/internal/decision"
 	"github.com/limpetdock/limpetdock/internal/kind"
 	"github.com/limpetdock/limpetdock/internal/mesh"
 	"github.com/limpetdock/limpetdock/internal/mesh/entry"
@@ -19,11 +20,17 @@
 	entry   *entry.Entry
 	dialect mesh.Dialect
 	now     func() time.Duration
+	log     *decision.Log
 }
 
 // Serve serves one request.
-func (c *callerHandler) Serve(ctx context.Context, r *front.Request) *front.Response {
+func (c *callerHandler) Serve(ctx context.Context, r *front.Request) (response *front.Response) {
 	in := c.inbound(r)
+	defer func() {
+		if cause := recover(); cause != nil {
+			response = c.errorResponse(in.ID, mesh.PanicError(c.log, in.ID, cause))
+		}
+	}()
 	if in.ID == "" {
 		return c.errorResponse(in.ID, kind.New(kind.BadRequest, "%s is missing", c.dialect.Headers.RequestID))
 	}
--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -104,8 +104,8 @@
 	return e
 }
 
-func newCallerHandler(e *entry.Entry, p Platform, now clock.Clock) *callerHandler {
-	return &callerHandler{entry: e, dialect: p.Dialect, now: now}
+func newCallerHandler(e *entry.Entry, p Platform, now clock.Clock, log *decision.Log) *callerHandler {
+	return &callerHandler{entry: e, dialect: p.Dialect, now: now, log: log}
 }
 
 func newFront(c *callerHandler) *front.Server { return front.New(c) }
