mesh: a signal that arrives while a node starts no longer kills it

A node that got SIGHUP while it started was gone. One that got SIGTERM after it had opened its ports, but before it waited for signals, ended without answering what it had read.

Cause: both signals were registered only after the start, SIGHUP last. Until then they had their default action.

The signals are now registered before anything else. One that arrives early waits in its channel: SIGHUP until the settings are watched, SIGTERM and SIGINT until the start is complete, so that the node stops as it always does.

--- a/internal/mesh/node/main.go
+++ b/internal/mesh/node/main.go
@@ -31,6 +31,7 @@
 func serve(path string, s *settings.Settings, p Platform) int {
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(memoryLimit)
+	reload, terminate := notify(syscall.SIGHUP), notify(syscall.SIGINT, syscall.SIGTERM)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	log := decision.New(ctx, os.Stdout, slog.LevelInfo+slog.Level(s.Tunable.LogLevel)*(slog.LevelWarn-slog.LevelInfo))
@@ -49,15 +50,26 @@
 		log.Flush(flushTimeout)
 		return daemon.ExitFailed
 	}
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	go settingsWatch.run(ctx, hup)
-	end := <-app.Wait()
+	go settingsWatch.run(ctx, reload)
+	code := daemon.ExitOK
+	select {
+	case <-terminate:
+	case end := <-app.Wait():
+		code = end.ExitCode
+	}
 	stop, cancelStop := context.WithTimeout(ctx, app.StopTimeout())
 	defer cancelStop()
 	if err := app.Stop(stop); err != nil {
 		log.Warn("stop failed", "error", err.Error())
 		return daemon.ExitFailed
 	}
-	return end.ExitCode
+	return code
+}
+
+// notify returns a channel that receives signals from now on. A signal that arrives before would
+// end the process at once.
+func notify(signals ...os.Signal) <-chan os.Signal {
+	c := make(chan os.Signal, 1)
+	signal.Notify(c, signals...)
+	return c
 }
