--- a/internal/mesh/front/slow_test.go
+++ b/internal/mesh/front/slow_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -55,7 +56,7 @@
 }
 
 // connect connects to an in-memory server.
-func connect(h handler) (s *front.Server, c net.Conn, stop func()) {
+func connect(h front.Handler) (s *front.Server, c net.Conn, stop func()) {
 	l := &pipes{conns: make(chan net.Conn), closed: make(chan struct{})}
 	s = front.New(h)
 	var served sync.WaitGroup
@@ -151,3 +152,87 @@
 		require.ErrorIs(t, err, io.ErrClosedPipe)
 	})
 }
+
+// Guards against requests in flight that are canceled and not answered because the request behind
+// them on the connection doesn't arrive in time or is rejected.
+func TestRequestsInFlightAreAnsweredWhateverArrivesBehindThem(t *testing.T) {
+	const work = 30 * time.Second
+	cases := map[string]struct {
+		behind   string
+		statuses []int
+	}{
+		"incomplete header": {"GET /2 HTTP/1.1\r\nHost: h\r\n", []int{200}},
+		"incomplete body":   {"POST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nx", []int{200}},
+		"no HTTP":           {"what is this\r\n\r\n", []int{200, 400}},
+		"body too large":    {"POST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 11\r\n\r\n", []int{200, 413}},
+	}
+	for name, one := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				limits := mesh.Limits{HeaderTimeout: time.Second, BodyBytes: 10}
+				s, c, stop := connect(handler{limits: limits, serve: func(ctx context.Context, _ *front.Request) *front.Response {
+					select {
+					case <-time.After(work):
+					case <-ctx.Done():
+					}
+					return text("")
+				}})
+				defer stop()
+				_, err := io.WriteString(c, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n"+one.behind)
+				require.NoError(t, err)
+				reader := bufio.NewReader(c)
+				for i, want := range one.statuses {
+					resp, err := http.ReadResponse(reader, nil)
+					require.NoError(t, err, "answer %d", i)
+					require.Equal(t, want, resp.StatusCode)
+					require.Equal(t, i == len(one.statuses)-1, resp.Close)
+				}
+				time.Sleep(2 * time.Second)
+				require.Zero(t, s.Active())
+				_, err = c.Write([]byte("x"))
+				require.ErrorIs(t, err, io.ErrClosedPipe)
+			})
+		})
+	}
+}
+
+// blockedLimits is a handler whose second call of Limits, by which the second request begins to
+// be read, waits.
+type blockedLimits struct {
+	handler
+	calls          *atomic.Int32
+	began, release chan struct{}
+}
+
+func (b blockedLimits) Limits() mesh.Limits {
+	if b.calls.Add(1) == 2 {
+		close(b.began)
+		<-b.release
+	}
+	return b.limits
+}
+
+// Guards against a reset that overtakes the last answer of a draining server, because the answer was
+// written before the server began to read the next request.
+func TestConnectionLingersThoughLastAnswerIsWrittenEarly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := blockedLimits{calls: &atomic.Int32{}, began: make(chan struct{}), release: make(chan struct{})}
+		h.serve = func(context.Context, *front.Request) *front.Response {
+			<-h.began
+			return text("")
+		}
+		s, c, stop := connect(h)
+		defer stop()
+		s.Drain()
+		_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		require.NoError(t, err)
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		require.NoError(t, err)
+		require.True(t, resp.Close)
+		synctest.Wait()
+		close(h.release)
+		synctest.Wait()
+		_, err = c.Write(make([]byte, 100))
+		require.NoError(t, err)
+	})
+}
