mesh: a stop lets requests end that were read at its last moment, and completes their answers

The line `stopped` counted a caller that had left, and not one whose answer was cut off.

Cause: Shutdown ended the contexts of requests, stopped reading and closed the connections in one step.

Now Shutdown only stops reading requests and waits, like that of the library's server; a connection is read to its end after its last answer, as always. End, at the limit, ends the contexts of what is left and counts, before it closes the connections, the requests whose callers still wait.

--- a/internal/mesh/front/conn.go
+++ b/internal/mesh/front/conn.go
@@ -78,10 +78,8 @@
 		c.write()
 	}()
 	c.read()
-	if !s.closing.Load() {
-		// The caller disconnected: requests in flight are cancelled.
-		cancel(mesh.ErrCallerLeft)
-	}
+	// The caller has disconnected, or everything is answered.
+	cancel(mesh.ErrCallerLeft)
 	close(c.answers)
 	<-written
 	_ = raw.Close()
@@ -98,6 +96,7 @@
 		if !c.beginRequest() {
 			// The answer would follow one that closes the connection. The caller sends the
 			// request again over another connection.
+			c.finish()
 			c.drainInput()
 			return
 		}
@@ -106,6 +105,7 @@
 		go func() { p.done <- c.server.handler.Serve(c.ctx, r) }()
 		c.answers <- p
 		if p.close {
+			c.finish()
 			c.drainInput()
 			return
 		}
@@ -148,13 +148,13 @@
 }
 
 // drainInput reads until the caller closes the connection or sends nothing more, so that
-// the caller receives the last answers.
+// the caller receives the last answers. finish must have been called.
 func (c *conn) drainInput() {
 	// A deadline that was set for the last request doesn't apply to the answers.
-	if c.setReadDeadline(time.Time{}) != nil {
+	if c.raw.SetReadDeadline(time.Time{}) != nil {
 		return
 	}
-	if c.lingering.Load() && c.setReadDeadline(time.Now().Add(lingerTimeout)) != nil {
+	if c.lingering.Load() && c.raw.SetReadDeadline(time.Now().Add(lingerTimeout)) != nil {
 		return
 	}
 	var scratch [1 << 10]byte
@@ -167,7 +167,7 @@
 			continue
 		}
 		remaining -= n
-		if c.setReadDeadline(time.Now().Add(lingerTimeout)) != nil {
+		if c.raw.SetReadDeadline(time.Now().Add(lingerTimeout)) != nil {
 			return
 		}
 	}
@@ -232,6 +232,16 @@
 	c.server.active.Add(-1)
 }
 
+// awaited returns how many requests wait for their answers; 0 if the caller has disconnected.
+func (c *conn) awaited() int {
+	if errors.Is(context.Cause(c.ctx), mesh.ErrCallerLeft) {
+		return 0
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.outstanding
+}
+
 // awaitAnswers waits until every request that was read has been answered. Only then may
 // the reading goroutine write to the connection.
 func (c *conn) awaitAnswers() {
@@ -246,7 +256,7 @@
 func (c *conn) linger() {
 	c.lingering.Store(true)
 	if half, ok := c.raw.(interface{ CloseWrite() error }); ok {
-		if half.CloseWrite() == nil && c.setReadDeadline(time.Now().Add(lingerTimeout)) == nil {
+		if half.CloseWrite() == nil && c.raw.SetReadDeadline(time.Now().Add(lingerTimeout)) == nil {
 			return
 		}
 	}
--- a/internal/mesh/front/read.go
+++ b/internal/mesh/front/read.go
@@ -153,8 +153,15 @@
 	return nil
 }
 
-// stopReading makes the current read and all later ones time out.
-func (c *conn) stopReading() { _ = c.raw.SetReadDeadline(time.Unix(1, 0)) }
+// stopReading makes reading a request time out. Once no more requests are read, the connection
+// is only watched for the end of its input, which goes on.
+func (c *conn) stopReading() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.finished {
+		_ = c.raw.SetReadDeadline(time.Unix(1, 0))
+	}
+}
 
 // serving reports whether answers are outstanding.
 func (c *conn) serving() bool {
--- a/internal/mesh/front/server.go
+++ b/internal/mesh/front/server.go
@@ -38,7 +38,7 @@
 type Handler interface {
 	// Serve answers one request. ctx ends with the cause mesh.ErrCallerLeft once nobody reads
 	// the answer, and with mesh.ErrStopping when the answer is needed at once, as the server
-	// shuts down.
+	// ends.
 	Serve(ctx context.Context, r *Request) *Response
 	// Reject returns the answer with the given status to a request that can't be read.
 	Reject(status int) *Response
@@ -51,7 +51,7 @@
 	handler  Handler
 	draining atomic.Bool
 	active   atomic.Int64
-	// ctx is the parent of the connections' contexts. It ends when the server shuts down.
+	// ctx is the parent of the connections' contexts. It ends when answers are needed at once.
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 	// closing is true once the server shuts down.
@@ -104,35 +104,48 @@
 // Active returns how many requests were read and not answered yet.
 func (s *Server) Active() int { return int(s.active.Load()) }
 
-// Shutdown ends the server and answers each request that it has read: it ends the contexts of
-// all requests with the cause mesh.ErrStopping, stops reading, and closes each connection once its
-// answers have been written. When ctx ends, it closes the connections that are left, and returns
-// the error of ctx.
+// Shutdown stops accepting connections and reading requests, and waits until every request that
+// was read is answered and all connections are closed. It returns the error of ctx if that ends
+// earlier; the requests that are left run on.
 func (s *Server) Shutdown(ctx context.Context) error {
-	s.beginShutdown()
+	s.stopReading()
 	select {
 	case <-s.allClosed:
 		return nil
 	case <-ctx.Done():
-		s.closeConns()
 		return ctx.Err()
 	}
 }
 
+// End shuts the server down and ends the contexts of all requests with the cause
+// mesh.ErrStopping, so that they are answered at once. When ctx ends, it closes the connections
+// that are left, and returns how many requests of callers that still waited got no answer.
+func (s *Server) End(ctx context.Context) (unanswered int) {
+	s.stopReading()
+	s.cancel(mesh.ErrStopping)
+	select {
+	case <-s.allClosed:
+		return 0
+	case <-ctx.Done():
+		return s.closeConns()
+	}
+}
+
 // Close closes all connections without answering their requests.
 func (s *Server) Close() {
-	s.beginShutdown()
+	s.stopReading()
+	s.cancel(mesh.ErrStopping)
 	s.closeConns()
 }
 
-func (s *Server) beginShutdown() {
+// stopReading closes the listener and makes all connections stop reading requests.
+func (s *Server) stopReading() {
+	s.Drain()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closing.Swap(true) {
 		return
 	}
-	s.Drain()
-	s.cancel(mesh.ErrStopping)
 	if s.listener != nil {
 		_ = s.listener.Close()
 	}
@@ -144,12 +157,15 @@
 	}
 }
 
-func (s *Server) closeConns() {
+// closeConns closes all connections and returns how many requests are cut off.
+func (s *Server) closeConns() (unanswered int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
+		unanswered += c.awaited()
 		_ = c.raw.Close()
 	}
+	return unanswered
 }
 
 // add registers a connection, unless the server shuts down.
--- a/internal/mesh/node/stop.go
+++ b/internal/mesh/node/stop.go
@@ -39,22 +39,26 @@
 	limit := p.Settings.StopGrace - stopMargin
 	p.Entry.Stop(p.Now() + limit)
 	awaitIdle(limit, p.guardIdle, p.Peers.Delivered, p.callersIdle)
-	active := p.Front.Active()
-	unanswered := p.answerCallers()
+	active, unanswered := p.endCallers(limit - time.Since(began))
 	p.Log.Event("stopped", "active", active, "unanswered", unanswered, "guard_active", p.Guard.Active(), "took_ms", time.Since(began).Milliseconds())
 	p.Log.Flush(flushTimeout)
 	p.Peers.Close()
 	p.Backend.Close()
 }
 
-// answerCallers ends the callers' requests that are still open with an answer, and returns
-// how many could not be answered.
-func (p *components) answerCallers() (unanswered int) {
-	ctx, cancel := context.WithTimeout(context.Background(), finalAnswerTimeout)
+// endCallers stops reading callers' requests and waits for those that were read, at most for the
+// given time. Then it ends those that are left with an answer. It returns how many these were, and
+// how many of them could not be answered.
+func (p *components) endCallers(within time.Duration) (ended, unanswered int) {
+	inTime, cancel := context.WithTimeout(context.Background(), within)
 	defer cancel()
-	// The error says only that time ran out, as the number does.
-	_ = p.Front.Shutdown(ctx)
-	return p.Front.Active()
+	if p.Front.Shutdown(inTime) == nil {
+		return 0, 0
+	}
+	ended = p.Front.Active()
+	final, cancel := context.WithTimeout(context.Background(), finalAnswerTimeout)
+	defer cancel()
+	return ended, p.Front.End(final)
 }
 
 func (p *components) guardIdle() bool { return p.Guard.Active() == 0 }
--- a/internal/mesh/node/stop_test.go
+++ b/internal/mesh/node/stop_test.go
@@ -1,12 +1,19 @@
 package node
 
 import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/limpetdock/limpetdock/internal/mesh"
+	"github.com/limpetdock/limpetdock/internal/mesh/front"
 )
 
 // Guards against a node that ends its callers' requests while other work isn't done, or before
@@ -38,3 +45,46 @@
 		})
 	}
 }
+
+// callers is a handler that holds each request until it is released.
+type callers struct{ began, release chan struct{} }
+
+func (c callers) Serve(context.Context, *front.Request) *front.Response {
+	close(c.began)
+	<-c.release
+	return c.Reject(http.StatusOK)
+}
+
+func (callers) Reject(status int) *front.Response {
+	return &front.Response{Status: status, Header: http.Header{}}
+}
+
+func (callers) Limits() mesh.Limits { return mesh.Limits{} }
+
+// Guards against a node that stops while a request of a caller is in flight, and ends it although
+// there is time left.
+func TestNodeIsBusyWhileRequestOfCallerIsInFlight(t *testing.T) {
+	h := callers{make(chan struct{}), make(chan struct{})}
+	p := &components{Front: front.New(h)}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() { _ = p.Front.Serve(l) }()
+	c, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = c.Close() }()
+	require.True(t, p.callersIdle())
+	_, err = fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.NoError(t, err)
+	<-h.began
+	require.False(t, p.callersIdle())
+	ended := make(chan int, 1)
+	go func() {
+		n, _ := p.endCallers(time.Minute)
+		ended <- n
+	}()
+	close(h.release)
+	_, err = c.Read(make([]byte, 1))
+	require.NoError(t, err)
+	require.NoError(t, c.Close())
+	require.Zero(t, <-ended)
+}
