front: a request whose header is cut off by a deadline isn't answered with 400

A caller whose request had arrived in part when its node stopped reading, or when the header's time was up, got 400 and didn't repeat a proper request.

Cause: the library returns a line that is cut off by an error as if it were complete, and the parser then finds it malformed.

Evidence: TestIncompleteRequestIsNotAnsweredAtShutdown fails before with "HTTP/1.1 400 Bad Request" after the first byte. The error of the connection now goes before that of the parser.

--- a/internal/mesh/front/read.go
+++ b/internal/mesh/front/read.go
@@ -37,6 +37,8 @@
 	// remaining is how many bytes may still be read; negative is unlimited.
 	remaining int64
 	read      int64
+	// err is the error of the last read.
+	err error
 }
 
 func (h *headerLimit) Read(p []byte) (int, error) {
@@ -47,6 +49,7 @@
 		p = p[:h.remaining]
 	}
 	n, err := h.conn.Read(p)
+	h.err = err
 	h.read += int64(n)
 	if h.remaining > 0 {
 		h.remaining -= int64(n)
@@ -101,6 +104,10 @@
 	c.header.remaining = limit
 	in, err := http.ReadRequest(c.reader)
 	c.header.remaining = -1
+	if err != nil && isTimeout(c.header.err) {
+		// The library parses a line that is cut off by an error as if it were complete.
+		return nil, c.header.err
+	}
 	if err == nil && c.header.read-int64(c.reader.Buffered())-before > limit {
 		return nil, errHeaderTooLarge
 	}
--- a/internal/mesh/front/shutdown_test.go
+++ b/internal/mesh/front/shutdown_test.go
@@ -173,6 +173,21 @@
 	}
 }
 
+// Guards against an answer of 400 to a request that is incomplete only because the server stopped
+// reading, after which its caller doesn't repeat it.
+func TestIncompleteRequestIsNotAnsweredAtShutdown(t *testing.T) {
+	const request = "GET /path HTTP/1.1\r\nHost: example\r\nX-Mine: 1\r\n\r\n"
+	for sent := 1; sent < len(request); sent++ {
+		s, c := start(t, handler{serve: func(context.Context, *front.Request) *front.Response { return text("x") }})
+		c.get("/")
+		c.answer()
+		c.send("%s", request[:sent])
+		require.NoError(t, s.Shutdown(t.Context()))
+		rest, _ := io.ReadAll(c.reader)
+		require.Empty(t, string(rest), "after %q", request[:sent])
+	}
+}
+
 // Guards against a reset that truncates the last answers while the server shuts down, because another
 // request has arrived behind them.
 func TestShutdownCompletesLargeAnswerThoughMoreArrives(t *testing.T) {
