front: no 100 Continue after the answer that closes a connection

A caller that had sent a request with Expect behind another one could get "100 Continue" after an answer with Connection: close: bytes that belong to no request.

Cause: reading waited for the earlier answers, and didn't look whether the last of them closed the connection; the bytes got through between that answer and the end of the sending direction.

--- a/internal/mesh/front/conn.go
+++ b/internal/mesh/front/conn.go
@@ -243,13 +243,15 @@
 }
 
 // awaitAnswers waits until every request that was read has been answered. Only then may
-// the reading goroutine write to the connection.
-func (c *conn) awaitAnswers() {
+// the reading goroutine write to the connection. It returns false if the last answer closes the
+// connection.
+func (c *conn) awaitAnswers() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for c.outstanding > 0 {
 		c.answered.Wait()
 	}
+	return !c.closing
 }
 
 // linger ends the connection after the last answer, and leaves the caller time to read it.
--- a/internal/mesh/front/read.go
+++ b/internal/mesh/front/read.go
@@ -241,7 +241,9 @@
 		return nil, tooLarge
 	}
 	if strings.EqualFold(in.Header.Get("Expect"), "100-continue") {
-		c.awaitAnswers()
+		if !c.awaitAnswers() {
+			return nil, incomplete
+		}
 		if _, err := io.WriteString(stall.NewWriter(c.raw, writeTimeout), "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 			return nil, disconnected
 		}
--- a/internal/mesh/front/shutdown_test.go
+++ b/internal/mesh/front/shutdown_test.go
@@ -231,3 +231,22 @@
 	require.NoError(t, err)
 	require.NoError(t, s.Serve(l))
 }
+
+// Guards against a "100 Continue" after the answer that closes the connection.
+func TestNoContinueIsSentAfterLastAnswer(t *testing.T) {
+	running, release := make(chan struct{}), make(chan struct{})
+	s, c := start(t, handler{serve: func(context.Context, *front.Request) *front.Response {
+		close(running)
+		<-release
+		return text("x")
+	}})
+	c.get("/1")
+	<-running
+	c.send("PUT /2 HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n")
+	s.Drain()
+	close(release)
+	resp, _ := c.answer()
+	require.True(t, resp.Close)
+	_, err := c.reader.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+}
