peer: a request that waits at a node is known not to have run, also the first one on a connection

Callers of nodes that stop, and of nodes whose peers stop, got 502 for uploads that had not run, and couldn't repeat them.

Cause: a node was asked to wait for confirmation only once it had reported on the same connection that it confirms. Uploads have a connection of their own, which gets its first report with its first answer, so after each restart of a peer the first uploads ran without confirmation, and their outcome was unknown once the connection broke or the entry stopped waiting.

Now each request that must not run twice asks for confirmation, a node reports on each new connection at once that it confirms, and whether a request may have run is decided when its outcome is needed: by then a peer that has reported nothing is one that may not confirm. The frames and their fields stay.

--- a/internal/mesh/peer/link.go
+++ b/internal/mesh/peer/link.go
@@ -43,13 +43,15 @@
 // stream is a request in flight.
 type stream struct {
 	done chan result
-	// needsConfirm is true if the request doesn't run before the peer has asked for
-	// confirmation, and released is true once the peer was sent the confirmation.
+	// needsConfirm is true if the peer is told not to run the request without confirmation, and
+	// released is true once the peer was sent the confirmation.
 	needsConfirm, released bool
 }
 
-// mayHaveRun reports whether the request may have run or may still run.
-func (s *stream) mayHaveRun() bool { return !s.needsConfirm || s.released }
+// mayHaveRun reports whether a request may have run or may still run. A peer that hasn't
+// reported that it confirms may be of a version that runs requests without confirmation. l.mu
+// must be held.
+func (l *link) mayHaveRun(s *stream) bool { return !s.needsConfirm || s.released || !l.confirms }
 
 type result struct {
 	answer *mesh.Answer
@@ -86,11 +88,11 @@
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled):
 		e := mesh.CancelledError(ctx)
-		if !s.mayHaveRun() {
+		if !l.mayHaveRun(s) {
 			e.Outcome = kind.NotRun
 		}
 		return e
-	case s.mayHaveRun():
+	case l.mayHaveRun(s):
 		return kind.New(kind.DeadlineUnknown, "timed out waiting for the target").WithCause(ctx.Err())
 	}
 	return kind.New(kind.DeadlineNotRun, "timed out waiting for a slot at the target").WithCause(ctx.Err())
@@ -121,13 +123,13 @@
 	l.client.listener.Reported(l.key.addr, b.load())
 }
 
-// openStream starts a request. One that must not run twice needs confirmation if the peer
-// supports it: if the connection breaks before that, the request is known not to have run.
+// openStream starts a request. One that must not run twice needs confirmation: if the
+// connection breaks before that, the request is known not to have run.
 func (l *link) openStream(atMostOnce bool) (uint32, *stream) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.lastStreamID++
-	s := &stream{done: make(chan result, 1), needsConfirm: atMostOnce && l.confirms}
+	s := &stream{done: make(chan result, 1), needsConfirm: atMostOnce}
 	l.streams[l.lastStreamID] = s
 	return l.lastStreamID, s
 }
@@ -221,13 +223,13 @@
 	l.writer = nil
 	for streamID, s := range l.streams {
 		delete(l.streams, streamID)
-		s.done <- result{err: s.closeError()}
+		s.done <- result{err: l.closeError(s)}
 	}
 }
 
-// closeError returns the error for a request whose connection broke.
-func (s *stream) closeError() *kind.Error {
-	if s.mayHaveRun() {
+// closeError returns the error for a request whose connection broke. l.mu must be held.
+func (l *link) closeError(s *stream) *kind.Error {
+	if l.mayHaveRun(s) {
 		return kind.New(kind.OutcomeUnknown, "the connection to the target's node broke").WithCause(errConnLost)
 	}
 	return kind.New(kind.Unreachable, "the connection to the target's node broke before the request ran").WithCause(errConnLost)
--- a/internal/mesh/peer/server.go
+++ b/internal/mesh/peer/server.go
@@ -88,6 +88,8 @@
 	}
 	s.add(conn)
 	defer s.remove(conn)
+	// The client has to know that this node confirms before a request is on its way for long.
+	conn.sendFrame(frameLoad, 0, fromLoad(s.handler.Load()))
 	var queries sync.WaitGroup
 	defer queries.Wait()
 	ctx, cancel := context.WithCancel(context.Background())
