mesh: a node outlives the reader of its log

When the process that reads a node's standard output ended, the node ended too at its next log line, with every request that it had read.

Cause: the Go runtime ends a process that gets SIGPIPE for a write to its standard output, unless the program says what to do with the signal.

Evidence: TestNodeOutlivesReaderOfItsLog failed on the code before, five times of five, with "signal: broken pipe".

--- a/internal/mesh/node/main.go
+++ b/internal/mesh/node/main.go
@@ -31,6 +31,8 @@
 func serve(path string, s *settings.Settings, p Platform) int {
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(memoryLimit)
+	// By default, writing to a closed standard output ends the process.
+	signal.Ignore(syscall.SIGPIPE)
 	reload, terminate := notify(syscall.SIGHUP), notify(syscall.SIGINT, syscall.SIGTERM)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/internal/mesh/node/main_test.go
+++ b/internal/mesh/node/main_test.go
@@ -129,3 +129,18 @@
 	// A node that has ended already can't be signalled.
 	_ = child.Process.Signal(syscall.SIGTERM)
 }
+
+// Guards against a process that ends, with the requests that it has read, because the reader of its log
+// has ended.
+func TestNodeOutlivesReaderOfItsLog(t *testing.T) {
+	reader, writer, err := os.Pipe()
+	require.NoError(t, err)
+	require.NoError(t, reader.Close())
+	child, ready := startNode(t, 0, writer)
+	require.NoError(t, child.Start())
+	require.NoError(t, writer.Close())
+	ended := make(chan error, 1)
+	go func() { ended <- child.Wait() }()
+	terminate(t, child, ready, ended)
+	require.NoError(t, <-ended)
+}
