--- a/internal/mesh/guard/guard_test.go
+++ b/internal/mesh/guard/guard_test.go
@@ -444,3 +444,33 @@
 	_, err = x.Run(t.Context(), request())
 	require.Nil(t, err)
 }
+
+// Guards against a stop that waits beyond its end for a request that must not run twice, and against
+// cutting one off because its caller has left.
+func TestRunIsCutOffByStopButNotByCallerThatLeaves(t *testing.T) {
+	for cause, answered := range map[error]bool{mesh.ErrCallerLeft: true, mesh.ErrStopping: false} {
+		t.Run(cause.Error(), func(t *testing.T) {
+			running, release := make(chan struct{}), make(chan struct{})
+			x := newFixture(t, 1, func(w http.ResponseWriter, r *http.Request) {
+				close(running)
+				<-release
+				signed(w, r)
+			})
+			ctx, cancel := context.WithCancelCause(t.Context())
+			result := make(chan *kind.Error, 1)
+			go func() {
+				_, err := x.Run(ctx, request())
+				result <- err
+			}()
+			<-running
+			cancel(cause)
+			if answered {
+				close(release)
+				require.Nil(t, <-result)
+				return
+			}
+			defer close(release)
+			require.Equal(t, kind.Unknown, (<-result).ReportedOutcome())
+		})
+	}
+}
