front: a shutdown doesn't cut off an answer whose caller has sent more

At the end of a stop a caller that had sent another request, or a part of one, could get a reset in the middle of the answer to the one before.

Cause: Shutdown stopped reading and closed each connection once its answers had been written. A connection that is closed with unread bytes is reset, and the kernel then drops what it has not delivered yet: up to its whole send buffer.

Evidence: TestShutdownDeliversAnswerToCallerThatSendsMore failed on the code before, ten times of ten, with "connection reset by peer" in the body.

Reading requests and discarding input are now separate: from the shutdown on no request is read, as before, but a connection with answers outstanding goes on discarding what arrives and lingers like one that is closed at any other time. Its caller ends it by closing; Shutdown's context bounds it, so that a stop may end up to that bound later (finalAnswerTimeout, a part of stopMargin). Connections without an answer outstanding are closed at once, as before.

--- a/internal/mesh/front/conn.go
+++ b/internal/mesh/front/conn.go
@@ -147,28 +147,41 @@
 	return true
 }
 
-// drainInput reads until the caller closes the connection or sends nothing more, so that
-// the caller receives the last answers.
+// drainInput discards what the caller sends until it closes the connection, or sends nothing more
+// for lingerTimeout after its last answer. Closed with unread bytes, the connection would be reset,
+// and the reset discards what has not been delivered.
 func (c *conn) drainInput() {
-	// A deadline that was set for the last request doesn't apply to the answers.
-	if c.setReadDeadline(time.Time{}) != nil {
-		return
-	}
-	if c.lingering.Load() && c.setReadDeadline(time.Now().Add(lingerTimeout)) != nil {
-		return
-	}
 	var scratch [1 << 10]byte
 	for remaining := lingerBytes; remaining > 0; {
-		n, err := c.raw.Read(scratch[:])
+		lingering, ends, err := c.setDrainDeadline()
 		if err != nil {
 			return
 		}
-		if !c.lingering.Load() {
-			continue
-		}
-		remaining -= n
-		if c.setReadDeadline(time.Now().Add(lingerTimeout)) != nil {
+		n, err := c.raw.Read(scratch[:])
+		switch {
+		case isTimeout(err) && (!lingering || time.Now().Before(ends)):
+			// stopReading has ended the read.
+		case err != nil:
 			return
+		case lingering:
+			remaining -= n
+		}
+	}
+}
+
+// setDrainDeadline sets the read deadline of drainInput. There is none until the last answer has been
+// written.
+func (c *conn) setDrainDeadline() (lingering bool, ends time.Time, err error) {
+	for {
+		lingering, ends = c.lingering.Load(), time.Time{}
+		if lingering {
+			ends = time.Now().Add(lingerTimeout)
+		}
+		if err := c.raw.SetReadDeadline(ends); err != nil {
+			return false, ends, err
+		}
+		if lingering == c.lingering.Load() {
+			return lingering, ends, nil
 		}
 	}
 }
@@ -246,7 +259,8 @@
 func (c *conn) linger() {
 	c.lingering.Store(true)
 	if half, ok := c.raw.(interface{ CloseWrite() error }); ok {
-		if half.CloseWrite() == nil && c.setReadDeadline(time.Now().Add(lingerTimeout)) == nil {
+		if half.CloseWrite() == nil {
+			c.stopReading()
 			return
 		}
 	}
--- a/internal/mesh/front/read.go
+++ b/internal/mesh/front/read.go
@@ -142,18 +142,18 @@
 }
 
 // setReadDeadline sets the deadline of the next reads; the zero time means none. Once the
-// server shuts down, nothing more is read.
+// server shuts down or the last answer has been written, no more requests are read.
 func (c *conn) setReadDeadline(t time.Time) error {
 	if err := c.raw.SetReadDeadline(t); err != nil {
 		return err
 	}
-	if c.server.closing.Load() {
+	if c.server.closing.Load() || c.lingering.Load() {
 		c.stopReading()
 	}
 	return nil
 }
 
-// stopReading makes the current read and all later ones time out.
+// stopReading makes the current read time out, and all later ones until a deadline is set.
 func (c *conn) stopReading() { _ = c.raw.SetReadDeadline(time.Unix(1, 0)) }
 
 // serving reports whether answers are outstanding.
--- a/internal/mesh/front/shutdown_test.go
+++ b/internal/mesh/front/shutdown_test.go
@@ -110,6 +110,44 @@
 	return err
 }
 
+// Guards against an answer that is cut off by a reset because its caller had sent more, which the
+// server no longer reads.
+func TestShutdownDeliversAnswerToCallerThatSendsMore(t *testing.T) {
+	const size = 4 << 20
+	running, sent := make(chan struct{}, 2), make(chan struct{})
+	s, c := start(t, handler{serve: func(ctx context.Context, _ *front.Request) *front.Response {
+		running <- struct{}{}
+		<-ctx.Done()
+		<-sent
+		return &front.Response{Status: 200, Header: http.Header{}, Body: make([]byte, size)}
+	}})
+	require.NoError(t, c.Conn.(*net.TCPConn).SetReadBuffer(128<<10))
+	c.get("/1")
+	<-running
+	shutdown := make(chan error, 1)
+	go func() { shutdown <- s.Shutdown(t.Context()) }()
+	require.Eventually(t, func() bool {
+		other, err := net.Dial("tcp", c.RemoteAddr().String())
+		if err == nil {
+			_ = other.Close()
+		}
+		return err != nil
+	}, time.Minute, time.Millisecond, "it shuts down")
+	c.get("/2")
+	close(sent)
+	resp, body := c.answer()
+	require.Len(t, body, size)
+	if !resp.Close {
+		// The second request was read just before the shutdown.
+		_, body = c.answer()
+		require.Len(t, body, size)
+	}
+	_, err := c.reader.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+	require.NoError(t, c.Close())
+	require.NoError(t, <-shutdown)
+}
+
 // Guards against a stop that waits for ever, or misses a request, when an answer isn't ready in time.
 func TestShutdownReportsRequestsThatAreNotAnsweredInTime(t *testing.T) {
 	running, release := make(chan struct{}), make(chan struct{})
