peer: a stopping node delivers the outcomes of other nodes' requests before it closes

When a stop reached its limit, the entries of requests that were open at the node saw their connections close. They had to take an idempotent request that had not run for one that may have: a repeat drew on the budget, and without one the caller got 502. Outcomes that were queued were dropped.

Cause: the node closed the connections of other nodes at once, with what their writers still had to send. Only its own callers got final answers.

Evidence: TestShutdownDeliversOutcomesOfOpenRequests failed with Shutdown closing at once, as the stop did: "outcome-unknown" in place of "leaving", five times of five.

peer.Server.Shutdown ends the requests' contexts with mesh.ErrStopping, as the front does for callers, waits until each outcome is acknowledged, and then closes. The stop runs both within the same finalAnswerTimeout. A request that still waits at the guard is refused as leaving, not as past its deadline, so that its entry tries another target. A request that arrives after the last outcome was acknowledged still meets a closed connection.

--- a/internal/mesh/guard/guard.go
+++ b/internal/mesh/guard/guard.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"math"
 	"net/http"
 	"strings"
@@ -195,7 +196,8 @@
 	admitted, cancel := g.admission.bound(ctx)
 	defer cancel()
 	slot, e := g.awaitSlot(admitted, s, deadline)
-	if e != nil && admitted.Err() != nil && ctx.Err() == nil {
+	leaving := ctx.Err() == nil || errors.Is(context.Cause(ctx), mesh.ErrStopping)
+	if e != nil && admitted.Err() != nil && leaving {
 		e = g.leavingError()
 	}
 	return slot, e
--- a/internal/mesh/node/stop.go
+++ b/internal/mesh/node/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 )
 
@@ -40,20 +41,22 @@
 	p.Entry.Stop(p.Now() + limit)
 	awaitIdle(limit, p.guardIdle, p.Peers.Delivered, p.callersIdle)
 	active := p.Front.Active()
-	unanswered := p.answerCallers()
+	unanswered := p.answerAll()
 	p.Log.Event("stopped", "active", active, "unanswered", unanswered, "guard_active", p.Guard.Active(), "took_ms", time.Since(began).Milliseconds())
 	p.Log.Flush(flushTimeout)
-	p.Peers.Close()
 	p.Backend.Close()
 }
 
-// answerCallers ends the callers' requests that are still open with an answer, and returns
-// how many could not be answered.
-func (p *components) answerCallers() (unanswered int) {
+// answerAll ends the requests of callers and of other nodes that are still open with an answer, and
+// returns how many callers could not be answered.
+func (p *components) answerAll() (unanswered int) {
 	ctx, cancel := context.WithTimeout(context.Background(), finalAnswerTimeout)
 	defer cancel()
-	// The error says only that time ran out, as the number does.
+	var peers sync.WaitGroup
+	// The errors say only that time ran out, as the number does.
+	peers.Go(func() { _ = p.Peers.Shutdown(ctx) })
 	_ = p.Front.Shutdown(ctx)
+	peers.Wait()
 	return p.Front.Active()
 }
 
--- a/internal/mesh/peer/peer_test.go
+++ b/internal/mesh/peer/peer_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -171,6 +172,48 @@
 	require.Equal(t, kind.Unknown, err.ReportedOutcome())
 }
 
+// Guards against an outcome that is left open, by a closed connection, for a request that a stopping
+// node knows not to have run.
+func TestShutdownDeliversOutcomesOfOpenRequests(t *testing.T) {
+	waiting := make(chan struct{})
+	addr, s, c, _ := start(t, func(ctx context.Context, _ *mesh.Request) (*mesh.Answer, *kind.Error) {
+		close(waiting)
+		<-ctx.Done()
+		if !errors.Is(context.Cause(ctx), mesh.ErrStopping) {
+			return nil, kind.New(kind.OutcomeUnknown, "cancelled")
+		}
+		return nil, kind.New(kind.Leaving, "the node is stopping")
+	})
+	shutdown := make(chan error, 1)
+	go func() {
+		<-waiting
+		shutdown <- s.Shutdown(t.Context())
+	}()
+	_, err := c.Run(t.Context(), addr, &mesh.Request{Idempotent: true})
+	require.Equal(t, kind.Leaving, err.Kind)
+	require.Equal(t, kind.NotRun, err.ReportedOutcome())
+	require.NoError(t, <-shutdown)
+}
+
+// Guards against a stop that waits for a request that doesn't end.
+func TestShutdownIsBounded(t *testing.T) {
+	waiting, release := make(chan struct{}), make(chan struct{})
+	addr, s, c, _ := start(t, func(context.Context, *mesh.Request) (*mesh.Answer, *kind.Error) {
+		close(waiting)
+		<-release
+		return nil, kind.New(kind.Leaving, "late")
+	})
+	defer close(release)
+	go func() {
+		<-waiting
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_ = s.Shutdown(ctx)
+	}()
+	_, err := c.Run(t.Context(), addr, &mesh.Request{})
+	require.Equal(t, kind.OutcomeUnknown, err.Kind)
+}
+
 // Guards against a request that waits until its deadline on a connection that accepts
 // bytes and returns none while new connections work, as when a device between two nodes
 // has lost the connection's state.
--- a/internal/mesh/peer/server.go
+++ b/internal/mesh/peer/server.go
@@ -17,7 +17,8 @@
 
 // Handler runs requests of other nodes. Safe for concurrent use.
 type Handler interface {
-	// Run runs or refuses a request. ctx ends when the sender no longer waits for it.
+	// Run runs or refuses a request. ctx ends when the sender no longer waits for it, and with
+	// the cause mesh.ErrStopping when the outcome is needed at once, as the server shuts down.
 	Run(ctx context.Context, r *mesh.Request) (*mesh.Answer, *kind.Error)
 	// Load returns the load that is reported with an answer.
 	Load() mesh.Load
@@ -30,8 +31,11 @@
 type Server struct {
 	handler Handler
 	here    mesh.Place
-	mu      sync.Mutex
-	conns   map[*serverConn]struct{}
+	// ctx is the parent of the requests' contexts. It ends when the server shuts down.
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	mu     sync.Mutex
+	conns  map[*serverConn]struct{}
 	// lastRequest is when each VM last sent a request.
 	lastRequest map[string]time.Time
 	bootstrap   *bootstrapper
@@ -51,8 +55,9 @@
 
 // NewServer returns a Server that passes requests to h.
 func NewServer(h Handler, here mesh.Place) *Server {
+	ctx, cancel := context.WithCancelCause(context.Background())
 	return &Server{
-		handler: h, here: here, conns: map[*serverConn]struct{}{}, lastRequest: map[string]time.Time{},
+		handler: h, here: here, ctx: ctx, cancel: cancel, conns: map[*serverConn]struct{}{}, lastRequest: map[string]time.Time{},
 		bootstrap: newBootstrapper(func() bool { return false }),
 	}
 }
@@ -90,7 +95,7 @@
 	defer s.remove(conn)
 	var queries sync.WaitGroup
 	defer queries.Wait()
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancel(s.ctx)
 	// The entry no longer waits for requests of a connection that has ended.
 	defer cancel()
 	if s.bootstrap.active() {
@@ -271,6 +276,27 @@
 // StopBootstrap prevents further queries for the state of other nodes.
 func (s *Server) StopBootstrap() { s.bootstrap.stop() }
 
+// deliveryCheckInterval is the pause between checks whether all outcomes have been delivered.
+const deliveryCheckInterval = 5 * time.Millisecond
+
+// Shutdown ends the contexts of all requests with the cause mesh.ErrStopping, and closes all
+// connections once the outcomes have been delivered, or when ctx ends. It then returns the error of
+// ctx.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.cancel(mesh.ErrStopping)
+	defer s.Close()
+	ticker := time.NewTicker(deliveryCheckInterval)
+	defer ticker.Stop()
+	for !s.Delivered() {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
 // Close closes all connections.
 func (s *Server) Close() {
 	s.StopBootstrap()
