--- a/internal/mesh/front/shutdown_test.go
+++ b/internal/mesh/front/shutdown_test.go
@@ -212,6 +212,44 @@
 	require.NoError(t, s.Shutdown(t.Context()))
 }
 
+// Guards against an answer that is cut off by a reset because its caller had sent more, which the
+// server no longer reads.
+func TestEndDeliversAnswerToCallerThatSendsMore(t *testing.T) {
+	const size = 4 << 20
+	running, sent := make(chan struct{}, 2), make(chan struct{})
+	s, c := start(t, handler{serve: func(ctx context.Context, _ *front.Request) *front.Response {
+		running <- struct{}{}
+		<-ctx.Done()
+		<-sent
+		return &front.Response{Status: 200, Header: http.Header{}, Body: make([]byte, size)}
+	}})
+	require.NoError(t, c.Conn.(*net.TCPConn).SetReadBuffer(128<<10))
+	c.get("/1")
+	<-running
+	ended := make(chan int, 1)
+	go func() { ended <- s.End(t.Context()) }()
+	require.Eventually(t, func() bool {
+		other, err := net.Dial("tcp", c.RemoteAddr().String())
+		if err == nil {
+			_ = other.Close()
+		}
+		return err != nil
+	}, time.Minute, time.Millisecond, "it shuts down")
+	c.get("/2")
+	close(sent)
+	resp, body := c.answer()
+	require.Len(t, body, size)
+	if !resp.Close {
+		// The second request was read just before the shutdown.
+		_, body = c.answer()
+		require.Len(t, body, size)
+	}
+	_, err := c.reader.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+	require.NoError(t, c.Close())
+	require.Zero(t, <-ended)
+}
+
 func TestShutdownClosesListenerAndIdleConnections(t *testing.T) {
 	s, c := start(t, handler{serve: func(context.Context, *front.Request) *front.Response { return text("x") }})
 	c.get("/")
--- a/internal/mesh/node/stop.go
+++ b/internal/mesh/node/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 )
 
@@ -39,26 +40,29 @@
 	limit := p.Settings.StopGrace - stopMargin
 	p.Entry.Stop(p.Now() + limit)
 	awaitIdle(limit, p.guardIdle, p.Peers.Delivered, p.callersIdle)
-	active, unanswered := p.endCallers(limit - time.Since(began))
+	active, unanswered := p.endRequests(limit - time.Since(began))
 	p.Log.Event("stopped", "active", active, "unanswered", unanswered, "guard_active", p.Guard.Active(), "took_ms", time.Since(began).Milliseconds())
 	p.Log.Flush(flushTimeout)
-	p.Peers.Close()
 	p.Backend.Close()
 }
 
-// endCallers stops reading callers' requests and waits for those that were read, at most for the
-// given time. Then it ends those that are left with an answer. It returns how many these were, and
-// how many of them could not be answered.
-func (p *components) endCallers(within time.Duration) (ended, unanswered int) {
+// endRequests stops reading callers' requests and waits for those that were read, at most for the
+// given time. Then it ends those that are left, and those of other nodes, with an answer. It returns
+// how many requests of callers these were, and how many of them could not be answered.
+func (p *components) endRequests(within time.Duration) (ended, unanswered int) {
 	inTime, cancel := context.WithTimeout(context.Background(), within)
 	defer cancel()
-	if p.Front.Shutdown(inTime) == nil {
-		return 0, 0
+	if p.Front.Shutdown(inTime) != nil {
+		ended = p.Front.Active()
 	}
-	ended = p.Front.Active()
 	final, cancel := context.WithTimeout(context.Background(), finalAnswerTimeout)
 	defer cancel()
-	return ended, p.Front.End(final)
+	var peers sync.WaitGroup
+	// The error says only that time ran out.
+	peers.Go(func() { _ = p.Peers.Shutdown(final) })
+	unanswered = p.Front.End(final)
+	peers.Wait()
+	return ended, unanswered
 }
 
 func (p *components) guardIdle() bool { return p.Guard.Active() == 0 }
--- a/internal/mesh/node/stop_test.go
+++ b/internal/mesh/node/stop_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/limpetdock/limpetdock/internal/mesh"
 	"github.com/limpetdock/limpetdock/internal/mesh/front"
+	"github.com/limpetdock/limpetdock/internal/mesh/peer"
 )
 
 // Guards against a node that ends its callers' requests while other work isn't done, or before
@@ -65,7 +66,7 @@
 // there is time left.
 func TestNodeIsBusyWhileRequestOfCallerIsInFlight(t *testing.T) {
 	h := callers{make(chan struct{}), make(chan struct{})}
-	p := &components{Front: front.New(h)}
+	p := &components{Front: front.New(h), Peers: peer.NewServer(nil, mesh.Place{})}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	go func() { _ = p.Front.Serve(l) }()
@@ -79,7 +80,7 @@
 	require.False(t, p.callersIdle())
 	ended := make(chan int, 1)
 	go func() {
-		n, _ := p.endCallers(time.Minute)
+		n, _ := p.endRequests(time.Minute)
 		ended <- n
 	}()
 	close(h.release)
