guard: a stop waits for queued requests too, and no longer breaks on them

Callers and entries saw their connections closed without an answer when a stopping node's process ended with a panic, "sync: WaitGroup is reused before previous Wait has returned", or, where it didn't, when the stop went on while a request that had waited in the queue ran.

Cause: the guard counted a request only once it had a slot. When the last running request ended, it freed its slot before it was counted as ended: the count went to zero, which released the stop, and back to one.

Evidence: TestWaitIncludesQueuedRequests on the code before: panic: sync: WaitGroup is reused before previous Wait has returned. First seen in a test of a stop at its limit in internal/node with a queued request, as a panic of the process.

A request now counts from before the queue until its slot is free, so the count doesn't reach zero between a request and those queued behind it. The counter may leave zero again while it is waited for, and a wait ends with the stop limit instead of leaving a goroutine behind.

--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -45,10 +45,11 @@
 	listedAddr string
 	// hasKeyRules is true once the rules for callers' own keys are known.
 	hasKeyRules bool
-	running     sync.WaitGroup
-	isolation   isolation
-	deaths      deaths
-	reporter    reporter
+	// active counts requests from the queue to the end of their answers.
+	active    activity
+	isolation isolation
+	deaths    deaths
+	reporter  reporter
 	// Counters counts the guard's decisions about attempts.
 	Counters Counters
 }
@@ -103,8 +104,8 @@
 // Load returns the load of the backend server as counted by the guard.
 func (g *Guard) Load() gate.Load { return g.gate.Load() }
 
-// Wait blocks until no request is running.
-func (g *Guard) Wait() { g.running.Wait() }
+// Wait blocks until no request waits or runs, or ctx ends; it returns the error of ctx then.
+func (g *Guard) Wait(ctx context.Context) error { return g.active.wait(ctx) }
 
 // Close closes the idle connections to the backend server.
 func (g *Guard) Close() { g.transport.CloseIdleConnections() }
@@ -173,12 +174,10 @@
 		a.cancel()
 		return nil, e
 	}
-	g.running.Add(1)
 	end := func() {
-		v.leave()
 		g.removePresent(id)
 		a.cancel()
-		g.running.Done()
+		v.leave()
 	}
 	deadline, _ := a.ctx.Deadline()
 	p := &permit{deadline: deadline}
--- a/internal/guard/isolate.go
+++ b/internal/guard/isolate.go
@@ -150,19 +150,23 @@
 // acquire waits for a slot and, for a suspect, until it may run alone. The end of the
 // execution releases both.
 func (g *Guard) acquire(a admission, r *http.Request) (execution, *kind.Error) {
+	g.active.begin()
 	slot, refusal := g.gate.Acquire(a.ctx, rankOf(r, a.class))
 	if refusal != nil {
+		g.active.end()
 		return execution{}, refusal
 	}
 	v, ok := g.isolation.enter(a.ctx, r.Header.Get(headers.Suspect) != "")
 	if !ok {
 		slot.Release()
+		g.active.end()
 		return execution{}, errDeadlineInQueue()
 	}
 	leave := v.leave
 	v.leave = func() {
 		leave()
 		slot.Release()
+		g.active.end()
 	}
 	return v, nil
 }
--- a/internal/guard/once.go
+++ b/internal/guard/once.go
@@ -116,11 +116,9 @@
 // breaks: the entry may collect the answer over another connection.
 func (g *Guard) detach(r *http.Request, c attempt.Claim, deadline time.Time, v execution) (*http.Response, *kind.Error) {
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(r.Context()), deadline)
-	g.running.Add(1)
 	end := sync.OnceFunc(func() {
 		cancel()
 		v.leave()
-		g.running.Done()
 	})
 	body := &watchedBody{ReadCloser: r.Body}
 	if r.Body != nil && r.Body != http.NoBody {
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -88,14 +88,7 @@
 // waitForRuns waits for at-most-once runs whose entry has disconnected, and then for
 // collectFor, so that entries can collect answers over a new connection.
 func (p params) waitForRuns(limit context.Context) {
-	done := make(chan struct{})
-	go func() {
-		p.Guard.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-	case <-limit.Done():
+	if err := p.Guard.Wait(limit); err != nil {
 		p.Log.Info("runs cut off at the stop limit")
 		return
 	}
