node: requests that are open at the stop limit get their final answers

Callers whose requests were still open when `[stop] limit` passed saw their connections closed without an answer, as the process went on to its end; so did entries on other nodes with requests at the guard's port. A request that had waited in the queue, or whose body hadn't been read, had certainly not run, but nobody was told.

Cause: http.Server.Shutdown returns at the limit and leaves the requests to themselves; nothing ended them before the process did. At-most-once runs ignored a cancelled context, and a Read of a body isn't ended by one.

Each port has a base context that ends at the limit with the cause stopping.Err, those of entries before those of callers. That ends reads of bodies, waits in queues and at-most-once requests too, but not the run of one that has started. The answer is 503 with Retry-After where no target was allowed to run the request and none will be: it waited at the own guard, which refuses it, or was never sent; 502 otherwise. Answers have a second to be written and read before connections are closed; an answer that has begun is cut by that. TestStopMarginCoversAllSteps guards the time that a stop may take, now 6 s beyond grace and limit.

--- a/internal/entry/at_most_once.go
+++ b/internal/entry/at_most_once.go
@@ -11,6 +11,7 @@
 	"github.com/limpetdock/limpetdock/internal/headers"
 	"github.com/limpetdock/limpetdock/internal/kind"
 	"github.com/limpetdock/limpetdock/internal/pick"
+	"github.com/limpetdock/limpetdock/internal/stopping"
 )
 
 // serveOnce runs an at-most-once request. A request with a ticket or a caller's key may run on
@@ -18,7 +19,9 @@
 func (e *Entry) serveOnce(ctx context.Context, w http.ResponseWriter, v *pick.View, x *request) *kind.Error {
 	// The run isn't cancelled with the caller's connection: a caller that disconnects may
 	// reconnect to fetch the answer.
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), x.timeout)
+	ctx, release := stopping.WithoutCancel(ctx)
+	defer release()
+	ctx, cancel := context.WithTimeout(ctx, x.timeout)
 	defer cancel()
 	switch {
 	case x.ticket != nil:
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -194,7 +194,11 @@
 	ctx, cancel := context.WithTimeout(r.Context(), x.timeout)
 	defer cancel()
 	x.cancel = cancel
-	if r.Header.Get(headers.Ticket) != "" {
+	return endError(r.Context(), e.serveAdmitted(ctx, w, v, x))
+}
+
+func (e *Entry) serveAdmitted(ctx context.Context, w http.ResponseWriter, v *pick.View, x *request) *kind.Error {
+	if x.in.Header.Get(headers.Ticket) != "" {
 		return e.issueTicket(ctx, w, x)
 	}
 	if err := x.bufferBody(); err != nil {
@@ -204,6 +208,7 @@
 	if err := x.checkSuspect(v, e.now()); err != nil {
 		return err
 	}
+	var err *kind.Error
 	if x.atMostOnce {
 		err = e.serveOnce(ctx, w, v, x)
 	} else {
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -186,7 +186,7 @@
 		// A suspect that waits to run alone must start only after the death is recorded.
 		defer end()
 		if p.revoke() {
-			return nil, notSent(deadline, err)
+			return nil, refusalAtStop(a.ctx, notSent(deadline, err))
 		}
 		return nil, g.backendError(a.ctx, p, v, err)
 	}
--- a/internal/guard/isolate.go
+++ b/internal/guard/isolate.go
@@ -9,6 +9,7 @@
 
 	"github.com/limpetdock/limpetdock/internal/headers"
 	"github.com/limpetdock/limpetdock/internal/kind"
+	"github.com/limpetdock/limpetdock/internal/stopping"
 )
 
 // maxIsolation bounds how long a suspect keeps other requests off the backend server.
@@ -154,13 +155,16 @@
 	slot, refusal := g.gate.Acquire(a.ctx, rankOf(r, a.class))
 	if refusal != nil {
 		g.active.end()
+		if a.ctx.Err() != nil {
+			refusal = refusalAtStop(a.ctx, refusal)
+		}
 		return execution{}, refusal
 	}
 	v, ok := g.isolation.enter(a.ctx, r.Header.Get(headers.Suspect) != "")
 	if !ok {
 		slot.Release()
 		g.active.end()
-		return execution{}, errDeadlineInQueue()
+		return execution{}, refusalAtStop(a.ctx, errDeadlineInQueue())
 	}
 	leave := v.leave
 	v.leave = func() {
@@ -171,6 +175,17 @@
 	return v, nil
 }
 
+// refusalAtStop returns the error for a request that was refused with e because ctx ended: if
+// the node stops, that is the reason, and other targets may run the request.
+func refusalAtStop(ctx context.Context, e *kind.Error) *kind.Error {
+	if !stopping.Ended(ctx) {
+		return e
+	}
+	left := kind.New(kind.Leaving, "the node stops before the request can run").WithCause(e)
+	left.Outcome = e.Outcome
+	return left
+}
+
 func errDeadlineInQueue() *kind.Error {
 	return kind.New(kind.DeadlineNotRun, "the deadline passed in the backend server's queue")
 }
--- a/internal/guard/once.go
+++ b/internal/guard/once.go
@@ -15,6 +15,7 @@
 	"github.com/limpetdock/limpetdock/internal/attempt"
 	"github.com/limpetdock/limpetdock/internal/headers"
 	"github.com/limpetdock/limpetdock/internal/kind"
+	"github.com/limpetdock/limpetdock/internal/stopping"
 	"github.com/limpetdock/limpetdock/internal/wire"
 )
 
@@ -41,6 +42,10 @@
 	if e != nil {
 		return g.refuse(r, c, e)
 	}
+	if stopping.Ended(r.Context()) {
+		visit.leave()
+		return g.refuse(r, c, refusalAtStop(r.Context(), errDeadlineInQueue()))
+	}
 	// The attempt is recorded only once it has a slot: an attempt that is refused or
 	// still waits needs no record and can be sealed.
 	if v, wait := g.begin(c); v != attempt.Start {
@@ -76,7 +81,7 @@
 	if err != nil {
 		e := kind.New(kind.BodyCut, "the request's body was cut off before its declared length").WithCause(err)
 		e.Outcome = copyOutcome(attempt.ClassOf(r.Header.Get(headers.Attempt)))
-		return nil, e
+		return nil, refusalAtStop(r.Context(), e)
 	}
 	r.Body = io.NopCloser(bytes.NewReader(text))
 	return text, nil
@@ -235,6 +240,9 @@
 		case <-ended:
 			state, answer, _ = g.lookup(id)
 		case <-ctx.Done():
+			if stopping.Ended(ctx) {
+				return nil, kind.New(kind.OutcomeUnknown, "the node stopped while the request ran")
+			}
 			return nil, kind.New(kind.DeadlineUnknown, "the deadline passed while the request ran")
 		}
 	}
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -14,8 +14,10 @@
 // response with "Connection: close" the client closes the connection itself (RFC
 // 9112, section 9.6).
 type drainer struct {
-	handler   http.Handler
-	draining  atomic.Bool
+	handler  http.Handler
+	draining atomic.Bool
+	// active counts the requests in flight.
+	active    atomic.Int64
 	mu        sync.Mutex
 	open      int
 	allClosed chan struct{}
@@ -28,6 +30,8 @@
 	if d.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	d.active.Add(1)
+	defer d.active.Add(-1)
 	d.handler.ServeHTTP(w, r)
 }
 
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -22,6 +22,8 @@
 
 	"github.com/limpetdock/limpetdock/fleet"
 	"github.com/limpetdock/limpetdock/internal/entry"
+	"github.com/limpetdock/limpetdock/internal/guard"
+	"github.com/limpetdock/limpetdock/internal/limit"
 	"github.com/limpetdock/limpetdock/internal/metrics"
 	"github.com/limpetdock/limpetdock/internal/platform"
 	"github.com/limpetdock/limpetdock/internal/settings"
@@ -70,7 +72,7 @@
 	buf := make([]byte, 4096)
 	for {
 		n, err := r.Body.Read(buf)
-		if n > 0 && body.Len() == 0 && r.Method == http.MethodPut {
+		if n > 0 && body.Len() == 0 && (r.Method == http.MethodPut || r.ContentLength < 0) {
 			b.uploads.Add(1)
 		}
 		body.Write(buf[:n])
@@ -128,6 +130,8 @@
 	set     *settings.Settings
 	servers *servers
 	entry   *entry.Entry
+	guard   *guard.Guard
+	limits  *limit.Table
 	library *libraryLog
 	metrics *metrics.Metrics
 	stop    func()
@@ -152,14 +156,20 @@
 	}
 }
 
-// start starts a node in front of b, waits until it is ready, and stops it at the
-// end of the test.
+// start starts a node of testFleet; see startIn.
 func start(t *testing.T, b *backend, log logr.Logger) *testNode {
+	t.Helper()
+	return startIn(t, testFleet(), b, log)
+}
+
+// startIn starts a node in front of b, waits until it is ready, and stops it at the
+// end of the test.
+func startIn(t *testing.T, f fleet.Fleet, b *backend, log logr.Logger) *testNode {
 	t.Helper()
 	// Uses a random address so that the fixed ports are free. Deployments in other tests
 	// use lower third octets.
 	ip := fmt.Sprintf("127.%d.%d.%d", 2+rand.IntN(250), 230+rand.IntN(20), 1+rand.IntN(250))
-	p := newPlatform(t, testFleet(), platform.VM{Name: "orders-1", IP: ip, State: platform.VMLive})
+	p := newPlatform(t, f, platform.VM{Name: "orders-1", IP: ip, State: platform.VMLive})
 	n := &testNode{set: &settings.Settings{
 		VM: "orders-1", Region: "rs", Zone: "rs-a", Fleet: "shop",
 		Callers: ip + ":7100", Guard: ip + ":7200", Control: ip + ":7300", Admin: ip + ":7400",
@@ -168,7 +178,7 @@
 	if log.GetSink() == nil {
 		log = funcr.New(func(_, _ string) { n.lines.Add(1) }, funcr.Options{})
 	}
-	app := fx.New(Module, fx.NopLogger, fx.Supply(n.set), fx.Populate(&n.servers, &n.entry, &n.library, &n.metrics),
+	app := fx.New(Module, fx.NopLogger, fx.Supply(n.set), fx.Populate(&n.servers, &n.entry, &n.guard, &n.limits, &n.library, &n.metrics),
 		fx.Provide(func() logr.Logger { return log }))
 	n.app = app
 	require.NoError(t, app.Start(context.Background()))
--- a/internal/node/port.go
+++ b/internal/node/port.go
@@ -1,20 +1,27 @@
 package node
 
 import (
+	"context"
 	"errors"
 	"log"
 	"net"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/limpetdock/limpetdock/internal/headers"
 	"github.com/limpetdock/limpetdock/internal/kind"
+	"github.com/limpetdock/limpetdock/internal/stopping"
 )
 
 const (
 	// headerTimeout limits the time a caller may take to send its headers.
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 2 * time.Minute
+	// answerMargin is how long the answers of requests that are ended at the stop limit may
+	// take to be written and read.
+	answerMargin = time.Second
 	// maxHeader limits the size of a request's headers, in bytes; larger ones are
 	// answered with 431. net/http adds 4096 to it.
 	maxHeader = 32 << 10
@@ -29,17 +36,24 @@
 	counters *serverCounters
 	perIP    int
 	listener net.Listener
+	// endContexts ends the contexts of all requests. endedRequests counts those
+	// that were in flight then.
+	endContexts   func()
+	endOnce       sync.Once
+	endedRequests atomic.Int64
 	// ended is closed once the port has stopped accepting connections.
 	ended chan struct{}
 }
 
 func newHTTPPort(addr string, h http.Handler, perIP int, c *serverCounters) *httpPort {
 	d := newDrainer(watchProgress(h, c))
+	base, end := stopping.NewContext()
 	return &httpPort{
-		addr: addr, drainer: d, counters: c, perIP: perIP, ended: make(chan struct{}),
+		addr: addr, drainer: d, counters: c, perIP: perIP, endContexts: end, ended: make(chan struct{}),
 		server: &http.Server{
 			Handler: d, ConnState: d.connState, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 			MaxHeaderBytes: maxHeader, ErrorLog: log.New(c, "", 0),
+			BaseContext: func(net.Listener) context.Context { return base },
 		},
 	}
 }
@@ -74,6 +88,32 @@
 	<-p.ended
 }
 
+// endRequests ends the contexts of the requests in flight, which then get their final
+// answers.
+func (p *httpPort) endRequests() {
+	p.endOnce.Do(func() {
+		p.endedRequests.Store(p.drainer.active.Load())
+		p.endContexts()
+	})
+}
+
+// shutdown waits for the requests in flight until limit ends. It then calls end, which must
+// end the rest, and waits for their answers. The error says that some connections were
+// closed without a complete answer.
+func (p *httpPort) shutdown(limit context.Context, end func()) error {
+	if p.server.Shutdown(limit) == nil {
+		return nil
+	}
+	end()
+	final, cancel := context.WithTimeout(context.Background(), answerMargin)
+	defer cancel()
+	err := p.server.Shutdown(final)
+	if err != nil {
+		_ = p.server.Close()
+	}
+	return err
+}
+
 // requireFleet refuses requests that don't carry the fleet's name. Addresses are
 // reused by VMs of other fleets, and an entry with an outdated VM list would
 // otherwise run its requests on that fleet's servers. The name is no secret and is
--- a/internal/node/progress.go
+++ b/internal/node/progress.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"time"
@@ -19,6 +20,9 @@
 	minRate = 256
 )
 
+// aLongTimeAgo is a deadline that ends a Read in progress.
+var aLongTimeAgo = time.Unix(1, 0)
+
 // watchProgress limits the time that each read of a request body and each write of
 // an answer may take. The exchange as a whole has no limit, because long uploads are
 // legitimate.
@@ -26,7 +30,9 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		control := http.NewResponseController(w)
 		if r.Body != nil && r.Body != http.NoBody {
-			r.Body = &watchedBody{ReadCloser: r.Body, control: control, counters: c}
+			r.Body = &watchedBody{ReadCloser: r.Body, ctx: r.Context(), control: control, counters: c}
+			// The end of the context doesn't end a Read by itself.
+			defer context.AfterFunc(r.Context(), func() { _ = control.SetReadDeadline(aLongTimeAgo) })()
 		}
 		h.ServeHTTP(&watchedWriter{ResponseWriter: w, control: control, counters: c}, r)
 		// Data that is still buffered is written after the handler has returned, possibly
@@ -38,6 +44,7 @@
 // watchedBody extends the connection's read deadline as the body progresses.
 type watchedBody struct {
 	io.ReadCloser
+	ctx      context.Context
 	control  *http.ResponseController
 	counters *serverCounters
 	read     int64
@@ -51,6 +58,9 @@
 	allowance := time.Duration(b.read/minRate) * time.Second
 	// Connections without deadline support, as in tests, are read without a deadline.
 	_ = b.control.SetReadDeadline(started.Add(min(stallLimit, stallLimit+allowance-b.waited)))
+	if b.ctx.Err() != nil {
+		return 0, context.Cause(b.ctx)
+	}
 	n, err := b.ReadCloser.Read(p)
 	b.read += int64(n)
 	b.waited += time.Since(started)
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -104,6 +104,13 @@
 	}()
 }
 
+// endRequests ends the requests in flight. Those of other nodes end first, so that none of
+// them starts to run in the place of a caller's.
+func (s *servers) endRequests() {
+	s.guard.endRequests()
+	s.callers.endRequests()
+}
+
 // closeControl closes the control port and its connections.
 func (s *servers) closeControl() {
 	_ = s.controlListener.Close()
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -18,11 +18,11 @@
 	keyTransferTimeout = 2 * time.Second
 	// stopMargin is the time that a stop may take in addition to the grace period and
 	// the stop limit.
-	stopMargin = 5 * time.Second
+	stopMargin = 6 * time.Second
 )
 
-// stop shuts the node down without cutting requests in flight. Components are
-// stopped before those they depend on: callers' requests need the entry, the entry
+// stop shuts the node down. Requests in flight may take until the stop limit; those that
+// are still open then get their final answers. Components are stopped before those they depend on: callers' requests need the entry, the entry
 // needs guards, and attempts are queried at the guard and the control port.
 func (p params) stop() {
 	p.Log.Info("stopping")
@@ -33,15 +33,16 @@
 	p.drainConnections()
 	limit, cancel := context.WithTimeout(context.Background(), stopLimit(p.Settings.StopLimit, p.Entry.View()))
 	defer cancel()
-	if err := p.Servers.callers.server.Shutdown(limit); err != nil {
+	if err := p.Servers.callers.shutdown(limit, p.Servers.endRequests); err != nil {
 		p.Log.Error(err, "callers cut off at the stop limit")
 	}
 	p.Entry.WaitHedges(limit)
 	p.waitForRuns(limit)
 	p.transferKeys()
-	if err := p.Servers.guard.server.Shutdown(limit); err != nil {
+	if err := p.Servers.guard.shutdown(limit, p.Servers.endRequests); err != nil {
 		p.Log.Error(err, "entries cut off at the stop limit")
 	}
+	p.logEnded()
 	p.Loop.Stop()
 	p.Servers.closeControl()
 	_ = p.Servers.admin.server.Close()
@@ -52,6 +53,14 @@
 	p.Log.Info("stopped")
 }
 
+// logEnded logs how many requests were ended at the stop limit.
+func (p params) logEnded() {
+	callers, entries := p.Servers.callers.endedRequests.Load(), p.Servers.guard.endedRequests.Load()
+	if callers+entries > 0 {
+		p.Log.Info("requests ended at the stop limit", "callers", callers, "entries", entries)
+	}
+}
+
 // transferKeys sends callers' own keys to a peer that keeps them for the next
 // process of this VM. No request runs under them any more.
 func (p params) transferKeys() {
