node: a port that closes answers every request that it has read

A caller or an entry whose request arrived while a port was being closed saw its connection closed without an answer, though the node had read the request.

Cause: http.Server drops each request that it reads after its Shutdown has begun, and Shutdown closes connections that it takes for idle while their next request is being read. With `[stop] grace` 0s this met connections accepted last; otherwise those whose callers sent a request at the end of the grace.

A port no longer uses Shutdown. Its connections know whether a byte of a next request has been read; once the port closes, a read deadline ends those that begin no request within 0.1 s, and the server can't extend it. A request that has begun keeps the server's own deadlines and is answered. Whether an answer says "Connection: close" is now decided when it begins, not when its request does, as keep-alive isn't switched off by Shutdown any more.

--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -17,33 +17,79 @@
 	handler  http.Handler
 	draining atomic.Bool
 	// active counts the requests in flight.
-	active    atomic.Int64
-	mu        sync.Mutex
-	open      int
+	active atomic.Int64
+	mu     sync.Mutex
+	open   int
+	conns  map[*drainConn]bool
+	// closing is true once no further requests are read.
+	closing   bool
 	allClosed chan struct{}
 }
 
-func newDrainer(h http.Handler) *drainer { return &drainer{handler: h} }
+func newDrainer(h http.Handler) *drainer { return &drainer{handler: h, conns: map[*drainConn]bool{}} }
 
 // ServeHTTP passes the request to the wrapped handler.
 func (d *drainer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if d.draining.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	d.active.Add(1)
 	defer d.active.Add(-1)
-	d.handler.ServeHTTP(w, r)
+	out := &drainWriter{ResponseWriter: w, drainer: d}
+	d.handler.ServeHTTP(out, r)
+	out.beginAnswer()
+}
+
+// drainWriter asks the client to close its connection if the drain has begun before the
+// answer.
+type drainWriter struct {
+	http.ResponseWriter
+	drainer *drainer
+	begun   bool
+}
+
+// WriteHeader writes the header of the answer.
+func (w *drainWriter) WriteHeader(status int) {
+	if status >= http.StatusOK {
+		w.beginAnswer()
+	}
+	w.ResponseWriter.WriteHeader(status)
 }
 
-// connState counts open connections. It is the server's ConnState hook.
-func (d *drainer) connState(_ net.Conn, state http.ConnState) {
+// Write writes a part of the answer.
+func (w *drainWriter) Write(p []byte) (int, error) {
+	w.beginAnswer()
+	return w.ResponseWriter.Write(p)
+}
+
+// Unwrap returns the underlying writer, for http.ResponseController.
+func (w *drainWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+func (w *drainWriter) beginAnswer() {
+	if !w.begun && w.drainer.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	w.begun = true
+}
+
+// connState tracks open connections. It is the server's ConnState hook.
+func (d *drainer) connState(conn net.Conn, state http.ConnState) {
+	c, _ := conn.(*drainConn)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	switch state {
 	case http.StateNew:
 		d.open++
+		if c != nil {
+			d.conns[c] = true
+			d.closeIfClosing(c)
+		}
+	case http.StateIdle:
+		if c != nil {
+			c.requestEnded()
+			d.closeIfClosing(c)
+		}
+		return
 	case http.StateClosed, http.StateHijacked:
 		d.open--
+		delete(d.conns, c)
 	default:
 		return
 	}
@@ -53,20 +99,40 @@
 	}
 }
 
+func (d *drainer) closeIfClosing(c *drainConn) {
+	if d.closing {
+		c.stopReading()
+	}
+}
+
+// stopReading closes each connection that begins no request shortly, now or after its
+// request in flight.
+func (d *drainer) stopReading() {
+	d.draining.Store(true)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.closing = true
+	for c := range d.conns {
+		c.stopReading()
+	}
+}
+
 // drain asks clients to close their connections and waits until all are closed or
-// ctx is done.
-func (d *drainer) drain(ctx context.Context) {
+// ctx is done; it returns the error of ctx then.
+func (d *drainer) drain(ctx context.Context) error {
 	d.draining.Store(true)
 	d.mu.Lock()
 	if d.open == 0 {
 		d.mu.Unlock()
-		return
+		return nil
 	}
 	allClosed := make(chan struct{})
 	d.allClosed = allClosed
 	d.mu.Unlock()
 	select {
 	case <-allClosed:
+		return nil
 	case <-ctx.Done():
+		return ctx.Err()
 	}
 }
--- a/internal/node/drain_test.go
+++ b/internal/node/drain_test.go
@@ -35,7 +35,7 @@
 	require.False(t, get().Close, "kept open while the node runs")
 	drained := make(chan struct{})
 	go func() {
-		d.drain(context.Background())
+		_ = d.drain(context.Background())
 		close(drained)
 	}()
 	require.Eventually(t, d.draining.Load, time.Minute, time.Millisecond)
@@ -55,7 +55,7 @@
 	d.connState(nil, http.StateNew)
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
-	d.drain(ctx)
+	require.Error(t, d.drain(ctx))
 	require.True(t, d.draining.Load())
 }
 
--- /dev/null
+++ b/internal/node/drainconn.go
@@ -0,0 +1,87 @@
+package node
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+// lastRequestTimeout is how long a closing connection may still begin a request. The first
+// bytes of one may be in transit already.
+const lastRequestTimeout = 100 * time.Millisecond
+
+// drainConn is a server's connection that can be closed between two requests. http.Server
+// itself drops requests that it reads after its Shutdown has begun, and may close a connection
+// whose request it is just reading. Safe for concurrent use.
+type drainConn struct {
+	net.Conn
+	mu sync.Mutex
+	// between is true while no byte of a next request has been read.
+	between bool
+	// deadline is the read deadline that the server has set. Until the first byte of a
+	// request closeAt replaces a later one; zero means that the connection isn't closing.
+	deadline, closeAt time.Time
+}
+
+// drainListener makes each accepted connection a drainConn.
+type drainListener struct{ net.Listener }
+
+// Accept returns the next connection.
+func (l drainListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &drainConn{Conn: conn, between: true}, nil
+}
+
+// Read reads into p.
+func (c *drainConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.requestBegun()
+	}
+	return n, err
+}
+
+func (c *drainConn) requestBegun() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.between {
+		c.between = false
+		_ = c.applyDeadline()
+	}
+}
+
+// SetReadDeadline sets the deadline of reads.
+func (c *drainConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = t
+	return c.applyDeadline()
+}
+
+// requestEnded records that a request was answered.
+func (c *drainConn) requestEnded() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.between = true
+	_ = c.applyDeadline()
+}
+
+// stopReading ends the connection unless a request begins within lastRequestTimeout.
+func (c *drainConn) stopReading() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closeAt = time.Now().Add(lastRequestTimeout)
+	_ = c.applyDeadline()
+}
+
+// applyDeadline sets the deadline in force. The caller must hold mu.
+func (c *drainConn) applyDeadline() error {
+	t := c.deadline
+	if c.between && !c.closeAt.IsZero() && (t.IsZero() || t.After(c.closeAt)) {
+		t = c.closeAt
+	}
+	return c.Conn.SetReadDeadline(t)
+}
--- a/internal/node/port.go
+++ b/internal/node/port.go
@@ -73,7 +73,7 @@
 // serve serves the port until it is closed; any other end is returned as an error.
 func (p *httpPort) serve() error {
 	defer close(p.ended)
-	err := p.server.Serve(p.listener)
+	err := p.server.Serve(drainListener{p.listener})
 	if errors.Is(err, net.ErrClosed) || errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
@@ -81,8 +81,7 @@
 }
 
 // stopAccepting accepts the connections in the backlog and then closes the listener.
-// It must be called before the server's Shutdown, because from then on net/http
-// drops every request it reads without an answer.
+// It must be called before shutdown.
 func (p *httpPort) stopAccepting() {
 	_ = p.listener.Close()
 	<-p.ended
@@ -97,20 +96,19 @@
 	})
 }
 
-// shutdown waits for the requests in flight until limit ends. It then calls end, which must
-// end the rest, and waits for their answers. The error says that some connections were
-// closed without a complete answer.
+// shutdown reads no further requests and waits for those in flight until limit ends. It
+// then calls end, which must end the rest, and waits for their answers. The error says that
+// some connections were closed without a complete answer.
 func (p *httpPort) shutdown(limit context.Context, end func()) error {
-	if p.server.Shutdown(limit) == nil {
-		return nil
-	}
-	end()
-	final, cancel := context.WithTimeout(context.Background(), answerMargin)
-	defer cancel()
-	err := p.server.Shutdown(final)
+	p.drainer.stopReading()
+	err := p.drainer.drain(limit)
 	if err != nil {
-		_ = p.server.Close()
+		end()
+		final, cancel := context.WithTimeout(context.Background(), answerMargin)
+		defer cancel()
+		err = p.drainer.drain(final)
 	}
+	_ = p.server.Close()
 	return err
 }
 
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -89,8 +89,8 @@
 	grace, cancel := context.WithTimeout(context.Background(), p.Settings.StopGrace)
 	defer cancel()
 	var wg sync.WaitGroup
-	wg.Go(func() { p.Servers.callers.drainer.drain(grace) })
-	wg.Go(func() { p.Servers.guard.drainer.drain(grace) })
+	wg.Go(func() { _ = p.Servers.callers.drainer.drain(grace) })
+	wg.Go(func() { _ = p.Servers.guard.drainer.drain(grace) })
 	wg.Wait()
 }
 
