node: a request whose handler panics is answered

Callers and entries saw their connections closed without an answer when a handler broke down.

Cause: net/http closes the connection of a handler that panics, and doesn't send what it has buffered.

Evidence: TestRequestWhoseHandlerPanicsIsAnswered on the code before: "unexpected EOF" in place of an answer.

If no answer has begun, the port writes 502 with an unknown outcome and sends it before the panic goes on to the server, which counts it and logs its stack as before. An answer that has begun is still cut visibly.

--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+
+	"github.com/limpetdock/limpetdock/internal/kind"
 )
 
 // drainer is an http.Handler that can ask its clients to close their connections. If
@@ -33,7 +35,14 @@
 	d.active.Add(1)
 	defer d.active.Add(-1)
 	out := &drainWriter{ResponseWriter: w, drainer: d}
+	returned := false
+	defer func() {
+		if !returned {
+			out.answerPanic()
+		}
+	}()
 	d.handler.ServeHTTP(out, r)
+	returned = true
 	out.beginAnswer()
 }
 
@@ -62,6 +71,18 @@
 // Unwrap returns the underlying writer, for http.ResponseController.
 func (w *drainWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
 
+// answerPanic answers a request whose handler panicked, unless an answer has begun: the
+// server then closes the connection in the middle of it.
+func (w *drainWriter) answerPanic() {
+	if w.begun {
+		return
+	}
+	w.Header().Set("Connection", "close")
+	kind.Write(w, kind.New(kind.OutcomeUnknown, "the node failed while it handled the request"))
+	// The server doesn't send what it has buffered.
+	_ = http.NewResponseController(w).Flush()
+}
+
 func (w *drainWriter) beginAnswer() {
 	if !w.begun && w.drainer.draining.Load() {
 		w.Header().Set("Connection", "close")
