node: the limit on an entry's connections spares those whose request is being read

An entry whose request arrived at a guard's port at its limit of connections could see its connection closed without an answer, though the guard had read the request, or even ran it.

Cause: the port closed connections that net/http reported as idle. It reports them so until a request's headers are read completely, so one that was being read was closed; if that happened right after its last byte, the request ran.

Evidence: TestEvictionSparesConnectionWhoseRequestIsBeingRead on the code before: the eviction closed the connection, "Should be false".

Whether a connection is unused is now decided by its own reads: it is closed only before the first byte of a request, and bytes that arrive in that moment are not handed to the server. A client that sends a byte and stalls is closed by the limit on the time for headers.

--- a/internal/node/connlimit.go
+++ b/internal/node/connlimit.go
@@ -139,11 +139,14 @@
 		if time.Since(h.since) < minIdle {
 			return false
 		}
+		if !closeUnused(h.conn) {
+			r.markBusy(h)
+			continue
+		}
 		// The server detects the close in its own read and calls the hook again; the
 		// connection must not be subtracted twice.
 		r.remove(h.conn)
 		r.counters.idleClosed.Add(1)
-		_ = h.conn.Close()
 		if !h.over {
 			return true
 		}
@@ -151,6 +154,15 @@
 	return false
 }
 
+// closeUnused closes a connection unless a request is being read from it.
+func closeUnused(c net.Conn) bool {
+	if d, ok := c.(*drainConn); ok {
+		return d.closeUnused()
+	}
+	_ = c.Close()
+	return true
+}
+
 func (r *connLimiter) markIdle(h *trackedConn) {
 	if h == nil {
 		return
--- a/internal/node/drainconn.go
+++ b/internal/node/drainconn.go
@@ -21,6 +21,8 @@
 	// deadline is the read deadline that the server has set. Until the first byte of a
 	// request closeAt replaces a later one; zero means that the connection isn't closing.
 	deadline, closeAt time.Time
+	// closed is true once the connection was closed as unused.
+	closed bool
 }
 
 // drainListener makes each accepted connection a drainConn.
@@ -38,19 +40,34 @@
 // Read reads into p.
 func (c *drainConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.requestBegun()
+	if n > 0 && !c.beginRequest() {
+		return 0, net.ErrClosed
 	}
 	return n, err
 }
 
-func (c *drainConn) requestBegun() {
+// beginRequest records that bytes were read. It returns false if the connection was closed
+// meanwhile.
+func (c *drainConn) beginRequest() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.between {
+	if c.between && !c.closed {
 		c.between = false
 		_ = c.applyDeadline()
 	}
+	return !c.closed
+}
+
+// closeUnused closes the connection if no byte of a next request has been read, and reports
+// whether it did.
+func (c *drainConn) closeUnused() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.between {
+		c.closed = true
+		_ = c.Conn.Close()
+	}
+	return c.between
 }
 
 // SetReadDeadline sets the deadline of reads.
