entry: the first part of a streamed answer is sent at once

A caller of a streamed answer without a length got no byte of it, not even the header, until its second part came. If the stream was cut before, as by a stop, the caller saw a closed connection without any answer.

Cause: the time for which an answer is buffered ended with a write to net/http's own buffer, which wasn't flushed; only later parts were.

Evidence: a trial of the text/plain case of TestFirstPartOfStreamedAnswerIsSentAtOnce, with a deadline of 5 s, on the code before: "read tcp 127.0.0.1:38002->...:7100: i/o timeout" where the answer's header was expected.

The end of that time flushes what it writes. A small answer that is complete before is still sent in one piece.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -146,7 +146,13 @@
 func (h *delayedWriter) lockAndFlush() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.flushed {
+		return
+	}
 	h.flush()
+	if h.resp.ContentLength < 0 && !h.failed {
+		h.failed = http.NewResponseController(h.w).Flush() != nil
+	}
 }
 
 // flush writes the buffered bytes. The caller must hold mu.
