--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -18,11 +18,11 @@
 	keyTransferTimeout = 2 * time.Second
 	// stopMargin is the time that a stop may take in addition to the grace period and
 	// the stop limit.
-	stopMargin = 5 * time.Second
+	stopMargin = 6 * time.Second
 )
 
-// stop shuts the node down without cutting requests in flight. Components are
-// stopped before those they depend on: callers' requests need the entry, the entry
+// stop shuts the node down. Requests in flight may take until the stop limit; those that
+// are still open then get their final answers. Components are stopped before those they depend on: callers' requests need the entry, the entry
 // needs guards, and attempts are queried at the guard and the control port.
 func (p params) stop() {
 	p.Log.Info("stopping")
@@ -33,15 +33,16 @@
 	p.drainConnections()
 	limit, cancel := context.WithTimeout(context.Background(), stopLimit(p.Settings.StopLimit, p.Entry.View()))
 	defer cancel()
-	if err := p.Servers.callers.server.Shutdown(limit); err != nil {
+	if err := p.Servers.callers.shutdown(limit, p.Servers.endRequests); err != nil {
 		p.Log.Error(err, "callers cut off at the stop limit")
 	}
 	p.Entry.WaitHedges(limit)
 	p.waitForRuns(limit)
 	p.transferKeys()
-	if err := p.Servers.guard.server.Shutdown(limit); err != nil {
+	if err := p.Servers.guard.shutdown(limit, p.Servers.endRequests); err != nil {
 		p.Log.Error(err, "entries cut off at the stop limit")
 	}
+	p.logEnded()
 	p.Loop.Stop()
 	p.Servers.closeControl()
 	_ = p.Servers.admin.server.Close()
@@ -52,6 +53,14 @@
 	p.Log.Info("stopped")
 }
 
+// logEnded logs how many requests were ended at the stop limit.
+func (p params) logEnded() {
+	callers, entries := p.Servers.callers.endedRequests.Load(), p.Servers.guard.endedRequests.Load()
+	if callers+entries > 0 {
+		p.Log.Info("requests ended at the stop limit", "callers", callers, "entries", entries)
+	}
+}
+
 // transferKeys sends callers' own keys to a peer that keeps them for the next
 // process of this VM. No request runs under them any more.
 func (p params) transferKeys() {
@@ -80,22 +89,15 @@
 	grace, cancel := context.WithTimeout(context.Background(), p.Settings.StopGrace)
 	defer cancel()
 	var wg sync.WaitGroup
-	wg.Go(func() { p.Servers.callers.drainer.drain(grace) })
-	wg.Go(func() { p.Servers.guard.drainer.drain(grace) })
+	wg.Go(func() { _ = p.Servers.callers.drainer.drain(grace) })
+	wg.Go(func() { _ = p.Servers.guard.drainer.drain(grace) })
 	wg.Wait()
 }
 
 // waitForRuns waits for at-most-once runs whose entry has disconnected, and then for
 // collectFor, so that entries can collect answers over a new connection.
 func (p params) waitForRuns(limit context.Context) {
-	done := make(chan struct{})
-	go func() {
-		p.Guard.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-	case <-limit.Done():
+	if err := p.Guard.Wait(limit); err != nil {
 		p.Log.Info("runs cut off at the stop limit")
 		return
 	}
