--- a/internal/mesh/front/conn.go
+++ b/internal/mesh/front/conn.go
@@ -35,7 +35,7 @@
 	raw    net.Conn
 	reader *bufio.Reader
 	header *headerLimit
-	// ctx ends when the caller disconnects or the server shuts down.
+	// ctx ends when the caller disconnects or the server ends.
 	ctx context.Context
 	// answers holds the answers to be written, in the order of their requests.
 	answers chan *pending
