One package for the end of requests at a stop

internal/stopping and mesh.ErrStopping with withoutCallerLeft did the same, one for each path. The mesh nodes now use the package, which also ends a run that must not run twice if its caller left before the stop began; before, such a run held the stop to its limit and beyond its final answers. TestRunIsCutOffByStopButNotByCallerThatLeaves has the two in that order.

--- a/internal/mesh/entry/describe_test.go
+++ b/internal/mesh/entry/describe_test.go
@@ -14,6 +14,7 @@
 	"github.com/limpetdock/limpetdock/internal/decision"
 	"github.com/limpetdock/limpetdock/internal/kind"
 	"github.com/limpetdock/limpetdock/internal/mesh"
+	"github.com/limpetdock/limpetdock/internal/stopping"
 )
 
 // logBuffer collects the lines of a log. Safe for concurrent use.
@@ -44,7 +45,7 @@
 func TestLogOfCanceledRequestHasCauseAndOutcomeOfAttempt(t *testing.T) {
 	messages := map[error]string{
 		mesh.ErrCallerLeft: "the caller left",
-		mesh.ErrStopping:   "the node stops before the request can complete",
+		stopping.Err:       "the node stops before the request can complete",
 	}
 	for cause, message := range messages {
 		t.Run(message, func(t *testing.T) {
--- a/internal/mesh/entry/entry.go
+++ b/internal/mesh/entry/entry.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -14,6 +13,7 @@
 	"github.com/limpetdock/limpetdock/internal/decision"
 	"github.com/limpetdock/limpetdock/internal/kind"
 	"github.com/limpetdock/limpetdock/internal/mesh"
+	"github.com/limpetdock/limpetdock/internal/stopping"
 )
 
 // Guard runs requests at the backend server beside the node.
@@ -156,7 +156,7 @@
 func (t *transaction) endError(ctx context.Context, err *kind.Error) *kind.Error {
 	outOfTime := t.endsWithProcess() && t.entry.Now() >= t.end()-answerMargin
 	switch {
-	case outOfTime, errors.Is(context.Cause(ctx), mesh.ErrStopping):
+	case outOfTime, stopping.Ended(ctx):
 		return t.stopError()
 	case ctx.Err() != nil:
 		return mesh.CancelledError(ctx)
@@ -206,7 +206,7 @@
 }
 
 // Serve handles a request and returns its answer. ctx ends with the cause mesh.ErrCallerLeft once
-// nobody reads the answer, and with mesh.ErrStopping when the node can't wait any longer.
+// nobody reads the answer, and with stopping.Err when the node can't wait any longer.
 func (e *Entry) Serve(ctx context.Context, in *Inbound) (*mesh.Answer, *kind.Error) {
 	e.active.Add(1)
 	defer e.active.Add(-1)
--- a/internal/mesh/entry/stop_test.go
+++ b/internal/mesh/entry/stop_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/limpetdock/limpetdock/internal/kind"
 	"github.com/limpetdock/limpetdock/internal/mesh"
+	"github.com/limpetdock/limpetdock/internal/stopping"
 )
 
 // Guards against an answer that leaves the outcome open, or claims too much, for a request that
@@ -27,7 +28,7 @@
 			d := newDeployment(t, false)
 			ctx, stop := context.WithCancelCause(t.Context())
 			d.answers[own] = func(*mesh.Request) (*mesh.Answer, *kind.Error) {
-				stop(mesh.ErrStopping)
+				stop(stopping.Err)
 				e := mesh.CancelledError(ctx)
 				e.Outcome = one.attempt
 				return nil, e
--- a/internal/mesh/front/server.go
+++ b/internal/mesh/front/server.go
@@ -14,6 +14,7 @@
 
 	"github.com/limpetdock/limpetdock/internal/accept"
 	"github.com/limpetdock/limpetdock/internal/mesh"
+	"github.com/limpetdock/limpetdock/internal/stopping"
 )
 
 // Request is one request with its whole body.
@@ -37,7 +38,7 @@
 // Handler answers requests. Safe for concurrent use.
 type Handler interface {
 	// Serve answers one request. ctx ends with the cause mesh.ErrCallerLeft once nobody reads
-	// the answer, and with mesh.ErrStopping when the answer is needed at once, as the server
+	// the answer, and with stopping.Err when the answer is needed at once, as the server
 	// ends.
 	Serve(ctx context.Context, r *Request) *Response
 	// Reject returns the answer with the given status to a request that can't be read.
@@ -51,9 +52,10 @@
 	handler  Handler
 	draining atomic.Bool
 	active   atomic.Int64
-	// ctx is the parent of the connections' contexts. It ends when answers are needed at once.
-	ctx    context.Context
-	cancel context.CancelCauseFunc
+	// ctx is the parent of the connections' contexts. endRequests ends it when answers are needed
+	// at once.
+	ctx         context.Context
+	endRequests func()
 	// closing is true once the server shuts down.
 	closing  atomic.Bool
 	mu       sync.Mutex
@@ -73,8 +75,8 @@
 
 // New returns a Server that answers with h.
 func New(h Handler) *Server {
-	ctx, cancel := context.WithCancelCause(context.Background())
-	return &Server{handler: h, ctx: ctx, cancel: cancel, conns: map[*conn]struct{}{}, allClosed: make(chan struct{})}
+	ctx, end := stopping.NewContext()
+	return &Server{handler: h, ctx: ctx, endRequests: end, conns: map[*conn]struct{}{}, allClosed: make(chan struct{})}
 }
 
 // Serve accepts connections on l until it is closed or the server shuts down.
@@ -118,11 +120,11 @@
 }
 
 // End shuts the server down and ends the contexts of all requests with the cause
-// mesh.ErrStopping, so that they are answered at once. When ctx ends, it closes the connections
+// stopping.Err, so that they are answered at once. When ctx ends, it closes the connections
 // that are left, and returns how many requests of callers that still waited got no answer.
 func (s *Server) End(ctx context.Context) (unanswered int) {
 	s.stopReading()
-	s.cancel(mesh.ErrStopping)
+	s.endRequests()
 	select {
 	case <-s.allClosed:
 		return 0
@@ -134,7 +136,7 @@
 // Close closes all connections without answering their requests.
 func (s *Server) Close() {
 	s.stopReading()
-	s.cancel(mesh.ErrStopping)
+	s.endRequests()
 	s.closeConns()
 }
 
--- a/internal/mesh/front/shutdown_test.go
+++ b/internal/mesh/front/shutdown_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/limpetdock/limpetdock/internal/mesh"
 	"github.com/limpetdock/limpetdock/internal/mesh/front"
+	"github.com/limpetdock/limpetdock/internal/stopping"
 )
 
 // Guards against a log that blames the caller for a request that the node itself ended.
@@ -24,7 +25,7 @@
 		abandoned uint64
 	}{
 		"the caller disconnects": {func(_ *front.Server, c *caller) { _ = c.Close() }, mesh.ErrCallerLeft, 1},
-		"the node stops":         {func(s *front.Server, _ *caller) { s.Close() }, mesh.ErrStopping, 0},
+		"the node stops":         {func(s *front.Server, _ *caller) { s.Close() }, stopping.Err, 0},
 	}
 	for name, one := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/internal/mesh/guard/guard.go
+++ b/internal/mesh/guard/guard.go
@@ -6,7 +6,6 @@
 import (
 	"cmp"
 	"context"
-	"errors"
 	"math"
 	"net/http"
 	"strings"
@@ -19,6 +18,7 @@
 	"github.com/limpetdock/limpetdock/internal/kind"
 	"github.com/limpetdock/limpetdock/internal/mesh"
 	"github.com/limpetdock/limpetdock/internal/mesh/exchange"
+	"github.com/limpetdock/limpetdock/internal/stopping"
 )
 
 // Backend makes exchanges with the backend server. It calls allow immediately before
@@ -196,7 +196,7 @@
 	admitted, cancel := g.admission.bound(ctx)
 	defer cancel()
 	slot, e := g.awaitSlot(admitted, s, deadline)
-	leaving := ctx.Err() == nil || errors.Is(context.Cause(ctx), mesh.ErrStopping)
+	leaving := ctx.Err() == nil || stopping.Ended(ctx)
 	if e != nil && admitted.Err() != nil && leaving {
 		e = g.leavingError()
 	}
--- a/internal/mesh/guard/guard_test.go
+++ b/internal/mesh/guard/guard_test.go
@@ -17,6 +17,7 @@
 	"github.com/limpetdock/limpetdock/internal/mesh/exchange"
 	"github.com/limpetdock/limpetdock/internal/mesh/guard"
 	"github.com/limpetdock/limpetdock/internal/mesh/model"
+	"github.com/limpetdock/limpetdock/internal/stopping"
 )
 
 var dialect = model.Dialect
@@ -448,28 +449,30 @@
 // Guards against a stop that waits beyond its end for a request that must not run twice, and against
 // cutting one off because its caller has left.
 func TestRunIsCutOffByStopButNotByCallerThatLeaves(t *testing.T) {
-	for cause, answered := range map[error]bool{mesh.ErrCallerLeft: true, mesh.ErrStopping: false} {
-		t.Run(cause.Error(), func(t *testing.T) {
+	for name, stops := range map[string]bool{"the caller leaves": false, "the node stops after that": true} {
+		t.Run(name, func(t *testing.T) {
 			running, release := make(chan struct{}), make(chan struct{})
 			x := newFixture(t, 1, func(w http.ResponseWriter, r *http.Request) {
 				close(running)
 				<-release
 				signed(w, r)
 			})
-			ctx, cancel := context.WithCancelCause(t.Context())
+			base, stop := stopping.NewContext()
+			ctx, leave := context.WithCancelCause(base)
 			result := make(chan *kind.Error, 1)
 			go func() {
 				_, err := x.Run(ctx, request())
 				result <- err
 			}()
 			<-running
-			cancel(cause)
-			if answered {
+			leave(mesh.ErrCallerLeft)
+			if !stops {
 				close(release)
 				require.Nil(t, <-result)
 				return
 			}
 			defer close(release)
+			stop()
 			require.Equal(t, kind.Unknown, (<-result).ReportedOutcome())
 		})
 	}
--- a/internal/mesh/guard/send.go
+++ b/internal/mesh/guard/send.go
@@ -10,6 +10,7 @@
 	"github.com/limpetdock/limpetdock/internal/kind"
 	"github.com/limpetdock/limpetdock/internal/mesh"
 	"github.com/limpetdock/limpetdock/internal/mesh/exchange"
+	"github.com/limpetdock/limpetdock/internal/stopping"
 )
 
 // exchange sends the request to the backend server and returns its response.
@@ -19,8 +20,8 @@
 		// the outcome unknown and free few resources. allow still checks for a caller
 		// that left before the request was sent.
 		caller := ctx
-		ctx, cancelStopping := withoutCallerLeft(caller)
-		defer cancelStopping()
+		ctx, release := stopping.WithoutCancel(caller)
+		defer release()
 		ctx, cancel := context.WithTimeout(ctx, deadline-g.Now())
 		defer cancel()
 		return g.send(ctx, r, func() bool { return caller.Err() == nil && g.Now() < deadline }, deadline)
@@ -28,21 +29,6 @@
 	return g.send(ctx, r, func() bool { return g.Now() < deadline }, deadline)
 }
 
-// withoutCallerLeft returns a context that ends when the node stops but not when the caller
-// leaves.
-func withoutCallerLeft(caller context.Context) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancelCause(context.WithoutCancel(caller))
-	unlink := context.AfterFunc(caller, func() {
-		if errors.Is(context.Cause(caller), mesh.ErrStopping) {
-			cancel(mesh.ErrStopping)
-		}
-	})
-	return ctx, func() {
-		unlink()
-		cancel(nil)
-	}
-}
-
 func (g *Guard) send(ctx context.Context, r *mesh.Request, allow func() bool, deadline time.Duration) (*mesh.Answer, *kind.Error) {
 	g.sent.Add(1)
 	answer, failure := g.Backend.Do(ctx, g.message(r, deadline), allow)
--- a/internal/mesh/message.go
+++ b/internal/mesh/message.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"github.com/limpetdock/limpetdock/internal/kind"
+	"github.com/limpetdock/limpetdock/internal/stopping"
 )
 
 // Request is a complete request of a caller on its way to a backend server.
@@ -43,20 +43,16 @@
 	Confirm func(ctx context.Context) error
 }
 
-// Causes of the end of a request's context (context.Cause).
-var (
-	// ErrCallerLeft means that the caller closed its connection.
-	ErrCallerLeft = eris.New("the caller left")
-	// ErrStopping means that the node stops and can't wait for the answer any longer.
-	ErrStopping = eris.New("the node stopped before the request was answered")
-)
+// ErrCallerLeft is the cause (context.Cause) of the end of a request's context if the caller closed
+// its connection. If the node stops, the cause is stopping.Err.
+var ErrCallerLeft = eris.New("the caller left")
 
 // CancelledError returns the error for a request whose context was cancelled. Its outcome is
 // unknown unless the caller knows better.
 func CancelledError(ctx context.Context) *kind.Error {
 	cause := ErrCallerLeft
-	if errors.Is(context.Cause(ctx), ErrStopping) {
-		cause = ErrStopping
+	if stopping.Ended(ctx) {
+		cause = stopping.Err
 	}
 	return kind.New(kind.OutcomeUnknown, "%s", cause.Error()).WithCause(ctx.Err())
 }
--- a/internal/mesh/peer/confirm_test.go
+++ b/internal/mesh/peer/confirm_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/limpetdock/limpetdock/internal/kind"
 	"github.com/limpetdock/limpetdock/internal/mesh"
+	"github.com/limpetdock/limpetdock/internal/stopping"
 )
 
 // startConfirming starts a node that asks for confirmation, and a client that knows that it does.
@@ -122,7 +123,7 @@
 // first one on its connection.
 func TestFirstRequestOfConnectionIsNotRunUntilConfirmed(t *testing.T) {
 	for name, end := range map[string]func(s *Server, cancel context.CancelCauseFunc){
-		"the entry stops": func(_ *Server, cancel context.CancelCauseFunc) { cancel(mesh.ErrStopping) },
+		"the entry stops": func(_ *Server, cancel context.CancelCauseFunc) { cancel(stopping.Err) },
 		"the node dies":   func(s *Server, _ context.CancelCauseFunc) { s.Close() },
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/mesh/peer/peer_test.go
+++ b/internal/mesh/peer/peer_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/limpetdock/limpetdock/internal/kind"
 	"github.com/limpetdock/limpetdock/internal/mesh"
+	"github.com/limpetdock/limpetdock/internal/stopping"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -181,7 +182,7 @@
 	addr, s, c, _ := start(t, func(ctx context.Context, _ *mesh.Request) (*mesh.Answer, *kind.Error) {
 		close(waiting)
 		<-ctx.Done()
-		if !errors.Is(context.Cause(ctx), mesh.ErrStopping) {
+		if !errors.Is(context.Cause(ctx), stopping.Err) {
 			return nil, kind.New(kind.OutcomeUnknown, "cancelled")
 		}
 		return nil, kind.New(kind.Leaving, "the node is stopping")
--- a/internal/mesh/peer/server.go
+++ b/internal/mesh/peer/server.go
@@ -13,12 +13,13 @@
 	"github.com/limpetdock/limpetdock/internal/accept"
 	"github.com/limpetdock/limpetdock/internal/kind"
 	"github.com/limpetdock/limpetdock/internal/mesh"
+	"github.com/limpetdock/limpetdock/internal/stopping"
 )
 
 // Handler runs requests of other nodes. Safe for concurrent use.
 type Handler interface {
 	// Run runs or refuses a request. ctx ends when the sender no longer waits for it, and with
-	// the cause mesh.ErrStopping when the outcome is needed at once, as the server shuts down.
+	// the cause stopping.Err when the outcome is needed at once, as the server shuts down.
 	Run(ctx context.Context, r *mesh.Request) (*mesh.Answer, *kind.Error)
 	// Load returns the load that is reported with an answer.
 	Load() mesh.Load
@@ -31,11 +32,11 @@
 type Server struct {
 	handler Handler
 	here    mesh.Place
-	// ctx is the parent of the requests' contexts. It ends when the server shuts down.
-	ctx    context.Context
-	cancel context.CancelCauseFunc
-	mu     sync.Mutex
-	conns  map[*serverConn]struct{}
+	// ctx is the parent of the requests' contexts. endRequests ends it when the server shuts down.
+	ctx         context.Context
+	endRequests func()
+	mu          sync.Mutex
+	conns       map[*serverConn]struct{}
 	// lastRequest is when each VM last sent a request.
 	lastRequest map[string]time.Time
 	bootstrap   *bootstrapper
@@ -55,9 +56,9 @@
 
 // NewServer returns a Server that passes requests to h.
 func NewServer(h Handler, here mesh.Place) *Server {
-	ctx, cancel := context.WithCancelCause(context.Background())
+	ctx, end := stopping.NewContext()
 	return &Server{
-		handler: h, here: here, ctx: ctx, cancel: cancel, conns: map[*serverConn]struct{}{}, lastRequest: map[string]time.Time{},
+		handler: h, here: here, ctx: ctx, endRequests: end, conns: map[*serverConn]struct{}{}, lastRequest: map[string]time.Time{},
 		bootstrap: newBootstrapper(func() bool { return false }),
 	}
 }
@@ -281,11 +282,11 @@
 // deliveryCheckInterval is the pause between checks whether all outcomes have been delivered.
 const deliveryCheckInterval = 5 * time.Millisecond
 
-// Shutdown ends the contexts of all requests with the cause mesh.ErrStopping, and closes all
+// Shutdown ends the contexts of all requests with the cause stopping.Err, and closes all
 // connections once the outcomes have been delivered, or when ctx ends. It then returns the error of
 // ctx.
 func (s *Server) Shutdown(ctx context.Context) error {
-	s.cancel(mesh.ErrStopping)
+	s.endRequests()
 	defer s.Close()
 	ticker := time.NewTicker(deliveryCheckInterval)
 	defer ticker.Stop()
