--- a/internal/mesh/peer/link.go
+++ b/internal/mesh/peer/link.go
@@ -43,7 +43,7 @@
 // stream is a request in flight.
 type stream struct {
 	done chan result
-	// needsConfirm is true if the peer is told not to run the request without confirmation, and
+	// needsConfirm is true if the peer must not run the request without confirmation, and
 	// released is true once the peer was sent the confirmation.
 	needsConfirm, released bool
 }
