Allowed regions of routes and evacuated zones bind every attempt

Cause: the platform's allowed_regions and the keys under op/evacuate/ were dropped by the decoder, so requests ran in regions that their routes exclude and in zones that operators had evacuated.

Change: the directory keeps evacuations (from watches, full reads and other nodes' updates, ordered by revision). Package eligibility decides whether a target may get a request at all; the entry applies it to the newest view before each attempt, and the guard on arrival and before the request is sent. A refused request names the reasons, as do its log line and limpetdock_ineligible_total. Guards in an evacuated zone end waits at once and stop probing.

Tests: seen failing with the checks of zones and regions switched off (entry, guard and eligibility); the guard's and the entry's packages ended there with a panic at their first failures, so the later ones of each were not seen failing.

--- a/internal/mesh/config.go
+++ b/internal/mesh/config.go
@@ -56,6 +56,8 @@
 	MaxTargets int
 	// Priority ranks routes; 0 is the highest priority.
 	Priority int
+	// AllowedRegions are the regions in which requests may be stored and run; empty means all.
+	AllowedRegions []string
 	// Splitter divides requests among Shares. It is kept when a new Config replaces this one.
 	Splitter *Splitter
 }
@@ -65,6 +67,11 @@
 // objective for queueing and for transient slowdowns.
 const objectivePerServiceTime = 3
 
+// AllowsRegion reports whether requests may be stored and run in a region.
+func (r *Route) AllowsRegion(region string) bool {
+	return len(r.AllowedRegions) == 0 || slices.Contains(r.AllowedRegions, region)
+}
+
 // AssumedBaseServiceTime returns the base service time to assume for the route's requests
 // until it has been measured, or 0 if it is unknown.
 func (r *Route) AssumedBaseServiceTime() time.Duration {
--- a/internal/mesh/directory/directory.go
+++ b/internal/mesh/directory/directory.go
@@ -59,6 +59,8 @@
 	records  map[string]*targetRecord
 	// ended are the records of targets that were in use until their registration ended.
 	ended map[string]endedRecord
+	// evacuations holds the last change of each zone's evacuation.
+	evacuations map[string]zoneEvacuation
 	// hasTargets is true once the list of targets has been read completely.
 	hasTargets bool
 	revision   uint64
@@ -75,7 +77,8 @@
 func New(here mesh.Place, own string, regions map[string]string, peerPort string) *State {
 	return &State{
 		here: here, own: own, regions: regions, peerPort: peerPort,
-		weights: map[string]*mesh.Splitter{}, records: map[string]*targetRecord{}, ended: map[string]endedRecord{}, recoveredAt: -expiryGrace,
+		weights: map[string]*mesh.Splitter{}, records: map[string]*targetRecord{}, ended: map[string]endedRecord{},
+		evacuations: map[string]zoneEvacuation{}, recoveredAt: -expiryGrace,
 	}
 }
 
@@ -169,7 +172,7 @@
 
 func (s *State) view() *mesh.View {
 	v := &mesh.View{
-		Config: s.config, Revision: s.revision,
+		Config: s.config, Revision: s.revision, EvacuatedZones: s.evacuatedZones(),
 		Targets: map[string][]*mesh.Target{}, Peers: map[string]mesh.Peer{},
 	}
 	for _, rec := range s.current() {
@@ -214,7 +217,7 @@
 	}
 	return &mesh.Target{
 		ID: rec.ID, Service: rec.Service, Addr: rec.Addr,
-		Peer: peer, Zone: rec.Zone, Slots: rec.Slots,
+		Peer: peer, Zone: rec.Zone, Region: s.regions[rec.Zone], Slots: rec.Slots,
 		State: rec.State, WarmAt: rec.warmAt, Stat: rec.stat, Distance: distance,
 	}
 }
--- a/internal/mesh/directory/loop.go
+++ b/internal/mesh/directory/loop.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/limpetdock/limpetdock/internal/decision"
@@ -33,6 +35,22 @@
 		Revision uint64
 		ID       string
 	}
+	// EvacuationsRead are all evacuated zones at a revision, each with the revision at which it
+	// was evacuated.
+	EvacuationsRead struct {
+		Revision uint64
+		Zones    map[string]uint64
+	}
+	// ZoneEvacuated is the beginning of a zone's evacuation: its targets get no new requests.
+	ZoneEvacuated struct {
+		Revision uint64
+		Zone     string
+	}
+	// EvacuationEnded is the end of a zone's evacuation.
+	EvacuationEnded struct {
+		Revision uint64
+		Zone     string
+	}
 	// StoreUnavailable is sent when the store doesn't answer.
 	StoreUnavailable struct{ Err error }
 	// StoreRecovered is sent when the store answers again.
@@ -69,6 +87,25 @@
 	l.log.Event("target's registration ended", "target", e.ID, "revision", e.Revision, "store_was_away", inGrace)
 }
 
+func (e EvacuationsRead) apply(l *Loop, _ time.Duration) {
+	l.state.ReplaceEvacuations(e.Revision, e.Zones)
+	if len(e.Zones) > 0 {
+		l.log.Event("evacuations read", "revision", e.Revision, "zones", slices.Sorted(maps.Keys(e.Zones)))
+	}
+}
+
+func (e ZoneEvacuated) apply(l *Loop, _ time.Duration) {
+	if l.state.Evacuate(e.Zone, e.Revision) {
+		l.log.Event("zone evacuated", "zone", e.Zone, "revision", e.Revision)
+	}
+}
+
+func (e EvacuationEnded) apply(l *Loop, _ time.Duration) {
+	if l.state.EndEvacuation(e.Zone, e.Revision) {
+		l.log.Event("zone's evacuation ended", "zone", e.Zone, "revision", e.Revision)
+	}
+}
+
 func (e StoreUnavailable) apply(l *Loop, now time.Duration) {
 	if l.state.MarkUnavailable(now) {
 		l.log.Warn("store lost", "error", e.Err.Error())
--- a/internal/mesh/entry/choose.go
+++ b/internal/mesh/entry/choose.go
@@ -93,7 +93,7 @@
 
 // candidates returns the targets that may get the request, the best first.
 func (t *transaction) candidates() []candidate {
-	all := t.view.Targets[t.service]
+	all := t.eligible()
 	bytes, baseServiceTime := t.stats.expected()
 	baseServiceTime = cmp.Or(baseServiceTime, t.route.AssumedBaseServiceTime())
 	list := make([]candidate, 0, len(all))
--- a/internal/mesh/entry/describe.go
+++ b/internal/mesh/entry/describe.go
@@ -18,6 +18,9 @@
 	if t.route != nil {
 		pairs = append(pairs, "route", t.route.Name, "service", t.service, "budget_ms", (t.deadline - t.in.Arrived).Milliseconds())
 	}
+	if len(t.ineligible) > 0 {
+		pairs = append(pairs, "ineligible", t.describeIneligible())
+	}
 	if len(t.attempts) > 0 {
 		pairs = append(pairs, "offers", t.describeAttempts())
 	}
--- a/internal/mesh/entry/entry.go
+++ b/internal/mesh/entry/entry.go
@@ -13,6 +13,7 @@
 	"github.com/limpetdock/limpetdock/internal/decision"
 	"github.com/limpetdock/limpetdock/internal/kind"
 	"github.com/limpetdock/limpetdock/internal/mesh"
+	"github.com/limpetdock/limpetdock/internal/mesh/eligibility"
 	"github.com/limpetdock/limpetdock/internal/stopping"
 )
 
@@ -31,6 +32,8 @@
 type Observer interface {
 	Answered(service string, k kind.Kind, took time.Duration)
 	Hopped(service string, k kind.Kind)
+	// Ineligible counts a selection of targets in which some were left out for a reason.
+	Ineligible(reason eligibility.Reason)
 	// Forecast receives the expected and the actual time of an attempt that was answered.
 	Forecast(service string, expected, took time.Duration)
 }
@@ -187,6 +190,9 @@
 	// route's latency objective passes.
 	deadline, objective time.Duration
 	attempts            []attempt
+	// ineligible counts the targets that must not get the request, by reason, as of the last
+	// selection.
+	ineligible map[eligibility.Reason]int
 	// sent counts the targets that may have run the request.
 	sent int
 	// refusals holds the wait to assume at targets that refused the request for overload, by
--- a/internal/mesh/entry/entry_test.go
+++ b/internal/mesh/entry/entry_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/limpetdock/limpetdock/internal/kind"
 	"github.com/limpetdock/limpetdock/internal/mesh"
+	"github.com/limpetdock/limpetdock/internal/mesh/eligibility"
 	"github.com/limpetdock/limpetdock/internal/mesh/entry"
 	"github.com/limpetdock/limpetdock/internal/place"
 )
@@ -28,6 +29,8 @@
 	targets   []*mesh.Target
 	// load is the load that the local guard reports.
 	load mesh.Load
+	// evacuated are the evacuated zones.
+	evacuated map[string]bool
 }
 
 const own = "own"
@@ -55,6 +58,7 @@
 
 func (observer) Answered(string, kind.Kind, time.Duration) {}
 func (observer) Hopped(string, kind.Kind)                  {}
+func (observer) Ineligible(eligibility.Reason)             {}
 func (observer) Forecast(string, time.Duration, time.Duration) {
 }
 
@@ -98,6 +102,7 @@
 	d.entry.SetView(&mesh.View{
 		Config:  mesh.NewConfig(1, services, []*mesh.Route{d.route}, mesh.Limits{}),
 		Targets: map[string][]*mesh.Target{"orders": d.targets}, Peers: map[string]mesh.Peer{"zone": {Distance: 1}, "region": {Distance: 2}, "far": {Distance: 3}},
+		EvacuatedZones: d.evacuated,
 	})
 }
 
--- a/internal/mesh/entry/run.go
+++ b/internal/mesh/entry/run.go
@@ -88,7 +88,7 @@
 func (t *transaction) next() (candidate, time.Duration, *kind.Error) {
 	list := t.candidates()
 	if len(list) == 0 {
-		return candidate{}, 0, kind.New(kind.NoTarget, "no target can take the request")
+		return candidate{}, 0, t.noTargetError()
 	}
 	remaining := t.end() - t.entry.Now() - answerMargin
 	shortestWait := slices.MinFunc(list, func(a, b candidate) int { return cmp.Compare(a.wait, b.wait) }).wait
--- a/internal/mesh/guard/admission.go
+++ b/internal/mesh/guard/admission.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"github.com/limpetdock/limpetdock/internal/kind"
+	"github.com/limpetdock/limpetdock/internal/mesh/eligibility"
 )
 
 // admission ends the waits of requests when the guard stops accepting any: they would be refused
@@ -56,5 +57,6 @@
 	if g.stopping.Load() {
 		return kind.New(kind.Leaving, "the node is stopping")
 	}
-	return kind.New(kind.Leaving, "the backend server is leaving")
+	v := g.view.Load()
+	return kind.New(kind.Leaving, "the backend server accepts no requests: %s", eligibility.Check(v, v.LocalTarget))
 }
--- a/internal/mesh/guard/guard.go
+++ b/internal/mesh/guard/guard.go
@@ -8,7 +8,6 @@
 	"context"
 	"math"
 	"net/http"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -17,6 +16,7 @@
 	"github.com/limpetdock/limpetdock/internal/gate"
 	"github.com/limpetdock/limpetdock/internal/kind"
 	"github.com/limpetdock/limpetdock/internal/mesh"
+	"github.com/limpetdock/limpetdock/internal/mesh/eligibility"
 	"github.com/limpetdock/limpetdock/internal/mesh/exchange"
 	"github.com/limpetdock/limpetdock/internal/stopping"
 )
@@ -85,7 +85,7 @@
 func (g *Guard) SetView(v *mesh.View) {
 	g.view.Store(v)
 	own := v.LocalTarget
-	leaving := own == nil || own.State == mesh.Draining
+	leaving := eligibility.Check(v, own) != eligibility.Eligible
 	g.updateLimits(v)
 	if own != nil {
 		g.slowdown.setWarmAt(own.WarmAt)
@@ -160,7 +160,7 @@
 
 func (g *Guard) run(ctx context.Context, s *requestState) (*mesh.Answer, *kind.Error) {
 	r := s.request
-	if e := g.checkAccepts(r); e != nil {
+	if e := g.checkAccepts(s); e != nil {
 		return nil, e
 	}
 	deadline := s.start + r.Remaining
@@ -177,7 +177,7 @@
 	}
 	s.waited = g.Now() - s.start
 	g.captureSlowdown(s)
-	if e := g.checkAccepts(r); e != nil {
+	if e := g.checkAccepts(s); e != nil {
 		return nil, e
 	}
 	if deadline-g.Now() < s.minRemaining() {
@@ -237,9 +237,8 @@
 
 // classify sets the class of a request, which is its route, and its base service time.
 func (g *Guard) classify(s *requestState) {
-	path, _, _ := strings.Cut(s.request.URI, "?")
 	assumed := time.Duration(0)
-	if route := g.view.Load().Config.Match(s.request.Host, path); route != nil {
+	if route := s.route(g.view.Load()); route != nil {
 		s.class, assumed = route.Name, route.AssumedBaseServiceTime()
 	}
 	s.baseService = cmp.Or(g.gate.BaseServiceTime(s.class), s.request.BaseServiceTime, assumed)
@@ -264,16 +263,20 @@
 }
 
 // checkAccepts returns a refusal if the guard currently accepts no requests, or none of
-// the request's service.
-func (g *Guard) checkAccepts(r *mesh.Request) *kind.Error {
+// the request's service or route.
+func (g *Guard) checkAccepts(s *requestState) *kind.Error {
+	v := g.view.Load()
 	switch {
-	case g.view.Load() == nil:
+	case v == nil:
 		return kind.New(kind.NotReady, "no configuration is in force yet")
-	case r.Service != g.Here.Service:
+	case s.request.Service != g.Here.Service:
 		return kind.New(kind.StaleConfig, "this node doesn't serve the service")
 	case !g.accepts():
 		return g.leavingError()
 	}
+	if reason := eligibility.Check(v, v.LocalTarget, s.route(v)); reason != eligibility.Eligible {
+		return kind.New(kind.StaleConfig, "the backend server must not run the request: %s", reason)
+	}
 	return nil
 }
 
--- a/internal/mesh/guard/probe.go
+++ b/internal/mesh/guard/probe.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/limpetdock/limpetdock/internal/mesh"
 	"github.com/limpetdock/limpetdock/internal/mesh/exchange"
 )
 
@@ -31,9 +32,7 @@
 	ticker := time.NewTicker(probeCheckInterval)
 	defer ticker.Stop()
 	for {
-		if g.probeDue() {
-			g.probe(ctx)
-		}
+		g.ProbeIfDue(ctx)
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -42,9 +41,15 @@
 	}
 }
 
+// ProbeIfDue requests the load if the last report of it is too old.
+func (g *Guard) ProbeIfDue(ctx context.Context) {
+	if g.probeDue() {
+		g.probe(ctx)
+	}
+}
+
 func (g *Guard) probeDue() bool {
-	v := g.view.Load()
-	if v == nil || v.LocalTarget == nil {
+	if g.probeTarget() == nil {
 		return false
 	}
 	age := g.Now() - time.Duration(g.reportedAt.Load())
@@ -57,17 +62,27 @@
 	return age >= idleProbeInterval
 }
 
+// probeTarget returns the backend server to probe, or nil if it must not be probed: it isn't
+// registered, or its zone is evacuated.
+func (g *Guard) probeTarget() *mesh.Target {
+	v := g.view.Load()
+	if v == nil || v.LocalTarget == nil || v.EvacuatedZones[v.LocalTarget.Zone] {
+		return nil
+	}
+	return v.LocalTarget
+}
+
 func (g *Guard) probe(ctx context.Context) {
 	if g.probing.Swap(true) {
 		return
 	}
 	defer g.probing.Store(false)
-	v := g.view.Load()
-	if v == nil || v.LocalTarget == nil {
+	target := g.probeTarget()
+	if target == nil {
 		// The registration may end while requests that arrived before still wait.
 		return
 	}
-	svc := v.Config.Services[g.Here.Service]
+	svc := g.view.Load().Config.Services[g.Here.Service]
 	if svc == nil || svc.HealthPath == "" {
 		return
 	}
@@ -78,7 +93,7 @@
 	// interval.
 	g.reportedAt.Store(int64(g.Now()))
 	answer, failure := g.Backend.Do(ctx, &exchange.Message{
-		Method: http.MethodGet, URI: svc.HealthPath, Host: v.LocalTarget.Addr, Header: http.Header{},
+		Method: http.MethodGet, URI: svc.HealthPath, Host: target.Addr, Header: http.Header{},
 	}, func() bool { return true })
 	if failure != nil {
 		return
--- a/internal/mesh/guard/record.go
+++ b/internal/mesh/guard/record.go
@@ -1,6 +1,7 @@
 package guard
 
 import (
+	"strings"
 	"time"
 
 	"github.com/limpetdock/limpetdock/internal/kind"
@@ -28,6 +29,12 @@
 	loadAge  time.Duration
 }
 
+// route returns the route of the request in a View, or nil if there is none.
+func (s *requestState) route(v *mesh.View) *mesh.Route {
+	path, _, _ := strings.Cut(s.request.URI, "?")
+	return v.Config.Match(s.request.Host, path)
+}
+
 // minServiceShare is the share of the base service time within which hardly any request
 // completes.
 const minServiceShare = 1 / 2.0
--- a/internal/mesh/target.go
+++ b/internal/mesh/target.go
@@ -27,6 +27,8 @@
 	// address of the node beside it.
 	Addr, Peer string
 	Zone       string
+	// Region is the region of Zone; empty if it is unknown.
+	Region string
 	// Slots is how many requests the target runs at once.
 	Slots int
 	State TargetState
@@ -53,8 +55,10 @@
 	Config *Config
 	// Revision is the store revision from which the View was built.
 	Revision uint64
-	// Targets are the usable targets of each service, nearest first.
+	// Targets are the targets of each service that aren't draining, nearest first.
 	Targets map[string][]*Target
+	// EvacuatedZones are the availability zones whose targets must get no new requests.
+	EvacuatedZones map[string]bool
 	// LocalTarget is the target beside the node, or nil while it isn't registered.
 	LocalTarget *Target
 	// Peers are all other nodes, by the address at which they accept requests from nodes.
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -11,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
 	"github.com/limpetdock/limpetdock/internal/kind"
+	"github.com/limpetdock/limpetdock/internal/mesh/eligibility"
 	"github.com/limpetdock/limpetdock/internal/version"
 )
 
@@ -37,6 +38,7 @@
 	Registry, Node *prometheus.Registry
 	requests       *prometheus.CounterVec
 	hops           *prometheus.CounterVec
+	ineligible     *prometheus.CounterVec
 	latency        *prometheus.HistogramVec
 	forecast       *prometheus.HistogramVec
 	transfer       *prometheus.HistogramVec
@@ -57,6 +59,9 @@
 		hops: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "limpetdock_hops_total", Help: "Targets given up for another one, by error kind.",
 		}, []string{"service", "kind"}),
+		ineligible: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "limpetdock_ineligible_total", Help: "Selections of a target in which some targets were left out, by reason.",
+		}, []string{"reason"}),
 		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "limpetdock_request_duration_seconds", Help: "Time from a caller's request to the end of its answer.",
 			Buckets: []float64{.001, .002, .005, .01, .02, .05, .1, .2, .5, 1, 5, 30},
@@ -73,7 +78,7 @@
 		now: time.Now,
 	}
 	m.services.Store(&map[string]*service{})
-	m.Registry.MustRegister(m.requests, m.hops, m.latency, m.forecast, m.transfer,
+	m.Registry.MustRegister(m.requests, m.hops, m.ineligible, m.latency, m.forecast, m.transfer,
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector())
 	build := version.Current()
 	m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
@@ -122,6 +127,11 @@
 	m.service(name).hopped.inc(k)
 }
 
+// Ineligible counts a selection of a target in which some were left out for a reason.
+func (m *Metrics) Ineligible(reason eligibility.Reason) {
+	m.ineligible.WithLabelValues(string(reason)).Inc()
+}
+
 // service returns the counters of a service.
 func (m *Metrics) service(name string) *service {
 	if name == "" {
