Cold backend servers get no more requests than they tolerate

Cause: cold_per_s and Cold-Ms were dropped by the decoder, so a server that had just started, or had become cold, got its full share: more than it tolerates in a second, at which it crashes.

Change: the guard, the only caller of its backend server, paces requests with a token bucket (golang.org/x/time/rate) that holds the operators' bound in any second, wherever it begins. The bucket runs also while the server is warm; each health answer that says so refills it, and without one the server counts as cold. So a server that becomes cold unnoticed is found out before the bound is passed. The gate takes a permit for each request that it admits, in its usual order, and refuses at once what would wait too long; entries learn from the reported slots how much a cold server takes, and from its registration before its first report.

Tests: with permits always given, the limiter's and the guard's tests of the limit failed (24 allowed in a second).

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -50,13 +50,16 @@
 	trials  int
 	drain   drainRate
 	start   slowStart
+	pacer   Pacer
 	refused uint64
+	// wakeScheduled is true while a dispatch is scheduled.
+	wakeScheduled bool
 }
 
 // New returns a Gate that admits no requests until SetLimits is called. It begins with a
 // slow start, as it can't know how many requests the backend server already runs.
 func New() *Gate {
-	return &Gate{order: fifo{}, curve: contention.New(0), start: slowStart{active: true, began: time.Now()}}
+	return &Gate{order: fifo{}, pacer: unpaced{}, curve: contention.New(0), start: slowStart{active: true, began: time.Now()}}
 }
 
 // SetLimits applies new limits. Requests that already wait continue to wait.
@@ -144,6 +147,11 @@
 		if !g.mayStartTrial(now) {
 			return Slot{}, false
 		}
+	}
+	if !g.pacer.Permit() {
+		return Slot{}, false
+	}
+	if trial {
 		g.trials++
 	}
 	g.running++
@@ -223,22 +231,6 @@
 	g.scheduleDispatch()
 }
 
-// scheduleDispatch dispatches the queue again after a while during a slow start, as the
-// bound then rises with time and neither a completion nor a report may come meanwhile.
-// The mutex is held.
-func (g *Gate) scheduleDispatch() {
-	if !g.start.active || g.start.wakeScheduled || len(g.queue) == 0 {
-		return
-	}
-	g.start.wakeScheduled = true
-	time.AfterFunc(doublingInterval, func() {
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		g.start.wakeScheduled = false
-		g.dispatch(time.Now())
-	})
-}
-
 // SetBackendRunning records the number of running requests that the backend server
 // reports. It is used only during the slow start; afterwards the gate's own count is more
 // accurate.
@@ -278,7 +270,7 @@
 // that would run after it must not count: otherwise a queue of late requests would cause
 // the refusal of all arriving ones, although these could run at once. The mutex is held.
 func (g *Gate) expectedWait(now time.Time, ahead int) time.Duration {
-	return g.drain.wait(now, ahead+1, g.limit(now))
+	return max(g.drain.wait(now, ahead+1, g.limit(now)), g.pacer.ExpectedWait(ahead+1))
 }
 
 // overloaded returns a refusal for a request with the given expected wait. RetryAfter is
--- a/internal/gate/slowstart.go
+++ b/internal/gate/slowstart.go
@@ -22,8 +22,6 @@
 	// how many of them the gate didn't admit.
 	reported    bool
 	unaccounted int
-	// wakeScheduled is true while a dispatch is scheduled.
-	wakeScheduled bool
 }
 
 // update records the number of running requests that the backend server reports, and the
--- a/internal/mesh/check.go
+++ b/internal/mesh/check.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"math"
 	"strings"
 
 	"github.com/rotisserie/eris"
@@ -13,6 +14,11 @@
 	if c.Version == 0 {
 		return eris.New("a configuration needs a version above 0")
 	}
+	for _, s := range c.Services {
+		if s.ColdPerSecond < 0 || math.IsNaN(s.ColdPerSecond) {
+			return eris.Errorf("service %s: the rate of requests to cold targets is negative", s.Name)
+		}
+	}
 	for _, r := range c.Routes() {
 		if err := c.checkRoute(r); err != nil {
 			return eris.Wrapf(err, "route %s", r.Name)
--- a/internal/mesh/config.go
+++ b/internal/mesh/config.go
@@ -31,6 +31,9 @@
 	HealthPath string
 	// MaxConnections is how many connections a target accepts from all clients together.
 	MaxConnections int
+	// ColdPerSecond is how many requests per second a target tolerates while it is cold; 0 means
+	// any number.
+	ColdPerSecond float64
 }
 
 // Limits bound the requests and connections of callers. Zero means unbounded.
--- a/internal/mesh/directory/directory.go
+++ b/internal/mesh/directory/directory.go
@@ -218,6 +218,16 @@
 	return &mesh.Target{
 		ID: rec.ID, Service: rec.Service, Addr: rec.Addr,
 		Peer: peer, Zone: rec.Zone, Region: s.regions[rec.Zone], Slots: rec.Slots,
-		State: rec.State, WarmAt: rec.warmAt, Stat: rec.stat, Distance: distance,
+		State: rec.State, WarmAt: rec.warmAt, ColdPerSecond: s.coldPerSecond(rec.Service),
+		Stat: rec.stat, Distance: distance,
 	}
 }
+
+// coldPerSecond returns how many requests per second the cold targets of a service tolerate; 0
+// means any number.
+func (s *State) coldPerSecond(service string) float64 {
+	if declared := s.config.Services[service]; declared != nil {
+		return declared.ColdPerSecond
+	}
+	return 0
+}
--- a/internal/mesh/forecast.go
+++ b/internal/mesh/forecast.go
@@ -32,7 +32,17 @@
 		e.SustainedSlowdown = max(e.SustainedSlowdown, coldStartFactor)
 		e.Slowdown = max(e.Slowdown, e.SustainedSlowdown)
 	}
-	return Forecast{Estimate: e, Wait: e.wait(t.Slots), ExpectedServiceTime: baseServiceTime + e.SlowdownDelay(baseServiceTime)}
+	return Forecast{Estimate: e, Wait: e.wait(t.declaredSlots(baseServiceTime, now)), ExpectedServiceTime: baseServiceTime + e.SlowdownDelay(baseServiceTime)}
+}
+
+// declaredSlots returns the number of slots to assume until the target reports its load. One that
+// has just started uses only as many as the rate that it tolerates keeps in use.
+func (t *Target) declaredSlots(baseServiceTime, now time.Duration) int {
+	if now >= t.WarmAt || t.ColdPerSecond == 0 {
+		return t.Slots
+	}
+	usable := t.ColdPerSecond * coldStartFactor * baseServiceTime.Seconds()
+	return max(min(t.Slots, int(usable)), 1)
 }
 
 // SlowdownDelay returns how much longer than its base service time a request takes because the
--- a/internal/mesh/guard/guard.go
+++ b/internal/mesh/guard/guard.go
@@ -16,6 +16,7 @@
 	"github.com/limpetdock/limpetdock/internal/gate"
 	"github.com/limpetdock/limpetdock/internal/kind"
 	"github.com/limpetdock/limpetdock/internal/mesh"
+	"github.com/limpetdock/limpetdock/internal/mesh/coldstart"
 	"github.com/limpetdock/limpetdock/internal/mesh/eligibility"
 	"github.com/limpetdock/limpetdock/internal/mesh/exchange"
 	"github.com/limpetdock/limpetdock/internal/stopping"
@@ -36,7 +37,9 @@
 	// during which the VM was suspended.
 	Now func() time.Duration
 	Log *decision.Log
-	// Changed is called after a change of the load that must be sent to the entries.
+	// ColdStart limits the rate of requests while the backend server is cold.
+	ColdStart coldstart.Policy
+	// LoadChanged is called after a change of the load that must be sent to the entries.
 	LoadChanged func(urgent bool)
 }
 
@@ -49,6 +52,7 @@
 	stopping  atomic.Bool
 	admission *admission
 	slowdown  slowdownTracker
+	cold      coldstart.Limiter
 	// reportedAt is when the backend server last reported its load, and probing is true
 	// while a probe is in progress.
 	reportedAt atomic.Int64
@@ -65,7 +69,9 @@
 
 // New returns a Guard that refuses all requests until SetView is called.
 func New(c Config) *Guard {
-	return &Guard{Config: c, gate: gate.New(), admission: newAdmission()}
+	g := &Guard{Config: c, gate: gate.New(), admission: newAdmission()}
+	g.gate.SetPacer(coldPacer{g})
+	return g
 }
 
 // SetSlotShare sets the share of the declared slots that is used. With 0 the guard learns
@@ -86,6 +92,7 @@
 	g.view.Store(v)
 	own := v.LocalTarget
 	leaving := eligibility.Check(v, own) != eligibility.Eligible
+	g.setColdRate(v)
 	g.updateLimits(v)
 	if own != nil {
 		g.slowdown.setWarmAt(own.WarmAt)
@@ -131,7 +138,7 @@
 	l := g.gate.Load()
 	slowdown := g.slowdown.state(g.Now())
 	load := mesh.Load{
-		Running: l.InUse, Waiting: l.WaitingInTime, Slots: l.Limit, ServiceTime: l.ServiceTime,
+		Running: l.InUse, Waiting: l.WaitingInTime, Slots: g.reportedSlots(l.Limit, l.ServiceTime), ServiceTime: l.ServiceTime,
 		Slowdown: slowdown.current, SustainedSlowdown: slowdown.sustained, RecoversIn: slowdown.recoversIn, Leaving: g.leaving.Load() || g.stopping.Load(),
 	}
 	if v := g.view.Load(); v != nil {
@@ -183,9 +190,12 @@
 	if deadline-g.Now() < s.minRemaining() {
 		return nil, kind.New(kind.DeadlineNotRun, "the remaining time is too short for the backend server to respond")
 	}
+	if e := g.awaitPermit(ctx, s, deadline); e != nil {
+		return nil, e
+	}
 	s.concurrency, s.contention = slot.Concurrency(), slot.ContentionFactor()
 	sent := g.Now()
-	answer, e := g.exchange(ctx, r, deadline)
+	answer, e := g.exchange(ctx, s, deadline)
 	s.backendTime = g.Now() - sent
 	g.recordBackendTime(s, slot, answer, e)
 	return answer, e
@@ -213,7 +223,8 @@
 		QueueTimeout:     max(r.QueueTimeout-(g.Now()-s.start), time.Millisecond),
 		StartByObjective: time.Now().Add(r.ObjectiveRemaining - s.baseService), StartByDeadline: time.Now().Add(deadline - g.Now() - s.minRemaining()),
 	})
-	s.waited = g.Now() - s.start
+	s.permittedAt = g.Now()
+	s.waited = s.permittedAt - s.start
 	if e != nil {
 		return gate.Slot{}, e
 	}
--- a/internal/mesh/guard/probe.go
+++ b/internal/mesh/guard/probe.go
@@ -91,7 +91,8 @@
 	g.probes.Add(1)
 	// Set before the exchange, so that a failed probe is repeated only after the usual
 	// interval.
-	g.reportedAt.Store(int64(g.Now()))
+	asked := g.Now()
+	g.reportedAt.Store(int64(asked))
 	answer, failure := g.Backend.Do(ctx, &exchange.Message{
 		Method: http.MethodGet, URI: svc.HealthPath, Host: target.Addr, Header: http.Header{},
 	}, func() bool { return true })
@@ -99,4 +100,5 @@
 		return
 	}
 	g.recordLoad(answer.Header)
+	g.recordColdness(asked, answer.Header)
 }
--- a/internal/mesh/guard/record.go
+++ b/internal/mesh/guard/record.go
@@ -13,6 +13,8 @@
 	request *mesh.Request
 	// start is when the request arrived, and waited how long it then waited for a slot.
 	start, waited time.Duration
+	// permittedAt is when the request got its permit (see coldPacer).
+	permittedAt time.Duration
 	// class names the group of requests with similar service times, and baseService is
 	// the expected base service time; 0 means unknown.
 	class       string
--- a/internal/mesh/guard/send.go
+++ b/internal/mesh/guard/send.go
@@ -14,7 +14,9 @@
 )
 
 // exchange sends the request to the backend server and returns its response.
-func (g *Guard) exchange(ctx context.Context, r *mesh.Request, deadline time.Duration) (*mesh.Answer, *kind.Error) {
+func (g *Guard) exchange(ctx context.Context, s *requestState, deadline time.Duration) (*mesh.Answer, *kind.Error) {
+	r := s.request
+	maySend := func() bool { return g.Now() < deadline && g.renewPermit(s) }
 	if !r.Idempotent {
 		// Once sent, the request isn't cancelled when its caller leaves: that would make
 		// the outcome unknown and free few resources. allow still checks for a caller
@@ -24,9 +26,9 @@
 		defer release()
 		ctx, cancel := context.WithTimeout(ctx, deadline-g.Now())
 		defer cancel()
-		return g.send(ctx, r, func() bool { return caller.Err() == nil && g.Now() < deadline }, deadline)
+		return g.send(ctx, r, func() bool { return caller.Err() == nil && maySend() }, deadline)
 	}
-	return g.send(ctx, r, func() bool { return g.Now() < deadline }, deadline)
+	return g.send(ctx, r, maySend, deadline)
 }
 
 func (g *Guard) send(ctx context.Context, r *mesh.Request, allow func() bool, deadline time.Duration) (*mesh.Answer, *kind.Error) {
--- a/internal/mesh/model/server.go
+++ b/internal/mesh/model/server.go
@@ -23,11 +23,13 @@
 // HealthPath is the path at which a Server reports its load.
 const HealthPath = "/health"
 
-// Dialect defines the headers of a Server. It reports its load as "RUNNING SLOWDOWN".
+// Dialect defines the headers of a Server. It reports its load as "RUNNING SLOWDOWN", and while it
+// is cold for how many milliseconds more.
 var Dialect = mesh.Dialect{
 	Headers: mesh.HeaderNames{
 		RequestID: "X-Id", TimeoutMs: "X-Timeout", Signature: "X-Signature", ExpectedTarget: "X-Expected",
 		Load: "X-Load", NotRun: "X-Not-Run", Caller: "X-Caller", Target: "X-Target",
+		ColdRemainingMs: "X-Cold",
 	},
 	ParseLoad: func(v string) (mesh.BackendLoad, bool) {
 		l := mesh.BackendLoad{}
@@ -82,11 +84,48 @@
 	period int64
 	slow   bool
 	ran    int
+	// coldUntil is when the server is warm, and coldArrivals are the arrivals of requests while it
+	// was cold.
+	coldUntil    time.Time
+	coldArrivals []time.Time
 }
 
 // NewServer starts a backend server whose random numbers are drawn from seed.
 func NewServer(b Backend, serviceTimes []ServiceTime, seed uint64) *Server {
-	return &Server{Backend: b, serviceTimes: serviceTimes, rnd: rand.New(rand.NewPCG(seed, seed)), started: time.Now(), period: -1}
+	s := &Server{Backend: b, serviceTimes: serviceTimes, rnd: rand.New(rand.NewPCG(seed, seed)), started: time.Now(), period: -1}
+	s.GoCold(b.WarmUp)
+	return s
+}
+
+// GoCold makes the server cold for a while: requests take WarmUpFactor times as long.
+func (s *Server) GoCold(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.coldUntil = time.Now().Add(d)
+}
+
+// MostColdArrivals returns the most requests that arrived within one second while the server was
+// cold.
+func (s *Server) MostColdArrivals() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	most, first := 0, 0
+	for i, at := range s.coldArrivals {
+		for at.Sub(s.coldArrivals[first]) >= time.Second {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// noteArrival records the arrival of a request.
+func (s *Server) noteArrival() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now := time.Now(); now.Before(s.coldUntil) {
+		s.coldArrivals = append(s.coldArrivals, now)
+	}
 }
 
 // Ran returns how many requests it has completed.
@@ -104,11 +143,12 @@
 // Do makes an exchange, as a client of the server would.
 func (s *Server) Do(ctx context.Context, m *exchange.Message, allow func() bool) (*mesh.Answer, *exchange.Failure) {
 	if m.URI == HealthPath {
-		return s.answer(m, http.StatusOK), nil
+		return s.answerHealthCheck(m), nil
 	}
 	if !allow() {
 		return nil, &exchange.Failure{Outcome: exchange.NotSent, Cause: errCanceled}
 	}
+	s.noteArrival()
 	admitted, full := s.enter()
 	switch {
 	case full && s.HangsWhenFull:
@@ -215,7 +255,7 @@
 func (s *Server) slowdown(now time.Time) float64 {
 	age := now.Sub(s.started)
 	factor := 1.0
-	if age < s.WarmUp {
+	if now.Before(s.coldUntil) {
 		factor = s.WarmUpFactor
 	}
 	if s.Neighbours.Period == 0 {
@@ -239,3 +279,14 @@
 	header.Set(Dialect.Headers.Load, fmt.Sprintf("%d %g", s.running, s.slowdown(time.Now())))
 	return &mesh.Answer{Status: status, Header: header}
 }
+
+func (s *Server) answerHealthCheck(m *exchange.Message) *mesh.Answer {
+	answer := s.answer(m, http.StatusOK)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	answer.Header.Set(Dialect.Headers.Target, "i-1")
+	if remaining := time.Until(s.coldUntil); remaining > 0 {
+		answer.Header.Set(Dialect.Headers.ColdRemainingMs, strconv.FormatInt(remaining.Milliseconds()+1, 10))
+	}
+	return answer
+}
--- a/internal/mesh/names.go
+++ b/internal/mesh/names.go
@@ -19,6 +19,9 @@
 	Caller string
 	// Target is a backend server's own id in answers to health checks.
 	Target string
+	// ColdRemainingMs is for how many milliseconds more a backend server is cold, in answers to
+	// health checks; warm ones send none.
+	ColdRemainingMs string
 }
 
 // Dialect is a platform's protocol on top of HTTP, as spoken by callers and backend servers.
--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -83,6 +83,7 @@
 func newGuard(s *settings.Settings, p Platform, b *exchange.Client, now clock.Clock, log *decision.Log, t *loadSender) *guard.Guard {
 	g := guard.New(guard.Config{
 		Here: s.Here, Dialect: p.Dialect, Backend: b, Now: now, Log: log, LoadChanged: t.changed,
+		ColdStart: s.ColdStart,
 	})
 	g.SetSlotShare(s.Tunable.Fill)
 	return g
--- a/internal/mesh/settings/settings.go
+++ b/internal/mesh/settings/settings.go
@@ -14,6 +14,7 @@
 
 	"github.com/limpetdock/limpetdock/internal/inifile"
 	"github.com/limpetdock/limpetdock/internal/mesh"
+	"github.com/limpetdock/limpetdock/internal/mesh/coldstart"
 	"github.com/limpetdock/limpetdock/internal/mesh/entry"
 )
 
@@ -32,6 +33,8 @@
 	Store string
 	// Repeats limits how often requests are run again, over all nodes.
 	Repeats entry.Repeats
+	// ColdStart bounds the requests to a backend server that has just started.
+	ColdStart coldstart.Policy
 	// StopGrace is the time between the stop signal and the kill of the process.
 	StopGrace time.Duration
 	// Tunable are the settings that may change while a node runs.
@@ -77,6 +80,8 @@
 	inifile.Optional("repeats", "ratio", "0.2", "repeats for each request, from 0 to 1", number(0, 1, func(s *Settings, v float64) { s.Repeats.Ratio = v })),
 	inifile.Optional("repeats", "slack", "0", "additional repeats of all nodes together in a window, from 0 to 1e6", number(0, 1e6, func(s *Settings, v float64) { s.Repeats.Slack = v })),
 	inifile.Optional("repeats", "window-seconds", "10", "seconds, from 1 to 3600", number(1, 3600, func(s *Settings, v float64) { s.Repeats.Window = seconds(v) })),
+	inifile.Optional("cold-start", "ratio", "1", "requests to a cold backend server for each that it tolerates, from 0.1 to 100", number(0.1, 100, func(s *Settings, v float64) { s.ColdStart.Ratio = v })),
+	inifile.Optional("cold-start", "slack", "0", "additional requests to a cold backend server in any second, from 0 to 1e6", number(0, 1e6, func(s *Settings, v float64) { s.ColdStart.Slack = v })),
 	inifile.Optional("stop", "grace-seconds", "6", "seconds, from 1 to 600", number(1, 600, func(s *Settings, v float64) { s.StopGrace = seconds(v) })),
 	inifile.Optional("routing", "zone-price", "10ms", "a duration for each kilobyte that leaves the zone", duration(func(s *Settings) *time.Duration { return &s.Tunable.Prices.ZonePerKB })),
 	inifile.Optional("routing", "region-price", "80ms", "a duration for each kilobyte that leaves the region", duration(func(s *Settings) *time.Duration { return &s.Tunable.Prices.RegionPerKB })),
--- a/internal/mesh/target.go
+++ b/internal/mesh/target.go
@@ -32,10 +32,12 @@
 	// Slots is how many requests the target runs at once.
 	Slots int
 	State TargetState
-	// WarmAt is when the slowdown after its start ends.
-	WarmAt   time.Duration
-	Distance place.Distance
-	Stat     *Stat
+	// WarmAt is when the slowdown after its start ends, and ColdPerSecond how many requests per
+	// second it tolerates until then; 0 means any number.
+	WarmAt        time.Duration
+	ColdPerSecond float64
+	Distance      place.Distance
+	Stat          *Stat
 }
 
 // Place is the location of a node.
