Entry: a request waits at a target for as long as another attempt would cost

Cause: a request waited at the best target only until the next one looked better, 15 ms among equals. What a refusal costs, the way there and back and the transfer of the request, wasn't counted.

Change: the queue timeout includes the round trip and the price of the bytes that a refusal wastes.

Test: TestQueueTimeoutIncludesTheCostOfAnotherAttempt, seen failing before (15 ms).

--- a/internal/mesh/entry/eligible_test.go
+++ b/internal/mesh/entry/eligible_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/limpetdock/limpetdock/internal/kind"
 	"github.com/limpetdock/limpetdock/internal/mesh"
+	"github.com/limpetdock/limpetdock/internal/mesh/entry"
+	"github.com/limpetdock/limpetdock/internal/place"
 )
 
 // newRegionalDeployment returns a deployment whose own VM and "zone" are in rs, in different
@@ -158,3 +160,28 @@
 	require.Nil(t, err)
 	require.Equal(t, []string{own}, d.attempted)
 }
+
+// A route's allowed regions are all far away, and their targets are equally busy. Guards against
+// requests that are sent from one to the next across regions, each time with their bodies, for a
+// wait that is shorter than the way.
+func TestQueueTimeoutIncludesTheCostOfAnotherAttempt(t *testing.T) {
+	d := newRegionalDeployment(t)
+	prices := entry.Prices{RegionPerKB: 80 * time.Millisecond}
+	d.entry.SetPrices(prices)
+	d.targets = d.targets[2:]
+	d.targets[0].Distance = place.OtherRegion
+	d.publishRoute("sc", "pr")
+	var queueTimeout time.Duration
+	for _, name := range []string{"region", "far"} {
+		d.answers[name] = func(r *mesh.Request) (*mesh.Answer, *kind.Error) {
+			queueTimeout = r.QueueTimeout
+			return answered(200)(r)
+		}
+	}
+	const body = 1000
+	_, err := d.entry.Serve(t.Context(), d.request(body))
+	require.Nil(t, err)
+	const roundTrip = 16 * time.Millisecond
+	require.GreaterOrEqual(t, queueTimeout, roundTrip+prices.RegionPerKB)
+	require.Less(t, queueTimeout, d.route.LatencyObjective)
+}
--- a/internal/mesh/entry/run.go
+++ b/internal/mesh/entry/run.go
@@ -113,9 +113,9 @@
 
 // queueTimeout returns how long a request may wait at the best target before the next one
 // becomes better: until the wait, with the growing risk of a late answer, exceeds the
-// difference of their scores.
+// difference of their scores and what the attempt at the best target has cost by then.
 func (t *transaction) queueTimeout(best, next candidate) time.Duration {
-	margin := max(next.score-best.score, minQueueTimeout)
+	margin := max(next.score-best.score, minQueueTimeout) + t.refusalCost(best)
 	now := t.entry.Now() + rttTo[best.target.Distance]
 	initialPenalty := t.riskPenalty(best.forecast, now)
 	low, high := minQueueTimeout, margin
@@ -130,6 +130,13 @@
 	return best.wait + low
 }
 
+// refusalCost returns the cost of an attempt that a target refuses: the way there and back, and
+// the transfer of the request.
+func (t *transaction) refusalCost(c candidate) time.Duration {
+	distance := c.target.Distance
+	return rttTo[distance] + t.entry.prices.Load().of(distance, len(t.in.Body)+framingBytes)
+}
+
 // send sends the request to a target and records the outcome.
 func (t *transaction) send(ctx context.Context, c candidate, queueTimeout time.Duration) (*mesh.Answer, *kind.Error) {
 	e := t.entry
