--- a/internal/mesh/node/admin.go
+++ b/internal/mesh/node/admin.go
@@ -2,8 +2,10 @@
 
 import (
 	"errors"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -82,10 +84,12 @@
 	Config   uint64 `json:"config"`
 	Revision uint64 `json:"revision"`
 	// Reading is true if the node reads the store itself.
-	Reading bool          `json:"reading"`
-	Active  int           `json:"active"`
-	Load    mesh.Load     `json:"load"`
-	Targets []targetState `json:"targets"`
+	Reading bool      `json:"reading"`
+	Active  int       `json:"active"`
+	Load    mesh.Load `json:"load"`
+	// EvacuatedZones are the zones whose targets get no new requests.
+	EvacuatedZones []string      `json:"evacuated_zones"`
+	Targets        []targetState `json:"targets"`
 }
 
 type targetState struct {
@@ -93,6 +97,7 @@
 	Service  string        `json:"service"`
 	Addr     string        `json:"address"`
 	Zone     string        `json:"zone"`
+	Region   string        `json:"region"`
 	Estimate mesh.Estimate `json:"estimate"`
 }
 
@@ -104,9 +109,10 @@
 		return s
 	}
 	s.Config, s.Revision = v.Config.Version, v.Revision
+	s.EvacuatedZones = slices.Sorted(maps.Keys(v.EvacuatedZones))
 	for _, list := range v.Targets {
 		for _, t := range list {
-			s.Targets = append(s.Targets, targetState{t.ID, t.Service, t.Addr, t.Zone, t.Stat.Estimate(a.now())})
+			s.Targets = append(s.Targets, targetState{t.ID, t.Service, t.Addr, t.Zone, t.Region, t.Stat.Estimate(a.now())})
 		}
 	}
 	return s
--- a/internal/mesh/settings/settings_test.go
+++ b/internal/mesh/settings/settings_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/limpetdock/limpetdock/internal/mesh"
+	"github.com/limpetdock/limpetdock/internal/mesh/coldstart"
 	"github.com/limpetdock/limpetdock/internal/mesh/settings"
 )
 
@@ -34,24 +35,26 @@
 `
 
 func TestDefaultsApplyToMissingOrEmptyKeys(t *testing.T) {
-	for _, text := range []string{good, good + "[repeats]\nratio =\nslack =\nwindow-seconds =\n[stop]\ngrace-seconds =\n"} {
+	for _, text := range []string{good, good + "[repeats]\nratio =\nslack =\nwindow-seconds =\n[stop]\ngrace-seconds =\n[cold-start]\nratio =\nslack =\n"} {
 		s, err := settings.Parse("node.ini", []byte(text))
 		require.NoError(t, err)
 		require.Equal(t, mesh.Place{VM: "vm-1", IP: "10.1.0.8", Zone: "rs-a", Region: "rs", Service: "orders"}, s.Here)
 		require.Equal(t, map[string]string{"rs-a": "rs", "sc-a": "sc"}, s.Regions)
 		require.Equal(t, 6*time.Second, s.StopGrace)
 		require.Equal(t, 10*time.Second, s.Repeats.Window)
+		require.Equal(t, coldstart.Policy{Ratio: 1}, s.ColdStart, "no more than a cold server tolerates")
 		require.Zero(t, s.Tunable.Fill, "learnt")
 		require.Equal(t, 80*time.Millisecond, s.Tunable.Prices.RegionPerKB)
 	}
 }
 
 func TestFractionalSecondsAreParsed(t *testing.T) {
-	s, err := settings.Parse("node.ini", []byte(good+"[stop]\ngrace-seconds = 4.5\n[repeats]\nratio = 0.1\nslack = 56\n"))
+	s, err := settings.Parse("node.ini", []byte(good+"[stop]\ngrace-seconds = 4.5\n[repeats]\nratio = 0.1\nslack = 56\n[cold-start]\nratio = 1.5\nslack = 8\n"))
 	require.NoError(t, err)
 	require.Equal(t, 4500*time.Millisecond, s.StopGrace)
 	require.InDelta(t, 0.1, s.Repeats.Ratio, 0)
 	require.InDelta(t, 56, s.Repeats.Slack, 0)
+	require.Equal(t, coldstart.Policy{Ratio: 1.5, Slack: 8}, s.ColdStart)
 }
 
 func TestAllFaultsAreReportedTogether(t *testing.T) {
