--- a/internal/mesh/guard/cold_test.go
+++ b/internal/mesh/guard/cold_test.go
@@ -24,28 +24,12 @@
 
 // newColdGuard returns a guard for a server of a service with a limit for cold servers.
 func newColdGuard(t *testing.T, s *model.Server) *guard.Guard {
-	var table []*mesh.Route
-	for _, r := range routes {
-		table = append(table, &mesh.Route{Name: r.prefix, Host: "h", Prefix: r.prefix})
-	}
-	start := time.Now()
-	g := guard.New(guard.Config{
-		Here: mesh.Place{Service: "orders"}, Dialect: model.Dialect, Backend: s, ColdStart: coldPolicy,
-		Now: func() time.Duration { return time.Since(start) }, LoadChanged: func(bool) {},
-	})
-	services := map[string]*mesh.Service{"orders": {Name: "orders", HealthPath: model.HealthPath, ColdPerSecond: coldPerSecond}}
-	g.SetView(&mesh.View{
-		Config:      mesh.NewConfig(1, services, table, mesh.Limits{}),
-		LocalTarget: &mesh.Target{ID: "i-1", Service: "orders", Slots: s.Slots, Addr: "h"},
-	})
-	go g.Probe(t.Context())
-	return g
+	return newGuardOf(t, s, mesh.Service{ColdPerSecond: coldPerSecond})
 }
 
+// newColdServer returns a server that is cold for a while.
 func newColdServer(warmUp time.Duration) *model.Server {
-	return model.NewServer(model.Backend{Slots: 12, Queue: 24, WarmUp: warmUp, WarmUpFactor: 2}, []model.ServiceTime{
-		{Prefix: routes[0].prefix, Mean: routes[0].baseService}, {Prefix: routes[1].prefix, Mean: routes[1].baseService},
-	}, 1)
+	return newModelServer(model.Backend{Slots: 12, Queue: 24, WarmUp: warmUp, WarmUpFactor: 2}, 1)
 }
 
 // Guards against requests that crash a server which has just started under the full load.
--- a/internal/mesh/guard/load_test.go
+++ b/internal/mesh/guard/load_test.go
@@ -27,22 +27,36 @@
 	{prefix: "/check/", baseService: 55 * time.Millisecond, objective: 150 * time.Millisecond, timeout: 600 * time.Millisecond},
 }
 
-// newModelGuard returns a guard for a simulated backend server.
+// newModelServer returns a simulated backend server for requests of routes.
+func newModelServer(b model.Backend, seed uint64) *model.Server {
+	var serviceTimes []model.ServiceTime
+	for _, r := range routes {
+		serviceTimes = append(serviceTimes, model.ServiceTime{Prefix: r.prefix, Mean: r.baseService})
+	}
+	return model.NewServer(b, serviceTimes, seed)
+}
+
+// newModelGuard returns a guard for a simulated backend server of a service without a limit for
+// cold servers.
 func newModelGuard(t *testing.T, b model.Backend, seed uint64) *guard.Guard {
-	var works []model.ServiceTime
+	return newGuardOf(t, newModelServer(b, seed), mesh.Service{})
+}
+
+// newGuardOf returns a guard for a simulated backend server of a service.
+func newGuardOf(t *testing.T, s *model.Server, service mesh.Service) *guard.Guard {
+	service.Name, service.HealthPath = "orders", model.HealthPath
 	var table []*mesh.Route
 	for _, r := range routes {
-		works = append(works, model.ServiceTime{Prefix: r.prefix, Mean: r.baseService})
 		table = append(table, &mesh.Route{Name: r.prefix, Host: "h", Prefix: r.prefix})
 	}
 	start := time.Now()
 	g := guard.New(guard.Config{
-		Here: mesh.Place{Service: "orders"}, Dialect: model.Dialect, Backend: model.NewServer(b, works, seed),
+		Here: mesh.Place{Service: service.Name}, Dialect: model.Dialect, Backend: s, ColdStart: coldPolicy,
 		Now: func() time.Duration { return time.Since(start) }, LoadChanged: func(bool) {},
 	})
 	g.SetView(&mesh.View{
-		Config:      mesh.NewConfig(1, map[string]*mesh.Service{"orders": {Name: "orders", HealthPath: model.HealthPath}}, table, mesh.Limits{}),
-		LocalTarget: &mesh.Target{ID: "i-1", Service: "orders", Slots: b.Slots, Addr: "h"},
+		Config:      mesh.NewConfig(1, map[string]*mesh.Service{service.Name: &service}, table, mesh.Limits{}),
+		LocalTarget: &mesh.Target{ID: "i-1", Service: service.Name, Slots: s.Slots, Addr: "h"},
 	})
 	go g.Probe(t.Context())
 	return g
