--- a/internal/gate/pacer_test.go
+++ b/internal/gate/pacer_test.go
@@ -30,8 +30,8 @@
 	return p.NextPermit() + time.Duration(n-1)*p.interval
 }
 
-// A server with free slots gets requests faster than its permits allow. Guards against a queue that
-// stands still because no completion or report wakes it.
+// Requests arrive faster than permits become available, while slots are free. Guards against a queue
+// that isn't dispatched when the next permit becomes available.
 func TestPacedRequestsStartAtThePermittedRate(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := newWarmGate(Limits{Slots: 8, Queue: 16})
