--- a/internal/mesh/coldstart/limiter.go
+++ b/internal/mesh/coldstart/limiter.go
@@ -48,21 +48,21 @@
 
 // Limiter permits requests to one backend server. A backend server may become cold at any moment
 // and tells it only when it is asked. Therefore requests are counted also while it is warm, and
-// each report that it is warm forgives those sent before. Without such reports the Limiter
+// after each report that it is warm those sent before it no longer count. Without such reports the Limiter
 // behaves as if the server were cold. Safe for concurrent use.
 type Limiter struct {
 	mu     sync.Mutex
 	rate   Rate
 	bucket *rate.Limiter
-	// permitted holds when the requests of the last forgivenWithin were permitted, oldest first.
+	// permitted holds when the requests of the last maxReportDelay were permitted, oldest first.
 	permitted []time.Duration
 	// coldUntil is when the backend server expects to be warm, by its last report.
 	coldUntil time.Duration
 }
 
-// forgivenWithin is the longest time that a report may take from the question to the answer to
+// maxReportDelay is the longest time that a report may take from the question to the answer to
 // be of use.
-const forgivenWithin = time.Second
+const maxReportDelay = time.Second
 
 // epoch is the time of the bucket's clock at the node's start.
 var epoch = time.Unix(0, 0)
@@ -109,7 +109,7 @@
 		return false
 	}
 	expired := 0
-	for expired < len(l.permitted) && l.permitted[expired] < now-forgivenWithin {
+	for expired < len(l.permitted) && l.permitted[expired] < now-maxReportDelay {
 		expired++
 	}
 	l.permitted = append(slices.Delete(l.permitted, 0, expired), now)
@@ -132,13 +132,13 @@
 }
 
 // ReportWarm records that the backend server answered a question that was sent at asked, and was
-// not cold. Requests permitted before that are forgiven. Reports that took longer than
-// forgivenWithin have no effect.
+// not cold. Requests permitted before that no longer count. Reports that took longer than
+// maxReportDelay have no effect.
 func (l *Limiter) ReportWarm(asked, now time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.coldUntil = 0
-	if l.bucket == nil || asked < now-forgivenWithin {
+	if l.bucket == nil || asked < now-maxReportDelay {
 		return
 	}
 	l.bucket = rate.NewLimiter(rate.Limit(l.rate.PerSecond), l.rate.Burst)
--- a/internal/mesh/coldstart/limiter_test.go
+++ b/internal/mesh/coldstart/limiter_test.go
@@ -87,8 +87,8 @@
 	require.True(t, l.Permit(l.NextPermit(0)))
 }
 
-// Guards against a report that was asked before requests were sent and forgives these too.
-func TestReportForgivesOnlyEarlierRequests(t *testing.T) {
+// Guards against a report that also discounts requests sent after it was asked for.
+func TestReportDiscountsOnlyEarlierRequests(t *testing.T) {
 	var l coldstart.Limiter
 	l.SetRate(testRate, 0)
 	l.ReportWarm(0, 0)
--- a/internal/mesh/entry/eligible_test.go
+++ b/internal/mesh/entry/eligible_test.go
@@ -93,7 +93,7 @@
 	require.Equal(t, []string{own, "far"}, d.attempted)
 }
 
-// The route under which a request was accepted binds it too: its caller knows no other.
+// Guards against a resend that ignores the route under which the request was accepted.
 func TestOlderConfigurationStillBindsResends(t *testing.T) {
 	d := newRegionalDeployment(t)
 	d.publishRoute("rs")
--- a/internal/mesh/guard/eligible_test.go
+++ b/internal/mesh/guard/eligible_test.go
@@ -48,7 +48,7 @@
 	require.Nil(t, err)
 }
 
-// Guards against a sender that hasn't heard of the evacuation, and against an end of it that is
+// Guards against a sender with a View from before the evacuation, and against an end of it that is
 // ignored.
 func TestGuardRefusesRequestsWhileItsZoneIsEvacuated(t *testing.T) {
 	x := newFixture(t, 4, signed)
