Own interface: a leaving target no longer hides that others have a newer configuration

Callers of a node that resumed with an old configuration got 503 "leaving" for reads that five of six targets would run. All of these refuse with stale-config, and the entry then waits for its newer configuration, but only if the last refusal says so. If the target that leaves was asked last, its refusal ended the request. A refusal for a stale configuration now goes before the others.

--- a/internal/entry/at_most_once.go
+++ b/internal/entry/at_most_once.go
@@ -36,7 +36,7 @@
 // one before did not and will not run it.
 func (e *Entry) serveAnywhere(ctx context.Context, w http.ResponseWriter, v *pick.View, x *request) *kind.Error {
 	var tried []*pick.Target
-	var last *kind.Error
+	var last, stale *kind.Error
 	for range 2 * x.service.Hops {
 		t := e.choose(ctx, x, tried)
 		if t == nil {
@@ -48,7 +48,7 @@
 		if err == nil || err.ReportedOutcome() != kind.NotRun {
 			return err
 		}
-		last = err
+		last, stale = err, laterStale(stale, err)
 		if ctx.Err() != nil || x.stream && body.bodyRead.Load() {
 			break
 		}
@@ -60,7 +60,7 @@
 		}
 		e.observer.Hopped(x.service.Name, err.Kind)
 	}
-	return finalError(last, false)
+	return finalError(preferStale(stale, last), false)
 }
 
 // knownIdentity returns the guard's identity as far as it is known. An attempt with the zero
--- a/internal/entry/idempotent.go
+++ b/internal/entry/idempotent.go
@@ -27,6 +27,8 @@
 	// mayHaveRun is true if one of the targets may have run the request.
 	mayHaveRun   bool
 	deaths, hops int
+	// stale is the last refusal by a target with another configuration.
+	stale *kind.Error
 }
 
 // recordError records the error of one attempt.
@@ -42,6 +44,25 @@
 		s.entry.reportDeath(s.x, err)
 	}
 	s.mayHaveRun = s.mayHaveRun || err.ReportedOutcome() != kind.NotRun
+	s.stale = laterStale(s.stale, err)
+}
+
+// laterStale returns err if it is a refusal by a target with another configuration, and stale
+// otherwise.
+func laterStale(stale, err *kind.Error) *kind.Error {
+	if err.Kind == kind.StaleConfig {
+		return err
+	}
+	return stale
+}
+
+// preferStale returns the error to report: a refusal by a target with another configuration goes
+// before the last one, as that target may run the request under the newer configuration.
+func preferStale(stale, last *kind.Error) *kind.Error {
+	if stale == nil || last.ReportedOutcome() != kind.NotRun {
+		return last
+	}
+	return stale
 }
 
 // serveIdempotent sends a request to targets until one returns a complete answer.
@@ -78,7 +99,7 @@
 		}
 		e.observer.Hopped(x.service.Name, last.Kind)
 	}
-	return finalError(last, s.mayHaveRun)
+	return finalError(preferStale(s.stale, last), s.mayHaveRun)
 }
 
 // attemptIdempotent sends a request to the last target in s.tried, and to a second one if that
