Own interface: a request that was given up is no longer blamed on a suspect that runs alone

Reads of other callers were refused as "blocked" (503) though only another request crashed backend servers. When the first copy of a hedged request dies with its server, the entry cancels the second copy. Its guard counted it as gone at once and let the next suspect, an innocent read, run "alone"; the backend server still ran the cancelled copy, died of it, and the read had two deaths, one of them alone: blocked. A deadline that passes does the same. For a second after a request is given up, nothing counts as running alone there.

Evidence: TestDeathAfterAbandonedRequestIsNotBlamedOnSuspectAlone failed before.

--- a/internal/guard/backend_death_test.go
+++ b/internal/guard/backend_death_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -24,6 +25,10 @@
 	readPath  = "/week"
 	// pairPath is answered once two requests for it are present.
 	pairPath = "/pair"
+	// lateCrashPath and holdPath are not answered. A request for lateCrashPath crashes the
+	// server once one for holdPath is present.
+	lateCrashPath = "/late-crash"
+	holdPath      = "/hold"
 )
 
 // crashingBackend is a backend server that dies on a request for crashPath. Its idle
@@ -32,6 +37,9 @@
 type crashingBackend struct {
 	addr string
 	pair chan struct{}
+	// crashing and held receive a value for each request for lateCrashPath and holdPath.
+	crashing, held chan struct{}
+
 	mu   sync.Mutex
 	l    net.Listener
 	dead bool
@@ -39,7 +47,7 @@
 
 func startCrashingBackend(t *testing.T) *crashingBackend {
 	t.Helper()
-	m := &crashingBackend{pair: make(chan struct{})}
+	m := &crashingBackend{pair: make(chan struct{}), crashing: make(chan struct{}), held: make(chan struct{})}
 	m.restart(t)
 	t.Cleanup(func() { _ = m.l.Close() })
 	return m
@@ -80,6 +88,18 @@
 		if m.handleCrash(req.URL.Path, l) {
 			return
 		}
+		switch req.URL.Path {
+		case lateCrashPath:
+			m.crashing <- struct{}{}
+			<-m.held
+			m.handleCrash(crashPath, l)
+			close(m.held)
+			return
+		case holdPath:
+			m.held <- struct{}{}
+			<-m.held
+			return
+		}
 		if req.URL.Path == pairPath {
 			select {
 			case m.pair <- struct{}{}:
@@ -125,7 +145,13 @@
 // read sends a read and returns the refusal, or nil if it was answered.
 func read(t *testing.T, g *Guard, path string, suspect bool) *kind.Error {
 	t.Helper()
-	r := httptest.NewRequestWithContext(t.Context(), http.MethodGet, path, http.NoBody)
+	return readWith(t.Context(), t, g, path, suspect)
+}
+
+// readWith is like read, with a context that may be cancelled.
+func readWith(ctx context.Context, t *testing.T, g *Guard, path string, suspect bool) *kind.Error {
+	t.Helper()
+	r := httptest.NewRequestWithContext(ctx, http.MethodGet, path, http.NoBody)
 	r.Header.Set(headers.Service, "s")
 	r.Header.Set(headers.TimeoutMs, "60000")
 	c := g.view.Load().Config
@@ -181,6 +207,22 @@
 	require.Zero(t, late.Death)
 }
 
+// Guards against a suspect that is blamed alone for the death by a request that was cancelled
+// before, and that the backend server still ran.
+func TestDeathAfterAbandonedRequestIsNotBlamedOnSuspectAlone(t *testing.T) {
+	m := startCrashingBackend(t)
+	g := newGuardFor(t, m)
+	ctx, cancel := context.WithCancel(t.Context())
+	abandoned := make(chan *kind.Error)
+	go func() { abandoned <- readWith(ctx, t, g, lateCrashPath, false) }()
+	<-m.crashing
+	cancel()
+	require.Equal(t, kind.OutcomeUnknown, (<-abandoned).Kind)
+	died := read(t, g, holdPath, true)
+	require.Equal(t, kind.BackendDied, died.Kind)
+	require.False(t, died.Alone)
+}
+
 // The dead server is restarted, and its first request is the crashing read again. That
 // is a second death, though nothing was answered since the first. If both deaths had
 // the same id, the read would never be blocked.
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -275,10 +275,12 @@
 func (g *Guard) backendError(ctx context.Context, p *permit, v execution, err error) *kind.Error {
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		g.isolation.abandon()
 		return kind.New(kind.DeadlineUnknown, "the deadline passed while the backend server ran the request").WithCause(err)
 	case errors.Is(ctx.Err(), context.Canceled):
 		// The caller that cancelled doesn't wait for a probe of the backend server, and a
 		// death found by it wouldn't be caused by this request.
+		g.isolation.abandon()
 		return kind.New(kind.OutcomeUnknown, "the request was cancelled").WithCause(err)
 	}
 	e := g.connectionError(p, err)
--- a/internal/guard/isolate.go
+++ b/internal/guard/isolate.go
@@ -16,6 +16,10 @@
 // A suspect that runs longer continues alongside other requests.
 const maxIsolation = 2 * time.Second
 
+// abandonedGrace is how long the backend server may still work on a request whose connection
+// the guard has closed.
+const abandonedGrace = time.Second
+
 // isolation lets suspects run alone. If the backend server crashes with several
 // requests in flight, the cause can't be determined. A suspect that runs alone is
 // proven to be the cause or not. Safe for concurrent use.
@@ -27,6 +31,8 @@
 	alone chan struct{}
 	// empty is closed when the last of the others has ended.
 	empty chan struct{}
+	// abandonedUntil is until when an abandoned request may still be at the backend server.
+	abandonedUntil time.Time
 }
 
 // join waits while a suspect runs alone. It returns false if ctx ends first.
@@ -99,7 +105,23 @@
 		timer.Stop()
 		release()
 	}
-	return execution{leave: leave, alone: func() bool { return !released.Load() }}, true
+	alone := func() bool { return !released.Load() && !i.abandonedPresent() }
+	return execution{leave: leave, alone: alone}, true
+}
+
+// abandon records that a request is given up that may still be at the backend server. The server
+// may die of it during a later execution.
+func (i *isolation) abandon() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.abandonedUntil = time.Now().Add(abandonedGrace)
+}
+
+// abandonedPresent reports whether an abandoned request may still be at the backend server.
+func (i *isolation) abandonedPresent() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return time.Now().Before(i.abandonedUntil)
 }
 
 // claim waits for other suspects and then blocks all other requests.
