--- a/internal/guard/backend_death_test.go
+++ b/internal/guard/backend_death_test.go
@@ -10,7 +10,6 @@
 	"net/url"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -189,13 +188,14 @@
 	m := startCrashingBackend(t)
 	g := newGuardFor(t, m)
 	openTwoConnections(t, g)
-	require.True(t, g.isolation.join(t.Context()))
+	first, ok := g.isolation.Enter(t.Context(), false)
+	require.True(t, ok)
 	killer, bystander := make(chan *kind.Error), make(chan *kind.Error)
 	go func() { killer <- read(t, g, crashPath, true) }()
-	require.Eventually(t, g.isolation.claimed, time.Minute, time.Millisecond)
+	require.Eventually(t, g.isolation.Claimed, time.Minute, time.Millisecond)
 	go func() { bystander <- read(t, g, readPath, true) }()
 	require.Eventually(t, func() bool { return g.Load().InUse == 2 }, time.Minute, time.Millisecond)
-	g.isolation.leave()
+	first.Leave()
 
 	died := <-killer
 	require.Equal(t, kind.BackendDied, died.Kind)
@@ -235,23 +235,3 @@
 	require.Equal(t, kind.BackendDied, second.Kind)
 	require.NotEqual(t, first.Death, second.Death)
 }
-
-// A suspect that exceeds maxIsolation continues alongside other requests. If the
-// server dies then, the cause can't be determined.
-func TestSuspectPastIsolationLimitIsNotAlone(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		var i isolation
-		v, ok := i.enter(t.Context(), true)
-		require.True(t, ok)
-		require.True(t, v.alone())
-		time.Sleep(2 * maxIsolation)
-		require.False(t, v.alone())
-		v.leave()
-	})
-}
-
-func (i *isolation) claimed() bool {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	return i.alone != nil
-}
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -20,6 +20,7 @@
 	"github.com/limpetdock/limpetdock/internal/headers"
 	"github.com/limpetdock/limpetdock/internal/kind"
 	"github.com/limpetdock/limpetdock/internal/pick"
+	"github.com/limpetdock/limpetdock/internal/suspect"
 )
 
 // Guard is the guard role of a node. It is an http.RoundTripper, so that the node's
@@ -47,7 +48,7 @@
 	hasKeyRules bool
 	// active counts requests from the queue to the end of their answers.
 	active    activity
-	isolation isolation
+	isolation suspect.Isolation
 	deaths    deaths
 	reporter  reporter
 	// Counters counts the guard's decisions about attempts.
@@ -275,12 +276,12 @@
 func (g *Guard) backendError(ctx context.Context, p *permit, v execution, err error) *kind.Error {
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		g.isolation.abandon()
+		g.isolation.Abandon()
 		return kind.New(kind.DeadlineUnknown, "the deadline passed while the backend server ran the request").WithCause(err)
 	case errors.Is(ctx.Err(), context.Canceled):
 		// The caller that cancelled doesn't wait for a probe of the backend server, and a
 		// death found by it wouldn't be caused by this request.
-		g.isolation.abandon()
+		g.isolation.Abandon()
 		return kind.New(kind.OutcomeUnknown, "the request was cancelled").WithCause(err)
 	}
 	e := g.connectionError(p, err)
--- a/internal/guard/isolate_test.go
+++ b/internal/suspect/isolation_test.go
@@ -1,4 +1,4 @@
-package guard
+package suspect
 
 import (
 	"context"
@@ -13,7 +13,7 @@
 // the suspect. Otherwise several requests could again have caused a crash.
 func TestSuspectRunsAlone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		var i isolation
+		var i Isolation
 		ctx := t.Context()
 		require.True(t, i.join(ctx))
 		var order []string
@@ -23,7 +23,7 @@
 			order = append(order, "suspect in")
 			time.Sleep(time.Second)
 			order = append(order, "suspect out")
-			v.leave()
+			v.Leave()
 		}()
 		synctest.Wait()
 		require.Empty(t, order, "the suspect waits for the request in flight")
@@ -43,7 +43,7 @@
 // A suspect that never ends must not block its target for all other requests.
 func TestSuspectIsolationIsBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		var i isolation
+		var i Isolation
 		v, ok := i.enterAlone(t.Context())
 		require.True(t, ok)
 		ctx, cancel := context.WithTimeout(t.Context(), maxIsolation/2)
@@ -51,7 +51,7 @@
 		require.False(t, i.join(ctx), "others wait while the suspect is alone")
 		require.True(t, i.join(t.Context()), "but only up to maxIsolation")
 		i.leave()
-		v.leave()
+		v.Leave()
 		require.True(t, i.join(t.Context()))
 	})
 }
@@ -59,7 +59,7 @@
 // A suspect whose deadline passes while it waits must stop blocking the others.
 func TestExpiredSuspectUnblocksOthers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		var i isolation
+		var i Isolation
 		require.True(t, i.join(t.Context()))
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
@@ -68,3 +68,17 @@
 		require.True(t, i.join(t.Context()))
 	})
 }
+
+// A suspect that exceeds maxIsolation continues alongside other requests. If the
+// server dies then, the cause can't be determined.
+func TestSuspectPastIsolationLimitIsNotAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var i Isolation
+		v, ok := i.Enter(t.Context(), true)
+		require.True(t, ok)
+		require.True(t, v.Alone())
+		time.Sleep(2 * maxIsolation)
+		require.False(t, v.Alone())
+		v.Leave()
+	})
+}
