Guards tell the death of a backend server from a broken connection, and log it

A guard now asks, when an exchange breaks off after the request was sent, whether its backend server still listens. Entries avoid such a target like one that can't be reached. Idle connections of the dead process are closed and never written to again.

What is decided about requests doesn't change otherwise.

--- a/internal/mesh/entry/run.go
+++ b/internal/mesh/entry/run.go
@@ -207,6 +207,9 @@
 		// Repeated refusals add up, so that a guard that reports no wait isn't asked again and
 		// again while another target has room.
 		t.refusals[target.ID] = max(err.Wait, assumedRefusalWait) + t.refusals[target.ID]
+	case kind.BackendDied:
+		failed = true
+		target.Stat.Avoid(now + avoidUnreachable)
 	case kind.BackendBroken, kind.OutcomeUnknown:
 		failed = true
 	case kind.DeadlineUnknown:
--- a/internal/mesh/exchange/conn.go
+++ b/internal/mesh/exchange/conn.go
@@ -49,6 +49,8 @@
 	reader *bufio.Reader
 	// idHeader is the header in which answers echo the request's ID.
 	idHeader string
+	// generation is that of the backend server when the connection was opened.
+	generation Generation
 	// wanted receives the request that waits for an answer; results returns the result.
 	wanted  chan *http.Request
 	results chan result
--- a/internal/mesh/exchange/exchange_test.go
+++ b/internal/mesh/exchange/exchange_test.go
@@ -313,3 +313,52 @@
 		return f == nil
 	}, time.Minute, time.Millisecond)
 }
+
+// Guards against requests in flight at one death of a backend server that report different
+// deaths, and against requests on its old connections that are blamed for it.
+func TestDeathIsSharedByRequestsInFlightOnly(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	arrived, die := make(chan struct{}), make(chan struct{})
+	serveOn := func(l net.Listener) {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				b := &connection{c, bufio.NewReader(c)}
+				if _, err := b.next(); err == nil {
+					arrived <- struct{}{}
+					<-die
+				}
+				_ = c.Close()
+			}()
+		}
+	}
+	go serveOn(l)
+	client := exchange.NewClient(l.Addr().String(), names)
+	failures := make(chan *exchange.Failure, 2)
+	for _, id := range []string{"a", "b"} {
+		go func() {
+			_, f := client.Do(t.Context(), message(id), always)
+			failures <- f
+		}()
+		<-arrived
+	}
+	require.NoError(t, l.Close())
+	close(die)
+	first, second := <-failures, <-failures
+	require.True(t, client.Died(t.Context(), first))
+	require.True(t, client.Died(t.Context(), second))
+	require.Equal(t, first.Generation, second.Generation)
+
+	again, err := net.Listen("tcp", l.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = again.Close() }()
+	go serveOn(again)
+	go func() { <-arrived }()
+	_, cut := client.Do(t.Context(), message("c"), always)
+	require.Equal(t, first.Generation+1, cut.Generation)
+	require.False(t, client.Died(t.Context(), cut), "a server that only closes the connection still listens")
+}
--- a/internal/mesh/exchange/pool.go
+++ b/internal/mesh/exchange/pool.go
@@ -44,6 +44,8 @@
 	mu     sync.Mutex
 	idle   []*conn
 	opened atomic.Uint64
+	// generation is the present Generation of the backend server.
+	generation atomic.Uint64
 }
 
 // NewClient returns a Client for the backend server at addr.
@@ -71,6 +73,8 @@
 type Failure struct {
 	Outcome Outcome
 	Cause   error
+	// Generation is that of the connection that the request was sent on.
+	Generation Generation
 }
 
 // Error returns the message of the cause.
@@ -109,16 +113,17 @@
 func (c *Client) Do(ctx context.Context, m *Message, allow func() bool) (*mesh.Answer, *Failure) {
 	pc, err := c.acquire(ctx, m.AtMostOnce)
 	if err != nil {
-		return nil, &Failure{Unreachable, err}
+		return nil, &Failure{Outcome: Unreachable, Cause: err}
 	}
-	r, sent := pc.send(ctx, m.request(), allow)
+	allowed := func() bool { return pc.generation == c.present() && allow() }
+	r, sent := pc.send(ctx, m.request(), allowed)
 	if r.err != nil {
 		pc.abort()
 		outcome := Unknown
 		if !sent {
 			outcome = NotSent
 		}
-		return nil, &Failure{outcome, r.err}
+		return nil, &Failure{Outcome: outcome, Cause: r.err, Generation: pc.generation}
 	}
 	if pc.noteKeepAlive(r.resp) && pc.alive() {
 		c.release(pc)
@@ -172,12 +177,15 @@
 
 func (c *Client) dial(ctx context.Context) (*conn, error) {
 	d := net.Dialer{Timeout: dialTimeout, Control: sockopt.UserTimeout(userTimeout)}
+	generation := c.present()
 	raw, err := d.DialContext(ctx, "tcp", c.addr)
 	if err != nil {
 		return nil, eris.Wrap(err, "open connection to backend server")
 	}
 	c.opened.Add(1)
-	return newConn(raw, c.names.RequestID), nil
+	pc := newConn(raw, c.names.RequestID)
+	pc.generation = generation
+	return pc, nil
 }
 
 // Close closes the idle connections.
--- a/internal/mesh/guard/guard.go
+++ b/internal/mesh/guard/guard.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"context"
 	"math"
+	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -26,6 +27,9 @@
 // it sends the first byte, and doesn't send if allow returns false.
 type Backend interface {
 	Do(ctx context.Context, m *exchange.Message, allow func() bool) (*mesh.Answer, *exchange.Failure)
+	// Died reports whether the backend server's process has died with the request of a failed
+	// exchange in flight.
+	Died(ctx context.Context, f *exchange.Failure) bool
 }
 
 // Config holds the parts and settings of a Guard.
@@ -65,11 +69,16 @@
 	probes        atomic.Uint64
 	sent          atomic.Uint64
 	active        atomic.Int64
+	// incarnation identifies this process in the ids of deaths, lastDeath is the id of the backend
+	// server's last death, and deaths counts them.
+	incarnation uint64
+	lastDeath   atomic.Uint64
+	deaths      atomic.Uint64
 }
 
 // New returns a Guard that refuses all requests until SetView is called.
 func New(c Config) *Guard {
-	g := &Guard{Config: c, gate: gate.New(), admission: newAdmission()}
+	g := &Guard{Config: c, gate: gate.New(), admission: newAdmission(), incarnation: rand.Uint64()}
 	g.gate.SetPacer(coldPacer{g})
 	return g
 }
@@ -133,6 +142,9 @@
 // Counts returns the number of requests sent to the backend server, and of probes.
 func (g *Guard) Counts() (sent, probes uint64) { return g.sent.Load(), g.probes.Load() }
 
+// Deaths returns how often the backend server has died with requests in flight.
+func (g *Guard) Deaths() uint64 { return g.deaths.Load() }
+
 // Load returns the load to report to entries.
 func (g *Guard) Load() mesh.Load {
 	l := g.gate.Load()
--- a/internal/mesh/guard/guard_test.go
+++ b/internal/mesh/guard/guard_test.go
@@ -427,6 +427,8 @@
 // panicking is a Backend that panics, as a defect in handling one request may.
 type panicking struct{}
 
+func (panicking) Died(context.Context, *exchange.Failure) bool { return false }
+
 func (panicking) Do(context.Context, *exchange.Message, func() bool) (*mesh.Answer, *exchange.Failure) {
 	panic("defect")
 }
--- a/internal/mesh/guard/record.go
+++ b/internal/mesh/guard/record.go
@@ -70,6 +70,9 @@
 		"waited_ms", s.waited.Milliseconds(), "took_ms", (g.Now() - s.start).Milliseconds(),
 	}
 	if e != nil {
+		if e.Death != 0 {
+			pairs = append(pairs, "death", formatDeath(e.Death), "alone", e.Alone)
+		}
 		g.Log.InfoLimited("guard refused or lost", append(pairs, "kind", e.Kind, "outcome", e.ReportedOutcome(), "message", e.Message, "cause", errorText(e.Cause))...)
 		return
 	}
--- a/internal/mesh/model/server.go
+++ b/internal/mesh/model/server.go
@@ -168,6 +168,9 @@
 	return s.run(ctx, m)
 }
 
+// Died reports that the server's process never ends.
+func (s *Server) Died(context.Context, *exchange.Failure) bool { return false }
+
 // run runs a request that holds a slot.
 func (s *Server) run(ctx context.Context, m *exchange.Message) (*mesh.Answer, *exchange.Failure) {
 	timer := time.NewTimer(s.drawServiceTime(m.URI))
--- a/internal/mesh/node/metrics.go
+++ b/internal/mesh/node/metrics.go
@@ -28,6 +28,7 @@
 	m.Gauge("limpetdock_store_behind_seconds", "How long the node has known of a newer revision than its own; 0 is not.", func() float64 { return r.Lag().Seconds() })
 	count("limpetdock_backend_sent_total", "Requests sent to the backend server.", func() uint64 { n, _ := g.Counts(); return n })
 	count("limpetdock_backend_probes_total", "Questions to the backend server about its load.", func() uint64 { _, n := g.Counts(); return n })
+	count("limpetdock_backend_deaths_total", "Deaths of the backend server with requests in flight.", g.Deaths)
 	count("limpetdock_backend_connections_total", "Connections opened to the backend server.", b.Opened)
 	count("limpetdock_callers_connections_total", "Connections accepted from callers.", f.Counts.Accepted.Load)
 	count("limpetdock_callers_requests_total", "Requests read whole.", f.Counts.Requests.Load)
