--- /dev/null
+++ b/internal/mesh/entry/crash_test.go
@@ -0,0 +1,236 @@
+package entry_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/limpetdock/limpetdock/internal/kind"
+	"github.com/limpetdock/limpetdock/internal/mesh"
+	"github.com/limpetdock/limpetdock/internal/mesh/entry"
+	"github.com/limpetdock/limpetdock/internal/mesh/exchange"
+	meshguard "github.com/limpetdock/limpetdock/internal/mesh/guard"
+	"github.com/limpetdock/limpetdock/internal/mesh/model"
+	"github.com/limpetdock/limpetdock/internal/mesh/quarantine"
+	"github.com/limpetdock/limpetdock/internal/place"
+)
+
+const (
+	// fleetNodes is the number of nodes, of which the first fleetServers have a backend server.
+	fleetNodes   = 12
+	fleetServers = 6
+	// newsDelay is the time of a message between two nodes.
+	newsDelay  = 10 * time.Millisecond
+	crashURI   = "/read/crash"
+	popularURI = "/read/popular"
+)
+
+// crashFleet is a service whose backend servers crash on requests for crashURI.
+type crashFleet struct {
+	servers  []*model.Server
+	guards   []*meshguard.Guard
+	entries  []*entry.Entry
+	trackers []*quarantine.Tracker
+}
+
+func (f *crashFleet) Run(ctx context.Context, addr string, r *mesh.Request) (*mesh.Answer, *kind.Error) {
+	time.Sleep(newsDelay / 2)
+	var i int
+	_, _ = fmt.Sscan(addr, &i)
+	return f.guards[i].Run(ctx, r)
+}
+
+// fleetSender sends one node's news to the others.
+type fleetSender struct {
+	*crashFleet
+	from int
+}
+
+func (s fleetSender) SendSuspects(rows []quarantine.Row, fanout int) {
+	to := rand.Perm(fleetNodes)
+	if fanout != quarantine.Everyone {
+		to = to[:fanout]
+	}
+	for _, i := range to {
+		time.AfterFunc(newsDelay, func() { s.trackers[i].Merge(rows) })
+	}
+}
+
+func newCrashFleet(ctx context.Context, wg *sync.WaitGroup, seed uint64) *crashFleet {
+	f := &crashFleet{}
+	start := time.Now()
+	now := func() time.Duration { return time.Since(start) }
+	route := &mesh.Route{
+		Name: "read", Host: "h", Prefix: "/read/", Shares: []mesh.Share{{Service: "s", Weight: 1}}, Idempotent: true,
+		Timeout: time.Second, LatencyObjective: 300 * time.Millisecond, MaxTargets: 2, Splitter: &mesh.Splitter{},
+	}
+	services := map[string]*mesh.Service{"s": {Name: "s", HealthPath: model.HealthPath}}
+	config := mesh.NewConfig(1, services, []*mesh.Route{route}, mesh.Limits{})
+	for i := range fleetNodes {
+		f.trackers = append(f.trackers, quarantine.New(now))
+		if i >= fleetServers {
+			continue
+		}
+		b := model.Backend{
+			Slots: 6, Queue: 10, Spread: 0.3, CrashTime: 35 * time.Millisecond, DownTime: 3 * time.Second,
+			Crashes: func(m *exchange.Message) bool { return m.URI == crashURI },
+		}
+		server := model.NewServer(b, []model.ServiceTime{{Prefix: "/", Mean: 90 * time.Millisecond}}, seed+uint64(i))
+		g := meshguard.New(meshguard.Config{
+			Here: mesh.Place{Service: "s"}, Dialect: model.Dialect, Backend: server, Now: now, LoadChanged: func(bool) {}, Suspects: f.trackers[i],
+		})
+		target := &mesh.Target{ID: "i-1", Service: "s", Slots: b.Slots, Addr: "h"}
+		g.SetView(&mesh.View{Config: config, LocalTarget: target})
+		wg.Go(func() { g.Probe(ctx) })
+		f.servers, f.guards = append(f.servers, server), append(f.guards, g)
+	}
+	for i := range fleetNodes {
+		f.addEntry(i, config, now)
+		wg.Go(func() { f.trackers[i].Run(ctx, fleetSender{f, i}) })
+	}
+	return f
+}
+
+// addEntry adds the entry of a node. Its targets have ids of their own, as it excludes them by these.
+func (f *crashFleet) addEntry(node int, config *mesh.Config, now func() time.Duration) {
+	e := entry.New(entry.Config{
+		Here: mesh.Place{VM: fmt.Sprint(node), Service: "caller"}, Peers: f, Observer: observer{}, Suspects: f.trackers[node],
+		Repeats: entry.Repeats{Ratio: 0.2, Slack: 80, Window: 10 * time.Second}, Now: now,
+	})
+	var targets []*mesh.Target
+	for i := range fleetServers {
+		targets = append(targets, &mesh.Target{
+			ID: fmt.Sprint("i-", i), Service: "s", Peer: fmt.Sprint(i), Slots: 6, Distance: place.SameRegion, Stat: &mesh.Stat{},
+		})
+	}
+	e.SetView(&mesh.View{Config: config, Targets: map[string][]*mesh.Target{"s": targets}})
+	f.entries = append(f.entries, e)
+}
+
+// crashed returns how often backend servers crashed.
+func (f *crashFleet) crashed() (n int) {
+	for _, s := range f.servers {
+		n += len(s.Crashed())
+	}
+	return n
+}
+
+// reads counts the outcomes of reads.
+type reads struct {
+	mu              sync.Mutex
+	sent, ok, block int
+}
+
+// send sends one read at an entry.
+func (r *reads) send(ctx context.Context, e *entry.Entry, now time.Duration, uri string) {
+	_, err := e.Serve(ctx, &entry.Inbound{ID: uri, Method: http.MethodGet, URI: uri, Path: uri, Host: "h", Header: http.Header{}, Arrived: now})
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sent++
+	switch {
+	case err == nil:
+		r.ok++
+	case err.Kind == kind.Blocked:
+		r.block++
+	}
+}
+
+// Guards against popular requests that are blocked because backend servers are killed in waves, with
+// the same requests in flight on each.
+func TestKilledServersBlockNothing(t *testing.T) {
+	const (
+		duration = 40 * time.Second
+		interval = 15 * time.Millisecond
+		waves    = 8 * time.Second
+	)
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				var background, requests sync.WaitGroup
+				f := newCrashFleet(ctx, &background, seed)
+				rnd := rand.New(rand.NewPCG(seed, 2))
+				var popular, others reads
+				start := time.Now()
+				var kills []time.Duration
+				for wave := waves; wave < duration; wave += waves {
+					for range fleetServers {
+						kills = append(kills, wave+time.Duration(rnd.IntN(400))*time.Millisecond)
+					}
+				}
+				for i, at := range kills {
+					time.AfterFunc(at, f.servers[i%fleetServers].Kill)
+				}
+				for i := 0; time.Since(start) < duration; i++ {
+					e := f.entries[rnd.IntN(len(f.entries))]
+					counts, uri := &others, fmt.Sprint("/read/", i)
+					if i%2 == 0 {
+						counts, uri = &popular, popularURI
+					}
+					now := time.Since(start)
+					requests.Go(func() { counts.send(ctx, e, now, uri) })
+					time.Sleep(interval)
+				}
+				requests.Wait()
+				cancel()
+				background.Wait()
+				t.Logf("popular: %d of %d served, %d blocked; others: %d of %d, %d blocked", popular.ok, popular.sent, popular.block, others.ok, others.sent, others.block)
+				require.Zero(t, popular.block)
+				require.Zero(t, others.block)
+			})
+		})
+	}
+}
+
+// Guards against a request that takes down its service as it is sent to one backend server after
+// the other, and against popular requests that are blocked because they were in flight too.
+func TestCrashingRequestAmongPopularOnes(t *testing.T) {
+	const (
+		duration    = 30 * time.Second
+		interval    = 15 * time.Millisecond
+		crashEvery  = 10
+		popularEach = 2
+	)
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				var background, requests sync.WaitGroup
+				f := newCrashFleet(ctx, &background, seed)
+				rnd := rand.New(rand.NewPCG(seed, 1))
+				var popular, others, crashing reads
+				start := time.Now()
+				for i := 0; time.Since(start) < duration; i++ {
+					e := f.entries[rnd.IntN(len(f.entries))]
+					counts, uri := &others, fmt.Sprint("/read/", i)
+					switch {
+					case i%crashEvery == 0:
+						counts, uri = &crashing, crashURI
+					case i%popularEach == 0:
+						counts, uri = &popular, popularURI
+					}
+					now := time.Since(start)
+					requests.Go(func() { counts.send(ctx, e, now, uri) })
+					time.Sleep(interval)
+				}
+				requests.Wait()
+				cancel()
+				background.Wait()
+				t.Logf("%d crashes in %d sendings; popular: %d of %d served, %d blocked; others: %d of %d, %d blocked",
+					f.crashed(), crashing.sent, popular.ok, popular.sent, popular.block, others.ok, others.sent, others.block)
+				require.LessOrEqual(t, f.crashed(), 6, "three crashes, and three retries that are allowed later")
+				require.Zero(t, popular.block)
+				require.Zero(t, others.block)
+				require.Greater(t, float64(popular.ok), 0.9*float64(popular.sent))
+				require.Greater(t, float64(others.ok), 0.9*float64(others.sent))
+			})
+		})
+	}
+}
--- a/internal/mesh/entry/describe.go
+++ b/internal/mesh/entry/describe.go
@@ -7,6 +7,7 @@
 
 	"github.com/limpetdock/limpetdock/internal/kind"
 	"github.com/limpetdock/limpetdock/internal/mesh"
+	"github.com/limpetdock/limpetdock/internal/suspect"
 )
 
 // describe returns the log fields that explain how a request was handled.
@@ -18,6 +19,9 @@
 	if t.route != nil {
 		pairs = append(pairs, "route", t.route.Name, "service", t.service, "budget_ms", (t.deadline - t.in.Arrived).Milliseconds())
 	}
+	if t.level != suspect.Unsuspected {
+		pairs = append(pairs, "suspicion", t.level.String())
+	}
 	if len(t.ineligible) > 0 {
 		pairs = append(pairs, "ineligible", t.describeIneligible())
 	}
--- a/internal/mesh/entry/entry.go
+++ b/internal/mesh/entry/entry.go
@@ -15,6 +15,7 @@
 	"github.com/limpetdock/limpetdock/internal/mesh"
 	"github.com/limpetdock/limpetdock/internal/mesh/eligibility"
 	"github.com/limpetdock/limpetdock/internal/stopping"
+	"github.com/limpetdock/limpetdock/internal/suspect"
 )
 
 // Guard runs requests at the backend server beside the node.
@@ -28,6 +29,12 @@
 	Run(ctx context.Context, addr string, r *mesh.Request) (*mesh.Answer, *kind.Error)
 }
 
+// Suspects is the node's table of requests that may crash backend servers.
+type Suspects interface {
+	// Check returns how a request is to be treated.
+	Check(fingerprint func() uint64) suspect.Entry
+}
+
 // Observer receives the outcomes of requests. Safe for concurrent use.
 type Observer interface {
 	Answered(service string, k kind.Kind, took time.Duration)
@@ -61,6 +68,7 @@
 	Here     mesh.Place
 	Guard    Guard
 	Peers    Peers
+	Suspects Suspects
 	Repeats  Repeats
 	Observer Observer
 	Log      *decision.Log
@@ -193,8 +201,11 @@
 	// ineligible counts the targets that must not get the request, by reason, as of the last
 	// selection.
 	ineligible map[eligibility.Reason]int
-	// sent counts the targets that may have run the request.
-	sent int
+	// sent counts the targets that may have run the request, and deaths those that died with it in
+	// flight.
+	sent, deaths int
+	// level is whether the request may crash backend servers, as of the last attempt.
+	level suspect.Level
 	// refusals holds the wait to assume at targets that refused the request for overload, by
 	// target id.
 	refusals map[string]time.Duration
--- a/internal/mesh/entry/entry_test.go
+++ b/internal/mesh/entry/entry_test.go
@@ -13,6 +13,7 @@
 	"github.com/limpetdock/limpetdock/internal/mesh"
 	"github.com/limpetdock/limpetdock/internal/mesh/eligibility"
 	"github.com/limpetdock/limpetdock/internal/mesh/entry"
+	"github.com/limpetdock/limpetdock/internal/mesh/quarantine"
 	"github.com/limpetdock/limpetdock/internal/place"
 )
 
@@ -78,8 +79,9 @@
 	d := &deployment{t: t, now: time.Minute, load: mesh.Load{Slots: 6, Slowdown: 1}, answers: map[string]func(*mesh.Request) (*mesh.Answer, *kind.Error){}}
 	d.entry = entry.New(entry.Config{
 		Here: mesh.Place{VM: "vm", Service: "shop"}, Guard: guard{d}, Peers: d, Observer: observer{},
-		Repeats: entry.Repeats{Ratio: 0.2, Slack: 80, Window: 10 * time.Second},
-		Now:     func() time.Duration { return d.now },
+		Repeats:  entry.Repeats{Ratio: 0.2, Slack: 80, Window: 10 * time.Second},
+		Now:      func() time.Duration { return d.now },
+		Suspects: quarantine.New(func() time.Duration { return d.now }),
 	})
 	d.entry.SetPrices(entry.Prices{ZonePerKB: 2 * time.Millisecond, RegionPerKB: 20 * time.Millisecond})
 	distances := map[string]place.Distance{own: place.SameVM, "zone": place.SameRegion, "region": place.SameRegion, "far": place.OtherRegion}
--- a/internal/mesh/entry/run.go
+++ b/internal/mesh/entry/run.go
@@ -86,6 +86,9 @@
 
 // next returns the best target and how long the request may wait in its queue.
 func (t *transaction) next() (candidate, time.Duration, *kind.Error) {
+	if refusal := t.checkSuspect(); refusal != nil {
+		return candidate{}, 0, refusal
+	}
 	list := t.candidates()
 	if len(list) == 0 {
 		return candidate{}, 0, t.noTargetError()
@@ -148,6 +151,7 @@
 		Idempotent: t.route.Idempotent, Priority: t.route.Priority,
 		Remaining: t.end() - start - answerMargin/2 - rttTo[c.target.Distance]/2, QueueTimeout: queueTimeout,
 		BaseServiceTime: baseServiceTime, ObjectiveRemaining: t.objective - start - rttTo[c.target.Distance],
+		Suspected: t.suspected(),
 	}
 	c.target.Stat.Begin()
 	var answer *mesh.Answer
@@ -209,6 +213,7 @@
 		t.refusals[target.ID] = max(err.Wait, assumedRefusalWait) + t.refusals[target.ID]
 	case kind.BackendDied:
 		failed = true
+		t.deaths++
 		target.Stat.Avoid(now + avoidUnreachable)
 	case kind.BackendBroken, kind.OutcomeUnknown:
 		failed = true
@@ -238,7 +243,7 @@
 
 // mayFailOver reports whether the request may be sent to another target after err.
 func (t *transaction) mayFailOver(err *kind.Error) bool {
-	if !err.MayTryOtherTarget(t.route.Idempotent) || t.sent >= max(t.route.MaxTargets, 1) {
+	if !err.MayTryOtherTarget(t.route.Idempotent) || t.sent >= max(t.route.MaxTargets, 1) || t.deaths > maxDeaths {
 		return false
 	}
 	if err.FromBackend || err.ReportedOutcome() != kind.NotRun {
--- a/internal/mesh/guard/cold.go
+++ b/internal/mesh/guard/cold.go
@@ -40,10 +40,10 @@
 }
 
 // probeWithin probes the backend server with a timeout.
-func (g *Guard) probeWithin(timeout time.Duration) {
+func (g *Guard) probeWithin(timeout time.Duration) (mesh.BackendLoad, bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	g.probe(ctx)
+	return g.probe(ctx)
 }
 
 // recordColdness records whether the backend server is cold, from the answer to a probe that was
--- a/internal/mesh/guard/guard.go
+++ b/internal/mesh/guard/guard.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"time"
 
+	lru "github.com/hashicorp/golang-lru/v2"
+
 	"github.com/limpetdock/limpetdock/internal/contention"
 	"github.com/limpetdock/limpetdock/internal/decision"
 	"github.com/limpetdock/limpetdock/internal/gate"
@@ -21,6 +23,7 @@
 	"github.com/limpetdock/limpetdock/internal/mesh/eligibility"
 	"github.com/limpetdock/limpetdock/internal/mesh/exchange"
 	"github.com/limpetdock/limpetdock/internal/stopping"
+	"github.com/limpetdock/limpetdock/internal/suspect"
 )
 
 // Backend makes exchanges with the backend server. It calls allow immediately before
@@ -41,6 +44,8 @@
 	// during which the VM was suspended.
 	Now func() time.Duration
 	Log *decision.Log
+	// Suspects is the node's table of requests that may crash backend servers.
+	Suspects Suspects
 	// ColdStart limits the rate of requests while the backend server is cold.
 	ColdStart coldstart.Policy
 	// LoadChanged is called after a change of the load that must be sent to the entries.
@@ -55,8 +60,11 @@
 	leaving   atomic.Bool
 	stopping  atomic.Bool
 	admission *admission
-	slowdown  slowdownTracker
-	cold      coldstart.Limiter
+	isolation suspect.Isolation
+	// served holds when requests were last answered, by fingerprint.
+	served   *lru.Cache[uint64, time.Duration]
+	slowdown slowdownTracker
+	cold     coldstart.Limiter
 	// reportedAt is when the backend server last reported its load, and probing is true
 	// while a probe is in progress.
 	reportedAt atomic.Int64
@@ -79,6 +87,8 @@
 // New returns a Guard that refuses all requests until SetView is called.
 func New(c Config) *Guard {
 	g := &Guard{Config: c, gate: gate.New(), admission: newAdmission(), incarnation: rand.Uint64()}
+	// An error would mean that maxServed isn't positive.
+	g.served, _ = lru.New[uint64, time.Duration](maxServed)
 	g.gate.SetPacer(coldPacer{g})
 	return g
 }
@@ -191,6 +201,11 @@
 		return nil, e
 	}
 	defer slot.Release()
+	x, e := g.isolate(ctx, s)
+	if e != nil {
+		return nil, e
+	}
+	defer x.Leave()
 	if e := confirm(ctx, r); e != nil {
 		return nil, e
 	}
@@ -209,6 +224,7 @@
 	sent := g.Now()
 	answer, e := g.exchange(ctx, s, deadline)
 	s.backendTime = g.Now() - sent
+	g.recordSuspicion(s, x, answer, e)
 	g.recordBackendTime(s, slot, answer, e)
 	return answer, e
 }
--- a/internal/mesh/guard/guard_test.go
+++ b/internal/mesh/guard/guard_test.go
@@ -17,6 +17,7 @@
 	"github.com/limpetdock/limpetdock/internal/mesh/exchange"
 	"github.com/limpetdock/limpetdock/internal/mesh/guard"
 	"github.com/limpetdock/limpetdock/internal/mesh/model"
+	"github.com/limpetdock/limpetdock/internal/mesh/quarantine"
 	"github.com/limpetdock/limpetdock/internal/stopping"
 )
 
@@ -43,6 +44,7 @@
 	x.Guard = guard.New(guard.Config{
 		Here: mesh.Place{Service: "orders"}, Dialect: dialect, Backend: client,
 		Now: func() time.Duration { return time.Duration(x.now.Load()) }, LoadChanged: func(bool) {},
+		Suspects: quarantine.New(func() time.Duration { return time.Duration(x.now.Load()) }),
 	})
 	x.view = &mesh.View{
 		Config:      mesh.NewConfig(1, map[string]*mesh.Service{"orders": {Name: "orders", HealthPath: "/health"}}, nil, mesh.Limits{}),
--- /dev/null
+++ b/internal/mesh/guard/isolate.go
@@ -0,0 +1,129 @@
+package guard
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/limpetdock/limpetdock/internal/clock"
+	"github.com/limpetdock/limpetdock/internal/kind"
+	"github.com/limpetdock/limpetdock/internal/mesh"
+	"github.com/limpetdock/limpetdock/internal/stopping"
+	"github.com/limpetdock/limpetdock/internal/suspect"
+)
+
+// Suspects is the node's table of requests that may crash backend servers.
+type Suspects interface {
+	// Check returns how a request is to be treated.
+	Check(fingerprint func() uint64) suspect.Entry
+	// Died records that a request was in flight when the backend server died, and Completed that a
+	// suspect was answered.
+	Died(fingerprint uint64, d suspect.Death)
+	Completed(fingerprint uint64)
+}
+
+// suspicion returns how the request is to be treated.
+func (g *Guard) suspicion(s *requestState) suspect.Level {
+	entry := g.Suspects.Check(s.request.Fingerprint)
+	s.blockedFor = entry.Until - g.Now()
+	if entry.Level == suspect.Unsuspected && s.request.Suspected && !g.servedLately(s.request.Fingerprint()) {
+		return suspect.Suspected
+	}
+	return entry.Level
+}
+
+// isolate waits until the request may run: a suspect runs alone, and a blocked request not at all.
+// The level may change during the wait.
+func (g *Guard) isolate(ctx context.Context, s *requestState) (suspect.Execution, *kind.Error) {
+	for {
+		s.level = g.suspicion(s)
+		if s.level == suspect.Blocked {
+			return suspect.Execution{}, mesh.BlockedError(s.blockedFor)
+		}
+		x, ok := g.enter(ctx, s)
+		if !ok {
+			return suspect.Execution{}, g.isolationError(ctx, s)
+		}
+		if g.suspicion(s) == s.level {
+			return x, nil
+		}
+		x.Leave()
+	}
+}
+
+// enter waits for the request's turn. A request that isn't suspected waits no longer than its queue
+// timeout while a suspect runs, as its entry may know a better target.
+func (g *Guard) enter(ctx context.Context, s *requestState) (suspect.Execution, bool) {
+	if s.level == suspect.Suspected {
+		x, ok := g.isolation.Enter(ctx, true)
+		if ok {
+			g.awaitAbandoned(ctx)
+		}
+		return x, ok
+	}
+	timeout := max(s.request.QueueTimeout-(g.Now()-s.start), time.Millisecond)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return g.isolation.Enter(ctx, false)
+}
+
+// isolationError returns the refusal of a request that was not let in before ctx or its queue
+// timeout ended.
+func (g *Guard) isolationError(ctx context.Context, s *requestState) *kind.Error {
+	switch {
+	case stopping.Ended(ctx):
+		return g.leavingError()
+	case ctx.Err() != nil || s.level == suspect.Suspected:
+		return kind.New(kind.DeadlineNotRun, "the deadline passed before a suspect could run alone")
+	}
+	return kind.New(kind.Overloaded, "a request that may crash the backend server runs alone")
+}
+
+// awaitAbandoned waits until requests that were given up have ended at the backend server: until it
+// reports that it runs nothing, or the time has passed within which it may still run them.
+func (g *Guard) awaitAbandoned(ctx context.Context) {
+	for g.isolation.AbandonedPresent() {
+		if load, ok := g.probeWithin(refreshTimeout); ok && load.Running+load.Waiting == 0 {
+			g.isolation.ConfirmIdle()
+			return
+		}
+		if !clock.Sleep(ctx, recoveryCheckInterval) {
+			return
+		}
+	}
+}
+
+// recordSuspicion records what the outcome shows about whether the request crashes backend servers.
+// It must be called before the execution ends, as the next suspect must find a death recorded.
+func (g *Guard) recordSuspicion(s *requestState, x suspect.Execution, a *mesh.Answer, e *kind.Error) {
+	switch {
+	case e != nil && e.Death != 0:
+		e.Alone = x.Alone()
+		fingerprint := s.request.Fingerprint()
+		g.Suspects.Died(fingerprint, suspect.Death{ID: e.Death, Alone: e.Alone, Served: g.servedLately(fingerprint)})
+	case a != nil && a.Status != http.StatusGatewayTimeout:
+		// A backend server that stopped at the time limit has not run the request to its end.
+		g.recordServed(s.request.Fingerprint())
+	}
+}
+
+const (
+	// servedMemory is how long a guard remembers that the backend server has answered a request, and
+	// maxServed how many requests it remembers.
+	servedMemory = time.Minute
+	maxServed    = 2048
+)
+
+// recordServed records that the backend server has answered a request.
+func (g *Guard) recordServed(fingerprint uint64) {
+	g.served.Add(fingerprint, g.Now())
+	if g.Suspects.Check(func() uint64 { return fingerprint }).Level != suspect.Unsuspected {
+		g.Suspects.Completed(fingerprint)
+	}
+}
+
+// servedLately reports whether the backend server has answered such a request shortly before.
+func (g *Guard) servedLately(fingerprint uint64) bool {
+	at, known := g.served.Peek(fingerprint)
+	return known && g.Now()-at < servedMemory
+}
--- a/internal/mesh/guard/load_test.go
+++ b/internal/mesh/guard/load_test.go
@@ -13,6 +13,7 @@
 	"github.com/limpetdock/limpetdock/internal/mesh"
 	"github.com/limpetdock/limpetdock/internal/mesh/guard"
 	"github.com/limpetdock/limpetdock/internal/mesh/model"
+	"github.com/limpetdock/limpetdock/internal/mesh/quarantine"
 )
 
 // route is a kind of request in the load tests: its mean base service time, its latency
@@ -53,6 +54,7 @@
 	g := guard.New(guard.Config{
 		Here: mesh.Place{Service: service.Name}, Dialect: model.Dialect, Backend: s, ColdStart: coldPolicy,
 		Now: func() time.Duration { return time.Since(start) }, LoadChanged: func(bool) {},
+		Suspects: quarantine.New(func() time.Duration { return time.Since(start) }),
 	})
 	g.SetView(&mesh.View{
 		Config:      mesh.NewConfig(1, map[string]*mesh.Service{service.Name: &service}, table, mesh.Limits{}),
--- a/internal/mesh/guard/probe.go
+++ b/internal/mesh/guard/probe.go
@@ -72,19 +72,21 @@
 	return v.LocalTarget
 }
 
-func (g *Guard) probe(ctx context.Context) {
+// probe asks the backend server for its load and returns it. It returns false if there is no answer,
+// or a probe is in progress already.
+func (g *Guard) probe(ctx context.Context) (mesh.BackendLoad, bool) {
 	if g.probing.Swap(true) {
-		return
+		return mesh.BackendLoad{}, false
 	}
 	defer g.probing.Store(false)
 	target := g.probeTarget()
 	if target == nil {
 		// The registration may end while requests that arrived before still wait.
-		return
+		return mesh.BackendLoad{}, false
 	}
 	svc := g.view.Load().Config.Services[g.Here.Service]
 	if svc == nil || svc.HealthPath == "" {
-		return
+		return mesh.BackendLoad{}, false
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
@@ -97,8 +99,8 @@
 		Method: http.MethodGet, URI: svc.HealthPath, Host: target.Addr, Header: http.Header{},
 	}, func() bool { return true })
 	if failure != nil {
-		return
+		return mesh.BackendLoad{}, false
 	}
-	g.recordLoad(answer.Header)
 	g.recordColdness(asked, answer.Header)
+	return g.recordLoad(answer.Header)
 }
--- a/internal/mesh/guard/record.go
+++ b/internal/mesh/guard/record.go
@@ -6,6 +6,7 @@
 
 	"github.com/limpetdock/limpetdock/internal/kind"
 	"github.com/limpetdock/limpetdock/internal/mesh"
+	"github.com/limpetdock/limpetdock/internal/suspect"
 )
 
 // requestState is what the guard keeps of a request while it handles it.
@@ -29,6 +30,10 @@
 	// loadAge the age of the report on it.
 	slowdown slowdownState
 	loadAge  time.Duration
+	// level is whether the request may crash the backend server, and blockedFor for how much longer
+	// it is blocked.
+	level      suspect.Level
+	blockedFor time.Duration
 }
 
 // route returns the route of the request in a View, or nil if there is none.
@@ -69,6 +74,9 @@
 		"beside", s.concurrency, "crowding", s.contention, "own_ms", s.backendTime.Milliseconds(),
 		"waited_ms", s.waited.Milliseconds(), "took_ms", (g.Now() - s.start).Milliseconds(),
 	}
+	if s.level != suspect.Unsuspected {
+		pairs = append(pairs, "suspicion", s.level.String())
+	}
 	if e != nil {
 		if e.Death != 0 {
 			pairs = append(pairs, "death", formatDeath(e.Death), "alone", e.Alone)
--- a/internal/mesh/guard/send.go
+++ b/internal/mesh/guard/send.go
@@ -61,6 +61,9 @@
 
 // exchangeError returns the error for an exchange that failed.
 func (g *Guard) exchangeError(ctx context.Context, f *exchange.Failure) *kind.Error {
+	if f.Outcome == exchange.Unknown && ctx.Err() != nil {
+		g.isolation.Abandon()
+	}
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled) && f.Outcome == exchange.Unknown:
 		return mesh.CancelledError(ctx)
@@ -88,11 +91,12 @@
 	}
 }
 
-// recordLoad records the load that the backend server reports in the headers of a response.
-func (g *Guard) recordLoad(h http.Header) {
+// recordLoad records the load that the backend server reports in the headers of a response, and
+// returns it.
+func (g *Guard) recordLoad(h http.Header) (mesh.BackendLoad, bool) {
 	l, ok := g.Dialect.ParseLoad(h.Get(g.Dialect.Headers.Load))
 	if !ok {
-		return
+		return l, false
 	}
 	g.gate.SetBackendRunning(l.Running)
 	now := g.Now()
@@ -100,4 +104,5 @@
 	if l.Slowdown > 0 && g.slowdown.report(now, l.Slowdown) {
 		g.LoadChanged(false)
 	}
+	return l, true
 }
--- a/internal/mesh/message.go
+++ b/internal/mesh/message.go
@@ -9,6 +9,7 @@
 
 	"github.com/limpetdock/limpetdock/internal/kind"
 	"github.com/limpetdock/limpetdock/internal/stopping"
+	"github.com/limpetdock/limpetdock/internal/suspect"
 )
 
 // Request is a complete request of a caller on its way to a backend server.
@@ -37,16 +38,32 @@
 	// BaseServiceTime is how long requests of this route take at the service's backend servers
 	// without queueing and interference; 0 means that the sender does not know it.
 	BaseServiceTime time.Duration
+	// Suspected is true if the sender knows that the request may crash the backend server.
+	Suspected bool
 	// Confirm asks the entry whether the request may still run, right before it is sent to the
 	// backend server; an error means that it must not be sent. It is nil if no confirmation is
 	// needed.
 	Confirm func(ctx context.Context) error
 }
 
+// Fingerprint identifies the request among its sendings.
+func (r *Request) Fingerprint() uint64 {
+	return suspect.Identity{Service: r.Service, Caller: r.Caller, Method: r.Method, Host: r.Host, URI: r.URI, Body: r.Body}.Fingerprint()
+}
+
 // ErrCallerLeft is the cause (context.Cause) of the end of a request's context if the caller closed
 // its connection. If the node stops, the cause is stopping.Err.
 var ErrCallerLeft = eris.New("the caller left")
 
+// BlockedError returns the refusal of a request whose sendings have crashed backend servers, for as
+// long as it stays blocked. This sending has not run.
+func BlockedError(blockedFor time.Duration) *kind.Error {
+	e := kind.New(kind.Blocked, "requests like this one crashed backend servers")
+	e.Outcome = kind.NotRun
+	e.RetryAfter = blockedFor
+	return e
+}
+
 // CancelledError returns the error for a request whose context was cancelled. Its outcome is
 // unknown unless the caller knows better.
 func CancelledError(ctx context.Context) *kind.Error {
--- a/internal/mesh/model/server.go
+++ b/internal/mesh/model/server.go
@@ -9,6 +9,7 @@
 	"math"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -56,6 +57,10 @@
 	HangsWhenFull bool
 	// Spread is the standard deviation of the logarithm of the service times of one route.
 	Spread float64
+	// Crashes reports whether a request crashes the server when it has run for CrashTime. The server
+	// is then down for DownTime. nil means that none does.
+	Crashes             func(m *exchange.Message) bool
+	CrashTime, DownTime time.Duration
 }
 
 // Neighbours is the interference by other processes on the same VM.
@@ -88,11 +93,21 @@
 	// was cold.
 	coldUntil    time.Time
 	coldArrivals []time.Time
+	// process is the present one. The server is down until downUntil.
+	process   *process
+	downUntil time.Time
+	crashes   []time.Time
+}
+
+// process is one life of the server's process.
+type process struct {
+	ended      chan struct{}
+	generation exchange.Generation
 }
 
 // NewServer starts a backend server whose random numbers are drawn from seed.
 func NewServer(b Backend, serviceTimes []ServiceTime, seed uint64) *Server {
-	s := &Server{Backend: b, serviceTimes: serviceTimes, rnd: rand.New(rand.NewPCG(seed, seed)), started: time.Now(), period: -1}
+	s := &Server{Backend: b, serviceTimes: serviceTimes, rnd: rand.New(rand.NewPCG(seed, seed)), started: time.Now(), period: -1, process: &process{ended: make(chan struct{})}}
 	s.GoCold(b.WarmUp)
 	return s
 }
@@ -128,6 +143,64 @@
 	}
 }
 
+// crash ends the process with everything that it runs.
+func (s *Server) crash(life *process) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if life != s.process {
+		return
+	}
+	close(life.ended)
+	s.process = &process{ended: make(chan struct{}), generation: life.generation + 1}
+	s.running, s.queue = 0, nil
+	s.downUntil = time.Now().Add(s.DownTime)
+	s.crashes = append(s.crashes, time.Now())
+}
+
+// Kill ends the process from outside, with everything that it runs.
+func (s *Server) Kill() {
+	if life := s.life(); life != nil {
+		s.crash(life)
+	}
+}
+
+func (p *process) failure() *exchange.Failure {
+	return &exchange.Failure{Outcome: exchange.Unknown, Cause: errCrashed, Generation: p.generation}
+}
+
+// life returns the present process, or nil while the server is down.
+func (s *Server) life() *process {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if time.Now().Before(s.downUntil) {
+		return nil
+	}
+	return s.process
+}
+
+// Crashed returns when the server crashed.
+func (s *Server) Crashed() []time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.crashes)
+}
+
+// Died implements guard.Backend.
+func (s *Server) Died(_ context.Context, f *exchange.Failure) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return f.Outcome == exchange.Unknown && f.Generation != s.process.generation
+}
+
+// leaveAlive releases the slot of a request unless the process that ran it has ended.
+func (s *Server) leaveAlive(life *process) {
+	select {
+	case <-life.ended:
+	default:
+		s.leave()
+	}
+}
+
 // Ran returns how many requests it has completed.
 func (s *Server) Ran() int {
 	s.mu.Lock()
@@ -138,6 +211,8 @@
 var (
 	errNoAnswer = eris.New("no answer")
 	errCanceled = eris.New("the exchange was broken off")
+	errCrashed  = eris.New("the server crashed")
+	errDown     = eris.New("the server is down")
 )
 
 // Do makes an exchange, as a client of the server would.
@@ -149,6 +224,10 @@
 		return nil, &exchange.Failure{Outcome: exchange.NotSent, Cause: errCanceled}
 	}
 	s.noteArrival()
+	life := s.life()
+	if life == nil {
+		return nil, &exchange.Failure{Outcome: exchange.Unreachable, Cause: errDown}
+	}
 	admitted, full := s.enter()
 	switch {
 	case full && s.HangsWhenFull:
@@ -161,23 +240,33 @@
 	}
 	select {
 	case <-admitted:
+	case <-life.ended:
+		return nil, life.failure()
 	case <-ctx.Done():
 		s.leaveQueue(admitted)
 		return nil, &exchange.Failure{Outcome: exchange.Unknown, Cause: errCanceled}
 	}
-	return s.run(ctx, m)
+	return s.run(ctx, m, life)
 }
 
-// Died reports that the server's process never ends.
-func (s *Server) Died(context.Context, *exchange.Failure) bool { return false }
-
 // run runs a request that holds a slot.
-func (s *Server) run(ctx context.Context, m *exchange.Message) (*mesh.Answer, *exchange.Failure) {
-	timer := time.NewTimer(s.drawServiceTime(m.URI))
+func (s *Server) run(ctx context.Context, m *exchange.Message, life *process) (*mesh.Answer, *exchange.Failure) {
+	crashes := s.Crashes != nil && s.Crashes(m)
+	serviceTime := s.drawServiceTime(m.URI)
+	if crashes {
+		serviceTime = s.CrashTime
+	}
+	timer := time.NewTimer(serviceTime)
 	defer timer.Stop()
-	defer s.leave()
+	defer s.leaveAlive(life)
 	select {
 	case <-timer.C:
+		if crashes {
+			s.crash(life)
+			return nil, life.failure()
+		}
+	case <-life.ended:
+		return nil, life.failure()
 	case <-ctx.Done():
 		return nil, &exchange.Failure{Outcome: exchange.Unknown, Cause: errCanceled}
 	}
--- a/internal/mesh/node/admin.go
+++ b/internal/mesh/node/admin.go
@@ -15,7 +15,9 @@
 	"github.com/limpetdock/limpetdock/internal/clock"
 	"github.com/limpetdock/limpetdock/internal/mesh"
 	"github.com/limpetdock/limpetdock/internal/mesh/entry"
+	"github.com/limpetdock/limpetdock/internal/mesh/quarantine"
 	"github.com/limpetdock/limpetdock/internal/metrics"
+	"github.com/limpetdock/limpetdock/internal/wire"
 )
 
 // Paths on the operators' port.
@@ -34,13 +36,14 @@
 	entry     *entry.Entry
 	guard     *reportingGuard
 	metrics   *metrics.Metrics
+	suspects  *quarantine.Tracker
 	now       clock.Clock
 	stopping  atomic.Bool
 }
 
-func newAdmin(p Platform, e *entry.Entry, g *reportingGuard, m *metrics.Metrics, now clock.Clock) *admin {
+func newAdmin(p Platform, e *entry.Entry, g *reportingGuard, m *metrics.Metrics, q *quarantine.Tracker, now clock.Clock) *admin {
 	gin.SetMode(gin.ReleaseMode)
-	return &admin{readyPath: p.ReadyPath, entry: e, guard: g, metrics: m, now: now}
+	return &admin{readyPath: p.ReadyPath, entry: e, guard: g, metrics: m, suspects: q, now: now}
 }
 
 // adminTimeout bounds reading a request's header on these ports.
@@ -88,8 +91,10 @@
 	Active  int       `json:"active"`
 	Load    mesh.Load `json:"load"`
 	// EvacuatedZones are the zones whose targets get no new requests.
-	EvacuatedZones []string      `json:"evacuated_zones"`
-	Targets        []targetState `json:"targets"`
+	EvacuatedZones []string `json:"evacuated_zones"`
+	// Suspects are the requests that may crash backend servers.
+	Suspects []wire.Suspect `json:"suspects"`
+	Targets  []targetState  `json:"targets"`
 }
 
 type targetState struct {
@@ -102,7 +107,7 @@
 }
 
 func (a *admin) state() state {
-	s := state{Stopping: a.stopping.Load(), Active: a.entry.Active(), Load: a.guard.Load()}
+	s := state{Stopping: a.stopping.Load(), Active: a.entry.Active(), Load: a.guard.Load(), Suspects: a.suspects.Dump()}
 	s.Reading = s.Load.ReadsStore
 	v := a.entry.View()
 	if v == nil {
--- a/internal/mesh/node/metrics.go
+++ b/internal/mesh/node/metrics.go
@@ -6,12 +6,13 @@
 	"github.com/limpetdock/limpetdock/internal/mesh/exchange"
 	"github.com/limpetdock/limpetdock/internal/mesh/front"
 	"github.com/limpetdock/limpetdock/internal/mesh/guard"
+	"github.com/limpetdock/limpetdock/internal/mesh/quarantine"
 	"github.com/limpetdock/limpetdock/internal/mesh/reader"
 	"github.com/limpetdock/limpetdock/internal/metrics"
 )
 
 // registerMetrics exposes the counters kept by a node's components.
-func registerMetrics(m *metrics.Metrics, log *decision.Log, c *storeCalls, s Source, r *reader.Follower, f *front.Server, e *entry.Entry, g *guard.Guard, b *exchange.Client) {
+func registerMetrics(m *metrics.Metrics, log *decision.Log, c *storeCalls, s Source, r *reader.Follower, f *front.Server, e *entry.Entry, g *guard.Guard, b *exchange.Client, q *quarantine.Tracker) {
 	count := func(name, help string, read func() uint64) {
 		m.Counter(name, help, func() float64 { return float64(read()) })
 	}
@@ -29,6 +30,7 @@
 	count("limpetdock_backend_sent_total", "Requests sent to the backend server.", func() uint64 { n, _ := g.Counts(); return n })
 	count("limpetdock_backend_probes_total", "Questions to the backend server about its load.", func() uint64 { _, n := g.Counts(); return n })
 	count("limpetdock_backend_deaths_total", "Deaths of the backend server with requests in flight.", g.Deaths)
+	m.Gauge("limpetdock_suspects", "Requests that were in flight when backend servers died, in the node's table.", func() float64 { return float64(q.Len()) })
 	count("limpetdock_backend_connections_total", "Connections opened to the backend server.", b.Opened)
 	count("limpetdock_callers_connections_total", "Connections accepted from callers.", f.Counts.Accepted.Load)
 	count("limpetdock_callers_requests_total", "Requests read whole.", f.Counts.Requests.Load)
--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -19,6 +19,7 @@
 	"github.com/limpetdock/limpetdock/internal/mesh/front"
 	"github.com/limpetdock/limpetdock/internal/mesh/guard"
 	"github.com/limpetdock/limpetdock/internal/mesh/peer"
+	"github.com/limpetdock/limpetdock/internal/mesh/quarantine"
 	"github.com/limpetdock/limpetdock/internal/mesh/reader"
 	"github.com/limpetdock/limpetdock/internal/mesh/settings"
 	"github.com/limpetdock/limpetdock/internal/metrics"
@@ -70,7 +71,7 @@
 // *decision.Log.
 var Module = fx.Options(
 	fx.Provide(
-		clock.New, metrics.New, newBackend, newGuard, newLoadSender, newPeerServer, newPeerClient, newEntry,
+		clock.New, metrics.New, quarantine.New, newBackend, newGuard, newLoadSender, newPeerServer, newPeerClient, newEntry,
 		newCallerHandler, newFront, newLoop, newStoreCalls, newSource, newAdmin, newReportDispatcher, newReaderTable, newFollower, newReportingGuard,
 	),
 	fx.Invoke(registerMetrics, run),
@@ -80,26 +81,30 @@
 	return exchange.NewClient(s.Backend, p.Dialect.Headers)
 }
 
-func newGuard(s *settings.Settings, p Platform, b *exchange.Client, now clock.Clock, log *decision.Log, t *loadSender) *guard.Guard {
+func newGuard(s *settings.Settings, p Platform, b *exchange.Client, now clock.Clock, log *decision.Log, t *loadSender, q *quarantine.Tracker) *guard.Guard {
 	g := guard.New(guard.Config{
 		Here: s.Here, Dialect: p.Dialect, Backend: b, Now: now, Log: log, LoadChanged: t.changed,
-		ColdStart: s.ColdStart,
+		ColdStart: s.ColdStart, Suspects: q,
 	})
 	g.SetSlotShare(s.Tunable.Fill)
 	return g
 }
 
-func newPeerServer(s *settings.Settings, r *reportingGuard) *peer.Server {
-	return peer.NewServer(r, s.Here)
+func newPeerServer(s *settings.Settings, r *reportingGuard, q *quarantine.Tracker) *peer.Server {
+	server := peer.NewServer(r, s.Here)
+	server.SetInitialSuspects(q.Initial)
+	return server
 }
 
-func newPeerClient(s *settings.Settings, r *reportDispatcher) *peer.Client {
-	return peer.NewClient(s.Here, r)
+func newPeerClient(s *settings.Settings, r *reportDispatcher, q *quarantine.Tracker) *peer.Client {
+	client := peer.NewClient(s.Here, r)
+	client.OnSuspects(q.Merge)
+	return client
 }
 
-func newEntry(s *settings.Settings, g *guard.Guard, p *peer.Client, m *metrics.Metrics, now clock.Clock, log *decision.Log) *entry.Entry {
+func newEntry(s *settings.Settings, g *guard.Guard, p *peer.Client, m *metrics.Metrics, now clock.Clock, log *decision.Log, q *quarantine.Tracker) *entry.Entry {
 	e := entry.New(entry.Config{
-		Here: s.Here, Guard: g, Peers: p, Repeats: s.Repeats, Observer: m, Log: log, Now: now,
+		Here: s.Here, Guard: g, Peers: p, Suspects: q, Repeats: s.Repeats, Observer: m, Log: log, Now: now,
 	})
 	e.SetPrices(s.Tunable.Prices)
 	return e
@@ -158,6 +163,7 @@
 	Loop       *directory.Loop
 	Source     Source
 	Readers    *reader.Table
+	Quarantine *quarantine.Tracker
 	Follower   *reader.Follower
 	Reporter   *reportingGuard
 	Admin      *admin
@@ -215,6 +221,7 @@
 	go p.Source.Run(ctx, p.bootstrap)
 	go p.Guard.Probe(ctx)
 	go p.Follower.Run(ctx)
+	go p.Quarantine.Run(ctx, p.Peers)
 	go p.LoadSender.run(ctx, p.Peers, p.Reporter)
 	go p.keepConnected(ctx)
 	for _, serve := range []func() error{
--- a/internal/mesh/peer/client.go
+++ b/internal/mesh/peer/client.go
@@ -9,6 +9,7 @@
 
 	"github.com/limpetdock/limpetdock/internal/kind"
 	"github.com/limpetdock/limpetdock/internal/mesh"
+	"github.com/limpetdock/limpetdock/internal/mesh/quarantine"
 )
 
 // bulkSize is the body size, in bytes, from which on a request uses a second
@@ -31,8 +32,14 @@
 	links map[linkKey]*link
 	// stateSync exchanges store state with other nodes; nil until SetStateSync is called.
 	stateSync atomic.Pointer[StateSync]
+	// suspects receives the suspects that other nodes send; nil until OnSuspects is called.
+	suspects atomic.Pointer[func([]quarantine.Row)]
 }
 
+// OnSuspects sets the function that receives the requests that other nodes suspect to crash
+// backend servers.
+func (c *Client) OnSuspects(f func([]quarantine.Row)) { c.suspects.Store(&f) }
+
 // SetStateSync sets how state queries of other nodes are answered and how the states
 // that they send are applied. It must be called before the first request.
 func (c *Client) SetStateSync(state StateSync) { c.stateSync.Store(&state) }
@@ -62,7 +69,7 @@
 // NewClient returns a Client for the node at here.
 func NewClient(here mesh.Place, l Listener) *Client {
 	return &Client{
-		hello:    Hello{VM: here.VM, Region: here.Region},
+		hello:    Hello{VM: here.VM, Region: here.Region, Suspects: true},
 		listener: l, dial: dialPeer, links: map[linkKey]*link{},
 	}
 }
--- a/internal/mesh/peer/frame.go
+++ b/internal/mesh/peer/frame.go
@@ -43,6 +43,9 @@
 	// frameProceed allows it to run.
 	frameReady
 	frameProceed
+	// frameSuspects carries requests that may crash backend servers, to nodes whose Hello says
+	// that they accept it. It belongs to no stream.
+	frameSuspects
 	// frameEnd is greater than all types.
 	frameEnd
 )
@@ -60,6 +63,8 @@
 // Hello is the first frame on every connection; it identifies the node that dialled.
 type Hello struct {
 	VM, Region string
+	// Suspects is true if the node accepts a frameSuspects. Older versions close the connection.
+	Suspects bool
 }
 
 // requestBody is the encoding of a mesh.Request. Times are in milliseconds.
@@ -81,6 +86,8 @@
 	ObjectiveRemainingMs int32
 	// Confirm makes the request wait for a frameProceed before it runs.
 	Confirm bool
+	// Suspected is true if the request may crash the backend server.
+	Suspected bool
 }
 
 type answerBody struct {
@@ -141,6 +148,7 @@
 		Caller: r.Caller, Service: r.Service, Target: r.Target, Idempotent: r.Idempotent,
 		Priority: r.Priority, RemainingMs: milliseconds(r.Remaining), QueueTimeoutMs: milliseconds(r.QueueTimeout),
 		BaseServiceMs: milliseconds(r.BaseServiceTime), ObjectiveRemainingMs: signedMilliseconds(r.ObjectiveRemaining),
+		Suspected: r.Suspected,
 	}
 }
 
@@ -155,6 +163,7 @@
 		QueueTimeout:       time.Duration(b.QueueTimeoutMs) * time.Millisecond,
 		BaseServiceTime:    time.Duration(b.BaseServiceMs) * time.Millisecond,
 		ObjectiveRemaining: time.Duration(b.ObjectiveRemainingMs) * time.Millisecond,
+		Suspected:          b.Suspected,
 	}
 }
 
--- a/internal/mesh/peer/link.go
+++ b/internal/mesh/peer/link.go
@@ -265,6 +265,8 @@
 		return l.client.stateSync.Load().answer(w, body)
 	case frameState:
 		return l.client.stateSync.Load().apply(body)
+	case frameSuspects:
+		return l.client.handleSuspects(body)
 	case framePong:
 	default:
 		return false
--- a/internal/mesh/peer/server.go
+++ b/internal/mesh/peer/server.go
@@ -13,6 +13,7 @@
 	"github.com/limpetdock/limpetdock/internal/accept"
 	"github.com/limpetdock/limpetdock/internal/kind"
 	"github.com/limpetdock/limpetdock/internal/mesh"
+	"github.com/limpetdock/limpetdock/internal/mesh/quarantine"
 	"github.com/limpetdock/limpetdock/internal/stopping"
 )
 
@@ -41,6 +42,9 @@
 	lastRequest map[string]time.Time
 	bootstrap   *bootstrapper
 	stateSync   *StateSync
+	// initialSuspects returns the suspects for a node that has just connected; nil until
+	// SetInitialSuspects is called.
+	initialSuspects atomic.Pointer[func() []quarantine.Row]
 }
 
 // SetStateSync sets how state queries of other nodes are answered and how the states that
@@ -96,6 +100,7 @@
 	defer s.remove(conn)
 	// The client has to know that this node confirms before a request is on its way for long.
 	conn.sendFrame(frameLoad, 0, fromLoad(s.handler.Load()))
+	conn.sendInitialSuspects()
 	var queries sync.WaitGroup
 	defer queries.Wait()
 	ctx, cancel := context.WithCancel(s.ctx)
--- a/internal/suspect/fingerprint.go
+++ b/internal/suspect/fingerprint.go
@@ -34,3 +34,25 @@
 	}
 	return sum ^ xxhash.Sum64(body)
 }
+
+// Identity is what the sendings of one request have in common on a platform that defines it.
+// Sendings have different ids and deadlines, and begin at different nodes.
+type Identity struct {
+	// Service is the service that runs the request, and Caller the one that sent it.
+	Service, Caller string
+	// Method, Host and URI are as the caller sent them.
+	Method, Host, URI string
+	Body              []byte
+}
+
+// Fingerprint returns a hash of the identity.
+func (i Identity) Fingerprint() uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	for _, part := range []string{i.Service, i.Caller, i.Method, i.Host, i.URI} {
+		_, _ = d.WriteString(part)
+		_, _ = d.WriteString("\x00")
+	}
+	_, _ = d.Write(i.Body)
+	return d.Sum64()
+}
--- a/internal/suspect/suspect.go
+++ b/internal/suspect/suspect.go
@@ -9,6 +9,7 @@
 package suspect
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -24,6 +25,12 @@
 	maxDeaths = 8
 	// blockedAt is the number of deaths, at least one of them alone, that block a request.
 	blockedAt = 2
+	// servedBlockedAt is the number of deaths alone that block a request which the backend servers
+	// had answered shortly before. Servers that are killed in quick succession would otherwise block
+	// each popular request: one is always running alone there.
+	servedBlockedAt = 3
+	// servedSuspectedAt is the number of deaths from which such a request runs alone.
+	servedSuspectedAt = 2
 )
 
 // Level is how a request is treated.
@@ -39,12 +46,25 @@
 	Blocked
 )
 
+// String returns the name of the level.
+func (l Level) String() string {
+	switch l {
+	case Suspected:
+		return "suspected"
+	case Blocked:
+		return "blocked"
+	}
+	return "unsuspected"
+}
+
 // Death is one death of a backend server with a request in flight.
 type Death struct {
 	// ID identifies the death. It is the same for all requests that were in flight.
 	ID uint64
 	// Alone is true if the request was the only one running there.
 	Alone bool
+	// Served is true if the backend server had answered such a request shortly before.
+	Served bool
 }
 
 type row struct {
@@ -114,8 +134,10 @@
 		if r.deaths[i].ID != d.ID {
 			continue
 		}
-		changed := d.Alone && !r.deaths[i].Alone
-		r.deaths[i].Alone = r.deaths[i].Alone || d.Alone
+		known := &r.deaths[i]
+		changed := d.Alone && !known.Alone || d.Served && !known.Served
+		known.Alone = known.Alone || d.Alone
+		known.Served = known.Served || d.Served
 		return changed
 	}
 	if len(r.deaths) >= maxDeaths {
@@ -135,18 +157,26 @@
 
 // level returns the level by the deaths that no completed run has cleared.
 func (r *row) level() Level {
-	open, alone := 0, false
+	open, alone, unserved, unservedAlone := 0, 0, 0, 0
 	for _, d := range r.deaths {
 		if slices.Contains(r.cleared, d.ID) {
 			continue
 		}
 		open++
-		alone = alone || d.Alone
+		if d.Alone {
+			alone++
+		}
+		if !d.Served {
+			unserved++
+		}
+		if d.Alone && !d.Served {
+			unservedAlone++
+		}
 	}
 	switch {
-	case open >= blockedAt && alone:
+	case open >= blockedAt && unservedAlone > 0, alone >= servedBlockedAt:
 		return Blocked
-	case open > 0:
+	case unserved > 0, open >= servedSuspectedAt:
 		return Suspected
 	}
 	return Unsuspected
@@ -162,12 +192,12 @@
 	}
 }
 
-// Merge applies an update from a peer. Only a new death extends a row's expiry,
-// so that gossip alone can't keep rows alive.
-func (t *Table) Merge(update wire.Suspect, now time.Duration) {
+// Merge applies an update from a peer and reports whether it contained any news. Only a new death
+// extends a row's expiry, so that gossip alone can't keep rows alive.
+func (t *Table) Merge(update wire.Suspect, now time.Duration) (changed bool) {
 	remaining := min(time.Duration(update.ExpiresMs)*time.Millisecond, BlockFor)
 	if remaining <= 0 {
-		return
+		return false
 	}
 	known := t.rows[update.Fingerprint] != nil
 	r := t.row(update.Fingerprint, now)
@@ -175,17 +205,31 @@
 		r.until = now + remaining
 	}
 	for i, id := range update.Deaths {
-		alone := i < len(update.Alone) && update.Alone[i]
-		if r.add(Death{ID: id, Alone: alone}) {
+		d := Death{ID: id, Alone: i < len(update.Alone) && update.Alone[i], Served: i < len(update.Served) && update.Served[i]}
+		if r.add(d) {
 			r.until = max(r.until, now+remaining)
-			t.dirty = true
+			changed = true
 		}
 	}
 	for _, id := range update.Cleared {
-		if r.clear(id) {
-			t.dirty = true
+		changed = r.clear(id) || changed
+	}
+	t.dirty = t.dirty || changed
+	return changed
+}
+
+// Len returns the number of rows.
+func (t *Table) Len() int { return len(t.rows) }
+
+// Rows returns the rows with the given fingerprints, in the order of these.
+func (t *Table) Rows(fingerprints map[uint64]bool, now time.Duration) []wire.Suspect {
+	var rows []wire.Suspect
+	for _, f := range slices.Sorted(maps.Keys(fingerprints)) {
+		if r := t.rows[f]; r != nil {
+			rows = append(rows, r.encode(f, now))
 		}
 	}
+	return rows
 }
 
 // NextBatch returns up to limit rows to send to a peer. Successive calls cycle
@@ -216,6 +260,7 @@
 	for _, d := range r.deaths {
 		s.Deaths = append(s.Deaths, d.ID)
 		s.Alone = append(s.Alone, d.Alone)
+		s.Served = append(s.Served, d.Served)
 	}
 	return s
 }
--- a/internal/suspect/suspect_test.go
+++ b/internal/suspect/suspect_test.go
@@ -45,6 +45,21 @@
 	require.Equal(t, suspect.Suspected, level(table, 1))
 }
 
+// Guards against a popular request that is blocked as backend servers are killed one after the
+// other while it runs alone there.
+func TestServedRequestIsBlockedByMoreDeathsOnly(t *testing.T) {
+	table := suspect.NewTable()
+	table.RecordDeath(1, suspect.Death{ID: 10, Served: true}, 0)
+	require.Equal(t, suspect.Unsuspected, level(table, 1))
+	table.RecordDeath(1, suspect.Death{ID: 11, Alone: true, Served: true}, 0)
+	table.RecordDeath(1, suspect.Death{ID: 12, Alone: true, Served: true}, 0)
+	require.Equal(t, suspect.Suspected, level(table, 1))
+	table.RecordDeath(1, suspect.Death{ID: 13, Alone: true, Served: true}, 0)
+	require.Equal(t, suspect.Blocked, level(table, 1), "it may crash servers only since a change of theirs")
+	table.Clear(1)
+	require.Equal(t, suspect.Unsuspected, level(table, 1))
+}
+
 // The report of an old death arrives after the request was cleared of it. The
 // request must not become a suspect again.
 func TestLateReportOfClearedDeathIsIgnored(t *testing.T) {
@@ -95,7 +110,7 @@
 				continue
 			}
 			id := rapid.Uint64Range(1, 4).Draw(t, "death")
-			table.RecordDeath(1, suspect.Death{ID: id, Alone: rapid.Bool().Draw(t, "alone")}, 0)
+			table.RecordDeath(1, suspect.Death{ID: id, Alone: rapid.Bool().Draw(t, "alone"), Served: rapid.Bool().Draw(t, "served")}, 0)
 		}
 		merge := func(to, from *suspect.Table) {
 			for _, n := range from.NextBatch(10, 0) {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -124,6 +124,9 @@
 	Cleared []uint64 `msgpack:"c,omitempty" json:"cleared,omitempty"`
 	// ExpiresMs is the time until the suspicion expires, in milliseconds.
 	ExpiresMs uint32 `msgpack:"e" json:"expires_ms"`
+	// Served reports, in the order of Deaths, whether the backend server had answered such a
+	// request shortly before.
+	Served []bool `msgpack:"v,omitempty" json:"served,omitempty"`
 }
 
 // FetchVMs requests the peer's VM list.
