suspect: popular requests aren't blocked by servers that are killed within a second

Traced: three of six servers were killed within the 90 ms that the read needed to complete anywhere, and it ran alone on each.

--- a/internal/suspect/suspect.go
+++ b/internal/suspect/suspect.go
@@ -26,9 +26,11 @@
 	// blockedAt is the number of deaths, at least one of them alone, that block a request.
 	blockedAt = 2
 	// servedBlockedAt is the number of deaths alone that block a request which the backend servers
-	// had answered shortly before. Servers that are killed in quick succession would otherwise block
-	// each popular request: one is always running alone there.
-	servedBlockedAt = 3
+	// had answered shortly before, and servedBlockAfter the least time between the first and the last
+	// of them. Servers that are killed in quick succession would otherwise block each popular
+	// request: one is always running alone there.
+	servedBlockedAt  = 3
+	servedBlockAfter = time.Second
 	// servedSuspectedAt is the number of deaths from which such a request runs alone.
 	servedSuspectedAt = 2
 )
@@ -67,8 +69,14 @@
 	Served bool
 }
 
+// death is a Death with the time at which this node learnt of it.
+type death struct {
+	Death
+	at time.Duration
+}
+
 type row struct {
-	deaths  []Death
+	deaths  []death
 	cleared []uint64
 	until   time.Duration
 }
@@ -86,7 +94,7 @@
 // RecordDeath records that a request was in flight when a backend server died.
 func (t *Table) RecordDeath(fingerprint uint64, d Death, now time.Duration) {
 	r := t.row(fingerprint, now)
-	if r.add(d) {
+	if r.add(d, now) {
 		r.until = now + BlockFor
 		t.dirty = true
 	}
@@ -129,7 +137,7 @@
 }
 
 // add records a death and reports whether it changed the row.
-func (r *row) add(d Death) bool {
+func (r *row) add(d Death, now time.Duration) bool {
 	for i := range r.deaths {
 		if r.deaths[i].ID != d.ID {
 			continue
@@ -143,7 +151,7 @@
 	if len(r.deaths) >= maxDeaths {
 		return false
 	}
-	r.deaths = append(r.deaths, d)
+	r.deaths = append(r.deaths, death{d, now})
 	return true
 }
 
@@ -158,13 +166,18 @@
 // level returns the level by the deaths that no completed run has cleared.
 func (r *row) level() Level {
 	open, alone, unserved, unservedAlone := 0, 0, 0, 0
+	var first, last time.Duration
 	for _, d := range r.deaths {
 		if slices.Contains(r.cleared, d.ID) {
 			continue
 		}
 		open++
+		if d.Alone && alone == 0 {
+			first, last = d.at, d.at
+		}
 		if d.Alone {
 			alone++
+			first, last = min(first, d.at), max(last, d.at)
 		}
 		if !d.Served {
 			unserved++
@@ -174,7 +187,7 @@
 		}
 	}
 	switch {
-	case open >= blockedAt && unservedAlone > 0, alone >= servedBlockedAt:
+	case open >= blockedAt && unservedAlone > 0, alone >= servedBlockedAt && last-first >= servedBlockAfter:
 		return Blocked
 	case unserved > 0, open >= servedSuspectedAt:
 		return Suspected
@@ -206,7 +219,7 @@
 	}
 	for i, id := range update.Deaths {
 		d := Death{ID: id, Alone: i < len(update.Alone) && update.Alone[i], Served: i < len(update.Served) && update.Served[i]}
-		if r.add(d) {
+		if r.add(d, now) {
 			r.until = max(r.until, now+remaining)
 			changed = true
 		}
