Guards keep the limit that a backend server names in its answers

A backend server in need named a limit, and got requests as before: 41 in 4 s where 24 were allowed. The header wasn't read. The guard, its only caller, now paces its queue by it, besides the limit for cold servers, from the answer that names it until one that doesn't; probes, at most one for four permits, show that if no request is sent. Load reports tell entries when the server takes the next request. A new registration has no limit, an answer of another server at the address changes nothing, of several values the lowest counts, and one that can't be read leaves the limit as it is.

--- a/internal/mesh/forecast.go
+++ b/internal/mesh/forecast.go
@@ -32,7 +32,7 @@
 		e.SustainedSlowdown = max(e.SustainedSlowdown, coldStartFactor)
 		e.Slowdown = max(e.Slowdown, e.SustainedSlowdown)
 	}
-	return Forecast{Estimate: e, Wait: e.wait(t.declaredSlots(baseServiceTime, now)), ExpectedServiceTime: baseServiceTime + e.SlowdownDelay(baseServiceTime)}
+	return Forecast{Estimate: e, Wait: max(e.wait(t.declaredSlots(baseServiceTime, now)), e.AcceptsIn), ExpectedServiceTime: baseServiceTime + e.SlowdownDelay(baseServiceTime)}
 }
 
 // declaredSlots returns the number of slots to assume until the target reports its load. One that
--- a/internal/mesh/guard/cold.go
+++ b/internal/mesh/guard/cold.go
@@ -11,32 +11,28 @@
 	"github.com/limpetdock/limpetdock/internal/mesh"
 )
 
-// coldPacer paces the gate by the limit for a cold backend server. The guard is the backend
-// server's only caller, so the limit holds for the whole deployment.
-type coldPacer struct{ g *Guard }
-
-// Permit takes a permit. Without one, it has the backend server asked whether it is cold at all.
-func (p coldPacer) Permit() bool {
-	if p.g.cold.Permit(p.g.Now()) {
+// permitCold takes a permit of the limit for a cold backend server. Without one, it has the backend
+// server asked whether it is cold at all.
+func (g *Guard) permitCold() bool {
+	if g.cold.Permit(g.Now()) {
 		return true
 	}
-	if !p.g.cold.Cold(p.g.Now()) {
-		go p.g.probeWithin(refreshTimeout)
+	if !g.cold.Cold(g.Now()) {
+		go g.probeWithin(refreshTimeout)
 	}
 	return false
 }
 
-func (p coldPacer) NextPermit() time.Duration { return p.g.cold.NextPermit(p.g.Now()) }
-
-// ExpectedWait returns 0 unless the backend server is known to be cold: its answer to the probe
-// takes a moment and is expected to lift the limit.
-func (p coldPacer) ExpectedWait(n int) time.Duration {
-	now := p.g.Now()
-	if !p.g.cold.Cold(now) {
+// expectedColdWait returns how long the n-th request from now is expected to wait: 0 unless the
+// backend server is known to be cold, as its answer to the probe takes a moment and is expected to
+// lift the limit.
+func (g *Guard) expectedColdWait(n int) time.Duration {
+	now := g.Now()
+	if !g.cold.Cold(now) {
 		return 0
 	}
-	each := float64(time.Second) / p.g.cold.Rate().PerSecond
-	return p.g.cold.NextPermit(now) + time.Duration(each*float64(n-1))
+	each := float64(time.Second) / g.cold.Rate().PerSecond
+	return g.cold.NextPermit(now) + time.Duration(each*float64(n-1))
 }
 
 // probeWithin probes the backend server with a timeout.
--- a/internal/mesh/guard/guard.go
+++ b/internal/mesh/guard/guard.go
@@ -22,6 +22,7 @@
 	"github.com/limpetdock/limpetdock/internal/mesh/coldstart"
 	"github.com/limpetdock/limpetdock/internal/mesh/eligibility"
 	"github.com/limpetdock/limpetdock/internal/mesh/exchange"
+	"github.com/limpetdock/limpetdock/internal/mesh/ratelimit"
 	"github.com/limpetdock/limpetdock/internal/stopping"
 	"github.com/limpetdock/limpetdock/internal/suspect"
 )
@@ -65,6 +66,8 @@
 	served   *lru.Cache[uint64, time.Duration]
 	slowdown slowdownTracker
 	cold     coldstart.Limiter
+	// limit is the one that the backend server names.
+	limit ratelimit.Limiter
 	// reportedAt is when the backend server last reported its load, and probing is true
 	// while a probe is in progress.
 	reportedAt atomic.Int64
@@ -89,7 +92,7 @@
 	g := &Guard{Config: c, gate: gate.New(), admission: newAdmission(), incarnation: rand.Uint64()}
 	// An error would mean that maxServed isn't positive.
 	g.served, _ = lru.New[uint64, time.Duration](maxServed)
-	g.gate.SetPacer(coldPacer{g})
+	g.gate.SetPacer(&pacer{g: g})
 	return g
 }
 
@@ -108,8 +111,12 @@
 
 // SetView applies a new View.
 func (g *Guard) SetView(v *mesh.View) {
+	before := g.targetID()
 	g.view.Store(v)
 	own := v.LocalTarget
+	if own != nil && before != "" && own.ID != before {
+		g.forgetNotices()
+	}
 	leaving := eligibility.Check(v, own) != eligibility.Eligible
 	g.setColdRate(v)
 	g.updateLimits(v)
@@ -163,6 +170,10 @@
 		Running: l.InUse, Waiting: l.WaitingInTime, Slots: g.reportedSlots(l.Limit, l.ServiceTime), ServiceTime: l.ServiceTime,
 		Slowdown: slowdown.current, SustainedSlowdown: slowdown.sustained, RecoversIn: slowdown.recoversIn, Leaving: g.leaving.Load() || g.stopping.Load(),
 	}
+	if interval := g.limit.Interval(); interval > 0 {
+		load.RequestInterval = interval
+		load.AcceptsIn = g.limit.NextPermit(g.Now()) + interval*time.Duration(l.WaitingInTime)
+	}
 	if v := g.view.Load(); v != nil {
 		load.Revision = v.Revision
 	}
--- /dev/null
+++ b/internal/mesh/guard/notice.go
@@ -0,0 +1,96 @@
+package guard
+
+import (
+	"errors"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/limpetdock/limpetdock/internal/mesh/ratelimit"
+)
+
+// recordLimit applies the limit that the backend server names in the headers of a response. It is
+// in force until a response names another one or none. One that can't be read changes nothing.
+func (g *Guard) recordLimit(h http.Header) {
+	values := h.Values(g.Dialect.Headers.RequestsPerSecond)
+	if len(values) == 0 {
+		if g.limit.Lift() {
+			g.limitChanged("limited", false)
+		}
+		return
+	}
+	perSecond, err := parseLimit(values)
+	if err != nil {
+		g.Log.InfoLimited("backend server's limit can't be read", "error", err.Error())
+		return
+	}
+	if g.limit.SetLimit(perSecond, g.Now()) {
+		g.limitChanged("limited", true, "per_second", perSecond)
+	}
+}
+
+// limitChanged makes a change of the limit known.
+func (g *Guard) limitChanged(pairs ...any) {
+	g.gate.Dispatch()
+	g.Log.InfoLimited("backend server's limit changed", pairs...)
+	g.LoadChanged(true)
+}
+
+var errNoLimit = eris.New("not a number of 0 or more")
+
+// parseLimit returns the lowest of the limits, which may stand in several headers.
+func parseLimit(values []string) (float64, error) {
+	lowest, err := math.Inf(1), error(nil)
+	for _, text := range strings.Split(strings.Join(values, ","), ",") {
+		v, parseError := strconv.ParseFloat(strings.TrimSpace(text), 64)
+		if parseError != nil || !(v >= 0) || math.IsInf(v, 0) {
+			err = errors.Join(err, eris.Wrapf(errNoLimit, "%q", text))
+			continue
+		}
+		lowest = min(lowest, v)
+	}
+	if math.IsInf(lowest, 1) {
+		return 0, err
+	}
+	return lowest, nil
+}
+
+const (
+	// permitsPerProbe is how many permits of a limited backend server accumulate between two probes:
+	// these are few in comparison with the requests.
+	permitsPerProbe = 4
+	// minLimitedProbeInterval is the shortest time without a response after which it is probed.
+	minLimitedProbeInterval = time.Second
+)
+
+// limitedProbeInterval is the time without a response after which a limited backend server is
+// probed, as its responses show when the limit is lifted.
+func (g *Guard) limitedProbeInterval() time.Duration {
+	return min(max(permitsPerProbe*g.limit.Interval(), minLimitedProbeInterval), ratelimit.MaxInterval)
+}
+
+// limited reports whether the backend server names a limit.
+func (g *Guard) limited() bool {
+	_, limited := g.limit.Limit()
+	return limited
+}
+
+// LimitPerSecond returns the limit that the backend server names, in requests per second, or
+// infinity.
+func (g *Guard) LimitPerSecond() float64 {
+	if perSecond, limited := g.limit.Limit(); limited {
+		return perSecond
+	}
+	return math.Inf(1)
+}
+
+// forgetNotices forgets what the backend server said about itself, as another process follows.
+func (g *Guard) forgetNotices() {
+	if g.limit.Lift() {
+		g.limitChanged("limited", false)
+	}
+}
--- a/internal/mesh/guard/probe.go
+++ b/internal/mesh/guard/probe.go
@@ -56,6 +56,9 @@
 	if g.reportedAt.Load() == 0 {
 		return true
 	}
+	if g.limited() {
+		return age >= g.limitedProbeInterval()
+	}
 	if g.Now()-time.Duration(g.lastRequestAt.Load()) < busyPeriod {
 		return age >= staleLoadAge
 	}
@@ -101,6 +104,9 @@
 	if failure != nil {
 		return mesh.BackendLoad{}, false
 	}
+	if id := answer.Header.Get(g.Dialect.Headers.Target); id == "" || id == target.ID {
+		g.recordLimit(answer.Header)
+	}
 	g.recordColdness(asked, answer.Header)
 	return g.recordLoad(answer.Header)
 }
--- a/internal/mesh/guard/record.go
+++ b/internal/mesh/guard/record.go
@@ -14,7 +14,7 @@
 	request *mesh.Request
 	// start is when the request arrived, and waited how long it then waited for a slot.
 	start, waited time.Duration
-	// permittedAt is when the request got its permit (see coldPacer).
+	// permittedAt is when the request got its permit (see pacer).
 	permittedAt time.Duration
 	// class names the group of requests with similar service times, and baseService is
 	// the expected base service time; 0 means unknown.
@@ -74,6 +74,9 @@
 		"beside", s.concurrency, "crowding", s.contention, "own_ms", s.backendTime.Milliseconds(),
 		"waited_ms", s.waited.Milliseconds(), "took_ms", (g.Now() - s.start).Milliseconds(),
 	}
+	if perSecond, limited := g.limit.Limit(); limited {
+		pairs = append(pairs, "limit_per_second", perSecond)
+	}
 	if s.level != suspect.Unsuspected {
 		pairs = append(pairs, "suspicion", s.level.String())
 	}
--- a/internal/mesh/guard/send.go
+++ b/internal/mesh/guard/send.go
@@ -37,6 +37,9 @@
 	if failure != nil {
 		return nil, g.exchangeError(ctx, failure)
 	}
+	if answer.Status != http.StatusMisdirectedRequest {
+		g.recordLimit(answer.Header)
+	}
 	g.recordLoad(answer.Header)
 	names := g.Dialect.Headers
 	if answer.Header.Get(names.NotRun) != "" || answer.Status == http.StatusMisdirectedRequest {
--- a/internal/mesh/guard/slowdown.go
+++ b/internal/mesh/guard/slowdown.go
@@ -229,9 +229,10 @@
 }
 
 // refreshLoad probes the backend server if the last load report is too old. A backend
-// server that never reported a slowdown factor, not even 1, isn't probed.
+// server that never reported a slowdown factor, not even 1, isn't probed, nor is one that limits
+// its requests.
 func (g *Guard) refreshLoad(ctx context.Context) {
-	if g.Now()-time.Duration(g.reportedAt.Load()) < freshLoadAge || !g.slowdown.reported() {
+	if g.Now()-time.Duration(g.reportedAt.Load()) < freshLoadAge || !g.slowdown.reported() || g.limited() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
--- a/internal/mesh/message.go
+++ b/internal/mesh/message.go
@@ -99,6 +99,9 @@
 	// RecoversIn is the time until the slowdown is expected to be down to SustainedSlowdown; 0 means
 	// that it is down already.
 	RecoversIn time.Duration `json:"CalmIn"`
+	// RequestInterval is the time between two requests that the backend server takes; 0 means that
+	// it names no limit. AcceptsIn is the time until it takes one that is sent now.
+	RequestInterval, AcceptsIn time.Duration
 	// Leaving is true if the guard accepts no new requests.
 	Leaving bool
 	// Revision is the latest store revision that the node has seen.
--- a/internal/mesh/model/server.go
+++ b/internal/mesh/model/server.go
@@ -30,7 +30,7 @@
 	Headers: mesh.HeaderNames{
 		RequestID: "X-Id", TimeoutMs: "X-Timeout", Signature: "X-Signature", ExpectedTarget: "X-Expected",
 		Load: "X-Load", NotRun: "X-Not-Run", Caller: "X-Caller", Target: "X-Target",
-		ColdRemainingMs: "X-Cold",
+		ColdRemainingMs: "X-Cold", RequestsPerSecond: "X-Limit",
 	},
 	ParseLoad: func(v string) (mesh.BackendLoad, bool) {
 		l := mesh.BackendLoad{}
@@ -93,6 +93,9 @@
 	// was cold.
 	coldUntil    time.Time
 	coldArrivals []time.Time
+	// limit is what it names as its limit in all answers, and arrivals are those of all requests.
+	limit    string
+	arrivals []time.Time
 	// process is the present one. The server is down until downUntil.
 	process   *process
 	downUntil time.Time
@@ -134,11 +137,27 @@
 	return most
 }
 
+// NameLimit makes the server name a limit in its answers; an empty one is none.
+func (s *Server) NameLimit(limit string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limit = limit
+}
+
+// Arrivals returns when requests arrived.
+func (s *Server) Arrivals() []time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.arrivals)
+}
+
 // noteArrival records the arrival of a request.
 func (s *Server) noteArrival() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if now := time.Now(); now.Before(s.coldUntil) {
+	now := time.Now()
+	s.arrivals = append(s.arrivals, now)
+	if now.Before(s.coldUntil) {
 		s.coldArrivals = append(s.coldArrivals, now)
 	}
 }
@@ -368,6 +387,9 @@
 	header := http.Header{}
 	header.Set(Dialect.Headers.RequestID, m.Header.Get(Dialect.Headers.RequestID))
 	header.Set(Dialect.Headers.Signature, strconv.Itoa(s.ran))
+	if s.limit != "" {
+		header.Set(Dialect.Headers.RequestsPerSecond, s.limit)
+	}
 	header.Set(Dialect.Headers.Load, fmt.Sprintf("%d %g", s.running, s.slowdown(time.Now())))
 	return &mesh.Answer{Status: status, Header: header}
 }
--- a/internal/mesh/names.go
+++ b/internal/mesh/names.go
@@ -22,6 +22,9 @@
 	// ColdRemainingMs is for how many milliseconds more a backend server is cold, in answers to
 	// health checks; warm ones send none.
 	ColdRemainingMs string
+	// RequestsPerSecond is how many requests a backend server takes from all callers together;
+	// those without a limit send none.
+	RequestsPerSecond string
 }
 
 // Dialect is a platform's protocol on top of HTTP, as spoken by callers and backend servers.
--- a/internal/mesh/node/metrics.go
+++ b/internal/mesh/node/metrics.go
@@ -30,6 +30,7 @@
 	count("limpetdock_backend_sent_total", "Requests sent to the backend server.", func() uint64 { n, _ := g.Counts(); return n })
 	count("limpetdock_backend_probes_total", "Questions to the backend server about its load.", func() uint64 { _, n := g.Counts(); return n })
 	count("limpetdock_backend_deaths_total", "Deaths of the backend server with requests in flight.", g.Deaths)
+	m.Gauge("limpetdock_backend_limit_per_second", "Requests per second that the backend server takes, as it names them; +Inf is no limit.", g.LimitPerSecond)
 	m.Gauge("limpetdock_suspects", "Requests that were in flight when backend servers died, in the node's table.", func() float64 { return float64(q.Len()) })
 	count("limpetdock_backend_connections_total", "Connections opened to the backend server.", b.Opened)
 	count("limpetdock_callers_connections_total", "Connections accepted from callers.", f.Counts.Accepted.Load)
--- a/internal/mesh/peer/frame.go
+++ b/internal/mesh/peer/frame.go
@@ -124,7 +124,9 @@
 	// SustainedPercent is the sustained part of the slowdown.
 	SustainedPercent uint16
 	// Confirms is true if the node asks for confirmation of requests that need it.
-	Confirms bool
+	Confirms          bool
+	RequestIntervalMs uint16
+	AcceptsInMs       uint16
 }
 
 // stateQueryBody is the encoding of a StateQuery.
@@ -175,6 +177,7 @@
 		ServiceMs: clip16(int(l.ServiceTime.Milliseconds())), SlowdownPercent: clip16(int(100 * l.Slowdown)),
 		RecoversInMs: clip16(int(l.RecoversIn.Milliseconds())), Leaving: l.Leaving, Revision: l.Revision,
 		Reading: l.ReadsStore, SustainedPercent: clip16(int(100 * l.SustainedSlowdown)), Confirms: true,
+		RequestIntervalMs: clip16(int(l.RequestInterval.Milliseconds())), AcceptsInMs: clip16(int(l.AcceptsIn.Milliseconds())),
 	}
 }
 
@@ -184,6 +187,7 @@
 		ServiceTime: time.Duration(b.ServiceMs) * time.Millisecond, Slowdown: float64(b.SlowdownPercent) / 100,
 		RecoversIn: time.Duration(b.RecoversInMs) * time.Millisecond,
 		Leaving:    b.Leaving, Revision: b.Revision, ReadsStore: b.Reading, SustainedSlowdown: float64(b.SustainedPercent) / 100,
+		RequestInterval: time.Duration(b.RequestIntervalMs) * time.Millisecond, AcceptsIn: time.Duration(b.AcceptsInMs) * time.Millisecond,
 	}
 }
 
--- a/internal/mesh/stat.go
+++ b/internal/mesh/stat.go
@@ -51,6 +51,8 @@
 	Slowdown          float64
 	SustainedSlowdown float64       `json:"Standing"`
 	RecoversIn        time.Duration `json:"CalmIn"`
+	// AcceptsIn is the time until a target that limits its requests takes another one.
+	AcceptsIn time.Duration
 	// FailureRate is the share of requests that fail, decayed by age.
 	FailureRate float64 `json:"Failing"`
 	// Avoid is true if no requests should go to the target for the time being, Leaving if the
@@ -135,6 +137,9 @@
 	}
 	e.Slots, e.ServiceTime, e.Leaving = s.load.Slots, s.load.ServiceTime, s.load.Leaving
 	e.Busy = max(s.load.Running+s.load.Waiting+s.sent, s.inFlight)
+	if s.load.RequestInterval > 0 {
+		e.AcceptsIn = max(s.load.AcceptsIn-e.Age, 0) + s.load.RequestInterval*time.Duration(s.sent)
+	}
 	sustained := max(s.load.SustainedSlowdown, 1)
 	if s.load.RecoversIn == 0 {
 		sustained = max(s.load.Slowdown, 1)
