A backend server that says in its answers that it leaves gets nothing new

Its registration may stay ready while each answer says that it leaves; it got 107 requests later than 2 s after the first one. The header wasn't read. The guard now refuses new and waiting requests from that answer on, as if the server drained, tells the entries at once, and probes it once a second: an answer without the header takes it back, and a new registration starts without it.

--- a/internal/mesh/guard/admission.go
+++ b/internal/mesh/guard/admission.go
@@ -50,13 +50,18 @@
 }
 
 // accepts reports whether the guard accepts requests.
-func (g *Guard) accepts() bool { return !g.leaving.Load() && !g.stopping.Load() }
+func (g *Guard) accepts() bool {
+	return !g.leaving.Load() && !g.stopping.Load() && !g.announcedLeaving.Load()
+}
 
 // leavingError returns the refusal of a request that arrives or waits while the guard accepts none.
 func (g *Guard) leavingError() *kind.Error {
 	if g.stopping.Load() {
 		return kind.New(kind.Leaving, "the node is stopping")
 	}
+	if g.announcedLeaving.Load() {
+		return kind.New(kind.Leaving, "the backend server says that it leaves")
+	}
 	v := g.view.Load()
 	return kind.New(kind.Leaving, "the backend server accepts no requests: %s", eligibility.Check(v, v.LocalTarget))
 }
--- a/internal/mesh/guard/guard.go
+++ b/internal/mesh/guard/guard.go
@@ -56,12 +56,14 @@
 // Guard is the guard role of a node. Safe for concurrent use.
 type Guard struct {
 	Config
-	gate      *gate.Gate
-	view      atomic.Pointer[mesh.View]
-	leaving   atomic.Bool
-	stopping  atomic.Bool
-	admission *admission
-	isolation suspect.Isolation
+	gate     *gate.Gate
+	view     atomic.Pointer[mesh.View]
+	leaving  atomic.Bool
+	stopping atomic.Bool
+	// announcedLeaving is true if the backend server says in its answers that it leaves.
+	announcedLeaving atomic.Bool
+	admission        *admission
+	isolation        suspect.Isolation
 	// served holds when requests were last answered, by fingerprint.
 	served   *lru.Cache[uint64, time.Duration]
 	slowdown slowdownTracker
@@ -168,7 +170,7 @@
 	slowdown := g.slowdown.state(g.Now())
 	load := mesh.Load{
 		Running: l.InUse, Waiting: l.WaitingInTime, Slots: g.reportedSlots(l.Limit, l.ServiceTime), ServiceTime: l.ServiceTime,
-		Slowdown: slowdown.current, SustainedSlowdown: slowdown.sustained, RecoversIn: slowdown.recoversIn, Leaving: g.leaving.Load() || g.stopping.Load(),
+		Slowdown: slowdown.current, SustainedSlowdown: slowdown.sustained, RecoversIn: slowdown.recoversIn, Leaving: !g.accepts(),
 	}
 	if interval := g.limit.Interval(); interval > 0 {
 		load.RequestInterval = interval
--- a/internal/mesh/guard/notice.go
+++ b/internal/mesh/guard/notice.go
@@ -40,6 +40,28 @@
 	g.LoadChanged(true)
 }
 
+// recordLeaving records whether the backend server says in the headers of a response that it leaves.
+// It gets no new requests from then on, whatever its registration says.
+func (g *Guard) recordLeaving(h http.Header) {
+	value := h.Get(g.Dialect.Headers.Leaving)
+	g.setAnnouncedLeaving(value != "" && value != "0")
+}
+
+func (g *Guard) setAnnouncedLeaving(leaving bool) {
+	if g.announcedLeaving.Swap(leaving) == leaving {
+		return
+	}
+	g.admission.update(g.accepts)
+	g.Log.InfoLimited("backend server says whether it leaves", "leaving", leaving)
+	g.LoadChanged(true)
+}
+
+// recordNotices applies what the backend server says about itself in the headers of a response.
+func (g *Guard) recordNotices(h http.Header) {
+	g.recordLimit(h)
+	g.recordLeaving(h)
+}
+
 var errNoLimit = eris.New("not a number of 0 or more")
 
 // parseLimit returns the lowest of the limits, which may stand in several headers.
@@ -65,6 +87,9 @@
 	permitsPerProbe = 4
 	// minLimitedProbeInterval is the shortest time without a response after which it is probed.
 	minLimitedProbeInterval = time.Second
+	// leavingProbeInterval is the time between two probes of a backend server that says that it
+	// leaves, as it may take that back.
+	leavingProbeInterval = time.Second
 )
 
 // limitedProbeInterval is the time without a response after which a limited backend server is
@@ -93,4 +118,5 @@
 	if g.limit.Lift() {
 		g.limitChanged("limited", false)
 	}
+	g.setAnnouncedLeaving(false)
 }
--- a/internal/mesh/guard/notice_test.go
+++ b/internal/mesh/guard/notice_test.go
@@ -3,12 +3,14 @@
 import (
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/limpetdock/limpetdock/internal/kind"
 	"github.com/limpetdock/limpetdock/internal/mesh"
 	"github.com/limpetdock/limpetdock/internal/mesh/model"
 	"github.com/limpetdock/limpetdock/internal/mesh/ratelimit"
@@ -128,3 +130,46 @@
 	x.SetView(&next)
 	require.Zero(t, x.Load().RequestInterval)
 }
+
+// Guards against a backend server that says that it leaves and gets the requests that wait for it,
+// and against one that gets none after it has taken that back.
+func TestLeavingServerGetsNothingUntilItTakesThatBack(t *testing.T) {
+	var leaving atomic.Bool
+	leaving.Store(true)
+	begun, end := make(chan struct{}), make(chan struct{})
+	x := newFixture(t, 1, func(w http.ResponseWriter, r *http.Request) {
+		if leaving.Load() {
+			w.Header().Set("X-Leaving", "1")
+		}
+		if r.URL.Path == "/long" {
+			begun <- struct{}{}
+			<-end
+		}
+		signed(w, r)
+	})
+	long := request()
+	long.URI = "/long"
+	first, waiting := make(chan *kind.Error), make(chan *kind.Error)
+	run := func(r *mesh.Request, outcome chan<- *kind.Error) {
+		_, e := x.Run(t.Context(), r)
+		outcome <- e
+	}
+	go run(long, first)
+	<-begun
+	go run(request(), waiting)
+	require.Eventually(t, func() bool { return x.Load().Waiting == 1 }, time.Minute, time.Millisecond)
+	received := x.received.Load()
+	close(end)
+	require.Nil(t, <-first, "the request that it had is answered")
+	require.Equal(t, kind.Leaving, (<-waiting).Kind)
+	require.True(t, x.Load().Leaving)
+	_, e := x.Run(t.Context(), request())
+	require.Equal(t, kind.Leaving, e.Kind)
+	require.Equal(t, kind.NotRun, e.ReportedOutcome())
+	require.Equal(t, received, x.received.Load())
+	leaving.Store(false)
+	x.now.Add(int64(time.Minute))
+	x.ProbeIfDue(t.Context())
+	_, e = x.Run(t.Context(), request())
+	require.Nil(t, e)
+}
--- a/internal/mesh/guard/probe.go
+++ b/internal/mesh/guard/probe.go
@@ -56,6 +56,9 @@
 	if g.reportedAt.Load() == 0 {
 		return true
 	}
+	if g.announcedLeaving.Load() {
+		return age >= leavingProbeInterval
+	}
 	if g.limited() {
 		return age >= g.limitedProbeInterval()
 	}
@@ -105,7 +108,7 @@
 		return mesh.BackendLoad{}, false
 	}
 	if id := answer.Header.Get(g.Dialect.Headers.Target); id == "" || id == target.ID {
-		g.recordLimit(answer.Header)
+		g.recordNotices(answer.Header)
 	}
 	g.recordColdness(asked, answer.Header)
 	return g.recordLoad(answer.Header)
--- a/internal/mesh/guard/send.go
+++ b/internal/mesh/guard/send.go
@@ -38,7 +38,7 @@
 		return nil, g.exchangeError(ctx, failure)
 	}
 	if answer.Status != http.StatusMisdirectedRequest {
-		g.recordLimit(answer.Header)
+		g.recordNotices(answer.Header)
 	}
 	g.recordLoad(answer.Header)
 	names := g.Dialect.Headers
--- a/internal/mesh/model/server.go
+++ b/internal/mesh/model/server.go
@@ -30,7 +30,7 @@
 	Headers: mesh.HeaderNames{
 		RequestID: "X-Id", TimeoutMs: "X-Timeout", Signature: "X-Signature", ExpectedTarget: "X-Expected",
 		Load: "X-Load", NotRun: "X-Not-Run", Caller: "X-Caller", Target: "X-Target",
-		ColdRemainingMs: "X-Cold", RequestsPerSecond: "X-Limit",
+		ColdRemainingMs: "X-Cold", RequestsPerSecond: "X-Limit", Leaving: "X-Leaving",
 	},
 	ParseLoad: func(v string) (mesh.BackendLoad, bool) {
 		l := mesh.BackendLoad{}
--- a/internal/mesh/names.go
+++ b/internal/mesh/names.go
@@ -25,6 +25,8 @@
 	// RequestsPerSecond is how many requests a backend server takes from all callers together;
 	// those without a limit send none.
 	RequestsPerSecond string
+	// Leaving marks answers of a backend server that takes no new requests.
+	Leaving string
 }
 
 // Dialect is a platform's protocol on top of HTTP, as spoken by callers and backend servers.
