--- a/internal/mesh/entry/crash_test.go
+++ b/internal/mesh/entry/crash_test.go
@@ -72,7 +72,10 @@
 		Timeout: time.Second, LatencyObjective: 300 * time.Millisecond, MaxTargets: 2, Splitter: &mesh.Splitter{},
 	}
 	services := map[string]*mesh.Service{"s": {Name: "s", HealthPath: model.HealthPath}}
-	config := mesh.NewConfig(1, services, []*mesh.Route{route}, mesh.Limits{})
+	urgent := *route
+	route.Priority = 2
+	urgent.Name, urgent.Prefix, urgent.Splitter = "urgent", "/urgent/", &mesh.Splitter{}
+	config := mesh.NewConfig(1, services, []*mesh.Route{route, &urgent}, mesh.Limits{})
 	for i := range fleetNodes {
 		f.trackers = append(f.trackers, quarantine.New(now))
 		if i >= fleetServers {
@@ -126,6 +129,8 @@
 type reads struct {
 	mu              sync.Mutex
 	sent, ok, block int
+	// shortestRetry is the shortest time after which a refused caller was told to retry.
+	shortestRetry time.Duration
 }
 
 // send sends one read at an entry.
@@ -140,6 +145,9 @@
 	case err.Kind == kind.Blocked:
 		r.block++
 	}
+	if err != nil && (r.shortestRetry == 0 || err.RetryAfter < r.shortestRetry) {
+		r.shortestRetry = err.RetryAfter
+	}
 }
 
 // Guards against popular requests that are blocked because backend servers are killed in waves, with
