Guards ask whether a backend server lives only if no other exchange goes on

Each exchange that broke off was followed by a new connection, to see whether the server still listens.

--- a/internal/mesh/exchange/death.go
+++ b/internal/mesh/exchange/death.go
@@ -3,13 +3,19 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
+	"slices"
 	"syscall"
 	"time"
 )
 
-// listenTimeout bounds the check whether the backend server still listens on the node's own VM.
-const listenTimeout = 200 * time.Millisecond
+const (
+	// listenTimeout bounds the check whether the backend server still listens on the node's own VM.
+	listenTimeout = 200 * time.Millisecond
+	// settleTime is the time in which all exchanges in flight at a death break off.
+	settleTime = 5 * time.Millisecond
+)
 
 // Generation counts the deaths of the backend server's process. A connection belongs to the
 // generation in which it was opened and ends with that generation's process, so all requests in
@@ -26,7 +32,9 @@
 	if c.present() != f.Generation {
 		return true
 	}
-	if c.listens(ctx) {
+	// New connections are expensive for a loaded server, so they are the last resort.
+	alive := c.othersContinue(ctx) || c.present() == f.Generation && c.listens(ctx)
+	if alive {
 		return false
 	}
 	if c.generation.CompareAndSwap(uint64(f.Generation), uint64(f.Generation)+1) {
@@ -36,6 +44,43 @@
 	return true
 }
 
+// exchangeInFlight is a request that has been or is being sent.
+type exchangeInFlight struct{ ended chan struct{} }
+
+// beginExchange records an exchange; the returned function ends it.
+func (c *Client) beginExchange() func() {
+	x := &exchangeInFlight{make(chan struct{})}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.inFlight[x] = struct{}{}
+	return func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		delete(c.inFlight, x)
+		close(x.ended)
+	}
+}
+
+// othersContinue reports whether any exchange that is in flight now goes on for settleTime, so that
+// the backend server is alive.
+func (c *Client) othersContinue(ctx context.Context) bool {
+	c.mu.Lock()
+	others := slices.Collect(maps.Keys(c.inFlight))
+	c.mu.Unlock()
+	timer := time.NewTimer(settleTime)
+	defer timer.Stop()
+	for _, x := range others {
+		select {
+		case <-x.ended:
+		case <-timer.C:
+			return true
+		case <-ctx.Done():
+			return true
+		}
+	}
+	return false
+}
+
 func (c *Client) present() Generation { return Generation(c.generation.Load()) }
 
 // listens reports whether the backend server accepts connections, or whether that is unknown.
--- a/internal/mesh/exchange/exchange_test.go
+++ b/internal/mesh/exchange/exchange_test.go
@@ -362,3 +362,31 @@
 	require.Equal(t, first.Generation+1, cut.Generation)
 	require.False(t, client.Died(t.Context(), cut), "a server that only closes the connection still listens")
 }
+
+// Guards against a new connection for each exchange that a loaded server breaks off.
+func TestServerThatGoesOnWithOthersIsNotAskedWhetherItLives(t *testing.T) {
+	release := make(chan struct{})
+	arrived := make(chan struct{}, 1)
+	_, client := serve(t, func(c *connection) {
+		id, err := c.next()
+		if err != nil || id == "broken" {
+			return
+		}
+		arrived <- struct{}{}
+		<-release
+		c.answer(id, "late")
+	})
+	done := make(chan *exchange.Failure)
+	go func() {
+		_, f := client.Do(t.Context(), message("long"), always)
+		done <- f
+	}()
+	<-arrived
+	_, f := client.Do(t.Context(), message("broken"), always)
+	require.Equal(t, exchange.Unknown, f.Outcome)
+	opened := client.Opened()
+	require.False(t, client.Died(t.Context(), f))
+	require.Equal(t, opened, client.Opened())
+	close(release)
+	require.Nil(t, <-done)
+}
--- a/internal/mesh/exchange/pool.go
+++ b/internal/mesh/exchange/pool.go
@@ -39,18 +39,20 @@
 
 // Client sends requests to one backend server. Safe for concurrent use.
 type Client struct {
-	addr   string
-	names  mesh.HeaderNames
-	mu     sync.Mutex
-	idle   []*conn
-	opened atomic.Uint64
+	addr  string
+	names mesh.HeaderNames
+	mu    sync.Mutex
+	idle  []*conn
+	// inFlight holds the exchanges that are in progress.
+	inFlight map[*exchangeInFlight]struct{}
+	opened   atomic.Uint64
 	// generation is the present Generation of the backend server.
 	generation atomic.Uint64
 }
 
 // NewClient returns a Client for the backend server at addr.
 func NewClient(addr string, names mesh.HeaderNames) *Client {
-	return &Client{addr: addr, names: names}
+	return &Client{addr: addr, names: names, inFlight: map[*exchangeInFlight]struct{}{}}
 }
 
 // Opened returns how many connections have been opened so far.
@@ -116,7 +118,9 @@
 		return nil, &Failure{Outcome: Unreachable, Cause: err}
 	}
 	allowed := func() bool { return pc.generation == c.present() && allow() }
+	end := c.beginExchange()
 	r, sent := pc.send(ctx, m.request(), allowed)
+	end()
 	if r.err != nil {
 		pc.abort()
 		outcome := Unknown
