On the users' platform, suspects run alone from their second death on

Most requests in flight at a death are innocent, and complete on their next run. Running each of them alone stops a server for the time of two runs, and when many servers are killed the ones that are left have little else to do.

--- a/internal/mesh/entry/run.go
+++ b/internal/mesh/entry/run.go
@@ -151,7 +151,7 @@
 		Idempotent: t.route.Idempotent, Priority: t.route.Priority,
 		Remaining: t.end() - start - answerMargin/2 - rttTo[c.target.Distance]/2, QueueTimeout: queueTimeout,
 		BaseServiceTime: baseServiceTime, ObjectiveRemaining: t.objective - start - rttTo[c.target.Distance],
-		Suspected: t.suspected(),
+		Suspected: t.mustRunAlone,
 	}
 	c.target.Stat.Begin()
 	var answer *mesh.Answer
--- a/internal/mesh/entry/suspect.go
+++ b/internal/mesh/entry/suspect.go
@@ -6,24 +6,20 @@
 	"github.com/limpetdock/limpetdock/internal/suspect"
 )
 
-// maxDeaths is after how many deaths of targets a request is still sent to another one, where it
-// runs alone.
+// maxDeaths is after how many deaths of targets a request is still sent to another one.
 const maxDeaths = 1
 
 // checkSuspect checks whether the request may crash backend servers, and refuses it if it is
 // blocked.
 func (t *transaction) checkSuspect() *kind.Error {
 	found := t.entry.Suspects.Check(t.fingerprint)
-	t.level = found.Level
+	t.level, t.mustRunAlone = found.Level, found.MustRunAlone()
 	if t.level == suspect.Blocked {
 		return mesh.BlockedError(found.Until - t.entry.Now())
 	}
 	return nil
 }
 
-// suspected reports whether the request must run alone.
-func (t *transaction) suspected() bool { return t.level == suspect.Suspected || t.deaths > 0 }
-
 // fingerprint identifies the request among its sendings. It is that of the request that send sends.
 func (t *transaction) fingerprint() uint64 {
 	r := mesh.Request{
--- a/internal/mesh/guard/isolate.go
+++ b/internal/mesh/guard/isolate.go
@@ -24,12 +24,15 @@
 
 // suspicion returns how the request is to be treated.
 func (g *Guard) suspicion(s *requestState) suspect.Level {
-	entry := g.Suspects.Check(s.request.Fingerprint)
-	s.blockedFor = entry.Until - g.Now()
-	if entry.Level == suspect.Unsuspected && s.request.Suspected && !g.servedLately(s.request.Fingerprint()) {
+	found := g.Suspects.Check(s.request.Fingerprint)
+	s.blockedFor = found.Until - g.Now()
+	switch {
+	case found.Level == suspect.Blocked:
+		return suspect.Blocked
+	case s.request.Suspected, found.MustRunAlone():
 		return suspect.Suspected
 	}
-	return entry.Level
+	return suspect.Unsuspected
 }
 
 // isolate waits until the request may run: a suspect runs alone, and a blocked request not at all.
