A suspect waits a second at most for the requests that run

It closed its backend server to new requests until its own deadline if a long request ran there. Now it is refused as overloaded after a second, and another target is tried.

--- a/internal/mesh/guard/isolate.go
+++ b/internal/mesh/guard/isolate.go
@@ -54,30 +54,35 @@
 	}
 }
 
+// maxIsolationWait bounds how long a suspect waits for the requests that run, as new ones wait for it
+// meanwhile.
+const maxIsolationWait = time.Second
+
 // enter waits for the request's turn. A request that isn't suspected waits no longer than its queue
 // timeout while a suspect runs, as its entry may know a better target.
 func (g *Guard) enter(ctx context.Context, s *requestState) (suspect.Execution, bool) {
+	timeout := max(s.request.QueueTimeout-(g.Now()-s.start), time.Millisecond)
 	if s.level == suspect.Suspected {
-		x, ok := g.isolation.Enter(ctx, true)
-		if ok {
-			g.awaitAbandoned(ctx)
-		}
-		return x, ok
+		timeout = maxIsolationWait
 	}
-	timeout := max(s.request.QueueTimeout-(g.Now()-s.start), time.Millisecond)
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	wait, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	return g.isolation.Enter(ctx, false)
+	x, ok := g.isolation.Enter(wait, s.level == suspect.Suspected)
+	if ok && s.level == suspect.Suspected {
+		g.awaitAbandoned(ctx)
+	}
+	return x, ok
 }
 
-// isolationError returns the refusal of a request that was not let in before ctx or its queue
-// timeout ended.
+// isolationError returns the refusal of a request that was not let in in time.
 func (g *Guard) isolationError(ctx context.Context, s *requestState) *kind.Error {
 	switch {
 	case stopping.Ended(ctx):
 		return g.leavingError()
-	case ctx.Err() != nil || s.level == suspect.Suspected:
-		return kind.New(kind.DeadlineNotRun, "the deadline passed before a suspect could run alone")
+	case ctx.Err() != nil:
+		return kind.New(kind.DeadlineNotRun, "the deadline passed while a request that may crash the backend server ran alone or waited to")
+	case s.level == suspect.Suspected:
+		return kind.New(kind.Overloaded, "the request may crash the backend server, which has others to complete first")
 	}
 	return kind.New(kind.Overloaded, "a request that may crash the backend server runs alone")
 }
--- a/internal/mesh/guard/isolate_test.go
+++ b/internal/mesh/guard/isolate_test.go
@@ -55,7 +55,7 @@
 }
 
 // diedBackend dies with each request.
-type diedBackend struct{ panicking }
+type diedBackend struct{}
 
 func (diedBackend) Do(context.Context, *exchange.Message, func() bool) (*mesh.Answer, *exchange.Failure) {
 	return nil, &exchange.Failure{Outcome: exchange.Unknown, Cause: context.DeadlineExceeded}
@@ -78,3 +78,30 @@
 	require.Equal(t, kind.NotRun, e.ReportedOutcome())
 	require.Positive(t, e.RetryAfter)
 }
+
+// Guards against a suspect that closes its server to all others while a long request runs there.
+func TestSuspectGivesWayToLongRequest(t *testing.T) {
+	begun, end := make(chan struct{}), make(chan struct{})
+	x := newFixture(t, 4, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/long" {
+			begun <- struct{}{}
+			<-end
+		}
+		signed(w, r)
+	})
+	long, suspected := request(), request()
+	long.URI, suspected.Suspected = "/long", true
+	done := make(chan *kind.Error)
+	go func() {
+		_, e := x.Run(t.Context(), long)
+		done <- e
+	}()
+	<-begun
+	_, e := x.Run(t.Context(), suspected)
+	require.Equal(t, kind.Overloaded, e.Kind, "another target may have room for it")
+	require.Equal(t, kind.NotRun, e.ReportedOutcome())
+	_, e = x.Run(t.Context(), request())
+	require.Nil(t, e)
+	close(end)
+	require.Nil(t, <-done)
+}
