A named limit ends with its process also if its registration ended in between; deaths settle in 20 ms

Found on reading: a guard forgot what its backend server had said only if one registration followed the other at once. A death is now given 20 ms to break off all exchanges in flight, as nodes have a fraction of a processor.

--- a/internal/mesh/exchange/death.go
+++ b/internal/mesh/exchange/death.go
@@ -14,7 +14,7 @@
 	// listenTimeout bounds the check whether the backend server still listens on the node's own VM.
 	listenTimeout = 200 * time.Millisecond
 	// settleTime is the time in which all exchanges in flight at a death break off.
-	settleTime = 5 * time.Millisecond
+	settleTime = 20 * time.Millisecond
 )
 
 // Generation counts the deaths of the backend server's process. A connection belongs to the
--- a/internal/mesh/guard/guard.go
+++ b/internal/mesh/guard/guard.go
@@ -60,8 +60,10 @@
 	view     atomic.Pointer[mesh.View]
 	leaving  atomic.Bool
 	stopping atomic.Bool
-	// announcedLeaving is true if the backend server says in its answers that it leaves.
+	// announcedLeaving is true if the backend server says in its answers that it leaves, and
+	// registeredAs the id of its last registration; only SetView uses that.
 	announcedLeaving atomic.Bool
+	registeredAs     string
 	admission        *admission
 	isolation        suspect.Isolation
 	// served holds when requests were last answered, by fingerprint.
@@ -113,12 +115,9 @@
 
 // SetView applies a new View.
 func (g *Guard) SetView(v *mesh.View) {
-	before := g.targetID()
 	g.view.Store(v)
 	own := v.LocalTarget
-	if own != nil && before != "" && own.ID != before {
-		g.forgetNotices()
-	}
+	g.followRegistration(own)
 	leaving := eligibility.Check(v, own) != eligibility.Eligible
 	g.setColdRate(v)
 	g.updateLimits(v)
--- a/internal/mesh/guard/notice.go
+++ b/internal/mesh/guard/notice.go
@@ -10,6 +10,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/limpetdock/limpetdock/internal/mesh"
 	"github.com/limpetdock/limpetdock/internal/mesh/ratelimit"
 )
 
@@ -113,8 +114,13 @@
 	return math.Inf(1)
 }
 
-// forgetNotices forgets what the backend server said about itself, as another process follows.
-func (g *Guard) forgetNotices() {
+// followRegistration forgets what the backend server said about itself when another process has
+// registered; target is nil while none has.
+func (g *Guard) followRegistration(target *mesh.Target) {
+	if target == nil || target.ID == g.registeredAs {
+		return
+	}
+	g.registeredAs = target.ID
 	if g.limit.Lift() {
 		g.limitChanged("limited", false)
 	}
