A broken exchange frees its slot before it is known whether the server died

Only a request that runs alone is answered after the question; others are recorded later, by a line of their own.

--- a/internal/mesh/guard/death.go
+++ b/internal/mesh/guard/death.go
@@ -3,28 +3,55 @@
 import (
 	"context"
 	"encoding/binary"
+	"errors"
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/limpetdock/limpetdock/internal/kind"
+	"github.com/limpetdock/limpetdock/internal/mesh"
 	"github.com/limpetdock/limpetdock/internal/mesh/exchange"
+	"github.com/limpetdock/limpetdock/internal/suspect"
 )
 
-// cutOffError returns the error for an exchange that broke off after the request was sent: the
-// backend server has died, or it only closed the connection. The end of one that is leaving is
-// expected and not counted as a death.
-func (g *Guard) cutOffError(f *exchange.Failure) *kind.Error {
-	if !g.accepts() || !g.Backend.Died(context.Background(), f) {
-		return kind.New(kind.BackendBroken, "the exchange with the backend server was cut off after the request was sent").WithCause(f)
+// investigate finds out whether the backend server died when an exchange broke off, and records that
+// the request was in flight. A request that ran alone is told, as the next one must find the death
+// recorded. Others don't wait for the answer with a slot in use. The end of a server that is leaving
+// is expected and not counted as a death.
+func (g *Guard) investigate(s *requestState, x suspect.Execution, e *kind.Error) *kind.Error {
+	var f *exchange.Failure
+	if e.Kind != kind.BackendBroken || !errors.As(e.Cause, &f) || !g.accepts() {
+		return e
 	}
-	e := kind.New(kind.BackendDied, "the backend server died with the request in flight").WithCause(f)
-	e.Death = g.deathID(f.Generation)
-	if g.lastDeath.Swap(e.Death) != e.Death {
+	if s.level != suspect.Suspected {
+		go g.recordDeath(s.request, f, false)
+		return e
+	}
+	alone := x.Alone()
+	death := g.recordDeath(s.request, f, alone)
+	if death == 0 {
+		return e
+	}
+	died := kind.New(kind.BackendDied, "the backend server died with the request in flight").WithCause(f)
+	died.Death, died.Alone = death, alone
+	return died
+}
+
+// recordDeath records that a request was in flight if the backend server died, and returns the id of
+// the death, or 0.
+func (g *Guard) recordDeath(r *mesh.Request, f *exchange.Failure, alone bool) uint64 {
+	if !g.Backend.Died(context.Background(), f) {
+		return 0
+	}
+	death := g.deathID(f.Generation)
+	if g.lastDeath.Swap(death) != death {
 		g.deaths.Add(1)
-		g.Log.Event("backend server died", "death", formatDeath(e.Death), "target", g.targetID(), "in_flight", g.gate.Load().InUse)
+		g.Log.Event("backend server died", "death", formatDeath(death), "target", g.targetID())
 	}
-	return e
+	fingerprint := r.Fingerprint()
+	g.Suspects.Died(fingerprint, suspect.Death{ID: death, Alone: alone, Served: g.servedLately(fingerprint)})
+	g.Log.InfoLimited("request was in flight when the backend server died", "id", r.ID, "death", formatDeath(death), "alone", alone)
+	return death
 }
 
 // deathID returns an id for the death of a generation that is unique among all nodes.
--- a/internal/mesh/guard/guard.go
+++ b/internal/mesh/guard/guard.go
@@ -236,7 +236,7 @@
 	sent := g.Now()
 	answer, e := g.exchange(ctx, s, deadline)
 	s.backendTime = g.Now() - sent
-	g.recordSuspicion(s, x, answer, e)
+	e = g.recordSuspicion(s, x, answer, e)
 	g.recordBackendTime(s, slot, answer, e)
 	return answer, e
 }
--- a/internal/mesh/guard/isolate.go
+++ b/internal/mesh/guard/isolate.go
@@ -101,18 +101,17 @@
 	}
 }
 
-// recordSuspicion records what the outcome shows about whether the request crashes backend servers.
-// It must be called before the execution ends, as the next suspect must find a death recorded.
-func (g *Guard) recordSuspicion(s *requestState, x suspect.Execution, a *mesh.Answer, e *kind.Error) {
-	switch {
-	case e != nil && e.Death != 0:
-		e.Alone = x.Alone()
-		fingerprint := s.request.Fingerprint()
-		g.Suspects.Died(fingerprint, suspect.Death{ID: e.Death, Alone: e.Alone, Served: g.servedLately(fingerprint)})
-	case a != nil && a.Status != http.StatusGatewayTimeout:
-		// A backend server that stopped at the time limit has not run the request to its end.
+// recordSuspicion records what the outcome shows about whether the request crashes backend servers,
+// and returns the error for it. It must be called before the execution ends.
+func (g *Guard) recordSuspicion(s *requestState, x suspect.Execution, a *mesh.Answer, e *kind.Error) *kind.Error {
+	if e != nil {
+		return g.investigate(s, x, e)
+	}
+	// A backend server that stopped at the time limit has not run the request to its end.
+	if a.Status != http.StatusGatewayTimeout {
 		g.recordServed(s.request.Fingerprint())
 	}
+	return nil
 }
 
 const (
--- a/internal/mesh/guard/record.go
+++ b/internal/mesh/guard/record.go
@@ -81,9 +81,6 @@
 		pairs = append(pairs, "suspicion", s.level.String())
 	}
 	if e != nil {
-		if e.Death != 0 {
-			pairs = append(pairs, "death", formatDeath(e.Death), "alone", e.Alone)
-		}
 		g.Log.InfoLimited("guard refused or lost", append(pairs, "kind", e.Kind, "outcome", e.ReportedOutcome(), "message", e.Message, "cause", errorText(e.Cause))...)
 		return
 	}
--- a/internal/mesh/guard/send.go
+++ b/internal/mesh/guard/send.go
@@ -79,7 +79,7 @@
 	case ctx.Err() != nil:
 		return kind.New(kind.DeadlineUnknown, "the deadline passed while the backend server ran the request").WithCause(f)
 	}
-	return g.cutOffError(f)
+	return kind.New(kind.BackendBroken, "the exchange with the backend server was cut off after the request was sent").WithCause(f)
 }
 
 func (g *Guard) message(r *mesh.Request, deadline time.Duration) *exchange.Message {
