--- a/internal/mesh/entry/entry.go
+++ b/internal/mesh/entry/entry.go
@@ -204,10 +204,8 @@
 	// sent counts the targets that may have run the request, and deaths those that died with it in
 	// flight.
 	sent, deaths int
-	// level is whether the request may crash backend servers, and mustRunAlone whether it has to run
-	// alone for that, as of the last attempt.
-	level        suspect.Level
-	mustRunAlone bool
+	// level is whether the request may crash backend servers, as of the last attempt.
+	level suspect.Level
 	// refusals holds the wait to assume at targets that refused the request for overload, by
 	// target id.
 	refusals map[string]time.Duration
--- a/internal/mesh/entry/run.go
+++ b/internal/mesh/entry/run.go
@@ -12,6 +12,7 @@
 	"github.com/limpetdock/limpetdock/internal/kind"
 	"github.com/limpetdock/limpetdock/internal/mesh"
 	"github.com/limpetdock/limpetdock/internal/place"
+	"github.com/limpetdock/limpetdock/internal/suspect"
 )
 
 const (
@@ -151,7 +152,7 @@
 		Idempotent: t.route.Idempotent, Priority: t.route.Priority,
 		Remaining: t.end() - start - answerMargin/2 - rttTo[c.target.Distance]/2, QueueTimeout: queueTimeout,
 		BaseServiceTime: baseServiceTime, ObjectiveRemaining: t.objective - start - rttTo[c.target.Distance],
-		Suspected: t.mustRunAlone,
+		Suspected: t.level == suspect.Suspected,
 	}
 	c.target.Stat.Begin()
 	var answer *mesh.Answer
--- a/internal/mesh/entry/suspect.go
+++ b/internal/mesh/entry/suspect.go
@@ -13,7 +13,7 @@
 // blocked.
 func (t *transaction) checkSuspect() *kind.Error {
 	found := t.entry.Suspects.Check(t.fingerprint)
-	t.level, t.mustRunAlone = found.Level, found.MustRunAlone()
+	t.level = found.Level
 	if t.level == suspect.Blocked {
 		return mesh.BlockedError(found.Until - t.entry.Now())
 	}
--- a/internal/mesh/guard/isolate.go
+++ b/internal/mesh/guard/isolate.go
@@ -26,13 +26,10 @@
 func (g *Guard) suspicion(s *requestState) suspect.Level {
 	found := g.Suspects.Check(s.request.Fingerprint)
 	s.blockedFor = found.Until - g.Now()
-	switch {
-	case found.Level == suspect.Blocked:
-		return suspect.Blocked
-	case s.request.Suspected, found.MustRunAlone():
+	if found.Level == suspect.Unsuspected && s.request.Suspected {
 		return suspect.Suspected
 	}
-	return suspect.Unsuspected
+	return found.Level
 }
 
 // isolate waits until the request may run: a suspect runs alone, and a blocked request not at all.
--- a/internal/suspect/suspect.go
+++ b/internal/suspect/suspect.go
@@ -163,9 +163,9 @@
 	return true
 }
 
-// level returns the level by the deaths that no completed run has cleared, and their number.
-func (r *row) level() (l Level, open int) {
-	alone, unserved, unservedAlone := 0, 0, 0
+// level returns the level by the deaths that no completed run has cleared.
+func (r *row) level() Level {
+	open, alone, unserved, unservedAlone := 0, 0, 0, 0
 	var first, last time.Duration
 	for _, d := range r.deaths {
 		if slices.Contains(r.cleared, d.ID) {
@@ -188,11 +188,11 @@
 	}
 	switch {
 	case open >= blockedAt && unservedAlone > 0, alone >= servedBlockedAt && last-first >= servedBlockAfter:
-		return Blocked, open
+		return Blocked
 	case unserved > 0, open >= servedSuspectedAt:
-		return Suspected, open
+		return Suspected
 	}
-	return Unsuspected, open
+	return Unsuspected
 }
 
 // Expire deletes expired rows.
@@ -284,8 +284,6 @@
 // Entry is a row of a Set.
 type Entry struct {
 	Level Level
-	// Deaths is the number of deaths that no completed run has cleared.
-	Deaths int
 	// Until is the time since the node's start at which the row expires.
 	Until time.Duration
 }
@@ -298,8 +296,8 @@
 	t.dirty = false
 	set := Set{}
 	for f, r := range t.rows {
-		if l, open := r.level(); l != Unsuspected {
-			set[f] = Entry{Level: l, Deaths: open, Until: r.until}
+		if l := r.level(); l != Unsuspected {
+			set[f] = Entry{Level: l, Until: r.until}
 		}
 	}
 	return set, true
@@ -319,11 +317,3 @@
 	})
 	return out
 }
-
-// aloneFrom is the number of deaths from which a suspect has to run alone where servers may be
-// killed in large numbers: most requests in flight at such a death are innocent and complete on
-// their next run, while running each of them alone would stop the servers that are left.
-const aloneFrom = 2
-
-// MustRunAlone reports whether the request has to run alone where only repeated deaths count.
-func (e Entry) MustRunAlone() bool { return e.Level == Suspected && e.Deaths >= aloneFrom }
