A guard asks its backend server before the first request since its own start

A node that restarts beside a server that leaves, or that names a limit, sent it requests until the first answer told so. Found on reading; TestRestartedGuardAsksBeforeItSends failed before.

The guard tests' fixture answers health checks by itself, uncounted, unless a test wants them: the new probe reached handlers that block on each request.

--- a/internal/mesh/guard/eligible_test.go
+++ b/internal/mesh/guard/eligible_test.go
@@ -95,6 +95,7 @@
 // Guards against health checks of backend servers in a zone that must get nothing.
 func TestBackendInEvacuatedZoneIsNotProbed(t *testing.T) {
 	x := newFixture(t, 1, signed)
+	x.handlesHealth.Store(true)
 	x.placeIn("rs-a", "rs")
 	x.evacuate("rs-a")
 	x.now.Store(int64(time.Hour))
--- a/internal/mesh/guard/guard.go
+++ b/internal/mesh/guard/guard.go
@@ -64,8 +64,12 @@
 	// registeredAs the id of its last registration; only SetView uses that.
 	announcedLeaving atomic.Bool
 	registeredAs     string
-	admission        *admission
-	isolation        suspect.Isolation
+	// heard is true once the backend server has answered since the start, and firstProbes counts the
+	// probes before that.
+	heard       atomic.Bool
+	firstProbes atomic.Int32
+	admission   *admission
+	isolation   suspect.Isolation
 	// served holds when requests were last answered, by fingerprint.
 	served   *lru.Cache[uint64, time.Duration]
 	slowdown slowdownTracker
@@ -204,6 +208,10 @@
 	if e := g.checkAccepts(s); e != nil {
 		return nil, e
 	}
+	g.awaitFirstAnswer(ctx)
+	if e := g.checkAccepts(s); e != nil {
+		return nil, e
+	}
 	deadline := s.start + r.Remaining
 	g.classify(s)
 	ctx, cancel := context.WithTimeout(ctx, r.Remaining)
--- a/internal/mesh/guard/guard_test.go
+++ b/internal/mesh/guard/guard_test.go
@@ -28,12 +28,18 @@
 	now      atomic.Int64
 	view     *mesh.View
 	received atomic.Int32
+	// handlesHealth is true if the handler receives health checks, too. Otherwise they succeed and
+	// aren't counted.
+	handlesHealth atomic.Bool
 }
 
 // newFixture returns a guard for a backend server whose handler is f.
 func newFixture(t *testing.T, slots int, f http.HandlerFunc) *fixture {
 	x := &fixture{}
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/health" && !x.handlesHealth.Load() {
+			return
+		}
 		x.received.Add(1)
 		w.Header().Set("X-Id", r.Header.Get("X-Id"))
 		f(w, r)
--- a/internal/mesh/guard/isolate_test.go
+++ b/internal/mesh/guard/isolate_test.go
@@ -35,6 +35,7 @@
 		beside.Store(running.Load())
 		signed(w, r)
 	})
+	x.handlesHealth.Store(true)
 	long := request()
 	long.URI, long.Idempotent = "/long", true
 	ctx, cancel := context.WithCancel(t.Context())
--- a/internal/mesh/guard/notice.go
+++ b/internal/mesh/guard/notice.go
@@ -1,6 +1,7 @@
 package guard
 
 import (
+	"context"
 	"errors"
 	"math"
 	"net/http"
@@ -10,6 +11,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/limpetdock/limpetdock/internal/clock"
 	"github.com/limpetdock/limpetdock/internal/mesh"
 	"github.com/limpetdock/limpetdock/internal/mesh/ratelimit"
 )
@@ -61,6 +63,29 @@
 func (g *Guard) recordNotices(h http.Header) {
 	g.recordLimit(h)
 	g.recordLeaving(h)
+	g.heard.Store(true)
+}
+
+const (
+	// firstAnswerAttempts is how often a backend server is probed before the first request is sent
+	// without an answer, and firstAnswerPause the pause between two probes.
+	firstAnswerAttempts = 15
+	firstAnswerPause    = 5 * time.Millisecond
+)
+
+// awaitFirstAnswer waits until the backend server has said something about itself since the node
+// started: it may have told other nodes before that it leaves, or a limit.
+func (g *Guard) awaitFirstAnswer(ctx context.Context) {
+	for !g.heard.Load() {
+		if g.firstProbes.Add(1) > firstAnswerAttempts {
+			g.heard.Store(true)
+			return
+		}
+		g.probeWithin(refreshTimeout)
+		if !g.heard.Load() && !clock.Sleep(ctx, firstAnswerPause) {
+			return
+		}
+	}
 }
 
 var errNoLimit = eris.New("not a number of 0 or more")
--- a/internal/mesh/guard/notice_test.go
+++ b/internal/mesh/guard/notice_test.go
@@ -141,18 +141,18 @@
 // and against one that gets none after it has taken that back.
 func TestLeavingServerGetsNothingUntilItTakesThatBack(t *testing.T) {
 	var leaving atomic.Bool
-	leaving.Store(true)
 	begun, end := make(chan struct{}), make(chan struct{})
 	x := newFixture(t, 1, func(w http.ResponseWriter, r *http.Request) {
-		if leaving.Load() {
-			w.Header().Set("X-Leaving", "1")
-		}
 		if r.URL.Path == "/long" {
 			begun <- struct{}{}
 			<-end
 		}
+		if leaving.Load() {
+			w.Header().Set("X-Leaving", "1")
+		}
 		signed(w, r)
 	})
+	x.handlesHealth.Store(true)
 	long := request()
 	long.URI = "/long"
 	first, waiting := make(chan *kind.Error), make(chan *kind.Error)
@@ -162,6 +162,7 @@
 	}
 	go run(long, first)
 	<-begun
+	leaving.Store(true)
 	go run(request(), waiting)
 	require.Eventually(t, func() bool { return x.Load().Waiting == 1 }, time.Minute, time.Millisecond)
 	received := x.received.Load()
@@ -179,3 +180,38 @@
 	_, e = x.Run(t.Context(), request())
 	require.Nil(t, e)
 }
+
+// Guards against a node that restarts beside a backend server that leaves, or that names a limit, and
+// sends it requests as it has not heard of that yet.
+func TestRestartedGuardAsksBeforeItSends(t *testing.T) {
+	for header, value := range map[string]string{"X-Leaving": "1", "X-Limit": "0"} {
+		var requests atomic.Int32
+		x := newFixture(t, 4, func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(header, value)
+			if r.URL.Path != "/health" {
+				requests.Add(1)
+			}
+			signed(w, r)
+		})
+		x.handlesHealth.Store(true)
+		r := request()
+		r.QueueTimeout = 50 * time.Millisecond
+		_, e := x.Run(t.Context(), r)
+		require.NotNil(t, e, header)
+		require.Equal(t, kind.NotRun, e.ReportedOutcome())
+		require.Zero(t, requests.Load(), header)
+	}
+}
+
+// Guards against a backend server that answers no health checks and never gets a request.
+func TestServerThatAnswersNoHealthCheckGetsRequests(t *testing.T) {
+	x := newFixture(t, 4, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/health" {
+			panic(http.ErrAbortHandler)
+		}
+		signed(w, r)
+	})
+	x.handlesHealth.Store(true)
+	_, e := x.Run(t.Context(), request())
+	require.Nil(t, e)
+}
