The wait for a backend server's first answer isn't used up by many waiting requests

The 15 attempts were counted for each waiting request: 40 of them that arrive at a restarted node ended the wait before the first probe was answered, and the leaving server got a request. Now the probes are counted. A server without a health path isn't waited for, nor is one whose guard stops accepting requests. TestManyRequestsAwaitTheFirstAnswer failed before (1 request, 0 allowed).

Four comments are reworded.

--- a/internal/mesh/entry/crash_test.go
+++ b/internal/mesh/entry/crash_test.go
@@ -129,7 +129,7 @@
 type reads struct {
 	mu              sync.Mutex
 	sent, ok, block int
-	// shortestRetry is the shortest time after which a refused caller was told to retry.
+	// shortestRetry is the shortest Retry-After of a refused read.
 	shortestRetry time.Duration
 }
 
--- a/internal/mesh/guard/death.go
+++ b/internal/mesh/guard/death.go
@@ -15,9 +15,9 @@
 )
 
 // investigate finds out whether the backend server died when an exchange broke off, and records that
-// the request was in flight. A request that ran alone is told, as the next one must find the death
-// recorded. Others don't wait for the answer with a slot in use. The end of a server that is leaving
-// is expected and not counted as a death.
+// the request was in flight. A request that ran alone waits for the result, because the death must be
+// recorded before the next suspect runs. Other requests release their slots first. The end of a
+// server that is leaving is expected and not counted as a death.
 func (g *Guard) investigate(s *requestState, x suspect.Execution, e *kind.Error) *kind.Error {
 	var f *exchange.Failure
 	if e.Kind != kind.BackendBroken || !errors.As(e.Cause, &f) || !g.accepts() {
--- a/internal/mesh/guard/guard.go
+++ b/internal/mesh/guard/guard.go
@@ -64,12 +64,10 @@
 	// registeredAs the id of its last registration; only SetView uses that.
 	announcedLeaving atomic.Bool
 	registeredAs     string
-	// heard is true once the backend server has answered since the start, and firstProbes counts the
-	// probes before that.
-	heard       atomic.Bool
-	firstProbes atomic.Int32
-	admission   *admission
-	isolation   suspect.Isolation
+	// heard is true once the backend server has answered since the start, or is not waited for.
+	heard     atomic.Bool
+	admission *admission
+	isolation suspect.Isolation
 	// served holds when requests were last answered, by fingerprint.
 	served   *lru.Cache[uint64, time.Duration]
 	slowdown slowdownTracker
--- a/internal/mesh/guard/notice.go
+++ b/internal/mesh/guard/notice.go
@@ -73,11 +73,11 @@
 	firstAnswerPause    = 5 * time.Millisecond
 )
 
-// awaitFirstAnswer waits until the backend server has said something about itself since the node
-// started: it may have told other nodes before that it leaves, or a limit.
+// awaitFirstAnswer waits for the first answer of the backend server since the node started. Other
+// nodes may already have passed on answers with a limit or a notice that it leaves.
 func (g *Guard) awaitFirstAnswer(ctx context.Context) {
-	for !g.heard.Load() {
-		if g.firstProbes.Add(1) > firstAnswerAttempts {
+	for !g.heard.Load() && g.accepts() {
+		if g.probes.Load() >= firstAnswerAttempts || !g.hasHealthPath() {
 			g.heard.Store(true)
 			return
 		}
@@ -88,6 +88,16 @@
 	}
 }
 
+// hasHealthPath reports whether the backend server can be probed at all.
+func (g *Guard) hasHealthPath() bool {
+	v := g.view.Load()
+	if v == nil {
+		return false
+	}
+	service := v.Config.Services[g.Here.Service]
+	return service != nil && service.HealthPath != ""
+}
+
 var errNoLimit = eris.New("not a number of 0 or more")
 
 // parseLimit returns the lowest of the limits, which may stand in several headers.
--- a/internal/mesh/guard/notice_test.go
+++ b/internal/mesh/guard/notice_test.go
@@ -215,3 +215,25 @@
 	_, e := x.Run(t.Context(), request())
 	require.Nil(t, e)
 }
+
+// Guards against a restarted node that stops waiting for its backend server's first answer because
+// many requests wait for it at once.
+func TestManyRequestsAwaitTheFirstAnswer(t *testing.T) {
+	var requests atomic.Int32
+	x := newFixture(t, 4, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Leaving", "1")
+		if r.URL.Path == "/health" {
+			time.Sleep(15 * time.Millisecond)
+			return
+		}
+		requests.Add(1)
+		signed(w, r)
+	})
+	x.handlesHealth.Store(true)
+	var all sync.WaitGroup
+	for range 40 {
+		all.Go(func() { _, _ = x.Run(t.Context(), request()) })
+	}
+	all.Wait()
+	require.Zero(t, requests.Load())
+}
