A crashing request is blocked for longer each time that it crashes another server

Callers saw: a request that crashes its backend servers took some of them down again every two minutes, for as long as it came.

Cause: a block ended two minutes after the last death and its row was deleted with it. The next sendings met a system that knew nothing, ran in company, alone, and on a second target: two to six crashes each time.

After the block the request is on trial: alone, on one target, no second one after a death. Nodes delay their first trial by up to 30 s each, so that one tries and the others hear of it. One completed run clears it everywhere. Tables that no longer change are sent every 30 s, not twice a second. Rows tell the time since their last death, so that a block ends at the same time everywhere, whenever a node learnt of it.

Two checks changed, as they asked for what the rule forbids: that a request is unsuspected once its block has ended (TestCrashingRequestIsBlockedAndOtherRequestIsCleared, TestBlockEndsAndNodesFallSilent).

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -67,6 +67,8 @@
 	retryBudgets  retryBudgets
 	heartbeat     heartbeat
 	counters      Counters
+	// trialDelay is after which time a request whose block has ended may run again.
+	trialDelay suspect.TrialDelay
 	// name is unique to this process; exchanges counts the ids derived from it.
 	name      string
 	exchanges atomic.Uint64
@@ -109,7 +111,7 @@
 	e := &Entry{
 		local: c.Local, remote: newTransports(), seal: c.Seal,
 		peers: c.Peers, observer: c.Observer, now: c.Now, name: uuid.NewString(),
-		load: c.Load, limits: c.Limits, measuring: c.Measuring,
+		load: c.Load, limits: c.Limits, measuring: c.Measuring, trialDelay: suspect.NewTrialDelay(),
 	}
 	e.hedges.New = newHedge
 	if e.limits == nil {
@@ -205,7 +207,7 @@
 		return err
 	}
 	x.arrived = time.Now()
-	if err := x.checkSuspect(v, e.now()); err != nil {
+	if err := x.checkSuspect(v, e.trialDelay, e.now()); err != nil {
 		return err
 	}
 	var err *kind.Error
--- a/internal/entry/idempotent.go
+++ b/internal/entry/idempotent.go
@@ -16,6 +16,12 @@
 // first death it is sent to one more target, where it runs alone.
 const maxDeaths = 1
 
+// crashesTooOften reports whether too many backend servers have died with the request in flight for
+// another attempt. One on trial isn't sent again.
+func (s *attemptState) crashesTooOften() bool {
+	return s.deaths > maxDeaths || s.deaths > 0 && s.x.onTrial
+}
+
 // maxTried bounds the targets to which one request is sent, whatever they answer.
 const maxTried = 8
 
@@ -94,7 +100,7 @@
 		if ctx.Err() != nil || x.bodyRead.Load() {
 			break
 		}
-		if !last.MayTryOtherTarget(true) || s.deaths > maxDeaths || !e.allowNextAttempt(x, last) {
+		if !last.MayTryOtherTarget(true) || s.crashesTooOften() || !e.allowNextAttempt(x, last) {
 			break
 		}
 		e.observer.Hopped(x.service.Name, last.Kind)
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -58,7 +58,9 @@
 	body   []byte
 	stream bool
 	// suspected is true if the request must run alone on its target.
-	suspected   bool
+	suspected bool
+	// onTrial is true if the request was blocked before, so that it may run on one target only.
+	onTrial     bool
 	fingerprint uint64
 	// bodyRead is true if some of a streamed body has been read.
 	bodyRead atomic.Bool
--- a/internal/entry/suspect.go
+++ b/internal/entry/suspect.go
@@ -21,17 +21,18 @@
 
 // checkSuspect checks whether similar requests crashed backend servers. A blocked request is
 // answered at once with the remaining time, because its caller would only send it again.
-func (x *request) checkSuspect(v *pick.View, now time.Duration) *kind.Error {
+func (x *request) checkSuspect(v *pick.View, delay suspect.TrialDelay, now time.Duration) *kind.Error {
 	if len(v.Suspects) == 0 {
 		return nil
 	}
-	row := v.Suspects[x.print()]
-	x.suspected = row.Level == suspect.Suspected
-	if row.Level != suspect.Blocked {
+	row := v.Suspects[x.print()].At(now)
+	x.suspected, x.onTrial = row.Level == suspect.Suspected, row.OnTrial
+	blockedFor := delay.BlockedFor(row, now)
+	if blockedFor == 0 {
 		return nil
 	}
 	e := kind.New(kind.Blocked, "requests like this one crashed backend servers")
-	e.RetryAfter = row.Until - now
+	e.RetryAfter = blockedFor
 	return e
 }
 
--- a/internal/mesh/entry/crash_test.go
+++ b/internal/mesh/entry/crash_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -242,3 +243,63 @@
 		})
 	}
 }
+
+// Guards against a request that crashes backend servers again each time that its block ends.
+func TestCrashingRequestThatReturnsForHours(t *testing.T) {
+	const (
+		duration = 6 * time.Hour
+		interval = 2 * time.Second
+		// recognition is how long after the third crash the request may still reach backend servers
+		// freely, and allowedLater how many crash later.
+		recognition  = 3 * time.Second
+		allowedLater = 3
+	)
+	for seed := range uint64(2) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				var background, requests sync.WaitGroup
+				f := newCrashFleet(ctx, &background, seed)
+				rnd := rand.New(rand.NewPCG(seed, 3))
+				var crashing reads
+				start := time.Now()
+				for time.Since(start) < duration {
+					e, now := f.entries[rnd.IntN(len(f.entries))], time.Since(start)
+					requests.Go(func() { crashing.send(ctx, e, now, crashURI) })
+					time.Sleep(interval)
+				}
+				requests.Wait()
+				cancel()
+				background.Wait()
+				later := f.crashedAfter(f.thirdCrash().Add(recognition))
+				t.Logf("%d crashes in %d sendings, %d of them later", f.crashed(), crashing.sent, later)
+				require.LessOrEqual(t, later, allowedLater)
+			})
+		})
+	}
+}
+
+// thirdCrash returns the time of the third crash.
+func (f *crashFleet) thirdCrash() time.Time {
+	crashes := f.crashTimes()
+	return crashes[2]
+}
+
+// crashedAfter returns how often backend servers crashed after a time.
+func (f *crashFleet) crashedAfter(from time.Time) (n int) {
+	for _, at := range f.crashTimes() {
+		if at.After(from) {
+			n++
+		}
+	}
+	return n
+}
+
+// crashTimes returns the times of all crashes in order.
+func (f *crashFleet) crashTimes() (all []time.Time) {
+	for _, s := range f.servers {
+		all = append(all, s.Crashed()...)
+	}
+	slices.SortFunc(all, time.Time.Compare)
+	return all
+}
--- a/internal/mesh/entry/entry.go
+++ b/internal/mesh/entry/entry.go
@@ -86,6 +86,8 @@
 	retryBudgets map[string]*budget.Window
 	routes       sync.Map // route name to *routeStats
 	active       atomic.Int64
+	// trialDelay is after which time a request whose block has ended may run again.
+	trialDelay suspect.TrialDelay
 	// stop is set when the node begins to stop.
 	stop atomic.Pointer[stop]
 }
@@ -95,7 +97,7 @@
 
 // New returns an Entry that refuses all requests until it has a View.
 func New(c Config) *Entry {
-	e := &Entry{Config: c, retryBudgets: map[string]*budget.Window{}}
+	e := &Entry{Config: c, retryBudgets: map[string]*budget.Window{}, trialDelay: suspect.NewTrialDelay()}
 	e.SetPrices(Prices{})
 	return e
 }
@@ -204,8 +206,10 @@
 	// sent counts the targets that may have run the request, and deaths those that died with it in
 	// flight.
 	sent, deaths int
-	// level is whether the request may crash backend servers, as of the last attempt.
-	level suspect.Level
+	// level is whether the request may crash backend servers, and onTrial whether it was blocked
+	// before, both as of the last attempt.
+	level   suspect.Level
+	onTrial bool
 	// refusals holds the wait to assume at targets that refused the request for overload, by
 	// target id.
 	refusals map[string]time.Duration
--- a/internal/mesh/entry/run.go
+++ b/internal/mesh/entry/run.go
@@ -244,7 +244,7 @@
 
 // mayFailOver reports whether the request may be sent to another target after err.
 func (t *transaction) mayFailOver(err *kind.Error) bool {
-	if !err.MayTryOtherTarget(t.route.Idempotent) || t.sent >= max(t.route.MaxTargets, 1) || t.deaths > maxDeaths {
+	if !err.MayTryOtherTarget(t.route.Idempotent) || t.sent >= max(t.route.MaxTargets, 1) || t.crashesTooOften() {
 		return false
 	}
 	if err.FromBackend || err.ReportedOutcome() != kind.NotRun {
--- a/internal/mesh/entry/suspect.go
+++ b/internal/mesh/entry/suspect.go
@@ -6,17 +6,25 @@
 	"github.com/limpetdock/limpetdock/internal/suspect"
 )
 
-// maxDeaths is after how many deaths of targets a request is still sent to another one.
+// maxDeaths is after how many deaths of targets a request is still sent to another one, unless it is
+// on trial.
 const maxDeaths = 1
 
+// crashesTooOften reports whether too many targets have died with the request in flight for another
+// attempt.
+func (t *transaction) crashesTooOften() bool {
+	return t.deaths > maxDeaths || t.deaths > 0 && t.onTrial
+}
+
 // checkSuspect checks whether the request may crash backend servers, and refuses it if it is
 // blocked.
 func (t *transaction) checkSuspect() *kind.Error {
 	found := t.entry.Suspects.Check(t.fingerprint)
-	t.level = found.Level
-	if t.level == suspect.Blocked {
-		return mesh.BlockedError(found.Until - t.entry.Now())
+	if blockedFor := t.entry.trialDelay.BlockedFor(found, t.entry.Now()); blockedFor > 0 {
+		t.level = suspect.Blocked
+		return mesh.BlockedError(blockedFor)
 	}
+	t.level, t.onTrial = found.Level, found.OnTrial
 	return nil
 }
 
--- a/internal/mesh/quarantine/tracker.go
+++ b/internal/mesh/quarantine/tracker.go
@@ -26,6 +26,10 @@
 	repairInterval = 500 * time.Millisecond
 	repairRows     = 8
 	repairFanout   = 2
+	// settledAge is the time since the last change of the table from which parts of it are sent only
+	// every settledInterval.
+	settledAge      = 2 * time.Minute
+	settledInterval = 30 * time.Second
 	// initialRows bounds the rows that a node receives when it connects. The others follow in the
 	// regular messages.
 	initialRows = 64
@@ -54,6 +58,8 @@
 	// observed and received are the fingerprints of rows that changed since they were last sent:
 	// by what the node's own guard saw, and by news of other nodes.
 	observed, received map[uint64]bool
+	// changedAt is when the table last changed, and repairedAt when a part of it was last sent.
+	changedAt, repairedAt time.Duration
 }
 
 // New returns a Tracker with an empty table.
@@ -71,11 +77,7 @@
 	if set == nil || len(*set) == 0 {
 		return suspect.Entry{}
 	}
-	row, known := (*set)[fingerprint()]
-	if !known || t.now() >= row.Until {
-		return suspect.Entry{}
-	}
-	return row
+	return (*set)[fingerprint()].At(t.now())
 }
 
 // Died records that a request was in flight when the backend server died.
@@ -116,6 +118,7 @@
 		return
 	}
 	t.set.Store(&set)
+	t.changedAt = t.now()
 	select {
 	case t.wake <- struct{}{}:
 	default:
@@ -157,12 +160,13 @@
 
 // runWhileFilled sends news until the table is empty or ctx ends.
 func (t *Tracker) runWhileFilled(ctx context.Context, s Sender) {
-	ticker := time.NewTicker(repairInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(repairInterval)
+	defer timer.Stop()
 	for t.sendNews(s) {
+		timer.Reset(t.untilRepair())
 		select {
 		case <-t.wake:
-		case <-ticker.C:
+		case <-timer.C:
 			t.repair(s)
 		case <-ctx.Done():
 			return
@@ -188,12 +192,24 @@
 	return filled
 }
 
-// repair deletes expired rows and sends a part of the others to one node.
+// untilRepair returns the time until the next repair.
+func (t *Tracker) untilRepair() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now, interval := t.now(), repairInterval
+	if now-t.changedAt >= settledAge {
+		interval = settledInterval
+	}
+	return max(t.repairedAt+interval-now, 0)
+}
+
+// repair deletes expired rows and sends a part of the others to repairFanout nodes.
 func (t *Tracker) repair(s Sender) {
 	t.mu.Lock()
-	t.table.Expire(t.now())
+	t.repairedAt = t.now()
+	t.table.Expire(t.repairedAt)
 	t.publish()
-	rows := t.table.NextBatch(repairRows, t.now())
+	rows := t.table.NextBatch(repairRows, t.repairedAt)
 	t.mu.Unlock()
 	if len(rows) > 0 {
 		s.SendSuspects(rows, repairFanout)
--- a/internal/mesh/quarantine/tracker_test.go
+++ b/internal/mesh/quarantine/tracker_test.go
@@ -152,7 +152,9 @@
 		time.Sleep(time.Second)
 		require.Equal(t, 18, n.at(crashing, suspect.Blocked))
 		require.LessOrEqual(t, n.nodes[9].Check(print(crashing)).Until, suspect.BlockFor+time.Second)
-		time.Sleep(suspect.BlockFor + 5*time.Second)
+		time.Sleep(suspect.BlockFor)
+		require.Equal(t, 18, n.at(crashing, suspect.Suspected))
+		time.Sleep(suspect.BlockFor + 24*time.Hour)
 		require.Equal(t, 18, n.at(crashing, suspect.Unsuspected))
 		require.Zero(t, n.nodes[9].Len())
 		before := n.messages()
@@ -161,6 +163,37 @@
 	})
 }
 
+// Guards against nodes that go on sending a table often that no longer changes.
+func TestSettledTableIsSentRarely(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(t, 18, 3, 3, 0)
+		n.nodes[0].Died(crashing, suspect.Death{ID: 1, Alone: true})
+		n.nodes[0].Died(crashing, suspect.Death{ID: 2, Alone: true})
+		time.Sleep(suspect.BlockFor + 5*time.Second)
+		before := n.messages()
+		time.Sleep(time.Minute)
+		sent := n.messages() - before
+		require.Positive(t, sent, "nodes that missed the news still receive it")
+		require.LessOrEqual(t, sent, 18*2*2, "two messages of each node every 30 s")
+	})
+}
+
+// Guards against a request that stays on trial after it was answered.
+func TestCompletionOnTrialClearsEverywhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(t, 18, 3, 3, 0)
+		n.nodes[0].Died(crashing, suspect.Death{ID: 1, Alone: true})
+		n.nodes[0].Died(crashing, suspect.Death{ID: 2, Alone: true})
+		time.Sleep(suspect.BlockFor + 5*time.Second)
+		require.True(t, n.nodes[9].Check(print(crashing)).OnTrial)
+		n.nodes[5].Completed(crashing)
+		time.Sleep(2500 * time.Millisecond)
+		require.Equal(t, 18, n.at(crashing, suspect.Unsuspected))
+		time.Sleep(time.Hour)
+		require.Equal(t, 18, n.at(crashing, suspect.Unsuspected))
+	})
+}
+
 // Guards against the cost of reading each request while there are no suspects.
 func TestNoFingerprintWithoutSuspects(t *testing.T) {
 	tracker := quarantine.New(func() time.Duration { return 0 })
--- a/internal/suspect/suspect.go
+++ b/internal/suspect/suspect.go
@@ -3,6 +3,9 @@
 // runs alone on its target. One that was alone when a second backend server died
 // is blocked for a limited time. A completed run clears it.
 //
+// When a block has ended the request is on trial: it runs alone, on one target only. If that
+// backend server dies too, the next block is longer.
+//
 // A Table reads no clock: time is an argument. It must be used by one goroutine
 // only; the Sets it returns are immutable. Tables of different nodes are merged by
 // gossip. Merging is commutative and idempotent, so order and repeats don't matter.
@@ -10,6 +13,8 @@
 
 import (
 	"maps"
+	"math"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -17,9 +22,20 @@
 )
 
 const (
-	// BlockFor is how long a suspect is remembered after its last death.
+	// BlockFor is how long a request is blocked at first, and how long a suspect that was never
+	// blocked is remembered, both after its last death.
 	BlockFor = 2 * time.Minute
-	// maxRows bounds the table; when it is full, the row that expires first is evicted.
+	// firstDeaths is the number of deaths up to which a block lasts BlockFor. Each further one makes
+	// it blockGrowth times as long, up to maxBlock.
+	firstDeaths = 3
+	blockGrowth = 10
+	maxBlock    = 24 * time.Hour
+	// trialMemory is how long a request is remembered after its block has ended.
+	trialMemory = 24 * time.Hour
+	// trialSpread is the longest random time by which a node delays its first trial, so that the nodes
+	// don't try the request all at once.
+	trialSpread = 30 * time.Second
+	// maxRows bounds the table; when it is full, the row with the oldest last death is evicted.
 	maxRows = 256
 	// maxDeaths bounds the deaths kept for one row; more would not change its level.
 	maxDeaths = 8
@@ -78,7 +94,30 @@
 type row struct {
 	deaths  []death
 	cleared []uint64
-	until   time.Duration
+	// lastDeath is the time of the last death, which may be before the node's start.
+	lastDeath time.Duration
+}
+
+// blockedUntil returns when the block ends, if the deaths known so far block the request.
+func (r *row) blockedUntil() time.Duration { return r.lastDeath + blockTime(r.open()) }
+
+// until returns when the row expires. A row that has been cleared is kept as long as it would be
+// otherwise, or else a node that hasn't heard of it would bring the deaths back.
+func (r *row) until() time.Duration {
+	if judge(r.deaths) != Blocked {
+		return r.lastDeath + BlockFor
+	}
+	return r.lastDeath + blockTime(len(r.deaths)) + trialMemory
+}
+
+// blockTime returns how long a request that was in flight at so many deaths is blocked after the
+// last one.
+func blockTime(deaths int) time.Duration {
+	d := BlockFor
+	for range deaths - firstDeaths {
+		d = min(d*blockGrowth, maxBlock)
+	}
+	return d
 }
 
 // Table holds one node's rows by fingerprint.
@@ -95,7 +134,7 @@
 func (t *Table) RecordDeath(fingerprint uint64, d Death, now time.Duration) {
 	r := t.row(fingerprint, now)
 	if r.add(d, now) {
-		r.until = now + BlockFor
+		r.lastDeath = now
 		t.dirty = true
 	}
 }
@@ -120,20 +159,20 @@
 	if len(t.rows) >= maxRows {
 		t.evict()
 	}
-	r := &row{until: now + BlockFor}
+	r := &row{lastDeath: now}
 	t.rows[fingerprint] = r
 	return r
 }
 
 func (t *Table) evict() {
-	var earliest uint64
-	var at time.Duration = -1
+	var oldest uint64
+	at := time.Duration(math.MaxInt64)
 	for f, r := range t.rows {
-		if at < 0 || r.until < at || r.until == at && f < earliest {
-			earliest, at = f, r.until
+		if r.lastDeath < at || r.lastDeath == at && f < oldest {
+			oldest, at = f, r.lastDeath
 		}
 	}
-	delete(t.rows, earliest)
+	delete(t.rows, oldest)
 }
 
 // add records a death and reports whether it changed the row.
@@ -163,14 +202,21 @@
 	return true
 }
 
-// level returns the level by the deaths that no completed run has cleared.
-func (r *row) level() Level {
+// level returns the level by the deaths that no completed run has cleared. A block may have ended.
+func (r *row) level() Level { return judge(r.openDeaths()) }
+
+// openDeaths returns the deaths that no completed run has cleared.
+func (r *row) openDeaths() []death {
+	return slices.DeleteFunc(slices.Clone(r.deaths), func(d death) bool { return slices.Contains(r.cleared, d.ID) })
+}
+
+func (r *row) open() int { return len(r.openDeaths()) }
+
+// judge returns the level that follows from deaths.
+func judge(deaths []death) Level {
 	open, alone, unserved, unservedAlone := 0, 0, 0, 0
 	var first, last time.Duration
-	for _, d := range r.deaths {
-		if slices.Contains(r.cleared, d.ID) {
-			continue
-		}
+	for _, d := range deaths {
 		open++
 		if d.Alone && alone == 0 {
 			first, last = d.at, d.at
@@ -198,7 +244,7 @@
 // Expire deletes expired rows.
 func (t *Table) Expire(now time.Duration) {
 	for f, r := range t.rows {
-		if now >= r.until {
+		if now >= r.until() {
 			delete(t.rows, f)
 			t.dirty = true
 		}
@@ -208,19 +254,19 @@
 // Merge applies an update from a peer and reports whether it contained any news. Only a new death
 // extends a row's expiry, so that gossip alone can't keep rows alive.
 func (t *Table) Merge(update wire.Suspect, now time.Duration) (changed bool) {
-	remaining := min(time.Duration(update.ExpiresMs)*time.Millisecond, BlockFor)
-	if remaining <= 0 {
+	if update.ExpiresMs == 0 {
 		return false
 	}
+	lastDeath := now - time.Duration(update.SinceMs)*time.Millisecond
 	known := t.rows[update.Fingerprint] != nil
 	r := t.row(update.Fingerprint, now)
 	if !known {
-		r.until = now + remaining
+		r.lastDeath = lastDeath
 	}
 	for i, id := range update.Deaths {
 		d := Death{ID: id, Alone: i < len(update.Alone) && update.Alone[i], Served: i < len(update.Served) && update.Served[i]}
 		if r.add(d, now) {
-			r.until = max(r.until, now+remaining)
+			r.lastDeath = max(r.lastDeath, lastDeath)
 			changed = true
 		}
 	}
@@ -268,7 +314,8 @@
 func (r *row) encode(fingerprint uint64, now time.Duration) wire.Suspect {
 	s := wire.Suspect{
 		Fingerprint: fingerprint, Cleared: slices.Clone(r.cleared),
-		ExpiresMs: uint32(max(0, r.until-now).Milliseconds()),
+		ExpiresMs: uint32(max(0, r.until()-now).Milliseconds()),
+		SinceMs:   uint32(max(0, now-r.lastDeath).Milliseconds()),
 	}
 	for _, d := range r.deaths {
 		s.Deaths = append(s.Deaths, d.ID)
@@ -284,8 +331,36 @@
 // Entry is a row of a Set.
 type Entry struct {
 	Level Level
-	// Until is the time since the node's start at which the row expires.
+	// Until is the time since the node's start at which the block ends or the row expires.
 	Until time.Duration
+	// OnTrial is true for a suspect whose block has ended.
+	OnTrial bool
+}
+
+// At returns the entry as it stands at a time since the node's start. Traffic goroutines call it, as
+// a Set isn't renewed when a block ends.
+func (e Entry) At(now time.Duration) Entry {
+	switch {
+	case now < e.Until:
+		return e
+	case e.Level == Blocked:
+		return Entry{Level: Suspected, Until: e.Until, OnTrial: true}
+	}
+	return Entry{}
+}
+
+// TrialDelay is a node's delay between the end of a block and its first trial.
+type TrialDelay time.Duration
+
+// NewTrialDelay draws the delay of one node.
+func NewTrialDelay() TrialDelay { return TrialDelay(rand.N(trialSpread)) }
+
+// BlockedFor returns for how much longer a node refuses the request, or 0 if it may run.
+func (d TrialDelay) BlockedFor(e Entry, now time.Duration) time.Duration {
+	if e.Level != Blocked && !e.OnTrial {
+		return 0
+	}
+	return max(e.Until+time.Duration(d)-now, 0)
 }
 
 // Changed returns a new Set if anything has changed since the last call.
@@ -296,8 +371,11 @@
 	t.dirty = false
 	set := Set{}
 	for f, r := range t.rows {
-		if l := r.level(); l != Unsuspected {
-			set[f] = Entry{Level: l, Until: r.until}
+		switch l := r.level(); l {
+		case Blocked:
+			set[f] = Entry{Level: l, Until: r.blockedUntil()}
+		case Suspected:
+			set[f] = Entry{Level: l, Until: r.until()}
 		}
 	}
 	return set, true
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -127,6 +127,8 @@
 	// Served reports, in the order of Deaths, whether the backend server had answered such a
 	// request shortly before.
 	Served []bool `msgpack:"v,omitempty" json:"served,omitempty"`
+	// SinceMs is the time since the last death, in milliseconds.
+	SinceMs uint32 `msgpack:"s,omitempty" json:"since_ms"`
 }
 
 // FetchVMs requests the peer's VM list.
