A request that was cleared of many deaths can be suspected again

Cause: a row keeps eight deaths and eight cleared ones; once it was full, neither a new death nor a new clearing was recorded. A request that had been cleared of eight deaths could crash servers until its row expired.

Now a new death takes the place of the oldest cleared one, and a clearing that of one whose death the row doesn't have. A death that a peer knows to be cleared takes no place, so that two tables with other deaths settle.

Evidence: TestClearedDeathsMakeRoomForNewOnes failed before (unsuspected after the fifth pair of deaths), passes now; suspect with the race detector and 2000 checks of the merge passed.

--- a/internal/suspect/suspect.go
+++ b/internal/suspect/suspect.go
@@ -37,7 +37,7 @@
 	trialSpread = 30 * time.Second
 	// maxRows bounds the table; when it is full, the row with the oldest last death is evicted.
 	maxRows = 256
-	// maxDeaths bounds the deaths kept for one row; more would not change its level.
+	// maxDeaths bounds the deaths kept for one row.
 	maxDeaths = 8
 	// blockedAt is the number of deaths, at least one of them alone, that block a request.
 	blockedAt = 2
@@ -187,21 +187,54 @@
 		known.Served = known.Served || d.Served
 		return changed
 	}
-	if len(r.deaths) >= maxDeaths {
+	if r.full() && !r.dropClearedDeath() {
 		return false
 	}
 	r.deaths = append(r.deaths, death{d, now})
 	return true
 }
 
+func (r *row) full() bool { return len(r.deaths) >= maxDeaths }
+
+// knows reports whether the row has a death.
+func (r *row) knows(id uint64) bool {
+	return slices.ContainsFunc(r.deaths, func(d death) bool { return d.ID == id })
+}
+
+// dropClearedDeath makes room for a death by dropping the oldest one that is cleared. It returns false
+// if none is.
+func (r *row) dropClearedDeath() bool {
+	i := slices.IndexFunc(r.deaths, func(d death) bool { return slices.Contains(r.cleared, d.ID) })
+	if i < 0 {
+		return false
+	}
+	id := r.deaths[i].ID
+	r.deaths = slices.Delete(r.deaths, i, i+1)
+	r.cleared = slices.DeleteFunc(r.cleared, func(c uint64) bool { return c == id })
+	return true
+}
+
+// clear records that the request did not cause a death, which may not be known yet, and reports
+// whether that changed the row.
 func (r *row) clear(id uint64) bool {
-	if slices.Contains(r.cleared, id) || len(r.cleared) >= maxDeaths {
+	if slices.Contains(r.cleared, id) || len(r.cleared) >= maxDeaths && !r.dropUnknownCleared() {
 		return false
 	}
 	r.cleared = append(r.cleared, id)
 	return true
 }
 
+// dropUnknownCleared drops the oldest cleared death that the row doesn't have. It returns false if it
+// has all of them.
+func (r *row) dropUnknownCleared() bool {
+	i := slices.IndexFunc(r.cleared, func(id uint64) bool { return !r.knows(id) })
+	if i < 0 {
+		return false
+	}
+	r.cleared = slices.Delete(r.cleared, i, i+1)
+	return true
+}
+
 // level returns the level by the deaths that no completed run has cleared. A block may have ended.
 func (r *row) level() Level { return judge(r.openDeaths()) }
 
@@ -264,6 +297,9 @@
 		r.lastDeath = lastDeath
 	}
 	for i, id := range update.Deaths {
+		if r.full() && !r.knows(id) && slices.Contains(update.Cleared, id) {
+			continue
+		}
 		d := Death{ID: id, Alone: i < len(update.Alone) && update.Alone[i], Served: i < len(update.Served) && update.Served[i]}
 		if r.add(d, now) {
 			r.lastDeath = max(r.lastDeath, lastDeath)
@@ -271,7 +307,9 @@
 		}
 	}
 	for _, id := range update.Cleared {
-		changed = r.clear(id) || changed
+		if len(r.cleared) < maxDeaths || r.knows(id) {
+			changed = r.clear(id) || changed
+		}
 	}
 	t.dirty = t.dirty || changed
 	return changed
--- a/internal/suspect/suspect_test.go
+++ b/internal/suspect/suspect_test.go
@@ -60,6 +60,52 @@
 	require.Equal(t, suspect.Unsuspected, level(table, 1), "one completed run ends it")
 }
 
+// Guards against a request that can't be suspected any more, or not be cleared, as it was cleared of
+// many deaths before.
+func TestClearedDeathsMakeRoomForNewOnes(t *testing.T) {
+	a, b := suspect.NewTable(), suspect.NewTable()
+	for id := range uint64(20) {
+		a.RecordDeath(1, suspect.Death{ID: 2 * id, Alone: true}, 0)
+		a.RecordDeath(1, suspect.Death{ID: 2*id + 1, Alone: true}, 0)
+		for _, row := range a.NextBatch(10, 0) {
+			b.Merge(row, 0)
+		}
+		require.Equal(t, suspect.Blocked, level(a, 1))
+		require.Equal(t, suspect.Blocked, level(b, 1))
+		b.Clear(1)
+		for _, row := range b.NextBatch(10, 0) {
+			a.Merge(row, 0)
+		}
+		require.Equal(t, suspect.Unsuspected, level(a, 1))
+		require.Equal(t, suspect.Unsuspected, level(b, 1))
+	}
+}
+
+// Guards against nodes that send each other old deaths for good, as neither can keep all of them.
+func TestTablesWithOtherClearedDeathsSettle(t *testing.T) {
+	a, b := suspect.NewTable(), suspect.NewTable()
+	for id := range uint64(8) {
+		a.RecordDeath(1, suspect.Death{ID: id, Alone: true}, 0)
+		b.RecordDeath(1, suspect.Death{ID: 100 + id, Alone: true}, 0)
+	}
+	a.Clear(1)
+	b.Clear(1)
+	merge := func(to, from *suspect.Table) (changed bool) {
+		for _, row := range from.NextBatch(10, 0) {
+			changed = to.Merge(row, 0) || changed
+		}
+		return changed
+	}
+	for range 3 {
+		merge(a, b)
+		merge(b, a)
+	}
+	require.False(t, merge(a, b))
+	require.False(t, merge(b, a))
+	require.Equal(t, suspect.Unsuspected, level(a, 1))
+	require.Equal(t, suspect.Unsuspected, level(b, 1))
+}
+
 // Guards against requests that are remembered for good.
 func TestRequestOnTrialIsForgotten(t *testing.T) {
 	table := suspect.NewTable()
