Paths that begin with two slashes reach backend servers unchanged

Callers saw a failure for a path like //a: the library writes an opaque URL with two slashes as one that lacks its scheme, so the backend server got ://a as request target.

Evidence: TestURIArrivesUnchanged failed before (outcome unknown for //), passes now.

--- a/internal/mesh/exchange/exchange_test.go
+++ b/internal/mesh/exchange/exchange_test.go
@@ -104,6 +104,30 @@
 	require.EqualValues(t, 1, b.accepted.Load())
 }
 
+// Guards against a path or query that reaches the backend server changed.
+func TestURIArrivesUnchanged(t *testing.T) {
+	received := make(chan string, 1)
+	_, client := serve(t, func(c *connection) {
+		for {
+			r, err := http.ReadRequest(c.reader)
+			if err != nil {
+				return
+			}
+			received <- r.RequestURI
+			c.answer(r.Header.Get("X-Id"), "")
+		}
+	})
+	for _, uri := range []string{
+		"/a?b=c", "/a/?", "/a%2Fb/%41?x=%2f", "/a|b", "//", "//a//b/?c=//d", "//a%2Fb/%41", "//a?", "///a", "/a//b", "//h:80/a", "//a?b=|",
+	} {
+		m := message("1")
+		m.URI = uri
+		_, f := client.Do(t.Context(), m, always)
+		require.Nil(t, f)
+		require.Equal(t, uri, <-received)
+	}
+}
+
 // Guards against a late second answer to one request that is passed on as the answer to
 // the next one, which would show a caller the answer to another caller's request.
 func TestAnswerToOtherRequestIsSkipped(t *testing.T) {
--- a/internal/mesh/exchange/pool.go
+++ b/internal/mesh/exchange/pool.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -96,7 +97,7 @@
 
 func (m *Message) request() *http.Request {
 	r := &http.Request{
-		Method: m.Method, URL: &url.URL{Opaque: m.URI}, Host: m.Host, Header: m.Header,
+		Method: m.Method, URL: m.url(), Host: m.Host, Header: m.Header,
 		ProtoMajor: 1, ProtoMinor: 1, ContentLength: int64(len(m.Body)),
 	}
 	if len(m.Body) > 0 {
@@ -109,6 +110,17 @@
 	return r
 }
 
+// url returns a URL that is written as m.URI is.
+func (m *Message) url() *url.URL {
+	// The library takes an opaque URL with two slashes for one that lacks its scheme.
+	if strings.HasPrefix(m.URI, "//") {
+		if u, err := url.ParseRequestURI(m.URI); err == nil {
+			return u
+		}
+	}
+	return &url.URL{Opaque: m.URI}
+}
+
 // Do sends a request and returns the complete answer. allow is called right before the
 // first byte is written. When ctx ends the connection is closed, by which most backend
 // servers notice that the answer is no longer awaited.
