--- /dev/null
+++ b/internal/suspect/row.go
@@ -0,0 +1,156 @@
+package suspect
+
+import (
+	"slices"
+	"time"
+
+	"github.com/limpetdock/limpetdock/internal/wire"
+)
+
+// death is a Death with the time at which this node learnt of it.
+type death struct {
+	Death
+	at time.Duration
+}
+
+type row struct {
+	deaths  []death
+	cleared []uint64
+	// lastDeath is the time of the last death, which may be before the node's start.
+	lastDeath time.Duration
+}
+
+// blockedUntil returns when the block ends, if the deaths known so far block the request.
+func (r *row) blockedUntil() time.Duration { return r.lastDeath + blockTime(r.open()) }
+
+// until returns when the row expires. A row that has been cleared is kept as long as it would be
+// otherwise, or else a node that hasn't heard of it would bring the deaths back.
+func (r *row) until() time.Duration {
+	if levelOf(r.deaths) != Blocked {
+		return r.lastDeath + BlockFor
+	}
+	return r.lastDeath + blockTime(len(r.deaths)) + trialMemory
+}
+
+// blockTime returns how long a request that was in flight at so many deaths is blocked after the
+// last one.
+func blockTime(deaths int) time.Duration {
+	d := BlockFor
+	for range deaths - firstDeaths {
+		d = min(d*blockGrowth, maxBlock)
+	}
+	return d
+}
+
+// add records a death and reports whether it changed the row.
+func (r *row) add(d Death, now time.Duration) bool {
+	for i := range r.deaths {
+		if r.deaths[i].ID != d.ID {
+			continue
+		}
+		known := &r.deaths[i]
+		changed := d.Alone && !known.Alone || d.Served && !known.Served
+		known.Alone = known.Alone || d.Alone
+		known.Served = known.Served || d.Served
+		return changed
+	}
+	if r.full() && !r.dropClearedDeath() {
+		return false
+	}
+	r.deaths = append(r.deaths, death{d, now})
+	return true
+}
+
+func (r *row) full() bool { return len(r.deaths) >= maxDeaths }
+
+// knows reports whether the row has a death.
+func (r *row) knows(id uint64) bool {
+	return slices.ContainsFunc(r.deaths, func(d death) bool { return d.ID == id })
+}
+
+// dropClearedDeath makes room for a death by dropping the oldest one that is cleared. It returns false
+// if none is.
+func (r *row) dropClearedDeath() bool {
+	i := slices.IndexFunc(r.deaths, func(d death) bool { return slices.Contains(r.cleared, d.ID) })
+	if i < 0 {
+		return false
+	}
+	id := r.deaths[i].ID
+	r.deaths = slices.Delete(r.deaths, i, i+1)
+	r.cleared = slices.DeleteFunc(r.cleared, func(c uint64) bool { return c == id })
+	return true
+}
+
+// clear records that the request did not cause a death, which may not be known yet, and reports
+// whether that changed the row.
+func (r *row) clear(id uint64) bool {
+	if slices.Contains(r.cleared, id) || len(r.cleared) >= maxDeaths && !r.dropUnknownCleared() {
+		return false
+	}
+	r.cleared = append(r.cleared, id)
+	return true
+}
+
+// dropUnknownCleared drops the oldest cleared death that the row doesn't have. It returns false if it
+// has all of them.
+func (r *row) dropUnknownCleared() bool {
+	i := slices.IndexFunc(r.cleared, func(id uint64) bool { return !r.knows(id) })
+	if i < 0 {
+		return false
+	}
+	r.cleared = slices.Delete(r.cleared, i, i+1)
+	return true
+}
+
+// level returns the level by the deaths that no completed run has cleared. A block may have ended.
+func (r *row) level() Level { return levelOf(r.openDeaths()) }
+
+// openDeaths returns the deaths that no completed run has cleared.
+func (r *row) openDeaths() []death {
+	return slices.DeleteFunc(slices.Clone(r.deaths), func(d death) bool { return slices.Contains(r.cleared, d.ID) })
+}
+
+func (r *row) open() int { return len(r.openDeaths()) }
+
+// levelOf returns the level that follows from deaths.
+func levelOf(deaths []death) Level {
+	open, alone, unserved, unservedAlone := 0, 0, 0, 0
+	var first, last time.Duration
+	for _, d := range deaths {
+		open++
+		if d.Alone && alone == 0 {
+			first, last = d.at, d.at
+		}
+		if d.Alone {
+			alone++
+			first, last = min(first, d.at), max(last, d.at)
+		}
+		if !d.Served {
+			unserved++
+		}
+		if d.Alone && !d.Served {
+			unservedAlone++
+		}
+	}
+	switch {
+	case open >= blockedAt && unservedAlone > 0, alone >= servedBlockedAt && last-first >= servedBlockAfter:
+		return Blocked
+	case unserved > 0, open >= servedSuspectedAt:
+		return Suspected
+	}
+	return Unsuspected
+}
+
+func (r *row) encode(fingerprint uint64, now time.Duration) wire.Suspect {
+	s := wire.Suspect{
+		Fingerprint: fingerprint, Cleared: slices.Clone(r.cleared),
+		ExpiresMs: uint32(max(0, r.until()-now).Milliseconds()),
+		SinceMs:   uint32(max(0, now-r.lastDeath).Milliseconds()),
+	}
+	for _, d := range r.deaths {
+		s.Deaths = append(s.Deaths, d.ID)
+		s.Alone = append(s.Alone, d.Alone)
+		s.Served = append(s.Served, d.Served)
+	}
+	return s
+}
