Only deaths on trial make the block of a request longer

Cause: the block grew with all deaths known of the request.

Now a death says whether the request was on trial (suspect.Death.Trial, told to other nodes), and only these count: the first block is always two minutes.

Evidence: TestFirstBlockIsShortWhateverTheNumberOfDeaths failed before (24 h in place of 2 min).

--- a/internal/entry/suspect.go
+++ b/internal/entry/suspect.go
@@ -44,7 +44,7 @@
 	}
 	x.suspected = true
 	if a := e.reporter.Load(); a != nil {
-		(*a).Died(x.print(), suspect.Death{ID: err.Death, Alone: err.Alone})
+		(*a).Died(x.print(), suspect.Death{ID: err.Death, Alone: err.Alone, Trial: x.onTrial})
 	}
 }
 
--- a/internal/mesh/guard/death.go
+++ b/internal/mesh/guard/death.go
@@ -9,7 +9,6 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/limpetdock/limpetdock/internal/kind"
-	"github.com/limpetdock/limpetdock/internal/mesh"
 	"github.com/limpetdock/limpetdock/internal/mesh/exchange"
 	"github.com/limpetdock/limpetdock/internal/suspect"
 )
@@ -24,11 +23,11 @@
 		return e
 	}
 	if s.level != suspect.Suspected {
-		go g.recordDeath(s.request, f, false)
+		go g.recordDeath(s, f, false)
 		return e
 	}
 	alone := x.Alone()
-	death := g.recordDeath(s.request, f, alone)
+	death := g.recordDeath(s, f, alone)
 	if death == 0 {
 		return e
 	}
@@ -39,7 +38,7 @@
 
 // recordDeath records that a request was in flight if the backend server died, and returns the id of
 // the death, or 0.
-func (g *Guard) recordDeath(r *mesh.Request, f *exchange.Failure, alone bool) uint64 {
+func (g *Guard) recordDeath(s *requestState, f *exchange.Failure, alone bool) uint64 {
 	if !g.Backend.Died(context.Background(), f) {
 		return 0
 	}
@@ -48,9 +47,9 @@
 		g.deaths.Add(1)
 		g.Log.Event("backend server died", "death", formatDeath(death), "target", g.targetID())
 	}
-	fingerprint := r.Fingerprint()
-	g.Suspects.Died(fingerprint, suspect.Death{ID: death, Alone: alone, Served: g.servedLately(fingerprint)})
-	g.Log.InfoLimited("request was in flight when the backend server died", "id", r.ID, "death", formatDeath(death), "alone", alone)
+	fingerprint := s.request.Fingerprint()
+	g.Suspects.Died(fingerprint, suspect.Death{ID: death, Alone: alone, Served: g.servedLately(fingerprint), Trial: s.onTrial})
+	g.Log.InfoLimited("request was in flight when the backend server died", "id", s.request.ID, "death", formatDeath(death), "alone", alone)
 	return death
 }
 
--- a/internal/mesh/guard/isolate.go
+++ b/internal/mesh/guard/isolate.go
@@ -25,7 +25,7 @@
 // suspicion returns how the request is to be treated.
 func (g *Guard) suspicion(s *requestState) suspect.Level {
 	found := g.Suspects.Check(s.request.Fingerprint)
-	s.blockedFor = found.Until - g.Now()
+	s.blockedFor, s.onTrial = found.Until-g.Now(), found.OnTrial
 	if found.Level == suspect.Unsuspected && s.request.Suspected {
 		return suspect.Suspected
 	}
--- a/internal/mesh/guard/record.go
+++ b/internal/mesh/guard/record.go
@@ -30,10 +30,11 @@
 	// loadAge the age of the report on it.
 	slowdown slowdownState
 	loadAge  time.Duration
-	// level is whether the request may crash the backend server, and blockedFor for how much longer
-	// it is blocked.
+	// level is whether the request may crash the backend server, blockedFor for how much longer it is
+	// blocked, and onTrial whether it was blocked before.
 	level      suspect.Level
 	blockedFor time.Duration
+	onTrial    bool
 }
 
 // route returns the route of the request in a View, or nil if there is none.
--- a/internal/suspect/row.go
+++ b/internal/suspect/row.go
@@ -21,7 +21,7 @@
 }
 
 // blockedUntil returns when the block ends, if the deaths known so far block the request.
-func (r *row) blockedUntil() time.Duration { return r.lastDeath + blockTime(r.open()) }
+func (r *row) blockedUntil() time.Duration { return r.lastDeath + blockTime(r.openDeaths()) }
 
 // until returns when the row expires. A row that has been cleared is kept as long as it would be
 // otherwise, or else a node that hasn't heard of it would bring the deaths back.
@@ -29,17 +29,19 @@
 	if levelOf(r.deaths) != Blocked {
 		return r.lastDeath + BlockFor
 	}
-	return r.lastDeath + blockTime(len(r.deaths)) + trialMemory
+	return r.lastDeath + blockTime(r.deaths) + trialMemory
 }
 
-// blockTime returns how long a request that was in flight at so many deaths is blocked after the
-// last one.
-func blockTime(deaths int) time.Duration {
-	d := BlockFor
-	for range deaths - firstDeaths {
-		d = min(d*blockGrowth, maxBlock)
+// blockTime returns how long a request is blocked after the last of the deaths. Only those on trial make
+// it longer: many servers may be killed from outside before a request runs alone.
+func blockTime(deaths []death) time.Duration {
+	blocked := BlockFor
+	for _, d := range deaths {
+		if d.Trial {
+			blocked = min(blocked*blockGrowth, maxBlock)
+		}
 	}
-	return d
+	return blocked
 }
 
 // add records a death and reports whether it changed the row.
@@ -49,9 +51,10 @@
 			continue
 		}
 		known := &r.deaths[i]
-		changed := d.Alone && !known.Alone || d.Served && !known.Served
+		changed := d.Alone && !known.Alone || d.Served && !known.Served || d.Trial && !known.Trial
 		known.Alone = known.Alone || d.Alone
 		known.Served = known.Served || d.Served
+		known.Trial = known.Trial || d.Trial
 		return changed
 	}
 	if r.full() && !r.dropClearedDeath() {
@@ -110,8 +113,6 @@
 	return slices.DeleteFunc(slices.Clone(r.deaths), func(d death) bool { return slices.Contains(r.cleared, d.ID) })
 }
 
-func (r *row) open() int { return len(r.openDeaths()) }
-
 // levelOf returns the level that follows from deaths.
 func levelOf(deaths []death) Level {
 	open, alone, unserved, unservedAlone := 0, 0, 0, 0
@@ -151,6 +152,7 @@
 		s.Deaths = append(s.Deaths, d.ID)
 		s.Alone = append(s.Alone, d.Alone)
 		s.Served = append(s.Served, d.Served)
+		s.Trial = append(s.Trial, d.Trial)
 	}
 	return s
 }
--- a/internal/suspect/suspect.go
+++ b/internal/suspect/suspect.go
@@ -24,9 +24,7 @@
 	// BlockFor is how long a request is blocked at first, and how long a suspect that was never
 	// blocked is remembered, both after its last death.
 	BlockFor = 2 * time.Minute
-	// firstDeaths is the number of deaths up to which a block lasts BlockFor. Each further one makes
-	// it blockGrowth times as long, up to maxBlock.
-	firstDeaths = 3
+	// blockGrowth is how many times as long each death on trial makes the block, up to maxBlock.
 	blockGrowth = 10
 	maxBlock    = 24 * time.Hour
 	// trialMemory is how long a request is remembered after its block has ended.
@@ -82,6 +80,8 @@
 	Alone bool
 	// Served is true if the backend server had answered such a request shortly before.
 	Served bool
+	// Trial is true if the request was on trial.
+	Trial bool
 }
 
 // Table holds one node's rows by fingerprint.
@@ -165,7 +165,7 @@
 		if r.full() && !r.knows(id) && slices.Contains(update.Cleared, id) {
 			continue
 		}
-		d := Death{ID: id, Alone: i < len(update.Alone) && update.Alone[i], Served: i < len(update.Served) && update.Served[i]}
+		d := Death{ID: id, Alone: at(update.Alone, i), Served: at(update.Served, i), Trial: at(update.Trial, i)}
 		if r.add(d, now) {
 			r.lastDeath = max(r.lastDeath, lastDeath)
 			changed = true
@@ -180,6 +180,9 @@
 	return changed
 }
 
+// at returns element i of flags, which a node of an older version may have left out.
+func at(flags []bool, i int) bool { return i < len(flags) && flags[i] }
+
 // Len returns the number of rows.
 func (t *Table) Len() int { return len(t.rows) }
 
--- a/internal/suspect/suspect_test.go
+++ b/internal/suspect/suspect_test.go
@@ -36,6 +36,18 @@
 	require.Equal(t, suspect.Unsuspected, level(table, unrelated))
 	require.Equal(t, suspect.Blocked, entry(table, crashing).At(suspect.BlockFor-1).Level)
 	require.Equal(t, suspect.Suspected, entry(table, crashing).At(suspect.BlockFor).Level)
+	table.Expire(suspect.BlockFor + 24*time.Hour)
+	require.Equal(t, suspect.Unsuspected, level(table, crashing))
+}
+
+// Guards against a popular request that is blocked for a day as it was in flight when many backend
+// servers were killed.
+func TestFirstBlockIsShortWhateverTheNumberOfDeaths(t *testing.T) {
+	table := suspect.NewTable()
+	for id := range uint64(7) {
+		table.RecordDeath(1, suspect.Death{ID: id, Alone: id >= 3}, 0)
+	}
+	require.Equal(t, suspect.BlockFor, entry(table, 1).Until)
 }
 
 // Guards against a request that crashes backend servers again each time that its block ends.
@@ -51,7 +63,7 @@
 		now = entry(table, 1).Until
 		table.Expire(now)
 		require.Equal(t, suspect.Entry{Level: suspect.Suspected, Until: now, OnTrial: true}, entry(table, 1).At(now))
-		table.RecordDeath(1, suspect.Death{ID: id, Alone: true}, now)
+		table.RecordDeath(1, suspect.Death{ID: id, Alone: true, Trial: true}, now)
 		block := entry(table, 1).Until - now
 		require.Equal(t, min(10*last, 24*time.Hour), block)
 		last = block
@@ -127,6 +139,12 @@
 		require.True(t, b.Merge(row, late))
 	}
 	require.Equal(t, entry(a, 1), entry(b, 1))
+	a.RecordDeath(1, suspect.Death{ID: 3, Alone: true, Trial: true}, suspect.BlockFor)
+	for _, row := range a.NextBatch(10, suspect.BlockFor) {
+		b.Merge(row, suspect.BlockFor)
+	}
+	require.Equal(t, 11*suspect.BlockFor, entry(a, 1).Until)
+	require.Equal(t, entry(a, 1), entry(b, 1))
 }
 
 // Guards against nodes that try a request all at once when its block ends.
@@ -221,7 +239,7 @@
 				continue
 			}
 			id := rapid.Uint64Range(1, 4).Draw(t, "death")
-			table.RecordDeath(1, suspect.Death{ID: id, Alone: rapid.Bool().Draw(t, "alone"), Served: rapid.Bool().Draw(t, "served")}, 0)
+			table.RecordDeath(1, suspect.Death{ID: id, Alone: rapid.Bool().Draw(t, "alone"), Served: rapid.Bool().Draw(t, "served"), Trial: rapid.Bool().Draw(t, "trial")}, 0)
 		}
 		merge := func(to, from *suspect.Table) {
 			for _, n := range from.NextBatch(10, 0) {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -127,6 +127,8 @@
 	// Served reports, in the order of Deaths, whether the backend server had answered such a
 	// request shortly before.
 	Served []bool `msgpack:"v,omitempty" json:"served,omitempty"`
+	// Trial reports, in the order of Deaths, whether the request was on trial.
+	Trial []bool `msgpack:"t,omitempty" json:"trial,omitempty"`
 	// SinceMs is the time since the last death, in milliseconds.
 	SinceMs uint32 `msgpack:"s,omitempty" json:"since_ms"`
 }
