--- a/internal/mesh/entry/crash_test.go
+++ b/internal/mesh/entry/crash_test.go
@@ -154,48 +154,54 @@
 // Guards against popular requests that are blocked because backend servers are killed in waves, with
 // the same requests in flight on each.
 func TestKilledServersBlockNothing(t *testing.T) {
+	for _, spread := range []time.Duration{400 * time.Millisecond, 2 * time.Second, 7 * time.Second} {
+		for seed := range uint64(8) {
+			t.Run(fmt.Sprint(spread, "/", seed), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { killServers(t, seed, spread) })
+			})
+		}
+	}
+}
+
+// killServers kills all servers once in each wave, each at a random time within spread, and requires
+// that no read is blocked.
+func killServers(t *testing.T, seed uint64, spread time.Duration) {
 	const (
 		duration = 40 * time.Second
 		interval = 15 * time.Millisecond
 		waves    = 8 * time.Second
 	)
-	for seed := range uint64(8) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				ctx, cancel := context.WithCancel(t.Context())
-				var background, requests sync.WaitGroup
-				f := newCrashFleet(ctx, &background, seed)
-				rnd := rand.New(rand.NewPCG(seed, 2))
-				var popular, others reads
-				start := time.Now()
-				var kills []time.Duration
-				for wave := waves; wave < duration; wave += waves {
-					for range fleetServers {
-						kills = append(kills, wave+time.Duration(rnd.IntN(400))*time.Millisecond)
-					}
-				}
-				for i, at := range kills {
-					time.AfterFunc(at, f.servers[i%fleetServers].Kill)
-				}
-				for i := 0; time.Since(start) < duration; i++ {
-					e := f.entries[rnd.IntN(len(f.entries))]
-					counts, uri := &others, fmt.Sprint("/read/", i)
-					if i%2 == 0 {
-						counts, uri = &popular, popularURI
-					}
-					now := time.Since(start)
-					requests.Go(func() { counts.send(ctx, e, now, uri) })
-					time.Sleep(interval)
-				}
-				requests.Wait()
-				cancel()
-				background.Wait()
-				t.Logf("popular: %d of %d served, %d blocked; others: %d of %d, %d blocked", popular.ok, popular.sent, popular.block, others.ok, others.sent, others.block)
-				require.Zero(t, popular.block)
-				require.Zero(t, others.block)
-			})
-		})
+	ctx, cancel := context.WithCancel(t.Context())
+	var background, requests sync.WaitGroup
+	f := newCrashFleet(ctx, &background, seed)
+	rnd := rand.New(rand.NewPCG(seed, 2))
+	var popular, others reads
+	start := time.Now()
+	var kills []time.Duration
+	for wave := waves; wave < duration; wave += waves {
+		for range fleetServers {
+			kills = append(kills, wave+time.Duration(rnd.IntN(int(spread/time.Millisecond)))*time.Millisecond)
+		}
+	}
+	for i, at := range kills {
+		time.AfterFunc(at, f.servers[i%fleetServers].Kill)
+	}
+	for i := 0; time.Since(start) < duration; i++ {
+		e := f.entries[rnd.IntN(len(f.entries))]
+		counts, uri := &others, fmt.Sprint("/read/", i)
+		if i%2 == 0 {
+			counts, uri = &popular, popularURI
+		}
+		now := time.Since(start)
+		requests.Go(func() { counts.send(ctx, e, now, uri) })
+		time.Sleep(interval)
 	}
+	requests.Wait()
+	cancel()
+	background.Wait()
+	t.Logf("popular: %d of %d served, %d blocked; others: %d of %d, %d blocked", popular.ok, popular.sent, popular.block, others.ok, others.sent, others.block)
+	require.Zero(t, popular.block)
+	require.Zero(t, others.block)
 }
 
 // Guards against a request that takes down its service as it is sent to one backend server after
