Tests of trials that a fault could slip past

Failed as they should: time since the last death, spread of delays, rare sending of a settled table, length of the memory, recording of completions, one target on trial, the mark of a trial at the guard and between nodes, a registration that ended in between.

Three passed: a death that a peer knows to be cleared takes a place (the tables of the test exchanged rows in turn, now at once), the delay of an entry's first trial (both paths), and one target on trial at the own interface. Each has a test now.

--- a/internal/entry/hedge_death_test.go
+++ b/internal/entry/hedge_death_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -44,3 +45,27 @@
 	err.Death = 7
 	return err
 }
+
+// Guards against a request on trial that is sent on to a second server after it has crashed one.
+func TestRequestOnTrialIsNotRetriedAfterDeath(t *testing.T) {
+	s := attemptState{entry: &Entry{}, x: &request{}}
+	s.recordError(deathError())
+	require.False(t, s.crashesTooOften())
+	s.x.onTrial = true
+	require.True(t, s.crashesTooOften())
+}
+
+// Guards against nodes that try a request all at once when its block ends.
+func TestNodeDelaysItsFirstTrial(t *testing.T) {
+	r := httptest.NewRequest(http.MethodGet, "/x", nil)
+	x := &request{in: r, service: &pick.Service{Service: &config.Service{Service: fleet.Service{Name: "s"}}}}
+	const ends = time.Minute
+	v := &pick.View{Suspects: suspect.Set{suspect.Fingerprint("s", r, nil): {Level: suspect.Blocked, Until: ends}}}
+	delay := suspect.TrialDelay(time.Second)
+	refusal := x.checkSuspect(v, delay, ends)
+	require.NotNil(t, refusal)
+	require.Equal(t, time.Second, refusal.RetryAfter)
+	require.Nil(t, x.checkSuspect(v, delay, ends+time.Second))
+	require.True(t, x.suspected)
+	require.True(t, x.onTrial)
+}
--- a/internal/mesh/entry/crash_test.go
+++ b/internal/mesh/entry/crash_test.go
@@ -21,6 +21,7 @@
 	"github.com/limpetdock/limpetdock/internal/mesh/model"
 	"github.com/limpetdock/limpetdock/internal/mesh/quarantine"
 	"github.com/limpetdock/limpetdock/internal/place"
+	"github.com/limpetdock/limpetdock/internal/suspect"
 )
 
 const (
@@ -309,3 +310,25 @@
 	slices.SortFunc(all, time.Time.Compare)
 	return all
 }
+
+// Guards against nodes that try a request all at once when its block ends.
+func TestNodesDelayTheirFirstTrial(t *testing.T) {
+	const latest = 30 * time.Second
+	refused := 0
+	for range 20 {
+		d := newDeployment(t, true)
+		r := mesh.Request{Service: "orders", Caller: "shop", Method: "POST", Host: "h", URI: "/a"}
+		d.suspects.Died(r.Fingerprint(), suspect.Death{ID: 1, Alone: true})
+		d.suspects.Died(r.Fingerprint(), suspect.Death{ID: 2, Alone: true})
+		d.now += suspect.BlockFor
+		if _, err := d.serve(); err != nil {
+			require.Equal(t, kind.Blocked, err.Kind)
+			require.LessOrEqual(t, err.RetryAfter, latest)
+			refused++
+		}
+		d.now += latest
+		_, err := d.serve()
+		require.Nil(t, err)
+	}
+	require.Positive(t, refused)
+}
--- a/internal/mesh/entry/entry_test.go
+++ b/internal/mesh/entry/entry_test.go
@@ -32,6 +32,7 @@
 	load mesh.Load
 	// evacuated are the evacuated zones.
 	evacuated map[string]bool
+	suspects  *quarantine.Tracker
 }
 
 const own = "own"
@@ -77,11 +78,12 @@
 // the second has some load, and one in another region.
 func newDeployment(t *testing.T, idempotent bool) *deployment {
 	d := &deployment{t: t, now: time.Minute, load: mesh.Load{Slots: 6, Slowdown: 1}, answers: map[string]func(*mesh.Request) (*mesh.Answer, *kind.Error){}}
+	d.suspects = quarantine.New(func() time.Duration { return d.now })
 	d.entry = entry.New(entry.Config{
 		Here: mesh.Place{VM: "vm", Service: "shop"}, Guard: guard{d}, Peers: d, Observer: observer{},
 		Repeats:  entry.Repeats{Ratio: 0.2, Slack: 80, Window: 10 * time.Second},
 		Now:      func() time.Duration { return d.now },
-		Suspects: quarantine.New(func() time.Duration { return d.now }),
+		Suspects: d.suspects,
 	})
 	d.entry.SetPrices(entry.Prices{ZonePerKB: 2 * time.Millisecond, RegionPerKB: 20 * time.Millisecond})
 	distances := map[string]place.Distance{own: place.SameVM, "zone": place.SameRegion, "region": place.SameRegion, "far": place.OtherRegion}
--- a/internal/suspect/suspect_test.go
+++ b/internal/suspect/suspect_test.go
@@ -102,18 +102,15 @@
 	}
 	a.Clear(1)
 	b.Clear(1)
-	merge := func(to, from *suspect.Table) (changed bool) {
-		for _, row := range from.NextBatch(10, 0) {
-			changed = to.Merge(row, 0) || changed
-		}
-		return changed
+	exchange := func() (changed bool) {
+		fromA, fromB := a.NextBatch(1, 0), b.NextBatch(1, 0)
+		changed = a.Merge(fromB[0], 0)
+		return b.Merge(fromA[0], 0) || changed
 	}
 	for range 3 {
-		merge(a, b)
-		merge(b, a)
+		exchange()
 	}
-	require.False(t, merge(a, b))
-	require.False(t, merge(b, a))
+	require.False(t, exchange())
 	require.Equal(t, suspect.Unsuspected, level(a, 1))
 	require.Equal(t, suspect.Unsuspected, level(b, 1))
 }
