Deaths of backend servers are recognised behind what goes on listening

Callers saw: behind a proxy, a supervisor with workers, a held socket or after a restart within 5 ms, a request that crashes each process that runs it ran 22 to 152 times in 12 s; behind the proxy four fifths of the other reads failed. Cause: a refused connection was the only proof of a death (exchange.Died). A process that dies behind a listener of somebody else accepts. Change: internal/death watches the connections to the backend server. All that end at once prove a death, and so does a listener that closes new connections; those that another one outlives don't. An exchange that breaks off alone counts less (suspect.Death.Uncertain): two such make a suspect, three with one of them alone block, and only where hardly any other exchange breaks off (suspect.Breaks). A server that has died gets nothing until it answers a probe, for five seconds at most: what listens for it breaks requests off. The log line names the finding, so that it shows why a death was or wasn't recorded.

--- /dev/null
+++ b/internal/death/detector.go
@@ -0,0 +1,267 @@
+// Package death finds out whether the process of a backend server has died when an exchange with it
+// breaks off. A guard uses one Detector for the backend server beside it.
+//
+// A refused connection proves a death, but a proxy or a supervisor that goes on listening hides it. So
+// a Detector also watches the connections that are open: a process that dies ends all of them at
+// once, while a single broken exchange leaves the others open.
+package death
+
+import (
+	"context"
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	// settleTime is the time in which all connections to a process end when it dies, also through a
+	// proxy.
+	settleTime = 50 * time.Millisecond
+	// dialTimeout bounds opening a connection on the node's own VM.
+	dialTimeout = 200 * time.Millisecond
+	// closeTimeout is the time in which a proxy closes a connection that it can't pass on.
+	closeTimeout = 20 * time.Millisecond
+)
+
+// Generation counts the deaths of the backend server's process. A connection belongs to the generation
+// in which it was opened and ends with that generation's process, so all requests in flight at a death
+// report the same generation, and no later request does.
+type Generation uint64
+
+// Detector watches the connections to one backend server. Safe for concurrent use.
+type Detector struct {
+	addr string
+
+	mu         sync.Mutex
+	generation Generation
+	// answered is true once the process of the present generation has answered anything.
+	answered bool
+	open     map[*Conn]struct{}
+	// ended are the connections that the other side ended within settleTime, the oldest first.
+	ended []*Conn
+}
+
+// NewDetector returns a Detector for the backend server at addr.
+func NewDetector(addr string) *Detector {
+	return &Detector{addr: addr, open: map[*Conn]struct{}{}}
+}
+
+// Conn is the record of a connection.
+type Conn struct {
+	detector *Detector
+	// closed is closed when the connection has ended.
+	closed chan struct{}
+	// The mutex of the Detector protects the fields below.
+	generation Generation
+	openedAt   time.Time
+	// endedAt is when the other side ended the connection, or zero.
+	endedAt time.Time
+}
+
+// Generation returns the present generation.
+func (d *Detector) Generation() Generation {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.generation
+}
+
+// Opened records a connection that is open now. generation is the one that was present before it was
+// opened.
+func (d *Detector) Opened(generation Generation) *Conn {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c := &Conn{detector: d, closed: make(chan struct{}), generation: generation, openedAt: time.Now()}
+	d.open[c] = struct{}{}
+	return c
+}
+
+// Generation returns the generation of the process at the other end.
+func (c *Conn) Generation() Generation {
+	c.detector.mu.Lock()
+	defer c.detector.mu.Unlock()
+	return c.generation
+}
+
+// Stale reports whether the process at the other end is known to have died.
+func (c *Conn) Stale() bool {
+	c.detector.mu.Lock()
+	defer c.detector.mu.Unlock()
+	return c.generation != c.detector.generation
+}
+
+// Answered records that the process at the other end has answered a request.
+func (c *Conn) Answered() {
+	c.detector.mu.Lock()
+	defer c.detector.mu.Unlock()
+	if c.generation == c.detector.generation {
+		c.detector.answered = true
+	}
+}
+
+// EndedByPeer records that the other side has ended the connection.
+func (c *Conn) EndedByPeer() { c.end(time.Now()) }
+
+// Closed records that this node has closed the connection, which shows nothing about the process.
+func (c *Conn) Closed() { c.end(time.Time{}) }
+
+func (c *Conn) end(byPeer time.Time) {
+	d := c.detector
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if _, open := d.open[c]; !open {
+		return
+	}
+	delete(d.open, c)
+	c.endedAt = byPeer
+	close(c.closed)
+	if byPeer.IsZero() {
+		return
+	}
+	d.forgetEnded(byPeer)
+	d.ended = append(d.ended, c)
+}
+
+// forgetEnded drops connections that ended longer than settleTime before now. The mutex must be held.
+func (d *Detector) forgetEnded(now time.Time) {
+	for len(d.ended) > 0 && now.Sub(d.ended[0].endedAt) > settleTime {
+		d.ended = d.ended[1:]
+	}
+}
+
+// Investigate finds out whether the process has died that an exchange was made with. The exchange broke
+// off on c, after the request was sent.
+func (d *Detector) Investigate(ctx context.Context, c *Conn) Finding {
+	if c.Stale() {
+		return Noticed
+	}
+	others := d.others(c)
+	finding := d.examineOthers(ctx, others)
+	if finding == none {
+		// New connections are expensive for a loaded server, so they are the last resort.
+		finding = d.examineListener(ctx)
+	}
+	if finding == ClosesNew && !d.hasAnswered() {
+		return Unanswered
+	}
+	return d.conclude(c, finding, others.diedBy)
+}
+
+// hasAnswered reports whether the process of the present generation has answered anything. What listens
+// for a dead one also ends all connections, to which no request was passed on.
+func (d *Detector) hasAnswered() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.answered
+}
+
+// conclude records a death that is proven, at diedBy at the latest, and returns the finding.
+func (d *Detector) conclude(c *Conn, finding Finding, diedBy time.Time) Finding {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch {
+	case c.generation != d.generation:
+		return Noticed
+	case !finding.Died():
+		return finding
+	}
+	d.generation++
+	d.answered = false
+	for other := range d.open {
+		if other.openedAt.After(diedBy) {
+			// It was opened to the next process before the death was noticed.
+			other.generation = d.generation
+		}
+	}
+	return finding
+}
+
+// otherConns are the connections to the process that an exchange broke off with.
+type otherConns struct {
+	// open are those that are open, and were so when the first one ended.
+	open []*Conn
+	// ended is true if the other side has ended any, apart from that of the exchange.
+	ended bool
+	// diedBy is when the first one ended, and so the process if it has died.
+	diedBy time.Time
+}
+
+// others returns the connections to the same process as c.
+func (d *Detector) others(c *Conn) otherConns {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	o := otherConns{diedBy: now}
+	d.forgetEnded(now)
+	for _, other := range d.ended {
+		if other.generation != c.generation {
+			continue
+		}
+		o.ended = o.ended || other != c
+		if other.endedAt.Before(o.diedBy) {
+			o.diedBy = other.endedAt
+		}
+	}
+	for other := range d.open {
+		if other != c && other.generation == c.generation && other.openedAt.Before(o.diedBy) {
+			o.open = append(o.open, other)
+		}
+	}
+	return o
+}
+
+// examineOthers waits for the end of the connections that are open.
+func (d *Detector) examineOthers(ctx context.Context, others otherConns) Finding {
+	timer := time.NewTimer(settleTime)
+	defer timer.Stop()
+	for _, other := range others.open {
+		select {
+		case <-other.closed:
+		case <-timer.C:
+			return OthersContinue
+		case <-ctx.Done():
+			return OthersContinue
+		}
+	}
+	if (others.ended || d.anyEndedByPeer(others.open)) && d.hasAnswered() {
+		return AllEnded
+	}
+	return none
+}
+
+func (d *Detector) anyEndedByPeer(conns []*Conn) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, c := range conns {
+		if !c.endedAt.IsZero() {
+			return true
+		}
+	}
+	return false
+}
+
+// examineListener opens a connection to find out whether something serves it.
+func (d *Detector) examineListener(ctx context.Context) Finding {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp", d.addr)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return Refused
+	}
+	if err != nil {
+		return NoConnection
+	}
+	// The connection was only opened to see what becomes of it.
+	defer func() { _ = conn.Close() }()
+	if conn.SetReadDeadline(time.Now().Add(closeTimeout)) != nil {
+		return Accepts
+	}
+	_, err = conn.Read(make([]byte, 1))
+	if err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		return Accepts
+	}
+	return ClosesNew
+}
--- /dev/null
+++ b/internal/death/detector_test.go
@@ -0,0 +1,128 @@
+package death_test
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/limpetdock/limpetdock/internal/death"
+)
+
+// listen opens a listener that keeps connections open, or closes them at once.
+func listen(t *testing.T, closes bool) (addr string) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	var kept []net.Conn
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			if closes {
+				_ = c.Close()
+				continue
+			}
+			kept = append(kept, c)
+		}
+	}()
+	t.Cleanup(func() {
+		_ = l.Close()
+		<-done
+		for _, c := range kept {
+			_ = c.Close()
+		}
+	})
+	return l.Addr().String()
+}
+
+// answered returns a Detector of a server that has answered on its only connection.
+func answered(t *testing.T, addr string) (*death.Detector, *death.Conn) {
+	t.Helper()
+	d := death.NewDetector(addr)
+	c := d.Opened(d.Generation())
+	c.Answered()
+	return d, c
+}
+
+// Guards against the death of a process that is hidden by a proxy that goes on listening.
+func TestEndOfAllConnectionsProvesDeath(t *testing.T) {
+	d, c := answered(t, listen(t, false))
+	idle, inFlight := d.Opened(0), d.Opened(0)
+	idle.EndedByPeer()
+	c.EndedByPeer()
+	time.AfterFunc(5*time.Millisecond, inFlight.EndedByPeer)
+	require.Equal(t, death.AllEnded, d.Investigate(t.Context(), c))
+	require.EqualValues(t, 1, d.Generation())
+	require.Equal(t, death.Noticed, d.Investigate(t.Context(), inFlight), "requests in flight report the same death")
+	require.EqualValues(t, 1, d.Generation())
+	require.True(t, idle.Stale())
+}
+
+// Guards against a server that is taken for dead as one of its connections was reset.
+func TestOtherConnectionsThatContinueProveNoDeath(t *testing.T) {
+	d, c := answered(t, listen(t, true))
+	other := d.Opened(0)
+	c.EndedByPeer()
+	finding := d.Investigate(t.Context(), c)
+	require.Equal(t, death.OthersContinue, finding)
+	require.True(t, finding.Inconclusive())
+	require.False(t, other.Stale())
+}
+
+// Guards against a server that is taken for dead as the node itself closed its other connections.
+func TestConnectionsThatNodeClosesProveNothing(t *testing.T) {
+	d, c := answered(t, listen(t, false))
+	other := d.Opened(0)
+	c.EndedByPeer()
+	other.Closed()
+	require.Equal(t, death.Accepts, d.Investigate(t.Context(), c))
+}
+
+// Guards against a death that goes unseen if no other connection is open and a proxy goes on listening.
+func TestListenerThatClosesNewConnectionsProvesDeath(t *testing.T) {
+	d, c := answered(t, listen(t, true))
+	c.EndedByPeer()
+	require.Equal(t, death.ClosesNew, d.Investigate(t.Context(), c))
+}
+
+// Guards against requests that are blamed for the death of a server that they never reached.
+func TestServerThatNeverAnsweredIsNotBlamedOnRequests(t *testing.T) {
+	d := death.NewDetector(listen(t, true))
+	first, second := d.Opened(0), d.Opened(0)
+	first.EndedByPeer()
+	second.EndedByPeer()
+	finding := d.Investigate(t.Context(), first)
+	require.Equal(t, death.Unanswered, finding)
+	require.False(t, finding.Died() || finding.Inconclusive())
+	require.Zero(t, d.Generation())
+}
+
+// Guards against a quick restart that hides a death, as connections to the next process are open already.
+func TestConnectionToNextProcessHidesNoDeath(t *testing.T) {
+	d, c := answered(t, listen(t, false))
+	idle := d.Opened(0)
+	time.Sleep(time.Millisecond)
+	idle.EndedByPeer()
+	time.Sleep(time.Millisecond)
+	next := d.Opened(0)
+	c.EndedByPeer()
+	require.Equal(t, death.AllEnded, d.Investigate(t.Context(), c))
+	require.False(t, next.Stale(), "it leads to the next process")
+	require.EqualValues(t, 1, next.Generation())
+}
+
+// Guards against a death that goes unseen though nothing listens any more.
+func TestRefusedConnectionProvesDeath(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, l.Close())
+	d := death.NewDetector(l.Addr().String())
+	c := d.Opened(0)
+	c.EndedByPeer()
+	require.Equal(t, death.Refused, d.Investigate(t.Context(), c))
+}
--- a/internal/mesh/entry/suspect.go
+++ b/internal/mesh/entry/suspect.go
@@ -6,14 +6,13 @@
 	"github.com/limpetdock/limpetdock/internal/suspect"
 )
 
-// maxDeaths is after how many deaths of targets a request is still sent to another one, unless it is
-// on trial.
+// maxDeaths is after how many deaths of targets a request is still sent to another one.
 const maxDeaths = 1
 
 // crashesTooOften reports whether too many targets have died with the request in flight for another
-// attempt.
+// attempt. A request on trial may run on one target only.
 func (t *transaction) crashesTooOften() bool {
-	return t.deaths > maxDeaths || t.deaths > 0 && t.onTrial
+	return t.deaths > maxDeaths || t.sent > 0 && t.onTrial
 }
 
 // checkSuspect checks whether the request may crash backend servers, and refuses it if it is
--- a/internal/mesh/exchange/conn.go
+++ b/internal/mesh/exchange/conn.go
@@ -14,9 +14,12 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/limpetdock/limpetdock/internal/death"
 )
 
 const (
@@ -49,8 +52,8 @@
 	reader *bufio.Reader
 	// idHeader is the header in which answers echo the request's ID.
 	idHeader string
-	// generation is that of the backend server when the connection was opened.
-	generation Generation
+	// watch is the record of the connection by which the backend server's death is detected.
+	watch *death.Conn
 	// wanted receives the request that waits for an answer; results returns the result.
 	wanted  chan *http.Request
 	results chan result
@@ -62,9 +65,9 @@
 	aborted   bool
 }
 
-func newConn(c net.Conn, idHeader string) *conn {
+func newConn(c net.Conn, idHeader string, watch *death.Conn) *conn {
 	pc := &conn{
-		Conn: c, reader: bufio.NewReaderSize(c, readBuffer), idHeader: idHeader,
+		Conn: c, watch: watch, reader: bufio.NewReaderSize(c, readBuffer), idHeader: idHeader,
 		wanted: make(chan *http.Request, 1), results: make(chan result, 1),
 	}
 	go pc.read()
@@ -78,6 +81,7 @@
 	defer c.abort()
 	for {
 		_, err := c.reader.Peek(1)
+		c.noteEnd(err)
 		var req *http.Request
 		select {
 		case req = <-c.wanted:
@@ -99,6 +103,7 @@
 			return
 		}
 		r := c.answer(req)
+		c.noteEnd(r.err)
 		c.results <- r
 		if r.err != nil {
 			return
@@ -106,6 +111,14 @@
 	}
 }
 
+// noteEnd records that the backend server has ended the connection, if a read failed for that reason.
+func (c *conn) noteEnd(err error) {
+	ended := errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
+	if ended && c.alive() {
+		c.watch.EndedByPeer()
+	}
+}
+
 // discardExtra reads an answer that arrived while no request waited. It returns false
 // if the connection can't be used any more.
 func (c *conn) discardExtra() bool {
@@ -153,6 +166,7 @@
 		return
 	}
 	c.aborted = true
+	c.watch.Closed()
 	// An error on closing has no effect: the connection is not used any more.
 	_ = c.Close()
 }
--- a/internal/mesh/exchange/pool.go
+++ b/internal/mesh/exchange/pool.go
@@ -14,6 +14,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/limpetdock/limpetdock/internal/death"
 	"github.com/limpetdock/limpetdock/internal/mesh"
 	"github.com/limpetdock/limpetdock/internal/sockopt"
 )
@@ -40,20 +41,17 @@
 
 // Client sends requests to one backend server. Safe for concurrent use.
 type Client struct {
-	addr  string
-	names mesh.HeaderNames
-	mu    sync.Mutex
-	idle  []*conn
-	// inFlight holds the exchanges that are in progress.
-	inFlight map[*exchangeInFlight]struct{}
+	addr     string
+	names    mesh.HeaderNames
+	mu       sync.Mutex
+	idle     []*conn
 	opened   atomic.Uint64
-	// generation is the present Generation of the backend server.
-	generation atomic.Uint64
+	detector *death.Detector
 }
 
 // NewClient returns a Client for the backend server at addr.
 func NewClient(addr string, names mesh.HeaderNames) *Client {
-	return &Client{addr: addr, names: names, inFlight: map[*exchangeInFlight]struct{}{}}
+	return &Client{addr: addr, names: names, detector: death.NewDetector(addr)}
 }
 
 // Opened returns how many connections have been opened so far.
@@ -76,8 +74,10 @@
 type Failure struct {
 	Outcome Outcome
 	Cause   error
-	// Generation is that of the connection that the request was sent on.
-	Generation Generation
+	// Generation is that of the process that the request was sent to.
+	Generation death.Generation
+	// conn is the record of the connection that the request was sent on.
+	conn *death.Conn
 }
 
 // Error returns the message of the cause.
@@ -129,18 +129,17 @@
 	if err != nil {
 		return nil, &Failure{Outcome: Unreachable, Cause: err}
 	}
-	allowed := func() bool { return pc.generation == c.present() && allow() }
-	end := c.beginExchange()
+	allowed := func() bool { return !pc.watch.Stale() && allow() }
 	r, sent := pc.send(ctx, m.request(), allowed)
-	end()
 	if r.err != nil {
 		pc.abort()
 		outcome := Unknown
 		if !sent {
 			outcome = NotSent
 		}
-		return nil, &Failure{Outcome: outcome, Cause: r.err, Generation: pc.generation}
+		return nil, &Failure{Outcome: outcome, Cause: r.err, Generation: pc.watch.Generation(), conn: pc.watch}
 	}
+	pc.watch.Answered()
 	if pc.noteKeepAlive(r.resp) && pc.alive() {
 		c.release(pc)
 	} else {
@@ -193,15 +192,13 @@
 
 func (c *Client) dial(ctx context.Context) (*conn, error) {
 	d := net.Dialer{Timeout: dialTimeout, Control: sockopt.UserTimeout(userTimeout)}
-	generation := c.present()
+	generation := c.detector.Generation()
 	raw, err := d.DialContext(ctx, "tcp", c.addr)
 	if err != nil {
 		return nil, eris.Wrap(err, "open connection to backend server")
 	}
 	c.opened.Add(1)
-	pc := newConn(raw, c.names.RequestID)
-	pc.generation = generation
-	return pc, nil
+	return newConn(raw, c.names.RequestID, c.detector.Opened(generation)), nil
 }
 
 // Close closes the idle connections.
--- a/internal/mesh/guard/death.go
+++ b/internal/mesh/guard/death.go
@@ -5,9 +5,11 @@
 	"encoding/binary"
 	"errors"
 	"strconv"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/limpetdock/limpetdock/internal/death"
 	"github.com/limpetdock/limpetdock/internal/kind"
 	"github.com/limpetdock/limpetdock/internal/mesh/exchange"
 	"github.com/limpetdock/limpetdock/internal/suspect"
@@ -23,41 +25,99 @@
 		return e
 	}
 	if s.level != suspect.Suspected {
-		go g.recordDeath(s, f, false)
+		go g.recordBreak(s, f, false)
 		return e
 	}
 	alone := x.Alone()
-	death := g.recordDeath(s, f, alone)
-	if death == 0 {
+	d, recorded := g.recordBreak(s, f, alone)
+	if !recorded || d.Uncertain {
 		return e
 	}
 	died := kind.New(kind.BackendDied, "the backend server died with the request in flight").WithCause(f)
-	died.Death, died.Alone = death, alone
+	died.Death, died.Alone = d.ID, alone
 	return died
 }
 
-// recordDeath records that a request was in flight if the backend server died, and returns the id of
-// the death, or 0.
-func (g *Guard) recordDeath(s *requestState, f *exchange.Failure, alone bool) uint64 {
-	if !g.Backend.Died(context.Background(), f) {
-		return 0
+// recordBreak records that a request was in flight if the backend server died or may have died, and
+// returns the death.
+func (g *Guard) recordBreak(s *requestState, f *exchange.Failure, alone bool) (d suspect.Death, recorded bool) {
+	finding := g.Backend.Investigate(context.Background(), f)
+	fingerprint := s.request.Fingerprint()
+	switch {
+	case finding.Died():
+		d.ID = g.deathID(f.Generation)
+		g.noteDeath(d.ID, finding)
+		recorded = true
+	case finding.Inconclusive():
+		d.ID, d.Uncertain = g.uncertainDeathID(), true
+		recorded = g.breaks.Broke(fingerprint, g.Now())
 	}
-	death := g.deathID(f.Generation)
-	if g.lastDeath.Swap(death) != death {
-		g.deaths.Add(1)
-		g.Log.Event("backend server died", "death", formatDeath(death), "target", g.targetID())
+	d.Alone, d.Served, d.Trial = alone, g.servedLately(fingerprint), s.onTrial
+	g.Log.InfoLimited("exchange with the backend server broke off", "id", s.request.ID, "finding", finding.String(),
+		"recorded", recorded, "death", formatDeath(d.ID), "alone", alone, "served", d.Served, "trial", d.Trial)
+	if recorded {
+		g.Suspects.Died(fingerprint, d)
 	}
-	fingerprint := s.request.Fingerprint()
-	g.Suspects.Died(fingerprint, suspect.Death{ID: death, Alone: alone, Served: g.servedLately(fingerprint), Trial: s.onTrial})
-	g.Log.InfoLimited("request was in flight when the backend server died", "id", s.request.ID, "death", formatDeath(death), "alone", alone)
-	return death
+	return d, recorded
+}
+
+// noteDeath records a death of the backend server, which requests that were in flight report one by one.
+func (g *Guard) noteDeath(id uint64, finding death.Finding) {
+	if g.lastDeath.Swap(id) == id {
+		return
+	}
+	g.deaths.Add(1)
+	g.awaitRestart()
+	g.Log.Event("backend server died", "death", formatDeath(id), "target", g.targetID(), "finding", finding.String())
+}
+
+// maxRestartWait is how long after a death requests are refused while the backend server answers no
+// probe. Then they are sent, as they may fare better than probes.
+const maxRestartWait = 5 * time.Second
+
+// awaitRestart makes the guard refuse requests until the backend server has answered again. What listens
+// for a dead one may accept requests and break them off.
+func (g *Guard) awaitRestart() {
+	if g.hasHealthPath() {
+		g.downUntil.Store(int64(g.Now() + maxRestartWait))
+	}
+}
+
+// noteAnswer records that the backend server has answered.
+func (g *Guard) noteAnswer() {
+	g.breaks.Completed(g.Now())
+	g.downUntil.Store(0)
+}
+
+// awaitsRestart reports whether the backend server has died and not answered since.
+func (g *Guard) awaitsRestart() bool { return g.Now() < time.Duration(g.downUntil.Load()) }
+
+// checkRestarted returns a refusal while the backend server is down after a death.
+func (g *Guard) checkRestarted() *kind.Error {
+	if g.awaitsRestart() {
+		return kind.New(kind.Unreachable, "the backend server has died and not answered since")
+	}
+	return nil
 }
 
 // deathID returns an id for the death of a generation that is unique among all nodes.
-func (g *Guard) deathID(generation exchange.Generation) uint64 {
+func (g *Guard) deathID(generation death.Generation) uint64 {
+	return g.uniqueID(uint64(generation))
+}
+
+// uncertainDeath is the flag by which the ids of uncertain deaths differ from those of generations.
+const uncertainDeath = 1 << 63
+
+// uncertainDeathID returns an id for the break of one exchange that is unique among all nodes.
+func (g *Guard) uncertainDeathID() uint64 {
+	return g.uniqueID(uncertainDeath | g.uncertainDeaths.Add(1))
+}
+
+// uniqueID returns an id for a number of this process that is unique among all nodes.
+func (g *Guard) uniqueID(number uint64) uint64 {
 	var b [16]byte
 	binary.BigEndian.PutUint64(b[:8], g.incarnation)
-	binary.BigEndian.PutUint64(b[8:], uint64(generation))
+	binary.BigEndian.PutUint64(b[8:], number)
 	return xxhash.Sum64(b[:])
 }
 
--- a/internal/mesh/guard/guard.go
+++ b/internal/mesh/guard/guard.go
@@ -15,6 +15,7 @@
 	lru "github.com/hashicorp/golang-lru/v2"
 
 	"github.com/limpetdock/limpetdock/internal/contention"
+	"github.com/limpetdock/limpetdock/internal/death"
 	"github.com/limpetdock/limpetdock/internal/decision"
 	"github.com/limpetdock/limpetdock/internal/gate"
 	"github.com/limpetdock/limpetdock/internal/kind"
@@ -31,9 +32,9 @@
 // it sends the first byte, and doesn't send if allow returns false.
 type Backend interface {
 	Do(ctx context.Context, m *exchange.Message, allow func() bool) (*mesh.Answer, *exchange.Failure)
-	// Died reports whether the backend server's process has died with the request of a failed
+	// Investigate finds out whether the backend server's process has died with the request of a failed
 	// exchange in flight.
-	Died(ctx context.Context, f *exchange.Failure) bool
+	Investigate(ctx context.Context, f *exchange.Failure) death.Finding
 }
 
 // Config holds the parts and settings of a Guard.
@@ -91,6 +92,13 @@
 	incarnation uint64
 	lastDeath   atomic.Uint64
 	deaths      atomic.Uint64
+	// breaks counts the exchanges that broke off and those that were answered, and uncertainDeaths those
+	// of them that may have been deaths.
+	breaks          suspect.Breaks
+	uncertainDeaths atomic.Uint64
+	// downUntil is until when the backend server is taken to be down after a death, in nanoseconds since
+	// the start, or 0 once it has answered.
+	downUntil atomic.Int64
 }
 
 // New returns a Guard that refuses all requests until SetView is called.
@@ -224,6 +232,9 @@
 		return nil, e
 	}
 	defer x.Leave()
+	if e := g.checkRestarted(); e != nil {
+		return nil, e
+	}
 	if e := confirm(ctx, r); e != nil {
 		return nil, e
 	}
--- a/internal/mesh/guard/guard_test.go
+++ b/internal/mesh/guard/guard_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/limpetdock/limpetdock/internal/death"
 	"github.com/limpetdock/limpetdock/internal/kind"
 	"github.com/limpetdock/limpetdock/internal/mesh"
 	"github.com/limpetdock/limpetdock/internal/mesh/exchange"
@@ -435,7 +436,9 @@
 // panicking is a Backend that panics, as a defect in handling one request may.
 type panicking struct{}
 
-func (panicking) Died(context.Context, *exchange.Failure) bool { return false }
+func (panicking) Investigate(context.Context, *exchange.Failure) death.Finding {
+	return death.OthersContinue
+}
 
 func (panicking) Do(context.Context, *exchange.Message, func() bool) (*mesh.Answer, *exchange.Failure) {
 	panic("defect")
--- a/internal/mesh/guard/isolate_test.go
+++ b/internal/mesh/guard/isolate_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/limpetdock/limpetdock/internal/death"
 	"github.com/limpetdock/limpetdock/internal/kind"
 	"github.com/limpetdock/limpetdock/internal/mesh"
 	"github.com/limpetdock/limpetdock/internal/mesh/exchange"
@@ -62,7 +63,9 @@
 	return nil, &exchange.Failure{Outcome: exchange.Unknown, Cause: context.DeadlineExceeded}
 }
 
-func (diedBackend) Died(context.Context, *exchange.Failure) bool { return true }
+func (diedBackend) Investigate(context.Context, *exchange.Failure) death.Finding {
+	return death.Refused
+}
 
 // Guards against a request that is sent once more to a backend server that it has crashed before.
 func TestGuardBlocksRequestThatCrashedItsServerTwice(t *testing.T) {
--- a/internal/mesh/guard/probe.go
+++ b/internal/mesh/guard/probe.go
@@ -53,7 +53,7 @@
 		return false
 	}
 	age := g.Now() - time.Duration(g.reportedAt.Load())
-	if g.reportedAt.Load() == 0 {
+	if g.reportedAt.Load() == 0 || g.awaitsRestart() {
 		return true
 	}
 	if g.announcedLeaving.Load() {
@@ -107,6 +107,7 @@
 	if failure != nil {
 		return mesh.BackendLoad{}, false
 	}
+	g.noteAnswer()
 	if id := answer.Header.Get(g.Dialect.Headers.Target); id == "" || id == target.ID {
 		g.recordNotices(answer.Header)
 	}
--- a/internal/mesh/guard/send.go
+++ b/internal/mesh/guard/send.go
@@ -37,6 +37,7 @@
 	if failure != nil {
 		return nil, g.exchangeError(ctx, failure)
 	}
+	g.noteAnswer()
 	if answer.Status != http.StatusMisdirectedRequest {
 		g.recordNotices(answer.Header)
 	}
--- a/internal/mesh/model/server.go
+++ b/internal/mesh/model/server.go
@@ -17,6 +17,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/limpetdock/limpetdock/internal/death"
 	"github.com/limpetdock/limpetdock/internal/mesh"
 	"github.com/limpetdock/limpetdock/internal/mesh/exchange"
 )
@@ -105,7 +106,7 @@
 // process is one life of the server's process.
 type process struct {
 	ended      chan struct{}
-	generation exchange.Generation
+	generation death.Generation
 }
 
 // NewServer starts a backend server whose random numbers are drawn from seed.
@@ -204,11 +205,17 @@
 	return slices.Clone(s.crashes)
 }
 
-// Died implements guard.Backend.
-func (s *Server) Died(_ context.Context, f *exchange.Failure) bool {
+// Investigate implements guard.Backend.
+func (s *Server) Investigate(_ context.Context, f *exchange.Failure) death.Finding {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return f.Outcome == exchange.Unknown && f.Generation != s.process.generation
+	switch {
+	case f.Outcome != exchange.Unknown:
+		return death.Unanswered
+	case f.Generation == s.process.generation:
+		return death.OthersContinue
+	}
+	return death.AllEnded
 }
 
 // leaveAlive releases the slot of a request unless the process that ran it has ended.
--- a/internal/suspect/row.go
+++ b/internal/suspect/row.go
@@ -52,10 +52,11 @@
 			continue
 		}
 		known := &r.deaths[i]
-		changed := d.Alone && !known.Alone || d.Served && !known.Served || d.Trial && !known.Trial
+		changed := d.Alone && !known.Alone || d.Served && !known.Served || d.Trial && !known.Trial || !d.Uncertain && known.Uncertain
 		known.Alone = known.Alone || d.Alone
 		known.Served = known.Served || d.Served
 		known.Trial = known.Trial || d.Trial
+		known.Uncertain = known.Uncertain && d.Uncertain
 		return changed
 	}
 	if r.full() && !r.dropClearedDeath() && !r.dropWeaker(d) {
@@ -104,7 +105,8 @@
 // compareProof compares by how much deaths prove that the request is the cause, and at last by id.
 func compareProof(a, b Death) int {
 	return cmp.Or(
-		compareBool(a.Trial, b.Trial), compareBool(a.Alone, b.Alone), compareBool(!a.Served, !b.Served), cmp.Compare(a.ID, b.ID),
+		compareBool(a.Trial, b.Trial), compareBool(!a.Uncertain, !b.Uncertain), compareBool(a.Alone, b.Alone),
+		compareBool(!a.Served, !b.Served), cmp.Compare(a.ID, b.ID),
 	)
 }
 
@@ -150,31 +152,63 @@
 
 // levelOf returns the level that follows from deaths.
 func levelOf(deaths []death) Level {
-	open, alone, unserved, unservedAlone := 0, 0, 0, 0
-	var first, last time.Duration
+	n := countDeaths(deaths)
+	switch {
+	case n.certain >= blockedAt && n.certainAlone > 0,
+		n.unserved >= uncertainBlockedAt && n.unservedAlone > 0,
+		n.alone >= servedBlockedAt && n.lastAlone-n.firstAlone >= servedBlockAfter:
+		return Blocked
+	case n.certainUnserved > 0, len(deaths) >= servedSuspectedAt:
+		return Suspected
+	}
+	return Unsuspected
+}
+
+// deathCounts counts deaths by what is known about them.
+type deathCounts struct {
+	// certain leaves out the uncertain ones, and certainUnserved those too that the backend server had
+	// answered before. certainAlone are the certainUnserved ones with the request alone.
+	certain, certainUnserved, certainAlone int
+	// unserved are all that the backend server had not answered before, and unservedAlone those of them
+	// with the request alone.
+	unserved, unservedAlone int
+	// alone are all with the request alone, the first and the last of them at these times.
+	alone                 int
+	firstAlone, lastAlone time.Duration
+}
+
+func countDeaths(deaths []death) (n deathCounts) {
 	for _, d := range deaths {
-		open++
-		if d.Alone && alone == 0 {
-			first, last = d.at, d.at
+		if d.Alone {
+			n.addAlone(d.at)
+		}
+		if !d.Uncertain {
+			n.certain++
 		}
+		if d.Served {
+			continue
+		}
+		n.unserved++
 		if d.Alone {
-			alone++
-			first, last = min(first, d.at), max(last, d.at)
+			n.unservedAlone++
 		}
-		if !d.Served {
-			unserved++
+		if d.Uncertain {
+			continue
 		}
-		if d.Alone && !d.Served {
-			unservedAlone++
+		n.certainUnserved++
+		if d.Alone {
+			n.certainAlone++
 		}
 	}
-	switch {
-	case open >= blockedAt && unservedAlone > 0, alone >= servedBlockedAt && last-first >= servedBlockAfter:
-		return Blocked
-	case unserved > 0, open >= servedSuspectedAt:
-		return Suspected
+	return n
+}
+
+func (n *deathCounts) addAlone(at time.Duration) {
+	if n.alone == 0 {
+		n.firstAlone, n.lastAlone = at, at
 	}
-	return Unsuspected
+	n.alone++
+	n.firstAlone, n.lastAlone = min(n.firstAlone, at), max(n.lastAlone, at)
 }
 
 func (r *row) encode(fingerprint uint64, now time.Duration) wire.Suspect {
@@ -188,6 +222,7 @@
 		s.Alone = append(s.Alone, d.Alone)
 		s.Served = append(s.Served, d.Served)
 		s.Trial = append(s.Trial, d.Trial)
+		s.Uncertain = append(s.Uncertain, d.Uncertain)
 	}
 	return s
 }
--- a/internal/suspect/suspect.go
+++ b/internal/suspect/suspect.go
@@ -3,6 +3,9 @@
 // runs alone on its target. One that was alone when a second backend server died
 // is blocked for a limited time. A completed run clears it.
 //
+// An exchange that breaks off without a proof of a death counts less, and only if the backend server
+// hardly breaks off any others (see Breaks).
+//
 // When a block has ended the request is on trial: it runs alone, on one target only. If that
 // backend server dies too, the next block is longer.
 //
@@ -44,8 +47,12 @@
 	// request: one is always running alone there.
 	servedBlockedAt  = 3
 	servedBlockAfter = time.Second
-	// servedSuspectedAt is the number of deaths from which such a request runs alone.
+	// servedSuspectedAt is the number of deaths from which such a request runs alone, and one with
+	// uncertain deaths only.
 	servedSuspectedAt = 2
+	// uncertainBlockedAt is the number of deaths, at least one of them alone, that block a request if some
+	// of them are uncertain.
+	uncertainBlockedAt = 3
 )
 
 // Level is how a request is treated.
@@ -82,6 +89,9 @@
 	Served bool
 	// Trial is true if the request was on trial.
 	Trial bool
+	// Uncertain is true if only the request's own exchange broke off, so that the backend server may
+	// have gone on, or only one of its workers has died.
+	Uncertain bool
 }
 
 // Table holds one node's rows by fingerprint.
@@ -165,7 +175,7 @@
 		if r.full() && !r.knows(id) && slices.Contains(update.Cleared, id) {
 			continue
 		}
-		d := Death{ID: id, Alone: at(update.Alone, i), Served: at(update.Served, i), Trial: at(update.Trial, i)}
+		d := Death{ID: id, Alone: at(update.Alone, i), Served: at(update.Served, i), Trial: at(update.Trial, i), Uncertain: at(update.Uncertain, i)}
 		if r.add(d, now) {
 			r.lastDeath = max(r.lastDeath, lastDeath)
 			changed = true
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -129,6 +129,8 @@
 	Served []bool `msgpack:"v,omitempty" json:"served,omitempty"`
 	// Trial reports, in the order of Deaths, whether the request was on trial.
 	Trial []bool `msgpack:"t,omitempty" json:"trial,omitempty"`
+	// Uncertain reports, in the order of Deaths, whether only the request's own exchange broke off.
+	Uncertain []bool `msgpack:"u,omitempty" json:"uncertain,omitempty"`
 	// SinceMs is the time since the last death, in milliseconds.
 	SinceMs uint32 `msgpack:"s,omitempty" json:"since_ms"`
 }
