A node has a share of the retries only once it has known the other nodes for a window

Callers saw nothing of it; backend servers got more repeats than BUDGET allows. With real daemons: 12 nodes that see 2 registered backend servers, 113 reads, 62 and 63 repeats where 46.6 are allowed; 6 nodes killed four times within a window, 205 reads, 68 where 65 are. Cause: a node divided the slack by the nodes in its present view, so nodes that see few others took the share of all; and each start of a node began a new share, for two of which there was room in a window. Change: budget.Share divides by the most nodes known within a window, and is nothing until about that number has been known for a window. Ratio and its requests are as before, so that a node that has just started makes retries by these alone. The fixture of internal/mesh/entry publishes its view a window earlier, as its tests are about nodes that have run for a minute; no check has changed.

--- a/internal/mesh/entry/entry.go
+++ b/internal/mesh/entry/entry.go
@@ -84,6 +84,7 @@
 	prices       atomic.Pointer[Prices]
 	mu           sync.Mutex
 	retryBudgets map[string]*budget.Window
+	slackShare   *budget.Share
 	routes       sync.Map // route name to *routeStats
 	active       atomic.Int64
 	// trialDelay is after which time a request whose block has ended may run again.
@@ -97,7 +98,9 @@
 
 // New returns an Entry that refuses all requests until it has a View.
 func New(c Config) *Entry {
-	e := &Entry{Config: c, retryBudgets: map[string]*budget.Window{}, trialDelay: suspect.NewTrialDelay()}
+	e := &Entry{
+		Config: c, retryBudgets: map[string]*budget.Window{}, slackShare: budget.NewShare(c.Repeats.Slack, c.Repeats.Window), trialDelay: suspect.NewTrialDelay(),
+	}
 	e.SetPrices(Prices{})
 	return e
 }
@@ -106,7 +109,12 @@
 func (e *Entry) SetPrices(p Prices) { e.prices.Store(&p) }
 
 // SetView replaces the View.
-func (e *Entry) SetView(v *mesh.View) { e.view.Store(v) }
+func (e *Entry) SetView(v *mesh.View) {
+	e.mu.Lock()
+	e.slackShare.SetNodes(1+len(v.Peers), e.Now())
+	e.mu.Unlock()
+	e.view.Store(v)
+}
 
 // View returns the View in force, or nil.
 func (e *Entry) View() *mesh.View { return e.view.Load() }
@@ -285,11 +293,6 @@
 // default of most HTTP clients.
 const defaultTimeout = 30 * time.Second
 
-// restartMargin divides a node's share of the slack, in addition to the number of nodes: a
-// node that is killed and restarted begins with a new share, and both shares may be used
-// within one window.
-const restartMargin = 2
-
 // ratioMargin keeps the node's retries below the ratio also in windows that begin at other
 // times than the node's own.
 const ratioMargin = 0.7
@@ -303,11 +306,7 @@
 		w = budget.NewWindow(e.Repeats.Window, 0, 0)
 		e.retryBudgets[service] = w
 	}
-	nodes := 1
-	if v := e.view.Load(); v != nil {
-		nodes += len(v.Peers)
-	}
-	w.Set(e.Repeats.Ratio*ratioMargin, e.Repeats.Slack/float64(restartMargin*nodes))
+	w.Set(e.Repeats.Ratio*ratioMargin, e.slackShare.At(e.Now()))
 	return w
 }
 
--- a/internal/mesh/entry/entry_test.go
+++ b/internal/mesh/entry/entry_test.go
@@ -76,12 +76,15 @@
 
 // newDeployment returns a deployment with a target on the same VM, two in the region, of which
 // the second has some load, and one in another region.
+// repeatsWindow is the window of the retry budget.
+const repeatsWindow = 10 * time.Second
+
 func newDeployment(t *testing.T, idempotent bool) *deployment {
 	d := &deployment{t: t, now: time.Minute, load: mesh.Load{Slots: 6, Slowdown: 1}, answers: map[string]func(*mesh.Request) (*mesh.Answer, *kind.Error){}}
 	d.suspects = quarantine.New(func() time.Duration { return d.now })
 	d.entry = entry.New(entry.Config{
 		Here: mesh.Place{VM: "vm", Service: "shop"}, Guard: guard{d}, Peers: d, Observer: observer{},
-		Repeats:  entry.Repeats{Ratio: 0.2, Slack: 80, Window: 10 * time.Second},
+		Repeats:  entry.Repeats{Ratio: 0.2, Slack: 80, Window: repeatsWindow},
 		Now:      func() time.Duration { return d.now },
 		Suspects: d.suspects,
 	})
@@ -97,7 +100,11 @@
 		Name: "r", Host: "h", Prefix: "/", Shares: []mesh.Share{{Service: "orders", Weight: 1}}, Idempotent: idempotent,
 		Timeout: time.Second, LatencyObjective: 300 * time.Millisecond, MaxTargets: 2, Splitter: &mesh.Splitter{},
 	}
+	// The other nodes have been known for a window of the retry budget.
+	now := d.now
+	d.now -= repeatsWindow
 	d.publishView()
+	d.now = now
 	return d
 }
 
