The own interface recognises deaths behind what goes on listening, too

Both guards now use internal/death, and both tables take uncertain deaths (header Limpetdock-Death-Uncertain between nodes). An idle connection that stays open hides no death if nothing listens (TestDeathIsNotBlamedOnLaterRequest showed that), and two exchanges that break off one after the other prove none.

--- a/internal/death/detector.go
+++ b/internal/death/detector.go
@@ -59,6 +59,8 @@
 	openedAt   time.Time
 	// endedAt is when the other side ended the connection, or zero.
 	endedAt time.Time
+	// busy is true while an exchange is in progress.
+	busy bool
 }
 
 // Generation returns the present generation.
@@ -92,6 +94,13 @@
 	return c.generation != c.detector.generation
 }
 
+// SetBusy records whether an exchange is in progress.
+func (c *Conn) SetBusy(busy bool) {
+	c.detector.mu.Lock()
+	defer c.detector.mu.Unlock()
+	c.busy = busy
+}
+
 // Answered records that the process at the other end has answered a request.
 func (c *Conn) Answered() {
 	c.detector.mu.Lock()
@@ -139,9 +148,16 @@
 	}
 	others := d.others(c)
 	finding := d.examineOthers(ctx, others)
-	if finding == none {
-		// New connections are expensive for a loaded server, so they are the last resort.
+	// New connections are expensive for a loaded server, so they are the last resort.
+	switch finding {
+	case none:
 		finding = d.examineListener(ctx)
+	case idleContinue:
+		// The end of idle connections may become visible late.
+		finding = OthersContinue
+		if d.examineListener(ctx) == Refused {
+			finding = Refused
+		}
 	}
 	if finding == ClosesNew && !d.hasAnswered() {
 		return Unanswered
@@ -196,7 +212,7 @@
 	o := otherConns{diedBy: now}
 	d.forgetEnded(now)
 	for _, other := range d.ended {
-		if other.generation != c.generation {
+		if other.generation != c.generation || other.endedAt.Before(c.openedAt) {
 			continue
 		}
 		o.ended = o.ended || other != c
@@ -220,7 +236,7 @@
 		select {
 		case <-other.closed:
 		case <-timer.C:
-			return OthersContinue
+			return d.continues(others.open)
 		case <-ctx.Done():
 			return OthersContinue
 		}
@@ -231,6 +247,18 @@
 	return none
 }
 
+// continues returns the finding that some connections are still open.
+func (d *Detector) continues(conns []*Conn) Finding {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, c := range conns {
+		if _, open := d.open[c]; open && c.busy {
+			return OthersContinue
+		}
+	}
+	return idleContinue
+}
+
 func (d *Detector) anyEndedByPeer(conns []*Conn) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/death/detector_test.go
+++ b/internal/death/detector_test.go
@@ -67,6 +67,7 @@
 func TestOtherConnectionsThatContinueProveNoDeath(t *testing.T) {
 	d, c := answered(t, listen(t, true))
 	other := d.Opened(0)
+	other.SetBusy(true)
 	c.EndedByPeer()
 	finding := d.Investigate(t.Context(), c)
 	require.Equal(t, death.OthersContinue, finding)
@@ -126,3 +127,32 @@
 	c.EndedByPeer()
 	require.Equal(t, death.Refused, d.Investigate(t.Context(), c))
 }
+
+// Guards against a death that goes unseen as the end of idle connections becomes visible late.
+func TestIdleConnectionsHideNoDeath(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, l.Close())
+	d, c := answered(t, l.Addr().String())
+	d.Opened(0)
+	c.EndedByPeer()
+	require.Equal(t, death.Refused, d.Investigate(t.Context(), c))
+}
+
+// Guards against a server that is taken for dead as its listener closes connections beyond its limit.
+func TestIdleConnectionsThatContinueProveNoDeath(t *testing.T) {
+	d, c := answered(t, listen(t, true))
+	d.Opened(0)
+	c.EndedByPeer()
+	require.Equal(t, death.OthersContinue, d.Investigate(t.Context(), c))
+}
+
+// Guards against a server that is taken for dead as it broke off two exchanges one after the other.
+func TestConnectionsThatEndOneAfterTheOtherProveNoDeath(t *testing.T) {
+	d, first := answered(t, listen(t, false))
+	first.EndedByPeer()
+	time.Sleep(time.Millisecond)
+	second := d.Opened(0)
+	second.EndedByPeer()
+	require.Equal(t, death.Accepts, d.Investigate(t.Context(), second))
+}
--- a/internal/death/finding.go
+++ b/internal/death/finding.go
@@ -5,6 +5,8 @@
 
 const (
 	none Finding = iota
+	// idleContinue means that other connections stayed open, on which nothing was in progress.
+	idleContinue
 	// OthersContinue means that other connections to the process stayed open, so that it is alive, or at
 	// least another worker of the same server.
 	OthersContinue
--- a/internal/entry/hedge.go
+++ b/internal/entry/hedge.go
@@ -173,7 +173,7 @@
 	case h.phase == won:
 	case first.usable():
 		return h.firstWins(first)
-	case first.err != nil && first.err.Death != 0:
+	case first.err != nil && first.err.Death != 0 && !first.err.DeathUncertain:
 		// The second copy may crash its server too. Cancelling it in time prevents that, and
 		// the request is retried alone, as one without a copy is.
 		h.cancel()
--- a/internal/entry/idempotent.go
+++ b/internal/entry/idempotent.go
@@ -45,10 +45,10 @@
 	if !err.RetryIsUncounted() {
 		s.hops++
 	}
-	if err.Death != 0 {
+	if err.Death != 0 && !err.DeathUncertain {
 		s.deaths++
-		s.entry.reportDeath(s.x, err)
 	}
+	s.entry.reportDeath(s.x, err)
 	s.mayHaveRun = s.mayHaveRun || err.ReportedOutcome() != kind.NotRun
 	s.stale = laterStale(s.stale, err)
 }
--- a/internal/entry/suspect.go
+++ b/internal/entry/suspect.go
@@ -42,9 +42,9 @@
 	if err.Death == 0 {
 		return
 	}
-	x.suspected = true
+	x.suspected = x.suspected || !err.DeathUncertain
 	if a := e.reporter.Load(); a != nil {
-		(*a).Died(x.print(), suspect.Death{ID: err.Death, Alone: err.Alone, Trial: x.onTrial})
+		(*a).Died(x.print(), suspect.Death{ID: err.Death, Alone: err.Alone, Trial: x.onTrial, Uncertain: err.DeathUncertain})
 	}
 }
 
--- a/internal/guard/cancel_test.go
+++ b/internal/guard/cancel_test.go
@@ -17,9 +17,10 @@
 	// Nothing listens there: a probe reports a death.
 	g := New(&url.URL{Scheme: "http", Host: "127.0.0.1:1"}, 1, nil)
 	ctx, cancel := context.WithCancel(t.Context())
-	require.Equal(t, kind.BackendDied, g.connectionError(&permit{sent: true}, context.Canceled).Kind)
+	sent := &permit{sent: true, conn: g.detector.Opened(0)}
+	require.Equal(t, kind.BackendDied, g.connectionError(sent, context.Canceled).Kind)
 	cancel()
-	e := g.backendError(ctx, &permit{sent: true}, execution{}, context.Canceled)
+	e := g.backendError(ctx, sent, execution{}, context.Canceled)
 	require.Equal(t, kind.OutcomeUnknown, e.Kind)
 	require.Zero(t, e.Death)
 }
--- a/internal/guard/conn.go
+++ b/internal/guard/conn.go
@@ -2,12 +2,19 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net"
+	"net/http"
 	"net/http/httptrace"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
+
+	"github.com/limpetdock/limpetdock/internal/death"
 )
 
 var (
@@ -24,11 +31,17 @@
 // resumes: the write itself checks the deadline again. Safe for concurrent use.
 type permit struct {
 	deadline time.Time
-	mu       sync.Mutex
-	sent     bool
-	revoked  bool
-	// generation is the generation of the connection that the request was sent on.
-	generation uint64
+	// key identifies the request among those to the backend server.
+	key     uint64
+	mu      sync.Mutex
+	sent    bool
+	revoked bool
+	// conn is the record of the connection that the request was sent on.
+	conn *death.Conn
+}
+
+func newPermit(r *http.Request, deadline time.Time) *permit {
+	return &permit{deadline: deadline, key: xxhash.Sum64String(r.Method + " " + r.URL.RequestURI())}
 }
 
 // authorize is called before every write. The first call decides whether the request
@@ -43,20 +56,20 @@
 		p.revoked = true
 		return errRevoked
 	}
-	if c.dead() {
+	// A request that is sent to a process that has ended would be blamed for its death.
+	if c.watch.Stale() {
 		p.revoked = true
 		return errProcessEnded
 	}
-	p.sent, p.generation = true, c.generation
+	p.sent, p.conn = true, c.watch
 	return nil
 }
 
-// sentGeneration returns the generation of the backend server that the request was
-// sent to.
-func (p *permit) sentGeneration() uint64 {
+// sentOn returns the record of the connection that the request was sent on, or nil.
+func (p *permit) sentOn() *death.Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.generation
+	return p.conn
 }
 
 // revoke ends the permit. It returns true if no byte has been sent and none will be.
@@ -81,17 +94,28 @@
 // request that uses it.
 type backendConn struct {
 	net.Conn
-	deaths *deaths
-	// generation counts the deaths before the connection was opened.
-	generation uint64
-	mu         sync.Mutex
-	permit     *permit
+	watch  *death.Conn
+	mu     sync.Mutex
+	permit *permit
+}
+
+// Read reads, and records that the backend server has answered or ended the connection.
+func (c *backendConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.watch.Answered()
+	}
+	if errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) {
+		c.watch.EndedByPeer()
+	}
+	return n, err
 }
 
-// dead reports whether the process at the other end has ended. The connection itself
-// may report that only after a write. A request sent then would count as in flight at
-// the death and be blamed for it.
-func (c *backendConn) dead() bool { return c.deaths.generation() != c.generation }
+// Close closes the connection.
+func (c *backendConn) Close() error {
+	c.watch.Closed()
+	return c.Conn.Close()
+}
 
 // Write writes b if the permit of the current request allows it.
 func (c *backendConn) Write(b []byte) (int, error) {
@@ -112,17 +136,17 @@
 	c.permit = p
 }
 
-// dial opens a connection whose writes are controlled by permits. The generation is
+// dialWatched opens a connection whose writes are controlled by permits. The generation is
 // read before the connection is opened, so the process that accepts it can't have
 // ended earlier.
-func (d *deaths) dial(ctx context.Context, network, addr string) (net.Conn, error) {
-	generation := d.generation()
+func dialWatched(ctx context.Context, d *death.Detector, network, addr string) (net.Conn, error) {
+	generation := d.Generation()
 	var dialer net.Dialer
 	conn, err := dialer.DialContext(ctx, network, addr)
 	if err != nil {
 		return nil, err
 	}
-	return &backendConn{Conn: conn, deaths: d, generation: generation}, nil
+	return &backendConn{Conn: conn, watch: d.Opened(generation)}, nil
 }
 
 // withPermit makes the transport set the request's permit on the connection it uses,
--- a/internal/guard/conn_test.go
+++ b/internal/guard/conn_test.go
@@ -12,6 +12,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/limpetdock/limpetdock/internal/death"
+
 	"github.com/limpetdock/limpetdock/internal/attempt"
 	"github.com/limpetdock/limpetdock/internal/gate"
 	"github.com/limpetdock/limpetdock/internal/headers"
@@ -42,7 +44,7 @@
 			if c.revoked {
 				require.True(t, p.revoke())
 			}
-			conn := &backendConn{Conn: near, deaths: &deaths{}}
+			conn := &backendConn{Conn: near, watch: death.NewDetector("").Opened(0)}
 			conn.setPermit(p)
 			_, err := conn.Write([]byte("x"))
 			require.Equal(t, c.want, err)
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -16,6 +17,7 @@
 	"time"
 
 	"github.com/limpetdock/limpetdock/internal/attempt"
+	"github.com/limpetdock/limpetdock/internal/death"
 	"github.com/limpetdock/limpetdock/internal/gate"
 	"github.com/limpetdock/limpetdock/internal/headers"
 	"github.com/limpetdock/limpetdock/internal/kind"
@@ -49,8 +51,12 @@
 	// active counts requests from the queue to the end of their answers.
 	active    activity
 	isolation suspect.Isolation
-	deaths    deaths
-	reporter  reporter
+	detector  *death.Detector
+	// breaks counts the exchanges that broke off and those that were answered, and uncertainDeaths those
+	// of them that may have been deaths.
+	breaks          suspect.Breaks
+	uncertainDeaths atomic.Uint64
+	reporter        reporter
 	// Counters counts the guard's decisions about attempts.
 	Counters Counters
 }
@@ -65,13 +71,16 @@
 		gate:        gate.New(),
 		attempts:    attempt.NewTable(incarnation),
 	}
-	g.transport = newTransport(&g.deaths)
+	g.detector = death.NewDetector(base.Host)
+	g.transport = newTransport(g.detector)
 	return g
 }
 
-func newTransport(d *deaths) *http.Transport {
+func newTransport(d *death.Detector) *http.Transport {
 	return &http.Transport{
-		DialContext: d.dial, MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute, DisableCompression: true,
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			return dialWatched(ctx, d, network, addr)
+		}, MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute, DisableCompression: true,
 		ReadBufferSize: 16 << 10, WriteBufferSize: 16 << 10,
 	}
 }
@@ -181,7 +190,7 @@
 		v.leave()
 	}
 	deadline, _ := a.ctx.Deadline()
-	p := &permit{deadline: deadline}
+	p := newPermit(r, deadline)
 	resp, err := g.forward(withPermit(a.ctx, p), r)
 	if err != nil {
 		// A suspect that waits to run alone must start only after the death is recorded.
@@ -256,6 +265,7 @@
 	if err != nil {
 		return nil, err
 	}
+	g.breaks.Completed(g.now())
 	headers.StripInternal(resp.Header)
 	headers.StripHopByHop(resp.Header)
 	return resp, nil
--- a/internal/guard/once.go
+++ b/internal/guard/once.go
@@ -131,7 +131,7 @@
 	}
 	ended := make(chan result, 1)
 	go func() {
-		resp, e := g.runRecorded(ctx, r, c.ID, &permit{deadline: deadline}, v, body, end)
+		resp, e := g.runRecorded(ctx, r, c.ID, newPermit(r, deadline), v, body, end)
 		ended <- result{resp, e}
 	}()
 	select {
--- a/internal/headers/headers.go
+++ b/internal/headers/headers.go
@@ -55,13 +55,16 @@
 	Death = "Limpetdock-Death"
 	// DeathAlone is set if no other request was in flight at that crash.
 	DeathAlone = "Limpetdock-Death-Alone"
+	// DeathUncertain is set if only the request's own exchange broke off, so that the backend server may
+	// have gone on.
+	DeathUncertain = "Limpetdock-Death-Uncertain"
 	// Load is a guard's load, sent with an answer within the measuring budget.
 	Load = "Limpetdock-Load"
 )
 
 // internalNames are removed from messages of callers and backend servers.
 var internalNames = []string{
-	Attempt, Incarnation, Tick, Exchange, Config, Fleet, Collect, Suspect, Death, DeathAlone, Load, Kind, Outcome, Ticket,
+	Attempt, Incarnation, Tick, Exchange, Config, Fleet, Collect, Suspect, Death, DeathAlone, DeathUncertain, Load, Kind, Outcome, Ticket,
 }
 
 // hopByHop are the headers that apply to a single connection (RFC 9110, section 7.6.1).
--- a/internal/kind/answer.go
+++ b/internal/kind/answer.go
@@ -70,6 +70,7 @@
 	e.FromGuard = k != WrongFleet
 	e.Death, _ = strconv.ParseUint(resp.Header.Get(headers.Death), 16, 64)
 	e.Alone = resp.Header.Get(headers.DeathAlone) != ""
+	e.DeathUncertain = resp.Header.Get(headers.DeathUncertain) != ""
 	var b answerBody
 	// The kind is in a header, so an unreadable message is ignored.
 	if json.NewDecoder(http.MaxBytesReader(nil, resp.Body, 4096)).Decode(&b) == nil {
--- a/internal/kind/kind.go
+++ b/internal/kind/kind.go
@@ -169,6 +169,9 @@
 	Death uint64
 	// Alone reports whether the request was the only one in flight at that crash.
 	Alone bool
+	// DeathUncertain reports whether only the request's own exchange broke off, so that the backend
+	// server may have gone on.
+	DeathUncertain bool
 	// FromGuard reports whether the error was sent by the target's guard rather than
 	// detected by the entry.
 	FromGuard bool
--- a/internal/mesh/exchange/pool.go
+++ b/internal/mesh/exchange/pool.go
@@ -130,7 +130,9 @@
 		return nil, &Failure{Outcome: Unreachable, Cause: err}
 	}
 	allowed := func() bool { return !pc.watch.Stale() && allow() }
+	pc.watch.SetBusy(true)
 	r, sent := pc.send(ctx, m.request(), allowed)
+	pc.watch.SetBusy(false)
 	if r.err != nil {
 		pc.abort()
 		outcome := Unknown
