--- a/internal/mesh/entry/crash_test.go
+++ b/internal/mesh/entry/crash_test.go
@@ -36,6 +36,11 @@
 
 // crashFleet is a service whose backend servers crash on requests for crashURI.
 type crashFleet struct {
+	nodes int
+	// stop ends the nodes that run.
+	stop     context.CancelFunc
+	config   *mesh.Config
+	now      func() time.Duration
 	servers  []*model.Server
 	guards   []*meshguard.Guard
 	entries  []*entry.Entry
@@ -49,26 +54,28 @@
 	return f.guards[i].Run(ctx, r)
 }
 
-// fleetSender sends one node's news to the others.
-type fleetSender struct {
-	*crashFleet
-	from int
-}
+// fleetSender sends one node's news to the nodes that run.
+type fleetSender struct{ *crashFleet }
 
 func (s fleetSender) SendSuspects(rows []quarantine.Row, fanout int) {
-	to := rand.Perm(fleetNodes)
+	to := rand.Perm(s.nodes)
 	if fanout != quarantine.Everyone {
 		to = to[:fanout]
 	}
 	for _, i := range to {
-		time.AfterFunc(newsDelay, func() { s.trackers[i].Merge(rows) })
+		receiver := s.trackers[i]
+		time.AfterFunc(newsDelay, func() { receiver.Merge(rows) })
 	}
 }
 
 func newCrashFleet(ctx context.Context, wg *sync.WaitGroup, seed uint64) *crashFleet {
-	f := &crashFleet{}
+	return newCrashFleetOf(ctx, wg, seed, fleetNodes, fleetServers)
+}
+
+// newCrashFleetOf starts as many nodes, of which the first ones have a backend server.
+func newCrashFleetOf(ctx context.Context, wg *sync.WaitGroup, seed uint64, nodes, servers int) *crashFleet {
 	start := time.Now()
-	now := func() time.Duration { return time.Since(start) }
+	f := &crashFleet{nodes: nodes, stop: func() {}, now: func() time.Duration { return time.Since(start) }}
 	route := &mesh.Route{
 		Name: "read", Host: "h", Prefix: "/read/", Shares: []mesh.Share{{Service: "s", Weight: 1}}, Idempotent: true,
 		Timeout: time.Second, LatencyObjective: 300 * time.Millisecond, MaxTargets: 2, Splitter: &mesh.Splitter{},
@@ -77,45 +84,54 @@
 	urgent := *route
 	route.Priority = 2
 	urgent.Name, urgent.Prefix, urgent.Splitter = "urgent", "/urgent/", &mesh.Splitter{}
-	config := mesh.NewConfig(1, services, []*mesh.Route{route, &urgent}, mesh.Limits{})
-	for i := range fleetNodes {
-		f.trackers = append(f.trackers, quarantine.New(now))
-		if i >= fleetServers {
-			continue
-		}
+	f.config = mesh.NewConfig(1, services, []*mesh.Route{route, &urgent}, mesh.Limits{})
+	for i := range servers {
 		b := model.Backend{
 			Slots: 6, Queue: 10, Spread: 0.3, CrashTime: 35 * time.Millisecond, DownTime: 3 * time.Second,
 			Crashes: func(m *exchange.Message) bool { return m.URI == crashURI },
 		}
-		server := model.NewServer(b, []model.ServiceTime{{Prefix: "/", Mean: 90 * time.Millisecond}}, seed+uint64(i))
+		f.servers = append(f.servers, model.NewServer(b, []model.ServiceTime{{Prefix: "/", Mean: 90 * time.Millisecond}}, seed+uint64(i)))
+	}
+	f.startNodes(ctx, wg)
+	return f
+}
+
+// startNodes starts all nodes, which know nothing, in place of those that run.
+func (f *crashFleet) startNodes(ctx context.Context, wg *sync.WaitGroup) {
+	f.stop()
+	ctx, f.stop = context.WithCancel(ctx)
+	f.trackers, f.guards, f.entries = nil, nil, nil
+	for i := range f.nodes {
+		f.trackers = append(f.trackers, quarantine.New(f.now))
+		if i >= len(f.servers) {
+			continue
+		}
 		g := meshguard.New(meshguard.Config{
-			Here: mesh.Place{Service: "s"}, Dialect: model.Dialect, Backend: server, Now: now, LoadChanged: func(bool) {}, Suspects: f.trackers[i],
+			Here: mesh.Place{Service: "s"}, Dialect: model.Dialect, Backend: f.servers[i], Now: f.now, LoadChanged: func(bool) {}, Suspects: f.trackers[i],
 		})
-		target := &mesh.Target{ID: "i-1", Service: "s", Slots: b.Slots, Addr: "h"}
-		g.SetView(&mesh.View{Config: config, LocalTarget: target})
+		g.SetView(&mesh.View{Config: f.config, LocalTarget: &mesh.Target{ID: "i-1", Service: "s", Slots: f.servers[i].Slots, Addr: "h"}})
 		wg.Go(func() { g.Probe(ctx) })
-		f.servers, f.guards = append(f.servers, server), append(f.guards, g)
+		f.guards = append(f.guards, g)
 	}
-	for i := range fleetNodes {
-		f.addEntry(i, config, now)
-		wg.Go(func() { f.trackers[i].Run(ctx, fleetSender{f, i}) })
+	for i := range f.nodes {
+		f.addEntry(i)
+		wg.Go(func() { f.trackers[i].Run(ctx, fleetSender{f}) })
 	}
-	return f
 }
 
 // addEntry adds the entry of a node. Its targets have ids of their own, as it excludes them by these.
-func (f *crashFleet) addEntry(node int, config *mesh.Config, now func() time.Duration) {
+func (f *crashFleet) addEntry(node int) {
 	e := entry.New(entry.Config{
 		Here: mesh.Place{VM: fmt.Sprint(node), Service: "caller"}, Peers: f, Observer: observer{}, Suspects: f.trackers[node],
-		Repeats: entry.Repeats{Ratio: 0.2, Slack: 80, Window: 10 * time.Second}, Now: now,
+		Repeats: entry.Repeats{Ratio: 0.2, Slack: 80, Window: 10 * time.Second}, Now: f.now,
 	})
 	var targets []*mesh.Target
-	for i := range fleetServers {
+	for i := range f.servers {
 		targets = append(targets, &mesh.Target{
 			ID: fmt.Sprint("i-", i), Service: "s", Peer: fmt.Sprint(i), Slots: 6, Distance: place.SameRegion, Stat: &mesh.Stat{},
 		})
 	}
-	e.SetView(&mesh.View{Config: config, Targets: map[string][]*mesh.Target{"s": targets}})
+	e.SetView(&mesh.View{Config: f.config, Targets: map[string][]*mesh.Target{"s": targets}})
 	f.entries = append(f.entries, e)
 }
 
