--- a/internal/death/detector.go
+++ b/internal/death/detector.go
@@ -12,6 +12,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -33,7 +34,8 @@
 
 // Detector watches the connections to one backend server. Safe for concurrent use.
 type Detector struct {
-	addr string
+	addr   string
+	dialed atomic.Uint64
 
 	mu         sync.Mutex
 	generation Generation
@@ -49,6 +51,9 @@
 	return &Detector{addr: addr, open: map[*Conn]struct{}{}}
 }
 
+// Dialed returns how many connections the Detector itself has opened.
+func (d *Detector) Dialed() uint64 { return d.dialed.Load() }
+
 // Conn is the record of a connection.
 type Conn struct {
 	detector *Detector
@@ -282,6 +287,7 @@
 	if err != nil {
 		return NoConnection
 	}
+	d.dialed.Add(1)
 	// The connection was only opened to see what becomes of it.
 	defer func() { _ = conn.Close() }()
 	if conn.SetReadDeadline(time.Now().Add(closeTimeout)) != nil {
--- a/internal/mesh/entry/crash_test.go
+++ b/internal/mesh/entry/crash_test.go
@@ -348,3 +348,19 @@
 	}
 	require.Positive(t, refused)
 }
+
+// Guards against a request on trial that crashes a second worker, as the break of its exchange proves no death.
+func TestBrokenTrialIsNotRetried(t *testing.T) {
+	d := newDeployment(t, true)
+	r := mesh.Request{Service: "orders", Caller: "shop", Method: "POST", Host: "h", URI: "/a"}
+	d.suspects.Died(r.Fingerprint(), suspect.Death{ID: 1, Alone: true})
+	d.suspects.Died(r.Fingerprint(), suspect.Death{ID: 2, Alone: true})
+	const longestDelay = 30 * time.Second
+	d.now += suspect.BlockFor + longestDelay
+	for _, name := range []string{own, "zone", "region", "far"} {
+		d.answers[name] = failing(kind.BackendBroken)
+	}
+	_, err := d.serve()
+	require.Equal(t, kind.BackendBroken, err.Kind)
+	require.Len(t, d.attempted, 1)
+}
--- a/internal/mesh/exchange/pool.go
+++ b/internal/mesh/exchange/pool.go
@@ -55,7 +55,7 @@
 }
 
 // Opened returns how many connections have been opened so far.
-func (c *Client) Opened() uint64 { return c.opened.Load() }
+func (c *Client) Opened() uint64 { return c.opened.Load() + c.detector.Dialed() }
 
 // Outcome is how far a failed exchange got.
 type Outcome uint8
