--- a/internal/budget/share.go
+++ b/internal/budget/share.go
@@ -61,3 +61,6 @@
 	}
 	return s.total / float64(shareMargin*s.nodes)
 }
+
+// Nodes returns the number of nodes that the total is divided by.
+func (s *Share) Nodes() int { return s.nodes }
--- a/internal/mesh/entry/entry.go
+++ b/internal/mesh/entry/entry.go
@@ -310,6 +310,29 @@
 	return w
 }
 
+// RetryCounts describes the retry budgets of a node.
+type RetryCounts struct {
+	// Granted and Denied count retries over all services.
+	Granted, Denied uint64
+	// Share is the node's share of the slack, for each service, and Nodes the number of nodes by which
+	// it is divided.
+	Share float64
+	Nodes int
+}
+
+// RetryCounts returns the present state of the retry budgets.
+func (e *Entry) RetryCounts() RetryCounts {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	c := RetryCounts{Share: e.slackShare.At(e.Now()), Nodes: e.slackShare.Nodes()}
+	for _, w := range e.retryBudgets {
+		granted, denied := w.Counts()
+		c.Granted += granted
+		c.Denied += denied
+	}
+	return c
+}
+
 // record logs and counts the outcome of a request.
 func (e *Entry) record(t *transaction, a *mesh.Answer, err *kind.Error) {
 	took := e.Now() - t.in.Arrived
