--- a/internal/death/finding.go
+++ b/internal/death/finding.go
@@ -4,6 +4,7 @@
 type Finding uint8
 
 const (
+	// none means that the other connections show nothing.
 	none Finding = iota
 	// idleContinue means that other connections stayed open, on which nothing was in progress.
 	idleContinue
--- a/internal/guard/backend_death.go
+++ b/internal/guard/backend_death.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"encoding/binary"
 	"net/http"
 	"strconv"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/limpetdock/limpetdock/internal/headers"
 	"github.com/limpetdock/limpetdock/internal/kind"
 )
@@ -28,25 +25,14 @@
 	case finding.Died():
 		g.transport.CloseIdleConnections()
 		e := kind.New(kind.BackendDied, "the backend server died with the request in flight").WithCause(cause)
-		e.Death = g.deathID(uint64(generation) + 1)
+		e.Death = g.deathIDs.Of(generation)
 		return e
 	case finding.Inconclusive() && g.breaks.Broke(p.key, g.now()):
-		broken.Death, broken.DeathUncertain = g.deathID(uncertainDeath|g.uncertainDeaths.Add(1)), true
+		broken.Death, broken.DeathUncertain = g.deathIDs.Uncertain(), true
 	}
 	return broken
 }
 
-// uncertainDeath is the flag by which the numbers of uncertain deaths differ from those of generations.
-const uncertainDeath = 1 << 63
-
-// deathID returns an id for a death that is unique among all nodes.
-func (g *Guard) deathID(number uint64) uint64 {
-	var b [16]byte
-	binary.BigEndian.PutUint64(b[:8], g.incarnation)
-	binary.BigEndian.PutUint64(b[8:], number)
-	return xxhash.Sum64(b[:])
-}
-
 // addDeathHeaders adds the headers that the entry needs to record a suspect to a
 // refusal.
 func addDeathHeaders(h http.Header, e *kind.Error) {
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -52,11 +52,10 @@
 	active    activity
 	isolation suspect.Isolation
 	detector  *death.Detector
-	// breaks counts the exchanges that broke off and those that were answered, and uncertainDeaths those
-	// of them that may have been deaths.
-	breaks          suspect.Breaks
-	uncertainDeaths atomic.Uint64
-	reporter        reporter
+	deathIDs  *death.IDs
+	// breaks counts the exchanges that broke off and those that were answered.
+	breaks   suspect.Breaks
+	reporter reporter
 	// Counters counts the guard's decisions about attempts.
 	Counters Counters
 }
@@ -72,6 +71,7 @@
 		attempts:    attempt.NewTable(incarnation),
 	}
 	g.detector = death.NewDetector(base.Host)
+	g.deathIDs = death.NewIDs(incarnation)
 	g.transport = newTransport(g.detector)
 	return g
 }
--- a/internal/mesh/guard/death.go
+++ b/internal/mesh/guard/death.go
@@ -2,12 +2,8 @@
 
 import (
 	"context"
-	"encoding/binary"
 	"errors"
 	"strconv"
-	"time"
-
-	"github.com/cespare/xxhash/v2"
 
 	"github.com/limpetdock/limpetdock/internal/death"
 	"github.com/limpetdock/limpetdock/internal/kind"
@@ -45,11 +41,11 @@
 	fingerprint := s.request.Fingerprint()
 	switch {
 	case finding.Died():
-		d.ID = g.deathID(f.Generation)
+		d.ID = g.deathIDs.Of(f.Generation)
 		g.noteDeath(d.ID, finding)
 		recorded = true
 	case finding.Inconclusive():
-		d.ID, d.Uncertain = g.uncertainDeathID(), true
+		d.ID, d.Uncertain = g.deathIDs.Uncertain(), true
 		recorded = g.breaks.Broke(fingerprint, g.Now())
 	}
 	d.Alone, d.Served, d.Trial = alone, g.servedLately(fingerprint), s.onTrial
@@ -71,56 +67,6 @@
 	g.Log.Event("backend server died", "death", formatDeath(id), "target", g.targetID(), "finding", finding.String())
 }
 
-// maxRestartWait is how long after a death requests are refused while the backend server answers no
-// probe. Then they are sent, as they may fare better than probes.
-const maxRestartWait = 5 * time.Second
-
-// awaitRestart makes the guard refuse requests until the backend server has answered again. What listens
-// for a dead one may accept requests and break them off.
-func (g *Guard) awaitRestart() {
-	if g.hasHealthPath() {
-		g.downUntil.Store(int64(g.Now() + maxRestartWait))
-	}
-}
-
-// noteAnswer records that the backend server has answered.
-func (g *Guard) noteAnswer() {
-	g.breaks.Completed(g.Now())
-	g.downUntil.Store(0)
-}
-
-// awaitsRestart reports whether the backend server has died and not answered since.
-func (g *Guard) awaitsRestart() bool { return g.Now() < time.Duration(g.downUntil.Load()) }
-
-// checkRestarted returns a refusal while the backend server is down after a death.
-func (g *Guard) checkRestarted() *kind.Error {
-	if g.awaitsRestart() {
-		return kind.New(kind.Unreachable, "the backend server has died and not answered since")
-	}
-	return nil
-}
-
-// deathID returns an id for the death of a generation that is unique among all nodes.
-func (g *Guard) deathID(generation death.Generation) uint64 {
-	return g.uniqueID(uint64(generation))
-}
-
-// uncertainDeath is the flag by which the ids of uncertain deaths differ from those of generations.
-const uncertainDeath = 1 << 63
-
-// uncertainDeathID returns an id for the break of one exchange that is unique among all nodes.
-func (g *Guard) uncertainDeathID() uint64 {
-	return g.uniqueID(uncertainDeath | g.uncertainDeaths.Add(1))
-}
-
-// uniqueID returns an id for a number of this process that is unique among all nodes.
-func (g *Guard) uniqueID(number uint64) uint64 {
-	var b [16]byte
-	binary.BigEndian.PutUint64(b[:8], g.incarnation)
-	binary.BigEndian.PutUint64(b[8:], number)
-	return xxhash.Sum64(b[:])
-}
-
 func formatDeath(id uint64) string { return strconv.FormatUint(id, 16) }
 
 // targetID returns the id of the backend server's registration, or an empty string.
--- a/internal/mesh/guard/guard.go
+++ b/internal/mesh/guard/guard.go
@@ -87,15 +87,13 @@
 	probes        atomic.Uint64
 	sent          atomic.Uint64
 	active        atomic.Int64
-	// incarnation identifies this process in the ids of deaths, lastDeath is the id of the backend
-	// server's last death, and deaths counts them.
-	incarnation uint64
-	lastDeath   atomic.Uint64
-	deaths      atomic.Uint64
-	// breaks counts the exchanges that broke off and those that were answered, and uncertainDeaths those
-	// of them that may have been deaths.
-	breaks          suspect.Breaks
-	uncertainDeaths atomic.Uint64
+	// deathIDs draws the ids of deaths, lastDeath is that of the backend server's last one, and deaths
+	// counts them.
+	deathIDs  *death.IDs
+	lastDeath atomic.Uint64
+	deaths    atomic.Uint64
+	// breaks counts the exchanges that broke off and those that were answered.
+	breaks suspect.Breaks
 	// downUntil is until when the backend server is taken to be down after a death, in nanoseconds since
 	// the start, or 0 once it has answered.
 	downUntil atomic.Int64
@@ -103,7 +101,7 @@
 
 // New returns a Guard that refuses all requests until SetView is called.
 func New(c Config) *Guard {
-	g := &Guard{Config: c, gate: gate.New(), admission: newAdmission(), incarnation: rand.Uint64()}
+	g := &Guard{Config: c, gate: gate.New(), admission: newAdmission(), deathIDs: death.NewIDs(rand.Uint64())}
 	// An error would mean that maxServed isn't positive.
 	g.served, _ = lru.New[uint64, time.Duration](maxServed)
 	g.gate.SetPacer(&pacer{g: g})
