--- a/internal/suspect/row.go
+++ b/internal/suspect/row.go
@@ -105,7 +105,7 @@
 // compareProof compares by how much deaths prove that the request is the cause, and at last by id.
 func compareProof(a, b Death) int {
 	return cmp.Or(
-		compareBool(a.Trial, b.Trial), compareBool(!a.Uncertain, !b.Uncertain), compareBool(a.Alone, b.Alone),
+		compareBool(a.Trial, b.Trial), compareBool(a.Alone, b.Alone), compareBool(!a.Uncertain, !b.Uncertain),
 		compareBool(!a.Served, !b.Served), cmp.Compare(a.ID, b.ID),
 	)
 }
--- a/internal/suspect/suspect_test.go
+++ b/internal/suspect/suspect_test.go
@@ -112,6 +112,17 @@
 	require.Equal(t, suspect.Blocked, level(peer, 1))
 }
 
+// Guards against a request that is never blocked, as its row is full of proven deaths with other requests in
+// flight and takes no uncertain ones alone.
+func TestUncertainDeathAloneCountsInFullRow(t *testing.T) {
+	table := suspect.NewTable()
+	for id := range uint64(20) {
+		table.RecordDeath(1, suspect.Death{ID: id}, 0)
+	}
+	table.RecordDeath(1, suspect.Death{ID: 100, Alone: true, Uncertain: true}, 0)
+	require.Equal(t, suspect.Blocked, level(table, 1))
+}
+
 // Guards against nodes with full rows that send each other the deaths that the other one drops.
 func TestFullRowsWithOtherDeathsSettle(t *testing.T) {
 	a, b := suspect.NewTable(), suspect.NewTable()
