Uncertain deaths are few, spread slowly and drive nothing out of the table

Change: an exchange that breaks off counts only if at most one of other requests did so within ten seconds; rows that restrict nothing are sent in the regular messages only and are evicted first. TestUncertainDeathsSendNoMessagesAtOnce, TestUncertainDeathsEvictNoBlockedRequest.

--- a/internal/mesh/quarantine/tracker.go
+++ b/internal/mesh/quarantine/tracker.go
@@ -85,7 +85,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.table.RecordDeath(fingerprint, d, t.now())
-	t.observed[fingerprint] = true
+	t.announce(t.observed, fingerprint)
 	t.publish()
 }
 
@@ -105,12 +105,20 @@
 	now := t.now()
 	for _, row := range rows {
 		if t.table.Merge(row, now) {
-			t.received[row.Fingerprint] = true
+			t.announce(t.received, row.Fingerprint)
 		}
 	}
 	t.publish()
 }
 
+// announce marks a row as news. Uncertain deaths that restrict nothing are too frequent for that: they
+// spread by the regular messages only. The mutex must be held.
+func (t *Tracker) announce(news map[uint64]bool, fingerprint uint64) {
+	if !t.table.Minor(fingerprint) {
+		news[fingerprint] = true
+	}
+}
+
 // publish makes the table's changes visible to Check and wakes Run. The mutex must be held.
 func (t *Tracker) publish() {
 	set, changed := t.table.Changed()
--- a/internal/mesh/quarantine/tracker_test.go
+++ b/internal/mesh/quarantine/tracker_test.go
@@ -203,3 +203,22 @@
 	})
 	require.Equal(t, suspect.Unsuspected, entry.Level)
 }
+
+// Guards against nodes that send all others a message for each exchange that breaks off.
+func TestUncertainDeathsSendNoMessagesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(t, 83, 3, 10, 0)
+		const requests = 200
+		for i := range uint64(requests) {
+			n.nodes[i%83].Died(100+i, suspect.Death{ID: i, Uncertain: true})
+		}
+		const duration = 2 * time.Second
+		time.Sleep(duration)
+		// Each node sends a part of its table to two others twice a second.
+		require.LessOrEqual(t, n.messages(), 83*2*2*2+83*2)
+		n.nodes[0].Died(crashing, suspect.Death{ID: 1001, Uncertain: true})
+		n.nodes[0].Died(crashing, suspect.Death{ID: 1002, Uncertain: true})
+		time.Sleep(duration)
+		require.Equal(t, 83, n.at(crashing, suspect.Suspected), "a suspect is announced")
+	})
+}
--- a/internal/suspect/breaks.go
+++ b/internal/suspect/breaks.go
@@ -13,6 +13,9 @@
 	// maxBreakShare is the share of broken exchanges from which a server is taken to break off requests
 	// whatever they are.
 	maxBreakShare = 0.1
+	// maxOtherBreaks is the number of broken exchanges of other requests from which it is so whatever the
+	// share, which bounds the deaths that a node records.
+	maxOtherBreaks = 2
 	// maxBreaks bounds the broken exchanges that are remembered.
 	maxBreaks = 64
 )
@@ -58,7 +61,7 @@
 		b.broken = b.broken[1:]
 	}
 	b.broken = append(b.broken, brokenExchange{fingerprint, now})
-	return float64(others) < maxBreakShare*float64(completed)
+	return others < maxOtherBreaks && float64(others) < maxBreakShare*float64(completed)
 }
 
 // advance drops what is older than the window. The mutex must be held.
--- a/internal/suspect/suspect.go
+++ b/internal/suspect/suspect.go
@@ -138,17 +138,30 @@
 	return r
 }
 
+// evict deletes the oldest of the rows that restrict nothing, or else of all rows.
 func (t *Table) evict() {
 	var oldest uint64
-	at := time.Duration(math.MaxInt64)
+	at, restricts := time.Duration(math.MaxInt64), true
 	for f, r := range t.rows {
-		if r.lastDeath < at || r.lastDeath == at && f < oldest {
-			oldest, at = f, r.lastDeath
+		restrictsToo := r.level() != Unsuspected
+		older := r.lastDeath < at || r.lastDeath == at && f < oldest
+		if restricts && !restrictsToo || restricts == restrictsToo && older {
+			oldest, at, restricts = f, r.lastDeath, restrictsToo
 		}
 	}
 	delete(t.rows, oldest)
 }
 
+// Minor reports whether a row has no more than uncertain deaths that restrict nothing, so that its news can
+// wait.
+func (t *Table) Minor(fingerprint uint64) bool {
+	r := t.rows[fingerprint]
+	if r == nil || len(r.cleared) > 0 || r.level() != Unsuspected {
+		return false
+	}
+	return !slices.ContainsFunc(r.deaths, func(d death) bool { return !d.Uncertain })
+}
+
 // Expire deletes expired rows.
 func (t *Table) Expire(now time.Duration) {
 	for f, r := range t.rows {
--- a/internal/suspect/suspect_test.go
+++ b/internal/suspect/suspect_test.go
@@ -320,3 +320,14 @@
 	require.NotEqual(t, plain, suspect.Fingerprint("other", httptest.NewRequest("GET", "/a?b=c", nil), nil))
 	require.NotEqual(t, plain, suspect.Fingerprint("s", httptest.NewRequest("GET", "/a?b=c", nil), []byte("body")))
 }
+
+// Guards against uncertain deaths that drive a blocked request out of the table.
+func TestUncertainDeathsEvictNoBlockedRequest(t *testing.T) {
+	table := suspect.NewTable()
+	table.RecordDeath(1, suspect.Death{ID: 1}, 0)
+	table.RecordDeath(1, suspect.Death{ID: 2, Alone: true}, 0)
+	for id := range uint64(1000) {
+		table.RecordDeath(100+id, suspect.Death{ID: 100 + id, Uncertain: true}, time.Second)
+	}
+	require.Equal(t, suspect.Blocked, level(table, 1))
+}
