--- a/internal/guard/conn_test.go
+++ b/internal/guard/conn_test.go
@@ -12,9 +12,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/limpetdock/limpetdock/internal/death"
-
 	"github.com/limpetdock/limpetdock/internal/attempt"
+	"github.com/limpetdock/limpetdock/internal/death"
 	"github.com/limpetdock/limpetdock/internal/gate"
 	"github.com/limpetdock/limpetdock/internal/headers"
 	"github.com/limpetdock/limpetdock/internal/wire"
--- a/internal/mesh/entry/entry_test.go
+++ b/internal/mesh/entry/entry_test.go
@@ -74,11 +74,11 @@
 	return func(*mesh.Request) (*mesh.Answer, *kind.Error) { return nil, kind.New(k, "test") }
 }
 
-// newDeployment returns a deployment with a target on the same VM, two in the region, of which
-// the second has some load, and one in another region.
-// repeatsWindow is the window of the retry budget.
+// repeatsWindow is the length of the sliding window in which retries are limited.
 const repeatsWindow = 10 * time.Second
 
+// newDeployment returns a deployment with a target on the same VM, two in the region, of which
+// the second has some load, and one in another region.
 func newDeployment(t *testing.T, idempotent bool) *deployment {
 	d := &deployment{t: t, now: time.Minute, load: mesh.Load{Slots: 6, Slowdown: 1}, answers: map[string]func(*mesh.Request) (*mesh.Answer, *kind.Error){}}
 	d.suspects = quarantine.New(func() time.Duration { return d.now })
@@ -100,7 +100,7 @@
 		Name: "r", Host: "h", Prefix: "/", Shares: []mesh.Share{{Service: "orders", Weight: 1}}, Idempotent: idempotent,
 		Timeout: time.Second, LatencyObjective: 300 * time.Millisecond, MaxTargets: 2, Splitter: &mesh.Splitter{},
 	}
-	// The other nodes have been known for a window of the retry budget.
+	// A node that knows the others for less than repeatsWindow has no share of the retries.
 	now := d.now
 	d.now -= repeatsWindow
 	d.publishView()
--- a/internal/mesh/exchange/exchange_test.go
+++ b/internal/mesh/exchange/exchange_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 
+	"github.com/limpetdock/limpetdock/internal/death"
 	"github.com/limpetdock/limpetdock/internal/mesh"
 	"github.com/limpetdock/limpetdock/internal/mesh/exchange"
 )
@@ -373,8 +374,8 @@
 	require.NoError(t, l.Close())
 	close(die)
 	first, second := <-failures, <-failures
-	require.True(t, client.Investigate(t.Context(), first).Died())
-	require.True(t, client.Investigate(t.Context(), second).Died())
+	require.Equal(t, death.Refused, client.Investigate(t.Context(), first))
+	require.Equal(t, death.Noticed, client.Investigate(t.Context(), second))
 	require.Equal(t, first.Generation, second.Generation)
 
 	again, err := net.Listen("tcp", l.Addr().String())
@@ -384,7 +385,7 @@
 	go func() { <-arrived }()
 	_, cut := client.Do(t.Context(), message("c"), always)
 	require.Equal(t, first.Generation+1, cut.Generation)
-	require.False(t, client.Investigate(t.Context(), cut).Died(), "a server that only closes the connection still listens")
+	require.Equal(t, death.Accepts, client.Investigate(t.Context(), cut), "a server that only closes the connection still listens")
 }
 
 // Guards against a new connection for each exchange that a loaded server breaks off.
@@ -409,7 +410,7 @@
 	_, f := client.Do(t.Context(), message("broken"), always)
 	require.Equal(t, exchange.Unknown, f.Outcome)
 	opened := client.Opened()
-	require.False(t, client.Investigate(t.Context(), f).Died())
+	require.Equal(t, death.OthersContinue, client.Investigate(t.Context(), f))
 	require.Equal(t, opened, client.Opened())
 	close(release)
 	require.Nil(t, <-done)
