Suspects come before uncertain deaths in what nodes send each other

What callers saw: a request that may crash backend servers was known to 82 of 83 nodes two seconds after it was announced, and could run there once more. Cause: the regular messages cycle through the whole table, 8 rows at a time. With 200 uncertain deaths, which restrict nothing, a node that missed the announcement got the row after some 12 s. TestBatchesHoldRestrictingRowsFirst is new; it needs no chance.

--- a/internal/suspect/suspect.go
+++ b/internal/suspect/suspect.go
@@ -96,9 +96,10 @@
 
 // Table holds one node's rows by fingerprint.
 type Table struct {
-	rows   map[uint64]*row
-	cursor uint64
-	dirty  bool
+	rows map[uint64]*row
+	// major and minor are the positions of NextBatch among the rows that are minor and those that aren't.
+	major, minor uint64
+	dirty        bool
 }
 
 // NewTable returns an empty table.
@@ -220,26 +221,39 @@
 	return rows
 }
 
-// NextBatch returns up to limit rows to send to a peer. Successive calls cycle
-// through all rows.
+// minorShare divides a batch: one part in so many is kept for minor rows, at least one row.
+const minorShare = 4
+
+// NextBatch returns up to limit rows, of at least two, to send to a peer. Successive calls cycle through all rows, through
+// minor ones more slowly, so that many of these don't hold up the others.
 func (t *Table) NextBatch(limit int, now time.Duration) []wire.Suspect {
-	if len(t.rows) == 0 {
-		return nil
-	}
-	order := make([]uint64, 0, len(t.rows))
-	for f := range t.rows {
-		order = append(order, f)
+	var major, minor []uint64
+	for _, f := range slices.Sorted(maps.Keys(t.rows)) {
+		if t.Minor(f) {
+			minor = append(minor, f)
+		} else {
+			major = append(major, f)
+		}
 	}
-	slices.Sort(order)
-	batch := make([]wire.Suspect, 0, min(limit, len(order)))
-	for range min(limit, len(order)) {
-		t.cursor++
-		f := order[t.cursor%uint64(len(order))]
+	limit = min(limit, len(t.rows))
+	fromMinor := min(len(minor), max(limit/minorShare, 1, limit-len(major)))
+	batch := make([]wire.Suspect, 0, limit)
+	for _, f := range append(cycle(major, &t.major, limit-fromMinor), cycle(minor, &t.minor, fromMinor)...) {
 		batch = append(batch, t.rows[f].encode(f, now))
 	}
 	return batch
 }
 
+// cycle returns the next n elements of a list from a position on, and moves the position there.
+func cycle(list []uint64, position *uint64, n int) []uint64 {
+	next := make([]uint64, 0, n)
+	for range n {
+		*position++
+		next = append(next, list[*position%uint64(len(list))])
+	}
+	return next
+}
+
 // Changed returns a new Set if anything has changed since the last call.
 func (t *Table) Changed() (Set, bool) {
 	if !t.dirty {
--- a/internal/suspect/suspect_test.go
+++ b/internal/suspect/suspect_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http/httptest"
+	"slices"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/limpetdock/limpetdock/internal/suspect"
+	"github.com/limpetdock/limpetdock/internal/wire"
 )
 
 func level(t *suspect.Table, f uint64) suspect.Level { return entry(t, f).Level }
@@ -331,3 +333,27 @@
 	}
 	require.Equal(t, suspect.Blocked, level(table, 1))
 }
+
+// Guards against a suspect that is sent to other nodes too late, as many uncertain deaths come before it.
+func TestBatchesHoldRestrictingRowsFirst(t *testing.T) {
+	const (
+		minorRows = 40
+		limit     = 8
+		crashing  = 1000
+	)
+	table := suspect.NewTable()
+	for i := range uint64(minorRows) {
+		table.RecordDeath(i, suspect.Death{ID: i, Uncertain: true}, 0)
+	}
+	table.RecordDeath(crashing, suspect.Death{ID: crashing}, 0)
+	sent := map[uint64]bool{}
+	for range minorRows {
+		batch := table.NextBatch(limit, 0)
+		require.Len(t, batch, limit)
+		require.True(t, slices.ContainsFunc(batch, func(r wire.Suspect) bool { return r.Fingerprint == crashing }))
+		for _, r := range batch {
+			sent[r.Fingerprint] = true
+		}
+	}
+	require.Len(t, sent, minorRows+1, "all rows are sent in turn")
+}
