Calls of backend servers don't pay into the retry budgets

What callers saw: a service that backend servers call got more repeats than its budget allows, while it fails. Cause: a node took each call for a caller's request, which allows a further share of a retry. Change: internal/mesh/lineage knows what the backend server runs. A call expires with its parent at the latest, so only a request that expires later than all of these is certainly a caller's own, and only such ones pay in. Ruled out: the source address (the same), a connection of its own (processes may share one through a proxy).

--- a/internal/mesh/config.go
+++ b/internal/mesh/config.go
@@ -122,3 +122,11 @@
 	}
 	return all
 }
+
+// LongestTimeout returns the longest timeout of a route.
+func (c *Config) LongestTimeout() (longest time.Duration) {
+	for _, r := range c.Routes() {
+		longest = max(longest, r.Timeout)
+	}
+	return longest
+}
--- a/internal/mesh/entry/describe.go
+++ b/internal/mesh/entry/describe.go
@@ -19,6 +19,12 @@
 	if t.route != nil {
 		pairs = append(pairs, "route", t.route.Name, "service", t.service, "budget_ms", (t.deadline - t.in.Arrived).Milliseconds())
 	}
+	if t.origin != nil && !t.origin.Caller() {
+		pairs = append(pairs, "may_be_call", true)
+	}
+	if t.retryDenied {
+		pairs = append(pairs, "retry_denied", true)
+	}
 	if t.level != suspect.Unsuspected {
 		pairs = append(pairs, "suspicion", t.level.String())
 	}
--- a/internal/mesh/entry/entry.go
+++ b/internal/mesh/entry/entry.go
@@ -9,11 +9,11 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/limpetdock/limpetdock/internal/budget"
 	"github.com/limpetdock/limpetdock/internal/decision"
 	"github.com/limpetdock/limpetdock/internal/kind"
 	"github.com/limpetdock/limpetdock/internal/mesh"
 	"github.com/limpetdock/limpetdock/internal/mesh/eligibility"
+	"github.com/limpetdock/limpetdock/internal/mesh/lineage"
 	"github.com/limpetdock/limpetdock/internal/stopping"
 	"github.com/limpetdock/limpetdock/internal/suspect"
 )
@@ -53,22 +53,15 @@
 	ZonePerKB, RegionPerKB time.Duration
 }
 
-// Repeats bounds the retries of requests that have reached a backend server, over all nodes
-// together.
-type Repeats struct {
-	// Ratio is the number of retries for each request within Window. Slack is how many more
-	// the whole deployment may make.
-	Ratio  float64
-	Slack  float64
-	Window time.Duration
-}
-
 // Config holds the dependencies and settings of an Entry.
 type Config struct {
 	Here     mesh.Place
 	Guard    Guard
 	Peers    Peers
 	Suspects Suspects
+	// Lineage knows what the backend server beside the node runs. If it is nil, all requests are taken
+	// for callers' own.
+	Lineage  *lineage.Tracker
 	Repeats  Repeats
 	Observer Observer
 	Log      *decision.Log
@@ -80,13 +73,11 @@
 // Entry is the entry role of a node. Safe for concurrent use.
 type Entry struct {
 	Config
-	view         atomic.Pointer[mesh.View]
-	prices       atomic.Pointer[Prices]
-	mu           sync.Mutex
-	retryBudgets map[string]*budget.Window
-	slackShare   *budget.Share
-	routes       sync.Map // route name to *routeStats
-	active       atomic.Int64
+	view    atomic.Pointer[mesh.View]
+	prices  atomic.Pointer[Prices]
+	retries *retryBudgets
+	routes  sync.Map // route name to *routeStats
+	active  atomic.Int64
 	// trialDelay is after which time a request whose block has ended may run again.
 	trialDelay suspect.TrialDelay
 	// stop is set when the node begins to stop.
@@ -99,7 +90,10 @@
 // New returns an Entry that refuses all requests until it has a View.
 func New(c Config) *Entry {
 	e := &Entry{
-		Config: c, retryBudgets: map[string]*budget.Window{}, slackShare: budget.NewShare(c.Repeats.Slack, c.Repeats.Window), trialDelay: suspect.NewTrialDelay(),
+		Config: c, retries: newRetryBudgets(c.Repeats, c.Now), trialDelay: suspect.NewTrialDelay(),
+	}
+	if e.Lineage == nil {
+		e.Lineage = lineage.New(c.Now)
 	}
 	e.SetPrices(Prices{})
 	return e
@@ -110,9 +104,7 @@
 
 // SetView replaces the View.
 func (e *Entry) SetView(v *mesh.View) {
-	e.mu.Lock()
-	e.slackShare.SetNodes(1+len(v.Peers), e.Now())
-	e.mu.Unlock()
+	e.retries.setNodes(1 + len(v.Peers))
 	e.view.Store(v)
 }
 
@@ -207,6 +199,7 @@
 	// deadline is when the caller's or the route's timeout expires, and objective when the
 	// route's latency objective passes.
 	deadline, objective time.Duration
+	origin              *lineage.Origin
 	attempts            []attempt
 	// ineligible counts the targets that must not get the request, by reason, as of the last
 	// selection.
@@ -218,6 +211,8 @@
 	// before, both as of the last attempt.
 	level   suspect.Level
 	onTrial bool
+	// retryDenied is true if the budget didn't allow the last retry.
+	retryDenied bool
 	// refusals holds the wait to assume at targets that refused the request for overload, by
 	// target id.
 	refusals map[string]time.Duration
@@ -285,53 +280,24 @@
 	if refusal := t.refuseIfStopping(); refusal != nil {
 		return t, refusal
 	}
-	e.retryBudget(t.service).Request(e.Now())
+	t.origin = e.Lineage.Arrived(t.expires())
+	if t.origin.Caller() {
+		e.retries.request(t.service)
+	}
 	return t, nil
 }
 
-// defaultTimeout applies where neither the caller nor the route specifies one. It is the
-// default of most HTTP clients.
-const defaultTimeout = 30 * time.Second
-
-// ratioMargin keeps the node's retries below the ratio also in windows that begin at other
-// times than the node's own.
-const ratioMargin = 0.7
-
-// retryBudget returns the retry budget of a service.
-func (e *Entry) retryBudget(service string) *budget.Window {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	w := e.retryBudgets[service]
-	if w == nil {
-		w = budget.NewWindow(e.Repeats.Window, 0, 0)
-		e.retryBudgets[service] = w
+// expires returns when the caller gives the request up, or 0 if it didn't specify a time.
+func (t *transaction) expires() time.Duration {
+	if t.in.Timeout == 0 {
+		return 0
 	}
-	w.Set(e.Repeats.Ratio*ratioMargin, e.slackShare.At(e.Now()))
-	return w
-}
-
-// RetryCounts describes the retry budgets of a node.
-type RetryCounts struct {
-	// Granted and Denied count retries over all services.
-	Granted, Denied uint64
-	// Share is the node's share of the slack, for each service, and Nodes the number of nodes by which
-	// it is divided.
-	Share float64
-	Nodes int
+	return t.in.Arrived + t.in.Timeout
 }
 
-// RetryCounts returns the present state of the retry budgets.
-func (e *Entry) RetryCounts() RetryCounts {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	c := RetryCounts{Share: e.slackShare.At(e.Now()), Nodes: e.slackShare.Nodes()}
-	for _, w := range e.retryBudgets {
-		granted, denied := w.Counts()
-		c.Granted += granted
-		c.Denied += denied
-	}
-	return c
-}
+// defaultTimeout applies where neither the caller nor the route specifies one. It is the
+// default of most HTTP clients.
+const defaultTimeout = 30 * time.Second
 
 // record logs and counts the outcome of a request.
 func (e *Entry) record(t *transaction, a *mesh.Answer, err *kind.Error) {
--- a/internal/mesh/entry/run.go
+++ b/internal/mesh/entry/run.go
@@ -239,7 +239,7 @@
 	if a.Status < http.StatusInternalServerError || !t.route.Idempotent || t.sent >= t.route.MaxTargets {
 		return false
 	}
-	return t.entry.retryBudget(t.service).Repeat(t.entry.Now())
+	return t.takeRetry()
 }
 
 // mayFailOver reports whether the request may be sent to another target after err.
@@ -249,7 +249,7 @@
 	}
 	if err.FromBackend || err.ReportedOutcome() != kind.NotRun {
 		// Only requests that reached a backend server count against the retry budget.
-		return t.entry.retryBudget(t.service).Repeat(t.entry.Now())
+		return t.takeRetry()
 	}
 	return true
 }
--- a/internal/mesh/guard/guard.go
+++ b/internal/mesh/guard/guard.go
@@ -23,6 +23,7 @@
 	"github.com/limpetdock/limpetdock/internal/mesh/coldstart"
 	"github.com/limpetdock/limpetdock/internal/mesh/eligibility"
 	"github.com/limpetdock/limpetdock/internal/mesh/exchange"
+	"github.com/limpetdock/limpetdock/internal/mesh/lineage"
 	"github.com/limpetdock/limpetdock/internal/mesh/ratelimit"
 	"github.com/limpetdock/limpetdock/internal/stopping"
 	"github.com/limpetdock/limpetdock/internal/suspect"
@@ -48,6 +49,8 @@
 	Log *decision.Log
 	// Suspects is the node's table of requests that may crash backend servers.
 	Suspects Suspects
+	// Lineage learns what the backend server runs; if it is nil, nothing else uses it.
+	Lineage *lineage.Tracker
 	// ColdStart limits the rate of requests while the backend server is cold.
 	ColdStart coldstart.Policy
 	// LoadChanged is called after a change of the load that must be sent to the entries.
@@ -102,6 +105,9 @@
 // New returns a Guard that refuses all requests until SetView is called.
 func New(c Config) *Guard {
 	g := &Guard{Config: c, gate: gate.New(), admission: newAdmission(), deathIDs: death.NewIDs(rand.Uint64())}
+	if g.Lineage == nil {
+		g.Lineage = lineage.New(c.Now)
+	}
 	// An error would mean that maxServed isn't positive.
 	g.served, _ = lru.New[uint64, time.Duration](maxServed)
 	g.gate.SetPacer(&pacer{g: g})
--- a/internal/mesh/guard/send.go
+++ b/internal/mesh/guard/send.go
@@ -33,7 +33,9 @@
 
 func (g *Guard) send(ctx context.Context, r *mesh.Request, allow func() bool, deadline time.Duration) (*mesh.Answer, *kind.Error) {
 	g.sent.Add(1)
+	run := g.Lineage.Begin(deadline)
 	answer, failure := g.Backend.Do(ctx, g.message(r, deadline), allow)
+	run.End(failure != nil && failure.Outcome == exchange.Unknown)
 	if failure != nil {
 		return nil, g.exchangeError(ctx, failure)
 	}
@@ -103,6 +105,9 @@
 		return l, false
 	}
 	g.gate.SetBackendRunning(l.Running)
+	if l.Running+l.Waiting == 0 {
+		g.Lineage.ConfirmIdle()
+	}
 	now := g.Now()
 	g.reportedAt.Store(int64(now))
 	if l.Slowdown > 0 && g.slowdown.report(now, l.Slowdown) {
--- /dev/null
+++ b/internal/mesh/lineage/lineage.go
@@ -0,0 +1,132 @@
+// Package lineage tells the requests of callers from the calls that the backend server beside a node
+// makes while it runs requests. Both arrive at the same port and look alike.
+//
+// Calls differ by their time: a call is made while its parent runs, and expires with its parent at the
+// latest. So a request that expires later than all that the backend server runs is a caller's own. Of
+// any other one it is unknown; it may be a call of each request that ends late enough.
+package lineage
+
+import (
+	"sync"
+	"time"
+)
+
+// maxDelay is how much later a call may seem to expire than its parent, as it is read some time after
+// the backend server sent it.
+const maxDelay = 100 * time.Millisecond
+
+// Tracker knows what the backend server beside the node runs. Safe for concurrent use.
+type Tracker struct {
+	now  func() time.Duration
+	mu   sync.Mutex
+	runs map[*Run]struct{}
+	// earlier is the latest time at which a request expires that an earlier process of the node has
+	// sent to the backend server, or 0 if it is unknown. idle is true if the backend server was idle since
+	// the node's start, so that all of these have ended.
+	earlier time.Duration
+	idle    bool
+}
+
+// New returns a Tracker. now returns the time since the node's start.
+func New(now func() time.Duration) *Tracker {
+	return &Tracker{now: now, runs: map[*Run]struct{}{}}
+}
+
+// SetLongestTimeout sets the longest time that a request may take. For that long after the node's start
+// the backend server may run requests that an earlier process of the node has sent. Only the first call
+// has an effect.
+func (t *Tracker) SetLongestTimeout(d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.earlier == 0 {
+		t.earlier = d
+	}
+}
+
+// Run is a request that the backend server runs.
+type Run struct {
+	tracker *Tracker
+	// expires is when the backend server ends it at the latest.
+	expires time.Duration
+	// ended is true once its exchange has ended.
+	ended bool
+}
+
+// Begin records that the backend server gets a request, which expires at the given time since the node's
+// start.
+func (t *Tracker) Begin(expires time.Duration) *Run {
+	r := &Run{tracker: t, expires: expires}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.forgetExpired()
+	t.runs[r] = struct{}{}
+	return r
+}
+
+// End records that the exchange has ended. If the backend server may run the request on, it counts until it
+// expires.
+func (r *Run) End(mayContinue bool) {
+	t := r.tracker
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r.ended = true
+	if !mayContinue {
+		delete(t.runs, r)
+	}
+}
+
+// ConfirmIdle records that the backend server runs nothing: what an earlier process has sent, and what it
+// might have continued, has ended.
+func (t *Tracker) ConfirmIdle() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.idle = true
+	for r := range t.runs {
+		if r.ended {
+			delete(t.runs, r)
+		}
+	}
+}
+
+// forgetExpired drops the requests that have expired. The mutex must be held.
+func (t *Tracker) forgetExpired() {
+	now := t.now()
+	for r := range t.runs {
+		if r.expires+maxDelay < now {
+			delete(t.runs, r)
+		}
+	}
+}
+
+// Origin is where a request may come from.
+type Origin struct {
+	// parents are the requests of which it may be a call.
+	parents []*Run
+	// orphan is true if it may be a call of a request that an earlier process of the node has sent.
+	orphan bool
+}
+
+// Arrived returns the origin of a request that arrives now. expires is when it expires, as time since the
+// node's start, or 0 if it doesn't say so.
+func (t *Tracker) Arrived(expires time.Duration) *Origin {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.forgetExpired()
+	o := &Origin{orphan: t.mayBeOrphan(expires)}
+	for r := range t.runs {
+		if expires <= r.expires+maxDelay {
+			o.parents = append(o.parents, r)
+		}
+	}
+	return o
+}
+
+// mayBeOrphan reports whether a request that arrives now may be a call of one that an earlier process has
+// sent. The mutex must be held.
+func (t *Tracker) mayBeOrphan(expires time.Duration) bool {
+	latest := t.earlier + maxDelay
+	return !t.idle && t.earlier > 0 && t.now() <= latest && expires <= latest
+}
+
+// Caller reports whether the request is certainly a caller's own.
+func (o *Origin) Caller() bool { return len(o.parents) == 0 && !o.orphan }
--- /dev/null
+++ b/internal/mesh/lineage/lineage_test.go
@@ -0,0 +1,77 @@
+package lineage_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/limpetdock/limpetdock/internal/mesh/lineage"
+)
+
+const (
+	second = time.Second
+	// inTime is when a request expires that may be a call of one that expires after two seconds, and
+	// later when one does that can't.
+	inTime = 2 * second
+	later  = 2*second + 200*time.Millisecond
+)
+
+// fixture is a Tracker with a clock of the test's own.
+type fixture struct {
+	*lineage.Tracker
+	now time.Duration
+}
+
+func newFixture() *fixture {
+	f := &fixture{}
+	f.Tracker = lineage.New(func() time.Duration { return f.now })
+	return f
+}
+
+// Guards against calls that are taken for callers' requests, which would allow more retries.
+func TestRequestThatExpiresWithARunIsNoCallers(t *testing.T) {
+	f := newFixture()
+	require.True(t, f.Arrived(inTime).Caller(), "nothing runs")
+	run := f.Begin(2 * second)
+	require.False(t, f.Arrived(second).Caller())
+	require.False(t, f.Arrived(inTime).Caller())
+	require.False(t, f.Arrived(inTime+50*time.Millisecond).Caller(), "read some time after it was sent")
+	require.False(t, f.Arrived(0).Caller(), "it says nothing of when it expires")
+	require.True(t, f.Arrived(later).Caller())
+	run.End(false)
+	require.True(t, f.Arrived(inTime).Caller())
+}
+
+// Guards against calls of a run that goes on after its exchange broke off.
+func TestRunThatMayContinueCountsUntilItExpires(t *testing.T) {
+	f := newFixture()
+	f.Begin(2 * second).End(true)
+	f.now = second
+	require.False(t, f.Arrived(inTime).Caller())
+	f.now = 3 * second
+	require.True(t, f.Arrived(f.now).Caller())
+}
+
+// Guards against calls of runs that the node's process before a restart has begun.
+func TestRunsOfEarlierProcessCountUntilTheyExpire(t *testing.T) {
+	f := newFixture()
+	f.SetLongestTimeout(2 * second)
+	f.SetLongestTimeout(20 * second)
+	require.False(t, f.Arrived(inTime).Caller())
+	require.True(t, f.Arrived(later).Caller())
+	f.now = 3 * second
+	require.True(t, f.Arrived(0).Caller())
+}
+
+// Guards against callers' requests that go on counting as possible calls of runs that have ended.
+func TestIdleServerRunsNothingOfBefore(t *testing.T) {
+	f := newFixture()
+	f.SetLongestTimeout(2 * second)
+	f.Begin(2 * second).End(true)
+	f.ConfirmIdle()
+	require.True(t, f.Arrived(inTime).Caller())
+	f.Begin(2 * second)
+	f.ConfirmIdle()
+	require.False(t, f.Arrived(inTime).Caller(), "the request had not arrived when the server was idle")
+}
--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -18,6 +18,7 @@
 	"github.com/limpetdock/limpetdock/internal/mesh/exchange"
 	"github.com/limpetdock/limpetdock/internal/mesh/front"
 	"github.com/limpetdock/limpetdock/internal/mesh/guard"
+	"github.com/limpetdock/limpetdock/internal/mesh/lineage"
 	"github.com/limpetdock/limpetdock/internal/mesh/peer"
 	"github.com/limpetdock/limpetdock/internal/mesh/quarantine"
 	"github.com/limpetdock/limpetdock/internal/mesh/reader"
@@ -71,7 +72,7 @@
 // *decision.Log.
 var Module = fx.Options(
 	fx.Provide(
-		clock.New, metrics.New, quarantine.New, newBackend, newGuard, newLoadSender, newPeerServer, newPeerClient, newEntry,
+		clock.New, metrics.New, quarantine.New, newBackend, newLineage, newGuard, newLoadSender, newPeerServer, newPeerClient, newEntry,
 		newCallerHandler, newFront, newLoop, newStoreCalls, newSource, newAdmin, newReportDispatcher, newReaderTable, newFollower, newReportingGuard,
 	),
 	fx.Invoke(registerMetrics, run),
@@ -81,10 +82,12 @@
 	return exchange.NewClient(s.Backend, p.Dialect.Headers)
 }
 
-func newGuard(s *settings.Settings, p Platform, b *exchange.Client, now clock.Clock, log *decision.Log, t *loadSender, q *quarantine.Tracker) *guard.Guard {
+func newLineage(now clock.Clock) *lineage.Tracker { return lineage.New(now) }
+
+func newGuard(s *settings.Settings, p Platform, b *exchange.Client, now clock.Clock, log *decision.Log, t *loadSender, q *quarantine.Tracker, l *lineage.Tracker) *guard.Guard {
 	g := guard.New(guard.Config{
 		Here: s.Here, Dialect: p.Dialect, Backend: b, Now: now, Log: log, LoadChanged: t.changed,
-		ColdStart: s.ColdStart, Suspects: q,
+		ColdStart: s.ColdStart, Suspects: q, Lineage: l,
 	})
 	g.SetSlotShare(s.Tunable.Fill)
 	return g
@@ -102,9 +105,9 @@
 	return client
 }
 
-func newEntry(s *settings.Settings, g *guard.Guard, p *peer.Client, m *metrics.Metrics, now clock.Clock, log *decision.Log, q *quarantine.Tracker) *entry.Entry {
+func newEntry(s *settings.Settings, g *guard.Guard, p *peer.Client, m *metrics.Metrics, now clock.Clock, log *decision.Log, q *quarantine.Tracker, l *lineage.Tracker) *entry.Entry {
 	e := entry.New(entry.Config{
-		Here: s.Here, Guard: g, Peers: p, Suspects: q, Repeats: s.Repeats, Observer: m, Log: log, Now: now,
+		Here: s.Here, Guard: g, Peers: p, Suspects: q, Lineage: l, Repeats: s.Repeats, Observer: m, Log: log, Now: now,
 	})
 	e.SetPrices(s.Tunable.Prices)
 	return e
@@ -116,9 +119,10 @@
 
 func newFront(c *callerHandler) *front.Server { return front.New(c) }
 
-func newLoop(s *settings.Settings, now clock.Clock, log *decision.Log, e *entry.Entry, g *guard.Guard, c *peer.Client, r *reportDispatcher, readers *reader.Table) *directory.Loop {
+func newLoop(s *settings.Settings, now clock.Clock, log *decision.Log, e *entry.Entry, g *guard.Guard, c *peer.Client, r *reportDispatcher, readers *reader.Table, runs *lineage.Tracker) *directory.Loop {
 	state := directory.New(s.Here, s.Backend, s.Regions, s.PeersPort())
 	return directory.NewLoop(state, log, now, func(v *mesh.View) {
+		runs.SetLongestTimeout(v.Config.LongestTimeout())
 		r.setView(v)
 		readers.SetView(v)
 		g.SetView(v)
