Calls of a retried run are charged to the services that get them

What callers saw: a service that backend servers call got more repeats than its budget allows while a service that calls it fails, as each retry there makes its calls again. Cause: these calls are first arrivals for the node that reads them; nothing counted them as repeats. Change: an answer tells the entry which calls its run made, also those further down. A call belongs to the runs that end late enough, in equal parts. Before a retry, the entry takes the average calls of the route's runs from the budgets of the services that get them, and retries only if all allow it. retry_denied_by in the log and limpetdock_retries_denied_by_calls_total show which one didn't. Ruled out: marking requests and charging at the called node, as it can't refuse what its caller has begun.

--- a/internal/budget/window.go
+++ b/internal/budget/window.go
@@ -25,7 +25,11 @@
 	granted      uint64
 }
 
-type counts struct{ requests, repeats int }
+type counts struct {
+	requests int
+	// repeats may be fractions, as expected numbers of repeats are counted too.
+	repeats float64
+}
 
 // NewWindow returns a budget for a sliding window of the given length.
 func NewWindow(length time.Duration, ratio, slack float64) *Window {
@@ -47,24 +51,36 @@
 }
 
 // Repeat withdraws one repeat and reports whether the budget allows it.
-func (w *Window) Repeat(now time.Duration) bool {
+func (w *Window) Repeat(now time.Duration) bool { return w.Take(now, 1) }
+
+// Take withdraws a number of repeats, of which some may be expected only, and reports whether the budget
+// allows it.
+func (w *Window) Take(now time.Duration, n float64) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	mine := w.at(now)
-	requests, repeats := 0, 0
+	current := w.at(now)
+	requests, repeats := 0, 0.0
 	for _, c := range w.parts {
 		requests += c.requests
 		repeats += c.repeats
 	}
-	if float64(repeats+1) > w.ratio*float64(requests)+w.slack {
+	if repeats+n > w.ratio*float64(requests)+w.slack {
 		w.denied++
 		return false
 	}
-	mine.repeats++
+	current.repeats += n
 	w.granted++
 	return true
 }
 
+// Return puts back repeats that were taken at the same time now and not made.
+func (w *Window) Return(now time.Duration, n float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.at(now).repeats -= n
+	w.granted--
+}
+
 // Counts returns how many repeats were granted and denied.
 func (w *Window) Counts() (granted, denied uint64) {
 	w.mu.Lock()
--- a/internal/mesh/entry/choose.go
+++ b/internal/mesh/entry/choose.go
@@ -62,6 +62,9 @@
 	// service time in nanoseconds; seen counts the samples.
 	answerBytes, baseServiceTime float64
 	seen                         int
+	// calls is a moving average of the calls that a run makes, and runs counts the samples.
+	calls mesh.Calls
+	runs  int
 }
 
 // maxAverageSamples is the number of samples from which the averages are moving averages, in
@@ -86,6 +89,31 @@
 	return s.answerBytes, time.Duration(s.baseServiceTime)
 }
 
+// addRun records the calls that a run has made.
+func (s *routeStats) addRun(calls mesh.Calls) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.runs++
+	weight := 1 / float64(min(s.runs, maxAverageSamples))
+	averages := mesh.Calls{}
+	averages.Add(s.calls, 1-weight)
+	averages.Add(calls, weight)
+	s.calls = averages
+}
+
+// expectedCalls returns the average calls of a run. They must not be modified.
+func (s *routeStats) expectedCalls() mesh.Calls {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// recordCalls records the calls that the run of the request has made.
+func (t *transaction) recordCalls(a *mesh.Answer) {
+	t.stats.addRun(a.Calls)
+	t.origin.AddCalls(a.Calls)
+}
+
 func (e *Entry) routeStats(name string) *routeStats {
 	s, _ := e.routes.LoadOrStore(name, &routeStats{})
 	return s.(*routeStats)
--- a/internal/mesh/entry/describe.go
+++ b/internal/mesh/entry/describe.go
@@ -22,8 +22,8 @@
 	if t.origin != nil && !t.origin.Caller() {
 		pairs = append(pairs, "may_be_call", true)
 	}
-	if t.retryDenied {
-		pairs = append(pairs, "retry_denied", true)
+	if t.retryDeniedBy != "" {
+		pairs = append(pairs, "retry_denied_by", t.retryDeniedBy)
 	}
 	if t.level != suspect.Unsuspected {
 		pairs = append(pairs, "suspicion", t.level.String())
--- a/internal/mesh/entry/entry.go
+++ b/internal/mesh/entry/entry.go
@@ -211,8 +211,8 @@
 	// before, both as of the last attempt.
 	level   suspect.Level
 	onTrial bool
-	// retryDenied is true if the budget didn't allow the last retry.
-	retryDenied bool
+	// retryDeniedBy is the service whose budget didn't allow the last retry, or empty.
+	retryDeniedBy string
 	// refusals holds the wait to assume at targets that refused the request for overload, by
 	// target id.
 	refusals map[string]time.Duration
@@ -283,6 +283,8 @@
 	t.origin = e.Lineage.Arrived(t.expires())
 	if t.origin.Caller() {
 		e.retries.request(t.service)
+	} else {
+		t.origin.AddCalls(mesh.Calls{t.service: 1})
 	}
 	return t, nil
 }
--- a/internal/mesh/entry/retry_budget.go
+++ b/internal/mesh/entry/retry_budget.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/limpetdock/limpetdock/internal/budget"
+	"github.com/limpetdock/limpetdock/internal/mesh"
 )
 
 // Repeats bounds the retries of requests that have reached a backend server, over all nodes
@@ -17,9 +18,14 @@
 	Window time.Duration
 }
 
-// ratioMargin keeps the node's retries below the ratio also in windows that begin at other
-// times than the node's own.
-const ratioMargin = 0.7
+const (
+	// ratioMargin keeps the node's retries below the ratio also in windows that begin at other
+	// times than the node's own.
+	ratioMargin = 0.7
+	// minCalls is the number of calls by a run to a service below which they count as none. Callers'
+	// requests that can't be told from calls come to as much.
+	minCalls = 0.1
+)
 
 // retryBudgets bound the retries at each service. Safe for concurrent use.
 type retryBudgets struct {
@@ -63,30 +69,64 @@
 	b.window(service).Request(b.now())
 }
 
-// take withdraws a retry at a service from its budget and reports whether that allows it.
-func (b *retryBudgets) take(service string) bool {
+// take withdraws a retry at a service from its budget, and the calls that the run is expected to make
+// from those of the services that get them: there they are repeats, too. It returns the service whose
+// budget doesn't allow that, or an empty string.
+func (b *retryBudgets) take(service string, calls mesh.Calls) (deniedBy string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if !b.window(service).Repeat(b.now()) {
-		b.counts.Denied++
-		return false
+	now := b.now()
+	// The service's own budget comes first, as its denial says more.
+	needed := []expectedRepeats{{service, 1 + calls[service]}}
+	for called, n := range calls {
+		if called != service && n >= minCalls {
+			needed = append(needed, expectedRepeats{called, n})
+		}
+	}
+	for i, r := range needed {
+		if !b.window(r.service).Take(now, r.number) {
+			b.giveBack(needed[:i], now)
+			b.counts.deny(i > 0)
+			return r.service
+		}
 	}
 	b.counts.Granted++
-	return true
+	return ""
+}
+
+// expectedRepeats is a number of repeats at a service.
+type expectedRepeats struct {
+	service string
+	number  float64
+}
+
+// giveBack puts back what was taken at the same time now. The mutex must be held.
+func (b *retryBudgets) giveBack(taken []expectedRepeats, now time.Duration) {
+	for _, r := range taken {
+		b.window(r.service).Return(now, r.number)
+	}
 }
 
 // RetryCounts describes the retry budgets of a node.
 type RetryCounts struct {
 	// Requests counts the requests that are certainly callers' own; the ratio applies to these.
 	Requests uint64
-	// Granted and Denied count retries over all services.
-	Granted, Denied uint64
+	// Granted and Denied count retries over all services, DeniedByCalls those that were denied by the
+	// budget of a service that the run is expected to call.
+	Granted, Denied, DeniedByCalls uint64
 	// Share is the node's share of the slack, for each service, and Nodes the number of nodes by which
 	// it is divided.
 	Share float64
 	Nodes int
 }
 
+func (c *RetryCounts) deny(byCalls bool) {
+	c.Denied++
+	if byCalls {
+		c.DeniedByCalls++
+	}
+}
+
 // RetryCounts returns the present state of the retry budgets.
 func (e *Entry) RetryCounts() RetryCounts {
 	b := e.retries
@@ -97,9 +137,8 @@
 	return c
 }
 
-// takeRetry takes a retry of the request from the budget and reports whether it allows that.
+// takeRetry takes a retry of the request from the budgets and reports whether they allow it.
 func (t *transaction) takeRetry() bool {
-	granted := t.entry.retries.take(t.service)
-	t.retryDenied = !granted
-	return granted
+	t.retryDeniedBy = t.entry.retries.take(t.service, t.stats.expectedCalls())
+	return t.retryDeniedBy == ""
 }
--- a/internal/mesh/entry/run.go
+++ b/internal/mesh/entry/run.go
@@ -173,6 +173,7 @@
 	a := attempt{target: c.target, took: took, expected: rttTo[c.target.Distance] + c.wait + c.forecast.ExpectedServiceTime}
 	if err == nil {
 		t.sent++
+		t.recordCalls(answer)
 		failed := answer.Status >= http.StatusInternalServerError
 		if !failed {
 			t.entry.Observer.Forecast(t.service, a.expected, took)
--- a/internal/mesh/guard/send.go
+++ b/internal/mesh/guard/send.go
@@ -35,7 +35,7 @@
 	g.sent.Add(1)
 	run := g.Lineage.Begin(deadline)
 	answer, failure := g.Backend.Do(ctx, g.message(r, deadline), allow)
-	run.End(failure != nil && failure.Outcome == exchange.Unknown)
+	calls := run.End(failure != nil && failure.Outcome == exchange.Unknown)
 	if failure != nil {
 		return nil, g.exchangeError(ctx, failure)
 	}
@@ -51,6 +51,7 @@
 	if answer.Status < http.StatusMultipleChoices && answer.Header.Get(names.Signature) == "" {
 		return nil, kind.New(kind.BackendBroken, "the response has no signature of the backend server")
 	}
+	answer.Calls = calls
 	return answer, nil
 }
 
--- a/internal/mesh/lineage/lineage.go
+++ b/internal/mesh/lineage/lineage.go
@@ -9,6 +9,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/limpetdock/limpetdock/internal/mesh"
 )
 
 // maxDelay is how much later a call may seem to expire than its parent, as it is read some time after
@@ -50,12 +52,14 @@
 	expires time.Duration
 	// ended is true once its exchange has ended.
 	ended bool
+	// calls are the calls that it has made so far.
+	calls mesh.Calls
 }
 
 // Begin records that the backend server gets a request, which expires at the given time since the node's
 // start.
 func (t *Tracker) Begin(expires time.Duration) *Run {
-	r := &Run{tracker: t, expires: expires}
+	r := &Run{tracker: t, expires: expires, calls: mesh.Calls{}}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.forgetExpired()
@@ -63,9 +67,9 @@
 	return r
 }
 
-// End records that the exchange has ended. If the backend server may run the request on, it counts until it
-// expires.
-func (r *Run) End(mayContinue bool) {
+// End records that the exchange has ended, and returns the calls that the request has made. If the
+// backend server may run it on, it counts until it expires.
+func (r *Run) End(mayContinue bool) mesh.Calls {
 	t := r.tracker
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -73,6 +77,9 @@
 	if !mayContinue {
 		delete(t.runs, r)
 	}
+	calls := mesh.Calls{}
+	calls.Add(r.calls, 1)
+	return calls
 }
 
 // ConfirmIdle records that the backend server runs nothing: what an earlier process has sent, and what it
@@ -100,6 +107,7 @@
 
 // Origin is where a request may come from.
 type Origin struct {
+	tracker *Tracker
 	// parents are the requests of which it may be a call.
 	parents []*Run
 	// orphan is true if it may be a call of a request that an earlier process of the node has sent.
@@ -112,7 +120,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.forgetExpired()
-	o := &Origin{orphan: t.mayBeOrphan(expires)}
+	o := &Origin{tracker: t, orphan: t.mayBeOrphan(expires)}
 	for r := range t.runs {
 		if expires <= r.expires+maxDelay {
 			o.parents = append(o.parents, r)
@@ -130,3 +138,13 @@
 
 // Caller reports whether the request is certainly a caller's own.
 func (o *Origin) Caller() bool { return len(o.parents) == 0 && !o.orphan }
+
+// AddCalls records calls that the request consists of or has led to. They are divided among the requests
+// that may have made them.
+func (o *Origin) AddCalls(calls mesh.Calls) {
+	o.tracker.mu.Lock()
+	defer o.tracker.mu.Unlock()
+	for _, r := range o.parents {
+		r.calls.Add(calls, 1/float64(len(o.parents)))
+	}
+}
--- a/internal/mesh/lineage/lineage_test.go
+++ b/internal/mesh/lineage/lineage_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/limpetdock/limpetdock/internal/mesh"
 	"github.com/limpetdock/limpetdock/internal/mesh/lineage"
 )
 
@@ -64,6 +65,18 @@
 	require.True(t, f.Arrived(0).Caller())
 }
 
+// Guards against calls that are charged to no run, or more than once.
+func TestCallsAreDividedAmongPossibleParents(t *testing.T) {
+	f := newFixture()
+	first, second, short := f.Begin(2*second), f.Begin(2*second), f.Begin(100*time.Millisecond)
+	call := f.Arrived(inTime)
+	call.AddCalls(mesh.Calls{"stock": 1})
+	call.AddCalls(mesh.Calls{"prices": 3})
+	require.Equal(t, mesh.Calls{"stock": 0.5, "prices": 1.5}, first.End(false))
+	require.Equal(t, mesh.Calls{"stock": 0.5, "prices": 1.5}, second.End(true))
+	require.Empty(t, short.End(false), "it ends before the call")
+}
+
 // Guards against callers' requests that go on counting as possible calls of runs that have ended.
 func TestIdleServerRunsNothingOfBefore(t *testing.T) {
 	f := newFixture()
--- a/internal/mesh/message.go
+++ b/internal/mesh/message.go
@@ -83,6 +83,8 @@
 	// without queueing and interference: the time in the queue is not included, and slowdowns
 	// are factored out. 0 means unknown.
 	BaseServiceTime time.Duration
+	// Calls are those that the backend server has made for the request, as far as is known.
+	Calls Calls
 }
 
 // Load is the load of a backend server, as counted by the guard beside it.
--- a/internal/mesh/node/metrics.go
+++ b/internal/mesh/node/metrics.go
@@ -34,6 +34,7 @@
 	m.Gauge("limpetdock_suspects", "Requests that were in flight when backend servers died, in the node's table.", func() float64 { return float64(q.Len()) })
 	count("limpetdock_retries_granted_total", "Retries that the retry budgets of the services allowed.", func() uint64 { return e.RetryCounts().Granted })
 	count("limpetdock_retries_denied_total", "Retries that the retry budgets of the services denied.", func() uint64 { return e.RetryCounts().Denied })
+	count("limpetdock_retries_denied_by_calls_total", "Retries that were denied as their run would make calls to a service whose retry budget is used up.", func() uint64 { return e.RetryCounts().DeniedByCalls })
 	count("limpetdock_retry_budget_requests_total", "Requests that are certainly callers' own and not calls of backend servers; the ratio of the retry budgets applies to these.", func() uint64 { return e.RetryCounts().Requests })
 	m.Gauge("limpetdock_retry_slack_share", "Retries within a window that the node may make for a service beyond the ratio.", func() float64 { return e.RetryCounts().Share })
 	m.Gauge("limpetdock_retry_slack_nodes", "Nodes by which the slack of the retry budget is divided.", func() float64 { return float64(e.RetryCounts().Nodes) })
--- a/internal/mesh/peer/frame.go
+++ b/internal/mesh/peer/frame.go
@@ -96,6 +96,8 @@
 	Body          []byte
 	Load          loadBody
 	BaseServiceMs uint32
+	// Calls are those that the run has made, by service.
+	Calls map[string]float32
 }
 
 type refusalBody struct {
@@ -169,6 +171,29 @@
 	}
 }
 
+func fromAnswer(a *mesh.Answer, load mesh.Load) *answerBody {
+	body := &answerBody{
+		Status: a.Status, Header: a.Header, Body: a.Body, Load: fromLoad(load), BaseServiceMs: milliseconds(a.BaseServiceTime),
+	}
+	if len(a.Calls) > 0 {
+		body.Calls = make(map[string]float32, len(a.Calls))
+	}
+	for service, n := range a.Calls {
+		body.Calls[service] = float32(n)
+	}
+	return body
+}
+
+func (b *answerBody) answer() *mesh.Answer {
+	a := &mesh.Answer{
+		Status: b.Status, Header: b.Header, Body: b.Body, BaseServiceTime: time.Duration(b.BaseServiceMs) * time.Millisecond, Calls: mesh.Calls{},
+	}
+	for service, n := range b.Calls {
+		a.Calls[service] = float64(n)
+	}
+	return a
+}
+
 func clip16(n int) uint16 { return uint16(min(max(n, 0), 1<<16-1)) }
 
 func fromLoad(l mesh.Load) loadBody {
--- a/internal/mesh/peer/link.go
+++ b/internal/mesh/peer/link.go
@@ -243,9 +243,7 @@
 			return false
 		}
 		l.handleLoad(a.Load)
-		l.endStream(streamID, result{answer: &mesh.Answer{
-			Status: a.Status, Header: a.Header, Body: a.Body, BaseServiceTime: time.Duration(a.BaseServiceMs) * time.Millisecond,
-		}})
+		l.endStream(streamID, result{answer: a.answer()})
 	case frameRefusal:
 		var r refusalBody
 		if msgpack.Unmarshal(body, &r) != nil {
--- a/internal/mesh/peer/server.go
+++ b/internal/mesh/peer/server.go
@@ -188,10 +188,7 @@
 			c.sendFrame(frameRefusal, stream, fromError(e, load))
 			return
 		}
-		c.sendFrame(frameAnswer, stream, &answerBody{
-			Status: answer.Status, Header: answer.Header, Body: answer.Body, Load: fromLoad(load),
-			BaseServiceMs: milliseconds(answer.BaseServiceTime),
-		})
+		c.sendFrame(frameAnswer, stream, fromAnswer(answer, load))
 	}()
 }
 
