A death behind a proxy that answers in the backend server's place is recognised

What callers saw: a request that crashes backend servers ran again and again, and other requests waited until their deadlines, where an HTTP proxy answers 502 or 503 for a dead process. Cause: such an answer bears no id, so the exchange skipped it and waited for another one; a probe takes any answer for its own, so the backend server seemed to live. Change: a failure without any of the headers of the backend server's own answers is an intermediary's. It ends the exchange at once, with an unknown outcome. Whether the process has died is asked by a probe: an intermediary's answer to that, too, or nothing that listens, proves it; otherwise the death is uncertain. Ruled out: taking the answer itself for the proof, as a connection that the process resets gives the same one.

--- a/internal/death/detector.go
+++ b/internal/death/detector.go
@@ -103,6 +103,21 @@
 	return d.conclude(c, finding, others.diedBy)
 }
 
+// InvestigateBehindIntermediary finds out whether the process has died when an intermediary answered an
+// exchange in its place. The intermediary keeps its connections, so only a further request shows that. serves
+// sends one and reports whether the process, and not the intermediary, has answered or may do so.
+func (d *Detector) InvestigateBehindIntermediary(c *Conn, serves func() bool) Finding {
+	switch {
+	case c.Stale():
+		return Noticed
+	case serves():
+		return Accepts
+	case !d.hasAnswered():
+		return Unanswered
+	}
+	return d.conclude(c, Unserved, time.Now())
+}
+
 // hasAnswered reports whether the process of the present generation has answered anything. What listens
 // for a dead one also ends all connections, to which no request was passed on.
 func (d *Detector) hasAnswered() bool {
--- a/internal/death/finding.go
+++ b/internal/death/finding.go
@@ -24,6 +24,8 @@
 	ClosesNew
 	// AllEnded means that all connections to the process ended at the same moment.
 	AllEnded
+	// Unserved means that an intermediary answers in place of the process.
+	Unserved
 	// Noticed means that the death has been noticed before.
 	Noticed
 )
@@ -52,6 +54,8 @@
 		return "closes-new"
 	case AllEnded:
 		return "all-ended"
+	case Unserved:
+		return "unserved"
 	case Noticed:
 		return "noticed"
 	}
--- a/internal/mesh/exchange/conn.go
+++ b/internal/mesh/exchange/conn.go
@@ -20,6 +20,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/limpetdock/limpetdock/internal/death"
+	"github.com/limpetdock/limpetdock/internal/mesh"
 )
 
 const (
@@ -37,6 +38,9 @@
 	errUnmatched   = eris.New("the backend server answered other requests")
 	errTooLarge    = eris.New("the backend server's answer is too large to hold")
 	errUnsolicited = eris.New("the backend server sent unsolicited bytes")
+	// errIntermediary means that something between the node and the backend server answered, such as a
+	// proxy that could not pass the request on or got no answer.
+	errIntermediary = eris.New("an intermediary answered in place of the backend server")
 )
 
 // result is the outcome of one request.
@@ -50,8 +54,7 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
-	// idHeader is the header in which answers echo the request's ID.
-	idHeader string
+	names  mesh.HeaderNames
 	// watch is the record of the connection by which the backend server's death is detected.
 	watch *death.Conn
 	// wanted receives the request that waits for an answer; results returns the result.
@@ -65,9 +68,9 @@
 	aborted   bool
 }
 
-func newConn(c net.Conn, idHeader string, watch *death.Conn) *conn {
+func newConn(c net.Conn, names mesh.HeaderNames, watch *death.Conn) *conn {
 	pc := &conn{
-		Conn: c, watch: watch, reader: bufio.NewReaderSize(c, readBuffer), idHeader: idHeader,
+		Conn: c, watch: watch, reader: bufio.NewReaderSize(c, readBuffer), names: names,
 		wanted: make(chan *http.Request, 1), results: make(chan result, 1),
 	}
 	go pc.read()
@@ -132,7 +135,7 @@
 
 // answer reads the answer to req, skipping those to earlier requests.
 func (c *conn) answer(req *http.Request) result {
-	id := req.Header.Get(c.idHeader)
+	id := req.Header.Get(c.names.RequestID)
 	for range maxUnmatched {
 		resp, err := http.ReadResponse(c.reader, req)
 		if err != nil {
@@ -141,6 +144,9 @@
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
+		if c.fromIntermediary(resp) {
+			return result{err: errIntermediary}
+		}
 		body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
 		if err != nil {
 			return result{err: eris.Wrap(err, "read answer's body")}
@@ -148,7 +154,7 @@
 		if len(body) > maxAnswer {
 			return result{err: errTooLarge}
 		}
-		if resp.Header.Get(c.idHeader) == id {
+		if resp.Header.Get(c.names.RequestID) == id {
 			return result{resp: resp, body: body}
 		}
 		if resp.Close {
@@ -158,6 +164,20 @@
 	return result{err: errUnmatched}
 }
 
+// fromIntermediary reports whether a failure has none of the headers that the backend server's own answers
+// have.
+func (c *conn) fromIntermediary(resp *http.Response) bool {
+	if resp.StatusCode < http.StatusInternalServerError {
+		return false
+	}
+	for _, name := range []string{c.names.RequestID, c.names.Target, c.names.Load, c.names.Signature, c.names.NotRun} {
+		if resp.Header.Get(name) != "" {
+			return false
+		}
+	}
+	return true
+}
+
 // abort closes the connection; no later request may use it.
 func (c *conn) abort() {
 	c.mu.Lock()
--- a/internal/mesh/exchange/death.go
+++ b/internal/mesh/exchange/death.go
@@ -7,12 +7,17 @@
 )
 
 // Investigate finds out whether the backend server's process has died with the request of a failed
-// exchange in flight.
-func (c *Client) Investigate(ctx context.Context, f *Failure) death.Finding {
+// exchange in flight. serves asks the backend server whether it serves requests.
+func (c *Client) Investigate(ctx context.Context, f *Failure, serves func(context.Context) bool) death.Finding {
 	if f.Outcome != Unknown {
 		return death.Unanswered
 	}
-	finding := c.detector.Investigate(ctx, f.conn)
+	var finding death.Finding
+	if f.ByIntermediary() {
+		finding = c.detector.InvestigateBehindIntermediary(f.conn, func() bool { return serves(ctx) })
+	} else {
+		finding = c.detector.Investigate(ctx, f.conn)
+	}
 	if finding.Died() {
 		c.closeStale()
 	}
--- a/internal/mesh/exchange/exchange_test.go
+++ b/internal/mesh/exchange/exchange_test.go
@@ -374,8 +374,8 @@
 	require.NoError(t, l.Close())
 	close(die)
 	first, second := <-failures, <-failures
-	require.Equal(t, death.Refused, client.Investigate(t.Context(), first))
-	require.Equal(t, death.Noticed, client.Investigate(t.Context(), second))
+	require.Equal(t, death.Refused, client.Investigate(t.Context(), first, unused))
+	require.Equal(t, death.Noticed, client.Investigate(t.Context(), second, unused))
 	require.Equal(t, first.Generation, second.Generation)
 
 	again, err := net.Listen("tcp", l.Addr().String())
@@ -385,7 +385,7 @@
 	go func() { <-arrived }()
 	_, cut := client.Do(t.Context(), message("c"), always)
 	require.Equal(t, first.Generation+1, cut.Generation)
-	require.Equal(t, death.Accepts, client.Investigate(t.Context(), cut), "a server that only closes the connection still listens")
+	require.Equal(t, death.Accepts, client.Investigate(t.Context(), cut, unused), "a server that only closes the connection still listens")
 }
 
 // Guards against a new connection for each exchange that a loaded server breaks off.
@@ -410,8 +410,11 @@
 	_, f := client.Do(t.Context(), message("broken"), always)
 	require.Equal(t, exchange.Unknown, f.Outcome)
 	opened := client.Opened()
-	require.Equal(t, death.OthersContinue, client.Investigate(t.Context(), f))
+	require.Equal(t, death.OthersContinue, client.Investigate(t.Context(), f, unused))
 	require.Equal(t, opened, client.Opened())
 	close(release)
 	require.Nil(t, <-done)
 }
+
+// unused is for failures that need no further request.
+func unused(context.Context) bool { panic("the backend server is asked") }
--- a/internal/mesh/exchange/pool.go
+++ b/internal/mesh/exchange/pool.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -86,6 +87,9 @@
 // Unwrap returns the cause.
 func (f *Failure) Unwrap() error { return f.Cause }
 
+// ByIntermediary reports whether something answered in place of the backend server.
+func (f *Failure) ByIntermediary() bool { return errors.Is(f.Cause, errIntermediary) }
+
 // Message is a request to be written.
 type Message struct {
 	Method, URI, Host string
@@ -200,7 +204,7 @@
 		return nil, eris.Wrap(err, "open connection to backend server")
 	}
 	c.opened.Add(1)
-	return newConn(raw, c.names.RequestID, c.detector.Opened(generation)), nil
+	return newConn(raw, c.names, c.detector.Opened(generation)), nil
 }
 
 // Close closes the idle connections.
--- a/internal/mesh/guard/death.go
+++ b/internal/mesh/guard/death.go
@@ -37,7 +37,7 @@
 // recordBreak records that a request was in flight if the backend server died or may have died, and
 // returns the death.
 func (g *Guard) recordBreak(s *requestState, f *exchange.Failure, alone bool) (d suspect.Death, recorded bool) {
-	finding := g.Backend.Investigate(context.Background(), f)
+	finding := g.Backend.Investigate(context.Background(), f, g.mayServe)
 	fingerprint := s.request.Fingerprint()
 	switch {
 	case finding.Died():
--- a/internal/mesh/guard/guard.go
+++ b/internal/mesh/guard/guard.go
@@ -34,8 +34,8 @@
 type Backend interface {
 	Do(ctx context.Context, m *exchange.Message, allow func() bool) (*mesh.Answer, *exchange.Failure)
 	// Investigate finds out whether the backend server's process has died with the request of a failed
-	// exchange in flight.
-	Investigate(ctx context.Context, f *exchange.Failure) death.Finding
+	// exchange in flight. serves asks the backend server whether it serves requests.
+	Investigate(ctx context.Context, f *exchange.Failure, serves func(context.Context) bool) death.Finding
 }
 
 // Config holds the parts and settings of a Guard.
--- a/internal/mesh/guard/guard_test.go
+++ b/internal/mesh/guard/guard_test.go
@@ -436,7 +436,7 @@
 // panicking is a Backend that panics, as a defect in handling one request may.
 type panicking struct{}
 
-func (panicking) Investigate(context.Context, *exchange.Failure) death.Finding {
+func (panicking) Investigate(context.Context, *exchange.Failure, func(context.Context) bool) death.Finding {
 	return death.OthersContinue
 }
 
--- a/internal/mesh/guard/isolate_test.go
+++ b/internal/mesh/guard/isolate_test.go
@@ -63,7 +63,7 @@
 	return nil, &exchange.Failure{Outcome: exchange.Unknown, Cause: context.DeadlineExceeded}
 }
 
-func (diedBackend) Investigate(context.Context, *exchange.Failure) death.Finding {
+func (diedBackend) Investigate(context.Context, *exchange.Failure, func(context.Context) bool) death.Finding {
 	return death.Refused
 }
 
--- a/internal/mesh/guard/probe.go
+++ b/internal/mesh/guard/probe.go
@@ -90,8 +90,8 @@
 		// The registration may end while requests that arrived before still wait.
 		return mesh.BackendLoad{}, false
 	}
-	svc := g.view.Load().Config.Services[g.Here.Service]
-	if svc == nil || svc.HealthPath == "" {
+	probe := g.probeMessage(target)
+	if probe == nil {
 		return mesh.BackendLoad{}, false
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
@@ -101,9 +101,7 @@
 	// interval.
 	asked := g.Now()
 	g.reportedAt.Store(int64(asked))
-	answer, failure := g.Backend.Do(ctx, &exchange.Message{
-		Method: http.MethodGet, URI: svc.HealthPath, Host: target.Addr, Header: http.Header{},
-	}, func() bool { return true })
+	answer, failure := g.Backend.Do(ctx, probe, func() bool { return true })
 	if failure != nil {
 		return mesh.BackendLoad{}, false
 	}
@@ -114,3 +112,30 @@
 	g.recordColdness(asked, answer.Header)
 	return g.recordLoad(answer.Header)
 }
+
+// probeMessage returns a request for the backend server's health, or nil if its service has no path for that.
+func (g *Guard) probeMessage(target *mesh.Target) *exchange.Message {
+	service := g.view.Load().Config.Services[g.Here.Service]
+	if service == nil || service.HealthPath == "" {
+		return nil
+	}
+	return &exchange.Message{Method: http.MethodGet, URI: service.HealthPath, Host: target.Addr, Header: http.Header{}}
+}
+
+// mayServe reports whether the backend server may serve requests. It doesn't if something answers a probe in
+// its place, or nothing listens.
+func (g *Guard) mayServe(ctx context.Context) bool {
+	target := g.probeTarget()
+	if target == nil {
+		return true
+	}
+	probe := g.probeMessage(target)
+	if probe == nil {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	g.probes.Add(1)
+	_, failure := g.Backend.Do(ctx, probe, func() bool { return true })
+	return failure == nil || !failure.ByIntermediary() && failure.Outcome != exchange.Unreachable
+}
--- a/internal/mesh/guard/restart_test.go
+++ b/internal/mesh/guard/restart_test.go
@@ -33,7 +33,7 @@
 	return nil, &exchange.Failure{Outcome: exchange.Unknown, Cause: context.DeadlineExceeded}
 }
 
-func (b *breakingBackend) Investigate(context.Context, *exchange.Failure) death.Finding {
+func (b *breakingBackend) Investigate(context.Context, *exchange.Failure, func(context.Context) bool) death.Finding {
 	return b.finding
 }
 
--- a/internal/mesh/model/server.go
+++ b/internal/mesh/model/server.go
@@ -206,7 +206,7 @@
 }
 
 // Investigate implements guard.Backend.
-func (s *Server) Investigate(_ context.Context, f *exchange.Failure) death.Finding {
+func (s *Server) Investigate(_ context.Context, f *exchange.Failure, _ func(context.Context) bool) death.Finding {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
