Requests lose the time that they wait in a link between nodes

Backend servers get more time than is left, and work for nobody. Cause: times between nodes are relative, as clocks aren't synchronized, so what waits in a link wasn't counted. Change: requests are stamped by the sender's clock. Nodes of older versions send no stamp. The fixtures' clocks stand still, as other tests require times that the machine's load would change.

--- a/internal/mesh/peer/client.go
+++ b/internal/mesh/peer/client.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/limpetdock/limpetdock/internal/clock"
 	"github.com/limpetdock/limpetdock/internal/kind"
 	"github.com/limpetdock/limpetdock/internal/mesh"
 	"github.com/limpetdock/limpetdock/internal/mesh/quarantine"
@@ -26,6 +27,8 @@
 type Client struct {
 	hello    Hello
 	listener Listener
+	// now returns the time by the node's clock.
+	now clock.Clock
 	// dial opens a connection to the node at an address.
 	dial  func(addr string) (net.Conn, error)
 	mu    sync.Mutex
@@ -70,7 +73,7 @@
 func NewClient(here mesh.Place, l Listener) *Client {
 	return &Client{
 		hello:    Hello{VM: here.VM, Region: here.Region, Suspects: true},
-		listener: l, dial: dialPeer, links: map[linkKey]*link{},
+		listener: l, now: clock.New(), dial: dialPeer, links: map[linkKey]*link{},
 	}
 }
 
@@ -98,6 +101,7 @@
 	defer l.removeStream(streamID)
 	body := fromRequest(r)
 	body.Confirm = s.needsConfirm
+	body.SentMs = c.sentMs()
 	frame, err := encode(frameRequest, streamID, body)
 	if err != nil {
 		return nil, kind.New(kind.BadRequest, "the request can't be forwarded").WithCause(err)
@@ -108,6 +112,9 @@
 	return l.wait(ctx, w, streamID, s)
 }
 
+// sentMs returns the time by which a frame that is sent now is stamped, in milliseconds. It is never 0.
+func (c *Client) sentMs() uint64 { return 1 + uint64(c.now().Milliseconds()) }
+
 // subtractElapsed returns a copy of r with the elapsed time subtracted from its times.
 func subtractElapsed(r *mesh.Request, elapsed time.Duration) *mesh.Request {
 	adjusted := *r
--- a/internal/mesh/peer/frame.go
+++ b/internal/mesh/peer/frame.go
@@ -65,6 +65,8 @@
 	VM, Region string
 	// Suspects is true if the node accepts a frameSuspects. Older versions close the connection.
 	Suspects bool
+	// SentMs is when it was sent, by the sender's clock, in milliseconds; 0 is unknown.
+	SentMs uint64
 }
 
 // requestBody is the encoding of a mesh.Request. Times are in milliseconds.
@@ -88,6 +90,8 @@
 	Confirm bool
 	// Suspected is true if the request may crash the backend server.
 	Suspected bool
+	// SentMs is when the request was sent, by the sender's clock; 0 is unknown.
+	SentMs uint64
 }
 
 type answerBody struct {
--- a/internal/mesh/peer/link.go
+++ b/internal/mesh/peer/link.go
@@ -194,7 +194,9 @@
 // must be held.
 func (l *link) handshake(raw net.Conn) error {
 	w := newWriter(raw)
-	frame, err := encode(frameHello, 0, &l.client.hello)
+	hello := l.client.hello
+	hello.SentMs = l.client.sentMs()
+	frame, err := encode(frameHello, 0, &hello)
 	if err == nil {
 		err = w.send(frame)
 	}
--- a/internal/mesh/peer/peer_test.go
+++ b/internal/mesh/peer/peer_test.go
@@ -54,11 +54,15 @@
 	return h.last[addr]
 }
 
+// stoppedClock makes no delay visible that the load of the machine causes.
+func stoppedClock() time.Duration { return 0 }
+
 func start(t *testing.T, run func(ctx context.Context, r *mesh.Request) (*mesh.Answer, *kind.Error)) (addr string, s *Server, c *Client, h *loadRecorder) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	here := mesh.Place{VM: "a", Region: "rs"}
 	s = NewServer(fakeHandler{run}, here)
+	s.now = stoppedClock
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
@@ -66,6 +70,7 @@
 	}()
 	h = &loadRecorder{last: map[string]mesh.Load{}}
 	c = NewClient(here, h)
+	c.now = stoppedClock
 	t.Cleanup(func() {
 		c.CloseUnused(nil)
 		_ = l.Close()
--- a/internal/mesh/peer/server.go
+++ b/internal/mesh/peer/server.go
@@ -11,6 +11,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/limpetdock/limpetdock/internal/accept"
+	"github.com/limpetdock/limpetdock/internal/clock"
 	"github.com/limpetdock/limpetdock/internal/kind"
 	"github.com/limpetdock/limpetdock/internal/mesh"
 	"github.com/limpetdock/limpetdock/internal/mesh/quarantine"
@@ -33,6 +34,8 @@
 type Server struct {
 	handler Handler
 	here    mesh.Place
+	// now returns the time by the node's clock.
+	now clock.Clock
 	// ctx is the parent of the requests' contexts. endRequests ends it when the server shuts down.
 	ctx         context.Context
 	endRequests func()
@@ -62,7 +65,7 @@
 func NewServer(h Handler, here mesh.Place) *Server {
 	ctx, end := stopping.NewContext()
 	return &Server{
-		handler: h, here: here, ctx: ctx, endRequests: end, conns: map[*serverConn]struct{}{}, lastRequest: map[string]time.Time{},
+		handler: h, here: here, now: clock.New(), ctx: ctx, endRequests: end, conns: map[*serverConn]struct{}{}, lastRequest: map[string]time.Time{},
 		bootstrap: newBootstrapper(func() bool { return false }),
 	}
 }
@@ -80,8 +83,10 @@
 	hello    Hello
 	query    pendingQuery
 	delivery delivery
-	mu       sync.Mutex
-	running  map[uint32]context.CancelFunc
+	// transit is used by the goroutine that reads.
+	transit transit
+	mu      sync.Mutex
+	running map[uint32]context.CancelFunc
 	// unconfirmed holds the requests that wait for confirmation, by stream ID.
 	unconfirmed map[uint32]chan struct{}
 	// unresponsive is true if the entry did not confirm a request in time and no frame was
@@ -131,9 +136,18 @@
 	if err := msgpack.Unmarshal(body, &c.hello); err != nil {
 		return err
 	}
+	c.transitDelay(c.hello.SentMs)
 	return raw.SetReadDeadline(time.Time{})
 }
 
+// transitDelay returns for how much longer than usual a frame was on its way that arrives now.
+func (c *serverConn) transitDelay(sentMs uint64) time.Duration {
+	if sentMs == 0 {
+		return 0
+	}
+	return c.transit.delay(time.Duration(sentMs)*time.Millisecond, c.server.now())
+}
+
 // handleFrame handles one frame; false closes the connection.
 func (c *serverConn) handleFrame(ctx context.Context, t frameType, stream uint32, body []byte) bool {
 	c.unresponsive.Store(false)
@@ -167,7 +181,7 @@
 
 func (c *serverConn) startRequest(ctx context.Context, stream uint32, body *requestBody) {
 	c.server.noteRequest(c.hello.VM)
-	r := body.request()
+	r := subtractElapsed(body.request(), c.transitDelay(body.SentMs))
 	if body.Confirm {
 		r.Confirm = func(ctx context.Context) error { return c.confirm(ctx, stream) }
 	}
--- a/internal/mesh/peer/slow_test.go
+++ b/internal/mesh/peer/slow_test.go
@@ -21,6 +21,7 @@
 		return run(ctx, r), nil
 	}}, mesh.Place{})
 	c = NewClient(mesh.Place{}, &loadRecorder{last: map[string]mesh.Load{}})
+	s.now, c.now = stoppedClock, stoppedClock
 	var served sync.WaitGroup
 	c.dial = func(string) (net.Conn, error) {
 		near, far, outbound := slowLink(t)
