--- a/internal/mesh/peer/server.go
+++ b/internal/mesh/peer/server.go
@@ -140,14 +140,6 @@
 	return raw.SetReadDeadline(time.Time{})
 }
 
-// transitDelay returns for how much longer than usual a frame was on its way that arrives now.
-func (c *serverConn) transitDelay(sentMs uint64) time.Duration {
-	if sentMs == 0 {
-		return 0
-	}
-	return c.transit.delay(time.Duration(sentMs)*time.Millisecond, c.server.now())
-}
-
 // handleFrame handles one frame; false closes the connection.
 func (c *serverConn) handleFrame(ctx context.Context, t frameType, stream uint32, body []byte) bool {
 	c.unresponsive.Store(false)
--- a/internal/mesh/peer/transit.go
+++ b/internal/mesh/peer/transit.go
@@ -40,3 +40,11 @@
 	}
 	return delay
 }
+
+// transitDelay returns for how much longer than usual a frame was on its way that arrives now.
+func (c *serverConn) transitDelay(sentMs uint64) time.Duration {
+	if sentMs == 0 {
+		return 0
+	}
+	return c.transit.delay(time.Duration(sentMs)*time.Millisecond, c.server.now())
+}
