--- a/Makefile
+++ b/Makefile
@@ -23,10 +23,12 @@
 gopls:
 	GOBIN=$(CURDIR)/$(TOOLS) go install golang.org/x/tools/gopls@$(GOPLS_VERSION)
 
-# Unit tests run with the race detector. The tests in test/ start whole deployments
-# of real processes; their programs are built as released, without it.
+# Unit tests run with the race detector, but for large deployments in virtual time, with which
+# it crashes. The tests in test/ start whole deployments of real processes; their programs are
+# built as released, without it.
 test:
 	go test -race $(TESTFLAGS) $$(go list ./... | grep -v /test/)
+	go test $(TESTFLAGS) -run TestRediscovery ./internal/mesh/entry
 	go test -p 2 $(TESTFLAGS) ./test/...
 
 # matrix writes docs/FAULTS.md. With PAIRS=1 it also runs pairs of simultaneous faults.
--- /dev/null
+++ b/internal/mesh/entry/rediscovery_sizes_test.go
@@ -0,0 +1,6 @@
+//go:build !race
+
+package entry_test
+
+// rediscoverySizes are the deployments in which the loss of all nodes is played.
+var rediscoverySizes = []rediscovery{{18, 6, 1}, {81, 27, 1}, {81, 27, 2}, {300, 100, 1}, {890, 297, 1}}
--- a/internal/mesh/entry/rediscovery_test.go
+++ b/internal/mesh/entry/rediscovery_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -13,9 +12,6 @@
 	"github.com/stretchr/testify/require"
 )
 
-// largeRediscovery adds sizes that take too long with the race detector.
-var largeRediscovery = flag.Bool("rediscovery.large", false, "play the loss of all nodes with 300 and 890 nodes, too")
-
 // rediscovery is a deployment in which all nodes are lost while a crashing request comes again and again.
 type rediscovery struct {
 	nodes, servers int
@@ -76,11 +72,7 @@
 // Guards against a crashing request that costs a large deployment servers without end after the loss of
 // all nodes, as the many that it crashes at once hide the ones that prove it.
 func TestRediscoveryAfterLossOfAllNodes(t *testing.T) {
-	sizes := []rediscovery{{18, 6, 1}, {81, 27, 1}, {81, 27, 2}}
-	if *largeRediscovery {
-		sizes = append(sizes, rediscovery{300, 100, 1}, rediscovery{890, 297, 1})
-	}
-	for _, r := range sizes {
+	for _, r := range rediscoverySizes {
 		t.Run(fmt.Sprint(r), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				first, again, later := r.play(t)
