--- a/internal/mesh/entry/entry.go
+++ b/internal/mesh/entry/entry.go
@@ -59,8 +59,8 @@
 	Guard    Guard
 	Peers    Peers
 	Suspects Suspects
-	// Lineage knows what the backend server beside the node runs. If it is nil, all requests are taken
-	// for callers' own.
+	// Lineage knows what the backend server beside the node runs. With nil, all requests are taken for
+	// callers' own.
 	Lineage  *lineage.Tracker
 	Repeats  Repeats
 	Observer Observer
--- a/internal/mesh/guard/guard.go
+++ b/internal/mesh/guard/guard.go
@@ -49,8 +49,7 @@
 	Log *decision.Log
 	// Suspects is the node's table of requests that may crash backend servers.
 	Suspects Suspects
-	// Lineage learns what the backend server runs, and which calls that makes; if it is nil, nothing else
-	// uses it.
+	// Lineage learns what the backend server runs, and which calls that makes. It may be nil.
 	Lineage *lineage.Tracker
 	// ColdStart limits the rate of requests while the backend server is cold.
 	ColdStart coldstart.Policy
--- a/internal/mesh/lineage/lineage.go
+++ b/internal/mesh/lineage/lineage.go
@@ -34,15 +34,12 @@
 	return &Tracker{now: now, runs: map[*Run]struct{}{}}
 }
 
-// SetLongestTimeout sets the longest time that a request may take. For that long after the node's start
-// the backend server may run requests that an earlier process of the node has sent. Only the first call
-// has an effect.
-func (t *Tracker) SetLongestTimeout(d time.Duration) {
+// ExpectEarlierRuns sets the longest time that a request may take. For that long after the node's start the
+// backend server may run requests that an earlier process of the node has sent.
+func (t *Tracker) ExpectEarlierRuns(longest time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.earlier == 0 {
-		t.earlier = d
-	}
+	t.earlier = longest
 }
 
 // Run is a request that the backend server runs.
--- a/internal/mesh/lineage/lineage_test.go
+++ b/internal/mesh/lineage/lineage_test.go
@@ -57,8 +57,7 @@
 // Guards against calls of runs that the node's process before a restart has begun.
 func TestRunsOfEarlierProcessCountUntilTheyExpire(t *testing.T) {
 	f := newFixture()
-	f.SetLongestTimeout(2 * second)
-	f.SetLongestTimeout(20 * second)
+	f.ExpectEarlierRuns(2 * second)
 	require.False(t, f.Arrived(inTime).Caller())
 	require.True(t, f.Arrived(later).Caller())
 	f.now = 3 * second
@@ -80,7 +79,7 @@
 // Guards against callers' requests that go on counting as possible calls of runs that have ended.
 func TestIdleServerRunsNothingOfBefore(t *testing.T) {
 	f := newFixture()
-	f.SetLongestTimeout(2 * second)
+	f.ExpectEarlierRuns(2 * second)
 	f.Begin(2 * second).End(true)
 	f.ConfirmIdle()
 	require.True(t, f.Arrived(inTime).Caller())
--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"time"
 
 	"go.uber.org/fx"
@@ -121,8 +122,9 @@
 
 func newLoop(s *settings.Settings, now clock.Clock, log *decision.Log, e *entry.Entry, g *guard.Guard, c *peer.Client, r *reportDispatcher, readers *reader.Table, runs *lineage.Tracker) *directory.Loop {
 	state := directory.New(s.Here, s.Backend, s.Regions, s.PeersPort())
+	var first sync.Once
 	return directory.NewLoop(state, log, now, func(v *mesh.View) {
-		runs.SetLongestTimeout(v.Config.LongestTimeout())
+		first.Do(func() { runs.ExpectEarlierRuns(v.Config.LongestTimeout()) })
 		r.setView(v)
 		readers.SetView(v)
 		g.SetView(v)
