--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 COMMIT = $(shell git describe --always --dirty)
 DEMO_ARGS := $(if $(CHECK),--check)
 
-.PHONY: matrix chaos soak build tools gopls test lint demo clean experiments comparisons added-latency capacity
+.PHONY: matrix chaos soak build tools gopls test test-race test-large test-processes lint demo clean experiments comparisons added-latency capacity
 
 build:
 	go build -o $(BIN)/ ./cmd/...
@@ -26,9 +26,15 @@
 # Unit tests run with the race detector, but for large deployments in virtual time, with which
 # it crashes. The tests in test/ start whole deployments of real processes; their programs are
 # built as released, without it.
-test:
+test: test-race test-large test-processes
+
+test-race:
 	go test -race $(TESTFLAGS) $$(go list ./... | grep -v /test/)
+
+test-large:
 	go test $(TESTFLAGS) -run TestRediscovery ./internal/mesh/entry
+
+test-processes:
 	go test -p 2 $(TESTFLAGS) ./test/...
 
 # matrix writes docs/FAULTS.md. With PAIRS=1 it also runs pairs of simultaneous faults.
