Completed runs clear deaths that restrict nothing

Cause, by reading: a completed run cleared the deaths of its request only while the request was suspected. A death whose news came after that was left, restricted nothing, and so stayed; two more alone in the next wave made three, over a second apart. Change: requests with certain deaths that restrict nothing are in the set that guards look up, and a completed run clears them, too. That is announced to nobody: it spreads by the regular messages. Evidence: TestAnsweredRequestKeepsNoOldDeath fails without the change (blocked).

--- a/internal/mesh/guard/isolate.go
+++ b/internal/mesh/guard/isolate.go
@@ -121,7 +121,8 @@
 // recordServed records that the backend server has answered a request.
 func (g *Guard) recordServed(fingerprint uint64) {
 	g.served.Add(fingerprint, g.Now())
-	if g.Suspects.Check(func() uint64 { return fingerprint }).Level != suspect.Unsuspected {
+	found := g.Suspects.Check(func() uint64 { return fingerprint })
+	if found.Level != suspect.Unsuspected || found.Open {
 		g.Suspects.Completed(fingerprint)
 	}
 }
--- a/internal/mesh/guard/isolate_test.go
+++ b/internal/mesh/guard/isolate_test.go
@@ -109,3 +109,20 @@
 	close(end)
 	require.Nil(t, <-done)
 }
+
+// Guards against a popular request that is blocked by deaths of long ago, as their news arrived after it had
+// been answered.
+func TestAnsweredRequestKeepsNoOldDeath(t *testing.T) {
+	x := newFixture(t, 4, signed)
+	fingerprint := request().Fingerprint()
+	die := func(id uint64) {
+		x.Suspects.Died(fingerprint, suspect.Death{ID: id, Alone: true, Served: true})
+	}
+	die(1)
+	_, e := x.Run(t.Context(), request())
+	require.Nil(t, e)
+	x.now.Add(int64(8 * time.Second))
+	die(2)
+	die(3)
+	require.Equal(t, suspect.Suspected, x.Suspects.Check(func() uint64 { return fingerprint }).Level)
+}
--- a/internal/mesh/quarantine/tracker.go
+++ b/internal/mesh/quarantine/tracker.go
@@ -89,12 +89,15 @@
 	t.publish()
 }
 
-// Completed records that a suspect was answered, so that it did not cause the known deaths.
+// Completed records that a request was answered, so that it did not cause the known deaths. Where these
+// restrict nothing, that spreads by the regular messages only.
 func (t *Tracker) Completed(fingerprint uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.table.Restricts(fingerprint) {
+		t.observed[fingerprint] = true
+	}
 	t.table.Clear(fingerprint)
-	t.observed[fingerprint] = true
 	t.publish()
 }
 
--- a/internal/mesh/quarantine/tracker_test.go
+++ b/internal/mesh/quarantine/tracker_test.go
@@ -222,3 +222,20 @@
 		require.Equal(t, 83, n.at(crashing, suspect.Suspected), "a suspect is announced")
 	})
 }
+
+// Guards against a popular request that is blocked by deaths of long ago, as their news arrived after it had
+// been answered.
+func TestAnsweredRequestKeepsNoOldDeath(t *testing.T) {
+	now := time.Minute
+	tracker := quarantine.New(func() time.Duration { return now })
+	die := func(id uint64) { tracker.Died(crashing, suspect.Death{ID: id, Alone: true, Served: true}) }
+	die(1)
+	require.Equal(t, suspect.Unsuspected, tracker.Check(print(crashing)).Level)
+	require.True(t, tracker.Check(print(crashing)).Open)
+	tracker.Completed(crashing)
+	require.False(t, tracker.Check(print(crashing)).Open, "it isn't cleared again and again")
+	now += 8 * time.Second
+	die(2)
+	die(3)
+	require.Equal(t, suspect.Suspected, tracker.Check(print(crashing)).Level)
+}
--- a/internal/suspect/row.go
+++ b/internal/suspect/row.go
@@ -150,6 +150,11 @@
 	return slices.DeleteFunc(slices.Clone(r.deaths), func(d death) bool { return slices.Contains(r.cleared, d.ID) })
 }
 
+// hasOpenProof reports whether the row has a certain death that no completed run has cleared.
+func (r *row) hasOpenProof() bool {
+	return slices.ContainsFunc(r.openDeaths(), func(d death) bool { return !d.Uncertain })
+}
+
 // levelOf returns the level that follows from deaths.
 func levelOf(deaths []death) Level {
 	n := countDeaths(deaths)
--- a/internal/suspect/set.go
+++ b/internal/suspect/set.go
@@ -15,6 +15,8 @@
 	Until time.Duration
 	// OnTrial is true for a suspect whose block has ended.
 	OnTrial bool
+	// Open is true for a request with deaths that restrict nothing yet: a completed run clears them.
+	Open bool
 }
 
 // At returns the entry as it stands at a time since the node's start. Traffic goroutines call it, as
--- a/internal/suspect/suspect.go
+++ b/internal/suspect/suspect.go
@@ -153,6 +153,12 @@
 	delete(t.rows, oldest)
 }
 
+// Restricts reports whether the deaths of a row restrict the request.
+func (t *Table) Restricts(fingerprint uint64) bool {
+	r := t.rows[fingerprint]
+	return r != nil && r.level() != Unsuspected
+}
+
 // Minor reports whether a row has no more than uncertain deaths that restrict nothing, so that its news can
 // wait.
 func (t *Table) Minor(fingerprint uint64) bool {
@@ -267,6 +273,10 @@
 			set[f] = Entry{Level: l, Until: r.blockedUntil()}
 		case Suspected:
 			set[f] = Entry{Level: l, Until: r.until()}
+		default:
+			if r.hasOpenProof() {
+				set[f] = Entry{Level: l, Until: r.until(), Open: true}
+			}
 		}
 	}
 	return set, true
