--- a/internal/cli/slow_test.go
+++ b/internal/cli/slow_test.go
@@ -7,10 +7,11 @@
 	"strings"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/limpetdock/limpetdock/internal/virtualtime"
 )
 
 // singleConnListener is a listener that accepts a single connection.
@@ -64,7 +65,7 @@
 // Guards against a time limit on the whole answer: over a slow link, a large answer
 // would then fail on every attempt although data keeps arriving.
 func TestSlowNodeResponseIsReadInFull(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		text, err := fetchFromHandler(slowResponse(100, stallTimeout/10))
 		require.NoError(t, err)
 		require.Equal(t, strings.Repeat("piece ", 100), string(text))
@@ -78,7 +79,7 @@
 		"half way":         slowResponse(2, time.Hour),
 	} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			virtualtime.Test(t, func(t *testing.T) {
 				start := time.Now()
 				_, err := fetchFromHandler(h)
 				require.Error(t, err)
--- a/internal/control/loop_test.go
+++ b/internal/control/loop_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -17,6 +16,7 @@
 	"github.com/limpetdock/limpetdock/internal/link"
 	"github.com/limpetdock/limpetdock/internal/pick"
 	"github.com/limpetdock/limpetdock/internal/platform"
+	"github.com/limpetdock/limpetdock/internal/virtualtime"
 	"github.com/limpetdock/limpetdock/internal/wire"
 )
 
@@ -73,7 +73,7 @@
 // If the platform hangs, the control goroutine must continue to tick and answer, with
 // at most one read of each key in flight, and must end on Stop.
 func TestHangingPlatformDoesNotBlockLoop(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		p := &hangingPlatform{}
 		l := newLoop(p, &stubNode{})
 		l.Start()
@@ -90,7 +90,7 @@
 // The first sign of leaving must reach the guard within a tick, and a tick in progress
 // must not revert a stop.
 func TestLeavingReachesGuardWithinOneTick(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		g := &stubNode{}
 		l := newLoop(&hangingPlatform{}, g)
 		l.Start()
@@ -111,7 +111,7 @@
 
 // A platform that immediately returns errors must not be read in a busy loop.
 func TestFailingPlatformIsReadWithBackoff(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		p := &failingPlatform{}
 		l := newLoop(p, &stubNode{})
 		l.Start()
--- a/internal/decision/decision_test.go
+++ b/internal/decision/decision_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/limpetdock/limpetdock/internal/decision"
+	"github.com/limpetdock/limpetdock/internal/virtualtime"
 )
 
 // The reader of the log has stopped reading, and the pipe is full. Callers must not be
@@ -68,7 +69,7 @@
 
 // Guards against the loss of a process's last line: Flush returns while it is being written.
 func TestFlushWaitsForLineBeingWritten(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		const writeTime = 20 * time.Millisecond
 		var written atomic.Int32
 		log := decision.New(t.Context(), writerFunc(func(p []byte) (int, error) {
--- a/internal/gate/chain_test.go
+++ b/internal/gate/chain_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/limpetdock/limpetdock/internal/kind"
+	"github.com/limpetdock/limpetdock/internal/virtualtime"
 )
 
 // No request completes on a server whose slots are all held by calls that wait for nested
@@ -34,7 +35,7 @@
 		"the service is usually fast":   {Limits{Slots: 2, Queue: 4}, time.Millisecond, Rank{Depth: 1}, 0, outcome{"", kind.Overloaded, standingAfter}},
 		"refusal is off":                {Limits{Slots: 2, NoRefusal: true}, serviceTime, Rank{Depth: 1}, 0, outcome{after: time.Minute}},
 	} {
-		synctest.Test(t, func(t *testing.T) {
+		virtualtime.Test(t, func(t *testing.T) {
 			g := newWarmGate(c.limits)
 			g.drain.serviceTime = c.serviceTime
 			var log outcomeLog
@@ -57,7 +58,7 @@
 // A burst of nested calls takes longer than the queue timeout of a call with none ahead.
 // The queue moves, so all of them must run, even on a gate without measurements.
 func TestNestedCallsWaitInAQueueThatMoves(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		g := newWarmGate(Limits{Slots: 1, Queue: 9})
 		var log outcomeLog
 		for range 2 {
@@ -74,7 +75,7 @@
 // A nested call arrives after calls at the top of their chains. As the calls above it hold
 // slots, it runs first, regardless of the order.
 func TestDeeperCallsRunFirst(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		g := newWarmGate(Limits{Slots: 1, Queue: 4})
 		var log outcomeLog
 		for _, c := range []struct {
@@ -145,7 +146,7 @@
 	const runs, targets = 8, 6
 	var calls, succeeded int64
 	for seed := range uint64(runs) {
-		synctest.Test(t, func(t *testing.T) {
+		virtualtime.Test(t, func(t *testing.T) {
 			c := &chainedService{seed: seed}
 			for range targets {
 				c.gates = append(c.gates, newWarmGate(Limits{Slots: 6, Queue: 16}))
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/limpetdock/limpetdock/fleet"
 	"github.com/limpetdock/limpetdock/internal/kind"
+	"github.com/limpetdock/limpetdock/internal/virtualtime"
 )
 
 // newWarmGate returns a gate whose slow start has ended.
@@ -97,7 +98,7 @@
 		// The queue is standing when the third request completes.
 		fleet.OrderLIFO: {"first", "a", "d", "c", "b"},
 	} {
-		synctest.Test(t, func(t *testing.T) {
+		virtualtime.Test(t, func(t *testing.T) {
 			g := newWarmGate(Limits{Slots: 1, Queue: 4, Order: order})
 			var log outcomeLog
 			log.send(g, withTimeout(t, 0), "first", 0, serviceTime)
@@ -127,7 +128,7 @@
 		"refusal is off, deadline passes": {Limits{Slots: 1, NoRefusal: true}, 150 * time.Millisecond, kind.DeadlineNotRun},
 		"no slots":                        {Limits{Slots: 0, NoRefusal: true}, 0, kind.Overloaded},
 	} {
-		synctest.Test(t, func(t *testing.T) {
+		virtualtime.Test(t, func(t *testing.T) {
 			g := newWarmGate(c.limits)
 			g.drain.serviceTime, g.drain.interval = serviceTime, serviceTime
 			var log outcomeLog
@@ -150,7 +151,7 @@
 // Reads of the manifest board fill the queue before a departure. A booking of a higher class
 // that arrives then must not be refused while reads wait.
 func TestHigherClassEvictsALowerOneFromAFullQueue(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		g := newWarmGate(Limits{Slots: 1, Queue: 2})
 		var log outcomeLog
 		log.send(g, withTimeout(t, 0), "running", 1, time.Second)
@@ -167,7 +168,7 @@
 // Guards against callers that are refused together, get the same Retry-After and so repeat
 // their requests together.
 func TestRetryAfterFollowsTheDrainRateAndIsSpread(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		g := newWarmGate(Limits{Slots: 2, Queue: 10})
 		ctx := t.Context()
 		var log outcomeLog
@@ -193,7 +194,7 @@
 
 // A request whose deadline passes at the moment of its admission must not keep the slot.
 func TestTimedOutRequestsLeaveNoSlotOrWaiterBehind(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		g := newWarmGate(Limits{Slots: 2, Queue: 50, NoRefusal: true})
 		var log outcomeLog
 		for i := range 40 {
@@ -211,7 +212,7 @@
 // The new gate counts none of them. If it used all slots, the server would run twelve
 // requests, each twice as slow.
 func TestSlowStartUsesTheCountOfABusyServer(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		g := New()
 		g.SetLimits(Limits{Slots: 6, Queue: 16})
 		require.Equal(t, 1, g.Load().Limit, "before the first report of the server")
@@ -229,7 +230,7 @@
 // The backend server has no health endpoint, and its first request doesn't end, so that
 // neither reports nor completions raise the limit.
 func TestSlowStartAdmitsWaitersOverTimeWithoutReports(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		g := New()
 		g.SetLimits(Limits{Slots: 4, Queue: 4})
 		var log outcomeLog
@@ -248,7 +249,7 @@
 }
 
 func TestSlowStartEndsWhateverTheServerReports(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		silent, overstating := New(), New()
 		for _, g := range []*Gate{silent, overstating} {
 			g.SetLimits(Limits{Slots: 6, Queue: 16})
--- a/internal/gate/in_time_test.go
+++ b/internal/gate/in_time_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/limpetdock/limpetdock/internal/kind"
+	"github.com/limpetdock/limpetdock/internal/virtualtime"
 )
 
 // For ten seconds twice as many reads arrive as the backend server can run. With first in,
@@ -35,7 +36,7 @@
 		interval     = serviceTime / 8
 	)
 	var inTimeCount, servedCount atomic.Int32
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		g := New()
 		g.SetLimits(Limits{Slots: 4, Queue: 64, Order: order})
 		g.SetBackendRunning(0)
@@ -76,7 +77,7 @@
 // with that of the whole queue, its sender would consider every guard of the service full
 // and refuse the request, while the late ones run.
 func TestRefusalReportsOnlyTheWaitForRequestsAhead(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		const serviceTime = 100 * time.Millisecond
 		g := New()
 		g.SetLimits(Limits{Slots: 1, Queue: 64, Order: OrderInTime})
@@ -119,7 +120,7 @@
 		interval        = 90 * time.Millisecond
 		startByDeadline = 2 * time.Second
 	)
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		g := newWarmGate(Limits{Slots: 1, Queue: 64, Order: OrderInTime})
 		ctx, cancel := context.WithTimeout(t.Context(), 4*time.Second)
 		defer cancel()
@@ -147,7 +148,7 @@
 
 // Without overload, a late request still runs as soon as a slot is free.
 func TestLateRequestIsServedWhenTheQueueEmpties(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		g := newWarmGate(Limits{Slots: 1, Queue: 64, Order: OrderInTime})
 		go run(t.Context(), g, 400*time.Millisecond, WaitLimits{})
 		synctest.Wait()
--- a/internal/gate/pacer_test.go
+++ b/internal/gate/pacer_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/limpetdock/limpetdock/internal/kind"
+	"github.com/limpetdock/limpetdock/internal/virtualtime"
 )
 
 // intervalPacer permits one request per interval.
@@ -33,7 +34,7 @@
 // Requests arrive faster than permits become available, while slots are free. Guards against a queue
 // that isn't dispatched when the next permit becomes available.
 func TestPacedRequestsStartAtThePermittedRate(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		g := newWarmGate(Limits{Slots: 8, Queue: 16})
 		g.SetPacer(&intervalPacer{interval: 100 * time.Millisecond})
 		var log outcomeLog
@@ -52,7 +53,7 @@
 
 // Guards against requests that wait for permits until it is too late for another server.
 func TestRequestIsRefusedAtOnceIfPermitComesTooLate(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		g := newWarmGate(Limits{Slots: 8, Queue: 16})
 		p := &intervalPacer{interval: time.Second}
 		g.SetPacer(p)
@@ -67,7 +68,7 @@
 
 // Guards against an urgent request that waits behind others for the permits of a cold server.
 func TestUrgentRequestGetsTheNextPermit(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		g := newWarmGate(Limits{Slots: 8, Queue: 16})
 		g.SetPacer(&intervalPacer{interval: 100 * time.Millisecond})
 		var log outcomeLog
--- a/internal/guard/config_check_test.go
+++ b/internal/guard/config_check_test.go
@@ -5,7 +5,6 @@
 	"net/http/httptest"
 	"net/url"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -15,6 +14,7 @@
 	"github.com/limpetdock/limpetdock/internal/headers"
 	"github.com/limpetdock/limpetdock/internal/kind"
 	"github.com/limpetdock/limpetdock/internal/pick"
+	"github.com/limpetdock/limpetdock/internal/virtualtime"
 )
 
 // viewOf returns a View of a revision whose service s has a queue of a length.
@@ -75,7 +75,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			virtualtime.Test(t, func(t *testing.T) {
 				g := New(&url.URL{}, 1, func() time.Duration { return 0 })
 				var notified []string
 				g.OnStaleConfig(func(vm string) { notified = append(notified, vm) })
--- a/internal/guard/handover_test.go
+++ b/internal/guard/handover_test.go
@@ -3,17 +3,18 @@
 import (
 	"net/url"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/limpetdock/limpetdock/internal/virtualtime"
 )
 
 // A stopping node reads the VM list again, so that it may hand over its keys. The
 // control loop still reports listings up to 30 s old from peers. If these replaced the
 // fresh listing, the handover would succeed or fail by chance.
 func TestOlderListingIsIgnored(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		start := time.Now()
 		g := New(&url.URL{}, 1, func() time.Duration { return time.Since(start) })
 		g.SetAddr("ip")
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/limpetdock/limpetdock/internal/virtualtime"
 	"github.com/limpetdock/limpetdock/internal/wire"
 )
 
@@ -113,7 +114,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			virtualtime.Test(t, func(t *testing.T) {
 				p, counters := serve(t)
 				conn, _ := p.dial(t.Context(), "", "")
 				if c.hello != nil {
@@ -163,7 +164,7 @@
 // A sender sends one byte per second. If each byte reset the timeout, a few thousand
 // such senders would occupy all of the server's goroutines.
 func TestConnectionOfSlowSenderIsClosed(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		p, counters := serve(t)
 		conn, _ := p.dial(t.Context(), "", "")
 		_, _ = conn.Write(frame(t, &wire.Hello{Fleet: "test", VM: "vm1"}))
@@ -183,7 +184,7 @@
 // With more connections than the server accepts, the excess ones are closed and
 // counted, and the open ones still work.
 func TestConnectionsAboveLimitAreClosed(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		p, counters := serve(t)
 		d := newTestDialer(p)
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
@@ -209,7 +210,7 @@
 // Accept fails temporarily because the machine is out of file descriptors. The
 // server must continue to accept connections.
 func TestFailedAcceptIsRetried(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		p, c := newPipes(), &Counters{}
 		p.fail = 3
 		s := NewServer(echo{}, c)
@@ -227,7 +228,7 @@
 // state, while new connections work. The call must still be answered before its
 // deadline.
 func TestUnresponsiveIdleConnectionIsReplaced(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		p, _ := serve(t)
 		d := newTestDialer(p)
 		here, unresponsive := net.Pipe()
--- a/internal/link/slow_test.go
+++ b/internal/link/slow_test.go
@@ -6,11 +6,11 @@
 	"net"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/limpetdock/limpetdock/internal/virtualtime"
 	"github.com/limpetdock/limpetdock/internal/wire"
 )
 
@@ -93,7 +93,7 @@
 		{"a large request", &wire.KeysPart{Data: make([]byte, documentSize)}, &wire.KeysAck{OK: true}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			virtualtime.Test(t, func(t *testing.T) {
 				d := slowDialer(serveDocuments(t))
 				defer d.Close()
 				for _, connection := range []string{"new", "kept"} {
@@ -110,7 +110,7 @@
 // Guards against a peer that requests a large document and stops reading: each such
 // connection would hold a goroutine and a document forever.
 func TestConnectionIsClosedIfReplyIsNotRead(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		p := serveDocuments(t)
 		conn, _ := p.dial(t.Context(), "", "")
 		_, _ = conn.Write(frame(t, &wire.Hello{}))
@@ -134,7 +134,7 @@
 		{"one byte per second", 1, time.Second},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			virtualtime.Test(t, func(t *testing.T) {
 				p := newPipes()
 				var sender sync.WaitGroup
 				sender.Go(func() { sendSlowly(t, p, c.bytes, c.pause) })
@@ -171,7 +171,7 @@
 // Guards against an idle connection whose other end no longer reads and which uses up
 // the whole time of a call, while new connections work.
 func TestIdleConnectionWhosePeerDoesNotReadIsReplaced(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		d := newTestDialer(serveDocuments(t))
 		defer d.Close()
 		here, there := net.Pipe()
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -8,12 +8,12 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/limpetdock/limpetdock/internal/headers"
+	"github.com/limpetdock/limpetdock/internal/virtualtime"
 )
 
 func testPlan() Plan {
@@ -95,7 +95,7 @@
 // every call scheduled in that time, a fifth of all calls, is slow. Latency measured
 // from sending would show only two slow calls, one for each busy worker.
 func TestStalledServerRaisesP99WhenAllWorkersAreBusy(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		p := testPlan()
 		p.Arrivals, p.Workers = Constant, 2
 		sender := stallingSender{start: time.Now(), from: 4 * time.Second, to: 6 * time.Second}
@@ -118,7 +118,7 @@
 }
 
 func TestRunStopsOnContextEndAndReportsSentCalls(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithTimeout(t.Context(), 2500*time.Millisecond)
 		defer cancel()
 		p := testPlan()
--- a/internal/mesh/entry/crash_test.go
+++ b/internal/mesh/entry/crash_test.go
@@ -8,7 +8,6 @@
 	"slices"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -22,6 +21,7 @@
 	"github.com/limpetdock/limpetdock/internal/mesh/quarantine"
 	"github.com/limpetdock/limpetdock/internal/place"
 	"github.com/limpetdock/limpetdock/internal/suspect"
+	"github.com/limpetdock/limpetdock/internal/virtualtime"
 )
 
 const (
@@ -178,7 +178,7 @@
 	for _, spread := range []time.Duration{400 * time.Millisecond, 2 * time.Second, 7 * time.Second} {
 		for seed := range uint64(8) {
 			t.Run(fmt.Sprint(spread, "/", seed), func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) { killServers(t, seed, spread) })
+				virtualtime.Test(t, func(t *testing.T) { killServers(t, seed, spread) })
 			})
 		}
 	}
@@ -236,7 +236,7 @@
 	)
 	for seed := range uint64(8) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			virtualtime.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
 				var background, requests sync.WaitGroup
 				f := newCrashFleet(ctx, &background, seed)
@@ -283,7 +283,7 @@
 	)
 	for seed := range uint64(2) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			virtualtime.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
 				var background, requests sync.WaitGroup
 				f := newCrashFleet(ctx, &background, seed)
--- a/internal/mesh/entry/limit_test.go
+++ b/internal/mesh/entry/limit_test.go
@@ -7,10 +7,11 @@
 	"strconv"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/limpetdock/limpetdock/internal/virtualtime"
 )
 
 const (
@@ -37,7 +38,7 @@
 // Guards against a service whose servers all name limits below the load, and get more than these,
 // serve much less, serve the least urgent requests first, or have their callers return at once.
 func TestServiceWhoseServersAllNameLimits(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		const (
 			duration    = 20 * time.Second
 			interval    = 15 * time.Millisecond
@@ -80,7 +81,7 @@
 // Guards against entries that go on sending a server what exceeds its limit, so that requests are
 // refused though other servers have room.
 func TestLoadMovesFromLimitedServers(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		var background, requests sync.WaitGroup
 		f := newCrashFleet(ctx, &background, 1)
--- a/internal/mesh/entry/rediscovery_sizes_race_test.go
+++ b/internal/mesh/entry/rediscovery_sizes_race_test.go
@@ -2,6 +2,6 @@
 
 package entry_test
 
-// rediscoverySizes are small, as the race detector itself crashes with many nodes. The Makefile also runs the
-// test without it.
-var rediscoverySizes = []rediscovery{{18, 6, 1}, {18, 6, 2}}
+// rediscoverySizes leave out the largest deployments, which take too long with the race detector. The Makefile also runs
+// the test without it.
+var rediscoverySizes = []rediscovery{{18, 6, 1}, {18, 6, 2}, {81, 27, 1}, {81, 27, 2}, {300, 100, 1}}
--- a/internal/mesh/entry/rediscovery_test.go
+++ b/internal/mesh/entry/rediscovery_test.go
@@ -6,10 +6,11 @@
 	"math/rand/v2"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/limpetdock/limpetdock/internal/virtualtime"
 )
 
 // rediscovery is a deployment in which all nodes are lost while a crashing request comes again and again.
@@ -74,7 +75,7 @@
 func TestRediscoveryAfterLossOfAllNodes(t *testing.T) {
 	for _, r := range rediscoverySizes {
 		t.Run(fmt.Sprint(r), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			virtualtime.Test(t, func(t *testing.T) {
 				first, again, later := r.play(t)
 				t.Logf("%d nodes, %d servers: %d crashed at first, %d after the loss of all nodes, %d later", r.nodes, r.servers, first, again, later)
 				require.LessOrEqual(t, later, rediscoveryLater)
--- a/internal/mesh/front/slow_test.go
+++ b/internal/mesh/front/slow_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/limpetdock/limpetdock/internal/mesh"
 	"github.com/limpetdock/limpetdock/internal/mesh/front"
+	"github.com/limpetdock/limpetdock/internal/virtualtime"
 )
 
 // pipes is a listener for in-memory connections.
@@ -74,7 +75,7 @@
 // Guards against a large answer that is truncated while its caller still reads.
 func TestSlowCallerGetsCompleteAnswer(t *testing.T) {
 	const size = 1 << 20
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		_, c, stop := ask(t, size)
 		defer stop()
 		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
@@ -89,7 +90,7 @@
 
 // Guards against memory that is held for a caller that no longer reads.
 func TestConnectionIsClosedWhenCallerStopsReading(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		s, c, stop := ask(t, 1<<20)
 		defer stop()
 		_, err := http.ReadResponse(bufio.NewReader(c), nil)
@@ -103,7 +104,7 @@
 // Guards against closing a connection at an Expect header because the deadline of an earlier
 // answer has passed.
 func TestContinueIsSentLongAfterEarlierAnswer(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		_, c, stop := ask(t, 10)
 		defer stop()
 		reader := bufio.NewReader(c)
@@ -122,7 +123,7 @@
 
 // Guards against a reset that overtakes the rejection of an upload in progress.
 func TestRejectedUploadIsReadToItsEnd(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		_, c, stop := connect(handler{limits: mesh.Limits{BodyBytes: 10}})
 		defer stop()
 		_, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3000\r\n\r\n")
@@ -140,7 +141,7 @@
 
 // Guards against a connection that stays open for a caller that received its last answer.
 func TestConnectionIsClosedAfterLastAnswer(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		_, c, stop := connect(handler{limits: mesh.Limits{BodyBytes: 10}})
 		defer stop()
 		_, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3000\r\n\r\n")
@@ -168,7 +169,7 @@
 	}
 	for name, one := range cases {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			virtualtime.Test(t, func(t *testing.T) {
 				limits := mesh.Limits{HeaderTimeout: time.Second, BodyBytes: 10}
 				s, c, stop := connect(handler{limits: limits, serve: func(ctx context.Context, _ *front.Request) *front.Response {
 					select {
@@ -215,7 +216,7 @@
 // Guards against a reset that overtakes the last answer of a draining server, because the answer was
 // written before the server began to read the next request.
 func TestConnectionLingersThoughLastAnswerIsWrittenEarly(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		h := blockedLimits{calls: &atomic.Int32{}, began: make(chan struct{}), release: make(chan struct{})}
 		h.serve = func(context.Context, *front.Request) *front.Response {
 			<-h.began
--- a/internal/mesh/node/stop_test.go
+++ b/internal/mesh/node/stop_test.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -15,6 +14,7 @@
 	"github.com/limpetdock/limpetdock/internal/mesh"
 	"github.com/limpetdock/limpetdock/internal/mesh/front"
 	"github.com/limpetdock/limpetdock/internal/mesh/peer"
+	"github.com/limpetdock/limpetdock/internal/virtualtime"
 )
 
 // Guards against a node that ends its callers' requests while other work isn't done, or before
@@ -33,7 +33,7 @@
 	}
 	for name, one := range cases {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			virtualtime.Test(t, func(t *testing.T) {
 				var idle [2]atomic.Bool
 				for i, busy := range one.busy {
 					timer := time.AfterFunc(busy, func() { idle[i].Store(true) })
--- a/internal/mesh/peer/bootstrap_test.go
+++ b/internal/mesh/peer/bootstrap_test.go
@@ -7,13 +7,13 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/limpetdock/limpetdock/internal/kind"
 	"github.com/limpetdock/limpetdock/internal/mesh"
+	"github.com/limpetdock/limpetdock/internal/virtualtime"
 )
 
 // bootstrapNode is a node without state. It counts the queries it sends and the answers it receives.
@@ -113,7 +113,7 @@
 // Guards against whole states from all nodes at once over the slow link of a starting node.
 func TestNodesAreQueriedOneAtATime(t *testing.T) {
 	const nodes = 10
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		s := startBootstrap(t, func(*Client, int) []byte { return invalidState() })
 		s.dialFrom(t, nodes)
 		time.Sleep(settleTime)
@@ -126,7 +126,7 @@
 // Guards against waiting for a node that has no state as long as for an unresponsive one.
 func TestNextNodeIsQueriedAtOnceAfterEmptyAnswer(t *testing.T) {
 	const nodes = 10
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		s := startBootstrap(t, func(*Client, int) []byte { return nil })
 		s.dialFrom(t, nodes)
 		time.Sleep(answerPace.StallTimeout / 2)
@@ -157,7 +157,7 @@
 		}, 3},
 	} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			virtualtime.Test(t, func(t *testing.T) {
 				s := startBootstrap(t, func(queried *Client, nth int) []byte {
 					if nth < c.queries-1 {
 						return c.before(t, queried)
@@ -186,7 +186,7 @@
 		"with an invalid answer": {answer: rawFrame(frameState, invalidState()), size: 1000},
 	} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			virtualtime.Test(t, func(t *testing.T) {
 				s := startBootstrap(t, func(*Client, int) []byte { return validState })
 				busy := s.accept(t)
 				hello, err := encode(frameHello, 0, &Hello{})
@@ -221,7 +221,7 @@
 
 // Guards against forgetting a node that dials while another one is being queried.
 func TestNodeThatDialsLaterIsQueried(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		s := startBootstrap(t, func(_ *Client, nth int) []byte {
 			if nth == 0 {
 				return invalidState()
@@ -245,7 +245,7 @@
 
 // Guards against a node that is stopping and still queries others.
 func TestStoppingNodeSendsNoQueries(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		s := startBootstrap(t, func(*Client, int) []byte {
 			wait(t.Context(), pongTimeout/2)
 			return nil
@@ -263,7 +263,7 @@
 
 // Guards against a query that outlives its server.
 func TestQueriesEndWhenServerCloses(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		s := startBootstrap(t, func(*Client, int) []byte {
 			<-t.Context().Done()
 			return nil
--- a/internal/mesh/peer/dial_test.go
+++ b/internal/mesh/peer/dial_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -12,11 +11,12 @@
 
 	"github.com/limpetdock/limpetdock/internal/kind"
 	"github.com/limpetdock/limpetdock/internal/mesh"
+	"github.com/limpetdock/limpetdock/internal/virtualtime"
 )
 
 // Guards against a request that outlasts its deadline because it dials a connection.
 func TestDialDoesNotOutlastRequestDeadline(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		c := NewClient(mesh.Place{}, &loadRecorder{last: map[string]mesh.Load{}})
 		released := make(chan struct{})
 		c.dial = func(string) (net.Conn, error) {
@@ -37,7 +37,7 @@
 func TestDialTimeIsSubtractedFromRequestTimes(t *testing.T) {
 	const dial = 300 * time.Millisecond
 	sent := mesh.Request{Remaining: time.Second, ObjectiveRemaining: dial / 2, QueueTimeout: dial / 3}
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		var got *mesh.Request
 		c, _, stop := startSlowNode(t, func(_ context.Context, r *mesh.Request) *mesh.Answer {
 			got = r
--- a/internal/mesh/peer/slow_test.go
+++ b/internal/mesh/peer/slow_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/limpetdock/limpetdock/internal/kind"
 	"github.com/limpetdock/limpetdock/internal/mesh"
+	"github.com/limpetdock/limpetdock/internal/virtualtime"
 )
 
 // startSlowNode starts a node that answers with run, and a Client whose connections to it
@@ -63,7 +64,7 @@
 	}
 	for name, one := range cases {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			virtualtime.Test(t, func(t *testing.T) {
 				c, _, stop := startSlowNode(t, func(ctx context.Context, r *mesh.Request) *mesh.Answer {
 					wait(ctx, one.work)
 					return &mesh.Answer{Status: 200, Body: make([]byte, one.body+len(r.Body)-one.upload)}
@@ -89,7 +90,7 @@
 
 // Guards against outcome-unknown for requests that share a slow link with a large state.
 func TestAnswerMayBeQueuedBehindLargeState(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		s := NewServer(fakeHandler{func(context.Context, *mesh.Request) (*mesh.Answer, *kind.Error) {
 			return &mesh.Answer{Status: 200}, nil
 		}}, mesh.Place{})
@@ -113,7 +114,7 @@
 
 // Guards against an unresponsive connection that is kept because it accepts more requests.
 func TestUnresponsiveConnectionIsClosedWhileRequestsAreSent(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		c, _, stop := startSlowNode(t, emptyAnswer, func(outbound *wire) { outbound.lost.Store(true) })
 		ctx, cancel := context.WithCancel(t.Context())
 		var sent sync.WaitGroup
@@ -140,7 +141,7 @@
 
 // Guards against an upload that waits forever on a link that stopped in the middle.
 func TestStalledUploadTimesOut(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		var out *wire
 		c, _, stop := startSlowNode(t, emptyAnswer, func(outbound *wire) { out = outbound })
 		defer stop()
@@ -158,7 +159,7 @@
 // Guards against an answer that is dropped because its node stops while it is in transit.
 func TestAnswerInTransitIsDeliveredWhenNodeStops(t *testing.T) {
 	const size = 4 << 20
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		ran := make(chan struct{})
 		c, s, stop := startSlowNode(t, func(context.Context, *mesh.Request) *mesh.Answer {
 			defer close(ran)
@@ -179,7 +180,7 @@
 
 // Guards against a node that doesn't stop because another one is unresponsive.
 func TestStoppingNodeDoesNotWaitForStalledConnection(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		near, far := net.Pipe()
 		s := NewServer(fakeHandler{func(ctx context.Context, r *mesh.Request) (*mesh.Answer, *kind.Error) {
 			return emptyAnswer(ctx, r), nil
--- a/internal/mesh/peer/transit_test.go
+++ b/internal/mesh/peer/transit_test.go
@@ -6,13 +6,13 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/limpetdock/limpetdock/internal/kind"
 	"github.com/limpetdock/limpetdock/internal/mesh"
+	"github.com/limpetdock/limpetdock/internal/virtualtime"
 )
 
 // heldConn is a connection whose writes wait until a time.
@@ -28,7 +28,7 @@
 
 // Guards against requests that wait in a link and then run with the time that they had before.
 func TestTimeInALinkIsSubtractedFromRequestTimes(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		const (
 			timeout = 3 * time.Second
 			stalled = 400 * time.Millisecond
--- a/internal/mesh/peer/writer_test.go
+++ b/internal/mesh/peer/writer_test.go
@@ -5,16 +5,17 @@
 	"io"
 	"net"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/limpetdock/limpetdock/internal/virtualtime"
 )
 
 // Guards against closing a connection whose long queue is written slowly.
 func TestSlowQueueIsWrittenCompletely(t *testing.T) {
 	const frames, size = 10, 1 << 20
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		near, far, _ := slowLink(t)
 		w := newWriter(near)
 		for i := range frames {
@@ -31,7 +32,7 @@
 
 // Guards against memory that is held for a peer that no longer reads.
 func TestStalledQueueClosesConnection(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		near, far := net.Pipe()
 		w := newWriter(near)
 		require.NoError(t, w.send(make([]byte, 1<<20)))
--- a/internal/mesh/quarantine/tracker_test.go
+++ b/internal/mesh/quarantine/tracker_test.go
@@ -6,13 +6,13 @@
 	"math/rand/v2"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/limpetdock/limpetdock/internal/mesh/quarantine"
 	"github.com/limpetdock/limpetdock/internal/suspect"
+	"github.com/limpetdock/limpetdock/internal/virtualtime"
 )
 
 const crashing = 7
@@ -105,7 +105,7 @@
 		{18, 3, 2, 0}, {18, 3, 6, 30}, {83, 3, 10, 10}, {890, 3, 50, 10},
 	} {
 		t.Run(fmt.Sprint(c), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			virtualtime.Test(t, func(t *testing.T) {
 				n := newNetwork(t, c.size, c.regions, c.farClients, c.lossPercent)
 				n.nodes[0].Died(crashing, suspect.Death{ID: 1})
 				n.nodes[1].Died(crashing, suspect.Death{ID: 2, Alone: true})
@@ -121,7 +121,7 @@
 // Guards against a popular request that stays blocked or isolated at some nodes after it was
 // answered.
 func TestCompletionClearsEverywhere(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		n := newNetwork(t, 18, 3, 3, 10)
 		n.nodes[0].Died(crashing, suspect.Death{ID: 1})
 		time.Sleep(time.Second)
@@ -145,7 +145,7 @@
 
 // Guards against requests that stay blocked for good, and nodes that send messages for good.
 func TestBlockEndsAndNodesFallSilent(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		n := newNetwork(t, 18, 3, 3, 0)
 		n.nodes[0].Died(crashing, suspect.Death{ID: 1, Alone: true})
 		n.nodes[0].Died(crashing, suspect.Death{ID: 2, Alone: true})
@@ -165,7 +165,7 @@
 
 // Guards against nodes that go on sending a table often that no longer changes.
 func TestSettledTableIsSentRarely(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		n := newNetwork(t, 18, 3, 3, 0)
 		n.nodes[0].Died(crashing, suspect.Death{ID: 1, Alone: true})
 		n.nodes[0].Died(crashing, suspect.Death{ID: 2, Alone: true})
@@ -180,7 +180,7 @@
 
 // Guards against a request that stays on trial after it was answered.
 func TestCompletionOnTrialClearsEverywhere(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		n := newNetwork(t, 18, 3, 3, 0)
 		n.nodes[0].Died(crashing, suspect.Death{ID: 1, Alone: true})
 		n.nodes[0].Died(crashing, suspect.Death{ID: 2, Alone: true})
@@ -206,7 +206,7 @@
 
 // Guards against nodes that send all others a message for each exchange that breaks off.
 func TestUncertainDeathsSendNoMessagesAtOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		n := newNetwork(t, 83, 3, 10, 0)
 		const requests = 200
 		for i := range uint64(requests) {
--- a/internal/mesh/reader/bootstrap_test.go
+++ b/internal/mesh/reader/bootstrap_test.go
@@ -11,12 +11,13 @@
 
 	"github.com/limpetdock/limpetdock/internal/mesh"
 	"github.com/limpetdock/limpetdock/internal/place"
+	"github.com/limpetdock/limpetdock/internal/virtualtime"
 )
 
 // runBootstrap runs Bootstrap of a node that knows the addresses of peers.
 func runBootstrap(t *testing.T, a *fakeAsker, peers map[string]mesh.Peer, f func(s *fakeStore, f *Follower)) (known uint64, took time.Duration) {
 	s := &fakeStore{stored: 7}
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		follower := newFollower(s, a)
 		began := time.Now()
 		f(s, follower)
@@ -112,7 +113,7 @@
 		a.down[addr] = true
 	}
 	s := &fakeStore{stored: 7}
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		f := NewFollower(NewTable(order[1], mesh.Place{Zone: "rs-a"}, func() time.Duration { return 0 }), s, a, nil)
 		began := time.Now()
 		f.Bootstrap(t.Context(), peers)
--- a/internal/mesh/reader/follower_test.go
+++ b/internal/mesh/reader/follower_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/limpetdock/limpetdock/internal/mesh"
 	"github.com/limpetdock/limpetdock/internal/mesh/peer"
+	"github.com/limpetdock/limpetdock/internal/virtualtime"
 )
 
 // fakeStore is a node's copy of a store that has revision stored. Refresh copies it, unless
@@ -113,7 +114,7 @@
 }
 
 func runFollower(t *testing.T, s *fakeStore, a *fakeAsker, f func(f *Follower)) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		follower := newFollower(s, a)
 		ctx, cancel := context.WithCancel(t.Context())
 		go follower.Run(ctx)
--- a/internal/node/drainconn_test.go
+++ b/internal/node/drainconn_test.go
@@ -5,16 +5,17 @@
 	"net"
 	"net/http"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/limpetdock/limpetdock/internal/virtualtime"
 )
 
 // Guards against an eviction of a connection of which a request is being read: its sender
 // would get no answer, though the request may run.
 func TestEvictionSparesConnectionWhoseRequestIsBeingRead(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		near, far := net.Pipe()
 		defer func() { _ = near.Close() }()
 		conn := &drainConn{Conn: far, between: true}
--- a/internal/node/slow_test.go
+++ b/internal/node/slow_test.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/limpetdock/limpetdock/internal/virtualtime"
 )
 
 // oneConn is a listener that accepts one connection.
@@ -68,7 +70,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			virtualtime.Test(t, func(t *testing.T) {
 				c := &serverCounters{}
 				ended := make(chan error, 1)
 				near, end := serveOne(func(_ http.ResponseWriter, r *http.Request) {
@@ -124,7 +126,7 @@
 // booking may take longer than stallLimit, and its caller may reuse the connection
 // after a pause.
 func TestDeadlinesEndWithTheirReadOrWrite(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		c := &serverCounters{}
 		near, end := serveOne(func(w http.ResponseWriter, r *http.Request) {
 			_, err := io.ReadAll(r.Body)
@@ -166,7 +168,7 @@
 // hold the goroutine of the answer, the guard's slot and the connection to the
 // backend server.
 func TestStalledReaderIsDisconnected(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		c := &serverCounters{}
 		ended := make(chan error, 1)
 		near, end := serveOne(func(w http.ResponseWriter, _ *http.Request) {
@@ -187,7 +189,7 @@
 // written in a single call.
 func TestSlowReaderGetsAnswerWrittenInOneCall(t *testing.T) {
 	const size = 4 << 20
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		c := &serverCounters{}
 		near, end := serveOne(func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set("Content-Length", strconv.Itoa(size))
--- a/internal/platform/slow_test.go
+++ b/internal/platform/slow_test.go
@@ -10,10 +10,11 @@
 	"strings"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/limpetdock/limpetdock/internal/virtualtime"
 )
 
 // pipes is a listener and a dialer over net.Pipe, for use inside a synctest bubble.
@@ -86,7 +87,7 @@
 
 // withSlowLink calls f with a client whose platform is behind a slow link.
 func withSlowLink(t *testing.T, s *slowLink, f func(t *testing.T, c *HTTP)) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		p := &pipes{conns: make(chan net.Conn), closed: make(chan struct{})}
 		server := &http.Server{Handler: s}
 		go func() { _ = server.Serve(p) }()
--- a/internal/progress/pace_test.go
+++ b/internal/progress/pace_test.go
@@ -4,12 +4,12 @@
 	"io"
 	"slices"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/limpetdock/limpetdock/internal/progress"
+	"github.com/limpetdock/limpetdock/internal/virtualtime"
 )
 
 // Guards against a sender that keeps a transfer open indefinitely by sending a byte from time
@@ -28,7 +28,7 @@
 		{"no progress", pace.StallTimeout + time.Millisecond, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			virtualtime.Test(t, func(t *testing.T) {
 				ctx, w := progress.Watch(t.Context(), pace.StallTimeout)
 				defer w.Stop()
 				source := &pieces{ctx, slices.Repeat([]time.Duration{c.pause}, pieceCount)}
--- a/internal/progress/progress_test.go
+++ b/internal/progress/progress_test.go
@@ -4,12 +4,12 @@
 	"context"
 	"io"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/limpetdock/limpetdock/internal/progress"
+	"github.com/limpetdock/limpetdock/internal/virtualtime"
 )
 
 // pieces is a reader that returns a byte after each pause, then waits for ctx.
@@ -46,7 +46,7 @@
 		{"a piece is late", []time.Duration{slow, timeout + time.Millisecond, slow}, 1},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			virtualtime.Test(t, func(t *testing.T) {
 				ctx, w := progress.Watch(t.Context(), timeout)
 				defer w.Stop()
 				text, err := io.ReadAll(w.Reader(&pieces{ctx, c.pauses}, timeout))
@@ -58,7 +58,7 @@
 }
 
 func TestStoppedWatchdogDoesNotReportAStall(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		ctx, w := progress.Watch(t.Context(), time.Second)
 		w.Stop()
 		time.Sleep(time.Minute)
--- a/internal/stall/writer_test.go
+++ b/internal/stall/writer_test.go
@@ -6,19 +6,19 @@
 	"net"
 	"os"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/limpetdock/limpetdock/internal/stall"
+	"github.com/limpetdock/limpetdock/internal/virtualtime"
 )
 
 const timeout = 3 * time.Second
 
 // Guards against a long write that fails although the peer continues to read.
 func TestLongWriteWithProgressCompletes(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		near, far := net.Pipe()
 		failed := make(chan error, 1)
 		go func() {
@@ -38,7 +38,7 @@
 
 // Guards against a write that never returns because the peer has stopped reading.
 func TestWriteWithoutProgressFails(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		near, far := net.Pipe()
 		go func() { _, _ = io.CopyN(io.Discard, far, 100) }()
 		n, err := stall.NewWriter(near, timeout).WriteBuffers(net.Buffers{make([]byte, 50), make([]byte, 100)})
--- a/internal/suspect/isolation_test.go
+++ b/internal/suspect/isolation_test.go
@@ -7,12 +7,14 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/limpetdock/limpetdock/internal/virtualtime"
 )
 
 // A suspect waits until the requests in flight have ended, and later requests wait for
 // the suspect. Otherwise several requests could again have caused a crash.
 func TestSuspectRunsAlone(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		var i Isolation
 		ctx := t.Context()
 		require.True(t, i.join(ctx))
@@ -42,7 +44,7 @@
 
 // A suspect that never ends must not block its target for all other requests.
 func TestSuspectIsolationIsBounded(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		var i Isolation
 		v, ok := i.enterAlone(t.Context())
 		require.True(t, ok)
@@ -58,7 +60,7 @@
 
 // A suspect whose deadline passes while it waits must stop blocking the others.
 func TestExpiredSuspectUnblocksOthers(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		var i Isolation
 		require.True(t, i.join(t.Context()))
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
@@ -72,7 +74,7 @@
 // A suspect that exceeds maxIsolation continues alongside other requests. If the
 // server dies then, the cause can't be determined.
 func TestSuspectPastIsolationLimitIsNotAlone(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		var i Isolation
 		v, ok := i.Enter(t.Context(), true)
 		require.True(t, ok)
