A connection belongs to the next process only if it was begun after the death

A connection that was open before a process died, but whose record began later (a loaded node), was taken for one to the next process. A request sent on it then counted as in flight at another death. What counts now is when the node began to open it, in both paths (internal/death). TestConnectionThatWasBeingOpenedLeadsToDeadProcess failed before (the connection wasn't stale).

--- a/internal/death/conn.go
+++ b/internal/death/conn.go
@@ -2,6 +2,23 @@
 
 import "time"
 
+// Opening is a connection that is being opened.
+type Opening struct {
+	detector   *Detector
+	generation Generation
+	startedAt  time.Time
+}
+
+// Opened records that the connection is open now.
+func (o Opening) Opened() *Conn {
+	d := o.detector
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c := &Conn{detector: d, closed: make(chan struct{}), generation: o.generation, startedAt: o.startedAt, openedAt: time.Now()}
+	d.open[c] = struct{}{}
+	return c
+}
+
 // Conn is the record of a connection.
 type Conn struct {
 	detector *Detector
@@ -9,7 +26,9 @@
 	closed chan struct{}
 	// The mutex of the Detector protects the fields below.
 	generation Generation
-	openedAt   time.Time
+	// startedAt is when the node began to open the connection, and openedAt when it knew that it is open. The
+	// process at the other end accepted it in between.
+	startedAt, openedAt time.Time
 	// endedAt is when the other side ended the connection, or zero.
 	endedAt time.Time
 	// busy is true while an exchange is in progress.
--- a/internal/death/detector.go
+++ b/internal/death/detector.go
@@ -61,14 +61,9 @@
 	return d.generation
 }
 
-// Opened records a connection that is open now. generation is the one that was present before it was
-// opened.
-func (d *Detector) Opened(generation Generation) *Conn {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	c := &Conn{detector: d, closed: make(chan struct{}), generation: generation, openedAt: time.Now()}
-	d.open[c] = struct{}{}
-	return c
+// Opening records that a connection is being opened from now on.
+func (d *Detector) Opening() Opening {
+	return Opening{detector: d, generation: d.Generation(), startedAt: time.Now()}
 }
 
 // forgetEnded drops connections that ended longer than settleTime before now. The mutex must be held.
@@ -139,7 +134,7 @@
 	d.generation++
 	d.answered = false
 	for other := range d.open {
-		if other.openedAt.After(diedBy) {
+		if other.startedAt.After(diedBy) {
 			// It was opened to the next process before the death was noticed.
 			other.generation = d.generation
 		}
--- a/internal/death/detector_test.go
+++ b/internal/death/detector_test.go
@@ -44,7 +44,7 @@
 func answered(t *testing.T, addr string) (*death.Detector, *death.Conn) {
 	t.Helper()
 	d := death.NewDetector(addr)
-	c := d.Opened(d.Generation())
+	c := d.Opening().Opened()
 	c.Answered()
 	return d, c
 }
@@ -52,7 +52,7 @@
 // Guards against the death of a process that is hidden by a proxy that goes on listening.
 func TestEndOfAllConnectionsProvesDeath(t *testing.T) {
 	d, c := answered(t, listen(t, false))
-	idle, inFlight := d.Opened(0), d.Opened(0)
+	idle, inFlight := d.Opening().Opened(), d.Opening().Opened()
 	idle.EndedByPeer()
 	c.EndedByPeer()
 	time.AfterFunc(5*time.Millisecond, inFlight.EndedByPeer)
@@ -66,7 +66,7 @@
 // Guards against a server that is taken for dead as one of its connections was reset.
 func TestOtherConnectionsThatContinueProveNoDeath(t *testing.T) {
 	d, c := answered(t, listen(t, true))
-	other := d.Opened(0)
+	other := d.Opening().Opened()
 	other.SetBusy(true)
 	c.EndedByPeer()
 	finding := d.Investigate(t.Context(), c)
@@ -78,7 +78,7 @@
 // Guards against a server that is taken for dead as the node itself closed its other connections.
 func TestConnectionsThatNodeClosesProveNothing(t *testing.T) {
 	d, c := answered(t, listen(t, false))
-	other := d.Opened(0)
+	other := d.Opening().Opened()
 	c.EndedByPeer()
 	other.Closed()
 	require.Equal(t, death.Accepts, d.Investigate(t.Context(), c))
@@ -94,7 +94,7 @@
 // Guards against requests that are blamed for the death of a server that they never reached.
 func TestServerThatNeverAnsweredIsNotBlamedOnRequests(t *testing.T) {
 	d := death.NewDetector(listen(t, true))
-	first, second := d.Opened(0), d.Opened(0)
+	first, second := d.Opening().Opened(), d.Opening().Opened()
 	first.EndedByPeer()
 	second.EndedByPeer()
 	finding := d.Investigate(t.Context(), first)
@@ -106,11 +106,11 @@
 // Guards against a quick restart that hides a death, as connections to the next process are open already.
 func TestConnectionToNextProcessHidesNoDeath(t *testing.T) {
 	d, c := answered(t, listen(t, false))
-	idle := d.Opened(0)
+	idle := d.Opening().Opened()
 	time.Sleep(time.Millisecond)
 	idle.EndedByPeer()
 	time.Sleep(time.Millisecond)
-	next := d.Opened(0)
+	next := d.Opening().Opened()
 	c.EndedByPeer()
 	require.Equal(t, death.AllEnded, d.Investigate(t.Context(), c))
 	require.False(t, next.Stale(), "it leads to the next process")
@@ -123,7 +123,7 @@
 	require.NoError(t, err)
 	require.NoError(t, l.Close())
 	d := death.NewDetector(l.Addr().String())
-	c := d.Opened(0)
+	c := d.Opening().Opened()
 	c.EndedByPeer()
 	require.Equal(t, death.Refused, d.Investigate(t.Context(), c))
 }
@@ -134,7 +134,7 @@
 	require.NoError(t, err)
 	require.NoError(t, l.Close())
 	d, c := answered(t, l.Addr().String())
-	d.Opened(0)
+	d.Opening().Opened()
 	c.EndedByPeer()
 	require.Equal(t, death.Refused, d.Investigate(t.Context(), c))
 }
@@ -142,7 +142,7 @@
 // Guards against a server that is taken for dead as its listener closes connections beyond its limit.
 func TestIdleConnectionsThatContinueProveNoDeath(t *testing.T) {
 	d, c := answered(t, listen(t, true))
-	d.Opened(0)
+	d.Opening().Opened()
 	c.EndedByPeer()
 	require.Equal(t, death.OthersContinue, d.Investigate(t.Context(), c))
 }
@@ -152,7 +152,22 @@
 	d, first := answered(t, listen(t, false))
 	first.EndedByPeer()
 	time.Sleep(time.Millisecond)
-	second := d.Opened(0)
+	second := d.Opening().Opened()
 	second.EndedByPeer()
 	require.Equal(t, death.Accepts, d.Investigate(t.Context(), second))
 }
+
+// Guards against one death that is counted twice, as a connection to the dead process is recorded late.
+func TestConnectionThatWasBeingOpenedLeadsToDeadProcess(t *testing.T) {
+	d, c := answered(t, listen(t, false))
+	idle, opening := d.Opening().Opened(), d.Opening()
+	time.Sleep(time.Millisecond)
+	idle.EndedByPeer()
+	c.EndedByPeer()
+	time.Sleep(time.Millisecond)
+	late := opening.Opened()
+	require.Equal(t, death.AllEnded, d.Investigate(t.Context(), c))
+	require.True(t, late.Stale())
+	require.Equal(t, death.Noticed, d.Investigate(t.Context(), late))
+	require.EqualValues(t, 1, d.Generation())
+}
--- a/internal/guard/cancel_test.go
+++ b/internal/guard/cancel_test.go
@@ -17,7 +17,7 @@
 	// Nothing listens there: a probe reports a death.
 	g := New(&url.URL{Scheme: "http", Host: "127.0.0.1:1"}, 1, nil)
 	ctx, cancel := context.WithCancel(t.Context())
-	sent := &permit{sent: true, conn: g.detector.Opened(0)}
+	sent := &permit{sent: true, conn: g.detector.Opening().Opened()}
 	require.Equal(t, kind.BackendDied, g.connectionError(sent, context.Canceled).Kind)
 	cancel()
 	e := g.backendError(ctx, sent, execution{}, context.Canceled)
--- a/internal/guard/conn.go
+++ b/internal/guard/conn.go
@@ -136,17 +136,15 @@
 	c.permit = p
 }
 
-// dialWatched opens a connection whose writes are controlled by permits. The generation is
-// read before the connection is opened, so the process that accepts it can't have
-// ended earlier.
+// dialWatched opens a connection whose writes are controlled by permits.
 func dialWatched(ctx context.Context, d *death.Detector, network, addr string) (net.Conn, error) {
-	generation := d.Generation()
+	opening := d.Opening()
 	var dialer net.Dialer
 	conn, err := dialer.DialContext(ctx, network, addr)
 	if err != nil {
 		return nil, err
 	}
-	return &backendConn{Conn: conn, watch: d.Opened(generation)}, nil
+	return &backendConn{Conn: conn, watch: opening.Opened()}, nil
 }
 
 // withPermit makes the transport set the request's permit on the connection it uses,
--- a/internal/mesh/exchange/pool.go
+++ b/internal/mesh/exchange/pool.go
@@ -198,13 +198,13 @@
 
 func (c *Client) dial(ctx context.Context) (*conn, error) {
 	d := net.Dialer{Timeout: dialTimeout, Control: sockopt.UserTimeout(userTimeout)}
-	generation := c.detector.Generation()
+	opening := c.detector.Opening()
 	raw, err := d.DialContext(ctx, "tcp", c.addr)
 	if err != nil {
 		return nil, eris.Wrap(err, "open connection to backend server")
 	}
 	c.opened.Add(1)
-	return newConn(raw, c.names, c.detector.Opened(generation)), nil
+	return newConn(raw, c.names, opening.Opened()), nil
 }
 
 // Close closes the idle connections.
