A death is found only once the process has stopped listening

What callers saw: beside heavy load, a read that crashes nothing got 502 backend-died, and once was blocked for all callers (503), on the own interface. Cause, traced in two failing runs of TestRequestThatCrashesBackendServersIsBlocked: a process that ends closes its connections first and its listener last. The detector found the death by the connections, the next read was let in 0.2 ms later, connected, and broke off 2 ms after. As the death before was concluded already, that counted as another one, with the read alone: one death, two ids. Class: one event counted twice. Change (internal/death, both paths): where the ends of connections prove a death, the detector also looks at the listener before it concludes; and only where that keeps a connection open, open connections are taken for ones to the next process. TestDeathIsFoundAfterProcessStoppedListening and TestConnectionAcceptedByEndingProcessIsStale failed before.

--- a/internal/death/detector.go
+++ b/internal/death/detector.go
@@ -61,7 +61,8 @@
 	return d.generation
 }
 
-// Opening records that a connection is being opened from now on.
+// Opening records that a connection is being opened from now on, to the process of the present generation or of a
+// later one.
 func (d *Detector) Opening() Opening {
 	return Opening{detector: d, generation: d.Generation(), startedAt: time.Now()}
 }
@@ -80,22 +81,31 @@
 		return Noticed
 	}
 	others := d.others(c)
-	finding := d.examineOthers(ctx, others)
+	finding, listener := d.examineOthers(ctx, others), none
 	// New connections are expensive for a loaded server, so they are the last resort.
 	switch finding {
 	case none:
-		finding = d.examineListener(ctx)
+		listener = d.examineListener(ctx)
+		finding = listener
 	case idleContinue:
 		// The end of idle connections may become visible late.
 		finding = OthersContinue
-		if d.examineListener(ctx) == Refused {
+		listener = d.examineListener(ctx)
+		if listener == Refused {
 			finding = Refused
 		}
+	case AllEnded:
+		// A process that ends accepts connections until its listener is closed, which may be last. A
+		// request sent on one would seem to be in flight at another death.
+		listener = d.examineListener(ctx)
 	}
 	if finding == ClosesNew && !d.hasAnswered() {
 		return Unanswered
 	}
-	return d.conclude(c, finding, others.diedBy)
+	if listener == Accepts {
+		return d.conclude(c, finding, others.diedBy)
+	}
+	return d.conclude(c, finding, noNextProcess())
 }
 
 // InvestigateBehindIntermediary finds out whether the process has died when an intermediary answered an
@@ -110,7 +120,7 @@
 	case !d.hasAnswered():
 		return Unanswered
 	}
-	return d.conclude(c, Unserved, time.Now())
+	return d.conclude(c, Unserved, noNextProcess())
 }
 
 // hasAnswered reports whether the process of the present generation has answered anything. What listens
@@ -121,8 +131,12 @@
 	return d.answered
 }
 
-// conclude records a death that is proven, at diedBy at the latest, and returns the finding.
-func (d *Detector) conclude(c *Conn, finding Finding, diedBy time.Time) Finding {
+// noNextProcess returns the time from which connections may lead to the next process if none does yet.
+func noNextProcess() time.Time { return time.Now() }
+
+// conclude records a death that is proven and returns the finding. Connections that were begun after nextFrom
+// lead to the next process.
+func (d *Detector) conclude(c *Conn, finding Finding, nextFrom time.Time) Finding {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	switch {
@@ -134,8 +148,8 @@
 	d.generation++
 	d.answered = false
 	for other := range d.open {
-		if other.startedAt.After(diedBy) {
-			// It was opened to the next process before the death was noticed.
+		if other.startedAt.After(nextFrom) {
+			// It was opened before the death was noticed.
 			other.generation = d.generation
 		}
 	}
--- a/internal/death/detector_test.go
+++ b/internal/death/detector_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -119,10 +120,7 @@
 
 // Guards against a death that goes unseen though nothing listens any more.
 func TestRefusedConnectionProvesDeath(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	require.NoError(t, l.Close())
-	d := death.NewDetector(l.Addr().String())
+	d := death.NewDetector(refuse(t))
 	c := d.Opening().Opened()
 	c.EndedByPeer()
 	require.Equal(t, death.Refused, d.Investigate(t.Context(), c))
@@ -130,10 +128,7 @@
 
 // Guards against a death that goes unseen as the end of idle connections becomes visible late.
 func TestIdleConnectionsHideNoDeath(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	require.NoError(t, l.Close())
-	d, c := answered(t, l.Addr().String())
+	d, c := answered(t, refuse(t))
 	d.Opening().Opened()
 	c.EndedByPeer()
 	require.Equal(t, death.Refused, d.Investigate(t.Context(), c))
@@ -171,3 +166,45 @@
 	require.Equal(t, death.Noticed, d.Investigate(t.Context(), late))
 	require.EqualValues(t, 1, d.Generation())
 }
+
+// Guards against one death that is counted twice, as the process goes on accepting connections while it ends.
+func TestDeathIsFoundAfterProcessStoppedListening(t *testing.T) {
+	const closedAfter = 5 * time.Millisecond
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	d, c := answered(t, l.Addr().String())
+	idle := d.Opening().Opened()
+	idle.EndedByPeer()
+	c.EndedByPeer()
+	time.AfterFunc(closedAfter, func() { _ = l.Close() })
+	require.Equal(t, death.AllEnded, d.Investigate(t.Context(), c))
+	_, err = net.Dial("tcp", l.Addr().String())
+	require.ErrorIs(t, err, syscall.ECONNREFUSED)
+}
+
+// Guards against one death that is counted twice, as a connection that the process accepted while it ended is
+// taken for one to the next process.
+func TestConnectionAcceptedByEndingProcessIsStale(t *testing.T) {
+	for name, addr := range map[string]string{"refuses": refuse(t), "closes new": listen(t, true)} {
+		t.Run(name, func(t *testing.T) {
+			d, c := answered(t, addr)
+			idle := d.Opening().Opened()
+			time.Sleep(time.Millisecond)
+			idle.EndedByPeer()
+			time.Sleep(time.Millisecond)
+			accepted := d.Opening().Opened()
+			c.EndedByPeer()
+			require.Equal(t, death.AllEnded, d.Investigate(t.Context(), c))
+			require.True(t, accepted.Stale())
+		})
+	}
+}
+
+// refuse returns an address at which nothing listens.
+func refuse(t *testing.T) (addr string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, l.Close())
+	return l.Addr().String()
+}
