--- a/internal/virtualtime/virtualtime.go
+++ b/internal/virtualtime/virtualtime.go
@@ -1,4 +1,5 @@
-// Package virtualtime runs tests in virtual time (testing/synctest), with the race detector too.
+// Package virtualtime runs tests in virtual time (testing/synctest), with the race detector too. Tests of a
+// single guard use synctest itself: their goroutines call each other without a pause, which is slow on one processor.
 package virtualtime
 
 import (
