A request that waits at the stop limit doesn't get the slot of one that is ended before it

Cause: a stop ends the contexts of the requests one after the other. The request that ran releases its slot as soon as its own context ends; the waiting one, whose context ends later (a booking's by a function of its own goroutine), gets that slot, is sent and is then ended, so its outcome is unknown. Ruled out: a context without the cause of the stop, as then the kind would be deadline-unknown.

The guard now admits nothing once the stop limit has passed, before the first context ends.

--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -37,6 +37,8 @@
 	view        pick.Current
 	fence       fence
 	leaving     atomic.Bool
+	// startsEnded is true once no more requests may start, see EndStarts.
+	startsEnded atomic.Bool
 	mu          sync.Mutex
 	attempts    *attempt.Table
 	// vm and addr are the VM's own name and address, or empty.
@@ -108,6 +110,11 @@
 // SetLeaving makes the guard refuse new requests, or accept them again.
 func (g *Guard) SetLeaving(leaving bool) { g.leaving.Store(leaving) }
 
+// EndStarts makes the guard refuse all requests that haven't started. A stopping node calls it
+// before it ends the contexts of requests one after the other: the first ones release their slots
+// while those that wait for a slot still look as if they may run.
+func (g *Guard) EndStarts() { g.startsEnded.Store(true) }
+
 // Tick returns the guard's coarse tick.
 func (g *Guard) Tick() uint64 { return attempt.Tick(g.now()) }
 
--- a/internal/guard/isolate.go
+++ b/internal/guard/isolate.go
@@ -40,6 +40,10 @@
 		slot.Release()
 		g.active.end()
 	}
+	if g.startsEnded.Load() {
+		leave()
+		return execution{}, leavingAtStop()
+	}
 	return execution{leave: leave, alone: v.Alone}, nil
 }
 
@@ -49,11 +53,15 @@
 	if !stopping.Ended(ctx) {
 		return e
 	}
-	left := kind.New(kind.Leaving, "the node stops before the request can run").WithCause(e)
+	left := leavingAtStop().WithCause(e)
 	left.Outcome = e.Outcome
 	return left
 }
 
+func leavingAtStop() *kind.Error {
+	return kind.New(kind.Leaving, "the node stops before the request can run")
+}
+
 func errDeadlineInQueue() *kind.Error {
 	return kind.New(kind.DeadlineNotRun, "the deadline passed in the backend server's queue")
 }
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -33,13 +33,13 @@
 	p.drainConnections()
 	limit, cancel := context.WithTimeout(context.Background(), stopLimit(p.Settings.StopLimit, p.Entry.View()))
 	defer cancel()
-	if err := p.Servers.callers.shutdown(limit, p.Servers.endRequests); err != nil {
+	if err := p.Servers.callers.shutdown(limit, p.endRequests); err != nil {
 		p.Log.Error(err, "callers cut off at the stop limit")
 	}
 	p.Entry.WaitHedges(limit)
 	p.waitForRuns(limit)
 	p.transferKeys()
-	if err := p.Servers.guard.shutdown(limit, p.Servers.endRequests); err != nil {
+	if err := p.Servers.guard.shutdown(limit, p.endRequests); err != nil {
 		p.Log.Error(err, "entries cut off at the stop limit")
 	}
 	p.logEnded()
@@ -53,6 +53,13 @@
 	p.Log.Info("stopped")
 }
 
+// endRequests ends the requests in flight. Those that haven't started must not take the slots that
+// the others release.
+func (p params) endRequests() {
+	p.Guard.EndStarts()
+	p.Servers.endRequests()
+}
+
 // logEnded logs how many requests were ended at the stop limit.
 func (p params) logEnded() {
 	callers, entries := p.Servers.callers.endedRequests.Load(), p.Servers.guard.endedRequests.Load()
