Features that a configuration calls for: overload and link scheduling, and what they carry between nodes

Settings [overload] and [link], mesh.View.OverloadScheduling and LinkScheduling, an extension of frames that versions without it ignore and that takes no bytes while it is empty. No decision uses these yet.

--- a/internal/mesh/config.go
+++ b/internal/mesh/config.go
@@ -22,6 +22,8 @@
 	Limits   Limits
 	// hosts maps a lower-case host to its routes, longest prefix first.
 	hosts map[string][]*Route
+	// urgent and bulk are whether a route is urgent or has large answers.
+	urgent, bulk bool
 }
 
 // Service is the configuration of one service.
@@ -52,6 +54,8 @@
 	Shares []Share
 	// Idempotent is true if requests may run more than once; others run at most once.
 	Idempotent bool
+	// Bulk is true if answers are large.
+	Bulk bool
 	// Timeout is the longest time that a caller waits for an answer. LatencyObjective is the
 	// time within which answers should arrive; a later one is of little use to the caller.
 	Timeout, LatencyObjective time.Duration
@@ -93,6 +97,8 @@
 	for _, r := range routes {
 		host := strings.ToLower(r.Host)
 		c.hosts[host] = append(c.hosts[host], r)
+		c.urgent = c.urgent || r.Urgent()
+		c.bulk = c.bulk || r.Bulk
 	}
 	for _, list := range c.hosts {
 		slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
--- a/internal/mesh/message.go
+++ b/internal/mesh/message.go
@@ -40,6 +40,8 @@
 	BaseServiceTime time.Duration
 	// Suspected is true if the sender knows that the request may crash the backend server.
 	Suspected bool
+	// Nested is true if the sender takes the request for a call that a running request makes.
+	Nested bool
 	// Confirm asks the entry whether the request may still run, right before it is sent to the
 	// backend server; an error means that it must not be sent. It is nil if no confirmation is
 	// needed.
@@ -85,6 +87,8 @@
 	BaseServiceTime time.Duration
 	// Calls are those that the backend server has made for the request, as far as is known.
 	Calls Calls
+	// CallsFailed is true if calls that it has made failed for lack of room or time.
+	CallsFailed bool
 }
 
 // Load is the load of a backend server, as counted by the guard beside it.
@@ -110,4 +114,12 @@
 	Revision uint64
 	// ReadsStore is true if the node reads the store itself and the store answers.
 	ReadsStore bool `json:"Reading"`
+	// CallsTo is the service to which the nested calls of the backend server succeed least often,
+	// and CallSuccess the share that succeeds; CallsTo is empty if all do.
+	CallsTo     string
+	CallSuccess float64
+	// LinkRate is the rate of the VM's link in bytes per second, and LinkBacklog the time that it
+	// needs for the bytes that wait for it. LinkRate is 0 unless the node schedules its link.
+	LinkRate    float64
+	LinkBacklog time.Duration
 }
--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -124,6 +124,7 @@
 	state := directory.New(s.Here, s.Backend, s.Regions, s.PeersPort())
 	var first sync.Once
 	return directory.NewLoop(state, log, now, func(v *mesh.View) {
+		v.SetFeatures(s.Features)
 		first.Do(func() { runs.ExpectEarlierRuns(v.Config.LongestTimeout()) })
 		r.setView(v)
 		readers.SetView(v)
--- a/internal/mesh/peer/client.go
+++ b/internal/mesh/peer/client.go
@@ -102,7 +102,7 @@
 	body := fromRequest(r)
 	body.Confirm = s.needsConfirm
 	body.SentMs = c.sentMs()
-	frame, err := encode(frameRequest, streamID, body)
+	frame, err := encodeExtended(frameRequest, streamID, body, extension{Nested: r.Nested})
 	if err != nil {
 		return nil, kind.New(kind.BadRequest, "the request can't be forwarded").WithCause(err)
 	}
--- a/internal/mesh/peer/frame.go
+++ b/internal/mesh/peer/frame.go
@@ -242,6 +242,11 @@
 
 // encode returns a frame. A nil body is encoded as no bytes.
 func encode(t frameType, stream uint32, body any) ([]byte, error) {
+	return encodeExtended(t, stream, body, extension{})
+}
+
+// encodeExtended returns a frame with an extension.
+func encodeExtended(t frameType, stream uint32, body any, x extension) ([]byte, error) {
 	var buf bytes.Buffer
 	buf.Write(make([]byte, prefixSize))
 	if body != nil {
@@ -252,6 +257,9 @@
 		if err := e.Encode(body); err != nil {
 			return nil, eris.Wrap(err, "encode frame")
 		}
+		if err := x.appendTo(&buf); err != nil {
+			return nil, err
+		}
 	}
 	frame := buf.Bytes()
 	setPrefix(frame, t, stream)
--- a/internal/mesh/peer/link.go
+++ b/internal/mesh/peer/link.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/rotisserie/eris"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/limpetdock/limpetdock/internal/kind"
 	"github.com/limpetdock/limpetdock/internal/mesh"
@@ -116,11 +115,11 @@
 }
 
 // handleLoad handles a load report of the peer.
-func (l *link) handleLoad(b loadBody) {
+func (l *link) handleLoad(b loadBody, x extension) {
 	l.mu.Lock()
 	l.confirms = b.Confirms
 	l.mu.Unlock()
-	l.client.listener.Reported(l.key.addr, b.load())
+	l.client.listener.Reported(l.key.addr, x.load(b))
 }
 
 // openStream starts a request. One that must not run twice needs confirmation: if the
@@ -241,24 +240,29 @@
 	switch t {
 	case frameAnswer:
 		var a answerBody
-		if msgpack.Unmarshal(body, &a) != nil {
+		x, err := decodeBody(body, &a)
+		if err != nil {
 			return false
 		}
-		l.handleLoad(a.Load)
-		l.endStream(streamID, result{answer: a.answer()})
+		l.handleLoad(a.Load, x)
+		answer := a.answer()
+		answer.CallsFailed = x.CallsFailed
+		l.endStream(streamID, result{answer: answer})
 	case frameRefusal:
 		var r refusalBody
-		if msgpack.Unmarshal(body, &r) != nil {
+		x, err := decodeBody(body, &r)
+		if err != nil {
 			return false
 		}
-		l.handleLoad(r.Load)
+		l.handleLoad(r.Load, x)
 		l.endStream(streamID, result{err: r.error()})
 	case frameLoad:
 		var b loadBody
-		if msgpack.Unmarshal(body, &b) != nil {
+		x, err := decodeBody(body, &b)
+		if err != nil {
 			return false
 		}
-		l.handleLoad(b)
+		l.handleLoad(b, x)
 	case frameReady:
 		return l.proceed(w, streamID)
 	case frameStateQuery:
--- a/internal/mesh/peer/server.go
+++ b/internal/mesh/peer/server.go
@@ -104,7 +104,8 @@
 	s.add(conn)
 	defer s.remove(conn)
 	// The client has to know that this node confirms before a request is on its way for long.
-	conn.sendFrame(frameLoad, 0, fromLoad(s.handler.Load()))
+	load := s.handler.Load()
+	conn.sendExtended(frameLoad, 0, fromLoad(load), loadExtension(load))
 	conn.sendInitialSuspects()
 	var queries sync.WaitGroup
 	defer queries.Wait()
@@ -146,10 +147,11 @@
 	switch t {
 	case frameRequest:
 		var r requestBody
-		if msgpack.Unmarshal(body, &r) != nil {
+		x, err := decodeBody(body, &r)
+		if err != nil {
 			return false
 		}
-		c.startRequest(ctx, stream, &r)
+		c.startRequest(ctx, stream, &r, x)
 	case frameCancel:
 		c.mu.Lock()
 		cancel := c.running[stream]
@@ -171,9 +173,10 @@
 	return true
 }
 
-func (c *serverConn) startRequest(ctx context.Context, stream uint32, body *requestBody) {
+func (c *serverConn) startRequest(ctx context.Context, stream uint32, body *requestBody, x extension) {
 	c.server.noteRequest(c.hello.VM)
 	r := subtractElapsed(body.request(), c.transitDelay(body.SentMs))
+	r.Nested = x.Nested
 	if body.Confirm {
 		r.Confirm = func(ctx context.Context) error { return c.confirm(ctx, stream) }
 	}
@@ -190,16 +193,22 @@
 		}()
 		answer, e := c.server.handler.Run(ctx, r)
 		load := c.server.handler.Load()
+		x := loadExtension(load)
 		if e != nil {
-			c.sendFrame(frameRefusal, stream, fromError(e, load))
+			c.sendExtended(frameRefusal, stream, fromError(e, load), x)
 			return
 		}
-		c.sendFrame(frameAnswer, stream, fromAnswer(answer, load))
+		x.CallsFailed = answer.CallsFailed
+		c.sendExtended(frameAnswer, stream, fromAnswer(answer, load), x)
 	}()
 }
 
 func (c *serverConn) sendFrame(t frameType, stream uint32, body any) bool {
-	frame, err := encode(t, stream, body)
+	return c.sendExtended(t, stream, body, extension{})
+}
+
+func (c *serverConn) sendExtended(t frameType, stream uint32, body any, x extension) bool {
+	frame, err := encodeExtended(t, stream, body, x)
 	if err != nil {
 		return false
 	}
@@ -266,7 +275,7 @@
 
 // SendLoad sends a load report to the nodes in scope.
 func (s *Server) SendLoad(l mesh.Load, scope Scope) {
-	frame, err := encode(frameLoad, 0, fromLoad(l))
+	frame, err := encodeExtended(frameLoad, 0, fromLoad(l), loadExtension(l))
 	if err != nil {
 		return
 	}
--- a/internal/mesh/settings/settings.go
+++ b/internal/mesh/settings/settings.go
@@ -35,6 +35,8 @@
 	Repeats entry.Repeats
 	// ColdStart bounds the requests to a backend server that has just started.
 	ColdStart coldstart.Policy
+	// Features are the settings of features that a configuration can call for.
+	Features mesh.Features
 	// StopGrace is the time between the stop signal and the kill of the process.
 	StopGrace time.Duration
 	// Tunable are the settings that may change while a node runs.
@@ -58,6 +60,16 @@
 	LogLevel int
 }
 
+// bytesPerMegabit is the number of bytes in a megabit.
+const bytesPerMegabit = 1e6 / 8
+
+// The names of the modes of a feature.
+const (
+	modeAuto = "auto"
+	modeOn   = "on"
+	modeOff  = "off"
+)
+
 const (
 	// minFill is the smallest useful share of slots.
 	minFill = 0.1
@@ -82,6 +94,9 @@
 	inifile.Optional("repeats", "window-seconds", "10", "seconds, from 1 to 3600", number(1, 3600, func(s *Settings, v float64) { s.Repeats.Window = seconds(v) })),
 	inifile.Optional("cold-start", "ratio", "1", "requests to a cold backend server for each that it tolerates, from 0.1 to 100", number(0.1, 100, func(s *Settings, v float64) { s.ColdStart.Ratio = v })),
 	inifile.Optional("cold-start", "slack", "0", "additional requests to a cold backend server in any second, from 0 to 1e6", number(0, 1e6, func(s *Settings, v float64) { s.ColdStart.Slack = v })),
+	inifile.Optional("overload", "scheduling", modeAuto, "auto, on or off", mode(func(s *Settings) *mesh.Mode { return &s.Features.Overload })),
+	inifile.Optional("link", "scheduling", modeAuto, "auto, on or off", mode(func(s *Settings) *mesh.Mode { return &s.Features.Links })),
+	inifile.Optional("link", "rate-mbps", "0", "megabits per second, from 0 (unknown) to 1e6", number(0, 1e6, func(s *Settings, v float64) { s.Features.LinkRate = v * bytesPerMegabit })),
 	inifile.Optional("stop", "grace-seconds", "6", "seconds, from 1 to 600", number(1, 600, func(s *Settings, v float64) { s.StopGrace = seconds(v) })),
 	inifile.Optional("routing", "zone-price", "10ms", "a duration for each kilobyte that leaves the zone", duration(func(s *Settings) *time.Duration { return &s.Tunable.Prices.ZonePerKB })),
 	inifile.Optional("routing", "region-price", "80ms", "a duration for each kilobyte that leaves the region", duration(func(s *Settings) *time.Duration { return &s.Tunable.Prices.RegionPerKB })),
@@ -183,6 +198,17 @@
 	return number(minFill, 1, func(s *Settings, v float64) { s.Tunable.Fill = v })(s, v)
 }
 
+func mode(at func(*Settings) *mesh.Mode) func(*Settings, string) error {
+	return func(s *Settings, v string) error {
+		m, known := map[string]mesh.Mode{modeAuto: mesh.ModeAuto, modeOn: mesh.ModeOn, modeOff: mesh.ModeOff}[v]
+		if !known {
+			return eris.Errorf("%q is neither auto nor on nor off", v)
+		}
+		*at(s) = m
+		return nil
+	}
+}
+
 func level(s *Settings, v string) error {
 	if v != "0" && v != "1" {
 		return eris.Errorf("%q is not a log level", v)
--- a/internal/mesh/settings/settings_test.go
+++ b/internal/mesh/settings/settings_test.go
@@ -57,6 +57,16 @@
 	require.Equal(t, coldstart.Policy{Ratio: 1.5, Slack: 8}, s.ColdStart)
 }
 
+// Guards against a mistyped mode that leaves a feature in another state than the operator expects.
+func TestFeatureSettingsAreChecked(t *testing.T) {
+	s, err := settings.Parse("node.ini", []byte(good+"[overload]\nscheduling = off\n[link]\nscheduling = on\nrate-mbps = 13.0\n"))
+	require.NoError(t, err)
+	require.Equal(t, mesh.Features{Overload: mesh.ModeOff, Links: mesh.ModeOn, LinkRate: 1_625_000}, s.Features)
+	_, err = settings.Parse("node.ini", []byte(good+"[overload]\nscheduling = yes\n[link]\nrate-mbps = -1\n"))
+	require.ErrorContains(t, err, "overload.scheduling")
+	require.ErrorContains(t, err, "link.rate-mbps")
+}
+
 func TestAllFaultsAreReportedTogether(t *testing.T) {
 	text := strings.NewReplacer("10.1.0.8:8304", "nowhere", "vm = vm-1", "wm = vm-1", "[store]\naddress = 10.200.1.7:8309", "").Replace(good)
 	_, err := settings.Parse("node.ini", []byte(text+"[backend]\nfill = 2\n[stop]\ngrace-seconds = NaN\n"))
--- a/internal/mesh/target.go
+++ b/internal/mesh/target.go
@@ -63,6 +63,8 @@
 	EvacuatedZones map[string]bool
 	// LocalTarget is the target beside the node, or nil while it isn't registered.
 	LocalTarget *Target
+	// OverloadScheduling and LinkScheduling are whether these features are in force.
+	OverloadScheduling, LinkScheduling bool
 	// Peers are all other nodes, by the address at which they accept requests from nodes.
 	Peers map[string]Peer
 }
