Guard: requests that can be in time go first, and the others are refused at once

Cause: under a standing overload each request was started at the last moment at which it could be in time, by its base service time alone. Slowdown, contention and nested calls made most of them late, and nested calls waited behind requests of a higher priority while their parents held slots elsewhere.

Change: gate.OrderGoodput, in force while mesh.View.OverloadScheduling is true. It selects among all ranks: in time before late, nested calls first, then by priority; newest first while the queue is standing. At most every second start goes to a nested call while a higher priority waits, and every rank gets every eighth. A standing queue is simulated at each start and arrival, and what can't be started in time is refused. The expected time is the measured one in the slot times the present slowdown; below eight samples, the base service time. Counters of starts, late starts and refusals by reason; ranks in /state.

Nested calls beside 2.1 times the repayments that the slots can run: 100 of 100 served.

chain_test.go names the fields of one Rank, which has one more now.

--- a/internal/gate/chain.go
+++ b/internal/gate/chain.go
@@ -15,6 +15,8 @@
 	// Depth is the number of calls above the request in its call chain. The deepest run
 	// first.
 	Depth int
+	// Nested is true for a call that a running request makes. Only OrderGoodput uses it.
+	Nested bool
 }
 
 // below reports whether a request may be evicted for one of rank other when the queue is
--- a/internal/gate/chain_test.go
+++ b/internal/gate/chain_test.go
@@ -29,7 +29,7 @@
 	}{
 		"top of a chain":                {Limits{Slots: 2, Queue: 4}, serviceTime, Rank{}, 0, outcome{after: time.Minute}},
 		"nested call":                   {Limits{Slots: 2, Queue: 4}, serviceTime, Rank{Depth: 1}, 0, outcome{"", kind.Overloaded, 300 * time.Millisecond}},
-		"nested call of a higher class": {Limits{Slots: 2, Queue: 4}, serviceTime, Rank{9, 1}, 0, outcome{"", kind.Overloaded, 300 * time.Millisecond}},
+		"nested call of a higher class": {Limits{Slots: 2, Queue: 4}, serviceTime, Rank{Class: 9, Depth: 1}, 0, outcome{"", kind.Overloaded, 300 * time.Millisecond}},
 		"two of its depth are ahead":    {Limits{Slots: 2, Queue: 4}, serviceTime, Rank{Depth: 1}, 2, outcome{"", kind.Overloaded, 500 * time.Millisecond}},
 		"less deep ones aren't ahead":   {Limits{Slots: 2, Queue: 4}, serviceTime, Rank{Depth: 2}, 2, outcome{"", kind.Overloaded, 300 * time.Millisecond}},
 		"the service is usually fast":   {Limits{Slots: 2, Queue: 4}, time.Millisecond, Rank{Depth: 1}, 0, outcome{"", kind.Overloaded, standingAfter}},
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -20,7 +20,7 @@
 type Limits struct {
 	// Slots is how many requests run at once, Queue how many wait.
 	Slots, Queue int
-	// Order is OrderInTime or the name of an order in package fleet.
+	// Order is OrderInTime, OrderGoodput or the name of an order in package fleet.
 	Order string
 	// Adaptive reduces the number of concurrent requests while the backend server is slow.
 	Adaptive bool
@@ -52,6 +52,10 @@
 	start   slowStart
 	pacer   Pacer
 	refused uint64
+	// refusals are by reason.
+	refusals [reasonCount]uint64
+	// scheduler is used only with OrderGoodput.
+	scheduler scheduler
 	// wakeScheduled is true while a dispatch is scheduled.
 	wakeScheduled bool
 }
@@ -76,6 +80,7 @@
 		g.curve = contention.New(l.Slots)
 	}
 	g.limits, g.order = l, orderOf(l.Order)
+	g.scheduler.inForce = l.Order == OrderGoodput
 	g.dispatch(time.Now())
 }
 
@@ -86,6 +91,9 @@
 	// concurrency is how many requests ran at the start, including its own.
 	concurrency int
 	trial       bool
+	// counted is true if the slot is counted in scheduler.running at level.
+	counted bool
+	level   uint8
 }
 
 // Concurrency returns how many requests ran when the slot was acquired, including its own.
@@ -115,6 +123,9 @@
 	// objective, and StartByDeadline the latest at which it can be served at all. Zero
 	// means no limit.
 	StartByObjective, StartByDeadline time.Time
+	// TimeInSlot is how long the request is expected to hold its slot; 0 means unknown. Only
+	// OrderGoodput uses it.
+	TimeInSlot time.Duration
 }
 
 // AcquireWithin is like Acquire, for a request whose sender limits its wait.
@@ -131,6 +142,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
+	if g.scheduler.inForce {
+		return g.admitByGoodput(ctx, rank, limits, now)
+	}
 	if len(g.queue) == 0 {
 		if slot, admitted := g.admit(now); admitted {
 			return slot, nil, nil
@@ -202,6 +216,9 @@
 	if s.trial {
 		g.trials--
 	}
+	if s.counted {
+		g.scheduler.running[s.level]--
+	}
 }
 
 // limit returns how many requests may run now. The mutex is held.
@@ -218,6 +235,20 @@
 
 // dispatch admits waiting requests while slots are free. The mutex is held.
 func (g *Gate) dispatch(now time.Time) {
+	if g.scheduler.inForce {
+		g.dispatchByGoodput(now)
+	} else {
+		g.dispatchDeepestFirst(now)
+	}
+	if g.running == 0 && len(g.queue) == 0 {
+		g.drain.idle()
+	}
+	g.scheduleDispatch()
+}
+
+// dispatchDeepestFirst admits waiting requests while slots are free, the deepest calls first. The mutex
+// is held.
+func (g *Gate) dispatchDeepestFirst(now time.Time) {
 	for len(g.queue) > 0 {
 		slot, admitted := g.admit(now)
 		if !admitted {
@@ -225,10 +256,6 @@
 		}
 		g.remove(g.next(now)).result <- waitResult{admitted: true, slot: slot}
 	}
-	if g.running == 0 && len(g.queue) == 0 {
-		g.drain.idle()
-	}
-	g.scheduleDispatch()
 }
 
 // SetBackendRunning records the number of running requests that the backend server
--- /dev/null
+++ b/internal/gate/goodput_test.go
@@ -0,0 +1,289 @@
+package gate
+
+import (
+	"context"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/limpetdock/limpetdock/internal/kind"
+	"github.com/limpetdock/limpetdock/internal/virtualtime"
+)
+
+// ranked returns the rank of a request of a priority, 0 being the highest.
+func ranked(priority int) Rank { return Rank{Depth: Priorities - 1 - priority} }
+
+// nested returns the rank of a nested call of a priority.
+func nested(priority int) Rank { return Rank{Depth: Priorities - 1 - priority, Nested: true} }
+
+// Guards against the loss of a standing overload in which the oldest request always goes first: each
+// is started at the last moment, and all that take a little longer than expected are late.
+func TestGoodputServesStandingOverloadInTime(t *testing.T) {
+	inTime, late, _ := standingOverload(t, OrderInTime)
+	require.Greater(t, late, 9*inTime, "oldest first makes nearly all late")
+	inTime, late, refusedAfter := standingOverload(t, OrderGoodput)
+	t.Logf("newest first: %d in time, %d late, refused after %v", inTime, late, refusedAfter)
+	require.GreaterOrEqual(t, inTime, 260, "of 333 that the slots can run")
+	require.Less(t, late, inTime/20)
+	require.Less(t, refusedAfter, 200*time.Millisecond, "a request that can't be in time is refused at once")
+}
+
+// standingOverload sends twice as many requests as four slots can run for ten seconds. They take 120 ms
+// instead of the expected 100.
+func standingOverload(t *testing.T, order string) (inTime, late int, refusedAfter time.Duration) {
+	const objective, expected, serviceTime = 300 * time.Millisecond, 100 * time.Millisecond, 120 * time.Millisecond
+	refused := 0
+	virtualtime.Test(t, func(t *testing.T) {
+		g := newWarmGate(Limits{Slots: 4, Queue: 64, Order: order})
+		done := make(chan func(), 800)
+		for range 667 {
+			go func() {
+				arrived := time.Now()
+				slot, refusal := g.AcquireWithin(t.Context(), Rank{}, WaitLimits{
+					QueueTimeout: time.Second, TimeInSlot: expected,
+					StartByObjective: arrived.Add(objective - expected), StartByDeadline: arrived.Add(time.Second - expected),
+				})
+				if refusal != nil {
+					after := time.Since(arrived)
+					done <- func() { refused++; refusedAfter += after }
+					return
+				}
+				time.Sleep(serviceTime)
+				slot.Release()
+				ok := time.Since(arrived) <= objective
+				done <- func() {
+					if ok {
+						inTime++
+					} else {
+						late++
+					}
+				}
+			}()
+			time.Sleep(15 * time.Millisecond)
+		}
+		for range 667 {
+			(<-done)()
+		}
+	})
+	return inTime, late, refusedAfter / time.Duration(max(refused, 1))
+}
+
+// Guards against ranks that take all starts: nested calls behind urgent requests or the reverse, and a
+// lowest rank that starves.
+func TestTurnsOfRanksThatAllWait(t *testing.T) {
+	for name, c := range map[string]struct {
+		waiting []Rank
+		want    string
+	}{
+		"one rank":                     {[]Rank{ranked(2)}, "2 2 2 2"},
+		"nested before its own rank":   {[]Rank{ranked(1), nested(1)}, "n1 n1 n1 n1 n1 n1 n1 1 n1"},
+		"nested limited by urgent":     {[]Rank{ranked(0), nested(1)}, "n1 0 n1 0 n1 0 n1"},
+		"nested of the same priority":  {[]Rank{ranked(0), nested(0)}, "n0 n0 n0 n0 n0 n0 n0 0 n0"},
+		"the lowest gets every eighth": {[]Rank{ranked(0), ranked(1), ranked(2)}, "0 0 0 0 0 0 0 1 2 0 0 0 0 0 0 1 2"},
+		"the lowest beside nested":     {[]Rank{ranked(0), nested(1), ranked(2)}, "n1 0 n1 0 n1 0 n1 2 n1 0 n1 0 n1 0 n1 2"},
+	} {
+		var (
+			queue []*waiter
+			turns turns
+			got   []string
+		)
+		for _, r := range c.waiting {
+			queue = append(queue, &waiter{rank: r, level: r.level()})
+		}
+		for range strings.Fields(c.want) {
+			choice, found := turns.choose(queue, time.Now(), false)
+			require.True(t, found)
+			w := queue[choice.index]
+			turns.started(w.level, choice.present)
+			got = append(got, map[bool]string{true: "n"}[w.rank.Nested]+strconv.Itoa(Priorities-1-w.rank.Depth))
+		}
+		require.Equal(t, c.want, strings.Join(got, " "), name)
+	}
+}
+
+// Guards against slots for requests that can no longer be in time while others can, for requests past
+// their deadline, and against evictions of what would run first.
+func TestGoodputChoosesAndEvictsByWhatCanBeInTime(t *testing.T) {
+	now := time.Now()
+	at := func(r Rank, objective, deadline time.Duration) *waiter {
+		return &waiter{rank: r, level: r.level(), startByObjective: now.Add(objective), startByDeadline: now.Add(deadline)}
+	}
+	late := func(r Rank) *waiter { return at(r, -time.Second, time.Second) }
+	inTime := func(r Rank) *waiter { return at(r, time.Second, 2*time.Second) }
+	for name, c := range map[string]struct {
+		queue    []*waiter
+		standing bool
+		next     int
+		arriving *waiter
+		evicted  int
+	}{
+		"late of a higher rank runs last":      {[]*waiter{late(ranked(0)), inTime(ranked(2))}, false, 1, inTime(ranked(2)), 0},
+		"oldest first":                         {[]*waiter{inTime(ranked(1)), inTime(ranked(1))}, false, 0, inTime(ranked(1)), -1},
+		"newest first while standing":          {[]*waiter{inTime(ranked(1)), inTime(ranked(1))}, true, 1, inTime(ranked(1)), 0},
+		"latest of the lowest rank is evicted": {[]*waiter{inTime(ranked(0)), inTime(ranked(2)), inTime(ranked(2))}, false, 0, inTime(ranked(1)), 2},
+		"oldest of it while standing":          {[]*waiter{inTime(ranked(0)), inTime(ranked(2)), inTime(ranked(2))}, true, 0, inTime(ranked(1)), 1},
+		"late one evicts none in time":         {[]*waiter{inTime(ranked(2))}, true, 0, late(ranked(0)), -1},
+		"late one evicts a lower late one":     {[]*waiter{inTime(ranked(2)), late(ranked(2))}, false, 0, late(ranked(0)), 1},
+		"none after its deadline":              {[]*waiter{at(ranked(0), -time.Second, -time.Second)}, false, -1, inTime(ranked(0)), 0},
+	} {
+		choice, found := (&turns{}).choose(c.queue, now, c.standing)
+		require.Equal(t, c.next >= 0, found, name)
+		if found {
+			require.Equal(t, c.next, choice.index, name)
+		}
+		require.Equal(t, c.evicted, lastInGoodput(c.queue, c.arriving, now, c.standing), name)
+	}
+}
+
+// Guards against nested calls that are refused while urgent requests wait in front of them, which ends
+// parents that have already run, and against urgent requests that are refused for nested calls.
+func TestNestedCallsAndUrgentRequestsShareSlots(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		g := newWarmGate(Limits{Slots: 5, Queue: 64, Order: OrderGoodput})
+		served := map[string]int{}
+		results := make(chan string, 1000)
+		send := func(name string, r Rank, serviceTime, objective, timeout time.Duration) {
+			slot, refusal := g.AcquireWithin(t.Context(), r, WaitLimits{
+				QueueTimeout: timeout, TimeInSlot: serviceTime,
+				StartByObjective: time.Now().Add(objective - serviceTime), StartByDeadline: time.Now().Add(timeout - serviceTime),
+			})
+			if refusal != nil {
+				results <- ""
+				return
+			}
+			time.Sleep(serviceTime)
+			slot.Release()
+			results <- name
+		}
+		// 2.1 times as many repayments as the slots can run, and nested calls that need a fifth of them.
+		for i := range 400 {
+			go send("repayment", ranked(0), 130*time.Millisecond, 500*time.Millisecond, time.Second)
+			if i%4 == 0 {
+				go send("nested call", nested(1), 55*time.Millisecond, 150*time.Millisecond, 600*time.Millisecond)
+			}
+			time.Sleep(12 * time.Millisecond)
+		}
+		for range 500 {
+			served[<-results]++
+		}
+		t.Logf("served of 400 repayments and 100 nested calls: %v", served)
+		require.Equal(t, 100, served["nested call"])
+		require.Greater(t, served["repayment"], 130)
+	})
+}
+
+// Guards against a late request that is refused although slots would stay unused, and against one that
+// waits for its deadline while others that can be in time take all slots.
+func TestLateRequestsAreRefusedOnlyBehindOthers(t *testing.T) {
+	now := time.Now()
+	late := &waiter{level: ranked(0).level(), rank: ranked(0), startByObjective: now.Add(-time.Second), startByDeadline: now.Add(time.Second)}
+	nestedLate := &waiter{level: nested(1).level(), rank: nested(1), startByObjective: now.Add(-time.Second), startByDeadline: now.Add(time.Second)}
+	tooLate := &waiter{level: ranked(0).level(), rank: ranked(0), startByObjective: now.Add(-time.Second), startByDeadline: now.Add(time.Millisecond)}
+	inTime := &waiter{level: ranked(2).level(), rank: ranked(2), startByObjective: now.Add(15 * time.Millisecond)}
+	for name, c := range map[string]struct {
+		queue []*waiter
+		want  []Reason
+	}{
+		"only late":           {[]*waiter{late, late}, []Reason{notRefused, notRefused}},
+		"behind one in time":  {[]*waiter{late, inTime}, []Reason{CannotBeInTime, notRefused}},
+		"nested call":         {[]*waiter{nestedLate, inTime}, []Reason{notRefused, notRefused}},
+		"past its deadline":   {[]*waiter{tooLate}, []Reason{PastDeadline}},
+		"the oldest too late": {[]*waiter{inTime, inTime}, []Reason{CannotBeInTime, notRefused}},
+	} {
+		reasons, after := make([]Reason, len(c.queue)), make([]int32, len(c.queue))
+		turns{}.plan(c.queue, now, pace{10 * time.Millisecond, 10 * time.Millisecond}, reasons, after)
+		require.Equal(t, c.want, reasons, name)
+	}
+}
+
+// Guards against decisions that depend on the new fields of a request while another order is in force.
+func TestOtherOrdersIgnoreNestedAndTimeInSlot(t *testing.T) {
+	run := func(annotated bool) (log []string) {
+		virtualtime.Test(t, func(t *testing.T) {
+			rnd := rand.New(rand.NewPCG(1, 1))
+			g := newWarmGate(Limits{Slots: 3, Queue: 8, Order: OrderInTime})
+			var outcomes outcomeLog
+			for i := range 300 {
+				rank, limits := ranked(rnd.IntN(4)), WaitLimits{QueueTimeout: time.Duration(rnd.Int64N(int64(time.Second))), StartByObjective: time.Now().Add(time.Duration(rnd.Int64N(int64(300 * time.Millisecond))))}
+				serviceTime := time.Duration(rnd.Int64N(int64(200 * time.Millisecond)))
+				if annotated {
+					rank.Nested, limits.TimeInSlot = rnd.IntN(2) == 0, time.Second
+				} else {
+					rnd.IntN(2)
+				}
+				go func() {
+					slot, refusal := g.AcquireWithin(t.Context(), rank, limits)
+					if refusal != nil {
+						outcomes.add(outcome{name: strconv.Itoa(i), refused: refusal.Kind})
+						return
+					}
+					outcomes.add(outcome{name: strconv.Itoa(i)})
+					time.Sleep(serviceTime)
+					slot.Release()
+				}()
+				synctest.Wait()
+				time.Sleep(20 * time.Millisecond)
+			}
+			time.Sleep(10 * time.Second)
+			log = outcomes.names()
+		})
+		return log
+	}
+	require.Equal(t, run(false), run(true))
+}
+
+// Guards against a refusal that isn't known to be "not run", or that is repeated by all callers at once.
+func TestGoodputRefusalIsOverloadedAndNotRun(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		g := newWarmGate(Limits{Slots: 1, Queue: 64, Order: OrderGoodput})
+		g.drain.serviceTime = time.Second
+		ctx, cancel := context.WithCancel(t.Context())
+		go run(ctx, g, time.Second, WaitLimits{})
+		synctest.Wait()
+		go run(ctx, g, time.Second, WaitLimits{QueueTimeout: time.Minute})
+		time.Sleep(2 * standingAfter)
+		_, refusal := g.AcquireWithin(ctx, Rank{}, WaitLimits{QueueTimeout: time.Minute, StartByObjective: time.Now().Add(300 * time.Millisecond)})
+		require.Equal(t, kind.Overloaded, refusal.Kind)
+		require.Equal(t, kind.NotRun, refusal.ReportedOutcome())
+		require.Contains(t, refusal.Message, CannotBeInTime.String())
+		require.GreaterOrEqual(t, refusal.RetryAfter, refusal.Wait)
+		require.EqualValues(t, 1, g.Schedule().Refusals[CannotBeInTime])
+		cancel()
+		time.Sleep(3 * time.Second)
+	})
+}
+
+// fullQueue returns a queue of 62 requests of six ranks.
+func fullQueue(now time.Time) (queue []*waiter) {
+	for i := range 62 {
+		r := ranked(i % 3)
+		r.Nested = i%2 == 0
+		queue = append(queue, &waiter{rank: r, level: r.level(), timeInSlot: time.Duration(i) * time.Millisecond, startByObjective: now.Add(time.Duration(i-20) * time.Millisecond), startByDeadline: now.Add(time.Second)})
+	}
+	return queue
+}
+
+func BenchmarkGoodput(b *testing.B) {
+	now := time.Now()
+	queue := fullQueue(now)
+	reasons, after := make([]Reason, len(queue)), make([]int32, len(queue))
+	var turns turns
+	b.Run("next", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			c, _ := turns.choose(queue, now, true)
+			turns.started(queue[c.index].level, c.present)
+		}
+	})
+	b.Run("plan", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			turns.plan(queue, now, pace{time.Millisecond, time.Millisecond}, reasons, after)
+		}
+	})
+}
--- a/internal/gate/order.go
+++ b/internal/gate/order.go
@@ -31,7 +31,8 @@
 		return lifo{}
 	case fleet.OrderDeadline:
 		return earliestDeadline{}
-	case OrderInTime:
+	case OrderInTime, OrderGoodput:
+		// With OrderGoodput, Gate.order isn't used.
 		return inTime{}
 	}
 	return fifo{}
--- a/internal/gate/queue.go
+++ b/internal/gate/queue.go
@@ -10,9 +10,12 @@
 
 // waiter is a request that waits for a slot. Gate.queue holds the waiters with the deepest in
 // a call chain first, and those of one depth by arrival. Gate.order selects the next to run
-// among the deepest.
+// among the deepest, OrderGoodput among all.
 type waiter struct {
 	rank Rank
+	// level is that of the rank, and timeInSlot that of WaitLimits.
+	level      uint8
+	timeInSlot time.Duration
 	// timeout is how long the request may wait, or noTimeout.
 	timeout time.Duration
 	// senderTimeout is true if timeout was set by the sender.
@@ -26,10 +29,11 @@
 	result chan waitResult
 }
 
-// waitResult ends the wait of a request: it gets a slot, or is evicted from the queue.
+// waitResult ends the wait of a request: it gets a slot, or is refused for a reason.
 type waitResult struct {
 	admitted bool
 	slot     Slot
+	refused  Reason
 }
 
 // maxSpare bounds the number of waiters kept for reuse.
@@ -56,6 +60,7 @@
 // enqueue adds a request to the queue, or refuses it. The mutex is held.
 func (g *Gate) enqueue(ctx context.Context, rank Rank, limits WaitLimits, now time.Time) (*waiter, *kind.Error) {
 	w := g.newWaiter()
+	w.level, w.timeInSlot = rank.level(), limits.TimeInSlot
 	w.rank, w.startByObjective, w.startByDeadline = rank, limits.StartByObjective, limits.StartByDeadline
 	w.deadline, _ = ctx.Deadline()
 	ahead := g.ahead(w, now)
@@ -82,48 +87,63 @@
 func (g *Gate) admitToQueue(w *waiter, ahead int, now time.Time) *kind.Error {
 	wait := g.expectedWait(now, ahead)
 	if g.limits.Slots == 0 {
-		return g.overloaded(wait, "no slots are declared for this backend server")
+		return g.refuse(QueueFull, wait, "no slots are declared for this backend server")
 	}
 	if g.limits.NoRefusal {
 		if len(g.queue) >= maxQueueWithoutRefusal {
-			return g.overloaded(wait, "the backend server's queue is full")
+			return g.refuse(QueueFull, wait, "the backend server's queue is full")
 		}
 		return nil
 	}
 	if wait > w.timeout {
-		return g.overloaded(wait, w.timeoutMessage())
+		return g.refuse(QueueTimeout, wait, w.timeoutMessage())
 	}
-	if !w.deadline.IsZero() && w.deadline.Sub(now) < wait {
-		return g.overloaded(wait, "the expected wait for the backend server exceeds the deadline")
+	if !w.deadline.IsZero() && w.deadline.Sub(now) < wait || g.scheduler.inForce && w.pastDeadline(now.Add(wait)) {
+		return g.refuse(PastDeadline, wait, "the expected wait for the backend server exceeds the deadline")
 	}
-	if len(g.queue) < g.limits.Queue || g.evict(w.rank) {
+	if len(g.queue) < g.limits.Queue || g.evict(w, now) {
 		return nil
 	}
-	return g.overloaded(wait, "the backend server's slots and queue are full")
+	return g.refuse(QueueFull, wait, "the backend server's slots and queue are full")
 }
 
 // ahead returns the number of waiters that would run before w if it arrived now. The
 // mutex is held.
 func (g *Gate) ahead(w *waiter, now time.Time) int {
+	if g.scheduler.inForce {
+		return aheadInGoodput(g.queue, w, now, g.standing(now))
+	}
 	start, end := g.section(w.rank.Depth)
 	return start + g.order.ahead(g.queue[start:end], w, now, g.standing(now))
 }
 
-// evict refuses the latest waiter of the lowest rank in favour of a higher rank, and
-// reports whether there was one. That waiter hasn't run, so it can still be refused. The
-// mutex is held.
-func (g *Gate) evict(rank Rank) bool {
+// evict refuses the latest waiter of the lowest rank in favour of an arriving one of a higher
+// rank, or with OrderGoodput the one that would run last, and reports whether there was one. That
+// waiter hasn't run, so it can still be refused. The mutex is held.
+func (g *Gate) evict(arriving *waiter, now time.Time) bool {
+	last := -1
+	if g.scheduler.inForce {
+		last = lastInGoodput(g.queue, arriving, now, g.standing(now))
+	} else {
+		last = g.lowest(arriving.rank)
+	}
+	if last < 0 {
+		return false
+	}
+	g.remove(last).result <- waitResult{refused: Evicted}
+	return true
+}
+
+// lowest returns the index of the latest waiter of the lowest rank below rank, or -1. The mutex is
+// held.
+func (g *Gate) lowest(rank Rank) int {
 	lowest := -1
 	for i, w := range g.queue {
 		if w.rank.below(rank) && (lowest < 0 || !g.queue[lowest].rank.below(w.rank)) {
 			lowest = i
 		}
 	}
-	if lowest < 0 {
-		return false
-	}
-	g.remove(lowest).result <- waitResult{}
-	return true
+	return lowest
 }
 
 // section returns the range of the queue that holds the waiters of a depth. A new waiter
@@ -223,6 +243,11 @@
 func (g *Gate) willMissDeadline(w *waiter, now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.scheduler.inForce {
+		// The waiter is told of its refusal like any other.
+		g.refuseUnservable(now)
+		return false
+	}
 	if w.startByDeadline.IsZero() || g.limits.NoRefusal || !g.standing(now) {
 		return false
 	}
@@ -243,19 +268,6 @@
 	return true
 }
 
-// chainTimeoutMessage is the refusal of a nested call, see Gate.queueTimeout.
-const chainTimeoutMessage = "the wait for a slot is too long for a nested call, as the calls above it in its chain hold slots"
-
-// senderTimeoutMessage is the refusal of a request whose sender set its queue timeout.
-const senderTimeoutMessage = "the wait for a slot exceeds the queue timeout of the request"
-
-func (w *waiter) timeoutMessage() string {
-	if w.senderTimeout {
-		return senderTimeoutMessage
-	}
-	return chainTimeoutMessage
-}
-
 // timeoutError returns the refusal of a request like w that has timed out in the queue, or
 // has reached its deadline there.
 func (g *Gate) timeoutError(w waiter, timedOut bool) *kind.Error {
@@ -265,7 +277,11 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
-	return g.overloaded(g.expectedWait(now, g.ahead(&w, now)), w.timeoutMessage())
+	reason := QueueTimeout
+	if g.scheduler.inForce && w.pastDeadline(now) {
+		reason = PastDeadline
+	}
+	return g.refuse(reason, g.expectedWait(now, g.ahead(&w, now)), reason.message(&w))
 }
 
 // finish recycles a waiter and returns the slot or the refusal of its result.
@@ -275,7 +291,7 @@
 	defer g.recycle(w)
 	now := time.Now()
 	if !r.admitted {
-		return Slot{}, g.overloaded(g.expectedWait(now, g.ahead(w, now)), "evicted from the queue to admit a request of a higher class or deeper in a call chain")
+		return Slot{}, g.refuse(r.refused, g.expectedWait(now, g.ahead(w, now)), r.refused.message(w))
 	}
 	r.slot.since = now
 	return r.slot, nil
--- a/internal/mesh/guard/guard.go
+++ b/internal/mesh/guard/guard.go
@@ -75,7 +75,9 @@
 	// served holds when requests were last answered, by fingerprint.
 	served   *lru.Cache[uint64, time.Duration]
 	slowdown slowdownTracker
-	cold     coldstart.Limiter
+	// slotTimes is used only with goodput scheduling.
+	slotTimes *slotTimes
+	cold      coldstart.Limiter
 	// limit is the one that the backend server names.
 	limit ratelimit.Limiter
 	// reportedAt is when the backend server last reported its load, and probing is true
@@ -104,7 +106,7 @@
 
 // New returns a Guard that refuses all requests until SetView is called.
 func New(c Config) *Guard {
-	g := &Guard{Config: c, gate: gate.New(), admission: newAdmission(), deathIDs: death.NewIDs(rand.Uint64())}
+	g := &Guard{Config: c, gate: gate.New(), admission: newAdmission(), slotTimes: newSlotTimes(), deathIDs: death.NewIDs(rand.Uint64())}
 	if g.Lineage == nil {
 		g.Lineage = lineage.New(c.Now)
 	}
@@ -148,7 +150,7 @@
 	if v.LocalTarget == nil {
 		return
 	}
-	limits := gate.Limits{Slots: v.LocalTarget.Slots, Order: gate.OrderInTime, LearnedLimit: true}
+	limits := gate.Limits{Slots: v.LocalTarget.Slots, Order: orderFor(v), LearnedLimit: true}
 	if share := math.Float64frombits(g.slotShare.Load()); share > 0 {
 		limits.Slots = max(int(float64(v.LocalTarget.Slots)*share+roundingSlack), 1)
 		limits.LearnedLimit = false
@@ -276,14 +278,10 @@
 
 // awaitSlot waits for a slot and for the end of a transient slowdown before and after that.
 func (g *Guard) awaitSlot(ctx context.Context, s *requestState, deadline time.Duration) (gate.Slot, *kind.Error) {
-	r := s.request
 	if e := g.awaitRecovery(ctx, s); e != nil {
 		return gate.Slot{}, e
 	}
-	slot, e := g.gate.AcquireWithin(ctx, rankOf(r), gate.WaitLimits{
-		QueueTimeout:     max(r.QueueTimeout-(g.Now()-s.start), time.Millisecond),
-		StartByObjective: time.Now().Add(r.ObjectiveRemaining - s.baseService), StartByDeadline: time.Now().Add(deadline - g.Now() - s.minRemaining()),
-	})
+	slot, e := g.gate.AcquireWithin(ctx, rankOf(s.request), g.waitLimits(s, deadline))
 	s.permittedAt = g.Now()
 	s.waited = s.permittedAt - s.start
 	if e != nil {
@@ -293,6 +291,7 @@
 		slot.Release()
 		return gate.Slot{}, e
 	}
+	s.slotAt = g.Now()
 	return slot, nil
 }
 
@@ -326,6 +325,7 @@
 	if !served && !late {
 		return
 	}
+	g.recordSlotTime(s)
 	slot.RecordSample(contention.Sample{
 		Class: s.class, ServiceTime: time.Duration(float64(s.backendTime) / s.slowdown.current), ReportedBaseTime: s.request.BaseServiceTime, Aborted: late,
 	})
@@ -354,10 +354,10 @@
 
 // maxPriority is the largest distinct priority value, which is the least urgent; larger
 // values are treated the same.
-const maxPriority = 15
+const maxPriority = gate.Priorities - 1
 
 // rankOf returns the rank for a request's priority. The gate runs the highest depth
 // first, so the most urgent priority, 0, gets the highest depth.
 func rankOf(r *mesh.Request) gate.Rank {
-	return gate.Rank{Depth: maxPriority - min(max(r.Priority, 0), maxPriority)}
+	return gate.Rank{Depth: maxPriority - min(max(r.Priority, 0), maxPriority), Nested: r.Nested}
 }
--- a/internal/mesh/guard/load_test.go
+++ b/internal/mesh/guard/load_test.go
@@ -45,25 +45,31 @@
 
 // newGuardOf returns a guard for a simulated backend server of a service.
 func newGuardOf(t *testing.T, s *model.Server, service mesh.Service) *guard.Guard {
-	service.Name, service.HealthPath = "orders", model.HealthPath
-	var table []*mesh.Route
-	for _, r := range routes {
-		table = append(table, &mesh.Route{Name: r.prefix, Host: "h", Prefix: r.prefix})
-	}
+	service.Name = "orders"
 	start := time.Now()
 	g := guard.New(guard.Config{
 		Here: mesh.Place{Service: service.Name}, Dialect: model.Dialect, Backend: s, ColdStart: coldPolicy,
 		Now: func() time.Duration { return time.Since(start) }, LoadChanged: func(bool) {},
 		Suspects: quarantine.New(func() time.Duration { return time.Since(start) }),
 	})
-	g.SetView(&mesh.View{
-		Config:      mesh.NewConfig(1, map[string]*mesh.Service{service.Name: &service}, table, mesh.Limits{}),
-		LocalTarget: &mesh.Target{ID: "i-1", Service: service.Name, Slots: s.Slots, Addr: "h"},
-	})
+	g.SetView(viewOf(s, service))
 	go g.Probe(t.Context())
 	return g
 }
 
+// viewOf returns the view of a guard for a simulated backend server of a service.
+func viewOf(s *model.Server, service mesh.Service) *mesh.View {
+	service.Name, service.HealthPath = "orders", model.HealthPath
+	var table []*mesh.Route
+	for _, r := range routes {
+		table = append(table, &mesh.Route{Name: r.prefix, Host: "h", Prefix: r.prefix})
+	}
+	return &mesh.View{
+		Config:      mesh.NewConfig(1, map[string]*mesh.Service{service.Name: &service}, table, mesh.Limits{}),
+		LocalTarget: &mesh.Target{ID: "i-1", Service: service.Name, Slots: s.Slots, Addr: "h"},
+	}
+}
+
 // outcomes is the number of requests by outcome.
 type outcomes struct{ sent, inTime, late, refused int }
 
--- a/internal/mesh/guard/record.go
+++ b/internal/mesh/guard/record.go
@@ -16,10 +16,14 @@
 	start, waited time.Duration
 	// permittedAt is when the request got its permit (see pacer).
 	permittedAt time.Duration
+	// slotAt is when it could begin in its slot, after the end of a transient slowdown.
+	slotAt time.Duration
 	// class names the group of requests with similar service times, and baseService is
 	// the expected base service time; 0 means unknown.
 	class       string
 	baseService time.Duration
+	// timeInSlot is how long it was expected to hold a slot; 0 without goodput scheduling.
+	timeInSlot time.Duration
 	// concurrency is how many requests ran when it was sent, including itself, and
 	// contention the factor by which that is expected to lengthen it.
 	concurrency int
@@ -78,6 +82,9 @@
 	if perSecond, limited := g.limit.Limit(); limited {
 		pairs = append(pairs, "limit_per_second", perSecond)
 	}
+	if s.timeInSlot > 0 {
+		pairs = append(pairs, "nested", r.Nested, "slot_ms", s.timeInSlot.Milliseconds())
+	}
 	if s.level != suspect.Unsuspected {
 		pairs = append(pairs, "suspicion", s.level.String())
 	}
--- a/internal/mesh/node/admin.go
+++ b/internal/mesh/node/admin.go
@@ -13,6 +13,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/limpetdock/limpetdock/internal/clock"
+	"github.com/limpetdock/limpetdock/internal/gate"
 	"github.com/limpetdock/limpetdock/internal/mesh"
 	"github.com/limpetdock/limpetdock/internal/mesh/entry"
 	"github.com/limpetdock/limpetdock/internal/mesh/quarantine"
@@ -90,6 +91,9 @@
 	Reading bool      `json:"reading"`
 	Active  int       `json:"active"`
 	Load    mesh.Load `json:"load"`
+	// Scheduling are the ranks of requests at the backend server; it is left out while goodput scheduling
+	// isn't in force.
+	Scheduling []gate.RankState `json:"scheduling,omitempty"`
 	// EvacuatedZones are the zones whose targets get no new requests.
 	EvacuatedZones []string `json:"evacuated_zones"`
 	// Suspects are the requests that may crash backend servers.
@@ -109,6 +113,9 @@
 func (a *admin) state() state {
 	s := state{Stopping: a.stopping.Load(), Active: a.entry.Active(), Load: a.guard.Load(), Suspects: a.suspects.Dump()}
 	s.Reading = s.Load.ReadsStore
+	if schedule := a.guard.Schedule(); schedule.InForce {
+		s.Scheduling = schedule.Ranks
+	}
 	v := a.entry.View()
 	if v == nil {
 		return s
