Guard: slots are kept free for urgent requests beside long ones

Cause: a slot can't be taken back. With reports of 750 ms on all three slots of a server, 2 of 200 status requests of 36 ms (objective 100 ms) were in time, although these went first among the waiting ones.

Change: gate/reserve.go counts the arrivals of each rank that can be in time. The slots that a rank is expected to need, at most half of all, are kept from lower ranks that would hold them for more than twice as long as the rank may wait. Below half a slot that costs more than it serves if slots become free often, so such a need is rounded up only if slots become free too rarely for the rank.

--- a/internal/gate/goodput.go
+++ b/internal/gate/goodput.go
@@ -116,8 +116,8 @@
 
 // choose returns the request to start next, or false if none may start. Requests that can be in time
 // go first. Within a level the oldest goes first, or the newest if the queue is standing: oldest first
-// would start each request just too late.
-func (t *turns) choose(queue []*waiter, now time.Time, standing bool) (choice, bool) {
+// would start each request just too late. Requests from which all free slots are reserved are left out.
+func (t *turns) choose(queue []*waiter, now time.Time, standing bool, reserved *reservations) (choice, bool) {
 	var inTime, late lanes
 	for n := range queue {
 		// The waiter that goes first within its level must be added last.
@@ -127,6 +127,7 @@
 		}
 		w := queue[i]
 		switch {
+		case reserved.withholds(w.level, w.timeInSlot):
 		case !w.late(now):
 			inTime.add(w.level, i, nil)
 		case !w.pastDeadline(now):
@@ -168,7 +169,7 @@
 		present := inTime.present
 		level := t.next(present)
 		i := inTime.take(level, after)
-		if reasons[i] = queue[i].refusal(now, start, false); reasons[i] != notRefused {
+		if reasons[i] = queue[i].refusal(start, false); reasons[i] != notRefused {
 			refused++
 			continue
 		}
@@ -177,7 +178,7 @@
 	}
 	for late.present != 0 {
 		i := late.take(uint8(bits.TrailingZeros32(late.present)), after)
-		if reasons[i] = queue[i].refusal(now, start, inTimeWaits); reasons[i] != notRefused {
+		if reasons[i] = queue[i].refusal(start, !inTimeWaits); reasons[i] != notRefused {
 			refused++
 			continue
 		}
@@ -187,16 +188,16 @@
 }
 
 // refusal returns why a request in a standing queue that is expected to start at start is refused.
-// inTimeWaits is true if requests that can be in time wait before it.
+// onlyLate is true if it is late and only late requests wait before it.
 //
 // A nested call is refused only for its deadline, as its parent's work is lost with it even if only
 // its own objective is missed. A late request is kept while only late ones wait, because refusing all
 // of them would leave slots unused.
-func (w *waiter) refusal(now, start time.Time, inTimeWaits bool) Reason {
+func (w *waiter) refusal(start time.Time, onlyLate bool) Reason {
 	switch {
 	case w.pastDeadline(start):
 		return PastDeadline
-	case w.rank.Nested || w.late(now) && !inTimeWaits || !w.late(start):
+	case w.rank.Nested || onlyLate || !w.late(start):
 		return notRefused
 	}
 	return CannotBeInTime
--- a/internal/gate/goodput_test.go
+++ b/internal/gate/goodput_test.go
@@ -96,7 +96,7 @@
 			queue = append(queue, &waiter{rank: r, level: r.level()})
 		}
 		for range strings.Fields(c.want) {
-			choice, found := turns.choose(queue, time.Now(), false)
+			choice, found := turns.choose(queue, time.Now(), false, &reservations{})
 			require.True(t, found)
 			w := queue[choice.index]
 			turns.started(w.level, choice.present)
@@ -131,7 +131,7 @@
 		"late one evicts a lower late one":     {[]*waiter{inTime(ranked(2)), late(ranked(2))}, false, 0, late(ranked(0)), 1},
 		"none after its deadline":              {[]*waiter{at(ranked(0), -time.Second, -time.Second)}, false, -1, inTime(ranked(0)), 0},
 	} {
-		choice, found := (&turns{}).choose(c.queue, now, c.standing)
+		choice, found := (&turns{}).choose(c.queue, now, c.standing, &reservations{})
 		require.Equal(t, c.next >= 0, found, name)
 		if found {
 			require.Equal(t, c.next, choice.index, name)
@@ -268,15 +268,24 @@
 	return queue
 }
 
+// The reservations of six ranks are part of each choice.
 func BenchmarkGoodput(b *testing.B) {
 	now := time.Now()
 	queue := fullQueue(now)
 	reasons, after := make([]Reason, len(queue)), make([]int32, len(queue))
-	var turns turns
+	var (
+		turns   turns
+		demands demands
+		running [levels]int
+	)
+	for _, w := range queue {
+		demands.arrived(w.level, now, WaitLimits{TimeInSlot: 50 * time.Millisecond, StartByObjective: now.Add(20 * time.Millisecond)})
+	}
 	b.Run("next", func(b *testing.B) {
 		b.ReportAllocs()
 		for b.Loop() {
-			c, _ := turns.choose(queue, now, true)
+			reserved := demands.reservations(now, 12, &running, 8)
+			c, _ := turns.choose(queue, now, true, &reserved)
 			turns.started(queue[c.index].level, c.present)
 		}
 	})
--- a/internal/gate/pacer.go
+++ b/internal/gate/pacer.go
@@ -36,8 +36,8 @@
 }
 
 // scheduleDispatch dispatches the queue again when more requests may be admitted without a
-// completion or a report: during a slow start, as its bound rises with time, and when the Pacer
-// has the next permit. The mutex is held.
+// completion or a report: during a slow start, as its bound rises with time, when the Pacer has the
+// next permit, and while slots are reserved. The mutex is held.
 func (g *Gate) scheduleDispatch() {
 	if g.wakeScheduled || len(g.queue) == 0 {
 		return
@@ -46,6 +46,9 @@
 	if g.start.active {
 		in = doublingInterval
 	}
+	if in <= 0 && g.scheduler.inForce && g.scheduler.withheld {
+		in = reservedCheckInterval
+	}
 	if in <= 0 {
 		return
 	}
--- a/internal/gate/refusal.go
+++ b/internal/gate/refusal.go
@@ -24,11 +24,14 @@
 	// QueueFull is a request for which the queue had no room, or whose backend server declares no
 	// slots.
 	QueueFull
+	// Reserved is a request that can't be started in time because the free slots are kept for higher
+	// ranks.
+	Reserved
 	reasonCount
 )
 
 func (r Reason) String() string {
-	return [reasonCount]string{"", "cannot be in time", "queue timeout", "deadline", "evicted", "queue full"}[r]
+	return [reasonCount]string{"", "cannot be in time", "queue timeout", "deadline", "evicted", "queue full", "reserved"}[r]
 }
 
 // Reasons returns all reasons.
@@ -46,6 +49,8 @@
 		return "the request cannot be in time: the expected wait for a slot is too long for its latency objective"
 	case PastDeadline:
 		return "the expected wait for the backend server exceeds the deadline"
+	case Reserved:
+		return "the free slots are reserved for urgent requests, and the expected wait for another one is too long"
 	case QueueTimeout:
 		return w.timeoutMessage()
 	}
--- a/internal/gate/schedule.go
+++ b/internal/gate/schedule.go
@@ -20,10 +20,12 @@
 	Priority int  `json:"priority"`
 	// Waiting are the requests in the queue, WaitingInTime those of them that can be in time, and Running those
 	// that hold slots.
-	Waiting       int    `json:"waiting"`
-	WaitingInTime int    `json:"waiting_in_time"`
-	Running       int    `json:"running"`
-	Starts        uint64 `json:"starts"`
+	Waiting       int `json:"waiting"`
+	WaitingInTime int `json:"waiting_in_time"`
+	Running       int `json:"running"`
+	// Reserved is the number of free slots that are kept for the rank.
+	Reserved int    `json:"reserved"`
+	Starts   uint64 `json:"starts"`
 }
 
 // Schedule returns the counters and the state of the gate's scheduling.
@@ -39,12 +41,13 @@
 			inTime[w.level]++
 		}
 	}
+	reserved := g.reservations(now)
 	for l := range levels {
 		if waiting[l] == 0 && s.starts[l] == 0 {
 			continue
 		}
 		out.Ranks = append(out.Ranks, RankState{
-			Nested: l < Priorities, Priority: l % Priorities, Waiting: waiting[l], WaitingInTime: inTime[l], Running: s.running[l], Starts: s.starts[l],
+			Nested: l < Priorities, Priority: l % Priorities, Waiting: waiting[l], WaitingInTime: inTime[l], Running: s.running[l], Reserved: reserved.slotsOf(uint8(l)), Starts: s.starts[l],
 		})
 	}
 	return out
--- a/internal/gate/scheduler.go
+++ b/internal/gate/scheduler.go
@@ -17,6 +17,9 @@
 	starts     [levels]uint64
 	running    [levels]int
 	lateStarts uint64
+	demands    demands
+	// withheld is true if requests wait beside free slots that are reserved for higher ranks.
+	withheld bool
 	// reasons and after are scratch space of plan.
 	reasons []Reason
 	after   []int32
@@ -24,9 +27,14 @@
 
 // admitByGoodput is admitOrEnqueue for OrderGoodput. The mutex is held.
 func (g *Gate) admitByGoodput(ctx context.Context, rank Rank, limits WaitLimits, now time.Time) (Slot, *waiter, *kind.Error) {
-	if len(g.queue) == 0 {
+	level, s := rank.level(), &g.scheduler
+	s.demands.arrived(level, now, limits)
+	reserved := g.reservations(now)
+	if reserved.withholds(level, limits.TimeInSlot) {
+		s.withheld = true
+	} else if _, waiting := s.turns.choose(g.queue, now, g.standing(now), &reserved); !waiting {
 		late := !limits.StartByObjective.IsZero() && now.After(limits.StartByObjective)
-		if slot, admitted := g.startByGoodput(rank.level(), late, 0, now); admitted {
+		if slot, admitted := g.startByGoodput(level, late, 0, now); admitted {
 			return slot, nil, nil
 		}
 	}
@@ -58,9 +66,12 @@
 // dispatchByGoodput admits waiting requests while slots are free, and refuses those that can't be
 // started in time. The mutex is held.
 func (g *Gate) dispatchByGoodput(now time.Time) {
+	g.scheduler.withheld = false
 	for len(g.queue) > 0 && (g.running < g.limit(now) || g.mayStartTrial(now)) {
-		c, found := g.scheduler.turns.choose(g.queue, now, g.standing(now))
+		reserved := g.reservations(now)
+		c, found := g.scheduler.turns.choose(g.queue, now, g.standing(now), &reserved)
 		if !found {
+			g.scheduler.withheld = true
 			break
 		}
 		slot, admitted := g.startByGoodput(g.queue[c.index].level, c.present == 0, c.present, now)
@@ -90,9 +101,13 @@
 	if s.turns.plan(g.queue, now, p, s.reasons[:n], s.after[:n]) == 0 {
 		return
 	}
+	reserved := g.reservations(now)
 	kept := g.queue[:0]
 	for i, w := range g.queue {
 		if r := s.reasons[i]; r != notRefused {
+			if reserved.free > 0 && reserved.withholds(w.level, w.timeInSlot) {
+				r = Reserved
+			}
 			w.result <- waitResult{refused: r}
 			continue
 		}
