--- a/internal/gate/goodput_test.go
+++ b/internal/gate/goodput_test.go
@@ -258,6 +258,56 @@
 	})
 }
 
+// Guards against slots that are lost, and requests that wait for ever or get two results, when refusals,
+// evictions, time-outs, callers that leave and changes of the order come together.
+func TestGoodputLosesNoSlotOrWaiter(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		const requests = 3000
+		rnd := rand.New(rand.NewPCG(3, 3))
+		g := newWarmGate(Limits{Slots: 4, Queue: 4, Order: OrderGoodput})
+		done := make(chan bool, requests)
+		for i := range requests {
+			rank, timeInSlot := ranked(rnd.IntN(4)), time.Duration(1+rnd.IntN(200))*time.Millisecond
+			rank.Nested = rnd.IntN(4) == 0
+			objective, leaves := time.Duration(rnd.IntN(500))*time.Millisecond, time.Duration(rnd.IntN(1000))*time.Millisecond
+			go func() {
+				ctx, cancel := context.WithTimeout(t.Context(), leaves)
+				defer cancel()
+				now := time.Now()
+				slot, refusal := g.AcquireWithin(ctx, rank, WaitLimits{
+					QueueTimeout: 2 * objective, TimeInSlot: timeInSlot,
+					StartByObjective: now.Add(objective - timeInSlot), StartByDeadline: now.Add(2*objective - timeInSlot),
+				})
+				if refusal == nil {
+					time.Sleep(timeInSlot)
+					slot.Release()
+				}
+				done <- refusal == nil
+			}()
+			if i%500 == 499 {
+				g.SetLimits(Limits{Slots: 4, Queue: 4, Order: []string{OrderInTime, OrderGoodput}[i/500%2]})
+			}
+			time.Sleep(time.Duration(rnd.IntN(25)) * time.Millisecond)
+		}
+		served := 0
+		for range requests {
+			if <-done {
+				served++
+			}
+		}
+		time.Sleep(time.Second)
+		require.Greater(t, served, requests/4)
+		require.Zero(t, g.Load().InUse)
+		require.Zero(t, g.Load().Waiting)
+		for _, r := range g.Schedule().Ranks {
+			require.Zero(t, r.Running)
+		}
+		for _, reason := range Reasons() {
+			require.Positive(t, g.Schedule().Refusals[reason], reason)
+		}
+	})
+}
+
 // fullQueue returns a queue of 62 requests of six ranks.
 func fullQueue(now time.Time) (queue []*waiter) {
 	for i := range 62 {
--- a/internal/gate/scheduler.go
+++ b/internal/gate/scheduler.go
@@ -30,17 +30,18 @@
 	level, s := rank.level(), &g.scheduler
 	s.demands.arrived(level, now, limits)
 	reserved := g.reservations(now)
-	if reserved.withholds(level, limits.TimeInSlot) {
-		s.withheld = true
-	} else if _, waiting := s.turns.choose(g.queue, now, g.standing(now), &reserved); !waiting {
-		late := !limits.StartByObjective.IsZero() && now.After(limits.StartByObjective)
-		if slot, admitted := g.startByGoodput(level, late, 0, now); admitted {
-			return slot, nil, nil
+	if !reserved.withholds(level, limits.TimeInSlot) {
+		// Slots may be free although requests wait that these are reserved from.
+		if _, waiting := s.turns.choose(g.queue, now, g.standing(now), &reserved); !waiting {
+			late := !limits.StartByObjective.IsZero() && now.After(limits.StartByObjective)
+			if slot, admitted := g.startByGoodput(level, late, 0, now); admitted {
+				return slot, nil, nil
+			}
 		}
 	}
 	w, refusal := g.enqueue(ctx, rank, limits, now)
 	if refusal == nil {
-		g.refuseUnservable(now)
+		g.dispatch(now)
 	}
 	return Slot{}, w, refusal
 }
