Answers tell that nested calls failed; targets' call shares are kept

An entry could not tell a run that failed because of its calls from other failures. A failed call now marks its possible parents, and the guard sets CallsFailed on their answers with status 500 or above.

--- /dev/null
+++ b/internal/mesh/guard/calls_test.go
@@ -0,0 +1,37 @@
+package guard_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/limpetdock/limpetdock/internal/mesh/lineage"
+)
+
+// Guards against entries that can't tell a run that failed because of its calls from others and repeat it.
+func TestAnswerTellsThatCallsFailed(t *testing.T) {
+	for _, c := range []struct {
+		status             int
+		callFails, reports bool
+	}{
+		{http.StatusInternalServerError, true, true},
+		{http.StatusInternalServerError, false, false},
+		{http.StatusOK, true, false},
+	} {
+		var runs *lineage.Tracker
+		x := newFixture(t, 4, func(w http.ResponseWriter, r *http.Request) {
+			call := runs.Arrived(time.Second)
+			if c.callFails {
+				call.FailCall()
+			}
+			signed(w, r)
+			w.WriteHeader(c.status)
+		})
+		runs = x.Lineage
+		answer, err := x.Run(t.Context(), request())
+		require.Nil(t, err)
+		require.Equal(t, c.reports, answer.CallsFailed)
+	}
+}
--- a/internal/mesh/guard/send.go
+++ b/internal/mesh/guard/send.go
@@ -52,6 +52,7 @@
 		return nil, kind.New(kind.BackendBroken, "the response has no signature of the backend server")
 	}
 	answer.Calls = calls
+	answer.CallsFailed = answer.Status >= http.StatusInternalServerError && run.CallFailed()
 	return answer, nil
 }
 
--- a/internal/mesh/lineage/lineage.go
+++ b/internal/mesh/lineage/lineage.go
@@ -49,8 +49,10 @@
 	expires time.Duration
 	// ended is true once its exchange has ended.
 	ended bool
-	// calls are the calls that it has made so far.
-	calls mesh.Calls
+	// calls are the calls that it has made so far, and callFailed is true if one of them may have failed
+	// for lack of room or time.
+	calls      mesh.Calls
+	callFailed bool
 }
 
 // Begin records that the backend server gets a request, which expires at the given time since the node's
@@ -79,6 +81,13 @@
 	return calls
 }
 
+// CallFailed reports whether a call that the request may have made has failed for lack of room or time.
+func (r *Run) CallFailed() bool {
+	r.tracker.mu.Lock()
+	defer r.tracker.mu.Unlock()
+	return r.callFailed
+}
+
 // ConfirmIdle records that the backend server runs nothing: what an earlier process has sent, and what it
 // might have continued, has ended.
 func (t *Tracker) ConfirmIdle() {
@@ -145,3 +154,13 @@
 		r.calls.Add(calls, 1/float64(len(o.parents)))
 	}
 }
+
+// FailCall records that the request failed for lack of room or time. Any of the requests that may have made
+// it may fail for that.
+func (o *Origin) FailCall() {
+	o.tracker.mu.Lock()
+	defer o.tracker.mu.Unlock()
+	for _, r := range o.parents {
+		r.callFailed = true
+	}
+}
--- a/internal/mesh/lineage/lineage_test.go
+++ b/internal/mesh/lineage/lineage_test.go
@@ -87,3 +87,17 @@
 	f.ConfirmIdle()
 	require.False(t, f.Arrived(inTime).Caller(), "the request had not arrived when the server was idle")
 }
+
+// Guards against a run that seems to have failed for another reason than its calls, and is repeated.
+func TestFailedCallMarksPossibleParents(t *testing.T) {
+	f := newFixture()
+	first, other, short := f.Begin(2*second), f.Begin(2*second), f.Begin(100*time.Millisecond)
+	call := f.Arrived(inTime)
+	require.False(t, first.CallFailed())
+	first.End(false)
+	call.FailCall()
+	require.True(t, first.CallFailed(), "it has just ended, as its call has failed")
+	require.True(t, other.CallFailed())
+	require.False(t, short.CallFailed(), "it ends before the call")
+	require.False(t, f.Begin(2*second).CallFailed())
+}
--- a/internal/mesh/stat.go
+++ b/internal/mesh/stat.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -35,6 +36,16 @@
 	avoidUntil time.Duration
 	// lastSuccess is the time of the target's last successful answer.
 	lastSuccess time.Duration
+	// calls is how nested calls fare as of the last report, or nil if all succeed, and callsAt is when that
+	// was received; 0 is never. They are read without the mutex, as an entry reads those of all targets at once.
+	calls   atomic.Pointer[callReport]
+	callsAt atomic.Int64
+}
+
+// callReport is the part of a load report about nested calls.
+type callReport struct {
+	service string
+	success float64
 }
 
 // Estimate is the expected state of a target.
@@ -64,7 +75,36 @@
 func (s *Stat) Report(l Load, now time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if l.CallsTo != s.load.CallsTo || l.CallSuccess != s.load.CallSuccess {
+		s.calls.Store(newCallReport(l))
+	}
 	s.load, s.reportedAt, s.reported, s.sent = l, now, true, 0
+	s.callsAt.Store(max(int64(now), 1))
+}
+
+func newCallReport(l Load) *callReport {
+	if l.CallsTo == "" {
+		return nil
+	}
+	return &callReport{l.CallsTo, l.CallSuccess}
+}
+
+// maxCallReportAge is the age up to which a report says how calls of the target's backend server fare now.
+const maxCallReportAge = 1500 * time.Millisecond
+
+// CallSuccess returns the share of the backend server's calls to a service that succeed, as of its last
+// report, and the age of that. known is false without a recent report. The share is 1 if the report
+// names no service or another one, to which calls succeed less often.
+func (s *Stat) CallSuccess(service string, now time.Duration) (share float64, age time.Duration, known bool) {
+	at := s.callsAt.Load()
+	age = max(now-time.Duration(at), 0)
+	if at == 0 || age > maxCallReportAge {
+		return 0, 0, false
+	}
+	if r := s.calls.Load(); r != nil && r.service == service {
+		return r.success, age, true
+	}
+	return 1, age, true
 }
 
 // Begin counts a request that is about to be sent to the target.
--- a/internal/mesh/stat_test.go
+++ b/internal/mesh/stat_test.go
@@ -59,3 +59,19 @@
 	s.End(time.Second, true, false)
 	require.Zero(t, s.InFlight(), "a request with an inconclusive outcome must be counted as ended, too")
 }
+
+// Guards against call shares of lost reports, and of reports about another service.
+func TestCallSuccessIsThatOfARecentReport(t *testing.T) {
+	s := &mesh.Stat{}
+	_, _, known := s.CallSuccess("stock", 0)
+	require.False(t, known)
+	s.Report(mesh.Load{CallsTo: "stock", CallSuccess: 0.4}, time.Second)
+	share, age, known := s.CallSuccess("stock", 2*time.Second)
+	require.True(t, known)
+	require.InDelta(t, 0.4, share, 1e-9)
+	require.Equal(t, time.Second, age)
+	share, _, _ = s.CallSuccess("prices", 2*time.Second)
+	require.InDelta(t, 1, share, 1e-9)
+	_, _, known = s.CallSuccess("stock", 3*time.Second)
+	require.False(t, known)
+}
