Call admission in the entry, load reports, metrics and /state

Requests whose runs call a service without room were started and discarded. The first entry now refuses them by the shares that targets report, nested calls are marked and never refused, and a run whose calls failed isn't repeated. In force while View.OverloadScheduling is true.

--- a/internal/mesh/calladmission/controller.go
+++ b/internal/mesh/calladmission/controller.go
@@ -39,7 +39,7 @@
 	// demandWeight is the weight of the requests since the last update in the demand by priority.
 	demandWeight = 0.3
 	// bisectionSteps is the number of steps by which the share for the lowest priority is found.
-	bisectionSteps = 24
+	bisectionSteps = 16
 	// historySteps is for how many intervals past shares are kept.
 	historySteps = 8
 	// maxSteps bounds the intervals for which an update makes up. Within them a share grows from its
--- a/internal/mesh/entry/choose.go
+++ b/internal/mesh/entry/choose.go
@@ -65,6 +65,8 @@
 	// calls is a moving average of the calls that a run makes, and runs counts the samples.
 	calls mesh.Calls
 	runs  int
+	// origins tells whether only nested calls use the route.
+	origins originStats
 }
 
 // maxAverageSamples is the number of samples from which the averages are moving averages, in
--- a/internal/mesh/entry/describe.go
+++ b/internal/mesh/entry/describe.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strings"
 	"time"
 
@@ -22,6 +23,12 @@
 	if t.origin != nil && !t.origin.Caller() {
 		pairs = append(pairs, "may_be_call", true)
 	}
+	if t.nested {
+		pairs = append(pairs, "nested", true)
+	}
+	if t.admission.share < 1 && t.admission.called != "" {
+		pairs = append(pairs, "calls_to", t.admission.called, "admitted_share", math.Round(t.admission.share*1000)/1000)
+	}
 	if t.retryDeniedBy != "" {
 		pairs = append(pairs, "retry_denied_by", t.retryDeniedBy)
 	}
--- a/internal/mesh/entry/entry.go
+++ b/internal/mesh/entry/entry.go
@@ -12,6 +12,7 @@
 	"github.com/limpetdock/limpetdock/internal/decision"
 	"github.com/limpetdock/limpetdock/internal/kind"
 	"github.com/limpetdock/limpetdock/internal/mesh"
+	"github.com/limpetdock/limpetdock/internal/mesh/calladmission"
 	"github.com/limpetdock/limpetdock/internal/mesh/eligibility"
 	"github.com/limpetdock/limpetdock/internal/mesh/lineage"
 	"github.com/limpetdock/limpetdock/internal/stopping"
@@ -61,7 +62,9 @@
 	Suspects Suspects
 	// Lineage knows what the backend server beside the node runs. With nil, all requests are taken for
 	// callers' own.
-	Lineage  *lineage.Tracker
+	Lineage *lineage.Tracker
+	// Calls receives the outcomes of nested calls. With nil, the Entry has a Recorder of its own.
+	Calls    *calladmission.Recorder
 	Repeats  Repeats
 	Observer Observer
 	Log      *decision.Log
@@ -76,8 +79,10 @@
 	view    atomic.Pointer[mesh.View]
 	prices  atomic.Pointer[Prices]
 	retries *retryBudgets
-	routes  sync.Map // route name to *routeStats
-	active  atomic.Int64
+	// admissions are the shares of requests that are admitted by the calls that their runs make.
+	admissions *calladmission.Controllers
+	routes     sync.Map // route name to *routeStats
+	active     atomic.Int64
 	// trialDelay is after which time a request whose block has ended may run again.
 	trialDelay suspect.TrialDelay
 	// stop is set when the node begins to stop.
@@ -91,6 +96,10 @@
 func New(c Config) *Entry {
 	e := &Entry{
 		Config: c, retries: newRetryBudgets(c.Repeats, c.Now), trialDelay: suspect.NewTrialDelay(),
+		admissions: calladmission.NewControllers(),
+	}
+	if e.Calls == nil {
+		e.Calls = calladmission.NewRecorder()
 	}
 	if e.Lineage == nil {
 		e.Lineage = lineage.New(c.Now)
@@ -200,7 +209,11 @@
 	// route's latency objective passes.
 	deadline, objective time.Duration
 	origin              *lineage.Origin
-	attempts            []attempt
+	// nested is true if the request is taken for a nested call.
+	nested bool
+	// admission is the smallest admitted share among the services that runs of the route call.
+	admission callAdmission
+	attempts  []attempt
 	// ineligible counts the targets that must not get the request, by reason, as of the last
 	// selection.
 	ineligible map[eligibility.Reason]int
@@ -281,6 +294,10 @@
 		return t, refusal
 	}
 	t.origin = e.Lineage.Arrived(t.expires())
+	t.detectNestedCall()
+	if refusal := t.refuseForCalls(); refusal != nil {
+		return t, refusal
+	}
 	if t.origin.Caller() {
 		e.retries.request(t.service)
 	} else {
@@ -309,5 +326,6 @@
 		k = err.Kind
 	}
 	e.Observer.Answered(t.service, k, took)
+	t.recordNestedCall(a, err)
 	e.Log.InfoLimited("request ended", t.describe(a, err, took)...)
 }
--- a/internal/mesh/entry/run.go
+++ b/internal/mesh/entry/run.go
@@ -152,7 +152,7 @@
 		Idempotent: t.route.Idempotent, Priority: t.route.Priority,
 		Remaining: t.end() - start - answerMargin/2 - rttTo[c.target.Distance]/2, QueueTimeout: queueTimeout,
 		BaseServiceTime: baseServiceTime, ObjectiveRemaining: t.objective - start - rttTo[c.target.Distance],
-		Suspected: t.level == suspect.Suspected,
+		Suspected: t.level == suspect.Suspected, Nested: t.nested,
 	}
 	c.target.Stat.Begin()
 	var answer *mesh.Answer
@@ -240,6 +240,10 @@
 	if a.Status < http.StatusInternalServerError || !t.route.Idempotent || t.sent >= t.route.MaxTargets {
 		return false
 	}
+	if a.CallsFailed && t.view.OverloadScheduling {
+		// The calls of another run would meet the same lack of room.
+		return false
+	}
 	return t.takeRetry()
 }
 
--- a/internal/mesh/node/admin.go
+++ b/internal/mesh/node/admin.go
@@ -14,6 +14,7 @@
 
 	"github.com/limpetdock/limpetdock/internal/clock"
 	"github.com/limpetdock/limpetdock/internal/mesh"
+	"github.com/limpetdock/limpetdock/internal/mesh/calladmission"
 	"github.com/limpetdock/limpetdock/internal/mesh/entry"
 	"github.com/limpetdock/limpetdock/internal/mesh/quarantine"
 	"github.com/limpetdock/limpetdock/internal/metrics"
@@ -94,7 +95,9 @@
 	EvacuatedZones []string `json:"evacuated_zones"`
 	// Suspects are the requests that may crash backend servers.
 	Suspects []wire.Suspect `json:"suspects"`
-	Targets  []targetState  `json:"targets"`
+	// CallAdmissions are the shares of requests that are admitted by the calls that their runs make.
+	CallAdmissions []calladmission.State `json:"call_admissions"`
+	Targets        []targetState         `json:"targets"`
 }
 
 type targetState struct {
@@ -107,7 +110,7 @@
 }
 
 func (a *admin) state() state {
-	s := state{Stopping: a.stopping.Load(), Active: a.entry.Active(), Load: a.guard.Load(), Suspects: a.suspects.Dump()}
+	s := state{Stopping: a.stopping.Load(), Active: a.entry.Active(), Load: a.guard.Load(), Suspects: a.suspects.Dump(), CallAdmissions: a.entry.CallAdmissions()}
 	s.Reading = s.Load.ReadsStore
 	v := a.entry.View()
 	if v == nil {
--- a/internal/mesh/node/metrics.go
+++ b/internal/mesh/node/metrics.go
@@ -46,6 +46,7 @@
 	m.Gauge("limpetdock_requests_in_flight", "Requests of callers being served.", func() float64 { return float64(e.Active()) })
 	m.Gauge("limpetdock_backend_slots_in_use", "Requests that the backend server runs now.", func() float64 { return float64(g.Load().Running) })
 	m.Gauge("limpetdock_backend_queue_length", "Requests that wait for a slot.", func() float64 { return float64(g.Load().Waiting) })
+	registerCallMetrics(m, e)
 	m.Gauge("limpetdock_config_version", "Configuration in force; 0 is none.", func() float64 {
 		if v := e.View(); v != nil {
 			return float64(v.Config.Version)
--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -14,6 +14,7 @@
 	"github.com/limpetdock/limpetdock/internal/daemon"
 	"github.com/limpetdock/limpetdock/internal/decision"
 	"github.com/limpetdock/limpetdock/internal/mesh"
+	"github.com/limpetdock/limpetdock/internal/mesh/calladmission"
 	"github.com/limpetdock/limpetdock/internal/mesh/directory"
 	"github.com/limpetdock/limpetdock/internal/mesh/entry"
 	"github.com/limpetdock/limpetdock/internal/mesh/exchange"
@@ -74,7 +75,7 @@
 var Module = fx.Options(
 	fx.Provide(
 		clock.New, metrics.New, quarantine.New, newBackend, newLineage, newGuard, newLoadSender, newPeerServer, newPeerClient, newEntry,
-		newCallerHandler, newFront, newLoop, newStoreCalls, newSource, newAdmin, newReportDispatcher, newReaderTable, newFollower, newReportingGuard,
+		calladmission.NewRecorder, newCallerHandler, newFront, newLoop, newStoreCalls, newSource, newAdmin, newReportDispatcher, newReaderTable, newFollower, newReportingGuard,
 	),
 	fx.Invoke(registerMetrics, run),
 )
@@ -106,9 +107,9 @@
 	return client
 }
 
-func newEntry(s *settings.Settings, g *guard.Guard, p *peer.Client, m *metrics.Metrics, now clock.Clock, log *decision.Log, q *quarantine.Tracker, l *lineage.Tracker) *entry.Entry {
+func newEntry(s *settings.Settings, g *guard.Guard, p *peer.Client, m *metrics.Metrics, now clock.Clock, log *decision.Log, q *quarantine.Tracker, l *lineage.Tracker, calls *calladmission.Recorder) *entry.Entry {
 	e := entry.New(entry.Config{
-		Here: s.Here, Guard: g, Peers: p, Suspects: q, Lineage: l, Repeats: s.Repeats, Observer: m, Log: log, Now: now,
+		Here: s.Here, Guard: g, Peers: p, Suspects: q, Lineage: l, Calls: calls, Repeats: s.Repeats, Observer: m, Log: log, Now: now,
 	})
 	e.SetPrices(s.Tunable.Prices)
 	return e
--- a/internal/mesh/node/reports.go
+++ b/internal/mesh/node/reports.go
@@ -7,6 +7,7 @@
 
 	"github.com/limpetdock/limpetdock/internal/clock"
 	"github.com/limpetdock/limpetdock/internal/mesh"
+	"github.com/limpetdock/limpetdock/internal/mesh/calladmission"
 	"github.com/limpetdock/limpetdock/internal/mesh/guard"
 	"github.com/limpetdock/limpetdock/internal/mesh/peer"
 	"github.com/limpetdock/limpetdock/internal/mesh/reader"
@@ -74,13 +75,16 @@
 )
 
 // reportingGuard is the guard as other nodes see it: its load reports include whether the
-// node reads the store.
+// node reads the store, and how nested calls fare.
 type reportingGuard struct {
 	*guard.Guard
+	calls   *calladmission.Recorder
 	reading atomic.Pointer[func() bool]
 }
 
-func newReportingGuard(g *guard.Guard) *reportingGuard { return &reportingGuard{Guard: g} }
+func newReportingGuard(g *guard.Guard, calls *calladmission.Recorder) *reportingGuard {
+	return &reportingGuard{Guard: g, calls: calls}
+}
 
 // setReading sets the function that reports whether the node reads the store.
 func (r *reportingGuard) setReading(f func() bool) { r.reading.Store(&f) }
@@ -91,6 +95,7 @@
 	if reading := r.reading.Load(); reading != nil {
 		l.ReadsStore = (*reading)()
 	}
+	l.CallsTo, l.CallSuccess = r.calls.Lowest(r.Now())
 	return l
 }
 
