Link scheduling: writers of all connections send through the shared scheduler

Frames above 16 KB go in pieces to peers that accept them; load reports carry the link's rate and backlog; forecasts count both; guards refuse bulk requests while more than [link] queue-mb wait. Without the feature the writer appends to its queue as before.

--- a/internal/mesh/entry/choose.go
+++ b/internal/mesh/entry/choose.go
@@ -163,12 +163,15 @@
 		target.Stat.Report(t.entry.Guard.Load(), now)
 	}
 	f := target.Forecast(baseServiceTime, now)
+	if target.Distance != place.SameVM {
+		f.LinkDelay = f.LinkDelayOf(bytes+framingBytes, t.view.LinkRate)
+	}
 	c := candidate{target: target, wait: f.Wait, forecast: f}
 	if wait, refused := t.refusals[target.ID]; refused {
 		c.wait = max(c.wait, wait)
 	}
 	slots := max(f.Slots, target.Slots, 1)
-	c.score = rttTo[target.Distance] + c.wait + f.ExpectedServiceTime +
+	c.score = rttTo[target.Distance] + c.wait + f.ExpectedServiceTime + f.LinkDelay +
 		t.riskPenalty(f, now+rttTo[target.Distance]) +
 		time.Duration(utilizationPenalty*float64(f.ExpectedServiceTime)*float64(f.Busy)/float64(slots)) +
 		time.Duration(f.FailureRate*float64(failurePenalty)) +
@@ -187,7 +190,7 @@
 
 // lateProbability returns the probability that the answer takes longer than remaining.
 func lateProbability(f mesh.Forecast, remaining time.Duration) float64 {
-	available := remaining - f.Wait
+	available := remaining - f.Wait - f.LinkDelay
 	if available <= 0 {
 		return 1
 	}
--- a/internal/mesh/features.go
+++ b/internal/mesh/features.go
@@ -35,6 +35,10 @@
 func (v *View) SetFeatures(f Features) {
 	v.OverloadScheduling = f.Overload.Enabled(v.Config.HasUrgentRoute())
 	v.LinkScheduling = f.LinkRate > 0 && f.Links.Enabled(v.Config.HasBulkRoute())
+	v.LinkRate = 0
+	if v.LinkScheduling {
+		v.LinkRate = f.LinkRate
+	}
 }
 
 // urgentObjectiveRatio is the largest ratio of the latency objective to the timeout of an urgent
--- a/internal/mesh/forecast.go
+++ b/internal/mesh/forecast.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"time"
+
+	"github.com/limpetdock/limpetdock/internal/mesh/egress"
 )
 
 const (
@@ -21,6 +23,22 @@
 	Estimate
 	// Wait is the expected time in the queue, and ExpectedServiceTime the time in the slot.
 	Wait, ExpectedServiceTime time.Duration
+	// LinkDelay is the expected delay of the answer by the links; 0 unless they are scheduled.
+	LinkDelay time.Duration
+}
+
+// LinkDelayOf returns the delay of an answer by the links if both are scheduled: its size over the
+// slower of the two, and the target's backlog, which a small answer overtakes. ownRate is the rate
+// of the receiver's link.
+func (e Estimate) LinkDelayOf(bytes int, ownRate float64) time.Duration {
+	if e.LinkRate == 0 || ownRate == 0 {
+		return 0
+	}
+	delay := time.Duration(float64(bytes) / min(e.LinkRate, ownRate) * float64(time.Second))
+	if bytes > egress.SmallBytes {
+		delay += e.LinkBacklog
+	}
+	return delay
 }
 
 // Forecast returns the expected delay of a request that is sent to the target now and has the
--- a/internal/mesh/node/admin.go
+++ b/internal/mesh/node/admin.go
@@ -15,6 +15,7 @@
 	"github.com/limpetdock/limpetdock/internal/clock"
 	"github.com/limpetdock/limpetdock/internal/mesh"
 	"github.com/limpetdock/limpetdock/internal/mesh/entry"
+	"github.com/limpetdock/limpetdock/internal/mesh/peer"
 	"github.com/limpetdock/limpetdock/internal/mesh/quarantine"
 	"github.com/limpetdock/limpetdock/internal/metrics"
 	"github.com/limpetdock/limpetdock/internal/wire"
@@ -37,13 +38,14 @@
 	guard     *reportingGuard
 	metrics   *metrics.Metrics
 	suspects  *quarantine.Tracker
+	uplink    *peer.Uplink
 	now       clock.Clock
 	stopping  atomic.Bool
 }
 
-func newAdmin(p Platform, e *entry.Entry, g *reportingGuard, m *metrics.Metrics, q *quarantine.Tracker, now clock.Clock) *admin {
+func newAdmin(p Platform, e *entry.Entry, g *reportingGuard, m *metrics.Metrics, q *quarantine.Tracker, u *peer.Uplink, now clock.Clock) *admin {
 	gin.SetMode(gin.ReleaseMode)
-	return &admin{readyPath: p.ReadyPath, entry: e, guard: g, metrics: m, suspects: q, now: now}
+	return &admin{readyPath: p.ReadyPath, entry: e, guard: g, metrics: m, suspects: q, uplink: u, now: now}
 }
 
 // adminTimeout bounds reading a request's header on these ports.
@@ -90,6 +92,8 @@
 	Reading bool      `json:"reading"`
 	Active  int       `json:"active"`
 	Load    mesh.Load `json:"load"`
+	// Link is the scheduling of the bytes that the node sends to others.
+	Link peer.UplinkState `json:"link"`
 	// EvacuatedZones are the zones whose targets get no new requests.
 	EvacuatedZones []string `json:"evacuated_zones"`
 	// Suspects are the requests that may crash backend servers.
@@ -107,7 +111,7 @@
 }
 
 func (a *admin) state() state {
-	s := state{Stopping: a.stopping.Load(), Active: a.entry.Active(), Load: a.guard.Load(), Suspects: a.suspects.Dump()}
+	s := state{Stopping: a.stopping.Load(), Active: a.entry.Active(), Load: a.guard.Load(), Suspects: a.suspects.Dump(), Link: a.uplink.State()}
 	s.Reading = s.Load.ReadsStore
 	v := a.entry.View()
 	if v == nil {
--- a/internal/mesh/node/metrics.go
+++ b/internal/mesh/node/metrics.go
@@ -6,13 +6,15 @@
 	"github.com/limpetdock/limpetdock/internal/mesh/exchange"
 	"github.com/limpetdock/limpetdock/internal/mesh/front"
 	"github.com/limpetdock/limpetdock/internal/mesh/guard"
+	"github.com/limpetdock/limpetdock/internal/mesh/peer"
 	"github.com/limpetdock/limpetdock/internal/mesh/quarantine"
 	"github.com/limpetdock/limpetdock/internal/mesh/reader"
 	"github.com/limpetdock/limpetdock/internal/metrics"
 )
 
 // registerMetrics exposes the counters kept by a node's components.
-func registerMetrics(m *metrics.Metrics, log *decision.Log, c *storeCalls, s Source, r *reader.Follower, f *front.Server, e *entry.Entry, g *guard.Guard, b *exchange.Client, q *quarantine.Tracker) {
+func registerMetrics(m *metrics.Metrics, log *decision.Log, c *storeCalls, s Source, r *reader.Follower, f *front.Server, e *entry.Entry, g *guard.Guard, b *exchange.Client, q *quarantine.Tracker, u *peer.Uplink) {
+	registerLinkMetrics(m, u)
 	count := func(name, help string, read func() uint64) {
 		m.Counter(name, help, func() float64 { return float64(read()) })
 	}
--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -74,7 +74,7 @@
 var Module = fx.Options(
 	fx.Provide(
 		clock.New, metrics.New, quarantine.New, newBackend, newLineage, newGuard, newLoadSender, newPeerServer, newPeerClient, newEntry,
-		newCallerHandler, newFront, newLoop, newStoreCalls, newSource, newAdmin, newReportDispatcher, newReaderTable, newFollower, newReportingGuard,
+		newCallerHandler, newFront, newLoop, newStoreCalls, newSource, newAdmin, newReportDispatcher, newReaderTable, newFollower, newReportingGuard, newUplink,
 	),
 	fx.Invoke(registerMetrics, run),
 )
@@ -94,14 +94,20 @@
 	return g
 }
 
-func newPeerServer(s *settings.Settings, r *reportingGuard, q *quarantine.Tracker) *peer.Server {
+func newUplink(s *settings.Settings) *peer.Uplink {
+	return peer.NewUplink(s.Features.LinkRate, s.LinkQueueBytes)
+}
+
+func newPeerServer(s *settings.Settings, r *reportingGuard, q *quarantine.Tracker, u *peer.Uplink) *peer.Server {
 	server := peer.NewServer(r, s.Here)
+	server.SetUplink(u)
 	server.SetInitialSuspects(q.Initial)
 	return server
 }
 
-func newPeerClient(s *settings.Settings, r *reportDispatcher, q *quarantine.Tracker) *peer.Client {
+func newPeerClient(s *settings.Settings, r *reportDispatcher, q *quarantine.Tracker, u *peer.Uplink) *peer.Client {
 	client := peer.NewClient(s.Here, r)
+	client.SetUplink(u)
 	client.OnSuspects(q.Merge)
 	return client
 }
@@ -120,12 +126,13 @@
 
 func newFront(c *callerHandler) *front.Server { return front.New(c) }
 
-func newLoop(s *settings.Settings, now clock.Clock, log *decision.Log, e *entry.Entry, g *guard.Guard, c *peer.Client, r *reportDispatcher, readers *reader.Table, runs *lineage.Tracker) *directory.Loop {
+func newLoop(s *settings.Settings, now clock.Clock, log *decision.Log, e *entry.Entry, g *guard.Guard, c *peer.Client, r *reportDispatcher, readers *reader.Table, runs *lineage.Tracker, u *peer.Uplink) *directory.Loop {
 	state := directory.New(s.Here, s.Backend, s.Regions, s.PeersPort())
 	var first sync.Once
 	return directory.NewLoop(state, log, now, func(v *mesh.View) {
 		v.SetFeatures(s.Features)
 		first.Do(func() { runs.ExpectEarlierRuns(v.Config.LongestTimeout()) })
+		u.SetEnabled(v.LinkScheduling)
 		r.setView(v)
 		readers.SetView(v)
 		g.SetView(v)
--- a/internal/mesh/node/reports.go
+++ b/internal/mesh/node/reports.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/limpetdock/limpetdock/internal/clock"
+	"github.com/limpetdock/limpetdock/internal/kind"
 	"github.com/limpetdock/limpetdock/internal/mesh"
 	"github.com/limpetdock/limpetdock/internal/mesh/guard"
 	"github.com/limpetdock/limpetdock/internal/mesh/peer"
@@ -74,13 +75,28 @@
 )
 
 // reportingGuard is the guard as other nodes see it: its load reports include whether the
-// node reads the store.
+// node reads the store and the state of its link, and it refuses requests whose answers the link
+// has no room for.
 type reportingGuard struct {
 	*guard.Guard
+	uplink  *peer.Uplink
 	reading atomic.Pointer[func() bool]
 }
 
-func newReportingGuard(g *guard.Guard) *reportingGuard { return &reportingGuard{Guard: g} }
+func newReportingGuard(g *guard.Guard, u *peer.Uplink) *reportingGuard {
+	return &reportingGuard{Guard: g, uplink: u}
+}
+
+// Run runs a request of another node, or refuses it.
+func (r *reportingGuard) Run(ctx context.Context, request *mesh.Request) (*mesh.Answer, *kind.Error) {
+	if wait, full := r.uplink.Full(); full {
+		if e := r.RefuseBulk(request, wait); e != nil {
+			r.uplink.CountRefusal()
+			return nil, e
+		}
+	}
+	return r.Guard.Run(ctx, request)
+}
 
 // setReading sets the function that reports whether the node reads the store.
 func (r *reportingGuard) setReading(f func() bool) { r.reading.Store(&f) }
@@ -88,6 +104,7 @@
 // Load returns the load to report to other nodes.
 func (r *reportingGuard) Load() mesh.Load {
 	l := r.Guard.Load()
+	l.LinkRate, l.LinkBacklog = r.uplink.Load()
 	if reading := r.reading.Load(); reading != nil {
 		l.ReadsStore = (*reading)()
 	}
--- a/internal/mesh/peer/client.go
+++ b/internal/mesh/peer/client.go
@@ -37,8 +37,13 @@
 	stateSync atomic.Pointer[StateSync]
 	// suspects receives the suspects that other nodes send; nil until OnSuspects is called.
 	suspects atomic.Pointer[func([]quarantine.Row)]
+	uplink   *Uplink
 }
 
+// SetUplink sets the Uplink through which the Client sends. It must be called before the first
+// request.
+func (c *Client) SetUplink(u *Uplink) { c.uplink = u }
+
 // OnSuspects sets the function that receives the requests that other nodes suspect to crash
 // backend servers.
 func (c *Client) OnSuspects(f func([]quarantine.Row)) { c.suspects.Store(&f) }
@@ -73,7 +78,7 @@
 func NewClient(here mesh.Place, l Listener) *Client {
 	return &Client{
 		hello:    Hello{VM: here.VM, Region: here.Region, Suspects: true},
-		listener: l, now: clock.New(), dial: dialPeer, links: map[linkKey]*link{},
+		listener: l, now: clock.New(), dial: dialPeer, links: map[linkKey]*link{}, uplink: NewUplink(0, DefaultQueueBytes),
 	}
 }
 
@@ -106,12 +111,19 @@
 	if err != nil {
 		return nil, kind.New(kind.BadRequest, "the request can't be forwarded").WithCause(err)
 	}
-	if err := w.send(frame); err != nil {
+	if _, err := w.enqueue(frame, r.Priority); err != nil {
 		return nil, kind.New(kind.Unreachable, "the target's node can't be reached").WithCause(err)
 	}
 	return l.wait(ctx, w, streamID, s)
 }
 
+// helloFrame returns the Hello. accepts is true if it says that the node accepts frames in pieces.
+func (c *Client) helloFrame(accepts bool) ([]byte, error) {
+	hello := c.hello
+	hello.SentMs = c.sentMs()
+	return encodeExtended(frameHello, 0, &hello, extension{Chunks: accepts})
+}
+
 // sentMs returns the time by which a frame that is sent now is stamped, in milliseconds. It is never 0.
 func (c *Client) sentMs() uint64 { return 1 + uint64(c.now().Milliseconds()) }
 
--- a/internal/mesh/peer/confirm_test.go
+++ b/internal/mesh/peer/confirm_test.go
@@ -85,7 +85,7 @@
 func TestUnresponsiveEntryIsWaitedForOnce(t *testing.T) {
 	near, far := net.Pipe()
 	defer func() { _ = far.Close() }()
-	c := &serverConn{writer: newWriter(near), unconfirmed: map[uint32]chan struct{}{}}
+	c := &serverConn{writer: newWriter(near, nil, nil), unconfirmed: map[uint32]chan struct{}{}}
 	defer c.writer.close()
 	go func() {
 		// The entry reads bytes and sends none.
@@ -113,9 +113,9 @@
 	l := &link{streams: map[uint32]*stream{}, client: NewClient(mesh.Place{}, &loadRecorder{last: map[string]mesh.Load{}})}
 	_, s := l.openStream(true)
 	require.True(t, l.mayHaveRun(s), "the peer has reported nothing yet")
-	l.handleLoad(loadBody{Confirms: true}, extension{})
+	l.handleLoad(loadBody{Confirms: true}, extension{}, false)
 	require.False(t, l.mayHaveRun(s))
-	l.handleLoad(loadBody{}, extension{})
+	l.handleLoad(loadBody{}, extension{}, false)
 	require.True(t, l.mayHaveRun(s))
 }
 
--- a/internal/mesh/peer/delivery.go
+++ b/internal/mesh/peer/delivery.go
@@ -18,6 +18,39 @@
 	queuedEnd, acknowledged uint64
 	// lastProgress is when bytes were last acknowledged or an answer was queued.
 	lastProgress time.Time
+	// waiting counts the answers of which a part waits for the link. Their end isn't known yet.
+	waiting int
+}
+
+// noteWaiting records that an answer waits for the link.
+func (d *delivery) noteWaiting(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.waiting++
+	d.lastProgress = now
+}
+
+// noteHandedOver records that an answer no longer waits for the link and ends at the given stream
+// offset.
+func (d *delivery) noteHandedOver(end uint64, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.waiting--
+	d.queuedEnd, d.lastProgress = max(d.queuedEnd, end), now
+}
+
+// noteDropped records that answers which waited for the link were dropped.
+func (d *delivery) noteDropped(answers int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.waiting -= answers
+}
+
+// awaitsLink reports whether a part of an answer waits for the link.
+func (d *delivery) awaitsLink() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.waiting > 0
 }
 
 // noteQueued records that an answer was queued that ends at the given stream offset.
@@ -35,7 +68,7 @@
 	if acknowledged > d.acknowledged {
 		d.acknowledged, d.lastProgress = acknowledged, now
 	}
-	return acknowledged >= d.queuedEnd || now.Sub(d.lastProgress) >= pongTimeout
+	return d.waiting == 0 && acknowledged >= d.queuedEnd || now.Sub(d.lastProgress) >= pongTimeout
 }
 
 // delivered reports whether no request is running and all answers are done.
@@ -43,7 +76,10 @@
 	c.mu.Lock()
 	running := len(c.running)
 	c.mu.Unlock()
-	return running == 0 && c.delivery.done(stall.Acknowledged(c.writer.conn), now)
+	if running > 0 || c.delivery.awaitsLink() && c.server.uplink.holds(c.writer) {
+		return false
+	}
+	return c.delivery.done(stall.Acknowledged(c.writer.conn), now)
 }
 
 // Delivered reports whether no request of another node is running and every answer has
--- a/internal/mesh/peer/frame.go
+++ b/internal/mesh/peer/frame.go
@@ -46,6 +46,9 @@
 	// frameSuspects carries requests that may crash backend servers, to nodes whose Hello says
 	// that they accept it. It belongs to no stream.
 	frameSuspects
+	// frameChunk carries a piece of a frame that is too long to be sent at once, to nodes that say
+	// that they accept it (extension.Chunks).
+	frameChunk
 	// frameEnd is greater than all types.
 	frameEnd
 )
--- a/internal/mesh/peer/link.go
+++ b/internal/mesh/peer/link.go
@@ -37,6 +37,10 @@
 	streams      map[uint32]*stream
 	// confirms is true if the peer asks for confirmation of requests that need it.
 	confirms bool
+	// takesPieces is true if the peer accepts frames in pieces, and announced if it was told that
+	// this node does. pieces are those received over the open connection.
+	takesPieces, announced bool
+	pieces                 *pieces
 }
 
 // stream is a request in flight.
@@ -78,6 +82,7 @@
 func (l *link) cancelStream(ctx context.Context, w *writer, streamID uint32, s *stream) *kind.Error {
 	// From here on the peer is not sent a frameProceed.
 	l.removeStream(streamID)
+	w.cancelStream(streamID)
 	if frame, err := encode(frameCancel, streamID, nil); err == nil {
 		// If the frame can't be sent, the connection is closed, which cancels the request too.
 		_ = w.send(frame)
@@ -114,12 +119,33 @@
 	return err == nil && w.send(frame) == nil
 }
 
-// handleLoad handles a load report of the peer.
-func (l *link) handleLoad(b loadBody, x extension) {
+// handleLoad handles a load report of the peer. A delayed one came in pieces, between which newer
+// ones may have arrived.
+func (l *link) handleLoad(b loadBody, x extension, delayed bool) {
 	l.mu.Lock()
 	l.confirms = b.Confirms
 	l.mu.Unlock()
-	l.client.listener.Reported(l.key.addr, x.load(b))
+	if !delayed {
+		l.client.listener.Reported(l.key.addr, x.load(b))
+	}
+}
+
+// acceptPieces records that the peer accepts frames in pieces, and tells it that this node does if
+// it didn't when it dialled. false closes the connection.
+func (l *link) acceptPieces(w *writer) bool {
+	l.mu.Lock()
+	known, announce := l.takesPieces, !l.announced && l.client.uplink.on()
+	l.takesPieces = true
+	l.announced = l.announced || announce
+	l.mu.Unlock()
+	if !known {
+		l.client.uplink.acceptPieces(w)
+	}
+	if !announce {
+		return true
+	}
+	frame, err := l.client.helloFrame(true)
+	return err == nil && w.send(frame) == nil
 }
 
 // openStream starts a request. One that must not run twice needs confirmation: if the
@@ -137,6 +163,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.streams, streamID)
+	l.pieces.drop(streamID)
 }
 
 // connect returns the open connection, or dials and waits until the dial or ctx ends.
@@ -192,10 +219,9 @@
 // handshake sends the Hello frame over a new connection and starts reading from it. l.mu
 // must be held.
 func (l *link) handshake(raw net.Conn) error {
-	w := newWriter(raw)
-	hello := l.client.hello
-	hello.SentMs = l.client.sentMs()
-	frame, err := encode(frameHello, 0, &hello)
+	w := newWriter(raw, l.client.uplink, nil)
+	announced := l.client.uplink.on()
+	frame, err := l.client.helloFrame(announced)
 	if err == nil {
 		err = w.send(frame)
 	}
@@ -205,6 +231,7 @@
 	}
 	// The peer may be a new process of another version.
 	l.writer, l.liveness, l.confirms = w, liveness{lastReceived: time.Now()}, false
+	l.takesPieces, l.announced, l.pieces = false, announced, newPieces(l.client.uplink)
 	go l.read(raw, w)
 	return nil
 }
@@ -214,7 +241,7 @@
 	reader := bufio.NewReader(observedConn{raw, l.noteReceived})
 	for {
 		t, streamID, body, err := decode(reader)
-		if err != nil || !l.handleFrame(w, t, streamID, body) {
+		if err != nil || !l.handleFrame(w, t, streamID, body, false) {
 			break
 		}
 	}
@@ -222,6 +249,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.writer = nil
+	l.pieces.close()
 	for streamID, s := range l.streams {
 		delete(l.streams, streamID)
 		s.done <- result{err: l.closeError(s)}
@@ -236,7 +264,21 @@
 	return kind.New(kind.Unreachable, "the connection to the target's node broke before the request ran").WithCause(errConnLost)
 }
 
-func (l *link) handleFrame(w *writer, t frameType, streamID uint32, body []byte) bool {
+// handlePiece handles a piece of a frame; false closes the connection.
+func (l *link) handlePiece(w *writer, streamID uint32, piece []byte) bool {
+	l.mu.Lock()
+	if streamID != 0 && l.streams[streamID] == nil {
+		// The request was cancelled while the answer was on its way.
+		l.mu.Unlock()
+		return true
+	}
+	t, body, complete, err := l.pieces.add(streamID, piece)
+	l.mu.Unlock()
+	return err == nil && (!complete || l.handleFrame(w, t, streamID, body, true))
+}
+
+// handleFrame handles one frame; false closes the connection. delayed is true if it came in pieces.
+func (l *link) handleFrame(w *writer, t frameType, streamID uint32, body []byte, delayed bool) bool {
 	switch t {
 	case frameAnswer:
 		var a answerBody
@@ -244,7 +286,7 @@
 		if err != nil {
 			return false
 		}
-		l.handleLoad(a.Load, x)
+		l.handleLoad(a.Load, x, delayed)
 		answer := a.answer()
 		answer.CallsFailed = x.CallsFailed
 		l.endStream(streamID, result{answer: answer})
@@ -254,7 +296,7 @@
 		if err != nil {
 			return false
 		}
-		l.handleLoad(r.Load, x)
+		l.handleLoad(r.Load, x, delayed)
 		l.endStream(streamID, result{err: r.error()})
 	case frameLoad:
 		var b loadBody
@@ -262,7 +304,10 @@
 		if err != nil {
 			return false
 		}
-		l.handleLoad(b, x)
+		l.handleLoad(b, x, delayed)
+		return !x.Chunks || l.acceptPieces(w)
+	case frameChunk:
+		return l.handlePiece(w, streamID, body)
 	case frameReady:
 		return l.proceed(w, streamID)
 	case frameStateQuery:
--- a/internal/mesh/peer/liveness.go
+++ b/internal/mesh/peer/liveness.go
@@ -73,7 +73,7 @@
 	}
 	if frame, err := encode(framePing, 0, nil); err == nil {
 		// If the ping can't be sent, the connection is closed.
-		offset, _ := w.enqueue(frame)
+		offset, _ := w.enqueue(frame, lowestPriority)
 		l.liveness.ping(now, offset, stall.Acknowledged(w.conn))
 	}
 	return checkInterval
--- a/internal/mesh/peer/server.go
+++ b/internal/mesh/peer/server.go
@@ -8,8 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"github.com/limpetdock/limpetdock/internal/accept"
 	"github.com/limpetdock/limpetdock/internal/clock"
 	"github.com/limpetdock/limpetdock/internal/kind"
@@ -48,8 +46,12 @@
 	// initialSuspects returns the suspects for a node that has just connected; nil until
 	// SetInitialSuspects is called.
 	initialSuspects atomic.Pointer[func() []quarantine.Row]
+	uplink          *Uplink
 }
 
+// SetUplink sets the Uplink through which the Server sends. It must be called before Serve.
+func (s *Server) SetUplink(u *Uplink) { s.uplink = u }
+
 // SetStateSync sets how state queries of other nodes are answered and how the states that
 // they send are applied. While needsState returns true, nodes that dial this one are queried
 // for their whole state, one at a time. It must be called before Serve.
@@ -66,7 +68,7 @@
 	ctx, end := stopping.NewContext()
 	return &Server{
 		handler: h, here: here, now: clock.New(), ctx: ctx, endRequests: end, conns: map[*serverConn]struct{}{}, lastRequest: map[string]time.Time{},
-		bootstrap: newBootstrapper(func() bool { return false }),
+		bootstrap: newBootstrapper(func() bool { return false }), uplink: NewUplink(0, DefaultQueueBytes),
 	}
 }
 
@@ -83,8 +85,9 @@
 	hello    Hello
 	query    pendingQuery
 	delivery delivery
-	// transit is used by the goroutine that reads.
+	// transit and pieces are used by the goroutine that reads.
 	transit transit
+	pieces  *pieces
 	mu      sync.Mutex
 	running map[uint32]context.CancelFunc
 	// unconfirmed holds the requests that wait for confirmation, by stream ID.
@@ -95,8 +98,10 @@
 }
 
 func (s *Server) serve(c net.Conn) {
-	conn := &serverConn{server: s, writer: newWriter(c), running: map[uint32]context.CancelFunc{}, unconfirmed: map[uint32]chan struct{}{}}
+	conn := &serverConn{server: s, pieces: newPieces(s.uplink), running: map[uint32]context.CancelFunc{}, unconfirmed: map[uint32]chan struct{}{}}
+	conn.writer = newWriter(c, s.uplink, &conn.delivery)
 	defer conn.writer.close()
+	defer conn.pieces.close()
 	reader := bufio.NewReader(observedConn{c, conn.query.received})
 	if err := conn.readHello(c, reader); err != nil {
 		return
@@ -105,7 +110,7 @@
 	defer s.remove(conn)
 	// The client has to know that this node confirms before a request is on its way for long.
 	load := s.handler.Load()
-	conn.sendExtended(frameLoad, 0, fromLoad(load), loadExtension(load))
+	conn.sendExtended(frameLoad, 0, fromLoad(load), s.reportExtension(load))
 	conn.sendInitialSuspects()
 	var queries sync.WaitGroup
 	defer queries.Wait()
@@ -134,9 +139,13 @@
 	if t != frameHello {
 		return errFrame
 	}
-	if err := msgpack.Unmarshal(body, &c.hello); err != nil {
+	x, err := decodeBody(body, &c.hello)
+	if err != nil {
 		return err
 	}
+	if x.Chunks {
+		c.server.uplink.acceptPieces(c.writer)
+	}
 	c.transitDelay(c.hello.SentMs)
 	return raw.SetReadDeadline(time.Time{})
 }
@@ -152,7 +161,13 @@
 			return false
 		}
 		c.startRequest(ctx, stream, &r, x)
+	case frameHello:
+		return c.handleHello(body)
+	case frameChunk:
+		return c.handlePiece(ctx, stream, body)
 	case frameCancel:
+		c.pieces.drop(stream)
+		c.writer.cancelStream(stream)
 		c.mu.Lock()
 		cancel := c.running[stream]
 		c.mu.Unlock()
@@ -173,6 +188,21 @@
 	return true
 }
 
+// handleHello handles another Hello of a node that has begun to accept pieces since it dialled.
+func (c *serverConn) handleHello(body []byte) bool {
+	x, err := decodeBody(body, &Hello{})
+	if err == nil && x.Chunks {
+		c.server.uplink.acceptPieces(c.writer)
+	}
+	return err == nil
+}
+
+// handlePiece handles a piece of a frame; false closes the connection.
+func (c *serverConn) handlePiece(ctx context.Context, stream uint32, piece []byte) bool {
+	t, body, complete, err := c.pieces.add(stream, piece)
+	return err == nil && (!complete || c.handleFrame(ctx, t, stream, body))
+}
+
 func (c *serverConn) startRequest(ctx context.Context, stream uint32, body *requestBody, x extension) {
 	c.server.noteRequest(c.hello.VM)
 	r := subtractElapsed(body.request(), c.transitDelay(body.SentMs))
@@ -195,11 +225,11 @@
 		load := c.server.handler.Load()
 		x := loadExtension(load)
 		if e != nil {
-			c.sendExtended(frameRefusal, stream, fromError(e, load), x)
+			c.sendPrioritized(frameRefusal, stream, fromError(e, load), x, r.Priority)
 			return
 		}
 		x.CallsFailed = answer.CallsFailed
-		c.sendExtended(frameAnswer, stream, fromAnswer(answer, load), x)
+		c.sendPrioritized(frameAnswer, stream, fromAnswer(answer, load), x, r.Priority)
 	}()
 }
 
@@ -208,15 +238,16 @@
 }
 
 func (c *serverConn) sendExtended(t frameType, stream uint32, body any, x extension) bool {
+	return c.sendPrioritized(t, stream, body, x, lowestPriority)
+}
+
+func (c *serverConn) sendPrioritized(t frameType, stream uint32, body any, x extension, priority int) bool {
 	frame, err := encodeExtended(t, stream, body, x)
 	if err != nil {
 		return false
 	}
 	// If the frame can't be queued, the connection is closed and its reader ends.
-	offset, err := c.writer.enqueue(frame)
-	if t == frameAnswer || t == frameRefusal {
-		c.delivery.noteQueued(offset+uint64(len(frame)), time.Now())
-	}
+	_, err = c.writer.enqueue(frame, priority)
 	return err == nil
 }
 
@@ -273,9 +304,16 @@
 	return scope == ScopeRegion || now.Sub(c.server.lastRequest[c.hello.VM]) < senderWindow
 }
 
+// reportExtension returns the extension of a load report that isn't part of an outcome.
+func (s *Server) reportExtension(l mesh.Load) extension {
+	x := loadExtension(l)
+	x.Chunks = s.uplink.on()
+	return x
+}
+
 // SendLoad sends a load report to the nodes in scope.
 func (s *Server) SendLoad(l mesh.Load, scope Scope) {
-	frame, err := encodeExtended(frameLoad, 0, fromLoad(l), loadExtension(l))
+	frame, err := encodeExtended(frameLoad, 0, fromLoad(l), s.reportExtension(l))
 	if err != nil {
 		return
 	}
--- a/internal/mesh/peer/writer.go
+++ b/internal/mesh/peer/writer.go
@@ -7,6 +7,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/limpetdock/limpetdock/internal/mesh/egress"
 	"github.com/limpetdock/limpetdock/internal/stall"
 )
 
@@ -22,33 +23,56 @@
 var errQueueFull = eris.New("send queue full: the peer does not read")
 
 // writer writes frames from a queue, so that senders don't wait for the network.
-// Frames that are queued together are written with one call.
+// Frames that are queued together are written with one call. While the node's link is scheduled,
+// frames come to the queue through the Uplink, which decides on their order and time.
 type writer struct {
-	conn   net.Conn
-	mu     sync.Mutex
-	queue  net.Buffers
-	queued int
+	conn net.Conn
+	// uplink may be nil; flow is the writer as its scheduler knows it.
+	uplink *Uplink
+	flow   *egress.Conn
+	// delivery is told about the outcomes of requests; it may be nil.
+	delivery *delivery
+	mu       sync.Mutex
+	queue    net.Buffers
+	queued   int
 	// total is how many bytes were queued since the connection was opened.
 	total  uint64
 	wake   chan struct{}
 	closed bool
 }
 
-func newWriter(c net.Conn) *writer {
-	w := &writer{conn: c, wake: make(chan struct{}, 1)}
+// newWriter returns a writer that sends through an Uplink; nil is none. d is told about the outcomes
+// of requests that are sent; it may be nil.
+func newWriter(c net.Conn, u *Uplink, d *delivery) *writer {
+	w := &writer{conn: c, uplink: u, delivery: d, wake: make(chan struct{}, 1)}
+	if u != nil {
+		w.flow = u.add(w)
+	}
 	go w.run()
 	return w
 }
 
+// lowestPriority is the priority of frames that belong to no request.
+const lowestPriority = 15
+
 // send queues a frame.
 func (w *writer) send(frame []byte) error {
-	_, err := w.enqueue(frame)
+	_, err := w.enqueue(frame, lowestPriority)
 	return err
 }
 
-// enqueue queues a frame and returns its offset: how many bytes were queued before it
-// since the connection was opened.
-func (w *writer) enqueue(frame []byte) (offset uint64, err error) {
+// enqueue queues a frame of a request with the given priority and returns its offset: how many
+// bytes are sent before it since the connection was opened. If the link is scheduled, the offset is
+// that which the frame has if no other frames are queued before it is sent.
+func (w *writer) enqueue(frame []byte, priority int) (offset uint64, err error) {
+	if w.uplink.on() {
+		return w.uplink.enqueue(w, frame, priority)
+	}
+	return w.append(frame)
+}
+
+// append queues a frame behind all others.
+func (w *writer) append(frame []byte) (offset uint64, err error) {
 	w.mu.Lock()
 	if w.closed {
 		w.mu.Unlock()
@@ -61,14 +85,53 @@
 	}
 	defer w.mu.Unlock()
 	offset = w.total
-	w.queue = append(w.queue, frame)
-	w.queued += len(frame)
-	w.total += uint64(len(frame))
+	w.add(frame)
+	if w.delivery != nil && frameType(frame[4]).isOutcome() {
+		w.delivery.noteQueued(w.total, time.Now())
+	}
+	return offset, nil
+}
+
+// add adds bytes to the queue. w.mu must be held.
+func (w *writer) add(bytes []byte) {
+	w.queue = append(w.queue, bytes)
+	w.queued += len(bytes)
+	w.total += uint64(len(bytes))
 	select {
 	case w.wake <- struct{}{}:
 	default:
 	}
-	return offset, nil
+}
+
+// accept queues what the scheduler hands over.
+func (w *writer) accept(h egress.Handover) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.closed {
+		return
+	}
+	if h.Piece {
+		w.add(piecePrefix(h))
+	}
+	w.add(h.Data)
+	if h.Last && h.Frame.Outcome && w.delivery != nil {
+		w.delivery.noteHandedOver(w.total, time.Now())
+	}
+}
+
+// progress returns how many bytes were queued since the connection was opened, and whether it is
+// closed.
+func (w *writer) progress() (total uint64, closed bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.total, w.closed
+}
+
+// cancelStream drops the frames of a stream that wait for the link.
+func (w *writer) cancelStream(stream uint32) {
+	if w.uplink.on() {
+		w.uplink.cancel(w, stream)
+	}
 }
 
 func (w *writer) run() {
@@ -85,25 +148,37 @@
 		if len(frames) == 0 {
 			continue
 		}
-		if _, err := out.WriteBuffers(frames); err != nil {
+		n, err := out.WriteBuffers(frames)
+		if err != nil {
 			w.close()
 			return
 		}
+		if w.uplink.on() {
+			w.uplink.written(w, n)
+		}
 	}
 }
 
 // close closes the connection and drops the queued frames.
 func (w *writer) close() {
+	if w.closeConn() && w.uplink != nil {
+		w.uplink.remove(w)
+	}
+}
+
+// closeConn closes the connection; false means that it is closed already.
+func (w *writer) closeConn() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.closed {
-		return
+		return false
 	}
 	w.closed = true
 	w.queue = nil
 	// The reader of the connection fails the streams that wait.
 	_ = w.conn.Close()
 	close(w.wake)
+	return true
 }
 
 const (
--- a/internal/mesh/peer/writer_test.go
+++ b/internal/mesh/peer/writer_test.go
@@ -17,7 +17,7 @@
 	const frames, size = 10, 1 << 20
 	virtualtime.Test(t, func(t *testing.T) {
 		near, far, _ := slowLink(t)
-		w := newWriter(near)
+		w := newWriter(near, nil, nil)
 		for i := range frames {
 			require.NoError(t, w.send(bytes.Repeat([]byte{byte(i)}, size)))
 		}
@@ -34,7 +34,7 @@
 func TestStalledQueueClosesConnection(t *testing.T) {
 	virtualtime.Test(t, func(t *testing.T) {
 		near, far := net.Pipe()
-		w := newWriter(near)
+		w := newWriter(near, nil, nil)
 		require.NoError(t, w.send(make([]byte, 1<<20)))
 		_, err := io.CopyN(io.Discard, far, 1<<10)
 		require.NoError(t, err)
--- a/internal/mesh/settings/settings.go
+++ b/internal/mesh/settings/settings.go
@@ -37,6 +37,9 @@
 	ColdStart coldstart.Policy
 	// Features are the settings of features that a configuration can call for.
 	Features mesh.Features
+	// LinkQueueBytes is how many bytes may wait for the VM's link before requests with large answers
+	// are refused.
+	LinkQueueBytes int
 	// StopGrace is the time between the stop signal and the kill of the process.
 	StopGrace time.Duration
 	// Tunable are the settings that may change while a node runs.
@@ -60,8 +63,12 @@
 	LogLevel int
 }
 
-// bytesPerMegabit is the number of bytes in a megabit.
-const bytesPerMegabit = 1e6 / 8
+// bytesPerMegabit is the number of bytes in a megabit, and bytesPerMegabyte that in a megabyte of
+// memory.
+const (
+	bytesPerMegabit  = 1e6 / 8
+	bytesPerMegabyte = 1 << 20
+)
 
 // The names of the modes of a feature.
 const (
@@ -97,6 +104,7 @@
 	inifile.Optional("overload", "scheduling", modeAuto, "auto, on or off", mode(func(s *Settings) *mesh.Mode { return &s.Features.Overload })),
 	inifile.Optional("link", "scheduling", modeAuto, "auto, on or off", mode(func(s *Settings) *mesh.Mode { return &s.Features.Links })),
 	inifile.Optional("link", "rate-mbps", "0", "megabits per second, from 0 (unknown) to 1e6", number(0, 1e6, func(s *Settings, v float64) { s.Features.LinkRate = v * bytesPerMegabit })),
+	inifile.Optional("link", "queue-mb", "32", "megabytes (1024 x 1024 bytes), from 24 (more than the largest answer) to 4096", number(24, 4096, func(s *Settings, v float64) { s.LinkQueueBytes = int(v * bytesPerMegabyte) })),
 	inifile.Optional("stop", "grace-seconds", "6", "seconds, from 1 to 600", number(1, 600, func(s *Settings, v float64) { s.StopGrace = seconds(v) })),
 	inifile.Optional("routing", "zone-price", "10ms", "a duration for each kilobyte that leaves the zone", duration(func(s *Settings) *time.Duration { return &s.Tunable.Prices.ZonePerKB })),
 	inifile.Optional("routing", "region-price", "80ms", "a duration for each kilobyte that leaves the region", duration(func(s *Settings) *time.Duration { return &s.Tunable.Prices.RegionPerKB })),
--- a/internal/mesh/settings/settings_test.go
+++ b/internal/mesh/settings/settings_test.go
@@ -44,6 +44,7 @@
 		require.Equal(t, 10*time.Second, s.Repeats.Window)
 		require.Equal(t, coldstart.Policy{Ratio: 1}, s.ColdStart, "no more than a cold server tolerates")
 		require.Zero(t, s.Tunable.Fill, "learnt")
+		require.Equal(t, 32<<20, s.LinkQueueBytes)
 		require.Equal(t, 80*time.Millisecond, s.Tunable.Prices.RegionPerKB)
 	}
 }
@@ -62,9 +63,10 @@
 	s, err := settings.Parse("node.ini", []byte(good+"[overload]\nscheduling = off\n[link]\nscheduling = on\nrate-mbps = 13.0\n"))
 	require.NoError(t, err)
 	require.Equal(t, mesh.Features{Overload: mesh.ModeOff, Links: mesh.ModeOn, LinkRate: 1_625_000}, s.Features)
-	_, err = settings.Parse("node.ini", []byte(good+"[overload]\nscheduling = yes\n[link]\nrate-mbps = -1\n"))
+	_, err = settings.Parse("node.ini", []byte(good+"[overload]\nscheduling = yes\n[link]\nrate-mbps = -1\nqueue-mb = 23\n"))
 	require.ErrorContains(t, err, "overload.scheduling")
 	require.ErrorContains(t, err, "link.rate-mbps")
+	require.ErrorContains(t, err, "link.queue-mb")
 }
 
 func TestAllFaultsAreReportedTogether(t *testing.T) {
--- a/internal/mesh/stat.go
+++ b/internal/mesh/stat.go
@@ -53,6 +53,10 @@
 	RecoversIn        time.Duration `json:"CalmIn"`
 	// AcceptsIn is the time until a target that limits its requests takes another one.
 	AcceptsIn time.Duration
+	// LinkRate is the rate of the target's link in bytes per second, and LinkBacklog the time that it
+	// needs for the bytes that wait; LinkRate is 0 unless the target schedules its link.
+	LinkRate    float64
+	LinkBacklog time.Duration
 	// FailureRate is the share of requests that fail, decayed by age.
 	FailureRate float64 `json:"Failing"`
 	// Avoid is true if no requests should go to the target for the time being, Leaving if the
@@ -137,6 +141,9 @@
 	}
 	e.Slots, e.ServiceTime, e.Leaving = s.load.Slots, s.load.ServiceTime, s.load.Leaving
 	e.Busy = max(s.load.Running+s.load.Waiting+s.sent, s.inFlight)
+	if s.load.LinkRate > 0 {
+		e.LinkRate, e.LinkBacklog = s.load.LinkRate, max(s.load.LinkBacklog-e.Age, 0)
+	}
 	if s.load.RequestInterval > 0 {
 		e.AcceptsIn = max(s.load.AcceptsIn-e.Age, 0) + s.load.RequestInterval*time.Duration(s.sent)
 	}
--- a/internal/mesh/target.go
+++ b/internal/mesh/target.go
@@ -65,6 +65,8 @@
 	LocalTarget *Target
 	// OverloadScheduling and LinkScheduling are whether these features are in force.
 	OverloadScheduling, LinkScheduling bool
+	// LinkRate is the rate of the VM's link in bytes per second; 0 unless LinkScheduling is true.
+	LinkRate float64
 	// Peers are all other nodes, by the address at which they accept requests from nodes.
 	Peers map[string]Peer
 }
