--- a/internal/mesh/egress/scheduler.go
+++ b/internal/mesh/egress/scheduler.go
@@ -162,6 +162,15 @@
 	return c
 }
 
+// Owners returns the owners of all connections.
+func (s *Scheduler) Owners() []any {
+	list := make([]any, 0, len(s.conns))
+	for c := range s.conns {
+		list = append(list, c.Owner)
+	}
+	return list
+}
+
 // AcceptPieces records that the peer accepts frames in pieces.
 func (c *Conn) AcceptPieces() { c.pieces = true }
 
@@ -338,6 +347,9 @@
 // nextControl returns a control frame that may be written. One waits only if its connection is
 // blocked or in the middle of a frame.
 func (s *Scheduler) nextControl() (Handover, bool) {
+	if s.stats.Waiting[Control] == 0 {
+		return Handover{}, false
+	}
 	for range s.urgent.len() {
 		c := s.urgent.front()
 		if c.control.len() == 0 || c.partial != nil || !s.mayWrite(c) {
--- a/internal/mesh/peer/uplink.go
+++ b/internal/mesh/peer/uplink.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/limpetdock/limpetdock/internal/mesh/egress"
+	"github.com/limpetdock/limpetdock/internal/sockopt"
 )
 
 const (
@@ -20,6 +21,11 @@
 	piecePrefixSize = prefixSize + 2
 	// DefaultQueueBytes is how many bytes may wait on all connections unless it is configured.
 	DefaultQueueBytes = 32 << 20
+	// minUnsent and unsentTime bound the bytes of a connection that the kernel may hold unsent while
+	// the link is scheduled: those that the link sends in unsentTime. What it holds for a peer that
+	// doesn't read counts as sent by the link, so it takes a part of it from other connections.
+	minUnsent  = 32 << 10
+	unsentTime = 20 * time.Millisecond
 	// timerSlack is how much too late the timer may be set for, so that it isn't set again for every
 	// frame.
 	timerSlack = 100 * time.Microsecond
@@ -72,12 +78,20 @@
 		return
 	}
 	u.scheduler.SetPaced(enabled)
+	unsent := u.maxUnsent()
 	if !enabled {
 		u.handOver()
+		unsent = 0
+	}
+	for _, owner := range u.scheduler.Owners() {
+		sockopt.LimitUnsent(owner.(*writer).conn, unsent)
 	}
 	u.enabled.Store(enabled)
 }
 
+// maxUnsent returns how many bytes of a connection the kernel may hold unsent.
+func (u *Uplink) maxUnsent() int { return max(minUnsent, int(u.rate*unsentTime.Seconds())) }
+
 // on reports whether frames are scheduled.
 func (u *Uplink) on() bool { return u != nil && u.enabled.Load() }
 
@@ -138,6 +152,9 @@
 func (u *Uplink) add(w *writer) *egress.Conn {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	if u.enabled.Load() {
+		sockopt.LimitUnsent(w.conn, u.maxUnsent())
+	}
 	return u.scheduler.Add(w)
 }
 
