--- a/internal/mesh/peer/dial_test.go
+++ b/internal/mesh/peer/dial_test.go
@@ -39,7 +39,7 @@
 	sent := mesh.Request{Remaining: time.Second, ObjectiveRemaining: dial / 2, QueueTimeout: dial / 3}
 	virtualtime.Test(t, func(t *testing.T) {
 		var got *mesh.Request
-		c, _, stop := startSlowNode(t, func(_ context.Context, r *mesh.Request) *mesh.Answer {
+		c, _, stop := startSlowNode(t, false, func(_ context.Context, r *mesh.Request) *mesh.Answer {
 			got = r
 			return &mesh.Answer{Status: 200}
 		}, func(*wire) { time.Sleep(dial) })
--- a/internal/mesh/peer/slow_test.go
+++ b/internal/mesh/peer/slow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sync"
 	"testing"
@@ -16,13 +17,19 @@
 )
 
 // startSlowNode starts a node that answers with run, and a Client whose connections to it
-// are slow; opened is called with the outbound direction of each.
-func startSlowNode(t *testing.T, run func(ctx context.Context, r *mesh.Request) *mesh.Answer, opened func(outbound *wire)) (c *Client, s *Server, stop func()) {
+// are slow; opened is called with the outbound direction of each. Both schedule their links if
+// scheduled is true.
+func startSlowNode(t *testing.T, scheduled bool, run func(ctx context.Context, r *mesh.Request) *mesh.Answer, opened func(outbound *wire)) (c *Client, s *Server, stop func()) {
 	s = NewServer(fakeHandler{func(ctx context.Context, r *mesh.Request) (*mesh.Answer, *kind.Error) {
 		return run(ctx, r), nil
 	}}, mesh.Place{})
 	c = NewClient(mesh.Place{}, &loadRecorder{last: map[string]mesh.Load{}})
 	s.now, c.now = stoppedClock, stoppedClock
+	for _, set := range []func(*Uplink){s.SetUplink, c.SetUplink} {
+		u := NewUplink(slowRate, DefaultQueueBytes)
+		u.SetEnabled(scheduled)
+		set(u)
+	}
 	var served sync.WaitGroup
 	c.dial = func(string) (net.Conn, error) {
 		near, far, outbound := slowLink(t)
@@ -37,6 +44,15 @@
 	}
 }
 
+// withAndWithoutScheduling runs a test in virtual time for each state of the link's scheduling.
+func withAndWithoutScheduling(t *testing.T, test func(t *testing.T, scheduled bool)) {
+	for _, scheduled := range []bool{false, true} {
+		t.Run(fmt.Sprintf("scheduled=%t", scheduled), func(t *testing.T) {
+			virtualtime.Test(t, func(t *testing.T) { test(t, scheduled) })
+		})
+	}
+}
+
 // drain stops a server once everything is delivered, within a minute.
 func drain(s *Server) {
 	s.StopBootstrap()
@@ -64,8 +80,8 @@
 	}
 	for name, one := range cases {
 		t.Run(name, func(t *testing.T) {
-			virtualtime.Test(t, func(t *testing.T) {
-				c, _, stop := startSlowNode(t, func(ctx context.Context, r *mesh.Request) *mesh.Answer {
+			withAndWithoutScheduling(t, func(t *testing.T, scheduled bool) {
+				c, _, stop := startSlowNode(t, scheduled, func(ctx context.Context, r *mesh.Request) *mesh.Answer {
 					wait(ctx, one.work)
 					return &mesh.Answer{Status: 200, Body: make([]byte, one.body+len(r.Body)-one.upload)}
 				}, func(*wire) {})
@@ -114,8 +130,8 @@
 
 // Guards against an unresponsive connection that is kept because it accepts more requests.
 func TestUnresponsiveConnectionIsClosedWhileRequestsAreSent(t *testing.T) {
-	virtualtime.Test(t, func(t *testing.T) {
-		c, _, stop := startSlowNode(t, emptyAnswer, func(outbound *wire) { outbound.lost.Store(true) })
+	withAndWithoutScheduling(t, func(t *testing.T, scheduled bool) {
+		c, _, stop := startSlowNode(t, scheduled, emptyAnswer, func(outbound *wire) { outbound.lost.Store(true) })
 		ctx, cancel := context.WithCancel(t.Context())
 		var sent sync.WaitGroup
 		defer func() {
@@ -141,9 +157,9 @@
 
 // Guards against an upload that waits forever on a link that stopped in the middle.
 func TestStalledUploadTimesOut(t *testing.T) {
-	virtualtime.Test(t, func(t *testing.T) {
+	withAndWithoutScheduling(t, func(t *testing.T, scheduled bool) {
 		var out *wire
-		c, _, stop := startSlowNode(t, emptyAnswer, func(outbound *wire) { out = outbound })
+		c, _, stop := startSlowNode(t, scheduled, emptyAnswer, func(outbound *wire) { out = outbound })
 		defer stop()
 		time.AfterFunc(2*time.Second, func() { out.stuck.Store(true) })
 		began := time.Now()
@@ -159,9 +175,9 @@
 // Guards against an answer that is dropped because its node stops while it is in transit.
 func TestAnswerInTransitIsDeliveredWhenNodeStops(t *testing.T) {
 	const size = 4 << 20
-	virtualtime.Test(t, func(t *testing.T) {
+	withAndWithoutScheduling(t, func(t *testing.T, scheduled bool) {
 		ran := make(chan struct{})
-		c, s, stop := startSlowNode(t, func(context.Context, *mesh.Request) *mesh.Answer {
+		c, s, stop := startSlowNode(t, scheduled, func(context.Context, *mesh.Request) *mesh.Answer {
 			defer close(ran)
 			return &mesh.Answer{Body: make([]byte, size)}
 		}, func(*wire) {})
