--- a/internal/mesh/peer/slow_test.go
+++ b/internal/mesh/peer/slow_test.go
@@ -38,6 +38,8 @@
 		return near, nil
 	}
 	return c, s, func() {
+		// CloseUnused leaves connections open that are being dialled.
+		synctest.Wait()
 		c.CloseUnused(nil)
 		s.Close()
 		served.Wait()
