Nodes announce pieces with every load report, so that both connections of a client learn of it

A load report goes to one connection of each VM; the one for large requests never learned that the server takes pieces if the feature was switched on after it was dialled.

--- a/internal/mesh/peer/confirm_test.go
+++ b/internal/mesh/peer/confirm_test.go
@@ -113,9 +113,9 @@
 	l := &link{streams: map[uint32]*stream{}, client: NewClient(mesh.Place{}, &loadRecorder{last: map[string]mesh.Load{}})}
 	_, s := l.openStream(true)
 	require.True(t, l.mayHaveRun(s), "the peer has reported nothing yet")
-	l.handleLoad(loadBody{Confirms: true}, extension{}, false)
+	l.handleLoad(nil, loadBody{Confirms: true}, extension{}, false)
 	require.False(t, l.mayHaveRun(s))
-	l.handleLoad(loadBody{}, extension{}, false)
+	l.handleLoad(nil, loadBody{}, extension{}, false)
 	require.True(t, l.mayHaveRun(s))
 }
 
--- a/internal/mesh/peer/link.go
+++ b/internal/mesh/peer/link.go
@@ -120,30 +120,26 @@
 }
 
 // handleLoad handles a load report of the peer. A delayed one came in pieces, between which newer
-// ones may have arrived.
-func (l *link) handleLoad(b loadBody, x extension, delayed bool) {
+// ones may have arrived. false closes the connection.
+func (l *link) handleLoad(w *writer, b loadBody, x extension, delayed bool) bool {
 	l.mu.Lock()
 	l.confirms = b.Confirms
+	accepted := x.Chunks && !l.takesPieces
+	announce := x.Chunks && !l.announced && l.client.uplink.on()
+	l.takesPieces, l.announced = l.takesPieces || accepted, l.announced || announce
 	l.mu.Unlock()
 	if !delayed {
 		l.client.listener.Reported(l.key.addr, x.load(b))
 	}
-}
-
-// acceptPieces records that the peer accepts frames in pieces, and tells it that this node does if
-// it didn't when it dialled. false closes the connection.
-func (l *link) acceptPieces(w *writer) bool {
-	l.mu.Lock()
-	known, announce := l.takesPieces, !l.announced && l.client.uplink.on()
-	l.takesPieces = true
-	l.announced = l.announced || announce
-	l.mu.Unlock()
-	if !known {
+	if accepted {
 		l.client.uplink.acceptPieces(w)
 	}
-	if !announce {
-		return true
-	}
+	return !announce || l.announcePieces(w)
+}
+
+// announcePieces tells the peer that this node accepts frames in pieces, which it didn't when it
+// dialled. false closes the connection.
+func (l *link) announcePieces(w *writer) bool {
 	frame, err := l.client.helloFrame(true)
 	return err == nil && w.send(frame) == nil
 }
@@ -286,26 +282,27 @@
 		if err != nil {
 			return false
 		}
-		l.handleLoad(a.Load, x, delayed)
+		ok := l.handleLoad(w, a.Load, x, delayed)
 		answer := a.answer()
 		answer.CallsFailed = x.CallsFailed
 		l.endStream(streamID, result{answer: answer})
+		return ok
 	case frameRefusal:
 		var r refusalBody
 		x, err := decodeBody(body, &r)
 		if err != nil {
 			return false
 		}
-		l.handleLoad(r.Load, x, delayed)
+		ok := l.handleLoad(w, r.Load, x, delayed)
 		l.endStream(streamID, result{err: r.error()})
+		return ok
 	case frameLoad:
 		var b loadBody
 		x, err := decodeBody(body, &b)
 		if err != nil {
 			return false
 		}
-		l.handleLoad(b, x, delayed)
-		return !x.Chunks || l.acceptPieces(w)
+		return l.handleLoad(w, b, x, delayed)
 	case frameChunk:
 		return l.handlePiece(w, streamID, body)
 	case frameReady:
--- a/internal/mesh/peer/server.go
+++ b/internal/mesh/peer/server.go
@@ -223,7 +223,7 @@
 		}()
 		answer, e := c.server.handler.Run(ctx, r)
 		load := c.server.handler.Load()
-		x := loadExtension(load)
+		x := c.server.reportExtension(load)
 		if e != nil {
 			c.sendPrioritized(frameRefusal, stream, fromError(e, load), x, r.Priority)
 			return
@@ -304,7 +304,7 @@
 	return scope == ScopeRegion || now.Sub(c.server.lastRequest[c.hello.VM]) < senderWindow
 }
 
-// reportExtension returns the extension of a load report that isn't part of an outcome.
+// reportExtension returns the extension of a load report.
 func (s *Server) reportExtension(l mesh.Load) extension {
 	x := loadExtension(l)
 	x.Chunks = s.uplink.on()
--- a/internal/mesh/peer/uplink_test.go
+++ b/internal/mesh/peer/uplink_test.go
@@ -166,11 +166,11 @@
 		s := NewServer(fakeHandler{sizedAnswer}, mesh.Place{})
 		s.SetUplink(enabledUplink())
 		stuck, doneStuck := dialRaw(t, s, extension{Chunks: true})
-		defer doneStuck()
 		for stream := range uint32(20) {
 			sendRaw(t, stuck, frameRequest, stream+1, fromRequest(sizedRequest(300<<10)))
 		}
 		synctest.Wait()
+		require.False(t, s.Delivered(), "no answer was read")
 		near, done := dialRaw(t, s, extension{Chunks: true})
 		defer done()
 		reader := bufio.NewReader(near)
@@ -188,6 +188,8 @@
 			require.LessOrEqual(t, time.Since(began), atFullRate+12*time.Millisecond, "%d bytes", size)
 		}
 		require.Positive(t, s.uplink.State().Backlog, "the other answers wait")
+		doneStuck()
+		require.Zero(t, s.uplink.State().Backlog, "they are dropped with the connection")
 	})
 }
 
