--- a/internal/mesh/node/calls_test.go
+++ b/internal/mesh/node/calls_test.go
@@ -10,6 +10,7 @@
 	"github.com/limpetdock/limpetdock/internal/mesh/calladmission"
 	"github.com/limpetdock/limpetdock/internal/mesh/entry"
 	"github.com/limpetdock/limpetdock/internal/mesh/guard"
+	"github.com/limpetdock/limpetdock/internal/mesh/peer"
 	"github.com/limpetdock/limpetdock/internal/metrics"
 )
 
@@ -17,7 +18,7 @@
 func TestFailingCallsAreReported(t *testing.T) {
 	now := func() time.Duration { return time.Minute }
 	calls := calladmission.NewRecorder()
-	r := newReportingGuard(guard.New(guard.Config{Now: now, LoadChanged: func(bool) {}}), calls)
+	r := newReportingGuard(guard.New(guard.Config{Now: now, LoadChanged: func(bool) {}}), calls, peer.NewUplink(0, 0))
 	require.Equal(t, mesh.Load{}, mesh.Load{CallsTo: r.Load().CallsTo, CallSuccess: r.Load().CallSuccess})
 	calls.Record("stock", calladmission.Failed, now())
 	load := r.Load()
--- a/internal/mesh/node/reports.go
+++ b/internal/mesh/node/reports.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/limpetdock/limpetdock/internal/clock"
+	"github.com/limpetdock/limpetdock/internal/kind"
 	"github.com/limpetdock/limpetdock/internal/mesh"
 	"github.com/limpetdock/limpetdock/internal/mesh/calladmission"
 	"github.com/limpetdock/limpetdock/internal/mesh/guard"
@@ -75,15 +76,28 @@
 )
 
 // reportingGuard is the guard as other nodes see it: its load reports include whether the
-// node reads the store, and how nested calls fare.
+// node reads the store, how nested calls fare and the state of its link, and it refuses requests
+// whose answers the link has no room for.
 type reportingGuard struct {
 	*guard.Guard
 	calls   *calladmission.Recorder
+	uplink  *peer.Uplink
 	reading atomic.Pointer[func() bool]
 }
 
-func newReportingGuard(g *guard.Guard, calls *calladmission.Recorder) *reportingGuard {
-	return &reportingGuard{Guard: g, calls: calls}
+func newReportingGuard(g *guard.Guard, calls *calladmission.Recorder, u *peer.Uplink) *reportingGuard {
+	return &reportingGuard{Guard: g, calls: calls, uplink: u}
+}
+
+// Run runs a request of another node, or refuses it.
+func (r *reportingGuard) Run(ctx context.Context, request *mesh.Request) (*mesh.Answer, *kind.Error) {
+	if wait, full := r.uplink.Full(); full {
+		if e := r.RefuseBulk(request, wait); e != nil {
+			r.uplink.CountRefusal()
+			return nil, e
+		}
+	}
+	return r.Guard.Run(ctx, request)
 }
 
 // setReading sets the function that reports whether the node reads the store.
@@ -92,6 +106,7 @@
 // Load returns the load to report to other nodes.
 func (r *reportingGuard) Load() mesh.Load {
 	l := r.Guard.Load()
+	l.LinkRate, l.LinkBacklog = r.uplink.Load()
 	if reading := r.reading.Load(); reading != nil {
 		l.ReadsStore = (*reading)()
 	}
