Measured slowness: a backend server that is slow without reporting it

Only the guard beside a backend server can know that it takes several times as long as the others of its service, and entries kept sending to it. The guard now compares the time of each request with the base service time that its sender knows from all servers, and load reports include the median ratio.

--- a/internal/mesh/guard/death.go
+++ b/internal/mesh/guard/death.go
@@ -64,6 +64,7 @@
 	}
 	g.deaths.Add(1)
 	g.awaitRestart()
+	g.slowdown.forgetSlowness()
 	g.Log.Event("backend server died", "death", formatDeath(id), "target", g.targetID(), "finding", finding.String())
 }
 
--- a/internal/mesh/guard/guard.go
+++ b/internal/mesh/guard/guard.go
@@ -75,7 +75,9 @@
 	// served holds when requests were last answered, by fingerprint.
 	served   *lru.Cache[uint64, time.Duration]
 	slowdown slowdownTracker
-	cold     coldstart.Limiter
+	// slow is true if the backend server is slow without reporting it, as last logged.
+	slow atomic.Bool
+	cold coldstart.Limiter
 	// limit is the one that the backend server names.
 	limit ratelimit.Limiter
 	// reportedAt is when the backend server last reported its load, and probing is true
@@ -135,6 +137,7 @@
 	leaving := eligibility.Check(v, own) != eligibility.Eligible
 	g.setColdRate(v)
 	g.updateLimits(v)
+	g.measureSlownessIn(v)
 	if own != nil {
 		g.slowdown.setWarmAt(own.WarmAt)
 	}
@@ -326,11 +329,12 @@
 	if !served && !late {
 		return
 	}
+	m := g.measureSlowness(s, late)
 	slot.RecordSample(contention.Sample{
-		Class: s.class, ServiceTime: time.Duration(float64(s.backendTime) / s.slowdown.current), ReportedBaseTime: s.request.BaseServiceTime, Aborted: late,
+		Class: s.class, ServiceTime: m.healthyTime(float64(s.backendTime) / s.slowdown.reported()), ReportedBaseTime: s.request.BaseServiceTime, Aborted: late,
 	})
 	if served {
-		answer.BaseServiceTime = g.gate.BaseServiceTime(s.class)
+		answer.BaseServiceTime = m.reportedBase(g.gate.BaseServiceTime(s.class))
 	}
 }
 
--- a/internal/mesh/guard/notice.go
+++ b/internal/mesh/guard/notice.go
@@ -156,6 +156,7 @@
 		return
 	}
 	g.registeredAs = target.ID
+	g.slowdown.forgetSlowness()
 	if g.limit.Lift() {
 		g.limitChanged("limited", false)
 	}
--- a/internal/mesh/guard/probe.go
+++ b/internal/mesh/guard/probe.go
@@ -46,6 +46,8 @@
 	if g.probeDue() {
 		g.probe(ctx)
 	}
+	// The slowness also ends by its decay, without a request.
+	g.noteSlowness()
 }
 
 func (g *Guard) probeDue() bool {
--- a/internal/mesh/guard/record.go
+++ b/internal/mesh/guard/record.go
@@ -78,6 +78,9 @@
 	if perSecond, limited := g.limit.Limit(); limited {
 		pairs = append(pairs, "limit_per_second", perSecond)
 	}
+	if s.slowdown.measured > 1 {
+		pairs = append(pairs, "measured_slowness", s.slowdown.measured)
+	}
 	if s.level != suspect.Unsuspected {
 		pairs = append(pairs, "suspicion", s.level.String())
 	}
--- a/internal/mesh/guard/slowdown.go
+++ b/internal/mesh/guard/slowdown.go
@@ -8,6 +8,7 @@
 
 	"github.com/limpetdock/limpetdock/internal/clock"
 	"github.com/limpetdock/limpetdock/internal/kind"
+	"github.com/limpetdock/limpetdock/internal/mesh/slowness"
 )
 
 const (
@@ -54,6 +55,10 @@
 	// that became sustained, as a ring with the next index to write in next.
 	durations []time.Duration
 	next      int
+	// slowness is the measured slowness, which the server doesn't report; measures is whether it is
+	// measured.
+	slowness slowness.Tracker
+	measures bool
 }
 
 // setWarmAt sets when the backend server's cold start ends.
@@ -156,17 +161,32 @@
 // slowdownState is the slowdown of a backend server at one moment.
 type slowdownState struct {
 	// current is the present factor on the service time, and sustained the part of it
-	// that is expected to last.
+	// that is expected to last. Both include the measured slowness.
 	current, sustained float64
+	// measured is the measured slowness.
+	measured float64
 	// recoversIn is the expected remaining time of the transient slowdown; 0 means that
 	// there is none.
 	recoversIn time.Duration
 }
 
-// state returns the slowdown at now.
+// reported returns the slowdown that the server reports.
+func (s slowdownState) reported() float64 { return s.current / s.measured }
+
+// state returns the slowdown at now. The measured slowness lasts, so it multiplies the sustained
+// slowdown and the transient one on top of it alike.
 func (t *slowdownTracker) state(now time.Duration) slowdownState {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	s := t.reportedState(now)
+	s.measured = t.slowness.Factor(now)
+	s.current *= s.measured
+	s.sustained *= s.measured
+	return s
+}
+
+// reportedState returns the slowdown without the measured slowness. The mutex is held.
+func (t *slowdownTracker) reportedState(now time.Duration) slowdownState {
 	s := slowdownState{current: max(t.current, 1), sustained: max(t.sustained, 1)}
 	if !t.transient {
 		s.sustained = s.current
--- a/internal/mesh/model/server.go
+++ b/internal/mesh/model/server.go
@@ -97,6 +97,8 @@
 	// limit is what it names as its limit in all answers, and arrivals are those of all requests.
 	limit    string
 	arrivals []time.Time
+	// unreported is the factor of a slowdown that the server doesn't report; 0 is none.
+	unreported float64
 	// process is the present one. The server is down until downUntil.
 	process   *process
 	downUntil time.Time
@@ -123,6 +125,13 @@
 	s.coldUntil = time.Now().Add(d)
 }
 
+// SlowUnreported makes requests take factor times as long from now on, which the server doesn't report.
+func (s *Server) SlowUnreported(factor float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unreported = factor
+}
+
 // MostColdArrivals returns the most requests that arrived within one second while the server was
 // cold.
 func (s *Server) MostColdArrivals() int {
@@ -355,6 +364,9 @@
 	if s.Knee > 0 && float64(s.running) > s.Knee*float64(s.Slots) {
 		factor *= s.KneeFactor
 	}
+	if s.unreported > 0 {
+		factor *= s.unreported
+	}
 	return time.Duration(factor * float64(s.meanServiceTime(uri)))
 }
 
--- a/internal/mesh/node/admin.go
+++ b/internal/mesh/node/admin.go
@@ -90,6 +90,8 @@
 	Reading bool      `json:"reading"`
 	Active  int       `json:"active"`
 	Load    mesh.Load `json:"load"`
+	// MeasuredSlowness is included in the slowdown of Load; 1 is none.
+	MeasuredSlowness float64 `json:"measured_slowness"`
 	// EvacuatedZones are the zones whose targets get no new requests.
 	EvacuatedZones []string `json:"evacuated_zones"`
 	// Suspects are the requests that may crash backend servers.
@@ -109,6 +111,7 @@
 func (a *admin) state() state {
 	s := state{Stopping: a.stopping.Load(), Active: a.entry.Active(), Load: a.guard.Load(), Suspects: a.suspects.Dump()}
 	s.Reading = s.Load.ReadsStore
+	s.MeasuredSlowness = a.guard.MeasuredSlowness()
 	v := a.entry.View()
 	if v == nil {
 		return s
--- a/internal/mesh/node/metrics.go
+++ b/internal/mesh/node/metrics.go
@@ -44,6 +44,7 @@
 	count("limpetdock_callers_rejected_total", "Requests that could not be read.", f.Counts.Rejected.Load)
 	count("limpetdock_callers_left_total", "Requests whose caller left before the answer.", f.Counts.Abandoned.Load)
 	m.Gauge("limpetdock_requests_in_flight", "Requests of callers being served.", func() float64 { return float64(e.Active()) })
+	registerSlownessMetrics(m, g)
 	m.Gauge("limpetdock_backend_slots_in_use", "Requests that the backend server runs now.", func() float64 { return float64(g.Load().Running) })
 	m.Gauge("limpetdock_backend_queue_length", "Requests that wait for a slot.", func() float64 { return float64(g.Load().Waiting) })
 	m.Gauge("limpetdock_config_version", "Configuration in force; 0 is none.", func() float64 {
