--- a/internal/mesh/guard/slowness.go
+++ b/internal/mesh/guard/slowness.go
@@ -27,9 +27,6 @@
 // if it was cut off, so that its time is only a lower bound.
 func (g *Guard) measureSlowness(s *requestState, late bool) measuredTime {
 	m := measuredTime{factor: 1}
-	if v := g.view.Load(); v == nil || !v.OverloadScheduling {
-		return m
-	}
 	if base := s.request.BaseServiceTime; base >= minMeasurableBase {
 		m.base = base
 		m.ratio = float64(s.backendTime) / (float64(base) * s.slowdown.reported() * max(s.contention, 1))
--- a/internal/mesh/guard/slowness_test.go
+++ b/internal/mesh/guard/slowness_test.go
@@ -8,7 +8,9 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/limpetdock/limpetdock/internal/kind"
 	"github.com/limpetdock/limpetdock/internal/mesh"
+	"github.com/limpetdock/limpetdock/internal/mesh/exchange"
 	"github.com/limpetdock/limpetdock/internal/mesh/guard"
 	"github.com/limpetdock/limpetdock/internal/mesh/model"
 )
@@ -40,7 +42,10 @@
 // or the feature, and that raises learned and reported base service times.
 func TestMeasuredSlownessInReportsAndBaseServiceTimes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newModelServer(model.Backend{Slots: 6, Queue: 6, WarmUp: time.Hour, WarmUpFactor: 2}, 1)
+		s := newModelServer(model.Backend{
+			Slots: 6, Queue: 6, WarmUp: time.Hour, WarmUpFactor: 2, CrashTime: time.Millisecond,
+			Crashes: func(m *exchange.Message) bool { return m.URI == "/crash" },
+		}, 1)
 		g := newGuardOf(t, s, mesh.Service{})
 		requireSlowness := func(factor float64) {
 			t.Helper()
@@ -55,18 +60,29 @@
 		g.SetView(overloadView("i-1", true))
 		runSlow(t, g, 6)
 		s.SlowUnreported(4)
-		require.InDelta(t, 1.5*base, runSlow(t, g, 8).BaseServiceTime.Seconds(), 0.01, "it raises the sender's average by half at most")
+		require.InDelta(t, 1.5*base, runSlow(t, g, 8).BaseServiceTime.Seconds(), 0.001, "it raises the sender's average by half at most")
 		requireSlowness(4)
 		s.SlowUnreported(1)
 		learned := runSlow(t, g, 16).BaseServiceTime.Seconds()
 		requireSlowness(1)
 		require.InDelta(t, base, learned, 0.25*base, "only the requests before the detection count as long")
-		for _, forget := range []*mesh.View{overloadView("i-2", true), overloadView("i-2", false)} {
+		for _, forget := range []func(){
+			func() { g.SetView(overloadView("i-2", true)) },
+			func() {
+				crash := request()
+				crash.URI = "/crash"
+				_, err := g.Run(t.Context(), crash)
+				require.Equal(t, kind.BackendBroken, err.Kind)
+				synctest.Wait()
+			},
+			func() { g.SetView(overloadView("i-2", false)) },
+		} {
 			s.SlowUnreported(4)
 			runSlow(t, g, 16)
 			requireSlowness(4)
-			g.SetView(forget)
+			forget()
 			requireSlowness(1)
+			time.Sleep(time.Second)
 		}
 		require.Greater(t, runSlow(t, g, 16).BaseServiceTime.Seconds(), 1.6*base, "where the feature is off, it reports what it learned")
 		requireSlowness(1)
