--- a/internal/mesh/guard/record.go
+++ b/internal/mesh/guard/record.go
@@ -85,6 +85,9 @@
 	if s.timeInSlot > 0 {
 		pairs = append(pairs, "nested", r.Nested, "slot_ms", s.timeInSlot.Milliseconds())
 	}
+	if s.slowdown.measured > 1 {
+		pairs = append(pairs, "measured_slowness", s.slowdown.measured)
+	}
 	if s.level != suspect.Unsuspected {
 		pairs = append(pairs, "suspicion", s.level.String())
 	}
--- a/internal/mesh/guard/slottime.go
+++ b/internal/mesh/guard/slottime.go
@@ -79,25 +79,27 @@
 }
 
 // recordSlotTime records how long a request held its slot that was answered, or cut off at its
-// deadline. The part that the backend server took is recorded without its slowdown.
+// deadline. The part that the backend server took is recorded without the slowdown that it reported; a
+// slowness that is only measured is part of it.
 func (g *Guard) recordSlotTime(s *requestState) {
 	if !g.overloadScheduling() {
 		return
 	}
 	now := g.Now()
-	held := now - s.slotAt - s.backendTime + time.Duration(float64(s.backendTime)/max(s.slowdown.current, 1))
+	held := now - s.slotAt - s.backendTime + time.Duration(float64(s.backendTime)/max(s.slowdown.reported(), 1))
 	g.slotTimes.record(s.class, now, held)
 }
 
 // expectedSlotTime returns how long a request is expected to hold a slot if it starts now: the measured
-// time of its route, or else its base service time, times the present slowdown.
+// time of its route times the slowdown that the backend server reports, or else its base service time
+// times the whole slowdown.
 func (g *Guard) expectedSlotTime(s *requestState) time.Duration {
 	now := g.Now()
-	held := g.slotTimes.of(s.class, now)
-	if held == 0 {
-		held = s.baseService
+	slowdown := g.slowdown.state(now)
+	if held := g.slotTimes.of(s.class, now); held > 0 {
+		return time.Duration(float64(held) * slowdown.reported())
 	}
-	return time.Duration(float64(held) * g.slowdown.state(now).current)
+	return time.Duration(float64(s.baseService) * slowdown.current)
 }
 
 // waitLimits returns the limits on a request's wait for a slot. With goodput scheduling, the latest
--- a/internal/mesh/node/admin.go
+++ b/internal/mesh/node/admin.go
@@ -99,6 +99,8 @@
 	Scheduling []gate.RankState `json:"scheduling,omitempty"`
 	// Link is the scheduling of the bytes that the node sends to others.
 	Link peer.UplinkState `json:"link"`
+	// MeasuredSlowness is included in the slowdown of Load; 1 is none.
+	MeasuredSlowness float64 `json:"measured_slowness"`
 	// EvacuatedZones are the zones whose targets get no new requests.
 	EvacuatedZones []string `json:"evacuated_zones"`
 	// Suspects are the requests that may crash backend servers.
@@ -123,6 +125,7 @@
 	if schedule := a.guard.Schedule(); schedule.InForce {
 		s.Scheduling = schedule.Ranks
 	}
+	s.MeasuredSlowness = a.guard.MeasuredSlowness()
 	v := a.entry.View()
 	if v == nil {
 		return s
