--- a/internal/mesh/guard/slowdown.go
+++ b/internal/mesh/guard/slowdown.go
@@ -171,7 +171,7 @@
 }
 
 // reported returns the slowdown that the server reports.
-func (s slowdownState) reported() float64 { return s.current / s.measured }
+func (s slowdownState) reported() float64 { return s.current / max(s.measured, 1) }
 
 // state returns the slowdown at now. The measured slowness lasts, so it multiplies the sustained
 // slowdown and the transient one on top of it alike.
