--- a/internal/mesh/egress/scheduler_test.go
+++ b/internal/mesh/egress/scheduler_test.go
@@ -67,16 +67,19 @@
 func TestSmallAnswerOvertakesLargeOne(t *testing.T) {
 	for _, c := range []struct {
 		paced, same, pieces bool
+		others              int
 		min, max            time.Duration
 	}{
-		{false, true, true, 300 * time.Millisecond, 400 * time.Millisecond},
-		{true, true, true, 0, 9 * time.Millisecond},
-		{true, false, true, 0, 9 * time.Millisecond},
-		{true, false, false, 0, 9 * time.Millisecond},
-		// A frame that isn't in pieces can't be interrupted.
-		{true, true, false, 300 * time.Millisecond, 400 * time.Millisecond},
+		{false, true, true, 0, 300 * time.Millisecond, 400 * time.Millisecond},
+		{true, true, true, 0, 0, 9 * time.Millisecond},
+		{true, false, true, 0, 0, 9 * time.Millisecond},
+		{true, false, false, 0, 0, 9 * time.Millisecond},
+		{true, false, true, 20, 0, 9 * time.Millisecond},
+		// A frame that isn't in pieces can't be interrupted. Other connections don't lengthen it further.
+		{true, true, false, 0, 300 * time.Millisecond, 400 * time.Millisecond},
+		{true, true, false, 20, 300 * time.Millisecond, 450 * time.Millisecond},
 	} {
-		t.Run(fmt.Sprintf("paced=%t,same=%t,pieces=%t", c.paced, c.same, c.pieces), func(t *testing.T) {
+		t.Run(fmt.Sprintf("paced=%t,same=%t,pieces=%t,others=%d", c.paced, c.same, c.pieces, c.others), func(t *testing.T) {
 			l := &link{Scheduler: newScheduler()}
 			l.SetPaced(c.paced)
 			large := l.Add(nil)
@@ -96,6 +99,10 @@
 			}
 			_, ok := l.Enqueue(large, answer(1, 540<<10, 2))
 			require.True(t, ok)
+			for range c.others {
+				_, ok := l.Enqueue(l.Add(nil), answer(1, 540<<10, 2))
+				require.True(t, ok)
+			}
 			l.run(arrival)
 			l.now = arrival
 			_, ok = l.Enqueue(small, answer(2, 400, 0))
--- a/internal/mesh/entry/entry_test.go
+++ b/internal/mesh/entry/entry_test.go
@@ -33,6 +33,8 @@
 	// evacuated are the evacuated zones.
 	evacuated map[string]bool
 	suspects  *quarantine.Tracker
+	// linkRate is the rate of the local link.
+	linkRate float64
 }
 
 const own = "own"
@@ -113,7 +115,7 @@
 	d.entry.SetView(&mesh.View{
 		Config:  mesh.NewConfig(1, services, []*mesh.Route{d.route}, mesh.Limits{}),
 		Targets: map[string][]*mesh.Target{"orders": d.targets}, Peers: map[string]mesh.Peer{"zone": {Distance: 1}, "region": {Distance: 2}, "far": {Distance: 3}},
-		EvacuatedZones: d.evacuated,
+		EvacuatedZones: d.evacuated, LinkRate: d.linkRate,
 	})
 }
 
--- a/internal/mesh/node/reports_test.go
+++ b/internal/mesh/node/reports_test.go
@@ -1,12 +1,15 @@
 package node
 
 import (
+	"net"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/limpetdock/limpetdock/internal/kind"
 	"github.com/limpetdock/limpetdock/internal/mesh"
+	"github.com/limpetdock/limpetdock/internal/mesh/guard"
 	"github.com/limpetdock/limpetdock/internal/mesh/peer"
 	"github.com/limpetdock/limpetdock/internal/mesh/reader"
 )
@@ -57,3 +60,39 @@
 	reach, _ = next(minReportInterval, l, true)
 	require.Equal(t, peer.ScopeAll, reach, "an urgent report")
 }
+
+// Guards against large answers that other nodes keep asking for although the link has no room, and
+// against load reports that don't say so.
+func TestReportingGuardFollowsTheLink(t *testing.T) {
+	u := peer.NewUplink(1e6, 0)
+	g := guard.New(guard.Config{Now: func() time.Duration { return 0 }, LoadChanged: func(bool) {}, Here: mesh.Place{Service: "s"}})
+	r := newReportingGuard(g, u)
+	require.Zero(t, r.Load().LinkRate)
+	u.SetEnabled(true)
+	require.InDelta(t, 1e6, r.Load().LinkRate, 0)
+
+	server := peer.NewServer(r, mesh.Place{})
+	server.SetUplink(u)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() { _ = server.Serve(l) }()
+	defer func() {
+		_ = l.Close()
+		server.Close()
+	}()
+	server.SetStateSync(func() bool { return false }, peer.StateSync{Answer: func(peer.StateQuery) []byte { return make([]byte, 1<<20) }})
+	client := peer.NewClient(mesh.Place{}, newReportDispatcher(func() time.Duration { return 0 }))
+	client.SetStateSync(peer.StateSync{Apply: func([]byte) {}})
+	require.NoError(t, client.Warm(t.Context(), l.Addr().String()))
+	require.NoError(t, client.Ask(l.Addr().String(), peer.StateQuery{}))
+	require.Eventually(t, func() bool { return r.Load().LinkBacklog > 100*time.Millisecond }, time.Minute, time.Millisecond)
+	bulk := &mesh.Route{Name: "bulk", Host: "h", Prefix: "/", Bulk: true}
+	g.SetView(&mesh.View{Config: mesh.NewConfig(1, nil, []*mesh.Route{bulk}, mesh.Limits{})})
+	_, refusal := r.Run(t.Context(), &mesh.Request{Host: "h", URI: "/", Service: "s"})
+	require.Equal(t, kind.Overloaded, refusal.Kind)
+	require.EqualValues(t, 1, u.State().Refused)
+	bulk.Bulk = false
+	_, refusal = r.Run(t.Context(), &mesh.Request{Host: "h", URI: "/", Service: "s"})
+	require.NotEqual(t, kind.Overloaded, refusal.Kind)
+	client.CloseUnused(nil)
+}
--- a/internal/mesh/peer/uplink_test.go
+++ b/internal/mesh/peer/uplink_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/limpetdock/limpetdock/internal/kind"
 	"github.com/limpetdock/limpetdock/internal/mesh"
+	"github.com/limpetdock/limpetdock/internal/mesh/egress"
 	"github.com/limpetdock/limpetdock/internal/virtualtime"
 )
 
@@ -160,7 +161,8 @@
 	}
 }
 
-// Guards against a peer that doesn't read which delays the answers of others.
+// Guards against a peer that doesn't read which delays the answers of others or gets none once it
+// reads, and against a node that stops before the answers that wait have been sent.
 func TestPeerThatDoesNotReadBlocksOnlyItsConnection(t *testing.T) {
 	virtualtime.Test(t, func(t *testing.T) {
 		s := NewServer(fakeHandler{sizedAnswer}, mesh.Place{})
@@ -176,18 +178,24 @@
 		reader := bufio.NewReader(near)
 		_, _, _, err := decode(reader)
 		require.NoError(t, err)
-		for _, size := range []int{400, 540 << 10} {
+		for _, size := range []int{400, 540 << 10, 2 << 20} {
 			began := time.Now()
 			sendRaw(t, near, frameRequest, uint32(size), fromRequest(sizedRequest(size)))
 			for got := 0; got < size; {
 				_, _, body, err := decode(reader)
 				require.NoError(t, err)
 				got += len(body)
+				require.False(t, got < size-(32<<10) && s.Delivered(), "answers wait for the link or their peer")
 			}
 			atFullRate := time.Duration(float64(size) / link13 * float64(time.Second))
 			require.LessOrEqual(t, time.Since(began), atFullRate+12*time.Millisecond, "%d bytes", size)
 		}
 		require.Positive(t, s.uplink.State().Backlog, "the other answers wait")
+		for reader, got := bufio.NewReader(stuck), 0; got < 1<<20; {
+			_, _, body, err := decode(reader)
+			require.NoError(t, err, "the peer reads again")
+			got += len(body)
+		}
 		doneStuck()
 		require.Zero(t, s.uplink.State().Backlog, "they are dropped with the connection")
 	})
@@ -249,8 +257,10 @@
 		_, failure := c.Run(ctx, "", sizedRequest(4<<20))
 		require.NotNil(t, failure)
 		require.Zero(t, c.uplink.State().IncompleteBytes)
-		began := time.Now()
+		reports := c.listener.(*loadRecorder)
+		began, before := time.Now(), len(reports.all)
 		_, failure = c.Run(t.Context(), "", sizedRequest(100<<10))
+		require.Len(t, reports.all, before, "newer reports may have overtaken the pieces of the answer")
 		require.Nil(t, failure)
 		require.Less(t, time.Since(began), 200*time.Millisecond)
 		require.Greater(t, s.uplink.State().Dropped, uint64(3<<20))
@@ -306,7 +316,38 @@
 		rate, backlog = u.Load()
 		require.Zero(t, rate)
 		require.Zero(t, backlog)
+		left := u.State()
+		require.Zero(t, left.Total(), "frames that come now are written after those that waited")
 		w.close()
 		require.NoError(t, far.Close())
 	})
 }
+
+// Guards against a peer that doesn't read whose kernel buffers take a part of the link from others.
+func TestKernelHoldsLittleForPeerThatDoesNotRead(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	near, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	far, err := l.Accept()
+	require.NoError(t, err)
+	const rate, size = 10e6, 16 << 20
+	u := NewUplink(rate, DefaultQueueBytes)
+	u.SetEnabled(true)
+	w := newWriter(near, u, nil)
+	frame, err := encode(frameAnswer, 1, &answerBody{Body: make([]byte, size)})
+	require.NoError(t, err)
+	require.NoError(t, w.send(frame))
+	previous := uint64(0)
+	require.Eventually(t, func() bool {
+		sent := u.State().Sent[egress.Bulk]
+		blocked := sent == previous
+		previous = sent
+		return blocked
+	}, time.Minute, 100*time.Millisecond)
+	t.Logf("%d bytes were sent", previous)
+	require.Less(t, previous, uint64(1<<20))
+	w.close()
+	require.NoError(t, far.Close())
+	require.NoError(t, l.Close())
+}
--- a/internal/mesh/stat_test.go
+++ b/internal/mesh/stat_test.go
@@ -59,3 +59,18 @@
 	s.End(time.Second, true, false)
 	require.Zero(t, s.InFlight(), "a request with an inconclusive outcome must be counted as ended, too")
 }
+
+// Guards against forecasts that ignore the links, count a backlog that small answers overtake, or count
+// links that aren't scheduled.
+func TestLinkDelayCountsBacklogAndSlowerLink(t *testing.T) {
+	s := &mesh.Stat{}
+	s.Report(mesh.Load{LinkRate: 1e6, LinkBacklog: 300 * time.Millisecond}, 0)
+	e := s.Estimate(100 * time.Millisecond)
+	require.Equal(t, 200*time.Millisecond+90*time.Millisecond, e.LinkDelayOf(90_000, 2e6))
+	require.Equal(t, 200*time.Millisecond+180*time.Millisecond, e.LinkDelayOf(90_000, 0.5e6))
+	require.Equal(t, time.Millisecond, e.LinkDelayOf(1000, 2e6))
+	require.Zero(t, e.LinkDelayOf(90_000, 0))
+	require.Zero(t, s.Estimate(time.Minute).LinkBacklog)
+	s.Report(mesh.Load{LinkBacklog: time.Second}, 0)
+	require.Zero(t, s.Estimate(0).LinkDelayOf(90_000, 2e6))
+}
