Goodput scheduling: transient slowdowns don't make requests late; late ones are refused only in a queue that lasts

In plays of a deployment with short slowdowns by neighbours, requests that arrived during one counted as late for good: a fourfold slowdown of some 200 ms made the expected time in the slot exceed the objective, and each queue stands for more than 100 ms then. Expected times now use the sustained slowdown, and a request that can only be late is refused if the queue is expected to stand until its deadline, as before this feature.

--- a/internal/gate/goodput.go
+++ b/internal/gate/goodput.go
@@ -149,8 +149,8 @@
 }
 
 // pace is when slots are expected to become free: the first after first, and each further one after
-// each more.
-type pace struct{ first, each time.Duration }
+// each more. standingFor is how long the queue hasn't been empty.
+type pace struct{ first, each, standingFor time.Duration }
 
 // plan simulates the coming starts of a standing queue and sets reasons[i] to why waiter i is refused,
 // or to notRefused. after is scratch space. Both have the length of the queue.
@@ -169,7 +169,7 @@
 		present := inTime.present
 		level := t.next(present)
 		i := inTime.take(level, after)
-		if reasons[i] = queue[i].refusal(start, false); reasons[i] != notRefused {
+		if reasons[i] = queue[i].refusal(start, now.Add(p.standingFor), false); reasons[i] != notRefused {
 			refused++
 			continue
 		}
@@ -178,7 +178,7 @@
 	}
 	for late.present != 0 {
 		i := late.take(uint8(bits.TrailingZeros32(late.present)), after)
-		if reasons[i] = queue[i].refusal(start, !inTimeWaits); reasons[i] != notRefused {
+		if reasons[i] = queue[i].refusal(start, now.Add(p.standingFor), !inTimeWaits); reasons[i] != notRefused {
 			refused++
 			continue
 		}
@@ -188,16 +188,20 @@
 }
 
 // refusal returns why a request in a standing queue that is expected to start at start is refused.
-// onlyLate is true if it is late and only late requests wait before it.
+// standingUntil is until when the queue is expected to stand, which is for as long again. onlyLate is true
+// if it is late and only late requests wait before it.
+//
+// A request that can only be answered late is refused if the queue is expected to stand until its deadline.
+// A queue that stands for a shorter time, as during a transient slowdown, answers it late.
 //
 // A nested call is refused only for its deadline, as its parent's work is lost with it even if only
 // its own objective is missed. A late request is kept while only late ones wait, because refusing all
 // of them would leave slots unused.
-func (w *waiter) refusal(start time.Time, onlyLate bool) Reason {
+func (w *waiter) refusal(start, standingUntil time.Time, onlyLate bool) Reason {
 	switch {
 	case w.pastDeadline(start):
 		return PastDeadline
-	case w.rank.Nested || onlyLate || !w.late(start):
+	case w.rank.Nested || onlyLate || !w.late(start) || !w.pastDeadline(standingUntil):
 		return notRefused
 	}
 	return CannotBeInTime
--- a/internal/gate/scheduler.go
+++ b/internal/gate/scheduler.go
@@ -91,7 +91,7 @@
 		return
 	}
 	n := len(g.queue)
-	p := pace{first: g.expectedWait(now, 0)}
+	p := pace{first: g.expectedWait(now, 0), standingFor: now.Sub(g.nonEmptySince)}
 	if n > 1 {
 		p.each = (g.expectedWait(now, n-1) - p.first) / time.Duration(n-1)
 	}
--- a/internal/mesh/guard/slottime.go
+++ b/internal/mesh/guard/slottime.go
@@ -91,15 +91,15 @@
 }
 
 // expectedSlotTime returns how long a request is expected to hold a slot if it starts now: the measured
-// time of its route times the slowdown that the backend server reports, or else its base service time
-// times the whole slowdown.
+// time of its route times the sustained slowdown that the backend server reports, or else its base service
+// time times the whole sustained slowdown. A transient slowdown is likely to end before the request starts.
 func (g *Guard) expectedSlotTime(s *requestState) time.Duration {
 	now := g.Now()
 	slowdown := g.slowdown.state(now)
 	if held := g.slotTimes.of(s.class, now); held > 0 {
-		return time.Duration(float64(held) * slowdown.reported())
+		return time.Duration(float64(held) * slowdown.sustained / slowdown.measured)
 	}
-	return time.Duration(float64(s.baseService) * slowdown.current)
+	return time.Duration(float64(s.baseService) * slowdown.sustained)
 }
 
 // waitLimits returns the limits on a request's wait for a slot. With goodput scheduling, the latest
