--- a/internal/gate/goodput.go
+++ b/internal/gate/goodput.go
@@ -201,7 +201,7 @@
 	switch {
 	case w.pastDeadline(start):
 		return PastDeadline
-	case w.rank.Nested || onlyLate || !w.late(start) || !w.pastDeadline(standingUntil):
+	case w.rank.Nested || onlyLate || !w.late(start) || standingUntil.Before(w.startByDeadline):
 		return notRefused
 	}
 	return CannotBeInTime
--- a/internal/gate/goodput_test.go
+++ b/internal/gate/goodput_test.go
@@ -180,16 +180,18 @@
 	late := &waiter{level: ranked(0).level(), rank: ranked(0), startByObjective: now.Add(-time.Second), startByDeadline: now.Add(time.Second)}
 	nestedLate := &waiter{level: nested(1).level(), rank: nested(1), startByObjective: now.Add(-time.Second), startByDeadline: now.Add(time.Second)}
 	tooLate := &waiter{level: ranked(0).level(), rank: ranked(0), startByObjective: now.Add(-time.Second), startByDeadline: now.Add(time.Millisecond)}
+	lateForLong := &waiter{level: ranked(0).level(), rank: ranked(0), startByObjective: now.Add(-time.Second), startByDeadline: now.Add(2 * time.Hour)}
 	inTime := &waiter{level: ranked(2).level(), rank: ranked(2), startByObjective: now.Add(15 * time.Millisecond)}
 	for name, c := range map[string]struct {
 		queue []*waiter
 		want  []Reason
 	}{
-		"only late":           {[]*waiter{late, late}, []Reason{notRefused, notRefused}},
-		"behind one in time":  {[]*waiter{late, inTime}, []Reason{CannotBeInTime, notRefused}},
-		"nested call":         {[]*waiter{nestedLate, inTime}, []Reason{notRefused, notRefused}},
-		"past its deadline":   {[]*waiter{tooLate}, []Reason{PastDeadline}},
-		"the oldest too late": {[]*waiter{inTime, inTime}, []Reason{CannotBeInTime, notRefused}},
+		"only late":            {[]*waiter{late, late}, []Reason{notRefused, notRefused}},
+		"behind one in time":   {[]*waiter{late, inTime}, []Reason{CannotBeInTime, notRefused}},
+		"in a queue that ends": {[]*waiter{lateForLong, inTime}, []Reason{notRefused, notRefused}},
+		"nested call":          {[]*waiter{nestedLate, inTime}, []Reason{notRefused, notRefused}},
+		"past its deadline":    {[]*waiter{tooLate}, []Reason{PastDeadline}},
+		"the oldest too late":  {[]*waiter{inTime, inTime}, []Reason{CannotBeInTime, notRefused}},
 	} {
 		reasons, after := make([]Reason, len(c.queue)), make([]int32, len(c.queue))
 		turns{}.plan(c.queue, now, pace{10 * time.Millisecond, 10 * time.Millisecond, time.Hour}, reasons, after)
