--- a/internal/mesh/calladmission/calladmission_test.go
+++ b/internal/mesh/calladmission/calladmission_test.go
@@ -50,8 +50,18 @@
 	require.InDelta(t, 0.25, admitted(3), 2e-3, "a route that is not known to call the service")
 }
 
-// call chains are levels of runs that each hold a slot. first is the service of the first of levels, whose
-// calls go to the next service of the ring. The last level runs, waits for a slot for its call, or ends.
+// Guards against a dark service that gets so few calls that its return isn't seen.
+func TestAdmittedShareHasAMinimum(t *testing.T) {
+	c := calladmission.NewControllers()
+	for now := time.Minute; now < 2*time.Minute; now += 100 * time.Millisecond {
+		c.Admitted("views", "stock", 0, now, func() calladmission.Observation { return calladmission.Observation{Known: true} })
+	}
+	require.InDelta(t, 0.02, c.States()[0].Share, 1e-9)
+}
+
+// chain is a run with its nested calls, each of which holds a slot. first is the service of the first level,
+// and the calls of each level go to the next service of the ring. The last level runs, waits for a slot for its
+// call, or ends.
 type chain struct{ first, levels, phase int }
 
 const (
@@ -96,7 +106,8 @@
 	}
 }
 
-// next returns the states that follow without a new request of a caller.
+// next returns the states that follow without a new request of a caller. Admission never refuses a nested
+// call.
 func (s state) next(timeouts bool) (states []state) {
 	s.each(func(c chain) {
 		rest := s.with(c, -1)
@@ -104,7 +115,7 @@
 		switch c.phase {
 		case running:
 			states = append(states, ended)
-			if c.levels < ringDepth && calladmission.Admits(true, 0.02, 0.99) {
+			if c.levels < ringDepth {
 				states = append(states, rest.with(chain{c.first, c.levels, waiting}, 1))
 			}
 		case waiting:
@@ -138,7 +149,7 @@
 			stuck++
 		}
 		for service := range ringServices {
-			if s.free(service) && calladmission.Admits(false, 1, 0.5) {
+			if s.free(service) {
 				next = append(next, s.with(chain{service, 1, running}, 1))
 			}
 		}
--- a/internal/mesh/calladmission/controller.go
+++ b/internal/mesh/calladmission/controller.go
@@ -254,9 +254,9 @@
 	return a.admittedFor(priority)
 }
 
-// Admits reports whether a request is admitted. random is uniform in [0, 1). A nested call is always
-// admitted: its parent's work would be lost otherwise.
-func Admits(nested bool, share, random float64) bool { return nested || random < share }
+// Admits reports whether a request is admitted, given the admitted share and a number that is uniform in
+// [0, 1).
+func Admits(share, random float64) bool { return random < share }
 
 // Count counts a decision about a request to a service whose runs call the other one.
 func (c *Controllers) Count(service, called string, admitted bool) {
--- a/internal/mesh/calladmission/fleet_test.go
+++ b/internal/mesh/calladmission/fleet_test.go
@@ -123,7 +123,7 @@
 			continue
 		}
 		f.asked++
-		if f.admitting && !calladmission.Admits(false, f.admitted(entry), f.rnd.Float64()) {
+		if f.admitting && !calladmission.Admits(f.admitted(entry), f.rnd.Float64()) {
 			continue
 		}
 		f.ran++
@@ -229,12 +229,14 @@
 // return could be seen.
 func TestCalledServiceIsDark(t *testing.T) {
 	f := startFleet(62, 0)
-	f.run(4 * time.Second)
+	fell := f.until(10*time.Second, func(mean float64) bool { return mean < 0.1 })
+	f.run(2 * time.Second)
 	f.run(20 * time.Second)
 	ran := float64(f.ran) / float64(f.asked)
 	f.hasRoom()
 	back := f.until(10*time.Second, func(mean float64) bool { return mean > 0.99 })
-	t.Logf("ran %.3f of requests, back after %v", ran, back)
+	t.Logf("below 0.1 after %v, ran %.3f of requests, back after %v", fell, ran, back)
+	require.Less(t, fell, 3*time.Second)
 	require.Less(t, ran, 0.1)
 	require.Positive(t, f.ran)
 	require.Less(t, back, 6*time.Second)
--- a/internal/mesh/entry/calls.go
+++ b/internal/mesh/entry/calls.go
@@ -17,6 +17,9 @@
 	// minOrigins is how many requests of a route must have arrived before it may be taken for one that
 	// only nested calls use.
 	minOrigins = 8
+	// minOwnOrigins is the same for routes of the service beside the node. That a service calls itself is
+	// rare, but one of its requests with a long timeout makes all others seem to be calls while it runs.
+	minOwnOrigins = originMemory
 	// maxCallerShare is the largest share of callers' own requests on such a route. A call counts as one
 	// if it arrives after its parent has ended.
 	maxCallerShare = 0.02
@@ -45,11 +48,12 @@
 	s.callerShare += (sample - s.callerShare) / float64(min(s.seen, originMemory))
 }
 
-// nestedOnly reports whether the route's requests at this node are nested calls.
-func (s *originStats) nestedOnly() bool {
+// nestedOnly reports whether the route's requests at this node are nested calls, as far as a number of
+// requests shows.
+func (s *originStats) nestedOnly(needed int) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.seen >= minOrigins && s.callerShare <= maxCallerShare
+	return s.seen >= needed && s.callerShare <= maxCallerShare
 }
 
 // callAdmission is the admitted share of a request, and the called service because of which it is reduced.
@@ -61,8 +65,14 @@
 // detectNestedCall decides whether the request is a nested call of the backend server beside the node.
 func (t *transaction) detectNestedCall() {
 	caller := t.origin.Caller()
-	t.stats.origins.add(caller)
-	t.nested = t.view.OverloadScheduling && !caller && t.stats.origins.nestedOnly()
+	if !t.origin.Orphan() {
+		t.stats.origins.add(caller)
+	}
+	needed := minOrigins
+	if t.service == t.entry.Here.Service {
+		needed = minOwnOrigins
+	}
+	t.nested = t.view.OverloadScheduling && !caller && t.stats.origins.nestedOnly(needed)
 }
 
 const (
@@ -95,7 +105,7 @@
 	if t.admission.called == "" {
 		return nil
 	}
-	admitted := calladmission.Admits(t.nested, t.admission.share, rand.Float64())
+	admitted := calladmission.Admits(t.admission.share, rand.Float64())
 	e.admissions.Count(t.service, t.admission.called, admitted)
 	if admitted {
 		return nil
--- a/internal/mesh/entry/calls_test.go
+++ b/internal/mesh/entry/calls_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"math"
 	"net/http"
 	"testing"
 	"time"
@@ -58,7 +59,7 @@
 		calls    mesh.Calls
 		min, max int
 	}{
-		"in force":     {true, mesh.Calls{"stock": 0.7}, 200, 300},
+		"in force":     {true, mesh.Calls{"prices": 1, "stock": 0.7}, 200, 300},
 		"few calls":    {true, mesh.Calls{"stock": 0.05}, 0, 0},
 		"other calls":  {true, mesh.Calls{"prices": 1}, 0, 0},
 		"not in force": {false, mesh.Calls{"stock": 0.7}, 0, 0},
@@ -80,7 +81,9 @@
 			require.Contains(t, last.Message, "stock")
 			require.GreaterOrEqual(t, last.RetryAfter, 500*time.Millisecond)
 			require.Less(t, last.RetryAfter, time.Second)
-			state := d.entry.CallAdmissions()[0]
+			states := d.entry.CallAdmissions()
+			state := states[len(states)-1]
+			require.Equal(t, "stock", state.Called)
 			require.EqualValues(t, refused, state.Refused)
 			require.Less(t, state.Share, 0.05)
 		})
@@ -141,6 +144,14 @@
 	d.route.Timeout = time.Minute
 	d.scheduleOverload(true)
 	require.Zero(t, d.nested(1, 40), "callers use the route, too")
+	d = newDeployment(t, true)
+	d.scheduleOverload(true)
+	d.entry.Lineage.ExpectEarlierRuns(2 * d.now)
+	require.Zero(t, d.nested(0, 40), "after a restart, any request may be a call")
+	d = newDeployment(t, true)
+	d.scheduleOverload(true)
+	d.entry.Here.Service = "orders"
+	require.Zero(t, d.nested(0, 40), "a request with a long timeout runs at the service beside the node")
 }
 
 // Guards against a nested call that is refused though its parent has run already.
@@ -163,17 +174,20 @@
 	for name, c := range map[string]struct {
 		answer func(*mesh.Request) (*mesh.Answer, *kind.Error)
 		failed bool
+		// took is how long the call takes.
+		took time.Duration
 	}{
-		"answered":  {answered(http.StatusNotFound), false},
-		"own error": {answered(http.StatusInternalServerError), false},
-		"broken":    {failing(kind.OutcomeUnknown), false},
-		"refused":   {failing(kind.Overloaded), true},
-		"deadline":  {failing(kind.DeadlineUnknown), true},
-		"dark":      {failing(kind.Unreachable), true},
+		"answered":  {answered(http.StatusNotFound), false, 0},
+		"own error": {answered(http.StatusInternalServerError), false, 0},
+		"broken":    {failing(kind.OutcomeUnknown), false, 0},
+		"given up":  {failing(kind.OutcomeUnknown), true, time.Second},
+		"refused":   {failing(kind.Overloaded), true, 0},
+		"deadline":  {failing(kind.DeadlineUnknown), true, 0},
+		"dark":      {failing(kind.Unreachable), true, 0},
 		"its own calls": {func(*mesh.Request) (*mesh.Answer, *kind.Error) {
 			return &mesh.Answer{Status: 500, CallsFailed: true}, nil
-		}, true},
-		"late in itself": {answered(http.StatusGatewayTimeout), true},
+		}, true, 0},
+		"late in itself": {answered(http.StatusGatewayTimeout), true, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			d := newDeployment(t, true)
@@ -181,7 +195,10 @@
 			require.Positive(t, d.nested(0, 20))
 			run := d.entry.Lineage.Begin(d.now + time.Hour)
 			for _, target := range d.targets {
-				d.answers[target.Peer] = c.answer
+				d.answers[target.Peer] = func(r *mesh.Request) (*mesh.Answer, *kind.Error) {
+					d.now += c.took
+					return c.answer(r)
+				}
 			}
 			d.now += 10 * time.Second
 			_, _ = d.serve()
@@ -205,6 +222,38 @@
 	}
 }
 
+// Guards against a priority that is ranked among routes of other services, or against none, so that urgent
+// requests are refused like others.
+func TestPrioritiesAreThoseOfRoutesThatCallTheService(t *testing.T) {
+	var out logBuffer
+	d := newDeployment(t, true)
+	d.callFrom(http.StatusOK, false, mesh.Calls{"stock": 1})
+	v := *d.entry.View()
+	routes := []*mesh.Route{d.route}
+	for i, service := range []string{"orders", "shop"} {
+		r := *d.route
+		r.Name, r.Prefix, r.Priority = service, "/"+service+"/", 1+i
+		r.Shares = []mesh.Share{{Service: service, Weight: 1}}
+		routes = append(routes, &r)
+	}
+	v.Config = mesh.NewConfig(1, v.Config.Services, routes, mesh.Limits{})
+	v.Targets = map[string][]*mesh.Target{"orders": d.targets, "shop": d.targets}
+	d.entry.SetView(&v)
+	d.scheduleOverload(true)
+	for _, r := range routes {
+		in := d.request(0)
+		in.Path = r.Prefix
+		_, err := d.entry.Serve(t.Context(), in)
+		require.Nil(t, err)
+	}
+	d.refusedOf(300, 0.5)
+	d.entry.Log = decision.New(t.Context(), &out, slog.LevelInfo)
+	_, _ = d.serve()
+	state := d.entry.CallAdmissions()[0]
+	require.Equal(t, "orders", state.Service)
+	require.InDelta(t, math.Sqrt(state.Lowest), out.line(t)["admitted_share"], 1e-3)
+}
+
 // Guards against a log from which an operator can't tell why a request was refused.
 func TestLogOfRefusedRequestHasCalledService(t *testing.T) {
 	var out logBuffer
--- a/internal/mesh/lineage/lineage.go
+++ b/internal/mesh/lineage/lineage.go
@@ -145,6 +145,10 @@
 // Caller reports whether the request is certainly a caller's own.
 func (o *Origin) Caller() bool { return len(o.parents) == 0 && !o.orphan }
 
+// Orphan reports whether the request may be a call of one that an earlier process of the node has sent. No
+// request is certainly a caller's own then.
+func (o *Origin) Orphan() bool { return o.orphan }
+
 // AddCalls records calls that the request consists of or has led to. They are divided among the requests
 // that may have made them.
 func (o *Origin) AddCalls(calls mesh.Calls) {
--- a/internal/mesh/node/calls_test.go
+++ b/internal/mesh/node/calls_test.go
@@ -10,10 +10,11 @@
 	"github.com/limpetdock/limpetdock/internal/mesh/calladmission"
 	"github.com/limpetdock/limpetdock/internal/mesh/entry"
 	"github.com/limpetdock/limpetdock/internal/mesh/guard"
+	"github.com/limpetdock/limpetdock/internal/mesh/quarantine"
 	"github.com/limpetdock/limpetdock/internal/metrics"
 )
 
-// Guards against load reports and metrics from which entries and operators don't learn that nested calls fail.
+// Guards against load reports, metrics and a state from which entries and operators don't learn that nested calls fail.
 func TestFailingCallsAreReported(t *testing.T) {
 	now := func() time.Duration { return time.Minute }
 	calls := calladmission.NewRecorder()
@@ -27,6 +28,8 @@
 	m := metrics.New()
 	e := entry.New(entry.Config{Now: now, Calls: calls})
 	registerCallMetrics(m, e)
+	a := &admin{entry: e, guard: r, suspects: quarantine.New(now), now: now}
+	require.NotNil(t, a.state().CallAdmissions)
 	families, err := m.Registry.Gather()
 	require.NoError(t, err)
 	total := 0.0
