Call admission: only routes that certainly call a service are throttled, and only for lack of room

Answers now name a service that runs of the route certainly call: one called while only runs of that route could have made the call. Calls that were started don't count as refused.

--- a/internal/mesh/entry/calls.go
+++ b/internal/mesh/entry/calls.go
@@ -17,6 +17,9 @@
 	// minOrigins is how many requests of a route must have arrived before it may be taken for one that
 	// only nested calls use.
 	minOrigins = 8
+	// minOwnOrigins is the same for routes of the service beside the node. That a service calls itself is
+	// rare, but one of its requests with a long timeout makes all others seem to be calls while it runs.
+	minOwnOrigins = originMemory
 	// maxCallerShare is the largest share of callers' own requests on such a route. A call counts as one
 	// if it arrives after its parent has ended.
 	maxCallerShare = 0.02
@@ -45,11 +48,12 @@
 	s.callerShare += (sample - s.callerShare) / float64(min(s.seen, originMemory))
 }
 
-// nestedOnly reports whether the route's requests at this node are nested calls.
-func (s *originStats) nestedOnly() bool {
+// nestedOnly reports whether the route's requests at this node are nested calls, as far as a number of
+// requests shows.
+func (s *originStats) nestedOnly(needed int) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.seen >= minOrigins && s.callerShare <= maxCallerShare
+	return s.seen >= needed && s.callerShare <= maxCallerShare
 }
 
 // callAdmission is the admitted share of a request, and the called service because of which it is reduced.
@@ -61,8 +65,17 @@
 // detectNestedCall decides whether the request is a nested call of the backend server beside the node.
 func (t *transaction) detectNestedCall() {
 	caller := t.origin.Caller()
-	t.stats.origins.add(caller)
-	t.nested = t.view.OverloadScheduling && !caller && t.stats.origins.nestedOnly()
+	if !t.origin.Orphan() {
+		t.stats.origins.add(caller)
+	}
+	needed := minOrigins
+	if t.service == t.entry.Here.Service {
+		needed = minOwnOrigins
+	}
+	t.nested = t.view.OverloadScheduling && !caller && t.stats.origins.nestedOnly(needed)
+	if t.nested {
+		t.origin.NoteCall(t.service)
+	}
 }
 
 const (
@@ -81,8 +94,8 @@
 	e, now := t.entry, t.entry.Now()
 	calls := t.stats.expectedCalls()
 	t.admission.share = 1
-	for called, n := range calls {
-		if n < minCalls {
+	for called := range t.stats.certainCallees() {
+		if calls[called] < minCalls {
 			continue
 		}
 		share := e.admissions.Admitted(t.service, called, t.route.Priority, now, func() calladmission.Observation {
@@ -95,7 +108,7 @@
 	if t.admission.called == "" {
 		return nil
 	}
-	admitted := calladmission.Admits(t.nested, t.admission.share, rand.Float64())
+	admitted := calladmission.Admits(t.admission.share, rand.Float64())
 	e.admissions.Count(t.service, t.admission.called, admitted)
 	if admitted {
 		return nil
@@ -121,7 +134,10 @@
 	o := pool.Observation()
 	for _, r := range v.Config.Routes() {
 		s, ok := e.routes.Load(r.Name)
-		if !ok || !servedBy(r, service) || s.(*routeStats).expectedCalls()[called] < minCalls {
+		if !ok || !servedBy(r, service) {
+			continue
+		}
+		if _, calls := s.(*routeStats).certainCallees()[called]; !calls {
 			continue
 		}
 		o.Lowest = max(o.Lowest, r.Priority)
@@ -147,24 +163,20 @@
 }
 
 // callOutcome classifies the outcome of a nested call. Failures that fewer requests wouldn't prevent are no
-// lack of room, such as a backend server's own errors: if they were, a service that fails a tenth of its
-// calls would have nearly all requests refused.
+// lack of room, such as a backend server's own errors, or a call that was started and took too long: if
+// they were, a service that fails a tenth of its calls would have nearly all requests refused.
 func (t *transaction) callOutcome(a *mesh.Answer, err *kind.Error) calladmission.Outcome {
 	if err == nil {
 		switch {
 		case a.Status < http.StatusInternalServerError:
 			return calladmission.Answered
-		case a.CallsFailed, a.Status == http.StatusServiceUnavailable, a.Status == http.StatusGatewayTimeout:
+		case a.CallsFailed, a.Status == http.StatusServiceUnavailable:
 			return calladmission.Failed
 		}
 		return calladmission.Other
 	}
 	switch err.Kind {
-	case kind.Overloaded, kind.OverLimit, kind.DeadlineNotRun, kind.DeadlineUnknown, kind.NoTarget, kind.Unreachable, kind.Leaving, kind.NotReady:
-		return calladmission.Failed
-	}
-	if t.entry.Now() >= t.deadline-answerMargin {
-		// The backend server gives a call up when its time has passed, so the caller has left by then.
+	case kind.Overloaded, kind.OverLimit, kind.DeadlineNotRun, kind.NoTarget, kind.Unreachable, kind.Leaving, kind.NotReady:
 		return calladmission.Failed
 	}
 	return calladmission.Other
--- a/internal/mesh/entry/choose.go
+++ b/internal/mesh/entry/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -64,7 +65,9 @@
 	seen                         int
 	// calls is a moving average of the calls that a run makes, and runs counts the samples.
 	calls mesh.Calls
-	runs  int
+	// callees are the services that runs certainly call. It is replaced, not modified.
+	callees map[string]struct{}
+	runs    int
 	// origins tells whether only nested calls use the route.
 	origins originStats
 }
@@ -103,6 +106,28 @@
 	s.calls = averages
 }
 
+// addCallee records a service that runs certainly call.
+func (s *routeStats) addCallee(service string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, known := s.callees[service]; known || service == "" {
+		return
+	}
+	callees := maps.Clone(s.callees)
+	if callees == nil {
+		callees = map[string]struct{}{}
+	}
+	callees[service] = struct{}{}
+	s.callees = callees
+}
+
+// certainCallees returns the services that runs certainly call. They must not be modified.
+func (s *routeStats) certainCallees() map[string]struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.callees
+}
+
 // expectedCalls returns the average calls of a run. They must not be modified.
 func (s *routeStats) expectedCalls() mesh.Calls {
 	s.mu.Lock()
@@ -113,6 +138,7 @@
 // recordCalls records the calls that the run of the request has made.
 func (t *transaction) recordCalls(a *mesh.Answer) {
 	t.stats.addRun(a.Calls)
+	t.stats.addCallee(a.Callee)
 	t.origin.AddCalls(a.Calls)
 }
 
--- a/internal/mesh/guard/send.go
+++ b/internal/mesh/guard/send.go
@@ -26,14 +26,15 @@
 		defer release()
 		ctx, cancel := context.WithTimeout(ctx, deadline-g.Now())
 		defer cancel()
-		return g.send(ctx, r, func() bool { return caller.Err() == nil && maySend() }, deadline)
+		return g.send(ctx, s, func() bool { return caller.Err() == nil && maySend() }, deadline)
 	}
-	return g.send(ctx, r, maySend, deadline)
+	return g.send(ctx, s, maySend, deadline)
 }
 
-func (g *Guard) send(ctx context.Context, r *mesh.Request, allow func() bool, deadline time.Duration) (*mesh.Answer, *kind.Error) {
+func (g *Guard) send(ctx context.Context, s *requestState, allow func() bool, deadline time.Duration) (*mesh.Answer, *kind.Error) {
+	r := s.request
 	g.sent.Add(1)
-	run := g.Lineage.Begin(deadline)
+	run := g.Lineage.Begin(s.class, deadline)
 	answer, failure := g.Backend.Do(ctx, g.message(r, deadline), allow)
 	calls := run.End(failure != nil && failure.Outcome == exchange.Unknown)
 	if failure != nil {
@@ -52,6 +53,7 @@
 		return nil, kind.New(kind.BackendBroken, "the response has no signature of the backend server")
 	}
 	answer.Calls = calls
+	answer.Callee = g.Lineage.Callee(s.class)
 	answer.CallsFailed = answer.Status >= http.StatusInternalServerError && run.CallFailed()
 	return answer, nil
 }
--- a/internal/mesh/lineage/lineage.go
+++ b/internal/mesh/lineage/lineage.go
@@ -27,11 +27,13 @@
 	// the node's start, so that all of these have ended.
 	earlier time.Duration
 	idle    bool
+	// callees holds, for each route, the services that its runs certainly call.
+	callees map[string]map[string]struct{}
 }
 
 // New returns a Tracker. now returns the time since the node's start.
 func New(now func() time.Duration) *Tracker {
-	return &Tracker{now: now, runs: map[*Run]struct{}{}}
+	return &Tracker{now: now, runs: map[*Run]struct{}{}, callees: map[string]map[string]struct{}{}}
 }
 
 // ExpectEarlierRuns sets the longest time that a request may take. For that long after the node's start the
@@ -45,6 +47,8 @@
 // Run is a request that the backend server runs.
 type Run struct {
 	tracker *Tracker
+	// route is the name of its route, or empty.
+	route string
 	// expires is when the backend server ends it at the latest.
 	expires time.Duration
 	// ended is true once its exchange has ended.
@@ -55,10 +59,10 @@
 	callFailed bool
 }
 
-// Begin records that the backend server gets a request, which expires at the given time since the node's
-// start.
-func (t *Tracker) Begin(expires time.Duration) *Run {
-	r := &Run{tracker: t, expires: expires, calls: mesh.Calls{}}
+// Begin records that the backend server gets a request of a route, which expires at the given time since
+// the node's start.
+func (t *Tracker) Begin(route string, expires time.Duration) *Run {
+	r := &Run{tracker: t, route: route, expires: expires, calls: mesh.Calls{}}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.forgetExpired()
@@ -145,6 +149,10 @@
 // Caller reports whether the request is certainly a caller's own.
 func (o *Origin) Caller() bool { return len(o.parents) == 0 && !o.orphan }
 
+// Orphan reports whether the request may be a call of one that an earlier process of the node has sent. No
+// request is certainly a caller's own then.
+func (o *Origin) Orphan() bool { return o.orphan }
+
 // AddCalls records calls that the request consists of or has led to. They are divided among the requests
 // that may have made them.
 func (o *Origin) AddCalls(calls mesh.Calls) {
@@ -155,6 +163,46 @@
 	}
 }
 
+// maxRoutes bounds the routes whose calls are known, as configurations rename them.
+const maxRoutes = 4096
+
+// NoteCall records that the request is a nested call to a service. If all requests that may have made it
+// are of one route, runs of that route certainly call the service. The average calls of a route don't show
+// that: routes that make none are given a part of the calls of others that run beside them.
+func (o *Origin) NoteCall(service string) {
+	t := o.tracker
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(o.parents) == 0 || o.orphan {
+		return
+	}
+	route := o.parents[0].route
+	for _, r := range o.parents {
+		if r.route == "" || r.route != route {
+			return
+		}
+	}
+	if t.callees[route] == nil {
+		if len(t.callees) >= maxRoutes {
+			clear(t.callees)
+		}
+		t.callees[route] = map[string]struct{}{}
+	}
+	t.callees[route][service] = struct{}{}
+}
+
+// Callee returns one of the services that runs of a route certainly call, a different one from time to
+// time, or an empty string.
+func (t *Tracker) Callee(route string) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	// Maps are iterated in a random order.
+	for service := range t.callees[route] {
+		return service
+	}
+	return ""
+}
+
 // FailCall records that the request failed for lack of room or time. Any of the requests that may have made
 // it may fail for that.
 func (o *Origin) FailCall() {
--- a/internal/mesh/lineage/lineage_test.go
+++ b/internal/mesh/lineage/lineage_test.go
@@ -34,7 +34,7 @@
 func TestRequestThatExpiresWithARunIsNoCallers(t *testing.T) {
 	f := newFixture()
 	require.True(t, f.Arrived(inTime).Caller(), "nothing runs")
-	run := f.Begin(2 * second)
+	run := f.Begin("", 2*second)
 	require.False(t, f.Arrived(second).Caller())
 	require.False(t, f.Arrived(inTime).Caller())
 	require.False(t, f.Arrived(inTime+50*time.Millisecond).Caller(), "read some time after it was sent")
@@ -47,7 +47,7 @@
 // Guards against calls of a run that goes on after its exchange broke off.
 func TestRunThatMayContinueCountsUntilItExpires(t *testing.T) {
 	f := newFixture()
-	f.Begin(2 * second).End(true)
+	f.Begin("", 2*second).End(true)
 	f.now = second
 	require.False(t, f.Arrived(inTime).Caller())
 	f.now = 3 * second
@@ -67,7 +67,7 @@
 // Guards against calls that are charged to no run, or more than once.
 func TestCallsAreDividedAmongPossibleParents(t *testing.T) {
 	f := newFixture()
-	first, second, short := f.Begin(2*second), f.Begin(2*second), f.Begin(100*time.Millisecond)
+	first, second, short := f.Begin("", 2*second), f.Begin("", 2*second), f.Begin("", 100*time.Millisecond)
 	call := f.Arrived(inTime)
 	call.AddCalls(mesh.Calls{"stock": 1})
 	call.AddCalls(mesh.Calls{"prices": 3})
@@ -80,10 +80,10 @@
 func TestIdleServerRunsNothingOfBefore(t *testing.T) {
 	f := newFixture()
 	f.ExpectEarlierRuns(2 * second)
-	f.Begin(2 * second).End(true)
+	f.Begin("", 2*second).End(true)
 	f.ConfirmIdle()
 	require.True(t, f.Arrived(inTime).Caller())
-	f.Begin(2 * second)
+	f.Begin("", 2*second)
 	f.ConfirmIdle()
 	require.False(t, f.Arrived(inTime).Caller(), "the request had not arrived when the server was idle")
 }
@@ -91,7 +91,7 @@
 // Guards against a run that seems to have failed for another reason than its calls, and is repeated.
 func TestFailedCallMarksPossibleParents(t *testing.T) {
 	f := newFixture()
-	first, other, short := f.Begin(2*second), f.Begin(2*second), f.Begin(100*time.Millisecond)
+	first, other, short := f.Begin("", 2*second), f.Begin("", 2*second), f.Begin("", 100*time.Millisecond)
 	call := f.Arrived(inTime)
 	require.False(t, first.CallFailed())
 	first.End(false)
@@ -99,5 +99,21 @@
 	require.True(t, first.CallFailed(), "it has just ended, as its call has failed")
 	require.True(t, other.CallFailed())
 	require.False(t, short.CallFailed(), "it ends before the call")
-	require.False(t, f.Begin(2*second).CallFailed())
+	require.False(t, f.Begin("", 2*second).CallFailed())
+}
+
+// Guards against routes that make no calls and are taken to make those of runs beside them.
+func TestCalleeIsKnownOnlyFromRunsOfOneRoute(t *testing.T) {
+	f := newFixture()
+	f.Begin("orders", 2*second)
+	reads := f.Begin("reads", 2*second)
+	f.Arrived(second).NoteCall("stock")
+	require.Empty(t, f.Callee("orders"))
+	require.Empty(t, f.Callee("reads"))
+	reads.End(false)
+	f.Arrived(3 * second).NoteCall("stock")
+	require.Empty(t, f.Callee("orders"), "a caller's own request")
+	f.Arrived(second).NoteCall("prices")
+	require.Equal(t, "prices", f.Callee("orders"))
+	require.Empty(t, f.Callee("reads"))
 }
--- a/internal/mesh/message.go
+++ b/internal/mesh/message.go
@@ -89,6 +89,8 @@
 	Calls Calls
 	// CallsFailed is true if calls that it has made failed for lack of room or time.
 	CallsFailed bool
+	// Callee is a service that runs of the request's route certainly call, or empty.
+	Callee string
 }
 
 // Load is the load of a backend server, as counted by the guard beside it.
--- a/internal/mesh/peer/extension.go
+++ b/internal/mesh/peer/extension.go
@@ -14,9 +14,10 @@
 // set. Nodes of versions without it ignore the bytes after the body. Unlike the body, which is an
 // array of a fixed number of fields, it is a map, so that fields can be added.
 type extension struct {
-	// Nested is that of a mesh.Request, and CallsFailed that of a mesh.Answer.
-	Nested      bool `msgpack:"n,omitempty"`
-	CallsFailed bool `msgpack:"f,omitempty"`
+	// Nested is that of a mesh.Request, CallsFailed and Callee are those of a mesh.Answer.
+	Nested      bool   `msgpack:"n,omitempty"`
+	CallsFailed bool   `msgpack:"f,omitempty"`
+	Callee      string `msgpack:"m,omitempty"`
 	// CallsTo and CallSuccessPercent belong to a mesh.Load, as do LinkKBps, in kilobytes per second,
 	// and LinkBacklogMs.
 	CallsTo            string `msgpack:"c,omitempty"`
--- a/internal/mesh/peer/link.go
+++ b/internal/mesh/peer/link.go
@@ -284,7 +284,7 @@
 		}
 		ok := l.handleLoad(w, a.Load, x, delayed)
 		answer := a.answer()
-		answer.CallsFailed = x.CallsFailed
+		answer.CallsFailed, answer.Callee = x.CallsFailed, x.Callee
 		l.endStream(streamID, result{answer: answer})
 		return ok
 	case frameRefusal:
--- a/internal/mesh/peer/server.go
+++ b/internal/mesh/peer/server.go
@@ -228,7 +228,7 @@
 			c.sendPrioritized(frameRefusal, stream, fromError(e, load), x, r.Priority)
 			return
 		}
-		x.CallsFailed = answer.CallsFailed
+		x.CallsFailed, x.Callee = answer.CallsFailed, answer.Callee
 		c.sendPrioritized(frameAnswer, stream, fromAnswer(answer, load), x, r.Priority)
 	}()
 }
