--- a/internal/mesh/calladmission/controller.go
+++ b/internal/mesh/calladmission/controller.go
@@ -19,10 +19,10 @@
 	minAdmitted = 0.02
 	// growth and minGrowth are by how much of itself, and of all requests, an admitted share grows in an
 	// interval.
-	growth, minGrowth = 0.2, 0.03
+	growth, minGrowth = 0.3, 0.05
 	// fullGrowthAfter is how long after a reduction the share grows at the full rate. Growing at that
 	// rate at once would exceed the room again before the reports show it.
-	fullGrowthAfter = 2400 * time.Millisecond
+	fullGrowthAfter = 1800 * time.Millisecond
 	// ineffectiveAfter is for how long reductions are tried. If the calls then still don't succeed, but at
 	// least unrelatedMin of them do, their failures don't depend on the number of requests. A reduction
 	// that works shows within three seconds.
