--- a/internal/mesh/node/reports_test.go
+++ b/internal/mesh/node/reports_test.go
@@ -73,6 +73,7 @@
 
 	server := peer.NewServer(r, mesh.Place{})
 	server.SetUplink(u)
+	server.SetStateSync(func() bool { return false }, peer.StateSync{Answer: func(peer.StateQuery) []byte { return make([]byte, 8<<20) }})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	go func() { _ = server.Serve(l) }()
@@ -80,7 +81,6 @@
 		_ = l.Close()
 		server.Close()
 	}()
-	server.SetStateSync(func() bool { return false }, peer.StateSync{Answer: func(peer.StateQuery) []byte { return make([]byte, 1<<20) }})
 	client := peer.NewClient(mesh.Place{}, newReportDispatcher(func() time.Duration { return 0 }))
 	client.SetStateSync(peer.StateSync{Apply: func([]byte) {}})
 	require.NoError(t, client.Warm(t.Context(), l.Addr().String()))
--- a/internal/mesh/peer/uplink.go
+++ b/internal/mesh/peer/uplink.go
@@ -80,7 +80,7 @@
 	u.scheduler.SetPaced(enabled)
 	unsent := u.maxUnsent()
 	if !enabled {
-		u.handOver()
+		u.handOver(time.Now())
 		unsent = 0
 	}
 	for _, owner := range u.scheduler.Owners() {
@@ -198,10 +198,11 @@
 	if !ok {
 		return 0, errQueueFull
 	}
+	now := time.Now()
 	if f.Outcome && w.delivery != nil {
-		w.delivery.noteWaiting(time.Now())
+		w.delivery.noteWaiting(now)
 	}
-	u.handOver()
+	u.handOver(now)
 	return total + uint64(ahead), nil
 }
 
@@ -233,16 +234,16 @@
 func (t frameType) isOutcome() bool { return t == frameAnswer || t == frameRefusal }
 
 // handOver passes to the writers what may be written now. u.mu must be held.
-func (u *Uplink) handOver() {
-	now := time.Since(u.origin)
+func (u *Uplink) handOver(now time.Time) {
+	elapsed := now.Sub(u.origin)
 	for {
-		h, wait, ok := u.scheduler.Next(now)
+		h, wait, ok := u.scheduler.Next(elapsed)
 		if ok {
-			h.Conn.Owner.(*writer).accept(h)
+			h.Conn.Owner.(*writer).accept(h, now)
 			continue
 		}
 		if wait > 0 {
-			u.setTimer(now+wait, wait)
+			u.setTimer(elapsed+wait, wait)
 		}
 		return
 	}
@@ -265,7 +266,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.timerAt = 0
-	u.handOver()
+	u.handOver(time.Now())
 }
 
 // written records that a writer has written bytes that were handed over.
@@ -275,7 +276,7 @@
 	blocked := u.scheduler.Blocked(w.flow)
 	u.scheduler.Written(w.flow, int(bytes))
 	if blocked && w.flow.Waiting() > 0 {
-		u.handOver()
+		u.handOver(time.Now())
 	}
 }
 
--- a/internal/mesh/peer/uplink_test.go
+++ b/internal/mesh/peer/uplink_test.go
@@ -248,7 +248,7 @@
 func TestAnswerOfCancelledRequestIsDropped(t *testing.T) {
 	virtualtime.Test(t, func(t *testing.T) {
 		c, s, stop := startSlowNode(t, true, func(_ context.Context, r *mesh.Request) *mesh.Answer {
-			a, _ := sizedAnswer(nil, r)
+			a, _ := sizedAnswer(t.Context(), r)
 			return a
 		}, func(*wire) {})
 		defer stop()
--- a/internal/mesh/peer/writer.go
+++ b/internal/mesh/peer/writer.go
@@ -103,8 +103,8 @@
 	}
 }
 
-// accept queues what the scheduler hands over.
-func (w *writer) accept(h egress.Handover) {
+// accept queues what the scheduler hands over at now.
+func (w *writer) accept(h egress.Handover, now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.closed {
@@ -115,7 +115,7 @@
 	}
 	w.add(h.Data)
 	if h.Last && h.Frame.Outcome && w.delivery != nil {
-		w.delivery.noteHandedOver(w.total, time.Now())
+		w.delivery.noteHandedOver(w.total, now)
 	}
 }
 
