Measured slowness begins only if the lower quartile of the ratios is over 1.25

In the soak, healthy servers whose service times vary by more than half were found slow by chance, and each time had a smaller share for five seconds.

--- a/internal/mesh/guard/slowness_test.go
+++ b/internal/mesh/guard/slowness_test.go
@@ -59,6 +59,7 @@
 		base := routes[1].baseService.Seconds()
 		g.SetView(overloadView("i-1", true))
 		runSlow(t, g, 6)
+		time.Sleep(5 * time.Second)
 		s.SlowUnreported(4)
 		require.InDelta(t, 1.5*base, runSlow(t, g, 8).BaseServiceTime.Seconds(), 0.001, "it raises the sender's average by half at most")
 		requireSlowness(4)
--- a/internal/mesh/slowness/tracker.go
+++ b/internal/mesh/slowness/tracker.go
@@ -70,6 +70,11 @@
 	slices.Sort(ratios)
 	// Of an even number, the lower one of the two in the middle.
 	t.median = min(ratios[(len(ratios)-1)/2], maxRatio)
+	if !t.slow && ratios[(len(ratios)-1)/4] <= endThreshold {
+		// A slow server takes longer for nearly all requests. If service times vary by half or more,
+		// the median alone often exceeds Threshold by chance.
+		t.median = min(t.median, Threshold)
+	}
 	t.slow = t.median > Threshold || t.slow && t.median > endThreshold
 }
 
--- a/internal/mesh/slowness/tracker_test.go
+++ b/internal/mesh/slowness/tracker_test.go
@@ -33,6 +33,17 @@
 	require.InDelta(t, 2, x.Factor(9*time.Second), 0, "samples of more than 5 s ago don't count")
 }
 
+// Guards against a healthy server that is held to be slow because its service times vary widely: nine
+// of sixteen requests took twice as long, and seven less than expected.
+func TestWidelyVaryingTimesAreNotSlow(t *testing.T) {
+	x := &slowness.Tracker{}
+	add(x, 0, 7, 0.7)
+	add(x, 0, 9, 2)
+	require.InDelta(t, 1, x.Factor(0), 0)
+	add(x, 0, 4, 2)
+	require.InDelta(t, 2, x.Factor(0), 0)
+}
+
 // Guards against a recovered server that gets no requests which would show it, and against many log
 // lines about a server near the threshold.
 func TestSlownessDecaysAndEndsBelowTheThreshold(t *testing.T) {
