--- a/internal/gate/goodput.go
+++ b/internal/gate/goodput.go
@@ -152,6 +152,19 @@
 // each more. standingFor is how long the queue hasn't been empty.
 type pace struct{ first, each, standingFor time.Duration }
 
+// overloadAfter is how long a queue must have stood to count as overload that lasts. Transient slowdowns
+// of a backend server by its neighbours are shorter.
+const overloadAfter = 500 * time.Millisecond
+
+// standsUntil returns until when the queue is expected to stand: for as long again as it has stood, or
+// beyond any deadline if that is an overload that lasts.
+func (p pace) standsUntil(now time.Time) time.Time {
+	if p.standingFor >= overloadAfter {
+		return now.Add(maxWait)
+	}
+	return now.Add(p.standingFor)
+}
+
 // plan simulates the coming starts of a standing queue and sets reasons[i] to why waiter i is refused,
 // or to notRefused. after is scratch space. Both have the length of the queue.
 func (t turns) plan(queue []*waiter, now time.Time, p pace, reasons []Reason, after []int32) (refused int) {
@@ -169,7 +182,7 @@
 		present := inTime.present
 		level := t.next(present)
 		i := inTime.take(level, after)
-		if reasons[i] = queue[i].refusal(start, now.Add(p.standingFor), false); reasons[i] != notRefused {
+		if reasons[i] = queue[i].refusal(start, p.standsUntil(now), false); reasons[i] != notRefused {
 			refused++
 			continue
 		}
@@ -178,7 +191,7 @@
 	}
 	for late.present != 0 {
 		i := late.take(uint8(bits.TrailingZeros32(late.present)), after)
-		if reasons[i] = queue[i].refusal(start, now.Add(p.standingFor), !inTimeWaits); reasons[i] != notRefused {
+		if reasons[i] = queue[i].refusal(start, p.standsUntil(now), !inTimeWaits); reasons[i] != notRefused {
 			refused++
 			continue
 		}
@@ -188,8 +201,8 @@
 }
 
 // refusal returns why a request in a standing queue that is expected to start at start is refused.
-// standingUntil is until when the queue is expected to stand, which is for as long again. onlyLate is true
-// if it is late and only late requests wait before it.
+// standingUntil is until when the queue is expected to stand. onlyLate is true if it is late and only late
+// requests wait before it.
 //
 // A request that can only be answered late is refused if the queue is expected to stand until its deadline.
 // A queue that stands for a shorter time, as during a transient slowdown, answers it late.
