--- a/internal/gate/goodput_test.go
+++ b/internal/gate/goodput_test.go
@@ -185,11 +185,11 @@
 		queue []*waiter
 		want  []Reason
 	}{
-		"only late":            {[]*waiter{late, late}, []Reason{notRefused, notRefused}},
-		"behind one in time":   {[]*waiter{late, inTime}, []Reason{CannotBeInTime, notRefused}},
-				"nested call":          {[]*waiter{nestedLate, inTime}, []Reason{notRefused, notRefused}},
-		"past its deadline":    {[]*waiter{tooLate}, []Reason{PastDeadline}},
-		"the oldest too late":  {[]*waiter{inTime, inTime}, []Reason{CannotBeInTime, notRefused}},
+		"only late":           {[]*waiter{late, late}, []Reason{notRefused, notRefused}},
+		"behind one in time":  {[]*waiter{late, inTime}, []Reason{CannotBeInTime, notRefused}},
+		"nested call":         {[]*waiter{nestedLate, inTime}, []Reason{notRefused, notRefused}},
+		"past its deadline":   {[]*waiter{tooLate}, []Reason{PastDeadline}},
+		"the oldest too late": {[]*waiter{inTime, inTime}, []Reason{CannotBeInTime, notRefused}},
 	} {
 		reasons, after := make([]Reason, len(c.queue)), make([]int32, len(c.queue))
 		turns{}.plan(c.queue, now, pace{10 * time.Millisecond, 10 * time.Millisecond, time.Hour}, reasons, after)
