A frame is not queued past the scheduler while the feature is switched on

Between the check of the flag and the queue, the first part of a whole bulk frame could be handed over, and the frame would have got into its middle.

--- a/internal/mesh/egress/scheduler.go
+++ b/internal/mesh/egress/scheduler.go
@@ -372,6 +372,11 @@
 			s.urgent.rotate()
 			continue
 		}
+		if c.control.len()+c.small.len() == 0 {
+			// Its small frames were cancelled.
+			s.rotateUrgent(c)
+			continue
+		}
 		if t := c.partial; t != nil {
 			if wait = s.waitFor(s.nextSize(t), s.limit); wait > 0 {
 				return Handover{}, wait, false
--- a/internal/mesh/peer/uplink.go
+++ b/internal/mesh/peer/uplink.go
@@ -78,15 +78,24 @@
 		return
 	}
 	u.scheduler.SetPaced(enabled)
-	unsent := u.maxUnsent()
-	if !enabled {
-		u.handOver(time.Now())
-		unsent = 0
+	if enabled {
+		u.enabled.Store(true)
+		u.switchWriters(true, u.maxUnsent())
+		return
 	}
+	u.handOver(time.Now())
+	u.switchWriters(false, 0)
+	u.enabled.Store(false)
+}
+
+// switchWriters makes all writers send through the Uplink only, or not. While it runs, enabled is
+// true, so that writers wait for u.mu and don't try again and again.
+func (u *Uplink) switchWriters(scheduled bool, unsent int) {
 	for _, owner := range u.scheduler.Owners() {
-		sockopt.LimitUnsent(owner.(*writer).conn, unsent)
+		w := owner.(*writer)
+		w.setScheduled(scheduled)
+		sockopt.LimitUnsent(w.conn, unsent)
 	}
-	u.enabled.Store(enabled)
 }
 
 // maxUnsent returns how many bytes of a connection the kernel may hold unsent.
@@ -153,6 +162,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.enabled.Load() {
+		w.setScheduled(true)
 		sockopt.LimitUnsent(w.conn, u.maxUnsent())
 	}
 	return u.scheduler.Add(w)
@@ -177,7 +187,7 @@
 	u.mu.Lock()
 	if !u.enabled.Load() {
 		u.mu.Unlock()
-		return w.append(frame)
+		return 0, errSwitched
 	}
 	offset, err = u.schedule(w, frame, priority)
 	u.mu.Unlock()
--- a/internal/mesh/peer/uplink_test.go
+++ b/internal/mesh/peer/uplink_test.go
@@ -243,6 +243,27 @@
 	})
 }
 
+// Guards against a frame that gets into the middle of another one, as its sender found the feature off
+// right before it was switched on.
+func TestFrameIsNotQueuedPastTheScheduler(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		u := NewUplink(link13, DefaultQueueBytes)
+		w := newWriter(near, u, nil)
+		u.SetEnabled(true)
+		require.NoError(t, w.send(make([]byte, 100<<10)))
+		_, err := w.append(make([]byte, prefixSize))
+		require.ErrorIs(t, err, errSwitched)
+		u.SetEnabled(false)
+		_, err = u.enqueue(w, make([]byte, prefixSize), 0)
+		require.ErrorIs(t, err, errSwitched)
+		_, err = w.append(make([]byte, prefixSize))
+		require.NoError(t, err)
+		w.close()
+		require.NoError(t, far.Close())
+	})
+}
+
 // Guards against a cancelled request whose answer goes on taking the link or memory, or whose pieces
 // in transit break the connection.
 func TestAnswerOfCancelledRequestIsDropped(t *testing.T) {
--- a/internal/mesh/peer/writer.go
+++ b/internal/mesh/peer/writer.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -20,6 +21,9 @@
 	writeTimeout = 3 * time.Second
 )
 
+// errSwitched is returned if the scheduling of the link was switched while a frame was queued.
+var errSwitched = eris.New("the scheduling of the link was switched")
+
 var errQueueFull = eris.New("send queue full: the peer does not read")
 
 // writer writes frames from a queue, so that senders don't wait for the network.
@@ -39,6 +43,9 @@
 	total  uint64
 	wake   chan struct{}
 	closed bool
+	// scheduled is true if frames come through the Uplink only. Others could get into the middle of
+	// one that is handed over in parts.
+	scheduled bool
 }
 
 // newWriter returns a writer that sends through an Uplink; nil is none. d is told about the outcomes
@@ -65,18 +72,28 @@
 // bytes are sent before it since the connection was opened. If the link is scheduled, the offset is
 // that which the frame has if no other frames are queued before it is sent.
 func (w *writer) enqueue(frame []byte, priority int) (offset uint64, err error) {
-	if w.uplink.on() {
-		return w.uplink.enqueue(w, frame, priority)
+	for {
+		if w.uplink.on() {
+			offset, err = w.uplink.enqueue(w, frame, priority)
+		} else {
+			offset, err = w.append(frame)
+		}
+		if !errors.Is(err, errSwitched) {
+			return offset, err
+		}
 	}
-	return w.append(frame)
 }
 
-// append queues a frame behind all others.
+// append queues a frame behind all others. It returns errSwitched if the link is scheduled.
 func (w *writer) append(frame []byte) (offset uint64, err error) {
 	w.mu.Lock()
-	if w.closed {
+	switch {
+	case w.closed:
 		w.mu.Unlock()
 		return 0, net.ErrClosed
+	case w.scheduled:
+		w.mu.Unlock()
+		return 0, errSwitched
 	}
 	if w.queued+len(frame) > maxQueued {
 		w.mu.Unlock()
@@ -119,6 +136,13 @@
 	}
 }
 
+// setScheduled sets whether frames come through the Uplink only.
+func (w *writer) setScheduled(scheduled bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.scheduled = scheduled
+}
+
 // progress returns how many bytes were queued since the connection was opened, and whether it is
 // closed.
 func (w *writer) progress() (total uint64, closed bool) {
