--- a/internal/gate/goodput.go
+++ b/internal/gate/goodput.go
@@ -35,8 +35,9 @@
 
 // turns is what OrderGoodput remembers of the previous starts.
 type turns struct {
-	// lastNested is true if the last start went to a nested call.
-	lastNested bool
+	// lastNested is true if the last start went to a nested call, and lastInTime if it went to a request
+	// that could be in time.
+	lastNested, lastInTime bool
 	// starts is the number of starts. waiting has a bit for each level at which requests that can be in
 	// time waited at the last one, and since is the number of starts at which that level last got one or
 	// began to wait.
@@ -68,14 +69,32 @@
 }
 
 // started records a start of a request at a level while requests that can be in time waited at the
-// levels in present.
-func (t *turns) started(level uint8, present uint32) {
+// levels in present. late is true if the request can no longer be in time.
+func (t *turns) started(level uint8, present uint32, late bool) {
 	for m := present &^ t.waiting; m != 0; m &= m - 1 {
 		t.since[bits.TrailingZeros32(m)] = t.starts
 	}
 	t.starts++
 	t.since[level] = t.starts
-	t.lastNested, t.waiting = level < Priorities, present
+	t.lastNested, t.lastInTime, t.waiting = level < Priorities, !late, present
+}
+
+// highestPriority returns the highest priority, which is the smallest number, of the levels whose bit is
+// set. It is Priorities if none is.
+func highestPriority(levels uint32) int {
+	return min(bits.TrailingZeros32(levels|levels>>Priorities), Priorities)
+}
+
+// outranks reports whether late requests wait of a higher priority than all requests that can be in time.
+// Every second start goes to one of these: an urgent request is better answered late than not at all.
+func outranks(late, inTime uint32) bool { return highestPriority(late) < highestPriority(inTime) }
+
+// ofPriority returns the first level of a priority that has waiters; there must be one.
+func (l *lanes) ofPriority(priority int) uint8 {
+	if l.present&(1<<priority) != 0 {
+		return uint8(priority)
+	}
+	return uint8(Priorities + priority)
 }
 
 // lanes holds, for each level that has waiters, the index of the one that goes first.
@@ -109,9 +128,10 @@
 // choice is the request that OrderGoodput starts next.
 type choice struct {
 	index int
-	// present has a bit for each level at which requests wait that can be in time. It is 0 if the
-	// chosen request is late.
+	// present has a bit for each level at which requests wait that can be in time. late is true if the
+	// chosen request can't.
 	present uint32
+	late    bool
 }
 
 // choose returns the request to start next, or false if none may start. Requests that can be in time
@@ -134,11 +154,14 @@
 			late.add(w.level, i, nil)
 		}
 	}
+	if t.lastInTime && inTime.present != 0 && outranks(late.present, inTime.present) {
+		return choice{int(late.first[late.ofPriority(highestPriority(late.present))]), inTime.present, true}, true
+	}
 	if inTime.present != 0 {
-		return choice{int(inTime.first[t.next(inTime.present)]), inTime.present}, true
+		return choice{int(inTime.first[t.next(inTime.present)]), inTime.present, false}, true
 	}
 	if late.present != 0 {
-		return choice{index: int(late.first[bits.TrailingZeros32(late.present)])}, true
+		return choice{index: int(late.first[bits.TrailingZeros32(late.present)]), late: true}, true
 	}
 	return choice{}, false
 }
@@ -177,7 +200,14 @@
 			inTime.add(w.level, i, after)
 		}
 	}
-	start, inTimeWaits := now.Add(p.first), false
+	start, inTimeWaits, urgent := now.Add(p.first), false, 0
+	for ; inTime.present != 0 && outranks(late.present, inTime.present); urgent++ {
+		i := late.take(late.ofPriority(highestPriority(late.present)), after)
+		nth := time.Duration(2*urgent + 1)
+		if reasons[i] = queue[i].refusal(start.Add(nth*p.each), p.standsUntil(now), true); reasons[i] != notRefused {
+			refused++
+		}
+	}
 	for inTime.present != 0 {
 		present := inTime.present
 		level := t.next(present)
@@ -186,8 +216,13 @@
 			refused++
 			continue
 		}
-		t.started(level, present)
+		t.started(level, present, false)
 		start, inTimeWaits = start.Add(p.each), true
+		if urgent > 0 {
+			// The next start goes to a late request of a higher priority.
+			start = start.Add(p.each)
+			urgent--
+		}
 	}
 	for late.present != 0 {
 		i := late.take(uint8(bits.TrailingZeros32(late.present)), after)
--- a/internal/gate/goodput_test.go
+++ b/internal/gate/goodput_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -110,7 +111,7 @@
 			choice, found := turns.choose(queue, time.Now(), false, &reservations{})
 			require.True(t, found)
 			w := queue[choice.index]
-			turns.started(w.level, choice.present)
+			turns.started(w.level, choice.present, choice.late)
 			got = append(got, map[bool]string{true: "n"}[w.rank.Nested]+strconv.Itoa(Priorities-1-w.rank.Depth))
 		}
 		require.Equal(t, c.want, strings.Join(got, " "), name)
@@ -177,7 +178,8 @@
 // waits for its deadline while others that can be in time take all slots.
 func TestLateRequestsAreRefusedOnlyBehindOthers(t *testing.T) {
 	now := time.Now()
-	late := &waiter{level: ranked(0).level(), rank: ranked(0), startByObjective: now.Add(-time.Second), startByDeadline: now.Add(time.Second)}
+	late := &waiter{level: ranked(2).level(), rank: ranked(2), startByObjective: now.Add(-time.Second), startByDeadline: now.Add(time.Second)}
+	higher := &waiter{level: ranked(1).level(), rank: ranked(1), startByObjective: now.Add(-time.Second), startByDeadline: now.Add(time.Second)}
 	nestedLate := &waiter{level: nested(1).level(), rank: nested(1), startByObjective: now.Add(-time.Second), startByDeadline: now.Add(time.Second)}
 	tooLate := &waiter{level: ranked(0).level(), rank: ranked(0), startByObjective: now.Add(-time.Second), startByDeadline: now.Add(time.Millisecond)}
 	inTime := &waiter{level: ranked(2).level(), rank: ranked(2), startByObjective: now.Add(15 * time.Millisecond)}
@@ -185,11 +187,12 @@
 		queue []*waiter
 		want  []Reason
 	}{
-		"only late":           {[]*waiter{late, late}, []Reason{notRefused, notRefused}},
-		"behind one in time":  {[]*waiter{late, inTime}, []Reason{CannotBeInTime, notRefused}},
-		"nested call":         {[]*waiter{nestedLate, inTime}, []Reason{notRefused, notRefused}},
-		"past its deadline":   {[]*waiter{tooLate}, []Reason{PastDeadline}},
-		"the oldest too late": {[]*waiter{inTime, inTime}, []Reason{CannotBeInTime, notRefused}},
+		"only late":            {[]*waiter{late, late}, []Reason{notRefused, notRefused}},
+		"behind one in time":   {[]*waiter{late, inTime}, []Reason{CannotBeInTime, notRefused}},
+		"of a higher priority": {[]*waiter{higher, inTime}, []Reason{notRefused, notRefused}},
+		"nested call":          {[]*waiter{nestedLate, inTime}, []Reason{notRefused, notRefused}},
+		"past its deadline":    {[]*waiter{tooLate}, []Reason{PastDeadline}},
+		"the oldest too late":  {[]*waiter{inTime, inTime}, []Reason{CannotBeInTime, notRefused}},
 	} {
 		reasons, after := make([]Reason, len(c.queue)), make([]int32, len(c.queue))
 		turns{}.plan(c.queue, now, pace{10 * time.Millisecond, 10 * time.Millisecond, time.Hour}, reasons, after)
@@ -201,7 +204,7 @@
 // before their deadlines.
 func TestLateRequestsAreKeptInQueueOfShortDuration(t *testing.T) {
 	now := time.Now()
-	late := &waiter{level: ranked(0).level(), rank: ranked(0), startByObjective: now.Add(-time.Second), startByDeadline: now.Add(time.Second)}
+	late := &waiter{level: ranked(2).level(), rank: ranked(2), startByObjective: now.Add(-time.Second), startByDeadline: now.Add(time.Second)}
 	inTime := &waiter{level: ranked(2).level(), rank: ranked(2), startByObjective: now.Add(15 * time.Millisecond)}
 	for standingFor, want := range map[time.Duration]Reason{200 * time.Millisecond: notRefused, overloadAfter: CannotBeInTime} {
 		queue := []*waiter{late, inTime}
@@ -211,6 +214,29 @@
 	}
 }
 
+// Guards against urgent requests that are not answered at all, as they are late and requests of lower priorities can
+// always be in time.
+func TestLateUrgentRequestsGetEverySecondStart(t *testing.T) {
+	now := time.Now()
+	urgent := func(r Rank) *waiter {
+		return &waiter{rank: r, level: r.level(), startByObjective: now.Add(-time.Second), startByDeadline: now.Add(time.Second)}
+	}
+	inTime := &waiter{rank: ranked(1), level: ranked(1).level(), startByObjective: now.Add(time.Second)}
+	for _, late := range []*waiter{urgent(ranked(0)), urgent(nested(0))} {
+		queue := []*waiter{inTime, inTime, late, late}
+		var turns turns
+		var starts []bool
+		for len(queue) > 0 {
+			c, found := turns.choose(queue, now, true, &reservations{})
+			require.True(t, found)
+			turns.started(queue[c.index].level, c.present, c.late)
+			starts = append(starts, c.late)
+			queue = slices.Delete(slices.Clone(queue), c.index, c.index+1)
+		}
+		require.Equal(t, []bool{false, true, false, true}, starts)
+	}
+}
+
 // Guards against decisions that depend on the new fields of a request while another order is in force.
 func TestOtherOrdersIgnoreNestedAndTimeInSlot(t *testing.T) {
 	run := func(annotated bool) (log []string) {
@@ -335,7 +361,7 @@
 		for b.Loop() {
 			reserved := demands.reservations(now, 12, &running, 8)
 			c, _ := turns.choose(queue, now, true, &reserved)
-			turns.started(queue[c.index].level, c.present)
+			turns.started(queue[c.index].level, c.present, c.late)
 		}
 	})
 	b.Run("plan", func(b *testing.B) {
--- a/internal/gate/scheduler.go
+++ b/internal/gate/scheduler.go
@@ -60,7 +60,7 @@
 	if late {
 		s.lateStarts++
 	}
-	s.turns.started(level, present)
+	s.turns.started(level, present, late)
 	return slot, true
 }
 
@@ -75,7 +75,7 @@
 			g.scheduler.withheld = true
 			break
 		}
-		slot, admitted := g.startByGoodput(g.queue[c.index].level, c.present == 0, c.present, now)
+		slot, admitted := g.startByGoodput(g.queue[c.index].level, c.late, c.present, now)
 		if !admitted {
 			break
 		}
