--- a/internal/mesh/entry/run.go
+++ b/internal/mesh/entry/run.go
@@ -170,7 +170,7 @@
 // recordAttempt records the outcome of an attempt for this request and for the target.
 func (t *transaction) recordAttempt(c candidate, answer *mesh.Answer, err *kind.Error, took time.Duration) {
 	now := t.entry.Now()
-	a := attempt{target: c.target, took: took, expected: rttTo[c.target.Distance] + c.wait + c.forecast.ExpectedServiceTime}
+	a := attempt{target: c.target, took: took, expected: rttTo[c.target.Distance] + c.wait + c.forecast.ExpectedServiceTime + c.forecast.LinkDelay}
 	if err == nil {
 		t.sent++
 		t.recordCalls(answer)
