--- a/internal/gate/goodput_test.go
+++ b/internal/gate/goodput_test.go
@@ -307,6 +307,11 @@
 		for i := range requests {
 			takes, objective := time.Millisecond+upTo(200*time.Millisecond), upTo(500*time.Millisecond)
 			c := &client{rank: Rank{Depth: rnd.IntN(4), Nested: rnd.IntN(4) == 0}, expected: takes, takes: takes, objective: objective, timeout: 2 * objective}
+			if c.rank.Depth == 3 {
+				// Slots are reserved only for requests that hold them for much less time than others.
+				takes /= 10
+				c.expected, c.takes, c.objective = takes, takes, takes+20*time.Millisecond
+			}
 			ctx, cancel := context.WithTimeout(t.Context(), upTo(time.Second))
 			group.Go(func() {
 				defer cancel()
--- a/internal/gate/reserve.go
+++ b/internal/gate/reserve.go
@@ -12,8 +12,8 @@
 	arrivalWindow = time.Second
 	// maxReservedShare is the share of the slots that may be kept free for higher ranks.
 	maxReservedShare = 0.5
-	// protectedRatio is the ratio of the time that a request holds a slot to the time that a higher rank
-	// may wait from which the higher rank is protected.
+	// protectedRatio is the ratio of the time that a request holds a slot, to the time that a higher rank
+	// may wait and to the time for which it holds one itself, from which the higher rank is protected.
 	protectedRatio = 2
 	// minDemand is the number of slots from which a rank's demand is rounded up in any case. A slot kept
 	// for less stays unused most of the time, which costs more requests than it serves unless slots
@@ -133,7 +133,9 @@
 		if n <= 0 {
 			continue
 		}
-		maxTime := protectedRatio * slack
+		// A rank that holds slots for as long as others isn't short urgent work: it has little slack because
+		// its own work takes most of its objective.
+		maxTime := protectedRatio * max(slack, d.levels[l].timeInSlot)
 		if needed < minDemand {
 			// Of requests that hold all slots for this time, one ends within the time that the rank may wait.
 			maxTime = max(maxTime, slack*time.Duration(limit))
--- a/internal/gate/reserve_test.go
+++ b/internal/gate/reserve_test.go
@@ -54,6 +54,22 @@
 	}
 }
 
+// Guards against slots that stay unused for requests of a higher rank that are as long as the others and have little
+// time to wait only because of that, as when the backend server is cold.
+func TestNoSlotsAreReservedForLongRequests(t *testing.T) {
+	now := time.Now()
+	var (
+		d       demands
+		running [levels]int
+	)
+	for range 20 {
+		d.arrived(ranked(1).level(), now, WaitLimits{TimeInSlot: 600 * time.Millisecond, StartByObjective: now.Add(150 * time.Millisecond)})
+	}
+	r := d.reservations(now, 8, &running, 7)
+	require.False(t, r.withholds(ranked(2).level(), time.Second))
+	require.True(t, r.withholds(ranked(2).level(), 1201*time.Millisecond))
+}
+
 // Guards against urgent requests of 36 ms that are late because reports of 750 ms hold all slots, against
 // reports that starve, and against one that waits on beside a free slot when no urgent ones arrive.
 func TestSlotsAreReservedForUrgentRequestsBesideLongOnes(t *testing.T) {
