The load of an answer that waited for the link no longer replaces a newer report

Cause: load reports go before bulk frames. An answer between 4 and 16 KB, or a larger one to a peer that takes no pieces, goes whole after waiting in the bulk class. The load that it carries is from before the wait, and the receiver took it as new. Only the load of answers in pieces was ignored.

Change: the receiver ignores the load of an answer above 4 KB if the answer says that its sender schedules its link.

Answers of nodes that don't schedule their link are treated as before.

--- a/internal/mesh/peer/link.go
+++ b/internal/mesh/peer/link.go
@@ -12,6 +12,7 @@
 
 	"github.com/limpetdock/limpetdock/internal/kind"
 	"github.com/limpetdock/limpetdock/internal/mesh"
+	"github.com/limpetdock/limpetdock/internal/mesh/egress"
 	"github.com/limpetdock/limpetdock/internal/sockopt"
 )
 
@@ -119,8 +120,14 @@
 	return err == nil && w.send(frame) == nil
 }
 
-// handleLoad handles a load report of the peer. A delayed one came in pieces, between which newer
-// ones may have arrived. false closes the connection.
+// waitsForLink reports whether an answer of a peer with this extension waits for the peer's link as
+// bulk, so that load reports overtake it.
+func waitsForLink(x extension, body []byte) bool {
+	return x.Chunks && prefixSize+len(body) > egress.SmallBytes
+}
+
+// handleLoad handles a load report of the peer. A delayed one came in pieces or waited for the peer's
+// link, so newer ones may have arrived before. false closes the connection.
 func (l *link) handleLoad(w *writer, b loadBody, x extension, delayed bool) bool {
 	l.mu.Lock()
 	l.confirms = b.Confirms
@@ -282,7 +289,7 @@
 		if err != nil {
 			return false
 		}
-		ok := l.handleLoad(w, a.Load, x, delayed)
+		ok := l.handleLoad(w, a.Load, x, delayed || waitsForLink(x, body))
 		answer := a.answer()
 		answer.CallsFailed, answer.Callee = x.CallsFailed, x.Callee
 		l.endStream(streamID, result{answer: answer})
--- a/internal/mesh/peer/uplink_test.go
+++ b/internal/mesh/peer/uplink_test.go
@@ -372,3 +372,27 @@
 	require.NoError(t, far.Close())
 	require.NoError(t, l.Close())
 }
+
+// Guards against the load of an answer that waited for the link, which replaces that of a newer report:
+// answers too small for pieces wait with the large ones, and load reports overtake them.
+func TestLoadOfAnswerThatWaitedIsIgnored(t *testing.T) {
+	for _, scheduled := range []bool{false, true} {
+		reports := &loadRecorder{last: map[string]mesh.Load{}}
+		l := NewClient(mesh.Place{}, reports).link(linkKey{})
+		l.pieces = newPieces(l.client.uplink)
+		receive := func(stream uint32, size, slots int) {
+			body := &answerBody{Body: make([]byte, size), Load: fromLoad(mesh.Load{Slots: slots})}
+			frame, err := encodeExtended(frameAnswer, stream, body, extension{Chunks: scheduled})
+			require.NoError(t, err)
+			near, far := net.Pipe()
+			w := newWriter(near, l.client.uplink, nil)
+			require.True(t, l.handleFrame(w, frameAnswer, stream, frame[prefixSize:], false))
+			w.close()
+			require.NoError(t, far.Close())
+		}
+		receive(1, 100, 1)
+		receive(2, 10<<10, 2)
+		want := map[bool]int{true: 1, false: 2}[scheduled]
+		require.Equal(t, want, reports.last[""].Slots, "scheduled: %t", scheduled)
+	}
+}
