The time for which an answer waits for the link doesn't count as a stall when a node stops

Cause: while the link is busy with other connections, delivered doesn't look at the progress of a connection. When the link then hands over the first part of its answer and the connection is blocked by that, lastProgress was still the time at which the answer was queued. If that was over 600 ms ago, the connection counted as stalled, so Shutdown closed it with the answer undelivered.

Change: each part of an answer that is handed over counts as progress. A blocked connection gets none, so a peer that doesn't read is given up as before.

Result: the new test (an answer that waits for a second on a link of 1 KB/s) fails without the change, where the server counts as delivered after 1.1 s with the answer unread, and passes with it.

--- a/internal/mesh/peer/delivery.go
+++ b/internal/mesh/peer/delivery.go
@@ -16,7 +16,7 @@
 	// connection was opened; acknowledged is how many the other end had acknowledged at
 	// the last check.
 	queuedEnd, acknowledged uint64
-	// lastProgress is when bytes were last acknowledged or an answer was queued.
+	// lastProgress is when bytes were last acknowledged, or an answer or a part of one was queued.
 	lastProgress time.Time
 	// waiting counts the answers of which a part waits for the link. Their end isn't known yet.
 	waiting int
@@ -30,13 +30,16 @@
 	d.lastProgress = now
 }
 
-// noteHandedOver records that an answer no longer waits for the link and ends at the given stream
-// offset.
-func (d *delivery) noteHandedOver(end uint64, now time.Time) {
+// noteHandedOver records that a part of an answer no longer waits for the link and ends at the given
+// stream offset. The time for which it waited doesn't count as time without progress.
+func (d *delivery) noteHandedOver(end uint64, last bool, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.waiting--
-	d.queuedEnd, d.lastProgress = max(d.queuedEnd, end), now
+	d.lastProgress = now
+	if last {
+		d.waiting--
+		d.queuedEnd = max(d.queuedEnd, end)
+	}
 }
 
 // noteDropped records that answers which waited for the link were dropped.
--- a/internal/mesh/peer/uplink_test.go
+++ b/internal/mesh/peer/uplink_test.go
@@ -396,3 +396,30 @@
 		require.Equal(t, want, reports.last[""].Slots, "scheduled: %t", scheduled)
 	}
 }
+
+// Guards against an answer that is lost at a stop because the time for which it waited for the link counts
+// as time in which the peer acknowledged nothing.
+func TestWaitForLinkIsNoStallOfConnection(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		s := NewServer(fakeHandler{sizedAnswer}, mesh.Place{})
+		s.SetUplink(NewUplink(1000, DefaultQueueBytes))
+		s.uplink.SetEnabled(true)
+		busy, doneBusy := dialRaw(t, s, extension{Chunks: true})
+		defer doneBusy()
+		go func() { _, _ = io.Copy(io.Discard, busy) }()
+		near, done := dialRaw(t, s, extension{Chunks: true})
+		defer done()
+		reader := bufio.NewReader(near)
+		_, _, _, err := decode(reader)
+		require.NoError(t, err, "the load report")
+		// The first answer takes the link for a second.
+		sendRaw(t, busy, frameRequest, 1, fromRequest(sizedRequest(1000)))
+		synctest.Wait()
+		sendRaw(t, near, frameRequest, 1, fromRequest(sizedRequest(5<<10)))
+		synctest.Wait()
+		for began := time.Now(); time.Since(began) < 1500*time.Millisecond; time.Sleep(5 * time.Millisecond) {
+			require.False(t, s.Delivered(), "after %s", time.Since(began))
+			synctest.Wait()
+		}
+	})
+}
--- a/internal/mesh/peer/writer.go
+++ b/internal/mesh/peer/writer.go
@@ -131,8 +131,8 @@
 		w.add(piecePrefix(h))
 	}
 	w.add(h.Data)
-	if h.Last && h.Frame.Outcome && w.delivery != nil {
-		w.delivery.noteHandedOver(w.total, now)
+	if h.Frame.Outcome && w.delivery != nil {
+		w.delivery.noteHandedOver(w.total, h.Last, now)
 	}
 }
 
