Bytes handed over while the link isn't scheduled don't delay later frames

Cause: switching the scheduling off hands over all that waits, and the model of the link counted those bytes, up to 24 MB for each connection. If it was switched on again within seconds, all frames but control ones waited until the model had emptied, also when the bytes belong to a peer that doesn't read and the link is idle.

Change: SetPaced resets the bytes on the link, as it does the unwritten bytes of connections.

Result: the new test fails without the change (a 400-byte frame has to wait 637 ms after 1 MB for a peer that doesn't read) and passes with it.

--- a/internal/mesh/egress/scheduler.go
+++ b/internal/mesh/egress/scheduler.go
@@ -197,9 +197,10 @@
 }
 
 // SetPaced turns the limits on or off. Without them, Next hands over everything that waits, and
-// the bytes that connections haven't written don't count.
+// the bytes that connections haven't written don't count. What was handed over without limits may
+// belong to peers that don't read, so it doesn't count as on the link either.
 func (s *Scheduler) SetPaced(paced bool) {
-	s.unpaced = !paced
+	s.unpaced, s.onLink = !paced, 0
 	for c := range s.conns {
 		c.unwritten = 0
 	}
--- a/internal/mesh/egress/scheduler_test.go
+++ b/internal/mesh/egress/scheduler_test.go
@@ -232,6 +232,25 @@
 	}
 }
 
+// Guards against frames that wait for seconds while the link is idle, because many bytes were handed over
+// to a peer that doesn't read while the limits were off.
+func TestUnpacedBytesDoNotDelayLaterFrames(t *testing.T) {
+	s := newScheduler()
+	stuck, other := s.Add(nil), s.Add(nil)
+	_, ok := s.Enqueue(stuck, answer(1, 1<<20, 2))
+	require.True(t, ok)
+	s.SetPaced(false)
+	for ok = true; ok; {
+		_, _, ok = s.Next(0)
+	}
+	s.SetPaced(true)
+	_, ok = s.Enqueue(other, answer(2, 400, 0))
+	require.True(t, ok)
+	h, wait, ok := s.Next(time.Millisecond)
+	require.True(t, ok, "it has to wait for %s", wait)
+	require.Equal(t, other, h.Conn)
+}
+
 // Guards against bytes that are lost, repeated, out of order or put into the middle of a frame, and
 // against more than a window handed over at once.
 func TestFramesArriveIntact(t *testing.T) {
