A bulk stream of a blocked connection saves up at most one turn

Cause: a turn that ends because the connection is blocked keeps its deficit, and the next turn adds to it. A stream of priority 0 or 1 to a peer that reads slowly saved up more with each turn, and kept the link from other bulk streams for as long once its peer read fast.

Change: what is left of earlier turns is kept up to one turn.

--- a/internal/mesh/egress/scheduler.go
+++ b/internal/mesh/egress/scheduler.go
@@ -421,7 +421,10 @@
 		}
 		if !t.inTurn {
 			t.inTurn = true
-			t.deficit += t.weight * (s.piece + s.config.PiecePrefixBytes)
+			// What a blocked connection left of its turns is kept up to that of one turn, or the
+			// stream would take the link for as long once its peer reads fast.
+			turn := t.weight * (s.piece + s.config.PiecePrefixBytes)
+			t.deficit = min(t.deficit, turn) + turn
 		}
 		size := s.nextSize(t)
 		if size > t.deficit {
--- a/internal/mesh/egress/scheduler_test.go
+++ b/internal/mesh/egress/scheduler_test.go
@@ -251,6 +251,50 @@
 	require.Equal(t, other, h.Conn)
 }
 
+// Guards against a bulk stream that is allotted more in each turn that ends early because its peer reads
+// slowly, and takes the link from the others once the peer reads fast.
+func TestBlockedStreamDoesNotSaveUpItsShare(t *testing.T) {
+	s := newScheduler()
+	slow, other := s.Add(nil), s.Add(nil)
+	for _, c := range []*egress.Conn{slow, other} {
+		c.AcceptPieces()
+		_, ok := s.Enqueue(c, answer(1, 1000<<10, 0))
+		require.True(t, ok)
+	}
+	now, unwritten := time.Duration(0), 0
+	// run returns the most bytes that the slow connection was handed in a row.
+	run := func(until, writeEvery time.Duration) (longest int) {
+		written, row := now, 0
+		for ; now < until; now += time.Millisecond {
+			if now-written >= writeEvery {
+				s.Written(slow, unwritten)
+				written, unwritten = now, 0
+			}
+			for {
+				h, _, ok := s.Next(now)
+				if !ok {
+					break
+				}
+				size := len(h.Data) + piecePrefix
+				if h.Conn == other {
+					s.Written(other, size)
+					row = 0
+					continue
+				}
+				unwritten += size
+				row += size
+				longest = max(longest, row)
+			}
+		}
+		return longest
+	}
+	run(500*time.Millisecond, 60*time.Millisecond)
+	longest := run(600*time.Millisecond, 0)
+	t.Logf("%d bytes in a row", longest)
+	const pieceOfWindow = rate * 0.007 / 2
+	require.LessOrEqual(t, longest, int(2*4*(pieceOfWindow+piecePrefix)), "two turns")
+}
+
 // Guards against bytes that are lost, repeated, out of order or put into the middle of a frame, and
 // against more than a window handed over at once.
 func TestFramesArriveIntact(t *testing.T) {
