Requests don't get the stream ID 0 when the IDs begin again

Cause: 0 is the ID of frames without a stream. After 2^32 requests of one link it was given to a request. Pieces with the ID 0 are kept although no request waits for them, and cancelling the request drops the state that waits for the link.

Change: openStream skips 0.

Result: the new test fails without the change (ID 0) and passes with it.

--- a/internal/mesh/peer/link.go
+++ b/internal/mesh/peer/link.go
@@ -157,6 +157,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.lastStreamID++
+	if l.lastStreamID == 0 {
+		// Frames without a stream have this ID.
+		l.lastStreamID++
+	}
 	s := &stream{done: make(chan result, 1), needsConfirm: atMostOnce}
 	l.streams[l.lastStreamID] = s
 	return l.lastStreamID, s
--- a/internal/mesh/peer/uplink_test.go
+++ b/internal/mesh/peer/uplink_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"io"
+	"math"
 	"net"
 	"sync"
 	"testing"
@@ -423,3 +424,11 @@
 		}
 	})
 }
+
+// Guards against a request that gets the stream ID of frames without a stream when the IDs begin again.
+func TestStreamIDsBeginAgainAfterZero(t *testing.T) {
+	l := NewClient(mesh.Place{}, nil).link(linkKey{})
+	l.lastStreamID = math.MaxUint32
+	streamID, _ := l.openStream(false)
+	require.Equal(t, uint32(1), streamID)
+}
