--- a/internal/mesh/egress/scheduler.go
+++ b/internal/mesh/egress/scheduler.go
@@ -197,9 +197,10 @@
 }
 
 // SetPaced turns the limits on or off. Without them, Next hands over everything that waits, and
-// the bytes that connections haven't written don't count.
+// the bytes that connections haven't written don't count. What was handed over without limits may
+// belong to peers that don't read, so it doesn't count as on the link either.
 func (s *Scheduler) SetPaced(paced bool) {
-	s.unpaced = !paced
+	s.unpaced, s.onLink = !paced, 0
 	for c := range s.conns {
 		c.unwritten = 0
 	}
@@ -420,7 +421,10 @@
 		}
 		if !t.inTurn {
 			t.inTurn = true
-			t.deficit += t.weight * (s.piece + s.config.PiecePrefixBytes)
+			// What a blocked connection left of its turns is kept up to that of one turn, or the
+			// stream would take the link for as long once its peer reads fast.
+			turn := t.weight * (s.piece + s.config.PiecePrefixBytes)
+			t.deficit = min(t.deficit, turn) + turn
 		}
 		size := s.nextSize(t)
 		if size > t.deficit {
--- a/internal/mesh/peer/uplink_test.go
+++ b/internal/mesh/peer/uplink_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"io"
+	"math"
 	"net"
 	"sync"
 	"testing"
@@ -372,3 +373,62 @@
 	require.NoError(t, far.Close())
 	require.NoError(t, l.Close())
 }
+
+// Guards against the load of an answer that waited for the link, which replaces that of a newer report:
+// answers too small for pieces wait with the large ones, and load reports overtake them.
+func TestLoadOfAnswerThatWaitedIsIgnored(t *testing.T) {
+	for _, scheduled := range []bool{false, true} {
+		reports := &loadRecorder{last: map[string]mesh.Load{}}
+		l := NewClient(mesh.Place{}, reports).link(linkKey{})
+		l.pieces = newPieces(l.client.uplink)
+		receive := func(stream uint32, size, slots int) {
+			body := &answerBody{Body: make([]byte, size), Load: fromLoad(mesh.Load{Slots: slots})}
+			frame, err := encodeExtended(frameAnswer, stream, body, extension{Chunks: scheduled})
+			require.NoError(t, err)
+			near, far := net.Pipe()
+			w := newWriter(near, l.client.uplink, nil)
+			require.True(t, l.handleFrame(w, frameAnswer, stream, frame[prefixSize:], false))
+			w.close()
+			require.NoError(t, far.Close())
+		}
+		receive(1, 100, 1)
+		receive(2, 10<<10, 2)
+		want := map[bool]int{true: 1, false: 2}[scheduled]
+		require.Equal(t, want, reports.last[""].Slots, "scheduled: %t", scheduled)
+	}
+}
+
+// Guards against an answer that is lost at a stop because the time for which it waited for the link counts
+// as time in which the peer acknowledged nothing.
+func TestWaitForLinkIsNoStallOfConnection(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		s := NewServer(fakeHandler{sizedAnswer}, mesh.Place{})
+		s.SetUplink(NewUplink(1000, DefaultQueueBytes))
+		s.uplink.SetEnabled(true)
+		busy, doneBusy := dialRaw(t, s, extension{Chunks: true})
+		defer doneBusy()
+		go func() { _, _ = io.Copy(io.Discard, busy) }()
+		near, done := dialRaw(t, s, extension{Chunks: true})
+		defer done()
+		reader := bufio.NewReader(near)
+		_, _, _, err := decode(reader)
+		require.NoError(t, err, "the load report")
+		// The first answer takes the link for a second.
+		sendRaw(t, busy, frameRequest, 1, fromRequest(sizedRequest(1000)))
+		synctest.Wait()
+		sendRaw(t, near, frameRequest, 1, fromRequest(sizedRequest(5<<10)))
+		synctest.Wait()
+		for began := time.Now(); time.Since(began) < 1500*time.Millisecond; time.Sleep(5 * time.Millisecond) {
+			require.False(t, s.Delivered(), "after %s", time.Since(began))
+			synctest.Wait()
+		}
+	})
+}
+
+// Guards against a request that gets the stream ID of frames without a stream when the IDs begin again.
+func TestStreamIDsBeginAgainAfterZero(t *testing.T) {
+	l := NewClient(mesh.Place{}, nil).link(linkKey{})
+	l.lastStreamID = math.MaxUint32
+	streamID, _ := l.openStream(false)
+	require.Equal(t, uint32(1), streamID)
+}
