Goodput scheduling: refused urgent requests take no start

Cause: the plan of a standing queue counted late urgent requests that it refused as starts, so that it delayed the requests that can be in time by one start for each, and refused some of these as well.

Change: only late urgent requests that are kept count as starts.

Result: TestRefusedUrgentRequestsTakeNoStart failed before (a request that could be in time was refused behind two that were past their deadline) and passes.

--- a/internal/gate/goodput.go
+++ b/internal/gate/goodput.go
@@ -201,12 +201,14 @@
 		}
 	}
 	start, inTimeWaits, urgent := now.Add(p.first), false, 0
-	for ; inTime.present != 0 && outranks(late.present, inTime.present); urgent++ {
+	for inTime.present != 0 && outranks(late.present, inTime.present) {
 		i := late.take(late.ofPriority(highestPriority(late.present)), after)
 		nth := time.Duration(2*urgent + 1)
 		if reasons[i] = queue[i].refusal(start.Add(nth*p.each), p.standsUntil(now), true); reasons[i] != notRefused {
 			refused++
+			continue
 		}
+		urgent++
 	}
 	for inTime.present != 0 {
 		present := inTime.present
--- a/internal/gate/goodput_test.go
+++ b/internal/gate/goodput_test.go
@@ -237,6 +237,18 @@
 	}
 }
 
+// Guards against requests that are refused although they can be in time, because late urgent requests that
+// are refused themselves count as starts before them.
+func TestRefusedUrgentRequestsTakeNoStart(t *testing.T) {
+	now := time.Now()
+	urgent := &waiter{rank: ranked(0), level: ranked(0).level(), startByObjective: now.Add(-time.Second), startByDeadline: now.Add(time.Millisecond)}
+	inTime := &waiter{rank: ranked(1), level: ranked(1).level(), startByObjective: now.Add(25 * time.Millisecond)}
+	queue := []*waiter{urgent, urgent, inTime, inTime}
+	reasons, after := make([]Reason, len(queue)), make([]int32, len(queue))
+	turns{}.plan(queue, now, pace{10 * time.Millisecond, 10 * time.Millisecond, time.Hour}, reasons, after)
+	require.Equal(t, []Reason{PastDeadline, PastDeadline, notRefused, notRefused}, reasons)
+}
+
 // Guards against decisions that depend on the new fields of a request while another order is in force.
 func TestOtherOrdersIgnoreNestedAndTimeInSlot(t *testing.T) {
 	run := func(annotated bool) (log []string) {
