Goodput scheduling: late urgent requests aren't refused on arrival for requests that run after them

Cause: since late requests of a higher priority than all that can be in time get every second start, the estimate on arrival still counted all requests that can be in time before them. A late urgent request was refused as soon as these made the estimate longer than its deadline or queue timeout, and its Retry-After was too long.

Change: the estimate counts at most one request that can be in time for each start of a late urgent one.

Result: TestArrivingLateUrgentRequestGetsEverySecondStart (4 counted instead of 1) and TestArrivingLateUrgentRequestWaitsForItsStart (refused with one start due in 100 ms and a deadline in 500 ms) failed before and pass.

--- a/internal/gate/goodput.go
+++ b/internal/gate/goodput.go
@@ -260,13 +260,16 @@
 // aheadInGoodput returns the number of waiters that would run before one that arrives now.
 func aheadInGoodput(queue []*waiter, arriving *waiter, now time.Time, standing bool) int {
 	arrivingLate := arriving.late(now)
-	ahead, lowerNested := 0, 0
+	// inTime counts those that can be in time, if the arriving one is late; present has a bit for each of
+	// their levels.
+	ahead, lowerNested, inTime, present := 0, 0, 0, uint32(0)
 	for _, w := range queue {
 		late := w.late(now)
 		switch {
 		case late != arrivingLate:
 			if arrivingLate {
-				ahead++
+				inTime++
+				present |= 1 << w.level
 			}
 		case w.level > arriving.level || w.level == arriving.level && standing:
 		case !late && !arriving.rank.Nested && w.rank.Nested && w.rank.Depth < arriving.rank.Depth:
@@ -275,8 +278,12 @@
 			ahead++
 		}
 	}
+	if arrivingLate && outranks(1<<arriving.level, present) {
+		// Every second start goes to late requests of a higher priority.
+		return ahead + min(inTime, ahead+1)
+	}
 	// Every second start goes to the arriving request's own rank.
-	return ahead + min(lowerNested, ahead+1)
+	return ahead + inTime + min(lowerNested, ahead+1)
 }
 
 // lastInGoodput returns the index of the waiter that would run last, if that is after one that
--- a/internal/gate/goodput_test.go
+++ b/internal/gate/goodput_test.go
@@ -249,6 +249,48 @@
 	require.Equal(t, []Reason{PastDeadline, PastDeadline, notRefused, notRefused}, reasons)
 }
 
+// Guards against late urgent requests that are refused when they arrive, by an estimate that counts all
+// requests that can be in time before them.
+func TestArrivingLateUrgentRequestGetsEverySecondStart(t *testing.T) {
+	now := time.Now()
+	late := func(r Rank) *waiter {
+		return &waiter{rank: r, level: r.level(), startByObjective: now.Add(-time.Second), startByDeadline: now.Add(time.Second)}
+	}
+	inTime := &waiter{rank: ranked(1), level: ranked(1).level(), startByObjective: now.Add(time.Second)}
+	for name, c := range map[string]struct {
+		queue    []*waiter
+		arriving *waiter
+		want     int
+	}{
+		"of a higher priority":         {[]*waiter{inTime, inTime, inTime, inTime}, late(ranked(0)), 1},
+		"nested of a higher priority":  {[]*waiter{inTime, inTime, inTime, inTime}, late(nested(0)), 1},
+		"behind another late one":      {[]*waiter{late(ranked(0)), inTime, inTime, inTime, inTime}, late(ranked(0)), 3},
+		"behind few in time":           {[]*waiter{late(ranked(0)), late(ranked(0)), inTime}, late(ranked(0)), 3},
+		"of the same priority":         {[]*waiter{inTime, inTime, inTime, inTime}, late(ranked(1)), 4},
+		"of a lower priority":          {[]*waiter{inTime, inTime, inTime, inTime}, late(ranked(2)), 4},
+		"behind nested of a lower one": {[]*waiter{inTime, inTime, inTime, late(nested(2))}, late(ranked(1)), 4},
+	} {
+		require.Equal(t, c.want, aheadInGoodput(c.queue, c.arriving, now, false), name)
+	}
+}
+
+// Guards against the refusal of a late urgent request on arrival while a start within its deadline is due.
+func TestArrivingLateUrgentRequestWaitsForItsStart(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		g := newWarmGate(Limits{Slots: 1, Queue: 64, Order: OrderGoodput})
+		g.drain.serviceTime = 50 * time.Millisecond
+		reads := &client{rank: ranked(1), expected: 50 * time.Millisecond, takes: 50 * time.Millisecond, objective: time.Minute, timeout: time.Minute}
+		for range 21 {
+			go reads.send(t.Context(), g)
+		}
+		synctest.Wait()
+		urgent := &client{rank: ranked(0), expected: 50 * time.Millisecond, takes: 50 * time.Millisecond, timeout: 500 * time.Millisecond}
+		urgent.send(t.Context(), g)
+		require.Equal(t, 1, urgent.late, "not refused")
+		time.Sleep(2 * time.Second)
+	})
+}
+
 // Guards against decisions that depend on the new fields of a request while another order is in force.
 func TestOtherOrdersIgnoreNestedAndTimeInSlot(t *testing.T) {
 	run := func(annotated bool) (log []string) {
