Call admission: answers name no called service once the part is switched off

Cause: the services that a route certainly calls are kept after overload scheduling is switched off in a running node, and answers still named one of them, so that frames differed from those of before the feature.

Change: the guard names the called service only while its View has overload scheduling.

Result: TestAnswerNamesCalleeOnlyWhileSchedulingIsInForce failed before (stock was named after the switch) and passes.

--- a/internal/mesh/guard/send.go
+++ b/internal/mesh/guard/send.go
@@ -53,7 +53,9 @@
 		return nil, kind.New(kind.BackendBroken, "the response has no signature of the backend server")
 	}
 	answer.Calls = calls
-	answer.Callee = g.Lineage.Callee(s.class)
+	if g.overloadScheduling() {
+		answer.Callee = g.Lineage.Callee(s.class)
+	}
 	answer.CallsFailed = answer.Status >= http.StatusInternalServerError && run.CallFailed()
 	return answer, nil
 }
