--- a/internal/gate/goodput.go
+++ b/internal/gate/goodput.go
@@ -200,23 +200,31 @@
 			inTime.add(w.level, i, after)
 		}
 	}
-	start, inTimeWaits, urgent := now.Add(p.first), false, 0
-	for ; inTime.present != 0 && outranks(late.present, inTime.present); urgent++ {
+	// kept has a bit for each level of which a request is expected to start in time.
+	start, inTimeWaits, urgent, kept := now.Add(p.first), false, 0, uint32(0)
+	for inTime.present != 0 && outranks(late.present, inTime.present) {
 		i := late.take(late.ofPriority(highestPriority(late.present)), after)
 		nth := time.Duration(2*urgent + 1)
 		if reasons[i] = queue[i].refusal(start.Add(nth*p.each), p.standsUntil(now), true); reasons[i] != notRefused {
 			refused++
+			continue
 		}
+		urgent++
 	}
 	for inTime.present != 0 {
 		present := inTime.present
 		level := t.next(present)
 		i := inTime.take(level, after)
-		if reasons[i] = queue[i].refusal(start, p.standsUntil(now), false); reasons[i] != notRefused {
+		// One that becomes late before its start is kept under the same condition as one that is late already.
+		urgentLate := queue[i].late(start) && outranks(1<<level, inTime.present|kept)
+		if reasons[i] = queue[i].refusal(start, p.standsUntil(now), urgentLate); reasons[i] != notRefused {
 			refused++
 			continue
 		}
-		t.started(level, present, false)
+		t.started(level, present, urgentLate)
+		if !urgentLate {
+			kept |= 1 << level
+		}
 		start, inTimeWaits = start.Add(p.each), true
 		if urgent > 0 {
 			// The next start goes to a late request of a higher priority.
@@ -258,13 +266,16 @@
 // aheadInGoodput returns the number of waiters that would run before one that arrives now.
 func aheadInGoodput(queue []*waiter, arriving *waiter, now time.Time, standing bool) int {
 	arrivingLate := arriving.late(now)
-	ahead, lowerNested := 0, 0
+	// inTime counts those that can be in time, if the arriving one is late; present has a bit for each of
+	// their levels.
+	ahead, lowerNested, inTime, present := 0, 0, 0, uint32(0)
 	for _, w := range queue {
 		late := w.late(now)
 		switch {
 		case late != arrivingLate:
 			if arrivingLate {
-				ahead++
+				inTime++
+				present |= 1 << w.level
 			}
 		case w.level > arriving.level || w.level == arriving.level && standing:
 		case !late && !arriving.rank.Nested && w.rank.Nested && w.rank.Depth < arriving.rank.Depth:
@@ -273,8 +284,12 @@
 			ahead++
 		}
 	}
+	if arrivingLate && outranks(1<<arriving.level, present) {
+		// Every second start goes to late requests of a higher priority.
+		return ahead + min(inTime, ahead+1)
+	}
 	// Every second start goes to the arriving request's own rank.
-	return ahead + min(lowerNested, ahead+1)
+	return ahead + inTime + min(lowerNested, ahead+1)
 }
 
 // lastInGoodput returns the index of the waiter that would run last, if that is after one that
