Queue timeouts keep the time that a request lost in a link between nodes

Cause: since a node subtracts the time that a request was held up in a link from all of its times, also from its queue timeout. That is how long it may wait before another target would be better, and time lost on the way makes no other target better. Targets behind busy links refused, the request and its body went over other links, and these got busier still. The deadline and the objective still lose the time.

--- a/internal/mesh/peer/client.go
+++ b/internal/mesh/peer/client.go
@@ -136,6 +136,15 @@
 	return &adjusted
 }
 
+// subtractTransit returns a copy of r with the time subtracted that it was held up in a link. Its queue timeout
+// remains: time that is lost on the way makes no other target better. With a shorter one, targets behind
+// busy links refused requests that were sent elsewhere, so that the links got busier still.
+func subtractTransit(r *mesh.Request, delay time.Duration) *mesh.Request {
+	adjusted := subtractElapsed(r, delay)
+	adjusted.QueueTimeout = r.QueueTimeout
+	return adjusted
+}
+
 // Warm opens the connection to the node at addr unless it is open, so that the node's
 // load reports arrive before the first request.
 func (c *Client) Warm(ctx context.Context, addr string) error {
--- a/internal/mesh/peer/server.go
+++ b/internal/mesh/peer/server.go
@@ -205,7 +205,7 @@
 
 func (c *serverConn) startRequest(ctx context.Context, stream uint32, body *requestBody, x extension) {
 	c.server.noteRequest(c.hello.VM)
-	r := subtractElapsed(body.request(), c.transitDelay(body.SentMs))
+	r := subtractTransit(body.request(), c.transitDelay(body.SentMs))
 	r.Nested = x.Nested
 	if body.Confirm {
 		r.Confirm = func(ctx context.Context) error { return c.confirm(ctx, stream) }
