Call admission: requests without a timeout are no evidence of nested calls

Nested calls expire with their parents. A request without a timeout may be a call of any run, so 40 of them beside one run made its route seem to call their service (found in review).

--- a/internal/mesh/entry/calls.go
+++ b/internal/mesh/entry/calls.go
@@ -65,6 +65,10 @@
 // detectNestedCall decides whether the request is a nested call of the backend server beside the node.
 func (t *transaction) detectNestedCall() {
 	caller := t.origin.Caller()
+	if t.in.Timeout == 0 {
+		// Calls expire with their parents, so a request without a timeout is no evidence.
+		return
+	}
 	if !t.origin.Orphan() {
 		t.stats.origins.add(caller)
 	}
