--- a/internal/gate/goodput.go
+++ b/internal/gate/goodput.go
@@ -200,8 +200,7 @@
 			inTime.add(w.level, i, after)
 		}
 	}
-	// kept has a bit for each level of which a request is expected to start in time.
-	start, inTimeWaits, urgent, kept := now.Add(p.first), false, 0, uint32(0)
+	start, inTimeWaits, urgent := now.Add(p.first), false, 0
 	for inTime.present != 0 && outranks(late.present, inTime.present) {
 		i := late.take(late.ofPriority(highestPriority(late.present)), after)
 		nth := time.Duration(2*urgent + 1)
@@ -215,16 +214,11 @@
 		present := inTime.present
 		level := t.next(present)
 		i := inTime.take(level, after)
-		// One that becomes late before its start is kept under the same condition as one that is late already.
-		urgentLate := queue[i].late(start) && outranks(1<<level, inTime.present|kept)
-		if reasons[i] = queue[i].refusal(start, p.standsUntil(now), urgentLate); reasons[i] != notRefused {
+		if reasons[i] = queue[i].refusal(start, p.standsUntil(now), false); reasons[i] != notRefused {
 			refused++
 			continue
 		}
-		t.started(level, present, urgentLate)
-		if !urgentLate {
-			kept |= 1 << level
-		}
+		t.started(level, present, false)
 		start, inTimeWaits = start.Add(p.each), true
 		if urgent > 0 {
 			// The next start goes to a late request of a higher priority.
