--- a/internal/gate/goodput_test.go
+++ b/internal/gate/goodput_test.go
@@ -27,7 +27,7 @@
 // client sends requests of one kind and records their outcomes.
 type client struct {
 	rank Rank
-	// expected is the time in the slot that the gate is told, takes the one that the requests need.
+	// expected is the time in the slot that the gate assumes, takes the one that the requests need.
 	expected, takes, objective, timeout time.Duration
 	mu                                  sync.Mutex
 	inTime, late, refused               int
--- a/internal/gate/queue.go
+++ b/internal/gate/queue.go
@@ -244,7 +244,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.scheduler.inForce {
-		// The waiter is told of its refusal like any other.
+		// The waiter receives its refusal like any other result.
 		g.refuseUnservable(now)
 		return false
 	}
--- a/internal/mesh/calladmission/controller.go
+++ b/internal/mesh/calladmission/controller.go
@@ -34,7 +34,7 @@
 	baselineWeight = 0.1
 	// callDelay is the assumed time from a request's admission to the outcome of its call.
 	callDelay = 200 * time.Millisecond
-	// maxLevels is the number of priorities above the lowest that are told apart.
+	// maxLevels is the number of priorities above the lowest that are distinguished.
 	maxLevels = 4
 	// demandWeight is the weight of the requests since the last update in the demand by priority.
 	demandWeight = 0.3
@@ -177,7 +177,7 @@
 
 // reduce lowers the admitted share to what the called service has room for.
 //
-// The reports show what became of requests that were admitted some time ago. The share that was in
+// The reports show the outcomes of requests that were admitted some time ago. The share that was in
 // force then, multiplied by the share of calls that succeeded, is what the service has room for. The
 // present share would be reduced again and again before the first reduction shows.
 func (c *controller) reduce(o Observation, now time.Duration) {
--- a/internal/mesh/egress/scheduler.go
+++ b/internal/mesh/egress/scheduler.go
@@ -174,9 +174,6 @@
 // AcceptPieces records that the peer accepts frames in pieces.
 func (c *Conn) AcceptPieces() { c.pieces = true }
 
-// AcceptsPieces reports whether the peer accepts frames in pieces.
-func (c *Conn) AcceptsPieces() bool { return c.pieces }
-
 // Waiting returns how many bytes wait.
 func (c *Conn) Waiting() int { return c.waiting }
 
--- a/internal/mesh/peer/link.go
+++ b/internal/mesh/peer/link.go
@@ -38,7 +38,7 @@
 	streams      map[uint32]*stream
 	// confirms is true if the peer asks for confirmation of requests that need it.
 	confirms bool
-	// takesPieces is true if the peer accepts frames in pieces, and announced if it was told that
+	// takesPieces is true if the peer accepts frames in pieces, and announced if it was informed that
 	// this node does. pieces are those received over the open connection.
 	takesPieces, announced bool
 	pieces                 *pieces
--- a/internal/mesh/peer/writer.go
+++ b/internal/mesh/peer/writer.go
@@ -34,7 +34,7 @@
 	// uplink may be nil; flow is the writer as its scheduler knows it.
 	uplink *Uplink
 	flow   *egress.Conn
-	// delivery is told about the outcomes of requests; it may be nil.
+	// delivery tracks the outcomes of requests until they are sent; it may be nil.
 	delivery *delivery
 	mu       sync.Mutex
 	queue    net.Buffers
@@ -48,7 +48,7 @@
 	scheduled bool
 }
 
-// newWriter returns a writer that sends through an Uplink; nil is none. d is told about the outcomes
+// newWriter returns a writer that sends through an Uplink; nil is none. d tracks the outcomes
 // of requests that are sent; it may be nil.
 func newWriter(c net.Conn, u *Uplink, d *delivery) *writer {
 	w := &writer{conn: c, uplink: u, delivery: d, wake: make(chan struct{}, 1)}
