--- a/internal/gate/goodput.go
+++ b/internal/gate/goodput.go
@@ -238,8 +238,8 @@
 }
 
 // refusal returns why a request in a standing queue that is expected to start at start is refused.
-// standingUntil is until when the queue is expected to stand. onlyLate is true if it is late and only late
-// requests wait before it.
+// standingUntil is until when the queue is expected to stand. keptLate is true if the request is kept although
+// it is late: only late ones wait before it, or its priority is above all that can be in time.
 //
 // A request that can only be answered late is refused if the queue is expected to stand until its deadline.
 // A queue that stands for a shorter time, as during a transient slowdown, answers it late.
@@ -247,11 +247,11 @@
 // A nested call is refused only for its deadline, as its parent's work is lost with it even if only
 // its own objective is missed. A late request is kept while only late ones wait, because refusing all
 // of them would leave slots unused.
-func (w *waiter) refusal(start, standingUntil time.Time, onlyLate bool) Reason {
+func (w *waiter) refusal(start, standingUntil time.Time, keptLate bool) Reason {
 	switch {
 	case w.pastDeadline(start):
 		return PastDeadline
-	case w.rank.Nested || onlyLate || !w.late(start) || standingUntil.Before(w.startByDeadline):
+	case w.rank.Nested || keptLate || !w.late(start) || standingUntil.Before(w.startByDeadline):
 		return notRefused
 	}
 	return CannotBeInTime
