Answers of backend servers are bounded while they are read

Callers waited until their time limit, other reads weren't served, and a node took up to 1.4 GB, for which the platform kills it, when a backend server sent a head without end. Cause: http.ReadResponse read from the plain connection, so that only the deadline ended it. Bodies were bounded, but by 16 MB for each answer and not together, and were copied while they grew.

The head of an answer may have 64 KB, and a first byte that can't belong to a status line ends it at once (another word, a status beyond 599). A declared length over 16 MB ends the exchange before the body. All bodies that are read at the same time share 24 MB besides the first 256 KB of each, so that small answers always have room. The connection is closed with unread bytes, which resets it; the caller gets 502, as the request may have run.

--- a/internal/mesh/exchange/conn.go
+++ b/internal/mesh/exchange/conn.go
@@ -5,7 +5,6 @@
 package exchange
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"io"
@@ -21,14 +20,15 @@
 
 	"github.com/limpetdock/limpetdock/internal/death"
 	"github.com/limpetdock/limpetdock/internal/mesh"
+	"github.com/limpetdock/limpetdock/internal/readlimit"
 )
 
 const (
 	// maxUnmatched is how many answers to other requests are skipped before a
 	// connection is closed. One duplicate is usual; more are a fault.
 	maxUnmatched = 3
-	// maxAnswer bounds an answer that is held in memory, in bytes: a tenth of the
-	// memory that a node has on the smallest VMs.
+	// maxAnswer bounds the body of an answer, in bytes: a tenth of the memory that a
+	// node has on the smallest VMs.
 	maxAnswer = 16 << 20
 	// readBuffer is large enough for the header and most bodies of an answer, in bytes.
 	readBuffer = 8 << 10
@@ -36,7 +36,6 @@
 
 var (
 	errUnmatched   = eris.New("the backend server answered other requests")
-	errTooLarge    = eris.New("the backend server's answer is too large to hold")
 	errUnsolicited = eris.New("the backend server sent unsolicited bytes")
 	// errIntermediary means that something between the node and the backend server answered, such as a
 	// proxy that could not pass the request on or got no answer.
@@ -53,7 +52,8 @@
 // conn is a connection to the backend server. One request uses it at a time.
 type conn struct {
 	net.Conn
-	reader *bufio.Reader
+	client *Client
+	reader *readlimit.Reader
 	names  mesh.HeaderNames
 	// watch is the record of the connection by which the backend server's death is detected.
 	watch *death.Conn
@@ -68,9 +68,9 @@
 	aborted   bool
 }
 
-func newConn(c net.Conn, names mesh.HeaderNames, watch *death.Conn) *conn {
+func newConn(c net.Conn, client *Client, watch *death.Conn) *conn {
 	pc := &conn{
-		Conn: c, watch: watch, reader: bufio.NewReaderSize(c, readBuffer), names: names,
+		Conn: c, client: client, watch: watch, reader: readlimit.NewReader(c, readBuffer), names: client.names,
 		wanted: make(chan *http.Request, 1), results: make(chan result, 1),
 	}
 	go pc.read()
@@ -116,16 +116,20 @@
 
 // noteEnd records that the backend server has ended the connection, if a read failed for that reason.
 func (c *conn) noteEnd(err error) {
-	ended := errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
-	if ended && c.alive() {
+	if isEnd(err) && c.alive() {
 		c.watch.EndedByPeer()
 	}
 }
 
+// isEnd reports whether a read failed because the connection has ended.
+func isEnd(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
+}
+
 // discardExtra reads an answer that arrived while no request waited. It returns false
 // if the connection can't be used any more.
 func (c *conn) discardExtra() bool {
-	resp, err := http.ReadResponse(c.reader, nil)
+	resp, err := readHead(c.reader, nil)
 	if err != nil || resp.ContentLength < 0 || resp.Close {
 		return false
 	}
@@ -137,7 +141,7 @@
 func (c *conn) answer(req *http.Request) result {
 	id := req.Header.Get(c.names.RequestID)
 	for range maxUnmatched {
-		resp, err := http.ReadResponse(c.reader, req)
+		resp, err := readHead(c.reader, req)
 		if err != nil {
 			return result{err: eris.Wrap(err, "read answer")}
 		}
@@ -147,13 +151,10 @@
 		if c.fromIntermediary(resp) {
 			return result{err: errIntermediary}
 		}
-		body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
+		body, err := c.readBody(resp)
 		if err != nil {
 			return result{err: eris.Wrap(err, "read answer's body")}
 		}
-		if len(body) > maxAnswer {
-			return result{err: errTooLarge}
-		}
 		if resp.Header.Get(c.names.RequestID) == id {
 			return result{resp: resp, body: body}
 		}
@@ -164,6 +165,18 @@
 	return result{err: errUnmatched}
 }
 
+// readBody reads the body of an answer.
+func (c *conn) readBody(resp *http.Response) ([]byte, error) {
+	length := resp.ContentLength
+	if resp.Body == http.NoBody {
+		// The answer to a HEAD request may declare the length that another one's would have.
+		length = 0
+	}
+	body, release, err := c.client.bodies.ReadAll(resp.Body, length, maxAnswer)
+	release()
+	return body, err
+}
+
 // fromIntermediary reports whether a failure has none of the headers that the backend server's own answers
 // have.
 func (c *conn) fromIntermediary(resp *http.Response) bool {
--- a/internal/mesh/exchange/pool.go
+++ b/internal/mesh/exchange/pool.go
@@ -17,6 +17,7 @@
 
 	"github.com/limpetdock/limpetdock/internal/death"
 	"github.com/limpetdock/limpetdock/internal/mesh"
+	"github.com/limpetdock/limpetdock/internal/readlimit"
 	"github.com/limpetdock/limpetdock/internal/sockopt"
 )
 
@@ -38,6 +39,9 @@
 	atMostOnceIdle = 2 * time.Second
 	// maxIdle bounds the number of idle connections.
 	maxIdle = 32
+	// maxAnswers bounds the larger answers that are read at the same time, in bytes. It has room for one of
+	// the largest.
+	maxAnswers = 24 << 20
 )
 
 // Client sends requests to one backend server. Safe for concurrent use.
@@ -48,11 +52,13 @@
 	idle     []*conn
 	opened   atomic.Uint64
 	detector *death.Detector
+	// bodies bounds the bodies of answers that are being read.
+	bodies *readlimit.Budget
 }
 
 // NewClient returns a Client for the backend server at addr.
 func NewClient(addr string, names mesh.HeaderNames) *Client {
-	return &Client{addr: addr, names: names, detector: death.NewDetector(addr)}
+	return &Client{addr: addr, names: names, detector: death.NewDetector(addr), bodies: readlimit.NewBudget(maxAnswers)}
 }
 
 // Opened returns how many connections have been opened so far.
@@ -204,7 +210,7 @@
 		return nil, eris.Wrap(err, "open connection to backend server")
 	}
 	c.opened.Add(1)
-	return newConn(raw, c.names, opening.Opened()), nil
+	return newConn(raw, c, opening.Opened()), nil
 }
 
 // Close closes the idle connections.
