Bytes behind a complete answer disturb no other request

Requests got 502 or waited for seconds when a backend server sent more bytes behind a whole answer. Cause: while no request waited, a node read answers of any length and for any time on the connection, and the next request on it waited behind them; the bodies of answers to other requests were held in memory.

A connection on which unrequested bytes arrive isn't used until they are discarded: at most three answers of up to 1 MB in 250 ms each. Otherwise it is closed, and for 10 s each request gets a connection of its own, as one on a spoilt connection would fail. Single duplicates leave the connection in use as before.

--- a/internal/mesh/exchange/conn.go
+++ b/internal/mesh/exchange/conn.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -64,6 +65,8 @@
 	// backend server keeps it open from then on; 0 is unknown.
 	idleSince time.Time
 	keepAlive time.Duration
+	// receiving is true while bytes arrive that belong to no request.
+	receiving atomic.Bool
 	mu        sync.Mutex
 	aborted   bool
 }
@@ -82,14 +85,17 @@
 // request is sent on it.
 func (c *conn) read() {
 	defer c.abort()
+	extra := 0
 	for {
 		_, err := c.reader.Peek(1)
 		c.noteEnd(err)
 		var req *http.Request
 		select {
 		case req = <-c.wanted:
+			extra = 0
 		default:
-			if err == nil && c.discardExtra() {
+			extra++
+			if err == nil && c.discardExtra(extra) {
 				continue
 			}
 			c.abort()
@@ -107,6 +113,8 @@
 		}
 		r := c.answer(req)
 		c.noteEnd(r.err)
+		// A connection on which more bytes have arrived isn't used before these are discarded.
+		c.receiving.Store(c.reader.Buffered() > 0)
 		c.results <- r
 		if r.err != nil {
 			return
@@ -126,15 +134,39 @@
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
 }
 
-// discardExtra reads an answer that arrived while no request waited. It returns false
-// if the connection can't be used any more.
-func (c *conn) discardExtra() bool {
+const (
+	// maxExtra bounds the body of an answer to no request that is waiting, in bytes, and extraTimeout the time in
+	// which it must have arrived.
+	maxExtra     = 1 << 20
+	extraTimeout = 250 * time.Millisecond
+)
+
+// discardExtra reads an answer that arrived while no request waited, the nth since the last request. It
+// returns false if the connection can't be used any more.
+func (c *conn) discardExtra(n int) bool {
+	c.receiving.Store(true)
+	defer c.receiving.Store(false)
+	if n > maxUnmatched {
+		c.client.avoidReuse()
+		return false
+	}
+	if c.SetReadDeadline(time.Now().Add(extraTimeout)) != nil {
+		return false
+	}
 	resp, err := readHead(c.reader, nil)
-	if err != nil || resp.ContentLength < 0 || resp.Close {
+	if err == nil && (resp.ContentLength < 0 || resp.Close) {
 		return false
 	}
-	_, err = io.Copy(io.Discard, resp.Body)
-	return err == nil
+	if err == nil && resp.ContentLength <= maxExtra {
+		_, err = io.Copy(io.Discard, resp.Body)
+	}
+	if err == nil && resp.ContentLength <= maxExtra {
+		return c.SetReadDeadline(time.Time{}) == nil
+	}
+	if c.alive() && !isEnd(err) {
+		c.client.avoidReuse()
+	}
+	return false
 }
 
 // answer reads the answer to req, skipping those to earlier requests.
@@ -151,17 +183,20 @@
 		if c.fromIntermediary(resp) {
 			return result{err: errIntermediary}
 		}
+		if resp.Header.Get(c.names.RequestID) != id {
+			n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxExtra+1))
+			if err != nil || n > maxExtra || resp.Close {
+				break
+			}
+			continue
+		}
 		body, err := c.readBody(resp)
 		if err != nil {
 			return result{err: eris.Wrap(err, "read answer's body")}
 		}
-		if resp.Header.Get(c.names.RequestID) == id {
-			return result{resp: resp, body: body}
-		}
-		if resp.Close {
-			break
-		}
+		return result{resp: resp, body: body}
 	}
+	c.client.avoidReuse()
 	return result{err: errUnmatched}
 }
 
--- a/internal/mesh/exchange/pool.go
+++ b/internal/mesh/exchange/pool.go
@@ -42,6 +42,9 @@
 	// maxAnswers bounds the larger answers that are read at the same time, in bytes. It has room for one of
 	// the largest.
 	maxAnswers = 24 << 20
+	// reusePause is how long no connection is used for several requests after the backend server has sent
+	// bytes without a request.
+	reusePause = 10 * time.Second
 )
 
 // Client sends requests to one backend server. Safe for concurrent use.
@@ -54,6 +57,8 @@
 	detector *death.Detector
 	// bodies bounds the bodies of answers that are being read.
 	bodies *readlimit.Budget
+	// reuseFrom is when connections may be used for several requests again, in nanoseconds since the epoch.
+	reuseFrom atomic.Int64
 }
 
 // NewClient returns a Client for the backend server at addr.
@@ -152,7 +157,7 @@
 		return nil, &Failure{Outcome: outcome, Cause: r.err, Generation: pc.watch.Generation(), conn: pc.watch}
 	}
 	pc.watch.Answered()
-	if pc.noteKeepAlive(r.resp) && pc.alive() {
+	if pc.noteKeepAlive(r.resp) && pc.alive() && c.mayReuse() {
 		c.release(pc)
 	} else {
 		pc.abort()
@@ -171,7 +176,7 @@
 			c.idle = append(c.idle[:i], c.idle[i+1:]...)
 			continue
 		}
-		if atMostOnce && now.Sub(pc.idleSince) > atMostOnceIdle {
+		if pc.receiving.Load() || atMostOnce && now.Sub(pc.idleSince) > atMostOnceIdle {
 			continue
 		}
 		c.idle = append(c.idle[:i], c.idle[i+1:]...)
@@ -191,6 +196,12 @@
 	return now.Sub(c.idleSince) > keepAlive
 }
 
+// avoidReuse makes each request use a connection of its own for some time. A request on a connection with bytes
+// that belong to no request fails, as its answer can't be told from them.
+func (c *Client) avoidReuse() { c.reuseFrom.Store(time.Now().Add(reusePause).UnixNano()) }
+
+func (c *Client) mayReuse() bool { return time.Now().UnixNano() >= c.reuseFrom.Load() }
+
 func (c *Client) release(pc *conn) {
 	pc.idleSince = time.Now()
 	c.mu.Lock()
