Bodies of callers' requests share a bound, and rejected callers can't keep their connection

A node took 887 MB while 20 callers sent chunked bodies without end, as each body alone was bounded by the operator's limit (32 MB there) and grew by doubling. After a rejection the node read on for 64 MB, or for as long as a byte came now and then.

Larger bodies of requests that aren't answered yet share 24 MB, besides the first 256 KB of each; a body that is the only larger one has room up to its own limit. One without room is refused with 503 and Retry-After: it hasn't run. Memory is taken as bytes arrive. What arrives after a rejection is read up to 64 MB only if its length was declared, else up to 4 MB, and at 256 B/s or more.

TestCallerCannotProlongEndOfConnection (virtual time) failed before.

--- a/internal/mesh/front/conn.go
+++ b/internal/mesh/front/conn.go
@@ -11,17 +11,19 @@
 	"time"
 
 	"github.com/limpetdock/limpetdock/internal/mesh"
+	"github.com/limpetdock/limpetdock/internal/progress"
+	"github.com/limpetdock/limpetdock/internal/readlimit"
 	"github.com/limpetdock/limpetdock/internal/stall"
 )
 
 const (
 	// maxPipelined bounds the requests of one connection that are served concurrently.
 	maxPipelined = 16
-	// lingerTimeout is how long a connection is read after its last answer for each
-	// chunk that still arrives. If it were closed with unread bytes it would be reset, and
-	// the reset could overtake the answer. lingerBytes bounds the total, in bytes.
-	lingerTimeout = time.Second
-	lingerBytes   = 64 << 20
+	// lingerBytes bounds what is read of a connection after its last answer, in bytes. If it were
+	// closed with unread bytes it would be reset, and the reset could overtake the answer.
+	// unknownLingerBytes applies if the length of what still comes isn't known.
+	lingerBytes        = 64 << 20
+	unknownLingerBytes = 4 << 20
 	// writeTimeout bounds how long writing an answer may make no progress: a caller that
 	// doesn't read for longer takes up memory.
 	writeTimeout = 10 * time.Second
@@ -29,12 +31,14 @@
 	readBuffer = 4 << 10
 )
 
+// lingerPace is the least pace of what arrives after the last answer.
+var lingerPace = progress.Pace{StallTimeout: time.Second, BytesPerSecond: 256}
+
 // conn is one connection of a caller.
 type conn struct {
 	server *Server
 	raw    net.Conn
-	reader *bufio.Reader
-	header *headerLimit
+	reader *readlimit.Reader
 	// ctx ends when the caller disconnects or the server ends.
 	ctx context.Context
 	// answers holds the answers to be written, in the order of their requests.
@@ -63,10 +67,9 @@
 	defer cancel(nil)
 	c := &conn{
 		server: s, raw: raw, ctx: ctx, answers: make(chan *pending, maxPipelined),
-		header: &headerLimit{conn: raw, remaining: -1},
+		reader: readlimit.NewReader(raw, readBuffer),
 	}
 	c.answered.L = &c.mu
-	c.reader = bufio.NewReaderSize(c.header, readBuffer)
 	if !s.add(c) {
 		_ = raw.Close()
 		return
@@ -96,17 +99,21 @@
 		if !c.beginRequest() {
 			// The answer would follow one that closes the connection. The caller sends the
 			// request again over another connection.
+			r.release()
 			c.finish()
-			c.drainInput()
+			c.drainInput(lingerBytes)
 			return
 		}
 		c.server.Counts.Requests.Add(1)
 		p := &pending{method: r.Method, done: make(chan *Response, 1), close: r.closeAfter}
-		go func() { p.done <- c.server.handler.Serve(c.ctx, r) }()
+		go func() {
+			defer r.release()
+			p.done <- c.server.handler.Serve(c.ctx, r)
+		}()
 		c.answers <- p
 		if p.close {
 			c.finish()
-			c.drainInput()
+			c.drainInput(lingerBytes)
 			return
 		}
 	}
@@ -121,8 +128,12 @@
 		p.done <- c.server.handler.Reject(bad.status)
 		c.answers <- p
 	}
+	limit := unknownLingerBytes
+	if bad == tooLarge {
+		limit = lingerBytes
+	}
 	if bad != disconnected && c.finish() {
-		c.drainInput()
+		c.drainInput(limit)
 	}
 }
 
@@ -147,29 +158,33 @@
 	return true
 }
 
-// drainInput reads until the caller closes the connection or sends nothing more, so that
-// the caller receives the last answers. finish must have been called.
-func (c *conn) drainInput() {
+// drainInput reads until the caller closes the connection, or has sent limit bytes or nothing more after the last
+// answer, so that the caller receives the last answers. finish must have been called.
+func (c *conn) drainInput(limit int) {
 	// A deadline that was set for the last request doesn't apply to the answers.
 	if c.raw.SetReadDeadline(time.Time{}) != nil {
 		return
 	}
-	if c.lingering.Load() && c.raw.SetReadDeadline(time.Now().Add(lingerTimeout)) != nil {
+	if c.lingering.Load() && c.raw.SetReadDeadline(time.Now().Add(lingerPace.StallTimeout)) != nil {
 		return
 	}
-	var scratch [1 << 10]byte
-	for remaining := lingerBytes; remaining > 0; {
-		n, err := c.raw.Read(scratch[:])
-		if err != nil {
+	scratch := make([]byte, 1<<10)
+	for !c.lingering.Load() {
+		if _, err := c.raw.Read(scratch); err != nil {
 			return
 		}
-		if !c.lingering.Load() {
-			continue
+	}
+	start := time.Now()
+	for total := 0; total < limit; {
+		next := lingerPace.NextTimeout(int64(total), time.Since(start))
+		if next == 0 || c.raw.SetReadDeadline(time.Now().Add(next)) != nil {
+			return
 		}
-		remaining -= n
-		if c.raw.SetReadDeadline(time.Now().Add(lingerTimeout)) != nil {
+		n, err := c.raw.Read(scratch)
+		if err != nil {
 			return
 		}
+		total += n
 	}
 }
 
@@ -258,7 +273,7 @@
 func (c *conn) linger() {
 	c.lingering.Store(true)
 	if half, ok := c.raw.(interface{ CloseWrite() error }); ok {
-		if half.CloseWrite() == nil && c.raw.SetReadDeadline(time.Now().Add(lingerTimeout)) == nil {
+		if half.CloseWrite() == nil && c.raw.SetReadDeadline(time.Now().Add(lingerPace.StallTimeout)) == nil {
 			return
 		}
 	}
--- a/internal/mesh/front/read.go
+++ b/internal/mesh/front/read.go
@@ -1,7 +1,7 @@
 package front
 
 import (
-	"bytes"
+	"bufio"
 	"cmp"
 	"errors"
 	"io"
@@ -13,6 +13,7 @@
 	"golang.org/x/net/http/httpguts"
 
 	"github.com/limpetdock/limpetdock/internal/mesh"
+	"github.com/limpetdock/limpetdock/internal/readlimit"
 	"github.com/limpetdock/limpetdock/internal/stall"
 )
 
@@ -29,34 +30,6 @@
 	bodyTimeout = 10 * time.Second
 )
 
-var errHeaderTooLarge = errors.New("header over the limit")
-
-// headerLimit bounds the bytes read while a header is read, and counts all bytes.
-type headerLimit struct {
-	conn net.Conn
-	// remaining is how many bytes may still be read; negative is unlimited.
-	remaining int64
-	read      int64
-	// err is the error of the last read.
-	err error
-}
-
-func (h *headerLimit) Read(p []byte) (int, error) {
-	if h.remaining == 0 {
-		return 0, errHeaderTooLarge
-	}
-	if h.remaining > 0 && int64(len(p)) > h.remaining {
-		p = p[:h.remaining]
-	}
-	n, err := h.conn.Read(p)
-	h.err = err
-	h.read += int64(n)
-	if h.remaining > 0 {
-		h.remaining -= int64(n)
-	}
-	return n, err
-}
-
 // badRequest is a request that can't be read, with the status of its answer.
 type badRequest struct{ status int }
 
@@ -65,7 +38,12 @@
 	// request arrived in time. Neither is answered.
 	disconnected = &badRequest{}
 	incomplete   = &badRequest{}
-	tooLarge     = &badRequest{http.StatusRequestEntityTooLarge}
+	// tooLarge means that the declared length of the body is over the limit, and tooLong that so much of
+	// a body without a declared length has arrived.
+	tooLarge = &badRequest{http.StatusRequestEntityTooLarge}
+	tooLong  = &badRequest{http.StatusRequestEntityTooLarge}
+	// noRoom means that the bodies of other requests take up the memory for them.
+	noRoom = &badRequest{http.StatusServiceUnavailable}
 )
 
 // answered reports whether an answer is sent.
@@ -84,32 +62,30 @@
 	if bad := validate(in); bad != nil {
 		return nil, bad
 	}
-	body, bad := c.readBody(in, limits)
+	body, release, bad := c.readBody(in, limits)
 	if bad != nil {
+		release()
 		return nil, bad
 	}
 	if err := c.setReadDeadline(time.Time{}); err != nil {
+		release()
 		return nil, disconnected
 	}
 	return &Request{
 		Method: in.Method, URI: in.RequestURI, Path: in.URL.Path, Host: in.Host,
-		Header: endToEnd(in.Header), Body: body, Arrived: time.Now(), closeAfter: in.Close,
+		Header: endToEnd(in.Header), Body: body, Arrived: time.Now(), closeAfter: in.Close, release: release,
 	}, nil
 }
 
-// readHeader reads a request's header of at most limit bytes. Bytes that are in the buffer
-// already aren't bounded by headerLimit, so the bytes consumed are counted too.
-func (c *conn) readHeader(limit int64) (*http.Request, error) {
-	before := c.header.read - int64(c.reader.Buffered())
-	c.header.remaining = limit
-	in, err := http.ReadRequest(c.reader)
-	c.header.remaining = -1
-	if err != nil && isTimeout(c.header.err) {
+// readHeader reads a request's header of at most limit bytes.
+func (c *conn) readHeader(limit int64) (in *http.Request, err error) {
+	err = c.reader.Head(limit, func(r *bufio.Reader) error {
+		in, err = http.ReadRequest(r)
+		return err
+	})
+	if err != nil && isTimeout(c.reader.Err()) {
 		// The library parses a line that is cut off by an error as if it were complete.
-		return nil, c.header.err
-	}
-	if err == nil && c.header.read-int64(c.reader.Buffered())-before > limit {
-		return nil, errHeaderTooLarge
+		return nil, c.reader.Err()
 	}
 	return in, err
 }
@@ -197,7 +173,7 @@
 
 // headerError returns the answer to a header that can't be read.
 func headerError(err error) *badRequest {
-	if errors.Is(err, errHeaderTooLarge) {
+	if errors.Is(err, readlimit.ErrHeadTooLarge) {
 		return &badRequest{http.StatusRequestHeaderFieldsTooLarge}
 	}
 	return readError(err)
@@ -231,35 +207,34 @@
 	return true
 }
 
-// readBody reads the whole body.
-func (c *conn) readBody(in *http.Request, limits mesh.Limits) ([]byte, *badRequest) {
+// readBody reads the whole body. release must be called once it is no longer used.
+func (c *conn) readBody(in *http.Request, limits mesh.Limits) (body []byte, release func(), bad *badRequest) {
+	release = func() {}
 	if in.Body == nil || in.Body == http.NoBody {
-		return nil, nil
+		return nil, release, nil
 	}
 	limit := cmp.Or(limits.BodyBytes, defaultBodyBytes)
 	if in.ContentLength > limit {
-		return nil, tooLarge
+		return nil, release, tooLarge
 	}
 	if strings.EqualFold(in.Header.Get("Expect"), "100-continue") {
 		if !c.awaitAnswers() {
-			return nil, incomplete
+			return nil, release, incomplete
 		}
 		if _, err := io.WriteString(stall.NewWriter(c.raw, writeTimeout), "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
-			return nil, disconnected
+			return nil, release, disconnected
 		}
 	}
-	var body bytes.Buffer
-	if in.ContentLength > 0 {
-		body.Grow(int(in.ContentLength))
-	}
-	paced := &pacedReader{conn: c, from: io.LimitReader(in.Body, limit+1)}
-	if _, err := io.Copy(&body, paced); err != nil {
-		return nil, readError(err)
-	}
-	if int64(body.Len()) > limit {
-		return nil, tooLarge
-	}
-	return body.Bytes(), nil
+	body, release, err := c.server.bodies.ReadAll(&pacedReader{conn: c, from: in.Body}, in.ContentLength, limit)
+	switch {
+	case errors.Is(err, readlimit.ErrBodyTooLarge):
+		return nil, release, tooLong
+	case errors.Is(err, readlimit.ErrNoRoom):
+		return nil, release, noRoom
+	case err != nil:
+		return nil, release, readError(err)
+	}
+	return body, release, nil
 }
 
 // pacedReader sets a new deadline for each chunk of a body.
--- a/internal/mesh/front/server.go
+++ b/internal/mesh/front/server.go
@@ -14,6 +14,7 @@
 
 	"github.com/limpetdock/limpetdock/internal/accept"
 	"github.com/limpetdock/limpetdock/internal/mesh"
+	"github.com/limpetdock/limpetdock/internal/readlimit"
 	"github.com/limpetdock/limpetdock/internal/stopping"
 )
 
@@ -26,6 +27,8 @@
 	Arrived time.Time
 	// closeAfter is true if the caller wants the connection to be closed after the answer.
 	closeAfter bool
+	// release ends the request's share of the memory for bodies.
+	release func()
 }
 
 // Response is one answer with its whole body.
@@ -63,7 +66,9 @@
 	conns    map[*conn]struct{}
 	// allClosed is closed once the server shuts down and has no connections.
 	allClosed chan struct{}
-	Counts    Counts
+	// bodies bounds the bodies of the requests that aren't answered yet.
+	bodies *readlimit.Budget
+	Counts Counts
 }
 
 // Counts counts what the server does. Safe for concurrent use.
@@ -73,10 +78,13 @@
 	Accepted, Requests, Rejected, Abandoned atomic.Uint64
 }
 
+// maxBodies bounds the larger bodies of the requests that aren't answered yet, in bytes.
+const maxBodies = 24 << 20
+
 // New returns a Server that answers with h.
 func New(h Handler) *Server {
 	ctx, end := stopping.NewContext()
-	return &Server{handler: h, ctx: ctx, endRequests: end, conns: map[*conn]struct{}{}, allClosed: make(chan struct{})}
+	return &Server{handler: h, ctx: ctx, endRequests: end, conns: map[*conn]struct{}{}, allClosed: make(chan struct{}), bodies: readlimit.NewBudget(maxBodies)}
 }
 
 // Serve accepts connections on l until it is closed or the server shuts down.
--- a/internal/mesh/front/slow_test.go
+++ b/internal/mesh/front/slow_test.go
@@ -237,3 +237,24 @@
 		require.NoError(t, err)
 	})
 }
+
+// Guards against a caller that keeps the connection of a rejected request open for as long as it likes, by a byte
+// now and then.
+func TestCallerCannotProlongEndOfConnection(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		_, c, stop := connect(handler{})
+		defer stop()
+		_, err := io.WriteString(c, "no request\r\n\r\n")
+		require.NoError(t, err)
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusBadRequest, resp.StatusCode)
+		start := time.Now()
+		for err == nil && time.Since(start) < time.Minute {
+			time.Sleep(500 * time.Millisecond)
+			_, err = c.Write([]byte{'a'})
+		}
+		require.Error(t, err)
+		require.Less(t, time.Since(start), 10*time.Second)
+	})
+}
--- a/internal/mesh/node/callers.go
+++ b/internal/mesh/node/callers.go
@@ -83,8 +83,17 @@
 	return &front.Response{Status: c.dialect.Status(answer.Status, notRun), Header: h, Body: body}
 }
 
-// Reject returns the response to an unreadable request.
+// noRoomRetryAfter is when a caller should send a request again whose body had no room in the node's memory:
+// larger bodies take about that long to be read.
+const noRoomRetryAfter = time.Second
+
+// Reject returns the response to a request that can't be read.
 func (c *callerHandler) Reject(status int) *front.Response {
+	if status == http.StatusServiceUnavailable {
+		e := kind.New(kind.Overloaded, "the bodies of other requests take up the node's memory")
+		e.RetryAfter = noRoomRetryAfter
+		return c.errorResponse("", e)
+	}
 	body, _ := json.Marshal(errorBody{kind.BadRequest, http.StatusText(status)})
 	return &front.Response{Status: status, Header: http.Header{"Content-Type": {"application/json"}}, Body: body}
 }
--- a/internal/readlimit/body.go
+++ b/internal/readlimit/body.go
@@ -19,8 +19,8 @@
 	// freeSize is the part of each body, in bytes, that isn't counted in a Budget. So smaller bodies are always
 	// read, however many larger ones there are.
 	freeSize = 256 << 10
-	// firstChunk is the size of the first chunk of a body of unknown length, and maxChunk that of the largest, in
-	// bytes.
+	// firstChunk is the size of the first chunk of a body of unknown length, and maxChunk that of the largest
+	// ones, in bytes.
 	firstChunk = 4 << 10
 	maxChunk   = 256 << 10
 )
@@ -31,7 +31,8 @@
 	held  atomic.Int64
 }
 
-// NewBudget returns a Budget of limit bytes, besides the first 256 KB of each body.
+// NewBudget returns a Budget of limit bytes, besides the first 256 KB of each body. A body that is the only
+// larger one may exceed it.
 func NewBudget(limit int64) *Budget { return &Budget{limit: limit} }
 
 // Held returns how many bytes are counted at present.
@@ -44,12 +45,11 @@
 	if declared > limit {
 		return nil, r.release, ErrBodyTooLarge
 	}
-	if declared >= 0 {
-		data, err = r.readDeclared(body, declared)
-	} else {
-		data, err = r.readToEnd(body, limit)
+	chunks, err := r.read(body, declared, limit)
+	if err != nil {
+		return nil, r.release, err
 	}
-	return data, r.release, err
+	return join(chunks), r.release, nil
 }
 
 // reservation is what one body takes of a Budget.
@@ -64,11 +64,11 @@
 	if more <= 0 {
 		return nil
 	}
-	if r.budget.held.Add(more) > r.budget.limit {
-		r.budget.held.Add(-more)
+	held := r.budget.held.Add(more)
+	r.size += more
+	if held > r.budget.limit && held > r.size {
 		return ErrNoRoom
 	}
-	r.size += more
 	return nil
 }
 
@@ -77,29 +77,19 @@
 	r.size = 0
 }
 
-// readDeclared reads a body of a known length.
-func (r *reservation) readDeclared(body io.Reader, length int64) ([]byte, error) {
-	if length == 0 {
-		return nil, nil
-	}
-	if err := r.grow(length); err != nil {
-		return nil, err
-	}
-	data := make([]byte, length)
-	if _, err := io.ReadFull(body, data); err != nil {
-		return nil, err
+// read reads a body until it ends. It is collected in chunks, so that memory is taken only as bytes arrive and a
+// body that is given up was never copied.
+func (r *reservation) read(body io.Reader, declared, limit int64) (chunks [][]byte, err error) {
+	total, size := int64(0), int64(firstChunk)
+	if declared >= 0 {
+		limit, size = declared, maxChunk
 	}
-	return data, nil
-}
-
-// readToEnd reads a body until it ends. It is collected in chunks, so that a body that is given up was never
-// copied.
-func (r *reservation) readToEnd(body io.Reader, limit int64) ([]byte, error) {
-	var chunks [][]byte
-	total := int64(0)
-	for size := int64(firstChunk); ; size = min(2*size, maxChunk) {
-		// One byte more than allowed shows that the body is too large.
-		size = min(size, limit+1-total)
+	for total != declared {
+		size = min(size, limit-total)
+		if total == limit {
+			// Another byte shows that the body is too large.
+			size = 1
+		}
 		if err := r.grow(total + size); err != nil {
 			return nil, err
 		}
@@ -110,12 +100,16 @@
 		switch {
 		case total > limit:
 			return nil, ErrBodyTooLarge
-		case err == io.EOF:
-			return join(chunks), nil
-		case err != nil:
+		case err == io.EOF && declared < 0:
+			return chunks, nil
+		case err == io.EOF && total != declared:
+			return nil, io.ErrUnexpectedEOF
+		case err != nil && err != io.EOF:
 			return nil, err
 		}
+		size = min(2*size, maxChunk)
 	}
+	return chunks, nil
 }
 
 // fill reads until p is full. Unlike io.ReadFull it returns the reader's own error, as a body that was cut off
@@ -130,7 +124,10 @@
 }
 
 func join(chunks [][]byte) []byte {
-	if len(chunks) == 1 {
+	switch len(chunks) {
+	case 0:
+		return nil
+	case 1:
 		return chunks[0]
 	}
 	return bytes.Join(chunks, nil)
