What isn't a node can't make one allocate large frames

A node took 421 MB for 20 connections to its port for other nodes that began with a frame of 20 MB and sent nothing useful: each frame was allocated whole by its declared length. The first frame of a connection may have 64 KB now, in both directions, and larger ones take memory as their bytes arrive.

TestConnectionsOfForeignPeersAreClosed failed before (421 MB, connections open for 0.67 s), now 23 MB and 5 ms; TestBytesWithoutEndOfPeersAreGivenUp: 26 MB (103 before).

--- a/internal/mesh/peer/frame.go
+++ b/internal/mesh/peer/frame.go
@@ -17,6 +17,7 @@
 
 	"github.com/limpetdock/limpetdock/internal/kind"
 	"github.com/limpetdock/limpetdock/internal/mesh"
+	"github.com/limpetdock/limpetdock/internal/readlimit"
 )
 
 // frameType identifies the content of a frame. Numbers are never reused.
@@ -59,6 +60,9 @@
 	// maxFrame bounds the body of a frame, in bytes. It is larger than the largest answer
 	// that a node holds in memory, so that only a broken or foreign sender exceeds it.
 	maxFrame = 20 << 20
+	// maxFirstFrame bounds the body of the first frame in each direction, which is a Hello or a load report,
+	// in bytes.
+	maxFirstFrame = 64 << 10
 )
 
 var errFrame = eris.New("invalid frame size or type")
@@ -283,19 +287,26 @@
 	binary.BigEndian.PutUint32(frame[5:], stream)
 }
 
+// decodeFirst reads the first frame of a connection. Something that isn't a node may be at the other end, so the
+// frame must be small.
+func decodeFirst(r *bufio.Reader) (frameType, uint32, []byte, error) { return decodeWithin(r, maxFirstFrame) }
+
 // decode reads the next frame.
-func decode(r *bufio.Reader) (frameType, uint32, []byte, error) {
+func decode(r *bufio.Reader) (frameType, uint32, []byte, error) { return decodeWithin(r, maxFrame) }
+
+// decodeWithin reads the next frame, whose body has limit bytes at most.
+func decodeWithin(r *bufio.Reader, limit uint32) (frameType, uint32, []byte, error) {
 	var prefix [prefixSize]byte
 	if _, err := io.ReadFull(r, prefix[:]); err != nil {
 		return 0, 0, nil, err
 	}
 	size := binary.BigEndian.Uint32(prefix[:])
 	t := frameType(prefix[4])
-	if size > maxFrame || t < frameHello || t >= frameEnd {
+	if size > limit || t < frameHello || t >= frameEnd {
 		return 0, 0, nil, errFrame
 	}
-	body := make([]byte, size)
-	if _, err := io.ReadFull(r, body); err != nil {
+	body, err := readlimit.ReadFull(r, int64(size))
+	if err != nil {
 		return 0, 0, nil, err
 	}
 	return t, binary.BigEndian.Uint32(prefix[5:]), body, nil
--- a/internal/mesh/peer/link.go
+++ b/internal/mesh/peer/link.go
@@ -246,8 +246,8 @@
 // read handles frames until the connection ends, and then fails all of its streams.
 func (l *link) read(raw net.Conn, w *writer) {
 	reader := bufio.NewReader(observedConn{raw, l.noteReceived})
-	for {
-		t, streamID, body, err := decode(reader)
+	for next := decodeFirst; ; next = decode {
+		t, streamID, body, err := next(reader)
 		if err != nil || !l.handleFrame(w, t, streamID, body, false) {
 			break
 		}
--- a/internal/mesh/peer/server.go
+++ b/internal/mesh/peer/server.go
@@ -132,7 +132,7 @@
 	if err := raw.SetReadDeadline(time.Now().Add(helloTimeout)); err != nil {
 		return err
 	}
-	t, _, body, err := decode(reader)
+	t, _, body, err := decodeFirst(reader)
 	if err != nil {
 		return err
 	}
--- a/internal/readlimit/body.go
+++ b/internal/readlimit/body.go
@@ -52,7 +52,16 @@
 	return join(chunks), r.release, nil
 }
 
-// reservation is what one body takes of a Budget.
+// ReadFull reads size bytes. It takes memory only as bytes arrive, so that a wrong size costs nothing.
+func ReadFull(r io.Reader, size int64) ([]byte, error) {
+	chunks, err := (&reservation{}).read(r, size, size)
+	if err != nil {
+		return nil, err
+	}
+	return join(chunks), nil
+}
+
+// reservation is what one body takes of a Budget; a nil Budget has no bound.
 type reservation struct {
 	budget *Budget
 	size   int64
@@ -61,7 +70,7 @@
 // grow reserves memory for a body of size bytes.
 func (r *reservation) grow(size int64) error {
 	more := size - freeSize - r.size
-	if more <= 0 {
+	if more <= 0 || r.budget == nil {
 		return nil
 	}
 	held := r.budget.held.Add(more)
