Heads of the store's answers and of operators' requests are bounded

The library reads heads of answers of up to 10 MB and of requests of up to 1 MB. They may have 64 KB now, requests to the readiness check and the operators' port 32 KB.

--- a/internal/mesh/exchange/head.go
+++ b/internal/mesh/exchange/head.go
@@ -10,9 +10,6 @@
 	"github.com/limpetdock/limpetdock/internal/readlimit"
 )
 
-// maxHead bounds the head of an answer, in bytes.
-const maxHead = 64 << 10
-
 // errNoAnswer means that bytes arrived which are no answer.
 var errNoAnswer = eris.New("the backend server sent bytes that are no answer")
 
@@ -21,7 +18,7 @@
 	if err := checkStatusLine(r); err != nil {
 		return nil, err
 	}
-	err = r.Head(maxHead, func(r *bufio.Reader) error {
+	err = r.Head(readlimit.MaxHead, func(r *bufio.Reader) error {
 		resp, err = http.ReadResponse(r, req)
 		return err
 	})
--- a/internal/mesh/node/admin.go
+++ b/internal/mesh/node/admin.go
@@ -50,11 +50,14 @@
 	return &admin{readyPath: p.ReadyPath, entry: e, guard: g, metrics: m, suspects: q, uplink: u, now: now}
 }
 
-// adminTimeout bounds reading a request's header on these ports.
-const adminTimeout = 5 * time.Second
+// adminTimeout bounds reading a request's header on these ports, and adminHeader its size in bytes.
+const (
+	adminTimeout = 5 * time.Second
+	adminHeader  = 32 << 10
+)
 
 func serveHTTP(l net.Listener, h http.Handler) error {
-	s := &http.Server{Handler: h, ReadHeaderTimeout: adminTimeout}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: adminTimeout, MaxHeaderBytes: adminHeader}
 	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
--- a/internal/mesh/peer/frame.go
+++ b/internal/mesh/peer/frame.go
@@ -289,7 +289,9 @@
 
 // decodeFirst reads the first frame of a connection. Something that isn't a node may be at the other end, so the
 // frame must be small.
-func decodeFirst(r *bufio.Reader) (frameType, uint32, []byte, error) { return decodeWithin(r, maxFirstFrame) }
+func decodeFirst(r *bufio.Reader) (frameType, uint32, []byte, error) {
+	return decodeWithin(r, maxFirstFrame)
+}
 
 // decode reads the next frame.
 func decode(r *bufio.Reader) (frameType, uint32, []byte, error) { return decodeWithin(r, maxFrame) }
--- a/internal/readlimit/head.go
+++ b/internal/readlimit/head.go
@@ -9,6 +9,9 @@
 	"github.com/rotisserie/eris"
 )
 
+// MaxHead is the largest head of an answer that a node accepts, in bytes.
+const MaxHead = 64 << 10
+
 // ErrHeadTooLarge means that the head of a message is larger than allowed.
 var ErrHeadTooLarge = eris.New("the head of the message is too large")
 
