Own interface: heads of answers of backend servers, guards and the platform are bounded

The library's clients accept heads of 10 MB. Callers waited for 5 s, their time limit, when a backend server sent header lines or interim answers without end, and nodes took up to 127 MB (128 allowed). Heads may have 64 KB now, those of guards twice as much for the headers that they add.

A body without end is a stream there: it is passed on until the time limit, then cut.

--- a/internal/entry/transports.go
+++ b/internal/entry/transports.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/limpetdock/limpetdock/internal/readlimit"
 )
 
 const (
@@ -12,6 +14,9 @@
 	dialTimeout = time.Second
 	// idleConnTimeout is how long an unused connection to a guard is kept.
 	idleConnTimeout = time.Minute
+	// maxHead bounds the head of a guard's answer, in bytes: that of the backend server's, and headers of the
+	// guard's own.
+	maxHead = 2 * readlimit.MaxHead
 )
 
 // transports keeps a connection pool for each guard address, so that all connections to one
@@ -40,7 +45,7 @@
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: size.maxIdle, MaxConnsPerHost: size.maxOpen,
 		IdleConnTimeout:    idleConnTimeout,
 		DisableCompression: true, ExpectContinueTimeout: time.Hour,
-		ReadBufferSize: 16 << 10, WriteBufferSize: 16 << 10,
+		ReadBufferSize: 16 << 10, WriteBufferSize: 16 << 10, MaxResponseHeaderBytes: maxHead,
 	}
 }
 
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -22,6 +22,7 @@
 	"github.com/limpetdock/limpetdock/internal/headers"
 	"github.com/limpetdock/limpetdock/internal/kind"
 	"github.com/limpetdock/limpetdock/internal/pick"
+	"github.com/limpetdock/limpetdock/internal/readlimit"
 	"github.com/limpetdock/limpetdock/internal/suspect"
 )
 
@@ -83,7 +84,7 @@
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			return dialWatched(ctx, d, network, addr)
 		}, MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute, DisableCompression: true,
-		ReadBufferSize: 16 << 10, WriteBufferSize: 16 << 10,
+		ReadBufferSize: 16 << 10, WriteBufferSize: 16 << 10, MaxResponseHeaderBytes: readlimit.MaxHead,
 	}
 }
 
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -17,6 +17,7 @@
 
 	"github.com/limpetdock/limpetdock/fleet"
 	"github.com/limpetdock/limpetdock/internal/progress"
+	"github.com/limpetdock/limpetdock/internal/readlimit"
 )
 
 // VMState is the state of a VM in the VM list.
@@ -91,7 +92,7 @@
 
 // NewHTTP returns a client for the platform at base.
 func NewHTTP(base *url.URL) *HTTP {
-	transport := &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute, DisableCompression: true}
+	transport := &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute, DisableCompression: true, MaxResponseHeaderBytes: readlimit.MaxHead}
 	return &HTTP{base: base, client: &http.Client{Transport: transport}}
 }
 
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/limpetdock/limpetdock/internal/clock"
+	"github.com/limpetdock/limpetdock/standin/endless"
 )
 
 type backend struct {
@@ -81,6 +82,12 @@
 	}
 	b.running.Add(1)
 	defer b.running.Add(-1)
+	if kind := r.Header.Get("X-Standin-Endless"); kind != "" {
+		if err := endless.Answer(kind).Send(w, http.Header{}, &endless.Log{}); err != nil {
+			panic(err)
+		}
+		return
+	}
 	outcome := "cut"
 	defer func() { b.record(r, "end", outcome) }()
 	if cfg.FailFast {
--- a/standin/deploy/deploy.go
+++ b/standin/deploy/deploy.go
@@ -88,6 +88,9 @@
 // Backend returns the backend server stand-in of a VM.
 func (d *Deployment) Backend(vm string) *Process { return d.backends[vm] }
 
+// PlatformAddr returns the address of the platform.
+func (d *Deployment) PlatformAddr() string { return d.net.platform() }
+
 // Platform returns the platform stand-in.
 func (d *Deployment) Platform() *Process { return d.platform }
 
--- a/standin/deploy/plan.go
+++ b/standin/deploy/plan.go
@@ -54,6 +54,12 @@
 	return fmt.Sprintf("127.%d.%d.%d", p.net, firstRelayNet+link, p.index)
 }
 
+// Guard returns the address on which the node accepts requests from other nodes' entries.
+func (p VM) Guard(f fleet.Fleet) string { return fmt.Sprintf("%s:%d", p.IP(), f.Ports.Guard) }
+
+// Control returns the address on which the node accepts messages of other nodes.
+func (p VM) Control(f fleet.Fleet) string { return fmt.Sprintf("%s:%d", p.IP(), f.Ports.Control) }
+
 // Callers returns the address on which the node accepts callers' requests.
 func (p VM) Callers() string { return fmt.Sprintf("%s:%d", p.IP(), callersPort) }
 
