Own interface: an answer without end that nobody waits for is given up

A guard read the rest of an at-most-once answer whose entry had left until the request's deadline. It reads 16 MB at most now, then closes the connection. TestAnswerWithoutEndOfLostExchangeIsGivenUp failed before.

--- a/internal/guard/once.go
+++ b/internal/guard/once.go
@@ -143,13 +143,16 @@
 	}
 }
 
+// maxDiscarded bounds what is read of an answer that nobody waits for, in bytes.
+const maxDiscarded = 16 << 20
+
 // discard drains an answer that nobody waits for.
 func discard(ended <-chan result) {
 	res := <-ended
 	if res.resp == nil {
 		return
 	}
-	_, _ = io.Copy(io.Discard, res.resp.Body)
+	_, _ = io.Copy(io.Discard, io.LimitReader(res.resp.Body, maxDiscarded))
 	_ = res.resp.Body.Close()
 }
 
