--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,7 @@
 	go test -race $(TESTFLAGS) $$(go list ./... | grep -v /test/)
 
 test-large:
-	go test $(TESTFLAGS) -run TestRediscovery ./internal/mesh/entry
+	go test $(TESTFLAGS) -run 'TestRediscovery|TestCrashingRequestInOverload' ./internal/mesh/entry
 
 test-processes:
 	go test -p 2 $(TESTFLAGS) ./test/...
--- a/internal/mesh/entry/crash_test.go
+++ b/internal/mesh/entry/crash_test.go
@@ -28,6 +28,8 @@
 	// fleetNodes is the number of nodes, of which the first fleetServers have a backend server.
 	fleetNodes   = 12
 	fleetServers = 6
+	// fleetServiceTime is the mean service time of requests.
+	fleetServiceTime = 90 * time.Millisecond
 	// newsDelay is the time of a message between two nodes.
 	newsDelay  = 10 * time.Millisecond
 	crashURI   = "/read/crash"
@@ -72,11 +74,11 @@
 }
 
 func newCrashFleet(ctx context.Context, wg *sync.WaitGroup, seed uint64) *crashFleet {
-	return newCrashFleetOf(ctx, wg, seed, fleetNodes, fleetServers)
+	return newCrashFleetOf(ctx, wg, seed, fleetNodes, fleetServers, fleetServiceTime)
 }
 
-// newCrashFleetOf starts as many nodes, of which the first ones have a backend server.
-func newCrashFleetOf(ctx context.Context, wg *sync.WaitGroup, seed uint64, nodes, servers int) *crashFleet {
+// newCrashFleetOf starts as many nodes, of which the first ones have a backend server with a mean service time.
+func newCrashFleetOf(ctx context.Context, wg *sync.WaitGroup, seed uint64, nodes, servers int, serviceTime time.Duration) *crashFleet {
 	start := time.Now()
 	f := &crashFleet{nodes: nodes, stop: func() {}, now: func() time.Duration { return time.Since(start) }}
 	route := &mesh.Route{
@@ -93,7 +95,7 @@
 			Slots: 6, Queue: 10, Spread: 0.3, CrashTime: 35 * time.Millisecond, DownTime: 3 * time.Second,
 			Crashes: func(m *exchange.Message) bool { return m.URI == crashURI },
 		}
-		f.servers = append(f.servers, model.NewServer(b, []model.ServiceTime{{Prefix: "/", Mean: 90 * time.Millisecond}}, seed+uint64(i)))
+		f.servers = append(f.servers, model.NewServer(b, []model.ServiceTime{{Prefix: "/", Mean: serviceTime}}, seed+uint64(i)))
 	}
 	f.startNodes(ctx, wg)
 	return f
@@ -155,8 +157,8 @@
 	shortestRetry time.Duration
 }
 
-// send sends one read at an entry.
-func (r *reads) send(ctx context.Context, e *entry.Entry, now time.Duration, uri string) {
+// send sends one read at an entry and reports whether it was served.
+func (r *reads) send(ctx context.Context, e *entry.Entry, now time.Duration, uri string) bool {
 	_, err := e.Serve(ctx, &entry.Inbound{ID: uri, Method: http.MethodGet, URI: uri, Path: uri, Host: "h", Header: http.Header{}, Arrived: now})
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -170,6 +172,7 @@
 	if err != nil && (r.shortestRetry == 0 || err.RetryAfter < r.shortestRetry) {
 		r.shortestRetry = err.RetryAfter
 	}
+	return err == nil
 }
 
 // Guards against popular requests that are blocked because backend servers are killed in waves, with
--- a/internal/mesh/entry/rediscovery_test.go
+++ b/internal/mesh/entry/rediscovery_test.go
@@ -40,7 +40,7 @@
 func (r rediscovery) play(t *testing.T) (first, again, later int) {
 	ctx, cancel := context.WithCancel(t.Context())
 	var background, requests sync.WaitGroup
-	f := newCrashFleetOf(ctx, &background, r.seed, r.nodes, r.servers)
+	f := newCrashFleetOf(ctx, &background, r.seed, r.nodes, r.servers, fleetServiceTime)
 	rnd := rand.New(rand.NewPCG(r.seed, 4))
 	var counted reads
 	start := time.Now()
--- a/internal/mesh/entry/slowness_test.go
+++ b/internal/mesh/entry/slowness_test.go
@@ -62,7 +62,7 @@
 		virtualtime.Test(t, func(t *testing.T) {
 			ctx, cancel := context.WithCancel(t.Context())
 			var background sync.WaitGroup
-			f := newCrashFleetOf(ctx, &background, seed, 8, 5)
+			f := newCrashFleetOf(ctx, &background, seed, 8, 5, fleetServiceTime)
 			for _, g := range f.guards {
 				g.SetView(&mesh.View{Config: f.config, OverloadScheduling: overload, LocalTarget: &mesh.Target{ID: "i-1", Service: "s", Slots: 6, Addr: "h"}})
 			}
