Bytes without end: review of the bounds; what operators see of them

An answer to another request that breaks off counts as the end of its connection again, by which deaths are found. Metrics: memory of callers' larger bodies, and how often a backend server sent bytes without a request; the log of a broken exchange names its cause.

--- a/internal/mesh/exchange/conn.go
+++ b/internal/mesh/exchange/conn.go
@@ -185,7 +185,13 @@
 		}
 		if resp.Header.Get(c.names.RequestID) != id {
 			n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxExtra+1))
-			if err != nil || n > maxExtra || resp.Close {
+			if err != nil {
+				return result{err: eris.Wrap(err, "read answer to another request")}
+			}
+			if resp.Close {
+				return result{err: errUnmatched}
+			}
+			if n > maxExtra {
 				break
 			}
 			continue
--- a/internal/mesh/exchange/pool.go
+++ b/internal/mesh/exchange/pool.go
@@ -59,6 +59,8 @@
 	bodies *readlimit.Budget
 	// reuseFrom is when connections may be used for several requests again, in nanoseconds since the epoch.
 	reuseFrom atomic.Int64
+	// reusePauses counts how often avoidReuse was called.
+	reusePauses atomic.Uint64
 }
 
 // NewClient returns a Client for the backend server at addr.
@@ -198,7 +200,14 @@
 
 // avoidReuse makes each request use a connection of its own for some time. A request on a connection with bytes
 // that belong to no request fails, as its answer can't be told from them.
-func (c *Client) avoidReuse() { c.reuseFrom.Store(time.Now().Add(reusePause).UnixNano()) }
+func (c *Client) avoidReuse() {
+	c.reusePauses.Add(1)
+	c.reuseFrom.Store(time.Now().Add(reusePause).UnixNano())
+}
+
+// ReusePauses returns how often the backend server has sent bytes without a request, so that connections weren't
+// reused for a while.
+func (c *Client) ReusePauses() uint64 { return c.reusePauses.Load() }
 
 func (c *Client) mayReuse() bool { return time.Now().UnixNano() >= c.reuseFrom.Load() }
 
--- a/internal/mesh/front/conn.go
+++ b/internal/mesh/front/conn.go
@@ -129,7 +129,7 @@
 		c.answers <- p
 	}
 	limit := unknownLingerBytes
-	if bad == tooLarge {
+	if bad.declared {
 		limit = lingerBytes
 	}
 	if bad != disconnected && c.finish() {
--- a/internal/mesh/front/front_test.go
+++ b/internal/mesh/front/front_test.go
@@ -256,3 +256,31 @@
 	require.NoError(t, err)
 	require.Equal(t, "PUTxy", string(body))
 }
+
+// Guards against large bodies that together take up a node's memory, and against small ones that are refused for it.
+func TestLargeBodiesShareABound(t *testing.T) {
+	const mb = 1 << 20
+	s, first := start(t, handler{serve: func(context.Context, *front.Request) *front.Response { return text("") }})
+	upload := func(c *caller, size, sent int) {
+		c.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", size)
+		_, err := c.Write(make([]byte, sent))
+		require.NoError(t, err)
+	}
+	upload(first, 30*mb, 23*mb)
+	require.Eventually(t, func() bool { return s.BodyBytes() > 22*mb }, time.Minute, time.Millisecond)
+	statusOf := func(size int) int {
+		c := dial(t, first.RemoteAddr().String())
+		defer func() { _ = c.Close() }()
+		upload(c, size, size)
+		resp, _ := c.answer()
+		return resp.StatusCode
+	}
+	require.Equal(t, http.StatusServiceUnavailable, statusOf(2*mb))
+	require.Equal(t, http.StatusOK, statusOf(200<<10))
+	_, err := first.Write(make([]byte, 7*mb))
+	require.NoError(t, err)
+	resp, _ := first.answer()
+	require.Equal(t, http.StatusOK, resp.StatusCode, "a body that was the only larger one")
+	require.Eventually(t, func() bool { return s.BodyBytes() == 0 }, time.Minute, time.Millisecond)
+	require.Equal(t, http.StatusOK, statusOf(2*mb))
+}
--- a/internal/mesh/front/read.go
+++ b/internal/mesh/front/read.go
@@ -30,22 +30,31 @@
 	bodyTimeout = 10 * time.Second
 )
 
-// badRequest is a request that can't be read, with the status of its answer.
-type badRequest struct{ status int }
+// badRequest is a request that can't be read.
+type badRequest struct {
+	// status is that of the answer; 0 is none.
+	status int
+	// declared is true if the length of what still comes was declared.
+	declared bool
+}
 
 var (
 	// disconnected means that the caller has closed the connection, and incomplete that no whole
 	// request arrived in time. Neither is answered.
 	disconnected = &badRequest{}
 	incomplete   = &badRequest{}
-	// tooLarge means that the declared length of the body is over the limit, and tooLong that so much of
-	// a body without a declared length has arrived.
-	tooLarge = &badRequest{http.StatusRequestEntityTooLarge}
-	tooLong  = &badRequest{http.StatusRequestEntityTooLarge}
-	// noRoom means that the bodies of other requests take up the memory for them.
-	noRoom = &badRequest{http.StatusServiceUnavailable}
 )
 
+// tooLarge returns the rejection of a request whose body is over the limit.
+func tooLarge(in *http.Request) *badRequest {
+	return &badRequest{http.StatusRequestEntityTooLarge, in.ContentLength >= 0}
+}
+
+// noRoom returns the rejection of a request for whose body other bodies leave no memory.
+func noRoom(in *http.Request) *badRequest {
+	return &badRequest{http.StatusServiceUnavailable, in.ContentLength >= 0}
+}
+
 // answered reports whether an answer is sent.
 func (b *badRequest) answered() bool { return b.status != 0 }
 
@@ -168,20 +177,20 @@
 	case errors.As(err, &failure), errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, net.ErrClosed):
 		return disconnected
 	}
-	return &badRequest{http.StatusBadRequest}
+	return &badRequest{status: http.StatusBadRequest}
 }
 
 // headerError returns the answer to a header that can't be read.
 func headerError(err error) *badRequest {
 	if errors.Is(err, readlimit.ErrHeadTooLarge) {
-		return &badRequest{http.StatusRequestHeaderFieldsTooLarge}
+		return &badRequest{status: http.StatusRequestHeaderFieldsTooLarge}
 	}
 	return readError(err)
 }
 
 // validate rejects requests that can't be forwarded as they are.
 func validate(in *http.Request) *badRequest {
-	bad := &badRequest{http.StatusBadRequest}
+	bad := &badRequest{status: http.StatusBadRequest}
 	switch {
 	case in.ProtoMajor != 1, in.Host == "" && in.ProtoMinor == 1:
 		return bad
@@ -215,7 +224,7 @@
 	}
 	limit := cmp.Or(limits.BodyBytes, defaultBodyBytes)
 	if in.ContentLength > limit {
-		return nil, release, tooLarge
+		return nil, release, tooLarge(in)
 	}
 	if strings.EqualFold(in.Header.Get("Expect"), "100-continue") {
 		if !c.awaitAnswers() {
@@ -228,9 +237,9 @@
 	body, release, err := c.server.bodies.ReadAll(&pacedReader{conn: c, from: in.Body}, in.ContentLength, limit)
 	switch {
 	case errors.Is(err, readlimit.ErrBodyTooLarge):
-		return nil, release, tooLong
+		return nil, release, tooLarge(in)
 	case errors.Is(err, readlimit.ErrNoRoom):
-		return nil, release, noRoom
+		return nil, release, noRoom(in)
 	case err != nil:
 		return nil, release, readError(err)
 	}
--- a/internal/mesh/front/server.go
+++ b/internal/mesh/front/server.go
@@ -114,6 +114,9 @@
 // Active returns how many requests were read and not answered yet.
 func (s *Server) Active() int { return int(s.active.Load()) }
 
+// BodyBytes returns the memory that larger bodies of requests take which aren't answered yet, in bytes.
+func (s *Server) BodyBytes() int64 { return s.bodies.Held() }
+
 // Shutdown stops accepting connections and reading requests, and waits until every request that
 // was read is answered and all connections are closed. It returns the error of ctx if that ends
 // earlier; the requests that are left run on.
--- a/internal/mesh/guard/death.go
+++ b/internal/mesh/guard/death.go
@@ -49,7 +49,7 @@
 		recorded = g.breaks.Broke(fingerprint, g.Now())
 	}
 	d.Alone, d.Served, d.Trial = alone, g.servedLately(fingerprint), s.onTrial
-	g.Log.InfoLimited("exchange with the backend server broke off", "id", s.request.ID, "finding", finding.String(),
+	g.Log.InfoLimited("exchange with the backend server broke off", "id", s.request.ID, "finding", finding.String(), "cause", f.Error(),
 		"recorded", recorded, "death", formatDeath(d.ID), "alone", alone, "served", d.Served, "trial", d.Trial)
 	if recorded {
 		g.Suspects.Died(fingerprint, d)
