Review case 2: a target whose entry was removed stays in use while the store cuts watches

A cut watch counts as an outage of the store, and the grace period for registrations that ended in an outage begins anew each time.

--- a/review/lab/store.go
+++ b/review/lab/store.go
@@ -29,6 +29,7 @@
 }
 
 // Store is a stand-in for the platform's store. It answers at once, loses nothing and keeps its whole history.
+// It closes the connection after each answer.
 type Store struct {
 	record  *Record
 	server  *http.Server
@@ -138,6 +139,7 @@
 
 func (s *Store) send(w http.ResponseWriter, p page) {
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Connection", "close")
 	_ = json.NewEncoder(w).Encode(p)
 }
 
