--- a/review/cmd/drain/main.go
+++ b/review/cmd/drain/main.go
@@ -24,13 +24,17 @@
 	// servesOn is how long the target serves on after its entry was removed: drain_s and some seconds.
 	servesOn = 8 * time.Second
 	after    = 2 * time.Second
+	// syncTime is how long it takes until all watches wait.
+	syncTime = 3 * time.Second
 	clients  = 12
 	interval = 300 * time.Millisecond
 	work     = 120 * time.Millisecond
 	// cutAfter is how long a watch waits before it is cut.
-	cutAfter = 400 * time.Millisecond
+	cutAfter = time.Second
 	// cutFor is how long watches are cut before the target leaves.
 	cutFor = 4 * time.Second
+	// backoff is the longest pause of a node after a call that failed.
+	backoff = 150 * time.Millisecond
 )
 
 func main() { os.Exit(run()) }
@@ -54,7 +58,7 @@
 	var mu sync.Mutex
 	var wait sync.WaitGroup
 	var outcomes []lab.Outcome
-	end := time.Now().Add(settle + cutFor + servesOn + after)
+	end := time.Now().Add(settle + cutFor + syncTime + servesOn + after)
 	for n := range clients {
 		wait.Add(1)
 		go func() {
@@ -71,11 +75,20 @@
 		}()
 	}
 	time.Sleep(settle)
+	key := "servers/" + leaves.TargetID
+	var rev uint64
 	if l.Trouble {
 		l.Store.SetCutAfter(cutAfter)
 		time.Sleep(cutFor)
+		awaitWatches(l)
+		l.Store.CutWatches()
+		time.Sleep(2 * backoff)
+		awaitWatches(l)
+		time.Sleep(backoff)
+		rev = l.Store.CutWatchesAndRemove(key)
+	} else {
+		rev = l.Store.Put(key, nil)
 	}
-	rev := l.Store.Put("servers/"+leaves.TargetID, nil)
 	acked := time.Now()
 	l.Record.Printf("the entry of target %s is removed, acknowledged as revision %d", leaves.TargetID, rev)
 	time.Sleep(servesOn)
@@ -85,6 +98,13 @@
 	return judge(l, leaves, stays, acked, outcomes)
 }
 
+// awaitWatches waits until the watches of all nodes wait.
+func awaitWatches(l *lab.Lab) {
+	for until := time.Now().Add(10 * time.Second); l.Store.Waiting() < len(l.Machines) && time.Now().Before(until); {
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
 // judge checks the rule DRAIN: no request reaches the target later than drain_s after the ack.
 func judge(l *lab.Lab, leaves, stays *lab.Machine, acked time.Time, outcomes []lab.Outcome) int {
 	before, late, last := 0, 0, time.Duration(0)
--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -88,6 +88,11 @@
 			return err
 		}
 	}
+	return l.StartNodes()
+}
+
+// StartNodes starts all nodes and waits until they are ready.
+func (l *Lab) StartNodes() error {
 	for _, m := range l.Machines {
 		if err := m.Start(l.Root, l.Dir); err != nil {
 			return err
--- a/review/lab/store.go
+++ b/review/lab/store.go
@@ -98,16 +98,27 @@
 	s.cutAfter = d
 }
 
-// CutWatches cuts all watches that wait, and returns how many.
-func (s *Store) CutWatches() int {
+// CutWatches cuts all watches that wait.
+func (s *Store) CutWatches() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	n := len(s.waiting)
+	s.cut()
+}
+
+func (s *Store) cut() {
 	for c := range s.waiting {
 		close(c)
 		delete(s.waiting, c)
 	}
-	return n
+}
+
+// CutWatchesAndRemove cuts all watches that wait, and at the same moment removes an entry. It returns the revision
+// of the change.
+func (s *Store) CutWatchesAndRemove(key string) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cut()
+	return s.put(key, nil)
 }
 
 // Waiting returns how many watches wait.
--- a/review/lab/target.go
+++ b/review/lab/target.go
@@ -27,6 +27,8 @@
 	Repeat bool
 	// Work is how long it works on the request.
 	Work time.Duration
+	// Crash ends the target's process once it has begun to work on the request.
+	Crash bool
 }
 
 // Target is a stand-in for a target: an HTTP/1.1 server that serves one request at a time on a connection.
@@ -36,24 +38,34 @@
 	Record            *Record
 	// Decide is called for each request that is for this target.
 	Decide func(r *http.Request) Arrival
+	// Crashed is called after a crash; nil is nothing.
+	Crashed func()
 
-	mu       sync.Mutex
-	running  int
-	waiting  int
-	slots    chan struct{}
+	mu sync.Mutex
+	// process is the present incarnation.
+	process  *process
 	runs     []Run
 	listener net.Listener
 	conns    map[net.Conn]struct{}
 	born     time.Time
 }
 
+// process is one incarnation of a target. The target's mutex protects its counts.
+type process struct {
+	running, waiting int
+	slots            chan struct{}
+}
+
 // Start opens the target's port.
 func (t *Target) Start() error {
 	l, err := net.Listen("tcp", t.Addr)
 	if err != nil {
 		return err
 	}
-	t.listener, t.slots, t.conns, t.born = l, make(chan struct{}, t.Slots), map[net.Conn]struct{}{}, time.Now()
+	p := &process{slots: make(chan struct{}, t.Slots)}
+	t.mu.Lock()
+	t.process, t.listener, t.conns, t.born = p, l, map[net.Conn]struct{}{}, time.Now()
+	t.mu.Unlock()
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -61,9 +73,14 @@
 				return
 			}
 			t.mu.Lock()
+			if t.process != p {
+				t.mu.Unlock()
+				_ = c.Close()
+				return
+			}
 			t.conns[c] = struct{}{}
 			t.mu.Unlock()
-			go t.serve(c)
+			go t.serve(p, c)
 		}
 	}()
 	return nil
@@ -71,9 +88,9 @@
 
 // Stop ends the target: its port and all connections are closed.
 func (t *Target) Stop() {
-	_ = t.listener.Close()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	_ = t.listener.Close()
 	for c := range t.conns {
 		_ = c.Close()
 	}
@@ -95,13 +112,13 @@
 // queueLimit is how many requests wait for a slot.
 const queueLimit = 12
 
-func (t *Target) load() string {
+func (t *Target) load(p *process) string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return fmt.Sprintf("%d,%d,%d,100", t.running, t.waiting, t.Slots)
+	return fmt.Sprintf("%d,%d,%d,100", p.running, p.waiting, t.Slots)
 }
 
-func (t *Target) serve(c net.Conn) {
+func (t *Target) serve(p *process, c net.Conn) {
 	defer func() {
 		t.mu.Lock()
 		delete(t.conns, c)
@@ -127,7 +144,7 @@
 			}
 			late = ""
 		}
-		answer, repeat := t.handle(req, len(body))
+		answer, repeat := t.handle(p, req, len(body))
 		if _, err := io.WriteString(c, answer); err != nil {
 			return
 		}
@@ -149,9 +166,9 @@
 	return b.String()
 }
 
-func (t *Target) handle(req *http.Request, bodyBytes int) (text string, repeat bool) {
+func (t *Target) handle(p *process, req *http.Request, bodyBytes int) (text string, repeat bool) {
 	id := req.Header.Get("Request-Id")
-	header := map[string]string{"Request-Id": id, "Server-Load": t.load()}
+	header := map[string]string{"Request-Id": id, "Server-Load": t.load(p)}
 	if req.URL.Path == "/healthz" {
 		header["Instance-Id"] = t.ID
 		return answer(http.StatusOK, header, ""), false
@@ -165,46 +182,54 @@
 		return answer(http.StatusMisdirectedRequest, header, ""), false
 	}
 	a := t.Decide(req)
-	if a.Shed || !t.enter(req) {
+	if a.Shed || !t.enter(p) {
 		t.Record.Printf("target %s rejects %s with 503 and Not-Executed; second answer later: %t", t.ID, id, a.Repeat)
 		header["Not-Executed"] = "1"
 		return answer(http.StatusServiceUnavailable, header, ""), a.Repeat
 	}
-	defer t.leave()
+	defer t.leave(p)
 	t.mu.Lock()
 	t.runs = append(t.runs, Run{t.ID, id, req.Method, req.URL.RequestURI(), req.Header.Get("Caller-Service"), time.Now()})
 	t.mu.Unlock()
 	t.Record.Printf("target %s runs %s %s %s", t.ID, id, req.Method, req.URL.RequestURI())
+	if a.Crash {
+		t.Record.Printf("target %s crashes", t.ID)
+		t.Stop()
+		if t.Crashed != nil {
+			go t.Crashed()
+		}
+		return "", false
+	}
 	if ms, err := strconv.Atoi(req.Header.Get("Deadline-Ms")); err == nil && time.Duration(ms)*time.Millisecond < a.Work {
 		time.Sleep(time.Duration(ms) * time.Millisecond)
-		header["Server-Load"] = t.load()
+		header["Server-Load"] = t.load(p)
 		return answer(http.StatusGatewayTimeout, header, ""), a.Repeat
 	}
 	time.Sleep(a.Work)
-	header["Server-Load"], header["Server-Signature"] = t.load(), "signed-by-"+t.ID+"-"+id
+	header["Server-Load"], header["Server-Signature"] = t.load(p), "signed-by-"+t.ID+"-"+id
 	return answer(http.StatusOK, header, fmt.Sprintf("%s ran %s with %d bytes\n", t.ID, id, bodyBytes)), a.Repeat
 }
 
 // enter waits for a slot. It returns false if the queue is full.
-func (t *Target) enter(*http.Request) bool {
+func (t *Target) enter(p *process) bool {
 	t.mu.Lock()
-	if t.running >= t.Slots && t.waiting >= queueLimit {
+	if p.running >= t.Slots && p.waiting >= queueLimit {
 		t.mu.Unlock()
 		return false
 	}
-	t.waiting++
+	p.waiting++
 	t.mu.Unlock()
-	t.slots <- struct{}{}
+	p.slots <- struct{}{}
 	t.mu.Lock()
-	t.waiting--
-	t.running++
+	p.waiting--
+	p.running++
 	t.mu.Unlock()
 	return true
 }
 
-func (t *Target) leave() {
-	<-t.slots
+func (t *Target) leave(p *process) {
+	<-p.slots
 	t.mu.Lock()
-	t.running--
+	p.running--
 	t.mu.Unlock()
 }
