Review case 2: a request that crashes targets after 2.5 s is never blocked

The guard doesn't count a suspect as alone once it has run for two seconds, and blocks only requests that were alone at a death.

--- a/review/lab/client.go
+++ b/review/lab/client.go
@@ -72,6 +72,13 @@
 	return o
 }
 
+// Close closes the connection.
+func (c *Client) Close() {
+	if c.conn != nil {
+		c.drop()
+	}
+}
+
 func (c *Client) drop() {
 	_ = c.conn.Close()
 	c.conn = nil
--- a/review/lab/target.go
+++ b/review/lab/target.go
@@ -27,8 +27,8 @@
 	Repeat bool
 	// Work is how long it works on the request.
 	Work time.Duration
-	// Crash ends the target's process once it has begun to work on the request.
-	Crash bool
+	// Crash ends the target's process after this time of work on the request; 0 is never.
+	Crash time.Duration
 }
 
 // Target is a stand-in for a target: an HTTP/1.1 server that serves one request at a time on a connection.
@@ -91,6 +91,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	_ = t.listener.Close()
+	t.process = nil
 	for c := range t.conns {
 		_ = c.Close()
 	}
@@ -192,7 +193,11 @@
 	t.runs = append(t.runs, Run{t.ID, id, req.Method, req.URL.RequestURI(), req.Header.Get("Caller-Service"), time.Now()})
 	t.mu.Unlock()
 	t.Record.Printf("target %s runs %s %s %s", t.ID, id, req.Method, req.URL.RequestURI())
-	if a.Crash {
+	if a.Crash > 0 {
+		time.Sleep(a.Crash)
+		if !t.alive(p) {
+			return "", false
+		}
 		t.Record.Printf("target %s crashes", t.ID)
 		t.Stop()
 		if t.Crashed != nil {
@@ -210,6 +215,13 @@
 	return answer(http.StatusOK, header, fmt.Sprintf("%s ran %s with %d bytes\n", t.ID, id, bodyBytes)), a.Repeat
 }
 
+// alive reports whether an incarnation is the present one.
+func (t *Target) alive(p *process) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.process == p
+}
+
 // enter waits for a slot. It returns false if the queue is full.
 func (t *Target) enter(p *process) bool {
 	t.mu.Lock()
