A request id is sent once on a connection to the backend server

Hypotheses: (1) the second copy is taken for the answer to the next sending, as both bear the id; (2) the entry sends a request on whose outcome is unknown; (3) the server runs what it rejected. With a test in which the server answers the first sending, reads the second and then sends the first answer again, the old code returns the first answer for each of seven statuses, up to two other exchanges between and up to three copies (63 of 63 failed).

Cause: answers are told apart by their id alone, which names a request and not one of its sendings. Now a connection remembers the ids that it has carried, and a request whose id is among them uses another. It stays in use for other ids.

Counters for answers that belong to no waiting request, and for connections passed over.

Looked at without a finding: peers tell answers apart by a stream number that is used once on a connection; entries of the own interface by an id drawn for each sending, or one whose second answer could come only from a guard; the store, the platform of the own interface and the CLI are asked over connections where a call is in progress alone, and none of them sends second answers.

--- a/internal/mesh/exchange/conn.go
+++ b/internal/mesh/exchange/conn.go
@@ -1,7 +1,8 @@
 // Package exchange speaks HTTP/1.1 to the backend server beside the node, over
 // persistent connections. For each exchange it records whether a byte of the request
 // was sent, and it accepts only an answer that echoes the request's own ID: a backend
-// server may answer twice, or late, on a connection that is reused.
+// server may answer twice, or late, on a connection that is reused. As an ID tells answers
+// apart only if it is sent once on a connection, a repeated request uses another one.
 package exchange
 
 import (
@@ -65,6 +66,9 @@
 	// backend server keeps it open from then on; 0 is unknown.
 	idleSince time.Time
 	keepAlive time.Duration
+	// sentIDs holds the IDs of the requests that were sent. It is used by the request that uses the connection
+	// and, while it is idle, under the client's mutex.
+	sentIDs idSet
 	// receiving is true while bytes arrive that belong to no request.
 	receiving atomic.Bool
 	mu        sync.Mutex
@@ -161,6 +165,7 @@
 		_, err = io.Copy(io.Discard, resp.Body)
 	}
 	if err == nil && resp.ContentLength <= maxExtra {
+		c.client.unmatchedAnswers.Add(1)
 		return c.SetReadDeadline(time.Time{}) == nil
 	}
 	if c.alive() && !isEnd(err) {
@@ -184,6 +189,7 @@
 			return result{err: errIntermediary}
 		}
 		if resp.Header.Get(c.names.RequestID) != id {
+			c.client.unmatchedAnswers.Add(1)
 			n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxExtra+1))
 			if err != nil {
 				return result{err: eris.Wrap(err, "read answer to another request")}
--- a/internal/mesh/exchange/pool.go
+++ b/internal/mesh/exchange/pool.go
@@ -61,6 +61,10 @@
 	reuseFrom atomic.Int64
 	// reusePauses counts how often avoidReuse was called.
 	reusePauses atomic.Uint64
+	// unmatchedAnswers counts the answers that belonged to no request that was waiting.
+	unmatchedAnswers atomic.Uint64
+	// repeatsDiverted counts the idle connections that were passed over by a request whose ID they had carried.
+	repeatsDiverted atomic.Uint64
 }
 
 // NewClient returns a Client for the backend server at addr.
@@ -142,10 +146,12 @@
 // first byte is written. When ctx ends the connection is closed, by which most backend
 // servers notice that the answer is no longer awaited.
 func (c *Client) Do(ctx context.Context, m *Message, allow func() bool) (*mesh.Answer, *Failure) {
-	pc, err := c.acquire(ctx, m.AtMostOnce)
+	id := m.Header.Get(c.names.RequestID)
+	pc, err := c.acquire(ctx, id, m.AtMostOnce)
 	if err != nil {
 		return nil, &Failure{Outcome: Unreachable, Cause: err}
 	}
+	pc.sentIDs.add(id)
 	allowed := func() bool { return !pc.watch.Stale() && allow() }
 	pc.watch.SetBusy(true)
 	r, sent := pc.send(ctx, m.request(), allowed)
@@ -159,7 +165,7 @@
 		return nil, &Failure{Outcome: outcome, Cause: r.err, Generation: pc.watch.Generation(), conn: pc.watch}
 	}
 	pc.watch.Answered()
-	if pc.noteKeepAlive(r.resp) && pc.alive() && c.mayReuse() {
+	if pc.noteKeepAlive(r.resp) && pc.alive() && c.mayReuse() && !pc.sentIDs.full() {
 		c.release(pc)
 	} else {
 		pc.abort()
@@ -167,8 +173,9 @@
 	return &mesh.Answer{Status: r.resp.StatusCode, Header: r.resp.Header, Body: r.body}, nil
 }
 
-// acquire returns an idle connection, the most recently used first, or a new one.
-func (c *Client) acquire(ctx context.Context, atMostOnce bool) (*conn, error) {
+// acquire returns an idle connection on which no request with this ID has been sent, the most
+// recently used first, or a new one.
+func (c *Client) acquire(ctx context.Context, id string, atMostOnce bool) (*conn, error) {
 	now := time.Now()
 	c.mu.Lock()
 	for i := len(c.idle) - 1; i >= 0; i-- {
@@ -181,6 +188,10 @@
 		if pc.receiving.Load() || atMostOnce && now.Sub(pc.idleSince) > atMostOnceIdle {
 			continue
 		}
+		if pc.sentIDs.contains(id) {
+			c.repeatsDiverted.Add(1)
+			continue
+		}
 		c.idle = append(c.idle[:i], c.idle[i+1:]...)
 		c.mu.Unlock()
 		return pc, nil
@@ -209,6 +220,13 @@
 // reused for a while.
 func (c *Client) ReusePauses() uint64 { return c.reusePauses.Load() }
 
+// UnmatchedAnswers returns how many answers belonged to no request that was waiting, such as second answers.
+func (c *Client) UnmatchedAnswers() uint64 { return c.unmatchedAnswers.Load() }
+
+// RepeatsDiverted returns how often an idle connection was not used for a request because the same ID had been sent
+// on it before.
+func (c *Client) RepeatsDiverted() uint64 { return c.repeatsDiverted.Load() }
+
 func (c *Client) mayReuse() bool { return time.Now().UnixNano() >= c.reuseFrom.Load() }
 
 func (c *Client) release(pc *conn) {
--- a/internal/mesh/node/metrics.go
+++ b/internal/mesh/node/metrics.go
@@ -42,6 +42,8 @@
 	m.Gauge("limpetdock_retry_slack_nodes", "Nodes by which the slack of the retry budget is divided.", func() float64 { return float64(e.RetryCounts().Nodes) })
 	count("limpetdock_backend_connections_total", "Connections opened to the backend server.", b.Opened)
 	count("limpetdock_backend_reuse_pauses_total", "Times that the backend server sent bytes without a request, so that connections to it aren't reused for a while.", b.ReusePauses)
+	count("limpetdock_backend_unmatched_answers_total", "Answers of the backend server that belonged to no waiting request, such as second answers.", b.UnmatchedAnswers)
+	count("limpetdock_backend_repeats_diverted_total", "Idle connections to the backend server that a request was not sent on, as its id had been sent there before.", b.RepeatsDiverted)
 	count("limpetdock_callers_connections_total", "Connections accepted from callers.", f.Counts.Accepted.Load)
 	count("limpetdock_callers_requests_total", "Requests read whole.", f.Counts.Requests.Load)
 	count("limpetdock_callers_rejected_total", "Requests that could not be read.", f.Counts.Rejected.Load)
