--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -48,6 +48,8 @@
 	// IsPreferredReader reports whether the node ranks among the first readers of its zone,
 	// and HasOtherReader whether another node reports that it reads the store.
 	IsPreferredReader, HasOtherReader func() bool
+	// Heartbeat is how often a backend server renews its registration.
+	Heartbeat time.Duration
 	// Now returns the time since the node's start.
 	Now func() time.Duration
 	// Observe is called after each call to the store has ended.
@@ -150,7 +152,8 @@
 
 func newSource(s *settings.Settings, p Platform, log *decision.Log, l *directory.Loop, r *reportDispatcher, t *reader.Table, now clock.Clock, c *storeCalls) Source {
 	source := p.Source(s.Store, log, l, SourceConfig{
-		ShouldRead: t.ShouldRead, IsPreferredReader: t.IsPreferredReader, HasOtherReader: t.HasOtherReader, Isolated: r.isolated, Now: now, Observe: c.observe,
+		ShouldRead: t.ShouldRead, IsPreferredReader: t.IsPreferredReader, HasOtherReader: t.HasOtherReader, Isolated: r.isolated,
+		Heartbeat: s.Heartbeat, Now: now, Observe: c.observe,
 	})
 	// If other nodes report that the local backend server's registration has ended, the node
 	// has to find out whether it is itself cut off from the store.
--- a/internal/mesh/settings/settings.go
+++ b/internal/mesh/settings/settings.go
@@ -29,8 +29,10 @@
 	Callers, Peers, Ready, Admin string
 	// Backend is the address of the backend server beside the node.
 	Backend string
-	// Store is the address of the platform's store.
-	Store string
+	// Store is the address of the platform's store, and Heartbeat how often backend servers renew
+	// their registrations there.
+	Store     string
+	Heartbeat time.Duration
 	// Repeats limits how often requests are run again, over all nodes.
 	Repeats entry.Repeats
 	// ColdStart bounds the requests to a backend server that has just started.
@@ -96,6 +98,7 @@
 	inifile.Required("listen", "admin", "IP:PORT", address(func(s *Settings) *string { return &s.Admin })),
 	inifile.Required("backend", "address", "IP:PORT", address(func(s *Settings) *string { return &s.Backend })),
 	inifile.Required("store", "address", "IP:PORT", address(func(s *Settings) *string { return &s.Store })),
+	inifile.Optional("store", "heartbeat-seconds", "1.5", "seconds, from 0.1 to 60", number(0.1, 60, func(s *Settings, v float64) { s.Heartbeat = seconds(v) })),
 	inifile.Optional("repeats", "ratio", "0.2", "repeats for each request, from 0 to 1", number(0, 1, func(s *Settings, v float64) { s.Repeats.Ratio = v })),
 	inifile.Optional("repeats", "slack", "0", "additional repeats of all nodes together in a window, from 0 to 1e6", number(0, 1e6, func(s *Settings, v float64) { s.Repeats.Slack = v })),
 	inifile.Optional("repeats", "window-seconds", "10", "seconds, from 1 to 3600", number(1, 3600, func(s *Settings, v float64) { s.Repeats.Window = seconds(v) })),
