--- a/internal/mesh/reader/table.go
+++ b/internal/mesh/reader/table.go
@@ -159,18 +159,6 @@
 	return true, now
 }
 
-// ReaderFailed reports whether a preceding node has reported within readerTimeout that it doesn't
-// read the store. While no preceding node reads, this means that the store doesn't answer it.
-func (t *Table) ReaderFailed() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := t.now()
-	return slices.ContainsFunc(t.preceding, func(addr string) bool {
-		r, known := t.reports[addr]
-		return known && !r.reading && now < r.at+readerTimeout
-	})
-}
-
 // outageReaders is how many nodes of a zone probe an unavailable store on behalf of all.
 const outageReaders = 2
 
