Own interface: an answer received before a request was sent isn't taken for its answer

Cause: a backend server sends further answers right behind a complete one. net/http returns the connection to its idle pool before it looks at bytes that arrived together with the end of an answer. A request that gets the connection at this moment takes them for its answer. Hypotheses: (1) this; (2) the body of the true answer is lost; (3) a late answer of a repeated request, as on the mesh's path.

The connection now makes a request wait until the transport reads from it again, which it does only once it has consumed everything, or has closed it, which it does on bytes without a request.

Answers that arrive after the next request was sent can't be told apart on this interface, as its backend servers echo no id.

--- a/internal/guard/conn.go
+++ b/internal/guard/conn.go
@@ -97,11 +97,42 @@
 	watch  *death.Conn
 	mu     sync.Mutex
 	permit *permit
+	// drained is signalled when reading or closed becomes true: when the transport waits for
+	// bytes, or has closed the connection.
+	drained         *sync.Cond
+	reading, closed bool
+}
+
+func newBackendConn(c net.Conn, watch *death.Conn) *backendConn {
+	bc := &backendConn{Conn: c, watch: watch}
+	bc.drained = sync.NewCond(&bc.mu)
+	return bc
+}
+
+func (c *backendConn) setReading(reading bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = reading
+	c.drained.Broadcast()
+}
+
+// awaitDrained waits until the transport has consumed all bytes received so far, which it
+// does at once, or has closed the connection. The transport reuses a connection before it
+// looks at bytes that arrived together with the end of the last answer, and would take them
+// for the answer to the next request. While none is sent it closes the connection on them.
+func (c *backendConn) awaitDrained() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for !c.reading && !c.closed {
+		c.drained.Wait()
+	}
 }
 
 // Read reads, and records that the backend server has answered or ended the connection.
 func (c *backendConn) Read(b []byte) (int, error) {
+	c.setReading(true)
 	n, err := c.Conn.Read(b)
+	c.setReading(false)
 	if n > 0 {
 		c.watch.Answered()
 	}
@@ -114,6 +145,10 @@
 // Close closes the connection.
 func (c *backendConn) Close() error {
 	c.watch.Closed()
+	c.mu.Lock()
+	c.closed = true
+	c.drained.Broadcast()
+	c.mu.Unlock()
 	return c.Conn.Close()
 }
 
@@ -144,15 +179,16 @@
 	if err != nil {
 		return nil, err
 	}
-	return &backendConn{Conn: conn, watch: opening.Opened()}, nil
+	return newBackendConn(conn, opening.Opened()), nil
 }
 
 // withPermit makes the transport set the request's permit on the connection it uses,
-// whether new or reused.
+// whether new or reused, once nothing is left on it of earlier answers.
 func withPermit(ctx context.Context, p *permit) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			if c, ok := info.Conn.(*backendConn); ok {
+				c.awaitDrained()
 				c.setPermit(p)
 			}
 		},
--- a/internal/guard/conn_test.go
+++ b/internal/guard/conn_test.go
@@ -43,7 +43,7 @@
 			if c.revoked {
 				require.True(t, p.revoke())
 			}
-			conn := &backendConn{Conn: near, watch: death.NewDetector("").Opening().Opened()}
+			conn := newBackendConn(near, death.NewDetector("").Opening().Opened())
 			conn.setPermit(p)
 			_, err := conn.Write([]byte("x"))
 			require.Equal(t, c.want, err)
