An outage of the store that a watch waits through is noticed before its end

Callers would see: after a silent outage of 3 s or more in which registrations expired, nodes dropped all their targets for up to two seconds.

Cause: outages are noticed by failed calls. A watch that waits through one and is answered at its end hasn't failed, and a node that takes over from its zone's reader shortly before the end has made no call that failed.

A node that takes over probes first, and takes an outage over from readers that have just stopped while they run, if no node reads.

--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -48,6 +48,9 @@
 	// IsPreferredReader reports whether the node ranks among the first readers of its zone,
 	// and HasOtherReader whether another node reports that it reads the store.
 	IsPreferredReader, HasOtherReader func() bool
+	// ReadersStopped reports whether nodes have just stopped to read the store though they run,
+	// and no node reads it.
+	ReadersStopped func() bool
 	// Heartbeat is how often a backend server renews its registration.
 	Heartbeat time.Duration
 	// Now returns the time since the node's start.
@@ -152,7 +155,7 @@
 
 func newSource(s *settings.Settings, p Platform, log *decision.Log, l *directory.Loop, r *reportDispatcher, t *reader.Table, now clock.Clock, c *storeCalls) Source {
 	source := p.Source(s.Store, log, l, SourceConfig{
-		ShouldRead: t.ShouldRead, IsPreferredReader: t.IsPreferredReader, HasOtherReader: t.HasOtherReader, Isolated: r.isolated,
+		ShouldRead: t.ShouldRead, IsPreferredReader: t.IsPreferredReader, HasOtherReader: t.HasOtherReader, ReadersStopped: t.ReadersStopped, Isolated: r.isolated,
 		Heartbeat: s.Heartbeat, Now: now, Observe: c.observe,
 	})
 	// If other nodes report that the local backend server's registration has ended, the node
--- a/internal/mesh/reader/table.go
+++ b/internal/mesh/reader/table.go
@@ -64,6 +64,11 @@
 type report struct {
 	at      time.Duration
 	reading bool
+	// assumed is true if the node has not reported yet.
+	assumed bool
+	// stoppedAt is when the node reported that it no longer reads; 0 if it has not since it last
+	// read.
+	stoppedAt time.Duration
 }
 
 // NewTable returns the Table of the node that accepts peer connections at own.
@@ -116,7 +121,7 @@
 	}
 	for _, addr := range preceding {
 		if _, known := t.reports[addr]; !known {
-			t.reports[addr] = report{at: now, reading: true}
+			t.reports[addr] = report{at: now, reading: true, assumed: true}
 		}
 	}
 }
@@ -140,7 +145,16 @@
 	if t.reports == nil {
 		return
 	}
-	t.reports[addr] = report{at: t.now(), reading: reading}
+	now, last := t.now(), t.reports[addr]
+	r := report{at: now, reading: reading}
+	switch {
+	case reading:
+	case last.reading && !last.assumed:
+		r.stoppedAt = now
+	default:
+		r.stoppedAt = last.stoppedAt
+	}
+	t.reports[addr] = r
 }
 
 // ShouldRead reports whether this node must read the store itself, which is the case unless
@@ -183,6 +197,25 @@
 	return false
 }
 
+// ReadersStopped reports whether a node that runs has stopped to read the store within
+// 2*readerTimeout, and no other node reads it. While the store is available, a node stops only
+// because another one reads.
+func (t *Table) ReadersStopped() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now, stopped := t.now(), false
+	for _, r := range t.reports {
+		if now >= r.at+readerTimeout {
+			continue
+		}
+		if r.reading {
+			return false
+		}
+		stopped = stopped || r.stoppedAt != 0 && now < r.stoppedAt+2*readerTimeout
+	}
+	return stopped
+}
+
 // RemoteReaders returns the nodes of other zones that a reader stays connected to. Updates
 // that the reader of one zone receives then reach the readers of all other zones quickly,
 // even if the store has lost their watches.
