--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -48,8 +48,8 @@
 	// IsPreferredReader reports whether the node ranks among the first readers of its zone,
 	// and HasOtherReader whether another node reports that it reads the store.
 	IsPreferredReader, HasOtherReader func() bool
-	// ReadersStopped reports whether nodes have just stopped to read the store though they run,
-	// and no node reads it.
+	// ReadersStopped reports whether running nodes have just stopped reading the store and no
+	// other node reads it.
 	ReadersStopped func() bool
 	// Heartbeat is how often a backend server renews its registration.
 	Heartbeat time.Duration
--- a/internal/mesh/reader/table.go
+++ b/internal/mesh/reader/table.go
@@ -197,9 +197,9 @@
 	return false
 }
 
-// ReadersStopped reports whether a node that runs has stopped to read the store within
-// 2*readerTimeout, and no other node reads it. While the store is available, a node stops only
-// because another one reads.
+// ReadersStopped reports whether a running node has stopped reading the store within the last
+// 2*readerTimeout and no other node reads it. While the store is available, a node stops reading
+// only because another one reads.
 func (t *Table) ReadersStopped() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
