Own interface: a write on a connection that is closed doesn't count as sent

Callers could see 502 for a request that was never sent. net/http may hand a request to a connection that it has closed a moment before; the write fails, but its permit was used up, so the request's outcome counted as unknown.

The write now looks whether the connection is closed before it takes the permit.

--- a/internal/guard/conn.go
+++ b/internal/guard/conn.go
@@ -155,8 +155,13 @@
 // Write writes b if the permit of the current request allows it.
 func (c *backendConn) Write(b []byte) (int, error) {
 	c.mu.Lock()
-	p := c.permit
+	p, closed := c.permit, c.closed
 	c.mu.Unlock()
+	if closed {
+		// The transport may still try to write after it has closed the connection. The request
+		// is not marked as sent then.
+		return 0, net.ErrClosed
+	}
 	if p != nil {
 		if err := p.authorize(c); err != nil {
 			return 0, err
