A request that was written in time doesn't lose its connection beside load

Cause: after an answer the node waits up to 5 ms for the write of the request to return, and closes the connection if it hasn't. A goroutine that is held up for as long finds both the result of the write and the timer, and select picks one at random: a connection was closed though the write had returned. Callers saw nothing; backend servers get more new connections beside load.

The result of a write that has returned is taken first.

--- a/internal/mesh/exchange/conn.go
+++ b/internal/mesh/exchange/conn.go
@@ -330,6 +330,13 @@
 
 // writeCompleted reports whether a request that was answered has been written completely.
 func writeCompleted(written <-chan error) bool {
+	// A write that has returned counts however late this goroutine is, when the timer may have
+	// fired, too.
+	select {
+	case err := <-written:
+		return err == nil
+	default:
+	}
 	timer := time.NewTimer(writeGrace)
 	defer timer.Stop()
 	select {
