TestRequestWhoseCallsHaveNoRoomIsRefused: the certain callee doesn't depend on the order of a map

The fixture named the last service of a map's iteration as the one that runs certainly call. The checks are the same.

--- a/internal/mesh/entry/calls_test.go
+++ b/internal/mesh/entry/calls_test.go
@@ -23,11 +23,11 @@
 	d.entry.SetView(&v)
 }
 
-// callFrom makes the runs of all targets call a service.
+// callFrom makes the runs of all targets call services, the last one by name certainly.
 func (d *deployment) callFrom(status int, failed bool, calls mesh.Calls) {
 	callee := ""
 	for service := range calls {
-		callee = service
+		callee = max(callee, service)
 	}
 	for _, target := range d.targets {
 		d.answers[target.Peer] = func(*mesh.Request) (*mesh.Answer, *kind.Error) {
