The mark of requests that weren't run is believed only on the status of a rejection

What callers would see: an order that ran twice, or that was answered 503 and had run, as its backend server marked an answer of 200 or 500 as not run.

Cause: the mark alone was taken for the proof. An answer that contradicts itself proves nothing.

Change: on another status than 4xx and 503 it is a broken exchange, with an unknown outcome.

TestContradictoryAnswerIsNoProof failed in 6 of 6 subtests before, and passes.

--- a/internal/mesh/guard/send.go
+++ b/internal/mesh/guard/send.go
@@ -48,8 +48,10 @@
 	s.statement = g.Dialect.StatementOf(answer)
 	g.statements[s.statement].Add(1)
 	switch s.statement {
-	case mesh.Rejection, mesh.Misdirection, mesh.Contradiction:
+	case mesh.Rejection, mesh.Misdirection:
 		return nil, backendRefusal(answer)
+	case mesh.Contradiction:
+		return nil, kind.New(kind.BackendBroken, "the backend server marked a response with status %d as not run", answer.Status)
 	}
 	if answer.Status < http.StatusMultipleChoices && answer.Header.Get(g.Dialect.Headers.Signature) == "" {
 		return nil, kind.New(kind.BackendBroken, "the response has no signature of the backend server")
