Stand-in for spoilt answers: a reset is one also behind the wrapper of repeated answers

In the soak the connection is wrapped, so the form "reset" sent a head that ends early in place of a reset: the eleven forms were ten there. Found on reading the diff. A trial with the wrapped listener now gets ECONNRESET.

--- a/standin/repeat/repeat.go
+++ b/standin/repeat/repeat.go
@@ -50,6 +50,9 @@
 	atStart bool
 }
 
+// NetConn returns the connection that c wraps.
+func (c *Conn) NetConn() net.Conn { return c.Conn }
+
 // Begin returns the connection of a request whose answer has not begun.
 func Begin(r *http.Request) *Conn {
 	c := r.Context().Value(contextKey{}).(*Conn)
--- a/standin/spoil/spoil.go
+++ b/standin/spoil/spoil.go
@@ -4,7 +4,9 @@
 
 import (
 	"bytes"
+	"errors"
 	"math/rand/v2"
+	"net"
 	"net/http"
 )
 
@@ -65,13 +67,27 @@
 		return err
 	}
 	defer func() { _ = raw.Close() }()
-	if c, ok := raw.(interface{ SetLinger(int) error }); ok && f == Reset {
-		return c.SetLinger(0)
+	if f == Reset {
+		return makeReset(raw)
 	}
 	_, err = raw.Write(f.bytes(h, mark))
 	return err
 }
 
+var errNoTCP = errors.New("only TCP connections can be reset")
+
+// makeReset makes the close of a connection reset it.
+func makeReset(c net.Conn) error {
+	if wrapped, ok := c.(interface{ NetConn() net.Conn }); ok {
+		c = wrapped.NetConn()
+	}
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return errNoTCP
+	}
+	return tcp.SetLinger(0)
+}
+
 // bytes returns what is sent in place of an answer.
 func (f Form) bytes(h http.Header, mark string) []byte {
 	if f == NoAnswer {
