--- /dev/null
+++ b/review/rig2/early.go
@@ -0,0 +1,153 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// earlyTarget is a backend server that answers long uploads before it has read them. Its answers have no
+// length and end with their connection.
+type earlyTarget struct {
+	*target
+	// resets is true if some answers are reset on the way.
+	resets bool
+	// answered counts the answers.
+	answered atomic.Int64
+}
+
+const (
+	// earlyRead is how much of a long upload is read before the answer begins.
+	earlyRead = 64 << 10
+	// earlyLines is the length of an answer in lines. earlyPause lies between its halves.
+	earlyLines = 200
+	earlyPause = 30 * time.Millisecond
+	// resetOf of every resetEvery answers are reset after their first half: a share of 0.4.
+	resetOf, resetEvery = 2, 5
+	// ethernetMSS and receiveBuffer bound what the kernels hold of an upload, in bytes, as links other than
+	// the loopback interface do.
+	ethernetMSS   = 1448
+	receiveBuffer = 32 << 10
+	// earlyUploads is how many uploads are sent, and earlyBytes their size.
+	earlyUploads = 60
+	earlyBytes   = 350_000
+)
+
+// listenNarrow listens with the segment size and the receive buffer of a server on another link.
+func listenNarrow(addr string) (net.Listener, error) {
+	config := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		var failed error
+		err := c.Control(func(fd uintptr) {
+			failed = errors.Join(
+				syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, ethernetMSS),
+				syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer),
+			)
+		})
+		return errors.Join(err, failed)
+	}}
+	return config.Listen(context.Background(), "tcp", addr)
+}
+
+// serve accepts connections until the listener is closed.
+func (e *earlyTarget) serve(l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go e.serveConn(c.(*net.TCPConn))
+	}
+}
+
+func (e *earlyTarget) serveConn(c *net.TCPConn) {
+	defer func() { _ = c.Close() }()
+	r := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		id := req.Header.Get("Request-Id")
+		load := fmt.Sprintf("Server-Load: %d,0,%d,100\r\n", e.running.Load(), e.slots)
+		if req.URL.Path == healthPath {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nInstance-Id: %s\r\n%sContent-Length: 0\r\n\r\n", e.id, load)
+			continue
+		}
+		e.rec.add("run", id, "target", e.id)
+		_, _ = io.CopyN(io.Discard, req.Body, min(earlyRead, req.ContentLength))
+		body := strings.Repeat(id+" is stored\n", earlyLines)
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Signature: %s\r\n%s\r\n", id, signature(e.id, body), load)
+		_, _ = io.WriteString(c, body[:len(body)/2])
+		time.Sleep(earlyPause)
+		if e.resets && e.answered.Add(1)%resetEvery < resetOf {
+			e.rec.add("reset", id, "target", e.id, "sent", strconv.Itoa(len(body)/2), "of", strconv.Itoa(len(body)))
+			_ = c.SetLinger(0)
+			return
+		}
+		_, _ = io.WriteString(c, body[len(body)/2:])
+		e.rec.add("ran", id, "target", e.id, "bytes", strconv.Itoa(len(body)))
+		_, _ = io.Copy(io.Discard, req.Body)
+		return
+	}
+}
+
+// resetAnswers sends uploads to two backend servers, of which one resets a part of its answers.
+func resetAnswers(rec *record, trouble bool) (int, error) {
+	f, err := startCase(rec, []place{
+		{"rs-poa", "rs", catalogue},
+		{"rs-poa", "rs", booking},
+		{"sc-fln", "sc", uploads},
+		{"sc-fln", "sc", booking},
+		{"pr-cwb", "pr", uploads},
+	})
+	if err != nil {
+		return exitNotRun, err
+	}
+	defer f.close()
+	for i, m := range f.machines {
+		if m.service != uploads {
+			continue
+		}
+		if err := m.app.Close(); err != nil {
+			return exitNotRun, err
+		}
+		l, err := listenNarrow(m.addr(portApp))
+		if err != nil {
+			return exitNotRun, err
+		}
+		defer func() { _ = l.Close() }()
+		e := &earlyTarget{target: m.target, resets: trouble && i == len(f.machines)-1}
+		go e.serve(l)
+	}
+	time.Sleep(2 * time.Second)
+	body := make([]byte, earlyBytes)
+	whole, cut := 0, 0
+	for i := range earlyUploads {
+		c := &client{m: f.machines[i%len(f.machines)]}
+		o := c.send(http.MethodPost, "/fiti832/ti23/2f", body, 2500*time.Millisecond)
+		c.close()
+		id, _, _ := strings.Cut(o.head.Get("Server-Signature"), ".")
+		switch {
+		case o.status != http.StatusOK:
+		case o.head.Get("Server-Signature") == signature(id, o.body):
+			whole++
+		default:
+			cut++
+			rec.add("not-whole", o.id, "bytes", strconv.Itoa(len(o.body)), "status", strconv.Itoa(o.status))
+		}
+	}
+	rec.say("%d uploads: %d answered with the target's whole body, %d with a part of it as if it were complete", earlyUploads, whole, cut)
+	if cut > 0 {
+		return exitBroken, nil
+	}
+	return exitHeld, nil
+}
--- a/review/rig2/fleet.go
+++ b/review/rig2/fleet.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -38,8 +39,10 @@
 	fleet *fleet
 	name  string
 	place
-	ip       string
-	target   *target
+	ip     string
+	target *target
+	// app serves the target's address.
+	app      io.Closer
 	settings string
 	mu       sync.Mutex
 	cmd      *exec.Cmd
@@ -88,13 +91,13 @@
 		defer func() { _ = l.Close() }()
 		f.ports = append(f.ports, l.Addr().(*net.TCPAddr).Port)
 	}
-	if f.storeAt, err = f.serve(fmt.Sprintf("127.77.%d.250:0", net3), f.store); err != nil {
+	if f.storeAt, _, err = f.serve(fmt.Sprintf("127.77.%d.250:0", net3), f.store); err != nil {
 		return nil, err
 	}
 	for i, p := range places {
 		m := &machine{fleet: f, name: fmt.Sprintf("sidecar-%s-%d", p.zone, i), place: p, ip: fmt.Sprintf("127.77.%d.%d", net3, i+1)}
 		m.target = &target{id: fmt.Sprintf("i-%04x%d", os.Getpid(), i), service: p.service, slots: 6, rec: rec, work: work}
-		if _, err = f.serve(m.addr(portApp), m.target); err != nil {
+		if _, m.app, err = f.serve(m.addr(portApp), m.target); err != nil {
 			return nil, err
 		}
 		f.machines = append(f.machines, m)
@@ -107,15 +110,15 @@
 }
 
 // serve starts a server of a stand-in.
-func (f *fleet) serve(addr string, h http.Handler) (string, error) {
+func (f *fleet) serve(addr string, h http.Handler) (string, io.Closer, error) {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
-		return "", err
+		return "", nil, err
 	}
 	s := &http.Server{Handler: h, IdleTimeout: 10 * time.Second}
 	go func() { _ = s.Serve(l) }()
 	f.closers = append(f.closers, func() { _ = s.Close() })
-	return l.Addr().String(), nil
+	return l.Addr().String(), s, nil
 }
 
 // register writes the registration of a machine's target.
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"os"
+	"strconv"
 )
 
 // The exit codes of a case.
@@ -18,6 +19,7 @@
 // cases are the cases by name. Each returns an exit code.
 var cases = map[string]func(rec *record, trouble bool) (int, error){
 	"large-uploads":      largeUploads,
+	"reset-answers":      resetAnswers,
 	"unreadable-entries": unreadableEntries,
 }
 
@@ -44,3 +46,10 @@
 	rec.say("trouble %v, exit %d", trouble, code)
 	return code
 }
+
+func envInt(name string, otherwise int) int {
+	if v, err := strconv.Atoi(os.Getenv(name)); err == nil {
+		return v
+	}
+	return otherwise
+}
