--- a/review/rig2/early.go
+++ b/review/rig2/early.go
@@ -43,7 +43,7 @@
 )
 
 // listenNarrow listens with the segment size and the receive buffer of a server on another link.
-func listenNarrow(addr string) (net.Listener, error) {
+func listenNarrow(network, addr string) (net.Listener, error) {
 	config := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
 		var failed error
 		err := c.Control(func(fd uintptr) {
@@ -54,21 +54,10 @@
 		})
 		return errors.Join(err, failed)
 	}}
-	return config.Listen(context.Background(), "tcp", addr)
+	return config.Listen(context.Background(), network, addr)
 }
 
-// serve accepts connections until the listener is closed.
-func (e *earlyTarget) serve(l net.Listener) {
-	for {
-		c, err := l.Accept()
-		if err != nil {
-			return
-		}
-		go e.serveConn(c.(*net.TCPConn))
-	}
-}
-
-func (e *earlyTarget) serveConn(c *net.TCPConn) {
+func (e *earlyTarget) serveConn(c net.Conn) {
 	defer func() { _ = c.Close() }()
 	r := bufio.NewReader(c)
 	for {
@@ -90,7 +79,7 @@
 		time.Sleep(earlyPause)
 		if e.resets && e.answered.Add(1)%resetEvery < resetOf {
 			e.rec.add("reset", id, "target", e.id, "sent", strconv.Itoa(len(body)/2), "of", strconv.Itoa(len(body)))
-			_ = c.SetLinger(0)
+			_ = c.(*net.TCPConn).SetLinger(0)
 			return
 		}
 		_, _ = io.WriteString(c, body[len(body)/2:])
@@ -117,16 +106,10 @@
 		if m.service != uploads {
 			continue
 		}
-		if err := m.app.Close(); err != nil {
-			return exitNotRun, err
-		}
-		l, err := listenNarrow(m.addr(portApp))
-		if err != nil {
+		e := &earlyTarget{target: m.target, resets: trouble && i == len(f.machines)-1}
+		if err := m.replaceApp(listenNarrow, e.serveConn); err != nil {
 			return exitNotRun, err
 		}
-		defer func() { _ = l.Close() }()
-		e := &earlyTarget{target: m.target, resets: trouble && i == len(f.machines)-1}
-		go e.serve(l)
 	}
 	time.Sleep(2 * time.Second)
 	body := make([]byte, earlyBytes)
--- a/review/rig2/fleet.go
+++ b/review/rig2/fleet.go
@@ -121,6 +121,28 @@
 	return l.Addr().String(), s, nil
 }
 
+// replaceApp serves the address of a machine's target by the connection.
+func (m *machine) replaceApp(listen func(network, addr string) (net.Listener, error), serve func(net.Conn)) error {
+	if err := m.app.Close(); err != nil {
+		return err
+	}
+	l, err := listen("tcp", m.addr(portApp))
+	if err != nil {
+		return err
+	}
+	m.fleet.closers = append(m.fleet.closers, func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serve(c)
+		}
+	}()
+	return nil
+}
+
 // register writes the registration of a machine's target.
 func (f *fleet) register(m *machine) {
 	f.store.put("servers/"+m.target.id, map[string]any{
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -19,6 +19,7 @@
 // cases are the cases by name. Each returns an exit code.
 var cases = map[string]func(rec *record, trouble bool) (int, error){
 	"large-uploads":      largeUploads,
+	"late-answers":       lateAnswers,
 	"reset-answers":      resetAnswers,
 	"unreadable-entries": unreadableEntries,
 }
