--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -e
 cd "$(dirname "$0")"
 mkdir -p ../target
-go build -trimpath -o ../target/review-rig-2 ./rig2
+GOPROXY=off go build -trimpath -o ../target/review-rig-2 ./rig2
--- a/review/rig2/early.go
+++ b/review/rig2/early.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -37,8 +38,8 @@
 	// the loopback interface do.
 	ethernetMSS   = 1448
 	receiveBuffer = 32 << 10
-	// earlyUploads is how many uploads are sent, and earlyBytes their size.
-	earlyUploads = 60
+	// earlyUploads is how many uploads the client at each machine sends, and earlyBytes their size.
+	earlyUploads = 80
 	earlyBytes   = 350_000
 )
 
@@ -113,23 +114,30 @@
 	}
 	time.Sleep(2 * time.Second)
 	body := make([]byte, earlyBytes)
-	whole, cut := 0, 0
-	for i := range earlyUploads {
-		c := &client{m: f.machines[i%len(f.machines)]}
-		o := c.send(http.MethodPost, "/fiti832/ti23/2f", body, 2500*time.Millisecond)
-		c.close()
-		id, _, _ := strings.Cut(o.head.Get("Server-Signature"), ".")
-		switch {
-		case o.status != http.StatusOK:
-		case o.head.Get("Server-Signature") == signature(id, o.body):
-			whole++
-		default:
-			cut++
-			rec.add("not-whole", o.id, "bytes", strconv.Itoa(len(o.body)), "status", strconv.Itoa(o.status))
-		}
+	var sent, whole, cut atomic.Int64
+	var clients sync.WaitGroup
+	for _, m := range f.machines {
+		clients.Go(func() {
+			for range earlyUploads {
+				c := &client{m: m}
+				o := c.send(http.MethodPost, "/fiti832/ti23/2f", body, 2500*time.Millisecond)
+				c.close()
+				sent.Add(1)
+				id, _, _ := strings.Cut(o.head.Get("Server-Signature"), ".")
+				switch {
+				case o.status != http.StatusOK:
+				case o.head.Get("Server-Signature") == signature(id, o.body):
+					whole.Add(1)
+				default:
+					cut.Add(1)
+					rec.add("not-whole", o.id, "bytes", strconv.Itoa(len(o.body)), "status", strconv.Itoa(o.status))
+				}
+			}
+		})
 	}
-	rec.say("%d uploads: %d answered with the target's whole body, %d with a part of it as if it were complete", earlyUploads, whole, cut)
-	if cut > 0 {
+	clients.Wait()
+	rec.say("%d uploads: %d answered with the target's whole body, %d with a part of it as if it were complete", sent.Load(), whole.Load(), cut.Load())
+	if cut.Load() > 0 {
 		return exitBroken, nil
 	}
 	return exitHeld, nil
