--- a/review/rig2/foreign.go
+++ b/review/rig2/foreign.go
@@ -9,7 +9,7 @@
 const (
 	// foreignEntries is how many entries another writer leaves among the registrations, and foreignBytes the
 	// size of each: the platform's value_bytes.
-	foreignEntries = 60
+	foreignEntries = 100
 	foreignBytes   = 1 << 20
 	// foreignPause makes 50 writes a second, of the 400 that the platform takes.
 	foreignPause = 20 * time.Millisecond
