--- a/review/rig2/late.go
+++ b/review/rig2/late.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -16,18 +17,24 @@
 // arrives late, at the point where the next answer on the connection is expected.
 type lateTarget struct {
 	*target
-	// spoils is true if it does so.
-	spoils bool
+	// spell is true while it does so; nil is never.
+	spell *atomic.Bool
 }
 
 const (
-	// lateShare is the share of answers after which the beginning of a second one is sent.
+	// lateServers of the five servers do so: a share of 0.6.
+	lateServers = 3
+	// lateShare is the share of their answers after which the beginning of a second one is sent.
 	lateShare = 0.03
 	// lateBytes is what is sent of the second answer, which rejects a request.
 	lateBytes = "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nDate: "
-	// lateClients is the number of clients at each machine, and lateFor how long they send.
-	lateClients = 6
-	lateFor     = 45 * time.Second
+	// lateClients is the number of clients at each machine.
+	lateClients = 5
+	// lateSpells is how many spells there are, lateSpell how long one lasts, and latePause the time before
+	// each of them and after the last.
+	lateSpells = 4
+	lateSpell  = 5 * time.Second
+	latePause  = 3 * time.Second
 )
 
 func (t *lateTarget) serveConn(c net.Conn) {
@@ -63,7 +70,7 @@
 		}
 		t.rec.add("ran", id, "target", t.id, "status", "200")
 		late = ""
-		if t.spoils && rand.Float64() < lateShare {
+		if t.spell != nil && t.spell.Load() && rand.Float64() < lateShare {
 			late = lateBytes
 		}
 	}
@@ -73,21 +80,26 @@
 func lateAnswers(rec *record, trouble bool) (int, error) {
 	f, err := startCase(rec, []place{
 		{"rs-poa", "rs", booking},
-		{"rs-poa", "rs", catalogue},
+		{"rs-poa", "rs", booking},
+		{"sc-fln", "sc", booking},
 		{"sc-fln", "sc", booking},
 		{"pr-cwb", "pr", booking},
+		{"pr-cwb", "pr", catalogue},
 	})
 	if err != nil {
 		return exitNotRun, err
 	}
 	defer f.close()
+	var spell atomic.Bool
 	spoiling := 0
 	for _, m := range f.machines {
 		if m.service != booking {
 			continue
 		}
-		// Two of three servers: a share of 0.6.
-		t := &lateTarget{target: m.target, spoils: trouble && spoiling < 2}
+		t := &lateTarget{target: m.target}
+		if trouble && spoiling < lateServers {
+			t.spell = &spell
+		}
 		spoiling++
 		if err := m.replaceApp(net.Listen, func(c net.Conn) { t.serveConn(c) }); err != nil {
 			return exitNotRun, err
@@ -97,7 +109,7 @@
 	var wg sync.WaitGroup
 	var mu sync.Mutex
 	var sent []outcome
-	end := time.Now().Add(lateFor)
+	end := time.Now().Add(lateSpells*(latePause+lateSpell) + latePause)
 	for i := range lateClients * len(f.machines) {
 		wg.Go(func() {
 			c := &client{m: f.machines[i%len(f.machines)]}
@@ -111,6 +123,7 @@
 			}
 		})
 	}
+	playSpells(&spell, lateSpells, latePause, lateSpell)
 	wg.Wait()
 	twice, refused := 0, 0
 	for _, o := range sent {
@@ -130,3 +143,13 @@
 	}
 	return exitHeld, nil
 }
+
+// playSpells turns an impairment on for some spells, with a pause before each.
+func playSpells(on *atomic.Bool, spells int, pause, spell time.Duration) {
+	for range spells {
+		time.Sleep(pause)
+		on.Store(true)
+		time.Sleep(spell)
+		on.Store(false)
+	}
+}
