--- a/review/rig2/early.go
+++ b/review/rig2/early.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand"
 	"net"
 	"net/http"
 	"strconv"
@@ -16,14 +17,13 @@
 	"time"
 )
 
-// earlyTarget is a backend server that answers long uploads before it has read them. Its answers have no
-// length and end with their connection.
+// earlyTarget is a backend server that, during spells, answers some uploads before it has read them, without
+// a length, so that the answer ends with its connection.
 type earlyTarget struct {
 	*target
-	// resets is true if some answers are reset on the way.
+	// spell is true while it does so; nil is never. resets is true if these answers are reset on the way.
+	spell  *atomic.Bool
 	resets bool
-	// answered counts the answers.
-	answered atomic.Int64
 }
 
 const (
@@ -32,15 +32,21 @@
 	// earlyLines is the length of an answer in lines. earlyPause lies between its halves.
 	earlyLines = 200
 	earlyPause = 30 * time.Millisecond
-	// resetOf of every resetEvery answers are reset after their first half: a share of 0.4.
-	resetOf, resetEvery = 2, 5
+	// earlyShare is the share of the uploads that are answered so.
+	earlyShare = 0.05
+	// earlySpells is how many spells there are, earlySpell how long one lasts, and earlyGap the time before each.
+	earlySpells = 6
+	earlySpell  = 4 * time.Second
+	earlyGap    = 2 * time.Second
+	// uploadGap is a client's pause between two uploads.
+	uploadGap = 300 * time.Millisecond
 	// ethernetMSS and receiveBuffer bound what the kernels hold of an upload, in bytes, as links other than
 	// the loopback interface do.
 	ethernetMSS   = 1448
 	receiveBuffer = 32 << 10
-	// earlyUploads is how many uploads the client at each machine sends, and earlyBytes their size.
-	earlyUploads = 80
-	earlyBytes   = 350_000
+	// earlyClients is the number of clients at each machine, and earlyBytes the size of an upload.
+	earlyClients = 3
+	earlyBytes   = 2 << 20
 )
 
 // listenNarrow listens with the segment size and the receive buffer of a server on another link.
@@ -73,12 +79,22 @@
 			continue
 		}
 		e.rec.add("run", id, "target", e.id)
-		_, _ = io.CopyN(io.Discard, req.Body, min(earlyRead, req.ContentLength))
 		body := strings.Repeat(id+" is stored\n", earlyLines)
+		if e.spell == nil || !e.spell.Load() || rand.Float64() >= earlyShare {
+			if _, err := io.Copy(io.Discard, req.Body); err != nil {
+				return
+			}
+			e.rec.add("ran", id, "target", e.id, "bytes", strconv.Itoa(len(body)))
+			if _, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Signature: %s\r\n%sContent-Length: %d\r\n\r\n%s", id, signature(e.id, body), load, len(body), body); err != nil {
+				return
+			}
+			continue
+		}
+		_, _ = io.CopyN(io.Discard, req.Body, min(earlyRead, req.ContentLength))
 		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Signature: %s\r\n%s\r\n", id, signature(e.id, body), load)
 		_, _ = io.WriteString(c, body[:len(body)/2])
 		time.Sleep(earlyPause)
-		if e.resets && e.answered.Add(1)%resetEvery < resetOf {
+		if e.resets {
 			e.rec.add("reset", id, "target", e.id, "sent", strconv.Itoa(len(body)/2), "of", strconv.Itoa(len(body)))
 			_ = c.(*net.TCPConn).SetLinger(0)
 			return
@@ -103,11 +119,15 @@
 		return exitNotRun, err
 	}
 	defer f.close()
+	var spell atomic.Bool
 	for i, m := range f.machines {
 		if m.service != uploads {
 			continue
 		}
-		e := &earlyTarget{target: m.target, resets: trouble && i == len(f.machines)-1}
+		e := &earlyTarget{target: m.target, resets: trouble}
+		if i == len(f.machines)-1 {
+			e.spell = &spell
+		}
 		if err := m.replaceApp(listenNarrow, e.serveConn); err != nil {
 			return exitNotRun, err
 		}
@@ -116,9 +136,12 @@
 	body := make([]byte, earlyBytes)
 	var sent, whole, cut atomic.Int64
 	var clients sync.WaitGroup
-	for _, m := range f.machines {
+	end := time.Now().Add(earlySpells * (earlyGap + earlySpell))
+	for i := range earlyClients * len(f.machines) {
+		m := f.machines[i%len(f.machines)]
 		clients.Go(func() {
-			for range earlyUploads {
+			for time.Now().Before(end) {
+				time.Sleep(uploadGap)
 				c := &client{m: m}
 				o := c.send(http.MethodPost, "/fiti832/ti23/2f", body, 2500*time.Millisecond)
 				c.close()
@@ -135,6 +158,7 @@
 			}
 		})
 	}
+	playSpells(&spell, earlySpells, earlyGap, earlySpell)
 	clients.Wait()
 	rec.say("%d uploads: %d answered with the target's whole body, %d with a part of it as if it were complete", sent.Load(), whole.Load(), cut.Load())
 	if cut.Load() > 0 {
