An answer without a length is complete only if its connection wasn't reset

Callers of uploads got a 200 with the signature, a Content-Length that fitted and a part of the body. The backend server had answered before it had read the upload, without a length, and had reset the connection after that part.

Cause: the kernel reports the failure of a connection once, to the read or to the write that asks first. While an upload is still being written, the write often takes the ECONNRESET; the read then returns the end of the stream, which ends an answer without a length. That the write had failed only closed the connection. Nothing ties the two together, and a look at the write's result after the read would still be a race: the write may have got the error without having returned it yet.

Connections to backend servers are now opened by upstream.Dial. Length and chunks decide by themselves, as before: an answer that is there as a whole counts also if a reset follows.

--- a/internal/mesh/exchange/pool.go
+++ b/internal/mesh/exchange/pool.go
@@ -19,6 +19,7 @@
 	"github.com/limpetdock/limpetdock/internal/mesh"
 	"github.com/limpetdock/limpetdock/internal/readlimit"
 	"github.com/limpetdock/limpetdock/internal/sockopt"
+	"github.com/limpetdock/limpetdock/internal/upstream"
 )
 
 const (
@@ -245,9 +246,9 @@
 }
 
 func (c *Client) dial(ctx context.Context) (*conn, error) {
-	d := net.Dialer{Timeout: dialTimeout, Control: sockopt.UserTimeout(userTimeout)}
+	d := &net.Dialer{Timeout: dialTimeout, Control: sockopt.UserTimeout(userTimeout)}
 	opening := c.detector.Opening()
-	raw, err := d.DialContext(ctx, "tcp", c.addr)
+	raw, err := upstream.Dial(ctx, d, c.addr)
 	if err != nil {
 		return nil, eris.Wrap(err, "open connection to backend server")
 	}
