An answer whose field names hold a blank isn't an answer

Callers got a 200 although the head of the answer held a line such as "X Filler: a". The line itself was left out, as the header's writer skips such names. With "Transfer-Encoding : chunked" or "Content-Length : 18" the body was read until the connection ended: callers waited until their time limit, or got the chunks' sizes as part of the body. A 503 with the mark of requests that were not run and such a line was taken for a rejection: a request that had run was sent to two more targets, or its caller was told 503.

Cause: net/http accepts blanks in the names of an answer's fields and of its trailer, as it does for servers that put one ahead of the colon, and ignores what these fields say about the framing. No other bytes get through: a status of 000, 099, 600, one with a sign or another number of digits, a tab, a control byte or a byte over 7f in a name, a line without a name or colon and control bytes in values were failures already. Their tests stay.

--- a/internal/mesh/exchange/head.go
+++ b/internal/mesh/exchange/head.go
@@ -8,6 +8,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/limpetdock/limpetdock/internal/readlimit"
+	"github.com/limpetdock/limpetdock/internal/upstream"
 )
 
 // errNoAnswer means that bytes arrived which are no answer.
@@ -22,7 +23,10 @@
 		resp, err = http.ReadResponse(r, req)
 		return err
 	})
-	return resp, err
+	if err != nil {
+		return nil, err
+	}
+	return resp, upstream.Validate(resp)
 }
 
 // A status line begins with the version, such as "HTTP/1.1", a space and three digits.
