The own interface: a reset ends no answer either

The same fault as in the exchanges of the mesh, found by looking for other places that read answers: a caller of the own interface got a part of an answer without a length as the whole one when the backend server reset the connection while the request's body was still being written.

Cause: net/http closes a connection on whose write an error occurred, but a read that returns the end of the stream before that ends the body as if it were whole.

Guards open connections to backend servers by upstream.Dial now, as entries do to guards, whose answers always have a length or chunks.

--- a/internal/entry/transports.go
+++ b/internal/entry/transports.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/limpetdock/limpetdock/internal/readlimit"
+	"github.com/limpetdock/limpetdock/internal/upstream"
 )
 
 const (
@@ -42,7 +43,7 @@
 		},
 	}
 	return &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: size.maxIdle, MaxConnsPerHost: size.maxOpen,
+		DialContext: upstream.NewDialContext(dialer), MaxIdleConnsPerHost: size.maxIdle, MaxConnsPerHost: size.maxOpen,
 		IdleConnTimeout:    idleConnTimeout,
 		DisableCompression: true, ExpectContinueTimeout: time.Hour,
 		ReadBufferSize: 16 << 10, WriteBufferSize: 16 << 10, MaxResponseHeaderBytes: maxHead,
--- a/internal/guard/conn.go
+++ b/internal/guard/conn.go
@@ -15,6 +15,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/limpetdock/limpetdock/internal/death"
+	"github.com/limpetdock/limpetdock/internal/upstream"
 )
 
 var (
@@ -177,10 +178,9 @@
 }
 
 // dialWatched opens a connection whose writes are controlled by permits.
-func dialWatched(ctx context.Context, d *death.Detector, network, addr string) (net.Conn, error) {
+func dialWatched(ctx context.Context, d *death.Detector, addr string) (net.Conn, error) {
 	opening := d.Opening()
-	var dialer net.Dialer
-	conn, err := dialer.DialContext(ctx, network, addr)
+	conn, err := upstream.Dial(ctx, &net.Dialer{}, addr)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -81,8 +81,8 @@
 
 func newTransport(d *death.Detector) *http.Transport {
 	return &http.Transport{
-		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			return dialWatched(ctx, d, network, addr)
+		DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
+			return dialWatched(ctx, d, addr)
 		}, MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute, DisableCompression: true,
 		ReadBufferSize: 16 << 10, WriteBufferSize: 16 << 10, MaxResponseHeaderBytes: readlimit.MaxHead,
 	}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -35,6 +35,11 @@
 	return &conn{Conn: raw, socket: access}, nil
 }
 
+// NewDialContext returns a function that opens connections for an http.Transport, see Dial.
+func NewDialContext(dialer *net.Dialer) func(ctx context.Context, network, addr string) (net.Conn, error) {
+	return func(ctx context.Context, _, addr string) (net.Conn, error) { return Dial(ctx, dialer, addr) }
+}
+
 // conn keeps the failure of a connection for its reads.
 type conn struct {
 	net.Conn
