The own interface: answers whose head isn't valid aren't passed on

Callers of the own interface got an answer of a backend server with status 600 or 999 as it was, and one whose field names held a blank as a 200, with the chunks' sizes in the body if the blank stood ahead of the colon of Transfer-Encoding. A status of 000, 099 or +20 made the handler panic: the guard or entry closed the connection on the caller, who got no answer.

Cause: net/http takes any three characters that are a number for a status, and blanks in names. The guard's transport relied on it alone; the exchanges of the mesh check the status line themselves.

upstream.Transport applies upstream.Validate to every answer of an http.Transport. Guards use it for requests and health checks of backend servers, entries for answers of guards. An answer that isn't valid is a broken exchange like one that was cut off: 502, outcome unknown.

--- a/internal/entry/transports.go
+++ b/internal/entry/transports.go
@@ -26,28 +26,28 @@
 // Safe for concurrent use.
 type transports struct {
 	mu   sync.RWMutex
-	pool map[string]*http.Transport
+	pool map[string]*upstream.Transport
 	// size applies to the connections to each address.
 	size connectionLimits
 }
 
 func newTransports() *transports {
-	return &transports{pool: map[string]*http.Transport{}, size: defaultConnectionLimits}
+	return &transports{pool: map[string]*upstream.Transport{}, size: defaultConnectionLimits}
 }
 
-func newTransport(size connectionLimits) *http.Transport {
+func newTransport(size connectionLimits) *upstream.Transport {
 	dialer := &net.Dialer{
 		Timeout: dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: time.Second, Interval: time.Second, Count: 3,
 		},
 	}
-	return &http.Transport{
+	return &upstream.Transport{Transport: &http.Transport{
 		DialContext: upstream.NewDialContext(dialer), MaxIdleConnsPerHost: size.maxIdle, MaxConnsPerHost: size.maxOpen,
 		IdleConnTimeout:    idleConnTimeout,
 		DisableCompression: true, ExpectContinueTimeout: time.Hour,
 		ReadBufferSize: 16 << 10, WriteBufferSize: 16 << 10, MaxResponseHeaderBytes: maxHead,
-	}
+	}}
 }
 
 // RoundTrip sends a request over a connection to the guard in its URL.
@@ -55,7 +55,7 @@
 	return t.to(r.URL.Host).RoundTrip(r)
 }
 
-func (t *transports) to(addr string) *http.Transport {
+func (t *transports) to(addr string) *upstream.Transport {
 	t.mu.RLock()
 	one := t.pool[addr]
 	t.mu.RUnlock()
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -24,6 +24,7 @@
 	"github.com/limpetdock/limpetdock/internal/pick"
 	"github.com/limpetdock/limpetdock/internal/readlimit"
 	"github.com/limpetdock/limpetdock/internal/suspect"
+	"github.com/limpetdock/limpetdock/internal/upstream"
 )
 
 // Guard is the guard role of a node. It is an http.RoundTripper, so that the node's
@@ -31,7 +32,7 @@
 // Safe for concurrent use.
 type Guard struct {
 	backend     *url.URL
-	transport   *http.Transport
+	transport   *upstream.Transport
 	incarnation uint64
 	now         func() time.Duration
 	gate        *gate.Gate
@@ -79,13 +80,13 @@
 	return g
 }
 
-func newTransport(d *death.Detector) *http.Transport {
-	return &http.Transport{
+func newTransport(d *death.Detector) *upstream.Transport {
+	return &upstream.Transport{Transport: &http.Transport{
 		DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
 			return dialWatched(ctx, d, addr)
 		}, MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute, DisableCompression: true,
 		ReadBufferSize: 16 << 10, WriteBufferSize: 16 << 10, MaxResponseHeaderBytes: readlimit.MaxHead,
-	}
+	}}
 }
 
 // SetAddr sets the VM's own address, as the platform should list it. It must be called
