--- a/internal/entry/broken_test.go
+++ b/internal/entry/broken_test.go
@@ -15,7 +15,7 @@
 		t.Run(form.Name, func(t *testing.T) {
 			t.Parallel()
 			for _, path := range []string{"/read", "/book"} {
-				s := newScriptedBackend(t, form.Text(http.StatusOK, ""), false)
+				s := newScriptedBackend(t, form.Text(http.StatusOK, "", "not a valid answer"), false)
 				got := newTestCluster(t, "http://"+s.Addr().String()).ask(0, http.MethodGet, path, "")
 				require.NoError(t, got.err)
 				require.Equal(t, http.StatusBadGateway, got.status, "%s: %q", path, got.body)
--- a/internal/guard/broken_test.go
+++ b/internal/guard/broken_test.go
@@ -18,7 +18,7 @@
 		t.Run(form.Name, func(t *testing.T) {
 			t.Parallel()
 			g := newGuardFor(t, startRawBackend(t, func(c net.Conn, _ *http.Request) {
-				_, _ = io.WriteString(c, form.Text(http.StatusOK, ""))
+				_, _ = io.WriteString(c, form.Text(http.StatusOK, "", "not a valid answer"))
 			}))
 			r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, readPath, http.NoBody)
 			require.NoError(t, err)
--- a/internal/mesh/exchange/broken_test.go
+++ b/internal/mesh/exchange/broken_test.go
@@ -27,7 +27,7 @@
 						c.answer(id, "sound")
 						continue
 					}
-					c.write("%s", form.Text(200, "X-Id: "+id+"\r\n"))
+					c.write("%s", form.Text(200, "X-Id: "+id+"\r\n", "not a valid answer"))
 				}
 			})
 			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -18,6 +19,7 @@
 	"github.com/limpetdock/limpetdock/fleet"
 	"github.com/limpetdock/limpetdock/internal/progress"
 	"github.com/limpetdock/limpetdock/internal/readlimit"
+	"github.com/limpetdock/limpetdock/internal/upstream"
 )
 
 // VMState is the state of a VM in the VM list.
@@ -92,7 +94,10 @@
 
 // NewHTTP returns a client for the platform at base.
 func NewHTTP(base *url.URL) *HTTP {
-	transport := &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute, DisableCompression: true, MaxResponseHeaderBytes: readlimit.MaxHead}
+	transport := &upstream.Transport{Transport: &http.Transport{
+		DialContext: upstream.NewDialContext(&net.Dialer{}), MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute,
+		DisableCompression: true, MaxResponseHeaderBytes: readlimit.MaxHead,
+	}}
 	return &HTTP{base: base, client: &http.Client{Transport: transport}}
 }
 
--- a/internal/platform/slow_test.go
+++ b/internal/platform/slow_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/limpetdock/limpetdock/internal/upstream"
 	"github.com/limpetdock/limpetdock/internal/virtualtime"
 )
 
@@ -93,7 +94,7 @@
 		go func() { _ = server.Serve(p) }()
 		defer func() { _ = server.Close() }()
 		c := NewHTTP(&url.URL{Scheme: "http", Host: "platform"})
-		c.client.Transport.(*http.Transport).DialContext = p.dial
+		c.client.Transport.(*upstream.Transport).DialContext = p.dial
 		defer c.Close()
 		f(t, c)
 	})
--- a/standin/broken/broken.go
+++ b/standin/broken/broken.go
@@ -1,10 +1,7 @@
 // Package broken has answers that aren't valid HTTP, as faulty backend servers and stores send them.
 package broken
 
-import (
-	"fmt"
-	"strings"
-)
+import "fmt"
 
 // Answer is an answer that isn't valid HTTP.
 type Answer struct {
@@ -13,14 +10,16 @@
 	status, reason string
 	// line is a line of the head.
 	line string
-	// framing is true if the line states where the body ends, so that no other one does.
-	framing bool
+	// framing is the start of a line that states where the body ends, so that no other one does.
+	framing string
 	// trailer is a line behind a body in chunks.
 	trailer string
 }
 
-// Body is the body of the answers.
-const Body = "not a valid answer"
+const (
+	lengthFraming = "Content-Length : "
+	codingFraming = "Transfer-Encoding : "
+)
 
 // Answers are the forms of broken answers.
 var Answers = []Answer{
@@ -43,32 +42,35 @@
 	{Name: "no colon", line: "X-Filler"},
 	{Name: "blank ahead of the colon", line: "X-Filler : a"},
 	{Name: "tab ahead of the colon", line: "X-Filler\t: a"},
-	{Name: "blank ahead of the colon of the length", line: fmt.Sprintf("Content-Length : %d", len(Body)), framing: true},
-	{Name: "blank ahead of the colon of the coding", line: "Transfer-Encoding : chunked", framing: true},
+	{Name: "blank ahead of the colon of the length", framing: lengthFraming},
+	{Name: "blank ahead of the colon of the coding", framing: codingFraming},
 	{Name: "byte 00 in a value", line: "X-Filler: a\x00b"},
 	{Name: "byte 0d in a value", line: "X-Filler: a\rb"},
 	{Name: "blank in a name of the trailer", trailer: "X Filler: a"},
 	{Name: "byte 01 in a name of the trailer", trailer: "X\x01Filler: a"},
 }
 
+// InTrailer reports whether the head of the answer is valid and its trailer isn't.
+func (a Answer) InTrailer() bool { return a.trailer != "" }
+
 // Text returns the answer with further lines of its head, each with its line end. Status is that of an answer whose
 // status isn't broken.
-func (a Answer) Text(status int, header string) string {
+func (a Answer) Text(status int, header, body string) string {
 	code, reason := a.status, a.reason
 	if code == "" {
 		code, reason = fmt.Sprint(status), " OK"
 	}
 	head := "HTTP/1.1 " + code + reason + "\r\n" + header
-	chunks := fmt.Sprintf("%x\r\n%s\r\n0\r\n", len(Body), Body)
+	chunks := fmt.Sprintf("%x\r\n%s\r\n0\r\n", len(body), body)
 	switch {
 	case a.trailer != "":
 		return head + "Transfer-Encoding: chunked\r\n\r\n" + chunks + a.trailer + "\r\n\r\n"
-	case a.framing && strings.HasPrefix(a.line, "Transfer-Encoding"):
-		return head + a.line + "\r\n\r\n" + chunks + "\r\n"
-	case a.framing:
-		return head + a.line + "\r\n\r\n" + Body
+	case a.framing == codingFraming:
+		return head + codingFraming + "chunked\r\n\r\n" + chunks + "\r\n"
+	case a.framing == lengthFraming:
+		return fmt.Sprintf("%s%s%d\r\n\r\n%s", head, lengthFraming, len(body), body)
 	case a.line != "":
 		head += a.line + "\r\n"
 	}
-	return fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(Body), Body)
+	return fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
 }
--- a/standin/broken/ending.go
+++ b/standin/broken/ending.go
@@ -31,6 +31,9 @@
 	EndedAndReset End = "ended and then reset"
 )
 
+// Body is the body of the answers.
+const Body = "first half, second half"
+
 // sendPause lets the other end see what was sent before the next step.
 const sendPause = 2 * time.Millisecond
 
