Soak: answers that are reset in their body, and heads that aren't valid

Targets that spoil answers now also send rejections with a blank ahead of a field's colon or with status 000, and successes without a length that they reset in the body. The relay of the soak turned a reset into the end of a stream, which made the last of these a whole answer; it passes resets on now.

The uploads of the soak are too small to be reset while they are being written; TestPartOfAnswerIsNotDelivered has that.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -49,6 +49,9 @@
 	failure error
 }
 
+// NetConn returns the connection that c wraps, for its options.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
--- a/standin/relay/main.go
+++ b/standin/relay/main.go
@@ -5,6 +5,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -17,6 +18,8 @@
 	"time"
 
 	"github.com/jessevdk/go-flags"
+
+	"github.com/limpetdock/limpetdock/internal/upstream"
 )
 
 // route forwards connections to Listen to Target.
@@ -185,7 +188,7 @@
 }
 
 func (r *relay) relay(in net.Conn, rt route) {
-	out, err := net.DialTimeout("tcp", rt.Target, time.Second)
+	out, err := upstream.Dial(context.Background(), &net.Dialer{Timeout: time.Second}, rt.Target)
 	if err != nil {
 		_ = in.Close()
 		return
--- a/standin/relay/pipe.go
+++ b/standin/relay/pipe.go
@@ -1,9 +1,12 @@
 package main
 
 import (
+	"io"
 	"net"
 	"sync/atomic"
 	"time"
+
+	"github.com/limpetdock/limpetdock/internal/sockopt"
 )
 
 // pipe is one relayed connection.
@@ -32,17 +35,16 @@
 
 func (p *pipe) close() {
 	for _, c := range []net.Conn{p.in, p.out} {
-		if tcp, ok := c.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0)
-		}
+		sockopt.ResetOnClose(c)
 		_ = c.Close()
 	}
 }
 
-// chunk is data in transit, to be written at due. Nil data marks end of stream.
+// chunk is data in transit, to be written at due. Nil data marks the end of the stream, or its reset if reset is true.
 type chunk struct {
-	due  time.Time
-	data []byte
+	due   time.Time
+	data  []byte
+	reset bool
 }
 
 const (
@@ -61,8 +63,13 @@
 		if failed || p.silent.Load() || p.relay.activeFault(from, to).Drop {
 			continue
 		}
+		if c.reset {
+			failed = true
+			p.close()
+			continue
+		}
 		if c.data == nil {
-			if tcp, ok := dst.(*net.TCPConn); ok {
+			if tcp, ok := sockopt.Unwrap(dst).(*net.TCPConn); ok {
 				_ = tcp.CloseWrite()
 			}
 			continue
@@ -86,10 +93,10 @@
 			if f.BytesPerSec > 0 {
 				p.relay.limits[link{from, to}].wait(n, f.BytesPerSec)
 			}
-			queue <- chunk{time.Now().Add(delay), buf[:n]}
+			queue <- chunk{due: time.Now().Add(delay), data: buf[:n]}
 		}
 		if err != nil {
-			queue <- chunk{time.Now().Add(delay), nil}
+			queue <- chunk{due: time.Now().Add(delay), reset: err != io.EOF}
 			return
 		}
 	}
--- a/standin/spoil/spoil.go
+++ b/standin/spoil/spoil.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"time"
 )
 
 // Form is the form of a spoilt answer.
@@ -30,13 +31,18 @@
 	BadLength Form = "bad-length"
 	BadChunk  Form = "bad-chunk"
 	NoAnswer  Form = "no-answer"
-	// Reset resets the connection without an answer.
-	Reset Form = "reset"
+	// BadName and BadStatus are rejections with a blank ahead of the colon of a field, and with status 000.
+	BadName   Form = "bad-name"
+	BadStatus Form = "bad-status"
+	// Reset resets the connection without an answer, and ResetSuccess in the body of a success without a length.
+	Reset        Form = "reset"
+	ResetSuccess Form = "reset-success"
 )
 
 // Forms are all forms.
 var Forms = []Form{
-	Unproven, Contradictory, ForeignRejection, CutHead, CutBody, CutSuccess, BadHeader, BadLength, BadChunk, NoAnswer, Reset,
+	Unproven, Contradictory, ForeignRejection, CutHead, CutBody, CutSuccess, BadHeader, BadLength, BadChunk, NoAnswer, BadName, BadStatus,
+	Reset, ResetSuccess,
 }
 
 // Whole reports whether the answer is a valid one to the request, after which the connection stays open.
@@ -67,13 +73,24 @@
 		return err
 	}
 	defer func() { _ = raw.Close() }()
-	if f == Reset {
+	if f != Reset {
+		if _, err = raw.Write(f.bytes(h, mark)); err != nil {
+			return err
+		}
+	}
+	if f == ResetSuccess {
+		// A reset discards what hasn't been delivered.
+		time.Sleep(deliveryTime)
+	}
+	if f == Reset || f == ResetSuccess {
 		return makeReset(raw)
 	}
-	_, err = raw.Write(f.bytes(h, mark))
-	return err
+	return nil
 }
 
+// deliveryTime is how long the other end has to receive the start of an answer.
+const deliveryTime = 5 * time.Millisecond
+
 var errNoTCP = errors.New("only TCP connections can be reset")
 
 // makeReset makes the close of a connection reset it.
@@ -95,9 +112,13 @@
 	}
 	var b bytes.Buffer
 	status := "503 Service Unavailable"
-	if f == CutSuccess {
+	switch f {
+	case CutSuccess, ResetSuccess:
 		status = "200 OK"
-	} else {
+	case BadStatus:
+		status = "000 None"
+	}
+	if status != "200 OK" {
 		h.Set(mark, "1")
 	}
 	b.WriteString("HTTP/1.1 " + status + "\r\n")
@@ -110,6 +131,9 @@
 		BadHeader:        "no colon\r\n\r\n",
 		BadLength:        "Content-Length: -2\r\n\r\n",
 		BadChunk:         "Transfer-Encoding: chunked\r\n\r\nzz\r\n",
+		BadName:          "X-Filler : a\r\nContent-Length: 0\r\n\r\n",
+		BadStatus:        "Content-Length: 0\r\n\r\n",
+		ResetSuccess:     "\r\n123",
 	}[f])
 	return b.Bytes()
 }
