A stopping node reads the requests that have arrived before it closes connections

A caller of a stopping node could send a request whole on an open connection and see the connection close without an answer, though the grace had seconds left. Nothing was logged of it.

Cause: the end of reading was a read deadline in the past. With one, a read fails also if bytes have arrived, so a request that was in the socket's buffer, or of which a part had been read, was dropped. That takes a process that hasn't read for a while, or an upload in progress when all other work has ended.

Once the server shuts down, a last request may begin for 100 ms, and its body is read on for as long as no pause in it exceeds that, within the limit of the shutdown. A stop takes 0.1 s longer for that; it fits the 0.25 s that final answers have at the end of the grace.

New connections in the backlog at the end of a stop are still reset; their callers have sent less than 0.2 s before.

--- a/internal/mesh/front/conn.go
+++ b/internal/mesh/front/conn.go
@@ -51,7 +51,9 @@
 	// finished is true once no more requests are read. closing is true if the answer being
 	// written is the last one, and lingering once it has been written.
 	finished, closing bool
-	lingering         atomic.Bool
+	// inBody is true while the body of a request is read.
+	inBody    bool
+	lingering atomic.Bool
 }
 
 // pending is a request whose answer is outstanding.
--- a/internal/mesh/front/read.go
+++ b/internal/mesh/front/read.go
@@ -28,6 +28,9 @@
 	idleGrace = time.Second
 	// bodyTimeout bounds the pause between two chunks of a body.
 	bodyTimeout = 10 * time.Second
+	// lastReadTimeout bounds, once the server shuts down, the time until a last request begins and the pause between two
+	// chunks of its body. The bytes may have arrived before, and wait to be read.
+	lastReadTimeout = 100 * time.Millisecond
 )
 
 // badRequest is a request that can't be read.
@@ -134,7 +137,7 @@
 }
 
 // setReadDeadline sets the deadline of the next reads; the zero time means none. Once the
-// server shuts down, nothing more is read.
+// server shuts down, only what is on its way is read.
 func (c *conn) setReadDeadline(t time.Time) error {
 	if err := c.raw.SetReadDeadline(t); err != nil {
 		return err
@@ -145,14 +148,25 @@
 	return nil
 }
 
-// stopReading makes reading a request time out. Once no more requests are read, the connection
-// is only watched for the end of its input, which goes on.
+// stopReading makes reading time out when no request has begun in time, or the body of one makes no progress. Once no
+// more requests are read, the connection is only watched for the end of its input, which goes on.
 func (c *conn) stopReading() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.finished {
-		_ = c.raw.SetReadDeadline(time.Unix(1, 0))
+	if c.finished {
+		return
 	}
+	deadline := c.server.lastRequests
+	if c.inBody {
+		deadline = time.Now().Add(lastReadTimeout)
+	}
+	_ = c.raw.SetReadDeadline(deadline)
+}
+
+func (c *conn) setInBody(inBody bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.inBody = inBody
 }
 
 // serving reports whether answers are outstanding.
@@ -234,6 +248,8 @@
 			return nil, release, disconnected
 		}
 	}
+	c.setInBody(true)
+	defer c.setInBody(false)
 	body, release, err := c.server.bodies.ReadAll(&pacedReader{conn: c, from: in.Body}, in.ContentLength, limit)
 	switch {
 	case errors.Is(err, readlimit.ErrBodyTooLarge):
--- a/internal/mesh/front/server.go
+++ b/internal/mesh/front/server.go
@@ -59,11 +59,13 @@
 	// at once.
 	ctx         context.Context
 	endRequests func()
-	// closing is true once the server shuts down.
-	closing  atomic.Bool
-	mu       sync.Mutex
-	listener net.Listener
-	conns    map[*conn]struct{}
+	// closing is true once the server shuts down. lastRequests, which is set before, is when the last requests must have
+	// begun.
+	closing      atomic.Bool
+	lastRequests time.Time
+	mu           sync.Mutex
+	listener     net.Listener
+	conns        map[*conn]struct{}
 	// allClosed is closed once the server shuts down and has no connections.
 	allClosed chan struct{}
 	// bodies bounds the bodies of the requests that aren't answered yet.
@@ -117,8 +119,8 @@
 // BodyBytes returns the memory that larger bodies of requests take which aren't answered yet, in bytes.
 func (s *Server) BodyBytes() int64 { return s.bodies.Held() }
 
-// Shutdown stops accepting connections and reading requests, and waits until every request that
-// was read is answered and all connections are closed. It returns the error of ctx if that ends
+// Shutdown stops accepting connections and reading requests, except for those on their way, and waits until every request
+// that was read is answered and all connections are closed. It returns the error of ctx if that ends
 // earlier; the requests that are left run on.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.stopReading()
@@ -151,14 +153,16 @@
 	s.closeConns()
 }
 
-// stopReading closes the listener and makes all connections stop reading requests.
+// stopReading closes the listener and makes all connections stop reading requests, except for those on their way.
 func (s *Server) stopReading() {
 	s.Drain()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closing.Swap(true) {
+	if s.closing.Load() {
 		return
 	}
+	s.lastRequests = time.Now().Add(lastReadTimeout)
+	s.closing.Store(true)
 	if s.listener != nil {
 		_ = s.listener.Close()
 	}
--- a/internal/mesh/front/shutdown_test.go
+++ b/internal/mesh/front/shutdown_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -289,3 +291,57 @@
 	_, err := c.reader.ReadByte()
 	require.ErrorIs(t, err, io.EOF)
 }
+
+// Guards against a request that was sent whole on an open connection before the server shut down, and is cut off without
+// an answer because the server hadn't read all of it.
+func TestShutdownAnswersRequestsThatHaveArrived(t *testing.T) {
+	const rounds = 20
+	body := strings.Repeat("x", 1<<20)
+	for name, frame := range map[string]string{
+		"length": fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body),
+		"chunks": fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body),
+	} {
+		t.Run(name, func(t *testing.T) {
+			for range rounds {
+				s, c := start(t, handler{serve: func(_ context.Context, r *front.Request) *front.Response { return text(fmt.Sprint(len(r.Body))) }})
+				c.get("/")
+				c.answer()
+				c.send("POST / HTTP/1.1\r\nHost: h\r\n%s", frame)
+				done := make(chan error, 1)
+				go func() { done <- s.Shutdown(t.Context()) }()
+				_, got := c.answer()
+				require.Equal(t, fmt.Sprint(len(body)), got)
+				require.NoError(t, c.Close())
+				require.NoError(t, <-done)
+			}
+		})
+	}
+}
+
+// Guards against an upload that is cut off by a server which has time left to read the rest.
+func TestShutdownReadsUploadsInProgress(t *testing.T) {
+	const pieces = 10
+	s, c := start(t, handler{serve: func(_ context.Context, r *front.Request) *front.Response { return text(fmt.Sprint(len(r.Body))) }})
+	c.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\nx", pieces)
+	time.Sleep(10 * time.Millisecond)
+	done := make(chan error, 1)
+	go func() { done <- s.Shutdown(t.Context()) }()
+	for range pieces - 1 {
+		time.Sleep(20 * time.Millisecond)
+		c.send("x")
+	}
+	_, got := c.answer()
+	require.Equal(t, fmt.Sprint(pieces), got)
+	require.NoError(t, c.Close())
+	require.NoError(t, <-done)
+}
+
+// Guards against a caller whose request never ends and that holds up the end of the server.
+func TestShutdownGivesUpStalledUpload(t *testing.T) {
+	s, c := start(t, handler{serve: func(context.Context, *front.Request) *front.Response { return text("x") }})
+	c.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nx")
+	time.Sleep(10 * time.Millisecond)
+	require.NoError(t, s.Shutdown(t.Context()))
+	rest, _ := io.ReadAll(c.reader)
+	require.Empty(t, string(rest))
+}
