An answer of HTTP/1.0 with a transfer coding isn't an answer

A backend server that answered with version 1.0 and Transfer-Encoding: chunked had its chunks, with their sizes, delivered as the body of a 200, on both interfaces and on all kinds of routes. On a connection that it kept open, callers waited until their time limit. A rejection of that form was taken as proof that the request hadn't run. The clients of the store and the platform believed it, too.

Cause: version 1.0 has no transfer codings, and such a head leaves open where the body ends (RFC 9112, section 6.1: the framing is to be treated as faulty). net/http leaves the field out of the header and reads on as if it weren't there, so that a check of the parsed answer can't find it.

The connections of upstream.Dial read the heads of answers with version 1.0 for that field; of others they look at the version only. A head is expected from the first byte of a request on.

Evidence: the form is new in standin/broken. TestBrokenAnswerIsAFailure of exchange and guard, TestBrokenAnswerIsNotDelivered, TestBrokenAnswerIsNoValue, TestBrokenAnswerOfStoreIsAFailure and TestBrokenAnswerPromisesNothing failed for it and pass now.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -14,7 +14,7 @@
 	"github.com/rotisserie/eris"
 )
 
-// Dial opens a TCP connection whose reads report io.EOF only if the peer has ended its stream. Without a length, an
+// Dial opens a TCP connection for requests and their answers whose reads report io.EOF only if the peer has ended its stream. Without a length, an
 // answer that was cut off by a reset can't be told from a complete one otherwise.
 //
 // The kernel reports the failure of a connection once, to a read or a write. If a write gets it, reads return io.EOF
@@ -40,13 +40,14 @@
 	return func(ctx context.Context, _, addr string) (net.Conn, error) { return Dial(ctx, dialer, addr) }
 }
 
-// conn keeps the failure of a connection for its reads.
+// conn keeps the failure of a connection for its reads, and checks the heads of answers for what net/http hides.
 type conn struct {
 	net.Conn
 	socket syscall.RawConn
 	// mu is held during each system call that writes, so that a read that returns after it finds its failure.
 	mu      sync.Mutex
 	failure error
+	version versionCheck
 }
 
 // NetConn returns the connection that c wraps, for its options.
@@ -55,12 +56,12 @@
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if err != io.EOF {
-		return n, err
-	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.failure != nil {
+	if !c.version.add(p[:n]) {
+		return 0, errCoding
+	}
+	if err == io.EOF && c.failure != nil {
 		err = c.opError("read", c.failure)
 	}
 	return n, err
@@ -94,6 +95,7 @@
 func (c *conn) writeOnce(fd int, p []byte) (n int, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.version.begin()
 	for {
 		n, err = syscall.Write(fd, p)
 		switch {
--- a/standin/broken/broken.go
+++ b/standin/broken/broken.go
@@ -1,7 +1,10 @@
 // Package broken has answers that aren't valid HTTP, as faulty backend servers and stores send them.
 package broken
 
-import "fmt"
+import (
+	"fmt"
+	"strings"
+)
 
 // Answer is an answer that isn't valid HTTP.
 type Answer struct {
@@ -14,6 +17,8 @@
 	framing string
 	// trailer is a line behind a body in chunks.
 	trailer string
+	// old is true for a body in chunks in version 1.0, which has none.
+	old bool
 }
 
 const (
@@ -44,6 +49,7 @@
 	{Name: "tab ahead of the colon", line: "X-Filler\t: a"},
 	{Name: "blank ahead of the colon of the length", framing: lengthFraming},
 	{Name: "blank ahead of the colon of the coding", framing: codingFraming},
+	{Name: "chunks in version 1.0", old: true},
 	{Name: "byte 00 in a value", line: "X-Filler: a\x00b"},
 	{Name: "byte 0d in a value", line: "X-Filler: a\rb"},
 	{Name: "blank in a name of the trailer", trailer: "X Filler: a"},
@@ -63,6 +69,8 @@
 	head := "HTTP/1.1 " + code + reason + "\r\n" + header
 	chunks := fmt.Sprintf("%x\r\n%s\r\n0\r\n", len(body), body)
 	switch {
+	case a.old:
+		return strings.Replace(head, "HTTP/1.1", "HTTP/1.0", 1) + "Transfer-Encoding: chunked\r\n\r\n" + chunks + "\r\n"
 	case a.trailer != "":
 		return head + "Transfer-Encoding: chunked\r\n\r\n" + chunks + a.trailer + "\r\n\r\n"
 	case a.framing == codingFraming:
