Connections that carry other bytes than answers don't check them

The relay of the soak passes any bytes on, so it dials by upstream.DialStream, which only keeps failures for reads. Dial adds the check of answers' heads.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -14,12 +14,29 @@
 	"github.com/rotisserie/eris"
 )
 
-// Dial opens a TCP connection for requests and their answers whose reads report io.EOF only if the peer has ended its stream. Without a length, an
-// answer that was cut off by a reset can't be told from a complete one otherwise.
-//
-// The kernel reports the failure of a connection once, to a read or a write. If a write gets it, reads return io.EOF
-// as they do after an orderly end.
+// Dial opens a TCP connection for requests and their answers, as DialStream does. Reads also fail on an answer whose
+// framing net/http would take for another one.
 func Dial(ctx context.Context, dialer *net.Dialer, addr string) (net.Conn, error) {
+	c, err := dial(ctx, dialer, addr)
+	if err != nil {
+		return nil, err
+	}
+	c.version = &versionCheck{}
+	return c, nil
+}
+
+// DialStream opens a TCP connection whose reads report io.EOF only if the peer has ended its stream. An answer without a
+// length that was cut off by a reset can't be told from a complete one otherwise: the kernel reports the failure of a
+// connection once, to a read or a write, and if a write gets it, reads return io.EOF as they do after an orderly end.
+func DialStream(ctx context.Context, dialer *net.Dialer, addr string) (net.Conn, error) {
+	c, err := dial(ctx, dialer, addr)
+	if err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+func dial(ctx context.Context, dialer *net.Dialer, addr string) (*conn, error) {
 	raw, err := dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
@@ -40,14 +57,15 @@
 	return func(ctx context.Context, _, addr string) (net.Conn, error) { return Dial(ctx, dialer, addr) }
 }
 
-// conn keeps the failure of a connection for its reads, and checks the heads of answers for what net/http hides.
+// conn keeps the failure of a connection for its reads.
 type conn struct {
 	net.Conn
 	socket syscall.RawConn
 	// mu is held during each system call that writes, so that a read that returns after it finds its failure.
 	mu      sync.Mutex
 	failure error
-	version versionCheck
+	// version checks the heads of answers; nil for other streams.
+	version *versionCheck
 }
 
 // NetConn returns the connection that c wraps, for its options.
@@ -58,7 +76,7 @@
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.version.add(p[:n]) {
+	if c.version != nil && !c.version.add(p[:n]) {
 		return 0, errCoding
 	}
 	if err == io.EOF && c.failure != nil {
@@ -95,7 +113,9 @@
 func (c *conn) writeOnce(fd int, p []byte) (n int, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.version.begin()
+	if c.version != nil {
+		c.version.begin()
+	}
 	for {
 		n, err = syscall.Write(fd, p)
 		switch {
--- a/internal/upstream/head.go
+++ b/internal/upstream/head.go
@@ -8,15 +8,15 @@
 	"golang.org/x/net/http/httpguts"
 )
 
-// ErrInvalid means that an answer isn't valid HTTP. Nothing that it states may be believed.
-var ErrInvalid = eris.New("the answer isn't valid HTTP")
+// errInvalid means that an answer isn't valid HTTP. Nothing that it states may be believed.
+var errInvalid = eris.New("the answer isn't valid HTTP")
 
 // Validate returns an error if the head of an answer isn't valid. If the trailer isn't, the end of the body is replaced
 // by an error. net/http accepts any number as a status, and blanks in names.
 func Validate(resp *http.Response) error {
 	// A request that asks for no other protocol can't be answered by switching to one.
 	if resp.StatusCode < http.StatusContinue || resp.StatusCode > 599 || resp.StatusCode == http.StatusSwitchingProtocols {
-		return eris.Wrapf(ErrInvalid, "status %03d", resp.StatusCode)
+		return eris.Wrapf(errInvalid, "status %03d", resp.StatusCode)
 	}
 	if err := validateFields(resp.Header); err != nil {
 		return err
@@ -30,11 +30,11 @@
 func validateFields(fields http.Header) error {
 	for name, values := range fields {
 		if !httpguts.ValidHeaderFieldName(name) {
-			return eris.Wrapf(ErrInvalid, "field name %q", name)
+			return eris.Wrapf(errInvalid, "field name %q", name)
 		}
 		for _, v := range values {
 			if !httpguts.ValidHeaderFieldValue(v) {
-				return eris.Wrapf(ErrInvalid, "value of field %s", name)
+				return eris.Wrapf(errInvalid, "value of field %s", name)
 			}
 		}
 	}
--- a/internal/upstream/version.go
+++ b/internal/upstream/version.go
@@ -8,7 +8,7 @@
 
 // errCoding means that an answer of HTTP/1.0 states a transfer coding, so that it isn't known where its body ends (RFC
 // 9112, section 6.1). net/http leaves the field out, and takes the coded bytes for the body.
-var errCoding = eris.Wrap(ErrInvalid, "a transfer coding in HTTP/1.0")
+var errCoding = eris.Wrap(errInvalid, "a transfer coding in HTTP/1.0")
 
 var (
 	oldVersion  = []byte("HTTP/1.0 ")
--- a/standin/relay/main.go
+++ b/standin/relay/main.go
@@ -188,7 +188,7 @@
 }
 
 func (r *relay) relay(in net.Conn, rt route) {
-	out, err := upstream.Dial(context.Background(), &net.Dialer{Timeout: time.Second}, rt.Target)
+	out, err := upstream.DialStream(context.Background(), &net.Dialer{Timeout: time.Second}, rt.Target)
 	if err != nil {
 		_ = in.Close()
 		return
